--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation and measurement over real processes."""
--- /dev/null
+++ b/pollenladder/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch sub-second tasks within declared allowances."""
--- /dev/null
+++ b/pollenladder/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The audit trail of changes to declarations."""
--- /dev/null
+++ b/pollenladder/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: defaults, loading, validation and startup checks."""
--- /dev/null
+++ b/pollenladder/core/__init__.py
@@ -0,0 +1,1 @@
+"""Verdicts, entities, clocks and the composition root."""
--- /dev/null
+++ b/pollenladder/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, queues, placement, retries and job completion."""
--- /dev/null
+++ b/pollenladder/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the endpoints on worker VMs."""
--- /dev/null
+++ b/pollenladder/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers and operators."""
--- /dev/null
+++ b/pollenladder/management/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/pollenladder/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the tool."""
--- /dev/null
+++ b/pollenladder/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Peers, workers, shard ownership, drain and quarantine."""
--- /dev/null
+++ b/pollenladder/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of a daemon."""
--- /dev/null
+++ b/pollenladder/plans/__init__.py
@@ -0,0 +1,1 @@
+"""Declared plans and customers, and the allowances they carry."""
--- /dev/null
+++ b/pollenladder/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The message protocol between daemons."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for endpoints, for tests and benches."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, laid out as the packages they cover."""
