--- /dev/null
+++ b/pollenladder/core/daemon.py
@@ -0,0 +1,1 @@
+"""The composition root of `pollenladderd`."""
