Decide admission, placement, spilling and completion over tables

Cause: a job needs an owner that admits it whole, starts its tasks on free slots in fair order, spills what would wait and answers it whole. Weighed: a hop for each task (two more messages a task), leased slots split among daemons (a job of 50 tasks needs slots of many daemons), whole-job hand-on to the owner of a shard (two messages a job, two a spilled batch).

--- /dev/null
+++ b/pollenladder/core/engine.py
@@ -0,0 +1,323 @@
+"""Feed events to the decisions and carry out the effects they return."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+from typing import Any
+
+import gevent
+from gevent import event
+
+from pollenladder.core import clocks
+from pollenladder.core import entities
+from pollenladder.core import verdicts
+from pollenladder.dispatch import directory
+from pollenladder.dispatch import intake
+from pollenladder.dispatch import shard as shards
+from pollenladder.dispatch import spilling
+from pollenladder.dispatch import submissions
+from pollenladder.dispatch import tables
+from pollenladder.plans import declarations
+from pollenladder.plans import escrow
+from pollenladder.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+TICK_S = 0.05
+# An owner that is silent past a job's deadline gets this long to answer.
+ANSWER_GRACE_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Outlets:
+    """Functions by which effects leave the engine.
+
+    Attributes:
+        send: Send a message to another daemon; return whether it was queued.
+        start: Start a task on a worker, and report by
+            `Engine.record_start_outcome` once.
+        stop: Stop tasks on a worker.
+    """
+
+    send: Callable[[str, object], bool]
+    start: Callable[[str, tables.StartTask], None]
+    stop: Callable[[str, tables.StopTasks], None]
+
+
+class Engine:
+    """The tables of one daemon and the loop that runs the systems.
+
+    Attributes:
+        daemon_id: This daemon.
+        shards: Tables of each shard of this data centre, by shard id.
+        submissions: Jobs that callers sent here.
+        loads: Where each shard's owner is.
+        declared: The declarations in force here.
+    """
+
+    def __init__(
+        self,
+        *,
+        daemon_id: str,
+        shard_tables: dict[str, tables.Shard],
+        submitted: submissions.Submissions,
+        loads: directory.Directory,
+        outlets: Outlets,
+        clock: clocks.Clock,
+    ):
+        self.daemon_id = daemon_id
+        self.shards = shard_tables
+        self.submissions = submitted
+        self.loads = loads
+        self.declared = declarations.NONE_YET
+        self._outlets = outlets
+        self._clock = clock
+        self._woken = event.Event()
+        self._waiters: dict[str, event.Event] = {}
+        self._handlers: dict[type, Callable[[str, Any, float], None]] = {
+            messages.JobOffer: self._take_job_offer,
+            messages.JobAnswer: self._take_job_answer,
+            messages.JobCancel: self._take_job_cancel,
+            messages.JobQuery: self._take_job_query,
+            messages.JobPending: _ignore,
+            messages.BatchOffer: self._take_batch_offer,
+            messages.BatchResult: self._take_batch_result,
+            messages.BatchCancel: self._take_batch_cancel,
+            messages.BatchQuery: self._take_batch_query,
+            messages.BatchPending: _ignore,
+            messages.ShardLoad: self._take_load,
+            escrow.LoanAsk: self._take_loan_ask,
+            escrow.LoanGrant: self._take_loan_grant,
+            escrow.LoanReturn: self._take_loan_return,
+            escrow.Claim: self._take_claim,
+            escrow.ClaimReply: self._take_claim_reply,
+        }
+
+    def run(self) -> None:
+        """Run the systems whenever something happened, and at each tick."""
+        while True:
+            self._woken.wait(TICK_S)
+            self._woken.clear()
+            try:
+                self._run_systems()
+            except Exception:
+                LOGGER.exception("a system failed")
+            # Let other greenlets bring more events before the next run.
+            gevent.sleep(0)
+
+    def submit(self, job: entities.Job) -> None:
+        """Take a job from the gateway."""
+        self._waiters[job.job_id] = event.Event()
+        now = self._clock()
+        self.execute(submissions.submit(self.submissions, job, now))
+        self._wake_waiters()
+
+    def wait(self, job_id: str, timeout_s: float) -> None:
+        """Wait until a job submitted here has its answer, or so long."""
+        waiter = self._waiters.get(job_id)
+        if waiter:
+            waiter.wait(timeout_s)
+
+    def cancel(self, job_id: str) -> None:
+        """Ask for a job submitted here to be given up."""
+        self.execute(submissions.cancel(self.submissions, job_id))
+
+    def declare(self, declared: declarations.Declarations) -> bool:
+        """Put newer declarations in force; return whether they are newer."""
+        if declared.version <= self.declared.version:
+            return False
+        self.declared = declared
+        for shard in self.shards.values():
+            shards.declare(shard, declared, self._clock())
+        self._woken.set()
+        return True
+
+    def take_message(self, sender: str, message: object) -> bool:
+        """Handle a message of a daemon; return whether it is one of ours."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            return False
+        handler(sender, message, self._clock())
+        self._woken.set()
+        return True
+
+    def record_start_outcome(
+        self, shard_id: str, effect: tables.StartTask, result
+    ) -> None:
+        """Take in the end of a start."""
+        shard = self.shards[shard_id]
+        now = self._clock()
+        self.execute(
+            shards.record_start_outcome(shard, effect, result, now), shard_id
+        )
+        self._woken.set()
+
+    def lose_daemon(self, daemon_id: str) -> None:
+        """Settle all that was sent to a daemon that is dead or restarted."""
+        now = self._clock()
+        directory.forget_daemon(self.loads, daemon_id)
+        submissions.lose_daemon(self.submissions, daemon_id, now)
+        for shard_id, shard in self.shards.items():
+            effects = spilling.lose_batches(shard, daemon_id, now)
+            effects += intake.drop_gateway(shard, daemon_id, now)
+            self.execute(effects, shard_id)
+        self._wake_waiters()
+        self._woken.set()
+
+    def ask_daemon(self, daemon_id: str) -> None:
+        """Ask over a new link about all that was sent over an older one."""
+        self.execute(submissions.query_daemon(self.submissions, daemon_id))
+        for shard in self.shards.values():
+            self.execute(spilling.query_batches(shard, daemon_id))
+
+    def wake(self) -> None:
+        """Have the systems run soon."""
+        self._woken.set()
+
+    def execute(
+        self, effects: list[tables.Effect], shard_id: str = ""
+    ) -> None:
+        """Carry out effects, in order."""
+        for effect in effects:
+            if isinstance(effect, tables.StartTask):
+                self._outlets.start(shard_id, effect)
+            elif isinstance(effect, tables.StopTasks):
+                self._outlets.stop(shard_id, effect)
+            else:
+                self._send(effect)
+
+    def _send(self, effect: tables.SendMessage) -> None:
+        if effect.daemon_id == self.daemon_id:
+            # Handled by its own greenlet, so that handlers do not nest.
+            gevent.spawn(
+                self.take_message, effect.daemon_id, effect.message
+            )
+            return
+        if not self._outlets.send(effect.daemon_id, effect.message):
+            self._take_unsent(effect.message)
+
+    def _take_unsent(self, message: object) -> None:
+        """Settle what certainly did not leave this daemon."""
+        now = self._clock()
+        reason = verdicts.Reason.CONNECTION_LOST
+        if isinstance(message, messages.JobOffer):
+            job_id = message.job.job_id
+            refused = verdicts.Refused(job_id, reason, 1.0, "no link")
+            gevent.spawn(self._settle_answer, refused)
+        elif isinstance(message, messages.BatchOffer):
+            shard = self.shards[message.from_shard_id]
+            result = spilling.format_unsent(message)
+            effects = spilling.record_batch_result(shard, result, now)
+            self.execute(effects, shard.shard_id)
+            self._woken.set()
+
+    def _run_systems(self) -> None:
+        now = self._clock()
+        for shard_id, shard in self.shards.items():
+            self.execute(shards.run_systems(shard, now), shard_id)
+        submissions.expire(self.submissions, now, ANSWER_GRACE_S)
+        self._wake_waiters()
+
+    def _wake_waiters(self) -> None:
+        for job_id in self.submissions.changed:
+            waiter = self._waiters.pop(job_id, None)
+            if waiter:
+                waiter.set()
+        self.submissions.changed.clear()
+
+    def _settle_answer(self, answer: verdicts.Answer) -> None:
+        now = self._clock()
+        self.execute(submissions.record_answer(self.submissions, answer, now))
+        self._wake_waiters()
+
+    def _take_job_offer(self, sender, message, now) -> None:
+        shard = self.shards.get(message.shard_id)
+        if shard is None:
+            return
+        self.execute(
+            intake.offer_job(shard, sender, message, now), shard.shard_id
+        )
+
+    def _take_job_answer(self, sender, message, now) -> None:
+        self._settle_answer(messages.unpack_answer(message))
+
+    def _take_job_cancel(self, sender, message, now) -> None:
+        self._cancel(message.shard_id, message.job_ids, now)
+
+    def _take_batch_cancel(self, sender, message, now) -> None:
+        self._cancel(message.shard_id, message.batch_ids, now)
+
+    def _cancel(self, shard_id: str, group_ids, now: float) -> None:
+        shard = self.shards.get(shard_id)
+        if shard:
+            effects = intake.cancel_groups(shard, group_ids, now)
+            self.execute(effects, shard_id)
+
+    def _take_job_query(self, sender, message, now) -> None:
+        shard = self.shards.get(message.shard_id)
+        if shard:
+            effects = intake.answer_query(
+                shard, sender, message.job_id, message.task_ids, False, now
+            )
+            self.execute(effects, shard.shard_id)
+
+    def _take_batch_query(self, sender, message, now) -> None:
+        shard = self.shards.get(message.shard_id)
+        if shard:
+            effects = intake.answer_query(
+                shard, sender, message.batch_id, message.task_ids, True, now
+            )
+            self.execute(effects, shard.shard_id)
+
+    def _take_batch_offer(self, sender, message, now) -> None:
+        shard = self.shards.get(message.shard_id)
+        if shard is None:
+            return
+        self.execute(
+            intake.offer_batch(shard, sender, message, now), shard.shard_id
+        )
+
+    def _take_batch_result(self, sender, message, now) -> None:
+        for shard in self.shards.values():
+            if message.batch_id in shard.batches:
+                effects = spilling.record_batch_result(shard, message, now)
+                self.execute(effects, shard.shard_id)
+                return
+
+    def _take_load(self, sender, message, now) -> None:
+        directory.record_load(self.loads, sender, message, now)
+        for shard in self.shards.values():
+            effects = spilling.answer_load(shard, sender, message, now)
+            self.execute(effects, shard.shard_id)
+
+    def _take_loan_ask(self, sender, message, now) -> None:
+        shard = self.shards.get(message.lender)
+        if shard and shard.ownership_is_held(now):
+            grant = escrow.grant(shard.ledger, message, now)
+            if grant:
+                self.execute([tables.SendMessage(sender, grant)])
+
+    def _take_loan_grant(self, sender, message, now) -> None:
+        shard = self.shards.get(message.borrower)
+        if shard:
+            escrow.accept(shard.ledger, message, now)
+
+    def _take_loan_return(self, sender, message, now) -> None:
+        shard = self.shards.get(message.lender)
+        if shard:
+            escrow.take_back(shard.ledger, message, now)
+
+    def _take_claim(self, sender, message, now) -> None:
+        for shard in self.shards.values():
+            reply = escrow.answer_claim(shard.ledger, message, now)
+            if reply:
+                self.execute([tables.SendMessage(sender, reply)])
+
+    def _take_claim_reply(self, sender, message, now) -> None:
+        shard = self.shards.get(message.claimant)
+        if shard:
+            escrow.record_claim_reply(shard.ledger, message, now)
+
+
+def _ignore(sender: str, message: object, now: float) -> None:
+    """Do nothing: the message only says that an answer will come."""
--- /dev/null
+++ b/pollenladder/dispatch/admission.py
@@ -0,0 +1,142 @@
+"""Whether a job is taken, decided once, when it comes.
+
+Nothing that the caller declares is used: run times are those seen for the kind.
+"""
+
+from collections.abc import Iterable
+import math
+
+from pollenladder.core import entities
+from pollenladder.core import verdicts
+from pollenladder.dispatch import directory
+from pollenladder.dispatch import estimates
+from pollenladder.dispatch import fairness
+from pollenladder.dispatch import tables
+from pollenladder.plans import declarations
+
+MIN_RETRY_AFTER_S = 1.0
+NOT_READY_RETRY_AFTER_S = 1.0
+
+
+def estimate_work_s(
+    shard: tables.Shard, plan_id: str, tasks: Iterable[entities.Task]
+) -> float:
+    """Return the run time to expect of tasks, summed, in seconds."""
+    return sum(
+        estimates.estimate_run_s(shard.estimates, plan_id, task.kind)
+        for task in tasks
+    )
+
+
+def count_slots(shard: tables.Shard) -> int:
+    """Count the slots that the shard's queue can use: its own, and idle ones.
+
+    Slots that others have lent by running our batches are counted by the tasks
+    now there.
+    """
+    own = sum(
+        worker.slots for worker in shard.workers.values() if not worker.leaving
+    )
+    spilled = sum(len(batch.indexes) for batch in shard.batches.values())
+    idle = sum(
+        entry.free
+        for entry in directory.iterate_others(shard.loads, shard.shard_id)
+    )
+    return own + spilled + idle
+
+
+def decide(
+    shard: tables.Shard, job: entities.Job, now: float
+) -> verdicts.Refused | None:
+    """Return why a job is refused, or None if it is taken."""
+    plan = shard.declared.plans.get(job.plan_id)
+    if shard.draining:
+        return _refuse(job, verdicts.Reason.DRAINING, NOT_READY_RETRY_AFTER_S)
+    if plan is None or not shard.ownership_is_held(now):
+        return _refuse(job, verdicts.Reason.NOT_READY, NOT_READY_RETRY_AFTER_S)
+    never = find_obstacle(shard, plan, job)
+    if never:
+        return verdicts.Refused(
+            job.job_id, verdicts.Reason.NEVER_RUNS, None, never
+        )
+    if len(shard.groups) >= shard.limits.max_queued_jobs:
+        return _refuse(job, verdicts.Reason.OVERLOAD, MIN_RETRY_AFTER_S)
+    return _refuse_overload(shard, plan, job) or _refuse_allowance(
+        shard, plan, job
+    )
+
+
+def find_obstacle(
+    shard: tables.Shard, plan: declarations.Plan, job: entities.Job
+) -> str:
+    """Return why the job could not run even alone, or an empty string."""
+    unknown = [task.kind for task in job.tasks if task.kind not in plan.kinds]
+    if unknown:
+        return f"plan {plan.plan_id} has no kind {unknown[0]}"
+    allowed = plan.allowance
+    deadline_s = min(job.deadline_s, plan.deadline_s)
+    if allowed.running_tasks < 1:
+        return f"plan {plan.plan_id} may run no task"
+    startable = allowed.burst + allowed.starts_per_s * deadline_s
+    if len(job.tasks) > startable:
+        return f"{len(job.tasks)} tasks cannot start within the deadline"
+    seen = [
+        shard.estimates.rows.get((plan.plan_id, task.kind))
+        for task in job.tasks
+    ]
+    work_s = sum(row.mean_s for row in seen if row)
+    longest_s = max((row.mean_s for row in seen if row), default=0.0)
+    if max(work_s / allowed.running_tasks, longest_s) > deadline_s:
+        return "its tasks take longer than the deadline at this allowance"
+    return ""
+
+
+def _refuse_overload(
+    shard: tables.Shard, plan: declarations.Plan, job: entities.Job
+) -> verdicts.Refused | None:
+    """Bound the wait of each customer by its fair part of the slots."""
+    line_id = (job.customer_id, job.plan_id)
+    work_s = estimate_work_s(shard, job.plan_id, job.tasks)
+    slots = max(1, count_slots(shard))
+    line = shard.queue.lines.get(line_id)
+    ahead_s = line.work_s if line else 0.0
+    part = fairness.get_service_part(shard.queue, line_id, plan.weight)
+    wait_s = ahead_s / (slots * part)
+    longest_s = work_s / len(job.tasks)
+    bound_s = min(
+        shard.limits.max_queue_wait_s,
+        max(0.0, min(job.deadline_s, plan.deadline_s) - longest_s),
+    )
+    if wait_s <= bound_s:
+        return None
+    retry_after_s = max(MIN_RETRY_AFTER_S, wait_s - bound_s / 2)
+    return _refuse(job, verdicts.Reason.OVERLOAD, retry_after_s)
+
+
+def _refuse_allowance(
+    shard: tables.Shard, plan: declarations.Plan, job: entities.Job
+) -> verdicts.Refused | None:
+    """Refuse what the plan's allowance cannot start in time."""
+    allowed = plan.allowance
+    queued = sum(
+        line.tasks
+        for (_, plan_id), line in shard.queue.lines.items()
+        if plan_id == plan.plan_id
+    )
+    shards = max(1, len(shard.all_shard_ids))
+    rate = allowed.starts_per_s / shards
+    deadline_s = min(job.deadline_s, plan.deadline_s)
+    wait_s = (queued + len(job.tasks) - allowed.burst / shards) / rate
+    bound_s = min(deadline_s, 2 * shard.limits.max_queue_wait_s)
+    if wait_s <= bound_s or not shard.stalled.get(plan.plan_id):
+        return None
+    retry_after_s = max(MIN_RETRY_AFTER_S, wait_s - bound_s / 2)
+    return _refuse(job, verdicts.Reason.ALLOWANCE, retry_after_s)
+
+
+def _refuse(
+    job: entities.Job, reason: verdicts.Reason, retry_after_s: float
+) -> verdicts.Refused:
+    return verdicts.Refused(
+        job.job_id, reason, math.ceil(retry_after_s * 10) / 10, reason.value
+    )
--- /dev/null
+++ b/pollenladder/dispatch/intake.py
@@ -0,0 +1,290 @@
+"""Take jobs and batches in, cancel them, and say what became of them."""
+
+from collections.abc import Iterable
+
+from pollenladder.core import entities
+from pollenladder.core import verdicts
+from pollenladder.dispatch import admission
+from pollenladder.dispatch import completion
+from pollenladder.dispatch import estimates
+from pollenladder.dispatch import fairness
+from pollenladder.dispatch import keys
+from pollenladder.dispatch import tables
+from pollenladder.wire import messages
+
+
+def offer_job(
+    shard: tables.Shard, sender: str, offer: messages.JobOffer, now: float
+) -> list[tables.Effect]:
+    """Take a job from a gateway, or answer at once why not."""
+    job = offer.job
+    if job.job_id in shard.groups or job.job_id in shard.ended:
+        # A frame that comes late or twice: its job is decided already.
+        return []
+    key = keys.parse_key(job.key) if job.key else None
+    if job.key:
+        answered = _use_key(shard, sender, job, key, now)
+        if answered is not None:
+            return answered
+    refused = admission.decide(shard, job, now)
+    if refused:
+        if key and shard.keys:
+            keys.release_key(shard.keys, key)
+        return [_send_answer(sender, refused)]
+    _add_group(
+        shard,
+        group_id=job.job_id,
+        job_id=job.job_id,
+        reply_to=sender,
+        is_guest=False,
+        line=(job.customer_id, job.plan_id),
+        tasks=dict(enumerate(job.tasks)),
+        deadline_s=_bound_deadline_s(shard, job),
+        key=key,
+        now=now,
+    )
+    return []
+
+
+def offer_batch(
+    shard: tables.Shard, sender: str, offer: messages.BatchOffer, now: float
+) -> list[tables.Effect]:
+    """Take tasks that the owner of another shard spills here."""
+    if offer.batch_id in shard.groups or offer.batch_id in shard.ended:
+        return []
+    plan = shard.declared.plans.get(offer.plan_id)
+    runnable = plan is not None and all(
+        item.task.kind in plan.kinds for item in offer.tasks
+    )
+    reason = None
+    if shard.draining:
+        reason = verdicts.Reason.DRAINING
+    elif not runnable or not shard.ownership_is_held(now):
+        reason = verdicts.Reason.NOT_READY
+    if reason:
+        results = _format_not_run(
+            (item.task.task_id for item in offer.tasks), reason
+        )
+        message = messages.BatchResult(offer.batch_id, results)
+        return [tables.SendMessage(sender, message)]
+    _add_group(
+        shard,
+        group_id=offer.batch_id,
+        job_id=offer.job_id,
+        reply_to=sender,
+        is_guest=True,
+        line=(offer.customer_id, offer.plan_id),
+        tasks={item.index: item.task for item in offer.tasks},
+        deadline_s=offer.deadline_s,
+        key=None,
+        now=now,
+    )
+    return []
+
+
+def cancel_groups(
+    shard: tables.Shard, group_ids: Iterable[str], now: float
+) -> list[tables.Effect]:
+    """Give up jobs or batches that nobody wants any more.
+
+    A job's gateway gets the verdicts; the sender of a batch has settled it.
+    """
+    effects: list[tables.Effect] = []
+    for group_id in group_ids:
+        group = shard.groups.get(group_id)
+        if group is None:
+            continue
+        reason = verdicts.Reason.CANCELLED
+        ending = completion.fail_group(shard, group, reason, now)
+        if group.is_guest:
+            ending = drop_replies(ending, group.reply_to)
+        effects += ending
+    return effects
+
+
+def drop_replies(
+    effects: list[tables.Effect], daemon_id: str
+) -> list[tables.Effect]:
+    """Leave out the messages to a daemon that does not want them."""
+    return [
+        effect
+        for effect in effects
+        if not isinstance(effect, tables.SendMessage)
+        or effect.daemon_id != daemon_id
+    ]
+
+
+def answer_query(
+    shard: tables.Shard,
+    sender: str,
+    group_id: str,
+    task_ids: tuple[str, ...],
+    is_guest: bool,
+    now: float,
+) -> list[tables.Effect]:
+    """Say what became of a job or a batch whose link broke.
+
+    One that never came is noted as ended, so that it cannot start should its
+    frame still arrive, and is answered as "not run".
+    """
+    group = shard.groups.get(group_id)
+    if group:
+        group.reply_to = sender
+        pending = messages.BatchPending if is_guest else messages.JobPending
+        return [tables.SendMessage(sender, pending(group_id))]
+    ended = shard.ended.get(group_id)
+    if ended:
+        return [tables.SendMessage(sender, ended.message)]
+    reason = verdicts.Reason.CONNECTION_LOST
+    message: object = messages.BatchResult(
+        group_id, _format_not_run(task_ids, reason)
+    )
+    if not is_guest:
+        refused = verdicts.Refused(group_id, reason, 1.0, "never received")
+        message = messages.pack_answer(refused)
+    completion.remember_ended(shard, group_id, message, now)
+    return [tables.SendMessage(sender, message)]
+
+
+def drop_gateway(
+    shard: tables.Shard, daemon_id: str, now: float
+) -> list[tables.Effect]:
+    """Give up what a dead daemon has sent, as nobody is left to answer.
+
+    Jobs with a key go on: their caller will come again with it.
+    """
+    orphans = [
+        group
+        for group in shard.groups.values()
+        if group.reply_to == daemon_id and group.key is None
+    ]
+    effects: list[tables.Effect] = []
+    for group in orphans:
+        reason = verdicts.Reason.CONNECTION_LOST
+        effects += completion.fail_group(shard, group, reason, now)
+    return drop_replies(effects, daemon_id)
+
+
+def _use_key(
+    shard: tables.Shard,
+    sender: str,
+    job: entities.Job,
+    key: keys.Key | None,
+    now: float,
+) -> list[tables.Effect] | None:
+    """Return the effects if the key decides the answer, else None."""
+    if shard.keys is None or not shard.ownership_is_held(now):
+        reason = verdicts.Reason.NOT_READY
+        return [
+            _refuse(sender, job, reason, 1.0, "the key's home has no owner")
+        ]
+    task_ids = tuple(task.task_id for task in job.tasks)
+    if key is None:
+        state, entry = keys.KeyState.MAY_HAVE_RUN, None
+    else:
+        state, entry = keys.use_key(shard.keys, key, job.job_id, task_ids, now)
+    if state is keys.KeyState.NEW:
+        return None
+    if state is keys.KeyState.FULL:
+        reason = verdicts.Reason.OVERLOAD
+        return [_refuse(sender, job, reason, 10.0, "too many keys are held")]
+    if entry is None:
+        return [_send_answer(sender, _format_unknown(job))]
+    if entry.task_ids != task_ids:
+        reason = verdicts.Reason.KEY_IN_USE
+        detail = "the key belongs to a job with other tasks"
+        return [_refuse(sender, job, reason, None, detail)]
+    if state is keys.KeyState.ANSWERED:
+        return [_send_answer(sender, keys.relabel(entry.answer, job.job_id))]
+    return _follow(shard, sender, job, entry)
+
+
+def _follow(
+    shard: tables.Shard, sender: str, job: entities.Job, entry: keys.Entry
+) -> list[tables.Effect]:
+    """Answer a resubmission together with the job that has the key."""
+    group = shard.groups.get(entry.job_id)
+    if group is None:
+        return [_send_answer(sender, _format_unknown(job))]
+    group.followers[job.job_id] = sender
+    return []
+
+
+def _format_unknown(job: entities.Job) -> verdicts.Failed:
+    """Return the answer to a key of which nothing is known here."""
+    reason = verdicts.Reason.KEY_UNKNOWN
+    results = tuple(
+        verdicts.TaskResult(task.task_id, verdicts.Verdict.MAY_HAVE_RUN, reason)
+        for task in job.tasks
+    )
+    return verdicts.Failed(job.job_id, reason, results)
+
+
+def _add_group(
+    shard: tables.Shard,
+    *,
+    group_id: str,
+    job_id: str,
+    reply_to: str,
+    is_guest: bool,
+    line: tuple[str, str],
+    tasks: dict[int, entities.Task],
+    deadline_s: float,
+    key: keys.Key | None,
+    now: float,
+) -> None:
+    expected_s = {
+        index: estimates.estimate_run_s(shard.estimates, line[1], task.kind)
+        for index, task in tasks.items()
+    }
+    group = tables.Group(
+        group_id=group_id,
+        job_id=job_id,
+        reply_to=reply_to,
+        is_guest=is_guest,
+        line=line,
+        tasks=tasks,
+        deadline_at=now + deadline_s,
+        began_at=now,
+        expected_s=expected_s,
+        # The longest goes first, from the end.
+        waiting=sorted(tasks, key=lambda index: (expected_s[index], -index)),
+        key=key,
+    )
+    shard.groups[group_id] = group
+    fairness.add_work(
+        shard.queue,
+        line,
+        shard.get_weight(line[1]),
+        group_id,
+        len(tasks),
+        sum(expected_s.values()),
+    )
+
+
+def _bound_deadline_s(shard: tables.Shard, job: entities.Job) -> float:
+    return min(job.deadline_s, shard.declared.plans[job.plan_id].deadline_s)
+
+
+def _format_not_run(
+    task_ids: Iterable[str], reason: verdicts.Reason
+) -> tuple[verdicts.TaskResult, ...]:
+    return tuple(
+        verdicts.TaskResult(task_id, verdicts.Verdict.NOT_RUN, reason)
+        for task_id in task_ids
+    )
+
+
+def _refuse(
+    sender: str,
+    job: entities.Job,
+    reason: verdicts.Reason,
+    retry_after_s: float | None,
+    detail: str,
+) -> tables.SendMessage:
+    refused = verdicts.Refused(job.job_id, reason, retry_after_s, detail)
+    return _send_answer(sender, refused)
+
+
+def _send_answer(sender: str, answer: verdicts.Answer) -> tables.SendMessage:
+    return tables.SendMessage(sender, messages.pack_answer(answer))
--- /dev/null
+++ b/pollenladder/dispatch/keys.py
@@ -0,0 +1,153 @@
+"""Keys of non-idempotent jobs, held by the owner of their home shard.
+
+A key is `<shard>~<epoch>~<window>~<own>`; the first three parts are the stamp that
+the owner issued. An owner has every key of its own epoch in the current and the
+previous window, so a key it does not hold has never been used. Of any other
+epoch or window nothing is known: such a key may have run.
+"""
+
+import dataclasses
+import enum
+
+from pollenladder.core import verdicts
+
+SEPARATOR = "~"
+WINDOW_S = 300.0
+MAX_KEYS = 200_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Key:
+    """The parts of a caller's key.
+
+    Attributes:
+        shard_id: The home shard.
+        epoch: The epoch of the owner that issued the stamp.
+        window: The number of the window within the epoch.
+        own: The caller's part.
+    """
+
+    shard_id: str
+    epoch: int
+    window: int
+    own: str
+
+
+class KeyState(enum.Enum):
+    """What the home of a key says of it."""
+
+    NEW = "new"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    MAY_HAVE_RUN = "may_have_run"
+    FULL = "full"
+
+
+@dataclasses.dataclass
+class Entry:
+    """A key in use: its job, and the answer once there is one."""
+
+    job_id: str
+    task_ids: tuple[str, ...]
+    answer: verdicts.Answer | None = None
+
+
+@dataclasses.dataclass
+class KeyTable:
+    """Keys of one owner's epoch, by window and own part.
+
+    Attributes:
+        shard_id: The home shard.
+        epoch: The owner's epoch.
+        began_at: When the epoch began, on the owner's clock.
+        windows: Entries by window number; the current and the previous one.
+    """
+
+    shard_id: str
+    epoch: int
+    began_at: float
+    windows: dict[int, dict[str, Entry]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+def parse_key(text: str) -> Key | None:
+    """Return the parts of a key, or None if it has no valid stamp."""
+    parts = text.split(SEPARATOR, 3)
+    if len(parts) != 4 or not parts[3]:
+        return None
+    shard_id, epoch, window, own = parts
+    if not (epoch.isascii() and epoch.isdigit()):
+        return None
+    if not (window.isascii() and window.isdigit()):
+        return None
+    return Key(shard_id, int(epoch), int(window), own)
+
+
+def get_window(table: KeyTable, now: float) -> int:
+    """Return the number of the current window."""
+    return int((now - table.began_at) // WINDOW_S)
+
+
+def format_stamp(table: KeyTable, now: float) -> str:
+    """Return the stamp to issue now."""
+    window = get_window(table, now)
+    return SEPARATOR.join((table.shard_id, str(table.epoch), str(window)))
+
+
+def get_stamp_expiry_s(table: KeyTable, now: float) -> float:
+    """Return for how long new keys with the current stamp are accepted."""
+    ends_at = table.began_at + (get_window(table, now) + 2) * WINDOW_S
+    return ends_at - now
+
+
+def drop_old_windows(table: KeyTable, now: float) -> None:
+    """Forget the keys of windows that are no longer accepted."""
+    oldest = get_window(table, now) - 1
+    for window in [w for w in table.windows if w < oldest]:
+        del table.windows[window]
+
+
+def use_key(
+    table: KeyTable,
+    key: Key,
+    job_id: str,
+    task_ids: tuple[str, ...],
+    now: float,
+) -> tuple[KeyState, Entry | None]:
+    """Take a key for a job, or say what became of it.
+
+    Returns:
+        NEW and the new entry; RUNNING or ANSWERED and the entry that has the
+        key; MAY_HAVE_RUN or FULL and None.
+    """
+    drop_old_windows(table, now)
+    current = get_window(table, now)
+    if key.epoch != table.epoch or not current - 1 <= key.window <= current:
+        return KeyState.MAY_HAVE_RUN, None
+    entries = table.windows.setdefault(key.window, {})
+    entry = entries.get(key.own)
+    if entry is None:
+        if sum(map(len, table.windows.values())) >= MAX_KEYS:
+            return KeyState.FULL, None
+        entry = entries[key.own] = Entry(job_id, task_ids)
+        return KeyState.NEW, entry
+    state = KeyState.RUNNING if entry.answer is None else KeyState.ANSWERED
+    return state, entry
+
+
+def release_key(table: KeyTable, key: Key) -> None:
+    """Forget a key whose job has certainly not run, so it can be used again."""
+    table.windows.get(key.window, {}).pop(key.own, None)
+
+
+def record_answer(table: KeyTable, key: Key, answer: verdicts.Answer) -> None:
+    """Keep the final answer of the job that has the key."""
+    entry = table.windows.get(key.window, {}).get(key.own)
+    if entry:
+        entry.answer = answer
+
+
+def relabel(answer: verdicts.Answer, job_id: str) -> verdicts.Answer:
+    """Return an answer as that of a job submitted again with the same key."""
+    return dataclasses.replace(answer, job_id=job_id)
--- /dev/null
+++ b/pollenladder/dispatch/spilling.py
@@ -0,0 +1,257 @@
+"""Share work between shards: spill tasks that would wait, and ask for some."""
+
+import math
+
+from pollenladder.core import verdicts
+from pollenladder.dispatch import completion
+from pollenladder.dispatch import directory
+from pollenladder.dispatch import fairness
+from pollenladder.dispatch import keys
+from pollenladder.dispatch import placement
+from pollenladder.dispatch import tables
+from pollenladder.wire import messages
+
+# A load is not trusted for longer than this.
+LOAD_VALID_S = 1.0
+
+
+def spill(shard: tables.Shard, now: float) -> list[tables.Effect]:
+    """Send tasks that would wait here to shards believed to have free slots."""
+    surplus = _count_surplus(shard)
+    if surplus <= 0:
+        return []
+    targets = _list_targets(shard, now)
+    if not targets:
+        return []
+    picked: dict[tuple[str, str], list[int]] = {}
+    blocked: set[tuple[str, str]] = set()
+    lines = fairness.iterate_lines(
+        shard.queue, lambda line_id: line_id not in blocked
+    )
+    for line_id, line in lines:
+        if not targets or surplus <= 0:
+            break
+        group = _find_own_group(shard, line)
+        if group is None or not placement.take_unit(
+            shard, group, group.waiting[-1], now
+        ):
+            blocked.add(line_id)
+            continue
+        index = group.waiting[-1]
+        placement.take_waiting(shard, group, index)
+        target = targets[0]
+        picked.setdefault((target.shard_id, group.group_id), []).append(index)
+        target.free -= 1
+        surplus -= 1
+        if target.free <= 0:
+            targets.pop(0)
+    return [
+        _offer(shard, shard.loads.entries[shard_id], group_id, indexes, now)
+        for (shard_id, group_id), indexes in picked.items()
+    ]
+
+
+def _count_surplus(shard: tables.Shard) -> int:
+    """Count the tasks that would wait here for longer than is worth it."""
+    waiting = shard.queue.tasks
+    if not waiting:
+        return 0
+    slots = sum(
+        worker.slots for worker in shard.workers.values() if not worker.leaving
+    )
+    mean_s = max(0.001, shard.queue.work_s / waiting)
+    keep = math.floor(shard.limits.spill_wait_s * slots / mean_s)
+    return waiting - keep
+
+
+def _list_targets(shard: tables.Shard, now: float) -> list[directory.Entry]:
+    """List shards with free slots: in this data centre first, most free first."""
+    targets = [
+        entry
+        for entry in directory.iterate_others(shard.loads, shard.shard_id)
+        if entry.free > 0 and now - entry.heard_at < LOAD_VALID_S
+    ]
+    targets.sort(
+        key=lambda entry: (
+            directory.get_data_centre(entry.shard_id) != shard.data_centre,
+            -entry.free,
+        )
+    )
+    return targets
+
+
+def _find_own_group(
+    shard: tables.Shard, line: fairness.Line
+) -> tables.Group | None:
+    """Return the first group of a line that is not a guest."""
+    for group_id in line.job_ids:
+        if not shard.groups[group_id].is_guest:
+            return shard.groups[group_id]
+    return None
+
+
+def _offer(
+    shard: tables.Shard,
+    target: directory.Entry,
+    group_id: str,
+    indexes: list[int],
+    now: float,
+) -> tables.SendMessage:
+    group = shard.groups[group_id]
+    shard.next_batch += 1
+    batch_id = f"{shard.batch_prefix}.{shard.next_batch}"
+    shard.batches[batch_id] = tables.Batch(
+        batch_id, group_id, target.shard_id, target.daemon_id, tuple(indexes)
+    )
+    for index in indexes:
+        group.spilled[index] = batch_id
+    offer = messages.BatchOffer(
+        batch_id=batch_id,
+        from_shard_id=shard.shard_id,
+        shard_id=target.shard_id,
+        job_id=group.job_id,
+        customer_id=group.line[0],
+        plan_id=group.line[1],
+        deadline_s=group.deadline_at - now,
+        tasks=tuple(
+            messages.BatchTask(index, group.tasks[index]) for index in indexes
+        ),
+    )
+    return tables.SendMessage(target.daemon_id, offer)
+
+
+def record_batch_result(
+    shard: tables.Shard, message: messages.BatchResult, now: float
+) -> list[tables.Effect]:
+    """Take in the results of a batch; what has not run is queued again."""
+    batch = shard.batches.pop(message.batch_id, None)
+    if batch is None or len(message.results) != len(batch.indexes):
+        return []
+    group = shard.groups.get(batch.group_id)
+    effects: list[tables.Effect] = []
+    for index, result in zip(batch.indexes, message.results, strict=True):
+        if group is None or group.group_id not in shard.groups:
+            break
+        if group.spilled.pop(index, None) is None:
+            continue
+        effects += completion.settle_or_retry(shard, group, index, result, now)
+    return effects
+
+
+def lose_batches(
+    shard: tables.Shard, daemon_id: str, now: float
+) -> list[tables.Effect]:
+    """Settle the batches sent to a daemon that is dead: they may have run."""
+    lost = [b for b in shard.batches.values() if b.daemon_id == daemon_id]
+    effects: list[tables.Effect] = []
+    for batch in lost:
+        results = tuple(
+            verdicts.TaskResult(
+                shard.groups[batch.group_id].tasks[index].task_id,
+                verdicts.Verdict.MAY_HAVE_RUN,
+                verdicts.Reason.OWNER_LOST,
+            )
+            for index in batch.indexes
+            if batch.group_id in shard.groups
+        )
+        message = messages.BatchResult(batch.batch_id, results)
+        effects += record_batch_result(shard, message, now)
+    return effects
+
+
+def query_batches(
+    shard: tables.Shard, daemon_id: str
+) -> list[tables.Effect]:
+    """Ask a daemon over a new link about batches sent over an older one."""
+    effects: list[tables.Effect] = []
+    for batch in shard.batches.values():
+        if batch.daemon_id != daemon_id:
+            continue
+        group = shard.groups[batch.group_id]
+        task_ids = tuple(group.tasks[i].task_id for i in batch.indexes)
+        query = messages.BatchQuery(batch.shard_id, batch.batch_id, task_ids)
+        effects.append(tables.SendMessage(daemon_id, query))
+    return effects
+
+
+def format_unsent(offer: messages.BatchOffer) -> messages.BatchResult:
+    """Return the result of a batch that never left this daemon."""
+    results = tuple(
+        verdicts.TaskResult(
+            item.task.task_id,
+            verdicts.Verdict.NOT_RUN,
+            verdicts.Reason.CONNECTION_LOST,
+        )
+        for item in offer.tasks
+    )
+    return messages.BatchResult(offer.batch_id, results)
+
+
+def describe_load(shard: tables.Shard, now: float) -> messages.ShardLoad:
+    """Return what other daemons are told of the shard."""
+    stamp = keys.format_stamp(shard.keys, now) if shard.keys else ""
+    expires_s = keys.get_stamp_expiry_s(shard.keys, now) if shard.keys else 0.0
+    queued = shard.queue.tasks
+    free = (
+        0 if queued or shard.draining else placement.count_all_free(shard, now)
+    )
+    return messages.ShardLoad(
+        shard_id=shard.shard_id,
+        epoch=shard.ownership.epoch,
+        free=free,
+        queued=queued,
+        slots=sum(worker.slots for worker in shard.workers.values()),
+        stamp="" if shard.draining else stamp,
+        stamp_expires_s=expires_s,
+    )
+
+
+def announce(shard: tables.Shard, now: float) -> list[tables.Effect]:
+    """Tell other owners of free slots they could use, or of tasks that wait.
+
+    An owner with tasks that wait tells all others once; those with free slots
+    tell it so, at most at an interval, until it says that it has none left.
+    """
+    load = describe_load(shard, now)
+    effects: list[tables.Effect] = []
+    for entry in directory.iterate_others(shard.loads, shard.shard_id):
+        if _is_worth_telling(shard, entry, load, now):
+            shard.announced[entry.shard_id] = now
+            effects.append(tables.SendMessage(entry.daemon_id, load))
+            _note_told(shard, entry.shard_id, load)
+    return effects
+
+
+def _is_worth_telling(
+    shard: tables.Shard,
+    entry: directory.Entry,
+    load: messages.ShardLoad,
+    now: float,
+) -> bool:
+    since_s = now - shard.announced.get(entry.shard_id, -math.inf)
+    if since_s < shard.limits.announce_interval_s:
+        return False
+    told_of_queue = entry.shard_id in shard.told_of_queue
+    if load.free > 0 and entry.queued > 0:
+        return True
+    surplus = _count_surplus(shard) if load.queued else 0
+    return surplus > 0 and entry.queued == 0 and not told_of_queue
+
+
+def _note_told(
+    shard: tables.Shard, shard_id: str, load: messages.ShardLoad
+) -> None:
+    if load.queued:
+        shard.told_of_queue.add(shard_id)
+    else:
+        shard.told_of_queue.discard(shard_id)
+
+
+def answer_load(
+    shard: tables.Shard, sender: str, load: messages.ShardLoad, now: float
+) -> list[tables.Effect]:
+    """Tell an owner that offers slots in vain that nothing waits any more."""
+    if load.shard_id not in shard.told_of_queue or shard.queue.tasks:
+        return []
+    shard.told_of_queue.discard(load.shard_id)
+    return [tables.SendMessage(sender, describe_load(shard, now))]
--- /dev/null
+++ b/pollenladder/dispatch/submissions.py
@@ -0,0 +1,226 @@
+"""Jobs that this daemon received from callers, and where each was sent."""
+
+import dataclasses
+
+from pollenladder.core import entities
+from pollenladder.core import verdicts
+from pollenladder.dispatch import directory
+from pollenladder.dispatch import keys
+from pollenladder.dispatch import tables
+from pollenladder.wire import messages
+
+MAX_OFFERS = 3
+NOT_READY_RETRY_AFTER_S = 1.0
+# Another owner may take a job refused for one of these.
+ELSEWHERE = frozenset(
+    {
+        verdicts.Reason.NOT_READY,
+        verdicts.Reason.DRAINING,
+        verdicts.Reason.CONNECTION_LOST,
+    }
+)
+
+
+@dataclasses.dataclass
+class Submission:
+    """A job and what is known of it here.
+
+    Attributes:
+        job: The job.
+        deadline_at: When it must be answered.
+        shard_id: The shard it was last offered to.
+        daemon_id: That shard's owner at the time; empty if not offered.
+        offers: How often it was offered.
+        refused_by: Shards that would not take it.
+        answer: The final answer, once there is one.
+        ended_at: When that came.
+    """
+
+    job: entities.Job
+    deadline_at: float
+    shard_id: str = ""
+    daemon_id: str = ""
+    offers: int = 0
+    refused_by: set[str] = dataclasses.field(default_factory=set)
+    answer: verdicts.Answer | None = None
+    ended_at: float = 0.0
+
+
+@dataclasses.dataclass
+class Submissions:
+    """Submissions by job id.
+
+    Attributes:
+        data_centre: Where this daemon is.
+        loads: Where each shard's owner is.
+        retention_s: For how long an answer can be fetched.
+        rows: Submissions that run.
+        answered: Submissions that have their answer, the oldest first.
+        changed: Ids of jobs answered since the last look.
+    """
+
+    data_centre: str
+    loads: directory.Directory
+    retention_s: float
+    rows: dict[str, Submission] = dataclasses.field(default_factory=dict)
+    answered: dict[str, Submission] = dataclasses.field(default_factory=dict)
+    changed: list[str] = dataclasses.field(default_factory=list)
+
+
+def submit(
+    table: Submissions, job: entities.Job, now: float
+) -> list[tables.Effect]:
+    """Take a job from its caller and offer it to the owner of a shard."""
+    row = Submission(job, now + job.deadline_s)
+    table.rows[job.job_id] = row
+    return _offer(table, row, now)
+
+
+def record_answer(
+    table: Submissions, answer: verdicts.Answer, now: float
+) -> list[tables.Effect]:
+    """Take in an owner's answer; a job that has not run may go elsewhere."""
+    row = table.rows.get(answer.job_id)
+    if row is None:
+        return []
+    if isinstance(answer, verdicts.Refused) and _may_go_elsewhere(row, answer):
+        row.refused_by.add(row.shard_id)
+        return _offer(table, row, now)
+    _end(table, row, answer, now)
+    return []
+
+
+def cancel(table: Submissions, job_id: str) -> list[tables.Effect]:
+    """Ask the owner to give a job up; its answer comes as any other."""
+    row = table.rows.get(job_id)
+    if row is None:
+        return []
+    message = messages.JobCancel(row.shard_id, (job_id,))
+    return [tables.SendMessage(row.daemon_id, message)]
+
+
+def lose_daemon(table: Submissions, daemon_id: str, now: float) -> None:
+    """Answer the jobs that a dead daemon held, at once: they may have run."""
+    for row in [r for r in table.rows.values() if r.daemon_id == daemon_id]:
+        fail_uncertain(table, row, verdicts.Reason.OWNER_LOST, now)
+
+
+def fail_uncertain(
+    table: Submissions,
+    row: Submission,
+    reason: verdicts.Reason,
+    now: float,
+) -> None:
+    """Answer a job whose tasks may have run."""
+    results = tuple(
+        verdicts.TaskResult(task.task_id, verdicts.Verdict.MAY_HAVE_RUN, reason)
+        for task in row.job.tasks
+    )
+    _end(table, row, verdicts.Failed(row.job.job_id, reason, results), now)
+
+
+def query_daemon(table: Submissions, daemon_id: str) -> list[tables.Effect]:
+    """Ask a daemon over a new link about every job sent over an older one."""
+    return [
+        tables.SendMessage(
+            daemon_id,
+            messages.JobQuery(
+                row.shard_id,
+                row.job.job_id,
+                tuple(task.task_id for task in row.job.tasks),
+            ),
+        )
+        for row in table.rows.values()
+        if row.daemon_id == daemon_id
+    ]
+
+
+def expire(table: Submissions, now: float, grace_s: float) -> None:
+    """Answer jobs whose owner is silent past the deadline; forget old ones."""
+    overdue = [
+        row for row in table.rows.values() if row.deadline_at + grace_s <= now
+    ]
+    for row in overdue:
+        fail_uncertain(table, row, verdicts.Reason.DEADLINE, now)
+    while table.answered:
+        job_id = next(iter(table.answered))
+        if table.answered[job_id].ended_at + table.retention_s > now:
+            return
+        del table.answered[job_id]
+
+
+def find(
+    table: Submissions, job_id: str, customer_id: str
+) -> Submission | None:
+    """Return a customer's submission, running or answered."""
+    row = table.rows.get(job_id) or table.answered.get(job_id)
+    if row is None or row.job.customer_id != customer_id:
+        return None
+    return row
+
+
+def _offer(
+    table: Submissions, row: Submission, now: float
+) -> list[tables.Effect]:
+    """Offer a job to the best owner, or refuse it if there is none."""
+    entry = _choose_owner(table, row)
+    if entry is None:
+        refused = verdicts.Refused(
+            row.job.job_id,
+            verdicts.Reason.NOT_READY,
+            NOT_READY_RETRY_AFTER_S,
+            "no owner of a shard can be reached",
+        )
+        _end(table, row, refused, now)
+        return []
+    row.offers += 1
+    row.shard_id = entry.shard_id
+    row.daemon_id = entry.daemon_id
+    # The owner counts from its own clock: it gets what is left.
+    job = dataclasses.replace(row.job, deadline_s=row.deadline_at - now)
+    return [
+        tables.SendMessage(
+            entry.daemon_id, messages.JobOffer(entry.shard_id, job)
+        )
+    ]
+
+
+def _choose_owner(
+    table: Submissions, row: Submission
+) -> directory.Entry | None:
+    """Return the key's home, else the least loaded shard, local ones first."""
+    key = keys.parse_key(row.job.key) if row.job.key else None
+    if key:
+        entry = table.loads.entries.get(key.shard_id)
+        return entry if row.offers == 0 else None
+    entries = [
+        entry
+        for entry in table.loads.entries.values()
+        if entry.shard_id not in row.refused_by and entry.slots
+    ]
+    return min(entries, key=lambda e: _rank(table, e), default=None)
+
+
+def _rank(
+    table: Submissions, entry: directory.Entry
+) -> tuple[bool, float, str]:
+    remote = directory.get_data_centre(entry.shard_id) != table.data_centre
+    load = (entry.queued - entry.free) / max(1, entry.slots)
+    return remote, load, entry.shard_id
+
+
+def _may_go_elsewhere(row: Submission, answer: verdicts.Refused) -> bool:
+    return answer.reason in ELSEWHERE and row.offers < MAX_OFFERS
+
+
+def _end(
+    table: Submissions,
+    row: Submission,
+    answer: verdicts.Answer,
+    now: float,
+) -> None:
+    row.answer = answer
+    row.ended_at = now
+    table.rows.pop(row.job.job_id, None)
+    table.answered[row.job.job_id] = row
+    table.changed.append(row.job.job_id)
