--- /dev/null
+++ b/standins/platform_http.py
@@ -0,0 +1,215 @@
+"""The requests that the platform answers, as in the design page."""
+
+import dataclasses
+import hashlib
+
+import gevent
+import pydantic
+
+from pollenladder.core import clocks
+from standins import platform_messages
+from standins import platform_table
+from standins import platform_vms
+from standins import servers
+
+TABLE_PREFIX = "/v1/table/"
+OBJECT_PREFIX = "/v1/objects/"
+LIST_LIMIT = 1000
+JSON_TYPE = (("Content-Type", "application/json"),)
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """Faults in force; `FaultsMessage` tells what each does."""
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_replies: int = 0
+    vm_lag_s: float = 0.0
+    silent: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """Requests served, and replies lost on purpose."""
+
+    reads: int = 0
+    writes: int = 0
+    vms_reads: int = 0
+    lost: int = 0
+
+
+class BadRequestError(Exception):
+    """A request that is refused; its argument names the field."""
+
+
+def reply_json(status: int, body: dict) -> servers.Reply:
+    """Return a JSON reply."""
+    return servers.Reply(status, body, JSON_TYPE)
+
+
+def parse_body(
+    message_type: type[platform_messages.Message], body: bytes
+) -> platform_messages.Message:
+    """Return the validated body.
+
+    Raises:
+        BadRequestError: A field is wrong.
+    """
+    try:
+        return message_type.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        field = ".".join(str(part) for part in error.errors()[0]["loc"])
+        raise BadRequestError(field or "body") from error
+
+
+def compute_etag(value: bytes) -> str:
+    """Return the entity tag of an object's bytes."""
+    return f'"{hashlib.sha256(value).hexdigest()[:32]}"'
+
+
+class Platform:
+    """The state of the platform.
+
+    Attributes:
+        faults: The faults in force.
+        counters: What it has served.
+    """
+
+    def __init__(self, clock: clocks.Clock):
+        self.faults = Faults()
+        self.counters = Counters()
+        self._clock = clock
+        self._table = platform_table.Table()
+        self._objects: dict[str, bytes] = {}
+        self._vms = [platform_vms.EMPTY]
+
+    def answer(self, request: servers.Request) -> servers.Reply | None:
+        """Answer any request; None closes the connection."""
+        if self.faults.down:
+            return None
+        if self.faults.slow_s:
+            gevent.sleep(self.faults.slow_s)
+        if self.faults.silent:
+            request.connection.swallow()
+            return None
+        try:
+            return self._route(request)
+        except BadRequestError as error:
+            return reply_json(400, {"field": str(error)})
+
+    def control(self, request: servers.Request) -> servers.Reply:
+        """Answer a request to the control port."""
+        try:
+            match request.method, request.path:
+                case "GET", "/control/counters":
+                    return reply_json(200, dataclasses.asdict(self.counters))
+                case "POST", "/control/vms":
+                    return self._change_vms(request.body)
+                case "POST", "/control/faults":
+                    return self._apply_faults(request.body)
+        except BadRequestError as error:
+            return reply_json(400, {"field": str(error)})
+        return reply_json(404, {"error": "not found"})
+
+    def change_vms(self, message: platform_messages.VmsMessage) -> None:
+        """Change the VM list."""
+        since_s = float("-inf") if message.at_once else self._clock()
+        rows = [vm.model_dump(mode="json") for vm in message.set]
+        self._vms = platform_vms.change(
+            self._vms, rows, message.remove, since_s
+        )
+
+    def _route(self, request: servers.Request) -> servers.Reply | None:
+        path = request.path
+        if path == "/v1/transactions" and request.method == "POST":
+            return self._transact(request.body)
+        if path.startswith(OBJECT_PREFIX):
+            return self._answer_object(request, path[len(OBJECT_PREFIX) :])
+        if request.method != "GET":
+            return reply_json(404, {"error": "not found"})
+        if path == "/v1/vms":
+            return self._read_vms()
+        if path == "/v1/table":
+            return self._list_rows(request)
+        if path.startswith(TABLE_PREFIX):
+            return self._get_row(path[len(TABLE_PREFIX) :])
+        return reply_json(404, {"error": "not found"})
+
+    def _get_row(self, key: str) -> servers.Reply:
+        self.counters.reads += 1
+        row = self._table.get(key)
+        if row is None:
+            return reply_json(404, {"key": key})
+        return reply_json(200, dataclasses.asdict(row))
+
+    def _list_rows(self, request: servers.Request) -> servers.Reply:
+        self.counters.reads += 1
+        try:
+            limit = int(request.get_parameter("limit", str(LIST_LIMIT)))
+        except ValueError as error:
+            raise BadRequestError("limit") from error
+        rows = self._table.list_rows(
+            request.get_parameter("prefix"),
+            request.get_parameter("after"),
+            max(0, min(limit, LIST_LIMIT)),
+        )
+        body = {"rows": [dataclasses.asdict(row) for row in rows]}
+        return reply_json(200, body)
+
+    def _transact(self, body: bytes) -> servers.Reply | None:
+        self.counters.writes += 1
+        message = parse_body(platform_messages.TransactionMessage, body)
+        outcome = self._table.transact(
+            [platform_table.Check(c.key, c.version) for c in message.checks],
+            [platform_table.Write(w.key, w.value) for w in message.writes],
+        )
+        if isinstance(outcome, platform_table.Conflict):
+            conflict = {"conflict": outcome.key, "version": outcome.version}
+            return reply_json(409, conflict)
+        if self.faults.lose_replies:
+            self.faults.lose_replies -= 1
+            self.counters.lost += 1
+            return None
+        return reply_json(200, {"versions": outcome})
+
+    def _answer_object(
+        self, request: servers.Request, name: str
+    ) -> servers.Reply:
+        if request.method == "GET":
+            self.counters.reads += 1
+        else:
+            self.counters.writes += 1
+        stored = self._objects.get(name)
+        etag = compute_etag(stored) if stored is not None else ""
+        expected = request.headers.get("If-Match")
+        if expected is not None and expected != etag:
+            return reply_json(412, {"etag": etag})
+        match request.method:
+            case "PUT":
+                self._objects[name] = request.body
+                return reply_json(200, {"etag": compute_etag(request.body)})
+            case "GET" if stored is not None:
+                return servers.Reply(200, stored, (("ETag", etag),))
+            case "DELETE" if stored is not None:
+                del self._objects[name]
+                return reply_json(200, {"etag": etag})
+        return reply_json(404, {"name": name})
+
+    def _read_vms(self) -> servers.Reply:
+        self.counters.vms_reads += 1
+        seen = platform_vms.find_visible(
+            self._vms, self._clock(), self.faults.vm_lag_s
+        )
+        body = {"version": seen.version, "vms": list(seen.vms.values())}
+        return reply_json(200, body)
+
+    def _change_vms(self, body: bytes) -> servers.Reply:
+        self.change_vms(parse_body(platform_messages.VmsMessage, body))
+        return reply_json(200, {"version": self._vms[-1].version})
+
+    def _apply_faults(self, body: bytes) -> servers.Reply:
+        message = parse_body(platform_messages.FaultsMessage, body)
+        for name, value in message.model_dump(exclude_none=True).items():
+            setattr(self.faults, name, value)
+        return reply_json(200, dataclasses.asdict(self.faults))
