Load settings and declarations, naming file, line and field

Cause: daemons and the tool need settings and declarations before anything else can be wired.

Ruled out: json5's parser gives no positions and pydantic gives paths alone, so line numbers in errors need a locator; patching the parser was left, as it is not ours. Coercion by pydantic is off: "7101" is no port.

Change: conf reads JSON with comments, validates it strictly by models with no unknown fields, and hands out frozen dataclasses. A registry of checks with ids and hints looks at fields together. plans reads both declaration files, one or more directories of them, or the table row, and finds contradictions.

--- a/pollenladder/conf/__init__.py
+++ b/pollenladder/conf/__init__.py
@@ -1,1 +1,1 @@
-"""Settings: defaults, loading, validation and startup checks."""
+"""Settings: defaults, the settings file, its validation and its checks."""
--- /dev/null
+++ b/pollenladder/conf/loader.py
@@ -0,0 +1,18 @@
+"""Load the settings file."""
+
+import pathlib
+
+from pollenladder.conf import documents
+from pollenladder.conf import models
+from pollenladder.conf import settings
+
+
+def load(path: str | pathlib.Path) -> settings.Settings:
+    """Return the settings in a file, defaults filled in.
+
+    Raises:
+        exceptions.ConfError: The file is unreadable, malformed or invalid.
+    """
+    document = documents.read_document(path)
+    file = documents.validate_document(models.SettingsFile, document)
+    return models.build_settings(file)
--- /dev/null
+++ b/pollenladder/conf/loops.py
@@ -0,0 +1,20 @@
+"""Pin gevent's event loop to libev with epoll, and tell which one runs."""
+
+import gevent
+
+from pollenladder.conf import checks
+
+LOOP = "libev-cext"
+
+
+def pin_loop() -> None:
+    """Choose the loop; call it before gevent's hub is first used."""
+    gevent.config.loop = LOOP
+    gevent.config.libev_backend = checks.PINNED_LOOP.backend
+
+
+def describe_loop() -> checks.Loop:
+    """Return the loop of this thread's hub."""
+    loop = gevent.get_hub().loop
+    library = type(loop).__module__.removeprefix("gevent.").split(".")[0]
+    return checks.Loop(library, str(getattr(loop, "backend", "unknown")))
--- /dev/null
+++ b/pollenladder/plans/exceptions.py
@@ -0,0 +1,7 @@
+"""Errors of declarations."""
+
+from pollenladder.conf import exceptions
+
+
+class DeclarationsError(exceptions.InvalidError):
+    """Fields are well-formed, but the declarations contradict each other."""
