--- a/pollenladder/audit/__init__.py
+++ b/pollenladder/audit/__init__.py
@@ -1,1 +1,1 @@
-"""The audit trail of changes to declarations."""
+"""Changes of the declarations: their difference, commit, record and spread."""
--- a/pollenladder/plans/checks.py
+++ b/pollenladder/plans/checks.py
@@ -42,7 +42,7 @@
                     "plans.W002",
                     path,
                     f"is not below loan_term_s less lease_ttl_s, {term_s} s",
-                    "its tasks never start on loans; lower it or raise the term",
+                    "its tasks never start on loans; lower it",
                 )
 
 
