--- /dev/null
+++ b/tests/wire/test_links.py
@@ -0,0 +1,289 @@
+"""Tests of handshakes, links and their server, over loopback sockets."""
+
+import dataclasses
+import unittest
+
+import gevent
+from gevent import socket
+import msgpack
+
+from pollenladder.wire import exceptions
+from pollenladder.wire import framing
+from pollenladder.wire import handshake
+from pollenladder.wire import links
+from pollenladder.wire import server
+from pollenladder.wire import shapes
+from tests.wire import samples
+
+Reason = links.CloseReason
+NOTE = samples.MESSAGES.encode(samples.Note(1, "note"))
+HEARTBEAT = framing.pack_batch([])
+# What a peer sends after a good handshake before it closes; how the link ends;
+# how many messages were delivered.
+FAULTS = (
+    ("closed", b"", Reason.PEER_CLOSED, 0),
+    ("closed after a message", framing.pack_batch([NOTE]), "peer_closed", 1),
+    ("heartbeat only", HEARTBEAT, Reason.PEER_CLOSED, 0),
+    ("duplicated", framing.pack_batch([NOTE]) * 2, Reason.PEER_CLOSED, 2),
+    ("oversized", framing.HEADER.pack(1 << 31), Reason.OVERSIZED, 0),
+    ("cut in header", b"\0\0", Reason.TRUNCATED, 0),
+    ("cut in body", framing.pack_batch([NOTE])[:-1], Reason.TRUNCATED, 0),
+    ("garbage", b"\0\0\0\1\xc1", Reason.GARBAGE, 0),
+    ("http", b"GET / HTTP/1.1\r\n\r\n", Reason.OVERSIZED, 0),
+    ("unknown tag", framing.pack_batch([b"\x91\x63"]), "bad_message", 0),
+    ("wrong arity", framing.pack_batch([b"\x91\x02"]), "bad_message", 0),
+    (
+        "wrong type",
+        framing.pack_batch([msgpack.packb([2, "1", ""])]),
+        Reason.BAD_MESSAGE,
+        0,
+    ),
+    (
+        "a bad message spoils its frame",
+        framing.pack_batch([NOTE, b"\x01"]),
+        Reason.BAD_MESSAGE,
+        0,
+    ),
+    (
+        "good frame, then bad",
+        framing.pack_batch([NOTE]) + framing.pack_batch([b"\x01"]),
+        Reason.BAD_MESSAGE,
+        1,
+    ),
+)
+NONCE = framing.pack_batch([msgpack.packb(b"n" * 32)])
+# What a stranger sends instead of a handshake.
+STRANGERS = (
+    b"",
+    b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n",
+    framing.HEADER.pack(handshake.MAX_HANDSHAKE_BYTES + 1),
+    framing.pack_batch([]),
+    NONCE,
+    framing.pack_batch([msgpack.packb(b"n" * 32)] * 3),
+    framing.pack_batch([msgpack.packb(b"")] * 3),
+    framing.pack_batch([msgpack.packb(1)] * 3),
+    b"\0\0\0\2\xc1\xc1",
+)
+
+
+def change_limits(**changes):
+    whole = {"peer_timeout_s": samples.WAIT_S} | changes
+    return links.Limits(**whole)
+
+
+def read_to_end(sock):
+    """Return what arrives until the peer closes or resets."""
+    received = b""
+    try:
+        while data := sock.recv(4096):
+            received += data
+    except ConnectionResetError:
+        pass
+    return received
+
+
+class LinkCase(unittest.TestCase):
+    def setUp(self):
+        self.near = samples.End("near")
+        self.far = samples.End("far")
+
+    def listen(self, end):
+        listener = end.listen()
+        self.addCleanup(listener.stop)
+        return listener.port
+
+    def connect(self, end, port):
+        link = server.connect(end.settings, "127.0.0.1", port)
+        self.addCleanup(link.close)
+        return link
+
+    def link_up(self):
+        """Return both ends of a link from near to far."""
+        link = self.connect(self.near, self.listen(self.far))
+        self.assertTrue(samples.wait_until(lambda: self.far.links))
+        return link, self.far.links[0]
+
+    def dial(self, port):
+        """Return a bare socket, authenticated as a peer."""
+        sock = socket.create_connection(("127.0.0.1", port))
+        self.addCleanup(sock.close)
+        handshake.connect(
+            sock, samples.make_hello("raw"), samples.SECRET, samples.WAIT_S
+        )
+        return sock
+
+
+class LinkTest(LinkCase):
+    def test_messages_go_both_ways_in_order_and_in_few_frames(self):
+        near, far = self.link_up()
+        notes = [samples.Note(n) for n in range(1000)]
+        self.assertTrue(all([near.send(note) for note in notes]))
+        self.assertTrue(far.send(samples.EVERYTHING))
+        samples.wait_until(lambda: len(self.far.received) == 1000)
+        samples.wait_until(lambda: self.near.received)
+        self.assertEqual(self.far.received, notes)
+        self.assertEqual(self.near.received, [samples.EVERYTHING])
+        self.assertEqual(near.peer, self.far.settings.hello)
+        self.assertEqual(far.peer, self.near.settings.hello)
+        self.assertEqual(near.counts.messages_out, 1000)
+        self.assertEqual(near.counts.frames_out, 1)
+        self.assertEqual(far.counts.messages_in, 1000)
+        self.assertEqual(far.counts.bytes_in, near.counts.bytes_out)
+
+    def test_faults_of_a_peer_end_its_link_with_a_reason(self):
+        port = self.listen(self.far)
+        for name, sent, reason, delivered in FAULTS:
+            with self.subTest(name):
+                self.far.received.clear()
+                self.far.closed.clear()
+                sock = self.dial(port)
+                sock.sendall(sent)
+                sock.shutdown(socket.SHUT_WR)
+                samples.wait_until(lambda: self.far.closed)
+                self.assertEqual(self.far.closed, [Reason(reason)])
+                self.assertEqual(len(self.far.received), delivered)
+
+    def test_a_silent_connection_is_closed(self):
+        self.far = samples.End("far", limits=change_limits(peer_timeout_s=0.1))
+        self.dial(self.listen(self.far))
+        samples.wait_until(lambda: self.far.closed)
+        self.assertEqual(self.far.closed, [Reason.SILENT])
+
+    def test_a_peer_that_does_not_read_is_closed(self):
+        limits = change_limits(peer_timeout_s=0.2, heartbeat_s=0.05)
+        self.far = samples.End("far", limits=limits)
+        sock = self.dial(self.listen(self.far))
+        samples.wait_until(lambda: self.far.links)
+        text = "x" * shapes.MAX_TEXT_CHARS
+        while self.far.links[0].send(samples.Note(1, text)):
+            pass
+        while not self.far.closed:
+            sock.sendall(HEARTBEAT)
+            gevent.sleep(0.02)
+        self.assertEqual(self.far.closed, [Reason.STALLED])
+
+    def test_heartbeats_keep_an_idle_link(self):
+        limits = change_limits(heartbeat_s=0.01)
+        self.near = samples.End("near", limits=limits)
+        self.far = samples.End("far", limits=limits)
+        near, far = self.link_up()
+        samples.wait_until(lambda: near.counts.heartbeats_in > 5)
+        samples.wait_until(lambda: far.counts.heartbeats_in > 5)
+        self.assertEqual((self.near.closed, self.far.closed), ([], []))
+        self.assertGreater(far.counts.heartbeats_out, 5)
+        self.assertEqual(self.near.received, [])
+
+    def test_a_full_queue_and_a_closed_link_take_nothing(self):
+        cases = (
+            (change_limits(max_queued_messages=3), 3),
+            (change_limits(max_queued_bytes=3 * len(NOTE)), 3),
+        )
+        for limits, taken in cases:
+            self.near = samples.End("near", limits=limits)
+            link = self.connect(self.near, self.listen(self.far))
+            sent = [link.send(samples.Note(1, "note")) for _ in range(5)]
+            self.assertEqual(sum(sent), taken)
+            self.assertEqual(sent, sorted(sent, reverse=True))
+            self.assertTrue(link.flush(samples.WAIT_S))
+            self.assertTrue(link.send(samples.Note(1, "note")))
+            link.close()
+            self.assertFalse(link.send(samples.Note(1, "note")))
+            self.assertFalse(link.flush(samples.WAIT_S))
+            self.assertEqual(self.near.closed, [Reason.LOCAL])
+
+    def test_batches_keep_within_a_frame(self):
+        limits = change_limits(max_frame_bytes=100)
+        self.near = samples.End("near", limits=limits)
+        self.far = samples.End("far", limits=limits)
+        near, _ = self.link_up()
+        notes = [samples.Note(n, "x" * 40) for n in range(20)]
+        self.assertTrue(all([near.send(note) for note in notes]))
+        samples.wait_until(lambda: len(self.far.received) == 20)
+        self.assertEqual(self.far.received, notes)
+        self.assertEqual(near.counts.frames_out, 10)
+        with self.assertRaises(exceptions.EncodingError):
+            near.send(samples.Note(1, "x" * 100))
+
+    def test_a_failing_handler_does_not_end_the_link(self):
+        def fail(link, message):
+            self.far.received.append(message)
+            raise ValueError("handler")
+
+        self.far = samples.End("far", on_message=fail)
+        near, _ = self.link_up()
+        with self.assertLogs("pollenladder.wire.links", "ERROR"):
+            near.send(samples.Note(1))
+            near.send(samples.Note(2))
+            samples.wait_until(lambda: len(self.far.received) == 2)
+        self.assertEqual(self.far.closed, [])
+
+    def test_a_new_link_replays_nothing(self):
+        port = self.listen(self.far)
+        link = self.connect(self.near, port)
+        self.assertTrue(link.send(samples.Note(1)))
+        link.close()
+        self.assertTrue(self.connect(self.near, port).send(samples.Note(2)))
+        samples.wait_until(lambda: self.far.received)
+        self.assertEqual(self.far.received, [samples.Note(2)])
+
+
+class HandshakeTest(LinkCase):
+    def test_strangers_are_closed_without_detail(self):
+        self.far = samples.End("far", handshake_timeout_s=samples.WAIT_S)
+        port = self.listen(self.far)
+        for sent in STRANGERS:
+            with self.subTest(sent=sent[:20]):
+                sock = socket.create_connection(("127.0.0.1", port))
+                sock.sendall(sent)
+                sock.shutdown(socket.SHUT_WR)
+                self.assertEqual(len(read_to_end(sock)), len(NONCE))
+        self.assertEqual(self.far.links, [])
+
+    def test_a_slow_handshake_times_out(self):
+        self.far = samples.End("far", handshake_timeout_s=0.05)
+        port = self.listen(self.far)
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            while sock.recv(4096):
+                pass
+        self.assertEqual(self.far.links, [])
+
+    def test_either_end_with_a_wrong_secret_or_version_is_rejected(self):
+        old = dataclasses.replace(samples.make_hello("old"), version=0)
+        for changes in ({"secret": b"wrong"}, {"hello": old}):
+            with self.subTest(changes):
+                port = self.listen(samples.End("far", **changes))
+                with self.assertRaises(exceptions.HandshakeError):
+                    self.connect(self.near, port)
+                near = samples.End("near", **changes)
+                with self.assertRaises(exceptions.HandshakeError):
+                    self.connect(near, self.listen(self.far))
+        self.assertEqual(self.far.links, [])
+
+    def test_a_reflected_proof_is_rejected(self):
+        """A stranger relays the acceptor's words to another acceptor."""
+        port = self.listen(self.far)
+        first = socket.create_connection(("127.0.0.1", port))
+        second = socket.create_connection(("127.0.0.1", port))
+        self.addCleanup(second.close)
+        nonce = first.recv(4096)
+        second.recv(4096)
+        second.sendall(nonce)
+        self.assertEqual(second.recv(4096), b"")
+        first.close()
+
+    def test_nobody_there_is_told_apart(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            with self.assertRaises(exceptions.UnreachableError):
+                self.connect(self.near, sock.getsockname()[1])
+
+    def test_connections_beyond_the_bound_are_closed(self):
+        self.far = samples.End("far", max_connections=1)
+        port = self.listen(self.far)
+        link = self.connect(self.near, port)
+        with self.assertRaises(exceptions.HandshakeError):
+            self.connect(self.near, port)
+        link.close()
+        samples.wait_until(lambda: self.far.closed)
+        self.assertTrue(self.connect(self.near, port).send(samples.Note(1)))
+        self.assertTrue(samples.wait_until(lambda: self.far.received))
