--- /dev/null
+++ b/pollenladder/membership/ownership.py
@@ -0,0 +1,495 @@
+"""The leases by which one daemon owns a shard.
+
+The worker grants a lease only if no other holder's lease is live there, and to
+another holder only with an epoch above all it has seen. A daemon owns the shard
+while leases on two thirds of the listed workers are live by its own clock, which
+counts each from the moment its request was sent.
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+import enum
+import math
+
+from pollenladder.membership import hashing
+
+# A lease with less than this part of its term left is renewed.
+RENEW_BELOW_PART = 2 / 3
+# An unanswered request is sent again after this part of the term.
+RETRY_PART = 1 / 6
+MAX_BACKOFF_DOUBLINGS = 3
+JITTER_PART = 1 / 4
+
+
+class Phase(enum.Enum):
+    """What a daemon is to a shard.
+
+    Attributes:
+        IDLE: It neither owns the shard nor asks for it.
+        CAMPAIGN: It asks the workers for leases with a new epoch.
+        OWNER: It has owned the shard since it last looked.
+        LAPSED: It has lost the quorum and tries to regain it with its epoch.
+    """
+
+    IDLE = "idle"
+    CAMPAIGN = "campaign"
+    OWNER = "owner"
+    LAPSED = "lapsed"
+
+
+class Change(enum.Enum):
+    """How ownership changed."""
+
+    GAINED = "gained"
+    LOST = "lost"
+    REGAINED = "regained"
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnershipEvent:
+    """A change of ownership, and the epoch it concerns."""
+
+    change: Change
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseRequest:
+    """A lease to ask a worker for; the term is in seconds."""
+
+    worker_id: str
+    epoch: int
+    ttl_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseRelease:
+    """A lease to give back to a worker."""
+
+    worker_id: str
+    epoch: int
+
+
+@dataclasses.dataclass
+class LeaseRow:
+    """What is known of the lease on one worker.
+
+    Attributes:
+        worker_id: The worker.
+        epoch: The epoch of the last lease granted; 0 if none.
+        asked_epoch: The highest epoch asked for.
+        lease_until: End of the lease by own clock; -inf if there is none.
+        voided_at: When the lease was last known not to be ours.
+        seen_epoch: The highest epoch that a refusal told.
+        holder: Who held the lease at the last refusal; empty if unknown.
+        blocked_until: End of that holder's lease as it was told.
+        next_try: No request goes out before.
+        failures: Refused or unanswered requests since the last grant.
+    """
+
+    worker_id: str
+    epoch: int = 0
+    asked_epoch: int = 0
+    lease_until: float = -math.inf
+    voided_at: float = -math.inf
+    seen_epoch: int = 0
+    holder: str = ""
+    blocked_until: float = -math.inf
+    next_try: float = -math.inf
+    failures: int = 0
+
+
+@dataclasses.dataclass
+class Ownership:
+    """The state of one shard at one daemon.
+
+    Attributes:
+        shard_id: The shard.
+        daemon_id: This daemon.
+        ttl_s: The term of each lease, in seconds.
+        epoch: The epoch of the campaign or of the ownership; 0 if none.
+        phase: See `Phase`.
+        lapsed_at: When the quorum was lost, in the phase `LAPSED`.
+        campaign_at: No campaign begins before.
+        attempts: Campaigns given up since the last success.
+        rows: By worker id, one for each listed worker.
+        releases: Leases to give back, not yet taken by `take_releases`.
+        events: Changes not yet taken by `take_events`.
+    """
+
+    shard_id: str
+    daemon_id: str
+    ttl_s: float
+    epoch: int = 0
+    phase: Phase = Phase.IDLE
+    lapsed_at: float = -math.inf
+    campaign_at: float = -math.inf
+    attempts: int = 0
+    rows: dict[str, LeaseRow] = dataclasses.field(default_factory=dict)
+    releases: list[LeaseRelease] = dataclasses.field(default_factory=list)
+    events: list[OwnershipEvent] = dataclasses.field(default_factory=list)
+
+
+def compute_quorum(workers: int) -> int:
+    """Return how many leases make an owner: two thirds, at least 1."""
+    return max(1, math.ceil(2 * workers / 3))
+
+
+def count_live(state: Ownership, now: float) -> int:
+    """Return the number of listed workers with a live lease of the epoch."""
+    return sum(_is_live(state, row, now) for row in state.rows.values())
+
+
+def owns(state: Ownership, now: float) -> bool:
+    """Return whether this daemon owns the shard at `now`."""
+    if state.phase is not Phase.OWNER:
+        return False
+    return count_live(state, now) >= compute_quorum(len(state.rows))
+
+
+def may_start(state: Ownership, worker_id: str, now: float) -> bool:
+    """Return whether a task may be started on the worker at `now`."""
+    row = state.rows.get(worker_id)
+    if row is None or not _is_live(state, row, now):
+        return False
+    return owns(state, now)
+
+
+def get_lease_epoch(state: Ownership, worker_id: str) -> int:
+    """Return the epoch that a start on the worker names; 0 if none.
+
+    It is above the epoch of the ownership on a worker that a challenger has
+    asked with a higher one.
+    """
+    row = state.rows.get(worker_id)
+    return row.epoch if row else 0
+
+
+def list_workers(
+    state: Ownership, worker_ids: Iterable[str], now: float
+) -> None:
+    """Take over a new list of the shard's workers.
+
+    The lease on a worker that is no longer listed runs out by itself: a release
+    could arrive after a grant of the same epoch, if the worker is listed again.
+    """
+    _notice_lapse(state, now)
+    listed = set(worker_ids)
+    for worker_id in state.rows.keys() - listed:
+        del state.rows[worker_id]
+    for worker_id in sorted(listed - state.rows.keys()):
+        state.rows[worker_id] = LeaseRow(worker_id, voided_at=now)
+    _notice_lapse(state, now)
+    _notice_quorum(state, now)
+
+
+def choose_requests(
+    state: Ownership, wants: bool, wall_ms: int, now: float
+) -> list[LeaseRequest]:
+    """Return the leases to ask for now: a campaign, or renewals.
+
+    Args:
+        state: The shard's state.
+        wants: Whether this daemon should own the shard. An owner goes on
+            without it until `resign` or the loss of its quorum.
+        wall_ms: Wall clock in milliseconds since 1970, for a new epoch.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Requests in order of worker id; report each by `record_sent`.
+    """
+    _notice_lapse(state, now)
+    _choose_phase(state, wants, wall_ms, now)
+    if state.phase is Phase.IDLE:
+        return []
+    if state.phase is not Phase.OWNER:
+        _raise_epoch(state, wall_ms, now)
+    due = [row for row in state.rows.values() if _is_due(state, row, now)]
+    for row in due:
+        row.asked_epoch = _choose_epoch(state, row)
+    return [
+        LeaseRequest(row.worker_id, row.asked_epoch, state.ttl_s)
+        for row in sorted(due, key=lambda row: row.worker_id)
+    ]
+
+
+def record_sent(state: Ownership, worker_id: str, now: float) -> None:
+    """Note that a request has been sent; it is not repeated for a while."""
+    row = state.rows.get(worker_id)
+    if row is not None:
+        row.next_try = now + state.ttl_s * RETRY_PART
+
+
+def record_granted(
+    state: Ownership, worker_id: str, epoch: int, sent_at: float, now: float
+) -> None:
+    """Note a granted lease.
+
+    Args:
+        state: The shard's state.
+        worker_id: Who granted it.
+        epoch: The epoch it was granted with.
+        sent_at: When the request was sent; the lease counts from there.
+        now: Monotonic time in seconds.
+    """
+    _notice_lapse(state, now)
+    row = state.rows.get(worker_id)
+    if row is None:
+        return
+    if state.phase is Phase.IDLE:
+        state.releases.append(LeaseRelease(worker_id, epoch))
+        return
+    if epoch < row.epoch or sent_at < row.voided_at:
+        return
+    row.epoch = epoch
+    row.lease_until = max(row.lease_until, sent_at + state.ttl_s)
+    _clear_failures(row)
+    _notice_quorum(state, now)
+
+
+def record_refused(
+    state: Ownership,
+    worker_id: str,
+    max_epoch: int,
+    remaining_s: float,
+    now: float,
+    holder: str = "",
+) -> None:
+    """Note a refused lease.
+
+    Args:
+        state: The shard's state.
+        worker_id: Who refused it.
+        max_epoch: The highest epoch that the worker has seen.
+        remaining_s: What is left of the holder's lease, in seconds.
+        now: Monotonic time in seconds.
+        holder: The daemon that holds the lease; empty if it is not known.
+    """
+    _notice_lapse(state, now)
+    row = state.rows.get(worker_id)
+    if row is None:
+        return
+    _void(row, now)
+    row.seen_epoch = max(row.seen_epoch, max_epoch)
+    row.holder = holder
+    row.blocked_until = now + remaining_s
+    row.failures += 1
+    row.next_try = row.blocked_until
+    if remaining_s > 0:
+        row.next_try += _compute_jitter(state, row)
+    _notice_lapse(state, now)
+    if state.phase is Phase.CAMPAIGN:
+        _judge_campaign(state, now)
+
+
+def record_started(
+    state: Ownership, worker_id: str, sent_at: float, now: float
+) -> None:
+    """Note that the worker accepted a start, which renews its lease."""
+    _notice_lapse(state, now)
+    row = state.rows.get(worker_id)
+    if row is None or row.epoch == 0 or sent_at < row.voided_at:
+        return
+    if state.phase is Phase.IDLE:
+        return
+    row.lease_until = max(row.lease_until, sent_at + state.ttl_s)
+    _clear_failures(row)
+    _notice_quorum(state, now)
+
+
+def record_lost(state: Ownership, worker_id: str, now: float) -> None:
+    """Note that the lease is no longer ours: a start was refused as fenced.
+
+    The worker is asked again at once, as it may have restarted.
+    """
+    _notice_lapse(state, now)
+    row = state.rows.get(worker_id)
+    if row is None:
+        return
+    _void(row, now)
+    row.next_try = now
+    _notice_lapse(state, now)
+
+
+def record_unanswered(state: Ownership, worker_id: str, now: float) -> None:
+    """Note that a request got no answer; the lease runs on by own clock."""
+    _notice_lapse(state, now)
+    row = state.rows.get(worker_id)
+    if row is None:
+        return
+    doublings = min(row.failures, MAX_BACKOFF_DOUBLINGS)
+    row.failures += 1
+    wait_s = state.ttl_s * RETRY_PART * 2**doublings
+    row.next_try = now + wait_s + _compute_jitter(state, row)
+
+
+def resign(state: Ownership) -> list[LeaseRelease]:
+    """Give up the shard; return the leases to give back, each once."""
+    if state.phase is Phase.OWNER:
+        state.events.append(OwnershipEvent(Change.LOST, state.epoch))
+    _abandon(state)
+    return take_releases(state)
+
+
+def take_releases(state: Ownership) -> list[LeaseRelease]:
+    """Return the leases to give back, and forget them."""
+    taken = state.releases
+    state.releases = []
+    return taken
+
+
+def take_events(state: Ownership, now: float) -> list[OwnershipEvent]:
+    """Return the changes of ownership up to `now`, and forget them."""
+    _notice_lapse(state, now)
+    taken = state.events
+    state.events = []
+    return taken
+
+
+def _is_live(state: Ownership, row: LeaseRow, now: float) -> bool:
+    return row.lease_until > now and row.epoch >= max(1, state.epoch)
+
+
+def _is_due(state: Ownership, row: LeaseRow, now: float) -> bool:
+    if now < row.next_try:
+        return False
+    if not _is_live(state, row, now):
+        return True
+    return row.lease_until - now < state.ttl_s * RENEW_BELOW_PART
+
+
+def _choose_epoch(state: Ownership, row: LeaseRow) -> int:
+    epoch = max(state.epoch, row.epoch)
+    if row.seen_epoch >= epoch:
+        return row.seen_epoch + 1
+    return epoch
+
+
+def _choose_new_epoch(state: Ownership, wall_ms: int) -> int:
+    rows = state.rows.values()
+    told = [max(row.asked_epoch, row.seen_epoch) for row in rows]
+    return max(wall_ms, 1 + max(told, default=0), state.epoch + 1)
+
+
+def _choose_phase(
+    state: Ownership, wants: bool, wall_ms: int, now: float
+) -> None:
+    if state.phase is Phase.CAMPAIGN and not wants:
+        _abandon(state)
+    if state.phase is Phase.LAPSED and now - state.lapsed_at >= state.ttl_s:
+        if not wants:
+            _abandon(state)
+            return
+        _begin_campaign(state, wall_ms)
+    if state.phase is Phase.IDLE and wants and now >= state.campaign_at:
+        _begin_campaign(state, wall_ms)
+
+
+def _begin_campaign(state: Ownership, wall_ms: int) -> None:
+    state.phase = Phase.CAMPAIGN
+    state.epoch = _choose_new_epoch(state, wall_ms)
+
+
+def _raise_epoch(state: Ownership, wall_ms: int, now: float) -> None:
+    """Begin anew if a worker that is free again has seen a higher epoch."""
+    for row in state.rows.values():
+        is_behind = row.seen_epoch >= max(state.epoch, row.epoch)
+        if is_behind and row.blocked_until <= now:
+            _begin_campaign(state, wall_ms)
+            return
+
+
+def _notice_lapse(state: Ownership, now: float) -> None:
+    """Turn an owner without a quorum into one that has lapsed."""
+    if state.phase is not Phase.OWNER or owns(state, now):
+        return
+    state.phase = Phase.LAPSED
+    state.lapsed_at = min(now, _find_quorum_end(state))
+    state.events.append(OwnershipEvent(Change.LOST, state.epoch))
+
+
+def _find_quorum_end(state: Ownership) -> float:
+    """Return when the last quorum of leases ended; inf if none is known."""
+    quorum = compute_quorum(len(state.rows))
+    ends = sorted(
+        (row.lease_until for row in state.rows.values()), reverse=True
+    )
+    if len(ends) < quorum or ends[quorum - 1] == -math.inf:
+        return math.inf
+    return ends[quorum - 1]
+
+
+def _notice_quorum(state: Ownership, now: float) -> None:
+    """Turn a daemon that has a quorum into the owner."""
+    if state.phase not in (Phase.CAMPAIGN, Phase.LAPSED):
+        return
+    if count_live(state, now) < compute_quorum(len(state.rows)):
+        return
+    if state.phase is Phase.LAPSED and now - state.lapsed_at >= state.ttl_s:
+        return
+    regained = state.phase is Phase.LAPSED
+    change = Change.REGAINED if regained else Change.GAINED
+    state.phase = Phase.OWNER
+    state.attempts = 0
+    state.events.append(OwnershipEvent(change, state.epoch))
+
+
+def _judge_campaign(state: Ownership, now: float) -> None:
+    """Give up a campaign that another daemon is to win.
+
+    A daemon that holds a quorum of the workers is the owner. Of challengers that
+    split the workers, all but the first in rendezvous order give back what they
+    got, so that one of them wins.
+    """
+    blocked = [r for r in state.rows.values() if r.blocked_until > now]
+    quorum = compute_quorum(len(state.rows))
+    if len(state.rows) - len(blocked) >= quorum:
+        return
+    held = collections.Counter(row.holder for row in blocked)
+    candidates = [*held, state.daemon_id]
+    first = hashing.rank_daemons(state.shard_id, candidates)[0]
+    is_first = first == state.daemon_id and "" not in held
+    if is_first and max(held.values()) < quorum:
+        return
+    ends = sorted(row.blocked_until for row in blocked)
+    state.attempts += 1
+    wait_s = _compute_campaign_jitter(state)
+    surplus = len(blocked) - (len(state.rows) - quorum)
+    state.campaign_at = ends[surplus - 1] + wait_s
+    _abandon(state)
+
+
+def _abandon(state: Ownership) -> None:
+    """Give all leases back; the next campaign has a higher epoch."""
+    for row in state.rows.values():
+        if row.lease_until > -math.inf:
+            state.releases.append(LeaseRelease(row.worker_id, row.epoch))
+        row.lease_until = -math.inf
+    state.phase = Phase.IDLE
+
+
+def _void(row: LeaseRow, now: float) -> None:
+    row.lease_until = -math.inf
+    row.voided_at = now
+
+
+def _clear_failures(row: LeaseRow) -> None:
+    row.failures = 0
+    row.next_try = -math.inf
+    row.holder = ""
+    row.blocked_until = -math.inf
+
+
+def _compute_jitter(state: Ownership, row: LeaseRow) -> float:
+    fraction = hashing.compute_fraction(
+        state.daemon_id, state.shard_id, row.worker_id, str(row.failures)
+    )
+    return fraction * state.ttl_s * JITTER_PART
+
+
+def _compute_campaign_jitter(state: Ownership) -> float:
+    fraction = hashing.compute_fraction(
+        state.daemon_id, state.shard_id, str(state.attempts)
+    )
+    return fraction * state.ttl_s * JITTER_PART
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ownership, worker health, hashing and peers."""
--- /dev/null
+++ b/tests/membership/fakes.py
@@ -0,0 +1,71 @@
+"""A worker that grants leases as the design page says, without a socket."""
+
+import dataclasses
+
+from pollenladder.membership import ownership
+
+
+@dataclasses.dataclass
+class FakeWorker:
+    """The lease of one worker, by the worker's own clock."""
+
+    holder: str = ""
+    epoch: int = 0
+    lease_until: float = 0.0
+    max_epoch: int = 0
+
+    def lease(self, holder, epoch, ttl_s, now):
+        """Return whether the lease was granted."""
+        if self.holder == holder:
+            granted = epoch >= self.epoch
+        else:
+            granted = self.lease_until <= now and epoch > self.max_epoch
+        if granted:
+            self.holder, self.epoch = holder, epoch
+            self.max_epoch = max(self.max_epoch, epoch)
+            self.lease_until = now + ttl_s
+        return granted
+
+    def start(self, holder, epoch, ttl_s, now):
+        """Return whether a start was accepted."""
+        ours = self.holder == holder and self.epoch == epoch
+        if not ours or self.lease_until <= now:
+            return False
+        self.lease_until = now + ttl_s
+        return True
+
+    def release(self, holder, epoch):
+        """End the lease if it is this one."""
+        if self.holder == holder and self.epoch == epoch:
+            self.lease_until = 0.0
+
+
+def ask(state, worker, request, sent_at, now):
+    """Deliver a request to a worker and its answer to the daemon."""
+    if worker.lease(state.daemon_id, request.epoch, request.ttl_s, now):
+        ownership.record_granted(
+            state, request.worker_id, request.epoch, sent_at, now
+        )
+        return
+    ownership.record_refused(
+        state,
+        request.worker_id,
+        worker.max_epoch,
+        max(0.0, worker.lease_until - now),
+        now,
+        worker.holder,
+    )
+
+
+def run_round(state, workers, wants, now, wall_ms=1):
+    """Send all due requests, answered at once; return their number."""
+    requests = ownership.choose_requests(state, wants, wall_ms, now)
+    for request in requests:
+        ownership.record_sent(state, request.worker_id, now)
+        if request.worker_id in workers:
+            ask(state, workers[request.worker_id], request, now, now)
+    for release in ownership.take_releases(state):
+        if release.worker_id in workers:
+            worker = workers[release.worker_id]
+            worker.release(state.daemon_id, release.epoch)
+    return len(requests)
--- /dev/null
+++ b/tests/plans/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of allowances held in escrow."""
