Wire the daemon: engine, links, leases, lookups and the platform's lists

Cause: the decisions ran nowhere. A message to this daemon itself takes the same path as one over a link.

--- a/pollenladder/core/engine.py
+++ b/pollenladder/core/engine.py
@@ -11,14 +11,16 @@
 from pollenladder.core import clocks
 from pollenladder.core import entities
 from pollenladder.core import verdicts
+from pollenladder.dispatch import completion
 from pollenladder.dispatch import directory
 from pollenladder.dispatch import intake
 from pollenladder.dispatch import shard as shards
+from pollenladder.dispatch import sharing
 from pollenladder.dispatch import spilling
 from pollenladder.dispatch import submissions
 from pollenladder.dispatch import tables
 from pollenladder.plans import declarations
-from pollenladder.plans import escrow
+from pollenladder.plans import loans
 from pollenladder.wire import messages
 
 LOGGER = logging.getLogger(__name__)
@@ -86,11 +88,11 @@
             messages.BatchQuery: self._take_batch_query,
             messages.BatchPending: _ignore,
             messages.ShardLoad: self._take_load,
-            escrow.LoanAsk: self._take_loan_ask,
-            escrow.LoanGrant: self._take_loan_grant,
-            escrow.LoanReturn: self._take_loan_return,
-            escrow.Claim: self._take_claim,
-            escrow.ClaimReply: self._take_claim_reply,
+            loans.LoanAsk: self._take_loan_ask,
+            loans.LoanGrant: self._take_loan_grant,
+            loans.LoanReturn: self._take_loan_return,
+            messages.Claim: self._take_claim,
+            messages.ClaimReply: self._take_claim_reply,
         }
 
     def run(self) -> None:
@@ -148,7 +150,8 @@
         shard = self.shards[shard_id]
         now = self._clock()
         self.execute(
-            shards.record_start_outcome(shard, effect, result, now), shard_id
+            completion.record_start_outcome(shard, effect, result, now),
+            shard_id,
         )
         self._woken.set()
 
@@ -174,9 +177,7 @@
         """Have the systems run soon."""
         self._woken.set()
 
-    def execute(
-        self, effects: list[tables.Effect], shard_id: str = ""
-    ) -> None:
+    def execute(self, effects: list[tables.Effect], shard_id: str = "") -> None:
         """Carry out effects, in order."""
         for effect in effects:
             if isinstance(effect, tables.StartTask):
@@ -189,9 +190,7 @@
     def _send(self, effect: tables.SendMessage) -> None:
         if effect.daemon_id == self.daemon_id:
             # Handled by its own greenlet, so that handlers do not nest.
-            gevent.spawn(
-                self.take_message, effect.daemon_id, effect.message
-            )
+            gevent.spawn(self.take_message, effect.daemon_id, effect.message)
             return
         if not self._outlets.send(effect.daemon_id, effect.message):
             self._take_unsent(effect.message)
@@ -291,32 +290,31 @@
             self.execute(effects, shard.shard_id)
 
     def _take_loan_ask(self, sender, message, now) -> None:
-        shard = self.shards.get(message.lender)
+        shard = self.shards.get(message.lender_id)
         if shard and shard.ownership_is_held(now):
-            grant = escrow.grant(shard.ledger, message, now)
-            if grant:
-                self.execute([tables.SendMessage(sender, grant)])
+            granted = loans.grant(shard.ledger, message, now)
+            self.execute([tables.SendMessage(sender, granted)])
 
     def _take_loan_grant(self, sender, message, now) -> None:
-        shard = self.shards.get(message.borrower)
+        shard = self.shards.get(loans.get_borrower_id(message.loan_id))
         if shard:
-            escrow.accept(shard.ledger, message, now)
+            loans.accept(shard.ledger, message, now)
 
     def _take_loan_return(self, sender, message, now) -> None:
-        shard = self.shards.get(message.lender)
+        shard = self.shards.get(message.lender_id)
         if shard:
-            escrow.take_back(shard.ledger, message, now)
+            loans.return_loan(shard.ledger, message, now)
 
     def _take_claim(self, sender, message, now) -> None:
-        for shard in self.shards.values():
-            reply = escrow.answer_claim(shard.ledger, message, now)
-            if reply:
-                self.execute([tables.SendMessage(sender, reply)])
+        shard = self.shards.get(message.asked_id)
+        reply = sharing.answer_claim(shard, message, now) if shard else None
+        if reply:
+            self.execute([tables.SendMessage(sender, reply)])
 
     def _take_claim_reply(self, sender, message, now) -> None:
-        shard = self.shards.get(message.claimant)
+        shard = self.shards.get(message.shard_id)
         if shard:
-            escrow.record_claim_reply(shard.ledger, message, now)
+            sharing.record_claim_reply(shard, message, now)
 
 
 def _ignore(sender: str, message: object, now: float) -> None:
--- /dev/null
+++ b/pollenladder/core/mesh.py
@@ -0,0 +1,199 @@
+"""Which daemons are known, and with which ones this daemon keeps a link."""
+
+import dataclasses
+import logging
+import random
+
+import gevent
+
+from pollenladder.core import clocks
+from pollenladder.core import peering
+from pollenladder.dispatch import directory
+from pollenladder.membership import hashing
+from pollenladder.wire import messages
+
+LOGGER = logging.getLogger(__name__)
+
+STEP_S = 0.5
+SUSPECT_S = 5.0
+FOREIGN_LINKS = 2
+
+
+@dataclasses.dataclass
+class Known:
+    """A daemon that was heard of.
+
+    Attributes:
+        info: Where it is.
+        is_listed: Whether the VM list shows it.
+        suspect_until: Until when it is taken for unreachable.
+        version: Its version of the declarations; None if unknown.
+        heard_at: When it was last heard of.
+    """
+
+    info: messages.PeerInfo
+    is_listed: bool = False
+    suspect_until: float = float("-inf")
+    version: int | None = None
+    heard_at: float = float("-inf")
+
+
+class Mesh:
+    """The daemons that are known, and the loop that links to some of them.
+
+    Attributes:
+        known: Daemons by id, without this one.
+    """
+
+    def __init__(
+        self,
+        own: messages.PeerInfo,
+        loads: directory.Directory,
+        shard_ids: tuple[str, ...],
+        peers: peering.Peering,
+        clock: clocks.Clock,
+    ):
+        self.known: dict[str, Known] = {}
+        self._own = own
+        self._loads = loads
+        self._shard_ids = shard_ids
+        self._peers = peers
+        self._clock = clock
+
+    def learn(self, info: messages.PeerInfo, is_listed: bool = False) -> None:
+        """Note a daemon; a later word on it replaces an earlier one."""
+        if info.daemon_id == self._own.daemon_id:
+            return
+        known = self.known.get(info.daemon_id)
+        if known is None:
+            known = self.known[info.daemon_id] = Known(info)
+        leaving = info.leaving or (is_listed and known.info.leaving)
+        if info.address != known.info.address or not is_listed:
+            known.info = info
+        known.info = dataclasses.replace(known.info, leaving=leaving)
+        known.is_listed = known.is_listed or is_listed
+
+    def keep_listed(self, daemon_ids: set[str]) -> None:
+        """Forget daemons that left the VM list and have no link."""
+        linked = set(self._peers.list_linked())
+        for daemon_id, known in list(self.known.items()):
+            gone = known.is_listed and daemon_id not in daemon_ids
+            if gone and daemon_id not in linked:
+                del self.known[daemon_id]
+
+    def record_lost(self, daemon_id: str) -> None:
+        """Take a daemon for unreachable for a while."""
+        known = self.known.get(daemon_id)
+        if known:
+            known.suspect_until = self._clock() + SUSPECT_S
+
+    def record_heard(self, daemon_id: str, version: int) -> None:
+        """Note that a daemon has said which version it has."""
+        known = self.known.get(daemon_id)
+        if known:
+            known.version = version
+            known.heard_at = self._clock()
+            known.suspect_until = float("-inf")
+
+    def list_candidates(self) -> list[str]:
+        """Return the daemons of this data centre that may own its shards."""
+        now = self._clock()
+        return [
+            daemon_id
+            for daemon_id, known in self.known.items()
+            if known.info.data_centre == self._own.data_centre
+            and not known.info.leaving
+            and known.suspect_until <= now
+        ]
+
+    def list_unreachable(self) -> list[str]:
+        """Return the data centres of which no daemon can be reached."""
+        now = self._clock()
+        reachable = {self._own.data_centre}
+        for known in self.known.values():
+            if known.suspect_until <= now:
+                reachable.add(known.info.data_centre)
+        centres = map(directory.get_data_centre, self._shard_ids)
+        return sorted(set(centres) - reachable)
+
+    def run(self) -> None:
+        """Keep the links that are wanted, for ever."""
+        while True:
+            try:
+                self.step()
+            except Exception:
+                LOGGER.exception("links")
+            gevent.sleep(STEP_S)
+
+    def step(self) -> None:
+        """Connect to the daemons that a link is wanted with and is missing."""
+        linked = set(self._peers.list_linked())
+        for daemon_id in self.choose_links() - linked:
+            gevent.spawn(self.connect, daemon_id)
+
+    def choose_links(self) -> set[str]:
+        """Return the daemons that a link is wanted with.
+
+        All in this data centre link to its owners, and to each other while it
+        lacks one. Owners link to a few owners in each other data centre; so do
+        others while their own data centre has no owner.
+        """
+        now = self._clock()
+        wanted: set[str] = set()
+        own_shards = self._list_shards(self._own.data_centre)
+        owners = [self._find_owner(s) for s in own_shards]
+        wanted.update(owner for owner in owners if owner)
+        if None in owners:
+            wanted.update(self.list_candidates())
+        is_owner = self._own.daemon_id in owners
+        if is_owner or not any(owners):
+            for centre in self._list_foreign():
+                wanted.update(self._choose_foreign(centre))
+        wanted.discard(self._own.daemon_id)
+        return {
+            daemon_id
+            for daemon_id in wanted
+            if daemon_id in self.known
+            and self.known[daemon_id].suspect_until <= now
+        }
+
+    def connect(self, daemon_id: str) -> bool:
+        """Link to a known daemon; one that cannot be reached is suspect."""
+        known = self.known.get(daemon_id)
+        if known is None:
+            return False
+        info = known.info
+        if self._peers.connect(daemon_id, info.address, info.peer_port):
+            return True
+        self.record_lost(daemon_id)
+        return False
+
+    def _list_shards(self, centre: str) -> list[str]:
+        return [
+            shard_id
+            for shard_id in self._shard_ids
+            if directory.get_data_centre(shard_id) == centre
+        ]
+
+    def _list_foreign(self) -> list[str]:
+        centres = set(map(directory.get_data_centre, self._shard_ids))
+        return sorted(centres - {self._own.data_centre})
+
+    def _find_owner(self, shard_id: str) -> str | None:
+        entry = self._loads.entries.get(shard_id)
+        return entry.daemon_id if entry else None
+
+    def _choose_foreign(self, centre: str) -> list[str]:
+        """Return owners of a data centre, or some daemon that may know them."""
+        owners = {self._find_owner(s) for s in self._list_shards(centre)}
+        owners.discard(None)
+        if owners:
+            ranked = hashing.rank_daemons(self._own.daemon_id, owners)
+            return ranked[:FOREIGN_LINKS]
+        now = self._clock()
+        others = [
+            daemon_id
+            for daemon_id, known in self.known.items()
+            if known.info.data_centre == centre and known.suspect_until <= now
+        ]
+        return random.sample(others, min(1, len(others)))
--- /dev/null
+++ b/pollenladder/core/meters.py
@@ -0,0 +1,65 @@
+"""Read the tables into the metrics."""
+
+from pollenladder.core import peering
+from pollenladder.dispatch import tables
+from pollenladder.membership import health
+from pollenladder.metrics import registry
+from pollenladder.plans import loans
+from pollenladder.wire import messages
+
+KINDS = {
+    messages.Digest: "heartbeat",
+    messages.JobOffer: "hand_on",
+    messages.JobAnswer: "answer",
+    messages.JobCancel: "cancel",
+    messages.BatchCancel: "cancel",
+    messages.JobQuery: "inquiry",
+    messages.JobPending: "inquiry",
+    messages.BatchQuery: "inquiry",
+    messages.BatchPending: "inquiry",
+    messages.JobLookup: "inquiry",
+    messages.JobLookupReply: "inquiry",
+    messages.BatchOffer: "spill",
+    messages.BatchResult: "spill",
+    messages.ShardLoad: "probe",
+    messages.DeclarationsPush: "plans",
+    messages.Claim: "loan",
+    messages.ClaimReply: "loan",
+    loans.LoanAsk: "loan",
+    loans.LoanGrant: "loan",
+    loans.LoanReturn: "loan",
+}
+
+
+def count_message(metrics: registry.Metrics, message: object) -> None:
+    """Count a message to a peer under its kind."""
+    metrics.messages.labels(kind=KINDS[type(message)]).inc()
+
+
+def update(
+    metrics: registry.Metrics,
+    shards: list[tables.Shard],
+    peers: peering.Peering,
+    now: float,
+) -> None:
+    """Set the gauges from the tables of the shards owned here."""
+    owned = [shard for shard in shards if shard.ownership_is_held(now)]
+    workers = [w for shard in owned for w in shard.workers.values()]
+    metrics.queue_tasks.set(sum(shard.queue.tasks for shard in owned))
+    metrics.running_tasks.set(sum(worker.running for worker in workers))
+    metrics.slots.set(sum(worker.slots for worker in workers))
+    metrics.quarantined_workers.set(
+        sum(len(health.list_quarantined(shard.health)) for shard in owned)
+    )
+    metrics.peers.set(len(peers.list_linked()))
+    counts = peers.count()
+    frames = metrics.link_frames
+    _advance(frames.labels(direction="in"), counts.frames_in)
+    _advance(frames.labels(direction="out"), counts.frames_out)
+
+
+def _advance(counter, value: int) -> None:
+    """Bring a counter up to a total that is kept elsewhere."""
+    behind = value - counter._value.get()
+    if behind > 0:
+        counter.inc(behind)
--- a/pollenladder/core/peering.py
+++ b/pollenladder/core/peering.py
@@ -96,9 +96,7 @@
             return False
         self._connecting.add(daemon_id)
         try:
-            link = server.connect(
-                dataclasses.replace(self._own), address, port
-            )
+            link = server.connect(dataclasses.replace(self._own), address, port)
         except (exceptions.UnreachableError, exceptions.HandshakeError):
             return False
         finally:
--- a/pollenladder/core/polling.py
+++ b/pollenladder/core/polling.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Callable
 import dataclasses
-import json
 import logging
+from typing import Any
 
 import gevent
 
@@ -26,10 +26,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Row:
-    """The declarations' row as it was read: its version and JSON text."""
+    """The declarations' row as it was read: its version and value."""
 
     version: int
-    text: str
+    value: Any
 
 
 @dataclasses.dataclass(frozen=True)
@@ -99,8 +99,8 @@
         if self.push and push.version <= self.push.version:
             return False
         try:
-            declared = loading.parse_row(json.loads(push.text), push.version)
-        except (conf_exceptions.ConfError, ValueError) as error:
+            declared = loading.parse_row(push.value, push.version)
+        except conf_exceptions.ConfError as error:
             LOGGER.error("declarations %d: %s", push.version, error)
             return False
         if not self._outlets.on_declared(declared):
@@ -118,6 +118,6 @@
             return
         if row is None:
             return
-        push = messages.DeclarationsPush(row.version, row.text)
+        push = messages.DeclarationsPush(row.version, row.value)
         if self.take_push(push):
             self._outlets.share(push)
--- /dev/null
+++ b/pollenladder/core/workers.py
@@ -0,0 +1,120 @@
+"""The endpoints of this data centre: their clients and their shards."""
+
+import dataclasses
+
+from pollenladder.conf import settings as conf
+from pollenladder.core import clocks
+from pollenladder.core import entities
+from pollenladder.core import verdicts
+from pollenladder.dispatch import shard as shards
+from pollenladder.dispatch import tables
+from pollenladder.endpoints import client
+from pollenladder.endpoints import outcomes
+from pollenladder.membership import hashing
+from pollenladder.metrics import registry
+
+CONTROL_CONNECTIONS = 2
+
+
+def build_limits(settings: conf.Settings) -> client.Limits:
+    """Return the limits of each endpoint's client."""
+    connections = settings.limits.connections_per_worker
+    return client.Limits(
+        start_connections=connections - CONTROL_CONNECTIONS,
+        control_connections=CONTROL_CONNECTIONS,
+        connect_timeout_s=settings.timings.endpoint_connect_timeout_s,
+    )
+
+
+class Workers:
+    """Clients by worker id, kept as the VM list shows them."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        shards_here: int,
+        shard_tables: dict[str, tables.Shard],
+        daemon_id: str,
+        limits: client.Limits,
+        clock: clocks.Clock,
+        metrics: registry.Metrics,
+    ):
+        self._data_centre = data_centre
+        self._shards_here = shards_here
+        self._shards = shard_tables
+        self._daemon_id = daemon_id
+        self._limits = limits
+        self._clock = clock
+        self._metrics = metrics
+        self._clients: dict[str, client.EndpointClient] = {}
+        self._places: dict[str, tuple[str, int]] = {}
+
+    def get_client(self, worker_id: str) -> client.EndpointClient | None:
+        """Return the client of a worker, or None if it is not listed."""
+        return self._clients.get(worker_id)
+
+    def list_vms(self, vms: list[entities.Vm]) -> None:
+        """Take in the VM list: the endpoints of this data centre."""
+        here = [
+            vm
+            for vm in vms
+            if vm.role is entities.VmRole.ENDPOINT
+            and vm.data_centre == self._data_centre
+        ]
+        self._keep_clients(here)
+        now = self._clock()
+        for shard_id, shard in self._shards.items():
+            rows = [
+                tables.Worker(
+                    vm.vm_id,
+                    vm.slots,
+                    leaving=vm.state is entities.VmState.LEAVING,
+                )
+                for vm in here
+                if self._find_shard(vm.vm_id) == shard_id
+            ]
+            shards.list_workers(shard, rows, now)
+
+    def acquire_lease(
+        self, worker_id: str, shard_id: str, epoch: int, ttl_s: float
+    ) -> outcomes.LeaseOutcome:
+        """Ask a worker for a lease."""
+        endpoint = self._clients.get(worker_id)
+        if endpoint is None:
+            return outcomes.Failure(
+                verdicts.Verdict.NOT_RUN, verdicts.Reason.UNREACHABLE
+            )
+        self._metrics.messages.labels(kind="lease").inc()
+        lease = outcomes.Lease(shard_id, self._daemon_id, epoch)
+        return endpoint.acquire_lease(lease, ttl_s)
+
+    def release_lease(self, worker_id: str, shard_id: str, epoch: int) -> None:
+        """Give a worker's lease back."""
+        endpoint = self._clients.get(worker_id)
+        if endpoint:
+            self._metrics.messages.labels(kind="lease").inc()
+            lease = outcomes.Lease(shard_id, self._daemon_id, epoch)
+            endpoint.release_lease(lease)
+
+    def _find_shard(self, worker_id: str) -> str:
+        return hashing.find_shard(
+            worker_id, self._data_centre, self._shards_here
+        )
+
+    def _keep_clients(self, vms: list[entities.Vm]) -> None:
+        places = {vm.vm_id: (vm.address, vm.port) for vm in vms}
+        for worker_id in list(self._clients):
+            if places.get(worker_id) != self._places[worker_id]:
+                self._clients.pop(worker_id).close()
+        for vm in vms:
+            if vm.vm_id not in self._clients:
+                limits = dataclasses.replace(
+                    self._limits,
+                    start_connections=max(
+                        vm.slots, self._limits.start_connections
+                    ),
+                )
+                self._clients[vm.vm_id] = client.EndpointClient(
+                    vm.vm_id, vm.address, vm.port, limits, self._clock
+                )
+        self._places = places
--- a/pollenladder/dispatch/completion.py
+++ b/pollenladder/dispatch/completion.py
@@ -8,6 +8,7 @@
 from pollenladder.dispatch import tables
 from pollenladder.membership import health
 from pollenladder.plans import escrow
+from pollenladder.plans import takeover
 from pollenladder.wire import messages
 
 # For how long the answer of an ended group is kept and its id refused.
@@ -82,7 +83,9 @@
     """Record the final result of a task and end its group when due."""
     group.results[index] = result
     release_unit(shard, group, index, result.verdict, now)
-    if result.reason is not verdicts.Reason.OK:
+    # What a guest has not run is queued again by the owner that sent it.
+    is_handed_back = group.is_guest and result.verdict.allows_retry()
+    if result.reason is not verdicts.Reason.OK and not is_handed_back:
         return fail_group(shard, group, result.reason, now)
     if len(group.results) < len(group.tasks):
         return []
@@ -97,6 +100,9 @@
     now: float,
 ) -> None:
     """Give a task's unit back, or hold it while the task may still run."""
+    if group.is_guest and verdict is not verdicts.Verdict.MAY_HAVE_RUN:
+        start_id = tables.format_start_id(group.job_id, index)
+        takeover.end_hosting(shard.ledger, (start_id,))
     unit = group.units.pop(index, None)
     if unit is None:
         return
@@ -198,6 +204,17 @@
     return effects + _drop_spilled(shard, group, rest, now)
 
 
+def hand_back_waiting(
+    shard: tables.Shard, group: tables.Group, now: float
+) -> list[tables.Effect]:
+    """Give a guest's tasks that may not start any more back to their owner."""
+    _drop_waiting(shard, group, verdicts.Reason.BUSY, now)
+    if len(group.results) < len(group.tasks):
+        return []
+    results = tuple(group.results[index] for index in group.tasks)
+    return _answer(shard, group, results, None, now)
+
+
 def _drop_waiting(
     shard: tables.Shard,
     group: tables.Group,
--- a/pollenladder/dispatch/directory.py
+++ b/pollenladder/dispatch/directory.py
@@ -65,6 +65,30 @@
     return known is None or known.daemon_id != daemon_id
 
 
+def record_owner(
+    table: Directory, owner: messages.ShardOwner, now: float
+) -> bool:
+    """Take in hearsay on an owner; return whether it is news.
+
+    Nothing is known of its load, so it gets no tasks before it tells.
+    """
+    known = table.entries.get(owner.shard_id)
+    if known and known.epoch >= owner.epoch:
+        return False
+    table.entries[owner.shard_id] = Entry(
+        shard_id=owner.shard_id,
+        daemon_id=owner.daemon_id,
+        epoch=owner.epoch,
+        free=0,
+        queued=0,
+        slots=owner.slots,
+        stamp="",
+        stamp_until=now,
+        heard_at=now,
+    )
+    return True
+
+
 def forget_daemon(table: Directory, daemon_id: str) -> None:
     """Drop the shards of a daemon that cannot be reached."""
     for shard_id in [
--- a/pollenladder/dispatch/intake.py
+++ b/pollenladder/dispatch/intake.py
@@ -1,6 +1,7 @@
 """Take jobs and batches in, cancel them, and say what became of them."""
 
 from collections.abc import Iterable
+import math
 
 from pollenladder.core import entities
 from pollenladder.core import verdicts
@@ -10,6 +11,8 @@
 from pollenladder.dispatch import fairness
 from pollenladder.dispatch import keys
 from pollenladder.dispatch import tables
+from pollenladder.plans import ledgers
+from pollenladder.plans import takeover
 from pollenladder.wire import messages
 
 
@@ -40,6 +43,7 @@
         line=(job.customer_id, job.plan_id),
         tasks=dict(enumerate(job.tasks)),
         deadline_s=_bound_deadline_s(shard, job),
+        start_within_s=math.inf,
         key=key,
         now=now,
     )
@@ -61,6 +65,8 @@
         reason = verdicts.Reason.DRAINING
     elif not runnable or not shard.ownership_is_held(now):
         reason = verdicts.Reason.NOT_READY
+    elif not _host(shard, offer, now):
+        reason = verdicts.Reason.FENCED
     if reason:
         results = _format_not_run(
             (item.task.task_id for item in offer.tasks), reason
@@ -76,12 +82,30 @@
         line=(offer.customer_id, offer.plan_id),
         tasks={item.index: item.task for item in offer.tasks},
         deadline_s=offer.deadline_s,
+        start_within_s=offer.start_within_s,
         key=None,
         now=now,
     )
     return []
 
 
+def _host(shard: tables.Shard, offer: messages.BatchOffer, now: float) -> bool:
+    """Note whose units the tasks use; False if their shard has a new owner."""
+    until = now + offer.start_within_s
+    for item in offer.tasks:
+        kind = shard.declared.plans[offer.plan_id].kinds[item.task.kind]
+        hosted = ledgers.Hosted(
+            tables.format_start_id(offer.job_id, item.index),
+            offer.plan_id,
+            offer.from_shard_id,
+            item.lender_id,
+            until + kind.max_run_s,
+        )
+        if not takeover.host(shard.ledger, hosted, offer.from_epoch):
+            return False
+    return True
+
+
 def cancel_groups(
     shard: tables.Shard, group_ids: Iterable[str], now: float
 ) -> list[tables.Effect]:
@@ -230,6 +254,7 @@
     line: tuple[str, str],
     tasks: dict[int, entities.Task],
     deadline_s: float,
+    start_within_s: float,
     key: keys.Key | None,
     now: float,
 ) -> None:
@@ -245,6 +270,7 @@
         line=line,
         tasks=tasks,
         deadline_at=now + deadline_s,
+        start_by=now + start_within_s,
         began_at=now,
         expected_s=expected_s,
         # The longest goes first, from the end.
--- a/pollenladder/dispatch/placement.py
+++ b/pollenladder/dispatch/placement.py
@@ -25,7 +25,7 @@
 
 def count_foreign(worker: tables.Worker, now: float) -> int:
     """Count the tasks of earlier owners that may still run on a worker."""
-    return worker.foreign if now < worker.foreign_until else 0
+    return sum(worker.foreign.values()) if now < worker.foreign_until else 0
 
 
 def count_all_free(shard: tables.Shard, now: float) -> int:
--- a/pollenladder/dispatch/shard.py
+++ b/pollenladder/dispatch/shard.py
@@ -1,15 +1,25 @@
 """The systems that run over a shard's tables each tick."""
 
+import collections
+
 from pollenladder.core import verdicts
 from pollenladder.dispatch import completion
 from pollenladder.dispatch import directory
 from pollenladder.dispatch import keys
 from pollenladder.dispatch import placement
+from pollenladder.dispatch import sharing
 from pollenladder.dispatch import spilling
 from pollenladder.dispatch import tables
+from pollenladder.endpoints import outcomes
+from pollenladder.membership import health
 from pollenladder.membership import ownership
 from pollenladder.plans import declarations
 from pollenladder.plans import escrow
+from pollenladder.plans import ledgers
+from pollenladder.plans import takeover
+
+# Taken for a running task of a plan or a kind that is no longer declared.
+UNKNOWN_MAX_RUN_S = 10.0
 
 
 def build(
@@ -31,7 +41,7 @@
         batch_prefix=f"{daemon_id}-{incarnation}-{shard_id}",
         limits=limits,
         ownership=ownership.Ownership(shard_id, daemon_id, limits.lease_ttl_s),
-        ledger=escrow.Ledger(shard_id, loan_term_s, loan_margin_s),
+        ledger=ledgers.Ledger(shard_id, loan_term_s, loan_margin_s),
         loads=loads,
         all_shard_ids=all_shard_ids,
         retry_tokens=limits.retry_burst,
@@ -45,20 +55,23 @@
     if declared.version <= shard.declared.version:
         return
     shard.declared = declared
-    for plan in declared.plans.values():
+    _declare_shares(shard, now)
+
+
+def _declare_shares(shard: tables.Shard, now: float) -> None:
+    ids = shard.all_shard_ids
+    for plan in shard.declared.plans.values():
         allowed = plan.allowance
-        ids = shard.all_shard_ids
-        part = 1 / len(ids)
         escrow.declare(
             shard.ledger,
             plan.plan_id,
             escrow.split(allowed.running_tasks, ids)[shard.shard_id],
-            allowed.starts_per_s * part,
+            escrow.split_rate(allowed.starts_per_s, ids)[shard.shard_id],
             escrow.split(allowed.burst, ids)[shard.shard_id],
             now,
         )
-    for plan_id in list(shard.ledger.plans):
-        if plan_id not in declared.plans:
+    for plan_id in list(shard.ledger.rows):
+        if plan_id not in shard.declared.plans:
             escrow.declare(shard.ledger, plan_id, 0, 0.0, 0, now)
 
 
@@ -69,6 +82,7 @@
         effects += placement.place(shard, now)
     if shard.queue.tasks:
         effects += spilling.spill(shard, now)
+    effects += sharing.share(shard, now)
     effects += spilling.announce(shard, now)
     return effects
 
@@ -79,24 +93,82 @@
     if now < shard.next_expiry_at:
         return []
     due = [g for g in shard.groups.values() if g.deadline_at <= now]
+    late = [g for g in shard.groups.values() if g.start_by <= now and g.waiting]
     effects: list[tables.Effect] = []
+    for group in late:
+        effects += completion.hand_back_waiting(shard, group, now)
     for group in due:
-        reason = verdicts.Reason.DEADLINE
-        effects += completion.fail_group(shard, group, reason, now)
+        if group.group_id in shard.groups:
+            reason = verdicts.Reason.DEADLINE
+            effects += completion.fail_group(shard, group, reason, now)
     shard.next_expiry_at = now + tables.EXPIRY_INTERVAL_S
     return effects
 
 
 def become_owner(shard: tables.Shard, now: float) -> None:
     """Begin an epoch: hold no key, and use no share that may be in use."""
-    shard.keys = keys.KeyTable(shard.shard_id, shard.ownership.epoch, now)
+    epoch = shard.ownership.epoch
+    shard.keys = keys.KeyTable(shard.shard_id, epoch, now)
+    old = shard.ledger
+    shard.ledger = ledgers.Ledger(shard.shard_id, old.term_s, old.margin_s)
+    # Units of an earlier epoch must not be taken for new ones.
+    shard.ledger.next_unit_id = old.next_unit_id
     others = [s for s in shard.all_shard_ids if s != shard.shard_id]
-    escrow.begin_takeover(shard.ledger, others, now)
+    takeover.begin_takeover(
+        shard.ledger, epoch, others, list(shard.workers), now
+    )
+    _declare_shares(shard, now)
+    for worker in shard.workers.values():
+        if worker.granted_epoch == epoch:
+            _report_running(shard, worker, now)
+
+
+def record_lease(
+    shard: tables.Shard,
+    worker_id: str,
+    granted: outcomes.LeaseGranted,
+    now: float,
+) -> None:
+    """Take in what a worker tells with a lease: its slots and what it runs."""
+    worker = shard.workers.get(worker_id)
+    if worker is None:
+        return
+    worker.slots = granted.slots
+    worker.leaving = worker.leaving or granted.leaving
+    if worker.granted_epoch == granted.epoch:
+        return
+    worker.granted_epoch = granted.epoch
+    ours = {
+        tables.format_start_id(group.job_id, index)
+        for group in shard.groups.values()
+        for index in group.started
+    }
+    foreign = [task for task in granted.running if task.task_id not in ours]
+    worker.foreign = collections.Counter(task.plan_id for task in foreign)
+    left_s = [_get_left_s(shard, task) for task in foreign]
+    worker.foreign_until = now + max(left_s, default=0.0)
+    if shard.ledger.epoch == granted.epoch:
+        _report_running(shard, worker, now)
+
 
+def _get_left_s(shard: tables.Shard, task: outcomes.RunningTask) -> float:
+    """Return for how long a task of an earlier owner may still run."""
+    plan = shard.declared.plans.get(task.plan_id)
+    kind = plan.kinds.get(task.kind) if plan else None
+    max_run_s = kind.max_run_s if kind else UNKNOWN_MAX_RUN_S
+    return max(0.0, max_run_s - task.run_s)
 
-def lose_ownership(shard: tables.Shard) -> None:
-    """End an epoch: another owner may answer for the keys from now on."""
-    shard.keys = None
+
+def _report_running(
+    shard: tables.Shard, worker: tables.Worker, now: float
+) -> None:
+    takeover.record_worker_reply(
+        shard.ledger,
+        worker.worker_id,
+        worker.foreign,
+        worker.foreign_until,
+        now,
+    )
 
 
 def list_workers(
@@ -117,3 +189,4 @@
         else:
             shard.workers[worker_id].leaving = True
     ownership.list_workers(shard.ownership, sorted(ids), now)
+    health.list_workers(shard.health, ids)
--- a/pollenladder/dispatch/spilling.py
+++ b/pollenladder/dispatch/spilling.py
@@ -8,6 +8,7 @@
 from pollenladder.dispatch import fairness
 from pollenladder.dispatch import keys
 from pollenladder.dispatch import placement
+from pollenladder.dispatch import sharing
 from pollenladder.dispatch import tables
 from pollenladder.wire import messages
 
@@ -108,18 +109,40 @@
     offer = messages.BatchOffer(
         batch_id=batch_id,
         from_shard_id=shard.shard_id,
+        from_epoch=shard.ownership.epoch,
         shard_id=target.shard_id,
         job_id=group.job_id,
         customer_id=group.line[0],
         plan_id=group.line[1],
         deadline_s=group.deadline_at - now,
+        start_within_s=compute_start_within_s(shard, group, indexes, now),
         tasks=tuple(
-            messages.BatchTask(index, group.tasks[index]) for index in indexes
+            messages.BatchTask(
+                index, group.tasks[index], group.units[index].lender_id
+            )
+            for index in indexes
         ),
     )
     return tables.SendMessage(target.daemon_id, offer)
 
 
+def compute_start_within_s(
+    shard: tables.Shard, group: tables.Group, indexes: list[int], now: float
+) -> float:
+    """Return for how long spilled tasks may wait and still end in time.
+
+    A new owner of this shard takes it that nothing of ours runs any more once
+    a term of loans has passed, and a borrowed unit ends with its loan.
+    """
+    within_s = math.inf
+    for index in indexes:
+        max_run_s = placement.get_max_run_s(shard, group, index)
+        unit = group.units[index]
+        left_s = sharing.get_unit_left_s(shard, unit, now)
+        within_s = min(within_s, left_s - max_run_s)
+    return max(0.0, within_s)
+
+
 def record_batch_result(
     shard: tables.Shard, message: messages.BatchResult, now: float
 ) -> list[tables.Effect]:
@@ -159,9 +182,7 @@
     return effects
 
 
-def query_batches(
-    shard: tables.Shard, daemon_id: str
-) -> list[tables.Effect]:
+def query_batches(shard: tables.Shard, daemon_id: str) -> list[tables.Effect]:
     """Ask a daemon over a new link about batches sent over an older one."""
     effects: list[tables.Effect] = []
     for batch in shard.batches.values():
--- a/pollenladder/dispatch/tables.py
+++ b/pollenladder/dispatch/tables.py
@@ -11,7 +11,7 @@
 from pollenladder.membership import health
 from pollenladder.membership import ownership
 from pollenladder.plans import declarations
-from pollenladder.plans import escrow
+from pollenladder.plans import ledgers
 
 EXPIRY_INTERVAL_S = 0.05
 
@@ -50,17 +50,19 @@
         worker_id: Its VM id.
         slots: Tasks it runs at once.
         running: Tasks that this owner has running there.
-        foreign: Tasks of an earlier owner that were running at takeover.
+        foreign: Tasks of earlier owners that ran at takeover, by plan.
         foreign_until: When the last of those must have ended.
         leaving: Whether it gets no new work.
+        granted_epoch: The epoch of the last lease it granted.
     """
 
     worker_id: str
     slots: int
     running: int = 0
-    foreign: int = 0
+    foreign: dict[str, int] = dataclasses.field(default_factory=dict)
     foreign_until: float = 0.0
     leaving: bool = False
+    granted_epoch: int = 0
 
 
 @dataclasses.dataclass
@@ -75,6 +77,7 @@
         line: The customer and the plan.
         tasks: Tasks by their place in the job.
         deadline_at: When it must be answered.
+        start_by: No task of it may start later.
         began_at: When it came.
         expected_s: Expected run time of each task, by place.
         waiting: Places of tasks that wait, the longest last.
@@ -95,10 +98,11 @@
     line: tuple[str, str]
     tasks: dict[int, entities.Task]
     deadline_at: float
+    start_by: float
     began_at: float
     expected_s: dict[int, float]
     waiting: list[int]
-    units: dict[int, escrow.Unit] = dataclasses.field(default_factory=dict)
+    units: dict[int, ledgers.Unit] = dataclasses.field(default_factory=dict)
     started: dict[int, str] = dataclasses.field(default_factory=dict)
     spilled: dict[int, str] = dataclasses.field(default_factory=dict)
     results: dict[int, verdicts.TaskResult] = dataclasses.field(
@@ -172,6 +176,8 @@
         draining: Whether it takes nothing new.
         all_shard_ids: Shards of all data centres, this one among them.
         next_expiry_at: When deadlines are looked at next.
+        next_sharing_at: When loans are looked at next.
+        next_claim_at: When claims are sent next.
     """
 
     shard_id: str
@@ -180,7 +186,7 @@
     batch_prefix: str
     limits: Limits
     ownership: ownership.Ownership
-    ledger: escrow.Ledger
+    ledger: ledgers.Ledger
     loads: directory.Directory
     health: health.Health = dataclasses.field(default_factory=health.Health)
     estimates: estimates.Estimates = dataclasses.field(
@@ -203,6 +209,8 @@
     draining: bool = False
     all_shard_ids: tuple[str, ...] = ()
     next_expiry_at: float = 0.0
+    next_sharing_at: float = 0.0
+    next_claim_at: float = 0.0
 
     def ownership_is_held(self, now: float) -> bool:
         """Return whether this daemon is the owner now."""
--- a/pollenladder/wire/messages.py
+++ b/pollenladder/wire/messages.py
@@ -5,9 +5,11 @@
 
 import dataclasses
 import enum
+from typing import Any
 
 from pollenladder.core import entities
 from pollenladder.core import verdicts
+from pollenladder.plans import takeover
 
 
 class AnswerKind(enum.Enum):
@@ -68,10 +70,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class BatchTask:
-    """A task of a batch: its place within the job, and the task."""
+    """A task of a batch.
+
+    Attributes:
+        index: Its place within the job.
+        task: The task.
+        lender_id: The shard whose unit of the allowance it uses, if the unit
+            is borrowed, else empty.
+    """
 
     index: int
     task: entities.Task
+    lender_id: str
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,21 +93,25 @@
     Attributes:
         batch_id: Unique for all time.
         from_shard_id: The shard whose owner has the job.
+        from_epoch: That owner's epoch.
         shard_id: The shard that shall run the tasks.
         job_id: The job.
         customer_id: The job's customer.
         plan_id: The job's plan.
         deadline_s: Seconds left of the job's deadline.
+        start_within_s: No task may start later than this.
         tasks: The tasks with their places.
     """
 
     batch_id: str
     from_shard_id: str
+    from_epoch: int
     shard_id: str
     job_id: str
     customer_id: str
     plan_id: str
     deadline_s: float
+    start_within_s: float
     tasks: tuple[BatchTask, ...]
 
 
@@ -161,7 +175,6 @@
     """Where a daemon can be reached."""
 
     daemon_id: str
-    incarnation: str
     data_centre: str
     address: str
     peer_port: int
@@ -169,6 +182,16 @@
     leaving: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class ShardOwner:
+    """Which daemon owns a shard, as the sender has heard."""
+
+    shard_id: str
+    daemon_id: str
+    epoch: int
+    slots: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Digest:
     """What a daemon tells its peers at intervals and upon a change.
@@ -177,21 +200,43 @@
         version: Version of the declarations in force at the sender.
         leaving: Whether the sender is draining.
         loads: The shards that the sender owns.
-        peers: Some peers that the sender knows.
+        owners: Owners that the sender knows; only upon a new link.
+        peers: Daemons that the sender knows; only upon a new link.
     """
 
     version: int
     leaving: bool
     loads: tuple[ShardLoad, ...]
+    owners: tuple[ShardOwner, ...]
     peers: tuple[PeerInfo, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class DeclarationsPush:
-    """The declarations at a version, as JSON text of the platform's row."""
+    """The declarations at a version, as the value of the platform's row."""
 
     version: int
-    text: str
+    value: Any
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """A new owner of a shard asks what another shard holds from it."""
+
+    shard_id: str
+    epoch: int
+    asked_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimReply:
+    """What the asked shard holds; `is_known` is False if it cannot tell yet."""
+
+    shard_id: str
+    epoch: int
+    asked_id: str
+    is_known: bool
+    held: tuple[takeover.Held, ...]
 
 
 @dataclasses.dataclass(frozen=True)
