--- a/pollenladder/audit/spread.py
+++ b/pollenladder/audit/spread.py
@@ -105,10 +105,16 @@
 
 
 def _pick_freshest(views: list[View]) -> list[DaemonView]:
-    """Return one view of each daemon that has not left, by id."""
+    """Return the freshest view of each daemon that has not left, by id.
+
+    Of two equally fresh ones the lower version counts.
+    """
     best: dict[str, DaemonView] = {}
     for daemon in (daemon for view in views for daemon in view.daemons):
-        known = best.get(daemon.daemon)
-        if known is None or daemon.last_heard_s < known.last_heard_s:
-            best[daemon.daemon] = daemon
+        known = best.setdefault(daemon.daemon, daemon)
+        best[daemon.daemon] = min(known, daemon, key=_rank_view)
     return [best[name] for name in sorted(best) if best[name].state != LEFT]
+
+
+def _rank_view(daemon: DaemonView) -> tuple[float, int]:
+    return daemon.last_heard_s, daemon.version
--- a/pollenladder/conf/exceptions.py
+++ b/pollenladder/conf/exceptions.py
@@ -31,8 +31,13 @@
 
     Attributes:
         problems: One or more problems, in the order of the file.
+        check_id: The id that `pollenladder check` shows.
+        hint: What to do.
     """
 
+    check_id = "conf.E100"
+    hint = "correct the file"
+
     def __init__(self, *problems: Problem):
         super().__init__("\n".join(str(problem) for problem in problems))
         self.problems = problems
@@ -41,10 +46,19 @@
 class UnreadableError(ConfError):
     """The file is missing or can't be read."""
 
+    check_id = "conf.E101"
+    hint = "give the path of a UTF-8 file that this user may read"
+
 
 class MalformedError(ConfError):
     """The text isn't JSON with comments, or names a key twice."""
 
+    check_id = "conf.E102"
+    hint = "look for a missing comma, quote or bracket before this place"
+
 
 class InvalidError(ConfError):
     """The text is well-formed, but a field is wrong, missing or unknown."""
+
+    check_id = "conf.E103"
+    hint = "see docs/ref/settings.md and docs/ref/declarations.md"
--- /dev/null
+++ b/pollenladder/management/commands/apply.py
@@ -0,0 +1,180 @@
+"""`pollenladder apply`."""
+
+import datetime
+
+from cleo import helpers
+
+from pollenladder.audit import commits
+from pollenladder.audit import exceptions as audit_exceptions
+from pollenladder.audit import proposals
+from pollenladder.audit import spread
+from pollenladder.audit import tables
+from pollenladder.core import verdicts
+from pollenladder.management import configuration
+from pollenladder.management import daemons
+from pollenladder.management import declared
+from pollenladder.management import exceptions
+from pollenladder.management import exit_codes
+from pollenladder.management import rendering
+from pollenladder.management.commands import command
+from pollenladder.plans import loading
+
+DEFAULT_WAIT_S = 10.0
+POLL_S = 0.25
+RETRY_S = 0.5
+
+
+class ApplyCommand(command.Command):
+    """Apply declarations and wait until they are in force."""
+
+    name = "apply"
+    description = "Apply declarations and wait until they are in force."
+    arguments = [
+        helpers.argument(
+            "directory",
+            "Directories with customers.json and plans.json, merged.",
+            multiple=True,
+        )
+    ]
+    options = [
+        helpers.option(
+            "expect-version",
+            None,
+            "Apply only to this version, as `diff` showed it.",
+            flag=False,
+        ),
+        helpers.option(
+            "wait-s",
+            None,
+            "Wait at most so many seconds until it is in force.",
+            flag=False,
+            default=str(DEFAULT_WAIT_S),
+        ),
+        helpers.option("no-wait", None, "End once the change is accepted."),
+        command.PLATFORM,
+        command.DAEMON,
+        command.TOKEN,
+        command.CONFIG,
+    ]
+    help = """The files replace all declarations; give every directory of the
+platform. "accepted" means that the change is in the platform's table and will
+not be undone; "in force" that every daemon uses it. If it is not in force in
+time, the daemons and data centres concerned are named.
+
+Examples:
+  pollenladder apply --platform 127.0.0.1:7001 --daemon 127.0.0.1:7201 \\
+      examples/red-andina examples/dalbit
+  pollenladder apply --expect-version 7 --no-wait examples/dalbit
+"""
+
+    def run_command(self) -> exit_codes.ExitCode:
+        """Commit the change, then wait for it to spread."""
+        config = self.configure_tool()
+        config.get_token()
+        waits = not self.option("no-wait")
+        if waits:
+            config.get_daemons()
+        wait_s = self.read_number("wait-s", float)
+        expected = self.read_number("expect-version")
+        candidate = loading.load_directories(self.argument("directory"))
+        version = self._commit(config, candidate, expected)
+        if not waits:
+            return exit_codes.ExitCode.OK
+        return self._wait(config, version, wait_s)
+
+    def _commit(
+        self,
+        config: configuration.Configuration,
+        candidate: loading.Candidate,
+        expected: int | None,
+    ) -> int:
+        """Return the version that holds the candidate."""
+        table = self.environment.open_table(config.get_platform())
+        row = declared.read_row(table)
+        operator = declared.identify_operator(
+            config.get_token(), row, candidate
+        )
+        try:
+            proposals.check_expected(row, expected)
+        except audit_exceptions.VersionMismatchError as error:
+            raise exceptions.ConflictError(f"not applied: {error}") from error
+        if row is not None and not proposals.compare_with_row(row, candidate):
+            self.write(f"no change, version {row.version} says the same")
+            return row.version
+        proposal = self._propose(row, candidate, operator)
+        self._settle(proposal, table)
+        version = proposal.record.version
+        change_id = proposal.record.change_id
+        self.write(f"accepted as version {version}, change {change_id}")
+        return version
+
+    def _propose(
+        self,
+        row: tables.Row | None,
+        candidate: loading.Candidate,
+        operator: str,
+    ) -> proposals.Proposal:
+        now = datetime.datetime.fromtimestamp(
+            self.environment.read_wall_s(), datetime.UTC
+        )
+        return proposals.propose(
+            row,
+            candidate,
+            operator=operator,
+            change_id=self.environment.draw_id(),
+            applied_at=now.isoformat(timespec="seconds"),
+        )
+
+    def _settle(
+        self, proposal: proposals.Proposal, table: tables.Table
+    ) -> None:
+        """Commit a proposal; return only if it is accepted."""
+        outcome = commits.commit(
+            proposal, table, lambda: self.environment.sleep(RETRY_S)
+        )
+        if isinstance(outcome, proposals.Beaten):
+            raise exceptions.ConflictError(_describe_defeat(proposal, outcome))
+        if isinstance(outcome, commits.Unsettled):
+            change_id = proposal.record.change_id
+            if outcome.verdict is verdicts.Verdict.NOT_RUN:
+                raise exceptions.UnreachableError(
+                    f"not applied: {outcome.detail}"
+                )
+            raise exceptions.UnsettledError(
+                f"change {change_id} may have been accepted:"
+                f" {outcome.detail}; look for it in `history`, or apply again"
+            )
+
+    def _wait(
+        self, config: configuration.Configuration, version: int, wait_s: float
+    ) -> exit_codes.ExitCode:
+        """Ask the daemons until the version is in force or time is up."""
+        end_s = self.environment.read_monotonic_s() + wait_s
+        while True:
+            views = daemons.fetch_views(self.environment, config)
+            found = spread.measure_spread(views, version)
+            if found.is_everywhere:
+                centres = ", ".join(found.data_centres)
+                count = len(found.daemons)
+                self.write(f"in force in all {count} daemons: {centres}")
+                return exit_codes.ExitCode.OK
+            if self.environment.read_monotonic_s() >= end_s:
+                self._write_lagging(version, found)
+                return exit_codes.ExitCode.NOT_IN_FORCE
+            self.environment.sleep(POLL_S)
+
+    def _write_lagging(self, version: int, found: spread.Spread) -> None:
+        self.write_error(f"version {version} is not yet in force everywhere:")
+        if not found.lagging:
+            self.write_error("no daemon answered this operator")
+        self.write_error(*rendering.render_lagging(found.lagging))
+
+
+def _describe_defeat(
+    proposal: proposals.Proposal, outcome: proposals.Beaten
+) -> str:
+    by = f" by {outcome.operator}" if outcome.operator else ""
+    return (
+        f"not applied: it was compared with version {proposal.base}, but"
+        f" version {outcome.version} is there now, changed{by}; run `diff`"
+    )
