Hold each plan's allowance in escrow, moved by loans

Cause: what runs under a plan must never exceed its allowance, with data centres cut off and owners dying, and shares must follow demand.

Change: `plans.escrow` splits an allowance into exact shares of shards and takes units and starts from one's own; `plans.loans` moves idle units for a term (the borrower counts it from its ask, the lender from its grant plus a margin; asks, grants and returns may be lost, repeated and reordered); `plans.takeover` lets a new owner use nothing until all other shards and its own workers have answered, or a term has passed.

Ruled out: transfers for good (a lost message loses or doubles units); answering a claim at once as a new owner (found in writing: if lender and borrower die together, nobody knows of the borrower's tasks; the borrower's successor now answers only when its workers are fenced and the others know).

The tables of leases are a module of their own, `membership.leases`.

--- a/pollenladder/membership/ownership.py
+++ b/pollenladder/membership/ownership.py
@@ -8,11 +8,10 @@
 
 import collections
 from collections.abc import Iterable
-import dataclasses
-import enum
 import math
 
 from pollenladder.membership import hashing
+from pollenladder.membership import leases
 
 # A lease with less than this part of its term left is renewed.
 RENEW_BELOW_PART = 2 / 3
@@ -22,113 +21,7 @@
 JITTER_PART = 1 / 4
 
 
-class Phase(enum.Enum):
-    """What a daemon is to a shard.
-
-    Attributes:
-        IDLE: It neither owns the shard nor asks for it.
-        CAMPAIGN: It asks the workers for leases with a new epoch.
-        OWNER: It has owned the shard since it last looked.
-        LAPSED: It has lost the quorum and tries to regain it with its epoch.
-    """
-
-    IDLE = "idle"
-    CAMPAIGN = "campaign"
-    OWNER = "owner"
-    LAPSED = "lapsed"
-
-
-class Change(enum.Enum):
-    """How ownership changed."""
-
-    GAINED = "gained"
-    LOST = "lost"
-    REGAINED = "regained"
-
-
-@dataclasses.dataclass(frozen=True)
-class OwnershipEvent:
-    """A change of ownership, and the epoch it concerns."""
-
-    change: Change
-    epoch: int
-
-
-@dataclasses.dataclass(frozen=True)
-class LeaseRequest:
-    """A lease to ask a worker for; the term is in seconds."""
-
-    worker_id: str
-    epoch: int
-    ttl_s: float
-
-
-@dataclasses.dataclass(frozen=True)
-class LeaseRelease:
-    """A lease to give back to a worker."""
-
-    worker_id: str
-    epoch: int
-
-
-@dataclasses.dataclass
-class LeaseRow:
-    """What is known of the lease on one worker.
-
-    Attributes:
-        worker_id: The worker.
-        epoch: The epoch of the last lease granted; 0 if none.
-        asked_epoch: The highest epoch asked for.
-        lease_until: End of the lease by own clock; -inf if there is none.
-        voided_at: When the lease was last known not to be ours.
-        seen_epoch: The highest epoch that a refusal told.
-        holder: Who held the lease at the last refusal; empty if unknown.
-        blocked_until: End of that holder's lease as it was told.
-        next_try: No request goes out before.
-        failures: Refused or unanswered requests since the last grant.
-    """
-
-    worker_id: str
-    epoch: int = 0
-    asked_epoch: int = 0
-    lease_until: float = -math.inf
-    voided_at: float = -math.inf
-    seen_epoch: int = 0
-    holder: str = ""
-    blocked_until: float = -math.inf
-    next_try: float = -math.inf
-    failures: int = 0
-
-
-@dataclasses.dataclass
-class Ownership:
-    """The state of one shard at one daemon.
-
-    Attributes:
-        shard_id: The shard.
-        daemon_id: This daemon.
-        ttl_s: The term of each lease, in seconds.
-        epoch: The epoch of the campaign or of the ownership; 0 if none.
-        phase: See `Phase`.
-        lapsed_at: When the quorum was lost, in the phase `LAPSED`.
-        campaign_at: No campaign begins before.
-        attempts: Campaigns given up since the last success.
-        rows: By worker id, one for each listed worker.
-        releases: Leases to give back, not yet taken by `take_releases`.
-        events: Changes not yet taken by `take_events`.
-    """
-
-    shard_id: str
-    daemon_id: str
-    ttl_s: float
-    epoch: int = 0
-    phase: Phase = Phase.IDLE
-    lapsed_at: float = -math.inf
-    campaign_at: float = -math.inf
-    attempts: int = 0
-    rows: dict[str, LeaseRow] = dataclasses.field(default_factory=dict)
-    releases: list[LeaseRelease] = dataclasses.field(default_factory=list)
-    events: list[OwnershipEvent] = dataclasses.field(default_factory=list)
+Ownership = leases.Ownership
 
 
 def compute_quorum(workers: int) -> int:
@@ -143,7 +36,7 @@
 
 def owns(state: Ownership, now: float) -> bool:
     """Return whether this daemon owns the shard at `now`."""
-    if state.phase is not Phase.OWNER:
+    if state.phase is not leases.Phase.OWNER:
         return False
     return count_live(state, now) >= compute_quorum(len(state.rows))
 
@@ -179,14 +72,14 @@
     for worker_id in state.rows.keys() - listed:
         del state.rows[worker_id]
     for worker_id in sorted(listed - state.rows.keys()):
-        state.rows[worker_id] = LeaseRow(worker_id, voided_at=now)
+        state.rows[worker_id] = leases.LeaseRow(worker_id, voided_at=now)
     _notice_lapse(state, now)
     _notice_quorum(state, now)
 
 
 def choose_requests(
     state: Ownership, wants: bool, wall_ms: int, now: float
-) -> list[LeaseRequest]:
+) -> list[leases.LeaseRequest]:
     """Return the leases to ask for now: a campaign, or renewals.
 
     Args:
@@ -201,15 +94,15 @@
     """
     _notice_lapse(state, now)
     _choose_phase(state, wants, wall_ms, now)
-    if state.phase is Phase.IDLE:
+    if state.phase is leases.Phase.IDLE:
         return []
-    if state.phase is not Phase.OWNER:
+    if state.phase is not leases.Phase.OWNER:
         _raise_epoch(state, wall_ms, now)
     due = [row for row in state.rows.values() if _is_due(state, row, now)]
     for row in due:
         row.asked_epoch = _choose_epoch(state, row)
     return [
-        LeaseRequest(row.worker_id, row.asked_epoch, state.ttl_s)
+        leases.LeaseRequest(row.worker_id, row.asked_epoch, state.ttl_s)
         for row in sorted(due, key=lambda row: row.worker_id)
     ]
 
@@ -237,8 +130,8 @@
     row = state.rows.get(worker_id)
     if row is None:
         return
-    if state.phase is Phase.IDLE:
-        state.releases.append(LeaseRelease(worker_id, epoch))
+    if state.phase is leases.Phase.IDLE:
+        state.releases.append(leases.LeaseRelease(worker_id, epoch))
         return
     if epoch < row.epoch or sent_at < row.voided_at:
         return
@@ -279,7 +172,7 @@
     if remaining_s > 0:
         row.next_try += _compute_jitter(state, row)
     _notice_lapse(state, now)
-    if state.phase is Phase.CAMPAIGN:
+    if state.phase is leases.Phase.CAMPAIGN:
         _judge_campaign(state, now)
 
 
@@ -291,7 +184,7 @@
     row = state.rows.get(worker_id)
     if row is None or row.epoch == 0 or sent_at < row.voided_at:
         return
-    if state.phase is Phase.IDLE:
+    if state.phase is leases.Phase.IDLE:
         return
     row.lease_until = max(row.lease_until, sent_at + state.ttl_s)
     _clear_failures(row)
@@ -324,22 +217,24 @@
     row.next_try = now + wait_s + _compute_jitter(state, row)
 
 
-def resign(state: Ownership) -> list[LeaseRelease]:
+def resign(state: Ownership) -> list[leases.LeaseRelease]:
     """Give up the shard; return the leases to give back, each once."""
-    if state.phase is Phase.OWNER:
-        state.events.append(OwnershipEvent(Change.LOST, state.epoch))
+    if state.phase is leases.Phase.OWNER:
+        state.events.append(
+            leases.OwnershipEvent(leases.Change.LOST, state.epoch)
+        )
     _abandon(state)
     return take_releases(state)
 
 
-def take_releases(state: Ownership) -> list[LeaseRelease]:
+def take_releases(state: Ownership) -> list[leases.LeaseRelease]:
     """Return the leases to give back, and forget them."""
     taken = state.releases
     state.releases = []
     return taken
 
 
-def take_events(state: Ownership, now: float) -> list[OwnershipEvent]:
+def take_events(state: Ownership, now: float) -> list[leases.OwnershipEvent]:
     """Return the changes of ownership up to `now`, and forget them."""
     _notice_lapse(state, now)
     taken = state.events
@@ -347,11 +242,11 @@
     return taken
 
 
-def _is_live(state: Ownership, row: LeaseRow, now: float) -> bool:
+def _is_live(state: Ownership, row: leases.LeaseRow, now: float) -> bool:
     return row.lease_until > now and row.epoch >= max(1, state.epoch)
 
 
-def _is_due(state: Ownership, row: LeaseRow, now: float) -> bool:
+def _is_due(state: Ownership, row: leases.LeaseRow, now: float) -> bool:
     if now < row.next_try:
         return False
     if not _is_live(state, row, now):
@@ -359,7 +254,7 @@
     return row.lease_until - now < state.ttl_s * RENEW_BELOW_PART
 
 
-def _choose_epoch(state: Ownership, row: LeaseRow) -> int:
+def _choose_epoch(state: Ownership, row: leases.LeaseRow) -> int:
     epoch = max(state.epoch, row.epoch)
     if row.seen_epoch >= epoch:
         return row.seen_epoch + 1
@@ -375,19 +270,22 @@
 def _choose_phase(
     state: Ownership, wants: bool, wall_ms: int, now: float
 ) -> None:
-    if state.phase is Phase.CAMPAIGN and not wants:
+    if state.phase is leases.Phase.CAMPAIGN and not wants:
         _abandon(state)
-    if state.phase is Phase.LAPSED and now - state.lapsed_at >= state.ttl_s:
+    if (
+        state.phase is leases.Phase.LAPSED
+        and now - state.lapsed_at >= state.ttl_s
+    ):
         if not wants:
             _abandon(state)
             return
         _begin_campaign(state, wall_ms)
-    if state.phase is Phase.IDLE and wants and now >= state.campaign_at:
+    if state.phase is leases.Phase.IDLE and wants and now >= state.campaign_at:
         _begin_campaign(state, wall_ms)
 
 
 def _begin_campaign(state: Ownership, wall_ms: int) -> None:
-    state.phase = Phase.CAMPAIGN
+    state.phase = leases.Phase.CAMPAIGN
     state.epoch = _choose_new_epoch(state, wall_ms)
 
 
@@ -402,11 +300,11 @@
 
 def _notice_lapse(state: Ownership, now: float) -> None:
     """Turn an owner without a quorum into one that has lapsed."""
-    if state.phase is not Phase.OWNER or owns(state, now):
+    if state.phase is not leases.Phase.OWNER or owns(state, now):
         return
-    state.phase = Phase.LAPSED
+    state.phase = leases.Phase.LAPSED
     state.lapsed_at = min(now, _find_quorum_end(state))
-    state.events.append(OwnershipEvent(Change.LOST, state.epoch))
+    state.events.append(leases.OwnershipEvent(leases.Change.LOST, state.epoch))
 
 
 def _find_quorum_end(state: Ownership) -> float:
@@ -422,17 +320,20 @@
 
 def _notice_quorum(state: Ownership, now: float) -> None:
     """Turn a daemon that has a quorum into the owner."""
-    if state.phase not in (Phase.CAMPAIGN, Phase.LAPSED):
+    if state.phase not in (leases.Phase.CAMPAIGN, leases.Phase.LAPSED):
         return
     if count_live(state, now) < compute_quorum(len(state.rows)):
         return
-    if state.phase is Phase.LAPSED and now - state.lapsed_at >= state.ttl_s:
+    if (
+        state.phase is leases.Phase.LAPSED
+        and now - state.lapsed_at >= state.ttl_s
+    ):
         return
-    regained = state.phase is Phase.LAPSED
-    change = Change.REGAINED if regained else Change.GAINED
-    state.phase = Phase.OWNER
+    regained = state.phase is leases.Phase.LAPSED
+    change = leases.Change.REGAINED if regained else leases.Change.GAINED
+    state.phase = leases.Phase.OWNER
     state.attempts = 0
-    state.events.append(OwnershipEvent(change, state.epoch))
+    state.events.append(leases.OwnershipEvent(change, state.epoch))
 
 
 def _judge_campaign(state: Ownership, now: float) -> None:
@@ -464,24 +365,24 @@
     """Give all leases back; the next campaign has a higher epoch."""
     for row in state.rows.values():
         if row.lease_until > -math.inf:
-            state.releases.append(LeaseRelease(row.worker_id, row.epoch))
+            state.releases.append(leases.LeaseRelease(row.worker_id, row.epoch))
         row.lease_until = -math.inf
-    state.phase = Phase.IDLE
+    state.phase = leases.Phase.IDLE
 
 
-def _void(row: LeaseRow, now: float) -> None:
+def _void(row: leases.LeaseRow, now: float) -> None:
     row.lease_until = -math.inf
     row.voided_at = now
 
 
-def _clear_failures(row: LeaseRow) -> None:
+def _clear_failures(row: leases.LeaseRow) -> None:
     row.failures = 0
     row.next_try = -math.inf
     row.holder = ""
     row.blocked_until = -math.inf
 
 
-def _compute_jitter(state: Ownership, row: LeaseRow) -> float:
+def _compute_jitter(state: Ownership, row: leases.LeaseRow) -> float:
     fraction = hashing.compute_fraction(
         state.daemon_id, state.shard_id, row.worker_id, str(row.failures)
     )
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -4,15 +4,16 @@
 import unittest
 
 from pollenladder.membership import hashing
+from pollenladder.membership import leases
 from pollenladder.membership import ownership
 from tests.membership import fakes
 
 SHARD = "ambato/0"
 TTL_S = 3.0
 IDS = [f"w{i}" for i in range(6)]
-GAINED = ownership.Change.GAINED
-LOST = ownership.Change.LOST
-REGAINED = ownership.Change.REGAINED
+GAINED = leases.Change.GAINED
+LOST = leases.Change.LOST
+REGAINED = leases.Change.REGAINED
 
 
 def make_state(daemon_id="d0", worker_ids=IDS):
@@ -210,7 +211,7 @@
         ownership.resign(state)
         ownership.record_granted(state, "w0", epoch, 1.0, 1.1)
         releases = ownership.take_releases(state)
-        self.assertEqual(releases, [ownership.LeaseRelease("w0", epoch)])
+        self.assertEqual(releases, [leases.LeaseRelease("w0", epoch)])
 
 
 class ChallengeTest(unittest.TestCase):
@@ -246,7 +247,7 @@
         for worker_id in IDS[:4]:
             workers[worker_id] = fakes.FakeWorker("d0", 1, 4.0, 1)
         fakes.run_round(other, workers, True, 1.1)
-        self.assertEqual(other.phase, ownership.Phase.IDLE)
+        self.assertEqual(other.phase, leases.Phase.IDLE)
         self.assertEqual(workers["w5"].lease_until, 0.0)
         self.assertGreater(other.campaign_at, 4.0)
 
--- /dev/null
+++ b/tests/plans/cluster.py
@@ -0,0 +1,147 @@
+"""Shards with ledgers, a network that loses things, and the truth beside them."""
+
+import dataclasses
+
+from pollenladder.plans import escrow
+from pollenladder.plans import ledgers
+from pollenladder.plans import loans
+from pollenladder.plans import takeover
+
+PLAN = "checks"
+TERM_S = 10.0
+MARGIN_S = 0.5
+RATE = 1000.0
+
+
+@dataclasses.dataclass
+class Run:
+    """A task that runs, by true time, wherever its owner has gone."""
+
+    shard_id: str
+    unit: ledgers.Unit
+    until: float
+
+
+class Cluster:
+    """Some shards that share one plan; each owner's clock has an offset."""
+
+    def __init__(self, shards: int, allowance: int, max_run_s: float):
+        self.max_run_s = max_run_s
+        self.now = 100.0
+        self.allowance = allowance
+        self.ids = [f"dc/{i}" for i in range(shards)]
+        self.epochs = dict.fromkeys(self.ids, 0)
+        self.offsets = {s: 7.0 * i for i, s in enumerate(self.ids)}
+        self.ledgers: dict[str, ledgers.Ledger] = {}
+        self.runs: list[Run] = []
+        self.messages: list[tuple[str, str, object]] = []
+        self.cuts: set[frozenset[str]] = set()
+        for shard_id in self.ids:
+            self.replace(shard_id)
+        for shard_id in self.ids:
+            self.tell_workers(shard_id)
+        self.settle()
+
+    def clock(self, shard_id):
+        return self.now + self.offsets[shard_id]
+
+    def replace(self, shard_id):
+        """Put a new owner in the place of one that died."""
+        self.epochs[shard_id] += 1
+        self.offsets[shard_id] += 1000.0
+        ledger = ledgers.Ledger(shard_id, TERM_S, MARGIN_S)
+        others = [other for other in self.ids if other != shard_id]
+        now = self.clock(shard_id)
+        epoch = self.epochs[shard_id]
+        takeover.begin_takeover(ledger, epoch, others, ["w"], now)
+        share = escrow.split(self.allowance, self.ids)[shard_id]
+        escrow.declare(ledger, PLAN, share, RATE * share, 10 * share, now)
+        self.ledgers[shard_id] = ledger
+        for other in others:
+            self.claim(shard_id, other)
+
+    def claim(self, shard_id, other):
+        self.send(other, shard_id, ("claim", self.epochs[shard_id]))
+
+    def tell_workers(self, shard_id):
+        """Deliver the grant of the shard's worker with what runs there."""
+        running = sum(run.shard_id == shard_id for run in self.runs)
+        now = self.clock(shard_id)
+        takeover.record_worker_reply(
+            self.ledgers[shard_id],
+            "w",
+            {PLAN: running},
+            now + self.max_run_s,
+            now,
+        )
+
+    def send(self, to, sender, message):
+        if frozenset((to, sender)) not in self.cuts:
+            self.messages.append((to, sender, message))
+
+    def start(self, shard_id, run_s):
+        """Start a task that runs for true `run_s`; return whether it could."""
+        now = self.clock(shard_id)
+        unit = escrow.take(self.ledgers[shard_id], PLAN, self.max_run_s, now)
+        if unit is not None:
+            until = self.now + min(run_s, self.max_run_s)
+            self.runs.append(Run(shard_id, unit, until))
+            escrow.hold(self.ledgers[shard_id], unit, now + self.max_run_s)
+        return unit is not None
+
+    def advance(self, seconds):
+        """Let time pass; ended tasks give their units back."""
+        self.now += seconds
+        for run in [run for run in self.runs if run.until <= self.now]:
+            self.runs.remove(run)
+            ledger = self.ledgers[run.shard_id]
+            if ledger.epoch == self.epochs[run.shard_id]:
+                row = escrow.open_row(ledger, PLAN, self.clock(run.shard_id))
+                if row.units.get(run.unit.unit_id) is run.unit:
+                    escrow.give_back(ledger, run.unit, self.clock(run.shard_id))
+
+    def tick(self, shard_id, wanted):
+        """Let an owner ask, renew, return and claim."""
+        ledger, now = self.ledgers[shard_id], self.clock(shard_id)
+        for ask in loans.choose_asks(ledger, {PLAN: wanted}, now):
+            self.send(ask.lender_id, shard_id, ask)
+        for returned in loans.choose_returns(ledger, now):
+            self.send(returned.lender_id, shard_id, returned)
+        for other in takeover.list_awaited(ledger, now):
+            self.claim(shard_id, other)
+
+    def deliver(self, index, keep=False):
+        """Deliver one message in any order; it may be delivered again."""
+        if not self.messages:
+            return
+        index %= len(self.messages)
+        entry = self.messages[index] if keep else self.messages.pop(index)
+        to, sender, message = entry
+        if frozenset((to, sender)) in self.cuts:
+            return
+        ledger, now = self.ledgers[to], self.clock(to)
+        match message:
+            case loans.LoanAsk():
+                self.send(sender, to, loans.grant(ledger, message, now))
+            case loans.LoanGrant():
+                loans.accept(ledger, message, now)
+            case loans.LoanReturn():
+                loans.return_loan(ledger, message, now)
+            case ("claim", epoch):
+                held = takeover.list_held_from(ledger, sender, epoch, now)
+                self.send(sender, to, ("held", epoch, held))
+            case ("held", epoch, held):
+                if epoch == ledger.epoch:
+                    takeover.record_claim_reply(ledger, sender, held, now)
+
+    def drop(self, index):
+        if self.messages:
+            self.messages.pop(index % len(self.messages))
+
+    def settle(self):
+        """Deliver all messages, and those they cause."""
+        for _ in range(10):
+            for shard_id in self.ids:
+                self.tick(shard_id, 0)
+            while self.messages:
+                self.deliver(0)
