--- a/pollenladder/__main__.py
+++ b/pollenladder/__main__.py
@@ -1,12 +1,43 @@
-"""The daemon's entry point."""
+"""The daemon's entry point: `pollenladderd --settings FILE`."""
 
+import argparse
+import logging
 import sys
 
+from pollenladder.conf import checks
+from pollenladder.conf import exceptions
+from pollenladder.conf import loader
+from pollenladder.conf import loops
 
-def main() -> int:
+EXIT_BAD_SETTINGS = 2
+
+
+def main(arguments: list[str] | None = None) -> int:
     """Run the daemon until it is told to stop; return its exit code."""
-    print("pollenladderd: not wired yet", file=sys.stderr)
-    return 1
+    loops.pin_loop()
+    parser = argparse.ArgumentParser(prog="pollenladderd")
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    options = parser.parse_args(arguments)
+    try:
+        settings = loader.load(options.settings)
+    except exceptions.ConfError as error:
+        print(f"pollenladderd: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    findings = checks.run(checks.Facts(settings, loops.describe_loop()))
+    for finding in findings:
+        print(f"pollenladderd: {finding}", file=sys.stderr)
+    if checks.has_errors(findings):
+        return EXIT_BAD_SETTINGS
+    # Imported now, as it must not use gevent's loop before it is pinned.
+    from pollenladder.core import daemon
+    from pollenladder.core import logs
+
+    logs.configure_logging(
+        settings.log.format, settings.log.level, settings.daemon_id
+    )
+    code = daemon.Daemon(settings).run()
+    logging.shutdown()
+    return code
 
 
 if __name__ == "__main__":
--- a/pollenladder/core/leasing.py
+++ b/pollenladder/core/leasing.py
@@ -13,6 +13,7 @@
 from pollenladder.dispatch import tables
 from pollenladder.endpoints import outcomes
 from pollenladder.membership import hashing
+from pollenladder.membership import leases
 from pollenladder.membership import ownership
 
 LOGGER = logging.getLogger(__name__)
@@ -116,7 +117,7 @@
     def _take_change(
         self,
         shard: tables.Shard,
-        change: ownership.OwnershipEvent,
+        change: leases.OwnershipEvent,
         now: float,
     ) -> None:
         LOGGER.info(
@@ -126,9 +127,9 @@
             change.epoch,
             extra={"shard": shard.shard_id},
         )
-        if change.change is ownership.Change.GAINED:
+        if change.change is leases.Change.GAINED:
             shards.become_owner(shard, now)
-        if change.change is ownership.Change.LOST:
+        if change.change is leases.Change.LOST:
             directory.forget_shard(self._loads, shard.shard_id)
         self._outlets.on_changed(shard.shard_id)
 
@@ -159,7 +160,7 @@
         return now >= self._ownerless_since[shard.shard_id] + rank * ttl_s
 
     def _ask(
-        self, shard: tables.Shard, request: ownership.LeaseRequest
+        self, shard: tables.Shard, request: leases.LeaseRequest
     ) -> None:
         """Ask one worker and record what it says."""
         sent_at = self._clock()
@@ -180,7 +181,7 @@
                 outcome.max_epoch,
                 outcome.remaining_s,
                 now,
-                outcome.holder,
+                outcome.holder or "",
             )
         else:
             ownership.record_unanswered(state, request.worker_id, now)
--- a/pollenladder/membership/health.py
+++ b/pollenladder/membership/health.py
@@ -179,6 +179,12 @@
     return max(MIN_SPEED, speed)
 
 
+def is_quarantined(table: Health, worker_id: str) -> bool:
+    """Return whether the worker is in quarantine or on probation."""
+    row = table.rows.get(worker_id)
+    return row is not None and row.quarantined
+
+
 def list_quarantined(table: Health) -> list[str]:
     """Return the workers in quarantine or on probation, sorted."""
     return sorted(row.worker_id for row in _list_quarantined(table))
--- a/pollenladder/plans/loans.py
+++ b/pollenladder/plans/loans.py
@@ -80,6 +80,11 @@
     kept: int
 
 
+def get_borrower_id(loan_id: str) -> str:
+    """Return the shard that issued a loan's id."""
+    return loan_id.partition("~")[0]
+
+
 def choose_asks(
     ledger: ledgers.Ledger, wanted: Mapping[str, int], now: float
 ) -> list[LoanAsk]:
