Let the shard's fields bear the names of their modules

Cause: a dataclass field named as its module hid the module from the annotations after it, so the tables could not be imported. Change: annotations are not evaluated. Result: the daemon starts.

--- a/pollenladder/dispatch/tables.py
+++ b/pollenladder/dispatch/tables.py
@@ -1,5 +1,7 @@
 """The rows that the owner of a shard keeps, and the effects it asks for."""
 
+from __future__ import annotations
+
 import dataclasses
 
 from pollenladder.core import entities
