Take versions that grow by more than one, and daemons never heard of

Cause: the platform's table promises only that versions grow; the tool took the version it had compared with, plus one, for the row's new version. A daemon never heard of has no version and no time in the status, which made the tool drop the whole status.

Ruled out: a version of our own in the row's value. Daemons order what they read by the row's version, and two counters that differ could show a change in force before it is.

Change: a change is accepted as the version that the platform's answer, or the row read back, gives. The trail looks further back over gaps. A daemon without a version or a time is shown as "never heard of" and waited for.

--- a/pollenladder/audit/commits.py
+++ b/pollenladder/audit/commits.py
@@ -54,7 +54,7 @@
             pause()
         reply = table.commit(proposal.transaction)
         if isinstance(reply, tables.Committed):
-            return proposals.Accepted(proposal.record.version)
+            return proposals.Accepted(reply.versions[loading.ROW_KEY])
         if isinstance(reply, tables.Unanswered):
             detail = reply.detail
             if reply.verdict is not verdicts.Verdict.NOT_RUN:
--- a/pollenladder/audit/records.py
+++ b/pollenladder/audit/records.py
@@ -11,6 +11,7 @@
 
 PREFIX = "audit/"
 VERSION_DIGITS = 12
+SPAN_FACTOR = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -18,7 +19,8 @@
     """One accepted change.
 
     Attributes:
-        version: The version that the change made.
+        version: The version that the change was compared with, plus one. It
+            is the row's version if the platform counts by one.
         change_id: Drawn by the tool, unique for all time.
         operator: The operator's id.
         applied_at: UTC time on the operator's clock, ISO 8601.
@@ -80,6 +82,9 @@
 def read_latest(table: tables.Table, last: int, count: int) -> list[Record]:
     """Return the records of the latest versions, in order of version.
 
+    Where the platform's versions have gaps, it looks further back until it has
+    found enough.
+
     Args:
         table: The platform's table.
         last: The version in force.
@@ -89,6 +94,10 @@
         exceptions.TableUnavailableError: The table did not answer.
         exceptions.RecordInvalidError: A row has another form.
     """
-    after = build_key(max(0, last - count))
-    rows = table.scan(PREFIX, after, count)
-    return [parse_record(row.value) for row in rows]
+    span = count
+    while True:
+        after = build_key(max(0, last - span))
+        rows = table.scan(PREFIX, after, span)[-count:]
+        if len(rows) >= count or span >= last:
+            return [parse_record(row.value) for row in rows]
+        span *= SPAN_FACTOR
--- a/pollenladder/audit/tables.py
+++ b/pollenladder/audit/tables.py
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Row:
-    """A row and its version, which grows by one with each write."""
+    """A row and its version, which grows with each write."""
 
     key: str
     value: Any
--- a/pollenladder/management/commands/apply.py
+++ b/pollenladder/management/commands/apply.py
@@ -102,8 +102,7 @@
             self.write(f"no change, version {row.version} says the same")
             return row.version
         proposal = self._propose(row, candidate, operator)
-        self._settle(proposal, table)
-        version = proposal.record.version
+        version = self._settle(proposal, table)
         change_id = proposal.record.change_id
         self.write(f"accepted as version {version}, change {change_id}")
         return version
@@ -125,10 +124,8 @@
             applied_at=now.isoformat(timespec="seconds"),
         )
 
-    def _settle(
-        self, proposal: proposals.Proposal, table: tables.Table
-    ) -> None:
-        """Commit a proposal; return only if it is accepted."""
+    def _settle(self, proposal: proposals.Proposal, table: tables.Table) -> int:
+        """Commit a proposal; return its version once it is accepted."""
         outcome = commits.commit(
             proposal, table, lambda: self.environment.sleep(RETRY_S)
         )
@@ -144,6 +141,7 @@
                 f"change {change_id} may have been accepted:"
                 f" {outcome.detail}; look for it in `history`, or apply again"
             )
+        return outcome.version
 
     def _wait(
         self, config: configuration.Configuration, version: int, wait_s: float
--- a/pollenladder/management/connections.py
+++ b/pollenladder/management/connections.py
@@ -111,7 +111,7 @@
             answer = send(address, "POST", "/v1/transactions", None, body)
         except RequestError as error:
             return tables.Unanswered(error.verdict, str(error))
-        return _parse_reply(answer)
+        return _parse_reply(answer, transaction)
 
     return tables.Table(read, scan, commit)
 
@@ -168,11 +168,14 @@
     }
 
 
-def _parse_reply(answer: Response) -> tables.Reply:
+def _parse_reply(
+    answer: Response, transaction: tables.Transaction
+) -> tables.Reply:
     try:
         if answer.status == HTTP_OK:
             body = _Committed.model_validate(answer.body)
-            return tables.Committed(body.versions)
+            if body.versions.keys() == transaction.writes.keys():
+                return tables.Committed(body.versions)
         if answer.status == HTTP_CONFLICT:
             conflict = _Conflicted.model_validate(answer.body)
             return tables.Conflicted(conflict.conflict, conflict.version)
--- a/pollenladder/management/daemons.py
+++ b/pollenladder/management/daemons.py
@@ -1,5 +1,6 @@
 """Ask daemons as an operator."""
 
+import math
 from typing import Any
 
 import pydantic
@@ -23,15 +24,15 @@
 class _Daemon(pydantic.BaseModel):
     daemon: str
     data_centre: str
-    version: int = 0
+    version: int | None = None
     state: str = ""
-    last_heard_s: float = 0.0
+    last_heard_s: float | None = None
 
 
 class _Status(pydantic.BaseModel):
     daemon: str
     data_centre: str
-    version: int
+    version: int | None
     daemons: list[_Daemon] = []
     unreachable_data_centres: list[str] = []
 
@@ -106,14 +107,23 @@
 def _build_view(status: _Status) -> spread.View:
     """Return a status as a view; a daemon's word on itself is the freshest."""
     own = spread.DaemonView(
-        status.daemon, status.data_centre, status.version, "", 0.0
+        status.daemon, status.data_centre, status.version or 0, "", 0.0
     )
     others = [
-        spread.DaemonView(
-            d.daemon, d.data_centre, d.version, d.state, d.last_heard_s
-        )
-        for d in status.daemons
-        if d.daemon != status.daemon
+        _build_daemon_view(daemon)
+        for daemon in status.daemons
+        if daemon.daemon != status.daemon
     ]
     cut = tuple(status.unreachable_data_centres)
     return spread.View((own, *others), cut)
+
+
+def _build_daemon_view(daemon: _Daemon) -> spread.DaemonView:
+    heard_s = daemon.last_heard_s
+    return spread.DaemonView(
+        daemon.daemon,
+        daemon.data_centre,
+        daemon.version or 0,
+        daemon.state,
+        math.inf if heard_s is None else heard_s,
+    )
--- a/pollenladder/management/rendering.py
+++ b/pollenladder/management/rendering.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import json
+import math
 from typing import Any
 
 from pollenladder.audit import differences
@@ -70,7 +71,9 @@
 def _render_lagging(item: spread.Lagging) -> str:
     if not item.daemon:
         return f"{item.data_centre}: can't be reached"
-    heard = f"last heard {item.last_heard_s:.1f} s ago"
+    heard = f"last heard of {item.last_heard_s:.1f} s ago"
+    if math.isinf(item.last_heard_s):
+        heard = "never heard of"
     return (
         f"{item.data_centre}: {item.daemon} has version {item.version}, {heard}"
     )
--- a/tests/management/test_commands.py
+++ b/tests/management/test_commands.py
@@ -34,6 +34,7 @@
         self.lag_s = {"quito-norte-1": 0.0, "ambato-1": 0.6}
         self.down: dict[int, verdicts.Verdict] = {}
         self.cut: list[str] = []
+        self.strangers: list[dict] = []
         self.applied_s: dict[int, float] = {}
         self.ids = itertools.count(1)
 
@@ -95,6 +96,7 @@
             }
             for name in self.lag_s
         ]
+        daemons += self.strangers
         return {
             "daemon": "quito-norte-1",
             "data_centre": "quito-norte",
@@ -244,6 +246,21 @@
                 self.assertNotIn("in force", output)
                 self.assertIn(told, error)
 
+    def test_a_daemon_never_heard_of_is_named(self):
+        world = build_world()
+        world.strangers = [
+            {
+                "daemon": "ambato-2",
+                "data_centre": "ambato",
+                "version": None,
+                "state": "unreachable",
+                "last_heard_s": None,
+            }
+        ]
+        code, _, error = self.apply(world)
+        self.assertEqual(code, 5)
+        self.assertIn("ambato-2 has version 0, never heard of", error)
+
     def test_no_daemon_answers(self):
         world = build_world()
         world.down = dict.fromkeys((7201, 7202), verdicts.Verdict.NOT_RUN)
--- a/tests/management/test_connections.py
+++ b/tests/management/test_connections.py
@@ -115,6 +115,7 @@
             ("200 OK", "not json"),
             ("200 OK", '{"rows": 1, "versions": 1}'),
             ("200 OK", ""),
+            ("200 OK", '{"versions": {"other": 1}}'),
             ("409 Conflict", "[]"),
         ):
             self.broken = broken
