--- a/pollenladder/gateway/backend.py
+++ b/pollenladder/gateway/backend.py
@@ -29,11 +29,12 @@
     Attributes:
         issue_job_id: Return an id never issued before.
         submit: Take a validated job; its answer is had by `wait`.
-        wait: Wait for the answer of a job of a customer for at most so many
-            seconds; None if it is still running. Raises
+        wait: Called with job id, customer id and seconds: wait for the job's
+            answer at most so long; None if it is still running. Raises
             `gateway.exceptions.JobUnknownError`. Jobs that another daemon
             received are asked for there.
-        cancel: Cancel a job of a customer; return whether it was running.
+        cancel: Called with job id and customer id: cancel the job; return
+            whether it was running. Raises as `wait`.
         issue_stamp: Return a stamp, or None if no key could be taken now.
         get_declarations: Return the declarations now in force here.
         describe_status: Return what the operators' status shows.
--- /dev/null
+++ b/pollenladder/metrics/registry.py
@@ -0,0 +1,122 @@
+"""The daemon's metrics, each under its documented name."""
+
+import prometheus_client
+
+RESPONSE_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+LAG_BUCKETS_S = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0)
+# Every kind of message that a daemon sends.
+MESSAGE_KINDS = (
+    "start",
+    "lease",
+    "hand_on",
+    "answer",
+    "spill",
+    "loan",
+    "heartbeat",
+    "plans",
+    "platform",
+    "http_answer",
+    "cancel",
+    "inquiry",
+    "probe",
+    "stop",
+)
+
+
+class Metrics:
+    """The counters, gauges and histograms of one daemon.
+
+    Every label takes its values from a fixed set, so the number of series is
+    bounded whatever callers send.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self._make_counters()
+        self._make_gauges()
+        self._make_histograms()
+
+    def _make_counters(self) -> None:
+        def make(name: str, text: str, *labels: str):
+            return prometheus_client.Counter(
+                f"pollenladder_{name}", text, labels, registry=self.registry
+            )
+
+        self.jobs = make("jobs_total", "Jobs answered.", "outcome", "reason")
+        self.tasks = make("tasks_total", "Tasks ended.", "verdict", "reason")
+        self.starts = make("starts_total", "Starts sent to endpoints.")
+        self.messages = make("messages_total", "Messages sent.", "kind")
+        self.link_messages = make(
+            "link_messages_total", "Messages over peer links.", "direction"
+        )
+        self.link_frames = make(
+            "link_frames_total", "Frames over peer links.", "direction"
+        )
+        self.link_closes = make(
+            "link_closes_total", "Peer links ended.", "reason"
+        )
+        self.http_requests = make(
+            "http_requests_total", "HTTP requests answered.", "status"
+        )
+        self.turned_away = make(
+            "connections_refused_total", "HTTP connections beyond the bound."
+        )
+
+    def _make_gauges(self) -> None:
+        def make(name: str, text: str, *labels: str):
+            return prometheus_client.Gauge(
+                f"pollenladder_{name}", text, labels, registry=self.registry
+            )
+
+        self.queue_tasks = make("queue_tasks", "Tasks queued here.")
+        self.running_tasks = make("running_tasks", "Tasks running from here.")
+        self.slots = make("slots", "Slots of the workers owned here.")
+        self.shares = make(
+            "shares", "Allowance held here over all plans.", "state"
+        )
+        self.quarantined_workers = make(
+            "quarantined_workers", "Workers owned here in quarantine."
+        )
+        self.plans_version = make("plans_version", "Version in force here.")
+        self.peers = make("peers", "Peers with a live link.")
+        self.http_connections = make(
+            "http_connections", "Open HTTP connections."
+        )
+        self.http_jobs = make("http_jobs", "Callers waiting for an answer.")
+
+    def _make_histograms(self) -> None:
+        def make(name: str, text: str, buckets: tuple[float, ...]):
+            return prometheus_client.Histogram(
+                f"pollenladder_{name}",
+                text,
+                buckets=buckets,
+                registry=self.registry,
+            )
+
+        self.response = make(
+            "response_seconds",
+            "Time from a submission to its answer.",
+            RESPONSE_BUCKETS_S,
+        )
+        self.event_loop_lag = make(
+            "event_loop_lag_seconds",
+            "How late a timer of the event loop fires.",
+            LAG_BUCKETS_S,
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self.registry)
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -117,7 +117,7 @@
     def test_messages_go_both_ways_in_order_and_in_few_frames(self):
         near, far = self.link_up()
         notes = [samples.Note(n) for n in range(1000)]
-        self.assertTrue(all([near.send(note) for note in notes]))
+        self.assertTrue(all(list(map(near.send, notes))))
         self.assertTrue(far.send(samples.EVERYTHING))
         samples.wait_until(lambda: len(self.far.received) == 1000)
         samples.wait_until(lambda: self.near.received)
@@ -197,7 +197,7 @@
         self.far = samples.End("far", limits=limits)
         near, _ = self.link_up()
         notes = [samples.Note(n, "x" * 40) for n in range(20)]
-        self.assertTrue(all([near.send(note) for note in notes]))
+        self.assertTrue(all(list(map(near.send, notes))))
         samples.wait_until(lambda: len(self.far.received) == 20)
         self.assertEqual(self.far.received, notes)
         self.assertEqual(near.counts.frames_out, 10)
