Answer every malformed request with a typed error

A table of bad requests against a real server found four that were not: too many query parameters gave 500, a Content-Length of `1_0` was read as 10, an overlong path had no body, and a body that ended within a chunk kept its connection. All are answered now with a field, and two differing lengths, which a proxy might read otherwise, are rejected.

--- a/pollenladder/gateway/bodies.py
+++ b/pollenladder/gateway/bodies.py
@@ -102,8 +102,8 @@
     """Return the whole body.
 
     Raises:
-        exceptions.RequestError: 408, it did not come whole in time; 413, it
-            is longer than `max_bytes`.
+        exceptions.RequestError: 408, it did not come whole in time; 400, it
+            never will; 413, it is longer than `max_bytes`.
     """
     late = exceptions.RequestError(
         408, "timeout", "body", f"not whole within {timeout_s:g} s"
@@ -113,7 +113,7 @@
             body = environ["wsgi.input"].read(max_bytes + 1)
     except OSError as error:
         raise exceptions.RequestError(
-            408, "incomplete", "body", "the body ended early"
+            400, "incomplete", "body", "the body ended early or is malformed"
         ) from error
     if len(body) > max_bytes:
         raise exceptions.RequestError(
--- a/pollenladder/gateway/callers.py
+++ b/pollenladder/gateway/callers.py
@@ -13,6 +13,7 @@
 from pollenladder.gateway import tokens
 
 MAX_STAMP_BODY_BYTES = 1024
+MAX_PARAMETERS = 8
 
 
 class Callers:
@@ -99,7 +100,14 @@
     query = environ.get("QUERY_STRING", "")
     if not query:
         return 0.0
-    values = urllib.parse.parse_qs(query, True, max_num_fields=8)
+    try:
+        values = urllib.parse.parse_qs(
+            query, True, max_num_fields=MAX_PARAMETERS
+        )
+    except ValueError as error:
+        raise exceptions.RequestError(
+            400, "invalid", "query", "too many parameters"
+        ) from error
     texts = values.pop("wait_ms", ["0"])
     if values:
         field = next(iter(values))[: limits.MAX_ID_CHARS]
--- a/pollenladder/gateway/server.py
+++ b/pollenladder/gateway/server.py
@@ -78,7 +78,9 @@
     __slots__ = ()
 
     def is_unread(self) -> bool:
-        """Return whether more of the body is to come."""
+        """Return whether more of the body is to come, or may be."""
+        if self._chunked_input_error:
+            return True
         if self.chunked_input:
             return self.chunk_length != 0
         return self.position < (self.content_length or 0)
@@ -111,7 +113,21 @@
 
     def read_request(self, raw_requestline: str) -> bool:
         with gevent.Timeout(self.server.bounds.headers_s, _HeadersLateError):
-            return super().read_request(raw_requestline)
+            whole = super().read_request(raw_requestline)
+        self._check_length()
+        return whole
+
+    def _check_length(self) -> None:
+        """Reject lengths that a proxy before us might read otherwise."""
+        lengths = self.headers.get_all("content-length", ())
+        if len(lengths) > 1 or any(not n.isdecimal() for n in lengths):
+            raise ValueError("ambiguous Content-Length")
+
+    def handle_one_request(self) -> Any:
+        result = super().handle_one_request()
+        if isinstance(result, tuple) and result[0] == "414":
+            return _make_error(414, "too_long", "path", "too long")
+        return result
 
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
--- a/pollenladder/gateway/submissions.py
+++ b/pollenladder/gateway/submissions.py
@@ -1,12 +1,13 @@
 """Bodies that callers and operators send, checked at the border."""
 
 from collections.abc import Sequence
+import math
 import re
 from typing import Annotated
 from typing import Any
 
+import msgpack
 import pydantic
-import pydantic_core
 
 from pollenladder.core import entities
 from pollenladder.gateway import exceptions
@@ -16,10 +17,12 @@
 MAX_DECLARED = 1e12
 # <shard>~<epoch>~<window>~<the caller's own>
 KEY = re.compile(r"[^~\s]{1,96}~[0-9]{1,18}~[0-9]{1,18}~\S{1,128}")
-# Numbers that JSON or msgpack cannot carry look like one of these.
-SUSPECT = re.compile(rb"NaN|Infinity|[0-9]{19}|[eE]\+?[0-9]{3}")
 INT64_MIN = -(2**63)
 UINT64_MAX = 2**64 - 1
+# The floats that JSON has no words for, as msgpack writes them.
+NOT_FINITE = tuple(
+    msgpack.packb(float(name)) for name in ("nan", "-nan", "inf", "-inf")
+)
 
 Id = Annotated[
     str,
@@ -119,8 +122,8 @@
         submission = Submission.model_validate_json(body)
     except pydantic.ValidationError as error:
         raise _make_error(error) from error
-    if SUSPECT.search(body):
-        _check_numbers(body, submission.tasks)
+    if not _is_portable([task.payload for task in submission.tasks]):
+        _check_payloads(submission.tasks)
     ids = {task.id for task in submission.tasks}
     if len(ids) != len(submission.tasks):
         raise _find_repeated(submission.tasks)
@@ -136,30 +139,40 @@
     return _reject("repeated", f"tasks.{index}.id", "ids must be unique")
 
 
-def _check_numbers(body: bytes, tasks: Sequence[TaskBody]) -> None:
-    """Reject what msgpack or JSON could not carry on."""
+def _is_portable(value: Any) -> bool:
+    """Return whether msgpack and JSON can both carry a value.
+
+    The bytes of a text may look like a number that is not finite, so False
+    for a list of values calls for a look at each.
+    """
     try:
-        pydantic_core.from_json(body, allow_inf_nan=False)
-    except ValueError as error:
-        raise _reject("not_json", "body", str(error)) from error
-    for index, task in enumerate(tasks):
-        if not _is_portable(task.payload):
-            field = f"tasks.{index}.payload"
-            raise _reject("invalid", field, "numbers must fit 64 bits")
+        packed = msgpack.packb(value)
+    except OverflowError:
+        return False
+    return not any(number in packed for number in NOT_FINITE)
 
 
-def _is_portable(value: Any) -> bool:
+def _fits(value: Any) -> bool:
+    """Return whether each number within is finite and fits 64 bits."""
     if type(value) is int:
         return INT64_MIN <= value <= UINT64_MAX
     if type(value) is float:
-        return value - value == 0
+        return math.isfinite(value)
     if type(value) is list:
-        return all(map(_is_portable, value))
+        return all(map(_fits, value))
     if type(value) is dict:
-        return all(map(_is_portable, value.values()))
+        return all(map(_fits, value.values()))
     return True
 
 
+def _check_payloads(tasks: Sequence[TaskBody]) -> None:
+    for index, task in enumerate(tasks):
+        if not _fits(task.payload):
+            field = f"tasks.{index}.payload"
+            detail = "numbers must be finite and fit 64 bits"
+            raise _reject("invalid", field, detail)
+
+
 def make_job(
     submission: Submission,
     customer: declarations.Customer,
--- /dev/null
+++ b/tests/gateway/raw.py
@@ -0,0 +1,85 @@
+"""HTTP as bytes, for requests that no client library would send."""
+
+import contextlib
+import json
+
+from gevent import socket
+
+from tests.gateway import fakes
+
+JSON = "application/json"
+
+
+def make_job(**changes):
+    """Return a good submission with changed fields; None drops a field."""
+    job = {
+        "plan": "training",
+        "tasks": [{"id": "t-1", "kind": "session-check"}],
+    } | changes
+    return {name: value for name, value in job.items() if value is not None}
+
+
+def make_task(**changes):
+    return {"id": "t-1", "kind": "session-check"} | changes
+
+
+def encode(body):
+    if isinstance(body, bytes):
+        return body
+    return json.dumps(body).encode()
+
+
+def make_request(
+    method="POST", path="/v1/jobs", body=b"", token="red-andina", **fields
+):
+    """Return a request as bytes; a field of None is left out."""
+    body = encode(body)
+    headers = {
+        "Host": "daemon",
+        "Content-Type": JSON,
+        "Content-Length": str(len(body)),
+        "Authorization": f"Bearer {token}" if token else None,
+    } | {name.replace("_", "-"): value for name, value in fields.items()}
+    lines = [f"{n}: {v}" for n, v in headers.items() if v is not None]
+    head = "\r\n".join([f"{method} {path} HTTP/1.1", *lines, "", ""])
+    return head.encode("latin-1") + body
+
+
+def read_response(sock):
+    """Return status, header fields in lower case, and the body."""
+    received = b""
+    with contextlib.suppress(ConnectionResetError):
+        while b"\r\n\r\n" not in received:
+            data = sock.recv(65536)
+            if not data:
+                break
+            received += data
+    head, _, body = received.partition(b"\r\n\r\n")
+    status, *lines = head.decode("latin-1").split("\r\n")
+    fields = dict(line.lower().split(": ", 1) for line in lines)
+    while len(body) < int(fields.get("content-length", 0)):
+        data = sock.recv(65536)
+        if not data:
+            break
+        body += data
+    return int(status.split()[1]) if status else None, fields, body
+
+
+def connect(port):
+    return socket.create_connection(("127.0.0.1", port), fakes.WAIT_S)
+
+
+def exchange(port, request, end=False):
+    """Send bytes on a new connection and return the response.
+
+    Args:
+        port: The server's port.
+        request: The bytes.
+        end: Whether to end the sending direction after them.
+    """
+    with connect(port) as sock:
+        with contextlib.suppress(OSError):
+            sock.sendall(request)
+            if end:
+                sock.shutdown(socket.SHUT_WR)
+        return read_response(sock)
