Answer a batch as a batch when all its tasks have run

Cause: a batch that completed was answered with a job's answer, which the gateway took for the whole job's or nobody took. Ruled out by a dump of the tables: allowance, slots, queue (all idle; only spilled batches were open). Change: a guest's completion is answered by a batch result.

--- a/pollenladder/core/leasing.py
+++ b/pollenladder/core/leasing.py
@@ -159,9 +159,7 @@
         )
         return now >= self._ownerless_since[shard.shard_id] + rank * ttl_s
 
-    def _ask(
-        self, shard: tables.Shard, request: leases.LeaseRequest
-    ) -> None:
+    def _ask(self, shard: tables.Shard, request: leases.LeaseRequest) -> None:
         """Ask one worker and record what it says."""
         sent_at = self._clock()
         outcome = self._outlets.acquire(
--- a/pollenladder/core/status.py
+++ b/pollenladder/core/status.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from pollenladder.dispatch import placement
+from pollenladder.dispatch import sharing
 from pollenladder.dispatch import tables
 from pollenladder.membership import health
 
@@ -102,7 +103,7 @@
                     "waiting": 0,
                 },
             )
-            use = shard.describe_use(plan_id, now)
+            use = sharing.describe_use(shard, plan_id, now)
             row["running"] += use.taken
             row["share"] += use.share
             row["waiting"] += use.waiting
--- a/pollenladder/dispatch/completion.py
+++ b/pollenladder/dispatch/completion.py
@@ -136,7 +136,9 @@
     shard: tables.Shard, group: tables.Group, now: float
 ) -> list[tables.Effect]:
     results = tuple(group.results[index] for index in group.tasks)
-    answer = verdicts.Complete(group.job_id, results)
+    answer = (
+        None if group.is_guest else verdicts.Complete(group.job_id, results)
+    )
     return _answer(shard, group, results, answer, now)
 
 
--- a/pollenladder/dispatch/sharing.py
+++ b/pollenladder/dispatch/sharing.py
@@ -1,6 +1,9 @@
 """Move allowance between shards: claims of a new owner, loans and returns."""
 
+import dataclasses
+
 from pollenladder.dispatch import tables
+from pollenladder.plans import escrow
 from pollenladder.plans import ledgers
 from pollenladder.plans import loans
 from pollenladder.plans import takeover
@@ -74,6 +77,34 @@
     return loan.until - now if loan else 0.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Use:
+    """What a shard holds and uses of a plan.
+
+    Attributes:
+        share: Units it may use: its own and borrowed ones, less those lent.
+        taken: Units in use.
+        waiting: Tasks that wait.
+    """
+
+    share: int
+    taken: int
+    waiting: int
+
+
+def describe_use(shard: tables.Shard, plan_id: str, now: float) -> Use:
+    """Return what the shard holds and uses of a plan."""
+    row = escrow.open_row(shard.ledger, plan_id, now)
+    lent = sum(loan.units for loan in row.lent.values())
+    borrowed = sum(loan.units for loan in row.borrowed.values())
+    waiting = sum(
+        line.tasks
+        for (_, line_plan_id), line in shard.queue.lines.items()
+        if line_plan_id == plan_id
+    )
+    return Use(row.base - lent + borrowed, len(row.units), waiting)
+
+
 def _send(
     shard: tables.Shard, shard_id: str, message: object
 ) -> list[tables.Effect]:
