--- /dev/null
+++ b/pollenladder/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP exchanges that never send a request twice."""
--- /dev/null
+++ b/tests/contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Contract tests: our clients against our stand-ins, faults included."""
