--- a/pollenladder/management/commands/apply.py
+++ b/pollenladder/management/commands/apply.py
@@ -16,6 +16,7 @@
 from pollenladder.management import exceptions
 from pollenladder.management import exit_codes
 from pollenladder.management import rendering
+from pollenladder.management import statuses
 from pollenladder.management.commands import command
 from pollenladder.plans import loading
 
@@ -149,7 +150,8 @@
         """Ask the daemons until the version is in force or time is up."""
         end_s = self.environment.read_monotonic_s() + wait_s
         while True:
-            views = daemons.fetch_views(self.environment, config)
+            answers = daemons.fetch_statuses(self.environment, config)
+            views = map(statuses.build_view, answers.statuses)
             found = spread.measure_spread(views, version)
             if found.is_everywhere:
                 centres = ", ".join(found.data_centres)
--- a/pollenladder/management/daemons.py
+++ b/pollenladder/management/daemons.py
@@ -1,40 +1,28 @@
 """Ask daemons as an operator."""
 
-import math
+import dataclasses
 from typing import Any
 
 import pydantic
 
-from pollenladder.audit import spread
 from pollenladder.core import verdicts
 from pollenladder.management import configuration
 from pollenladder.management import connections
 from pollenladder.management import environment as environments
 from pollenladder.management import exceptions
+from pollenladder.management import statuses
 
 STATUS_PATH = "/v1/operator/status"
 FORBIDDEN = (401, 403)
-UNUSABLE = (
-    connections.RequestError,
-    exceptions.ForbiddenError,
-    pydantic.ValidationError,
-)
 
 
-class _Daemon(pydantic.BaseModel):
-    daemon: str
-    data_centre: str
-    version: int | None = None
-    state: str = ""
-    last_heard_s: float | None = None
+@dataclasses.dataclass(frozen=True)
+class Answers:
+    """Statuses of the daemons that answered, and why others did not."""
 
-
-class _Status(pydantic.BaseModel):
-    daemon: str
-    data_centre: str
-    version: int | None
-    daemons: list[_Daemon] = []
-    unreachable_data_centres: list[str] = []
+    statuses: tuple[statuses.Status, ...]
+    failures: tuple[str, ...]
+    is_forbidden: bool
 
 
 def fetch_first(
@@ -75,23 +63,29 @@
     raise exceptions.UnreachableError("; ".join(failures))
 
 
-def fetch_views(
+def fetch_statuses(
     environment: environments.Environment,
     config: configuration.Configuration,
-) -> list[spread.View]:
-    """Return the views of all daemons given that answer; maybe none.
+) -> Answers:
+    """Return the statuses of all daemons given that answer; maybe none.
 
     A daemon that refuses the token counts as one that does not answer: it may
     not have the declarations yet that name the operator.
     """
-    views = []
+    found, failures = [], []
+    is_forbidden = False
     for address in config.get_daemons():
         try:
             answer = _ask(environment, config, address, "GET", STATUS_PATH)
-            views.append(_build_view(_Status.model_validate(answer.body)))
-        except UNUSABLE:
-            continue
-    return views
+            found.append(statuses.Status.model_validate(answer.body))
+        except exceptions.ForbiddenError as error:
+            failures.append(str(error))
+            is_forbidden = True
+        except connections.RequestError as error:
+            failures.append(str(error))
+        except pydantic.ValidationError:
+            failures.append(f"{address}: status {answer.status}, no status")
+    return Answers(tuple(found), tuple(failures), is_forbidden)
 
 
 def _ask(
@@ -102,28 +96,3 @@
     if answer.status in FORBIDDEN:
         raise exceptions.ForbiddenError(f"{address}: refuses the token")
     return answer
-
-
-def _build_view(status: _Status) -> spread.View:
-    """Return a status as a view; a daemon's word on itself is the freshest."""
-    own = spread.DaemonView(
-        status.daemon, status.data_centre, status.version or 0, "", 0.0
-    )
-    others = [
-        _build_daemon_view(daemon)
-        for daemon in status.daemons
-        if daemon.daemon != status.daemon
-    ]
-    cut = tuple(status.unreachable_data_centres)
-    return spread.View((own, *others), cut)
-
-
-def _build_daemon_view(daemon: _Daemon) -> spread.DaemonView:
-    heard_s = daemon.last_heard_s
-    return spread.DaemonView(
-        daemon.daemon,
-        daemon.data_centre,
-        daemon.version or 0,
-        daemon.state,
-        math.inf if heard_s is None else heard_s,
-    )
--- a/tests/management/test_commands.py
+++ b/tests/management/test_commands.py
@@ -324,6 +324,8 @@
         world = build_world()
         world.down = {7201: verdicts.Verdict.MAY_HAVE_RUN}
         self.assertEqual(world.run(f"drain w-1 {DAEMONS}")[0], 6)
-        self.assertEqual(world.run(f"status {DAEMONS}")[0], 0)
+        code, output, error = world.run(f"status {DAEMONS}")
+        self.assertEqual((code, "quito-norte-1" in output), (0, True))
+        self.assertIn("127.0.0.1:7201: down", error)
         world.down = {7201: verdicts.Verdict.NOT_RUN}
         self.assertEqual(world.run(f"drain w-1 {DAEMONS}")[0], 0)
