Name the metrics, and test the gateway's contract, floods and drain

The contract of callers and operators is a table against a real server. The flood tests run slow, idle and oversized connections beyond the bounds while other callers are served. The drain test holds a request that waits, one half sent, one on an idle connection and one still in the kernel's queue; all four are answered.

Metrics have fixed label values; a message of an unknown kind is an error.

--- a/pollenladder/gateway/application.py
+++ b/pollenladder/gateway/application.py
@@ -133,7 +133,6 @@
     """
     holdings = bodies.Holdings(bounds)
     exact, by_id = _make_routes(source, bounds, meters, holdings)
-    count_answer = meters.messages.labels(kind="http_answer").inc
     observe = meters.response.observe
     counts = {
         status: meters.http_requests.labels(status=str(status)).inc
@@ -151,7 +150,7 @@
             *reply.headers,
         ]
         start_response(replies.STATUS_LINES[reply.status], headers)
-        count_answer()
+        meters.count_message("http_answer")
         counts[reply.status]()
         if environ["PATH_INFO"] == JOBS:
             observe(time.perf_counter() - started_s)
--- a/pollenladder/metrics/registry.py
+++ b/pollenladder/metrics/registry.py
@@ -1,7 +1,11 @@
 """The daemon's metrics, each under its documented name."""
 
+from collections.abc import Callable
+
 import prometheus_client
 
+from pollenladder.core import verdicts
+
 RESPONSE_BUCKETS_S = (
     0.005,
     0.01,
@@ -48,6 +52,8 @@
         self._make_counters()
         self._make_gauges()
         self._make_histograms()
+        self._bind_labels()
+        prometheus_client.ProcessCollector(registry=self.registry)
 
     def _make_counters(self) -> None:
         def make(name: str, text: str, *labels: str):
@@ -117,6 +123,35 @@
             LAG_BUCKETS_S,
         )
 
+    def _bind_labels(self) -> None:
+        """Look up each series once, as lookups are dearer than counts."""
+        self._messages = {
+            kind: self.messages.labels(kind=kind).inc for kind in MESSAGE_KINDS
+        }
+        self._tasks: dict[tuple[str, str], Callable[[], None]] = {}
+
+    def count_message(self, kind: str, amount: int = 1) -> None:
+        """Count messages sent.
+
+        Raises:
+            KeyError: The kind is none of `MESSAGE_KINDS`.
+        """
+        self._messages[kind](amount)
+
+    def count_task(self, result: verdicts.TaskResult) -> None:
+        """Count the end of a task."""
+        labels = (result.verdict.value, result.reason.value)
+        count = self._tasks.get(labels)
+        if count is None:
+            count = self._tasks[labels] = self.tasks.labels(*labels).inc
+        count()
+
+    def count_job(self, answer: verdicts.Answer) -> None:
+        """Count the answer of a job."""
+        outcome = type(answer).__name__.lower()
+        reason = getattr(answer, "reason", verdicts.Reason.OK).value
+        self.jobs.labels(outcome=outcome, reason=reason).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -137,3 +137,10 @@
         connection_timeout=WAIT_S,
         network_timeout=WAIT_S,
     )
+
+
+def wait_until(condition):
+    """Wait for a condition; fail if it does not come to hold."""
+    with gevent.Timeout(WAIT_S, AssertionError("waited in vain")):
+        while not condition():
+            gevent.sleep(0.001)
--- /dev/null
+++ b/tests/gateway/test_contract.py
@@ -0,0 +1,236 @@
+"""Contract of the callers' and the operators' interface."""
+
+import json
+import unittest
+
+from pollenladder.core import entities
+from pollenladder.core import verdicts
+from pollenladder.gateway import replies
+from tests.gateway import fakes
+from tests.gateway import raw
+
+Reason = verdicts.Reason
+RESULT = verdicts.TaskResult(
+    "t-1", verdicts.Verdict.MAY_HAVE_RUN, Reason.CONNECTION_LOST
+)
+# Answer, status, outcome, Retry-After.
+ANSWERS = (
+    (verdicts.Complete("j", ()), 200, "complete", None),
+    (verdicts.Failed("j", Reason.TASK_ERROR, (RESULT,)), 502, "failed", None),
+    (verdicts.Failed("j", Reason.BUSY, (RESULT,), 2.1), 502, "failed", "3"),
+    (verdicts.Failed("j", Reason.KEY_UNKNOWN, ()), 409, "failed", None),
+    (verdicts.Refused("j", Reason.KEY_IN_USE, None), 409, "refused", None),
+    (verdicts.Refused("j", Reason.ALLOWANCE, 0.2), 429, "refused", "1"),
+    (verdicts.Refused("j", Reason.ALLOWANCE, None), 429, "refused", "1"),
+    (verdicts.Refused("j", Reason.OVERLOAD, 4.0), 503, "refused", "4"),
+    (verdicts.Refused("j", Reason.DRAINING, None), 503, "refused", "1"),
+    (verdicts.Refused("j", Reason.NOT_READY, 1.5), 503, "refused", "2"),
+    (verdicts.Refused("j", Reason.NEVER_RUNS, None), 422, "refused", None),
+)
+# Request, status, body.
+OPERATORS = (
+    (raw.make_request("GET", "/v1/operator/status"), 200, {"daemons": 1}),
+    (raw.make_request("GET", "/v1/operator/jobs/d-1-1"), 200, {"job": "d-1-1"}),
+    (
+        raw.make_request(path="/v1/operator/drain", body={"target": "w-1"}),
+        200,
+        {"target": "w-1", "draining": True},
+    ),
+    (raw.make_request("GET", "/healthz"), 200, {"status": "ok"}),
+    (raw.make_request("GET", "/readyz"), 200, {"ready": True}),
+)
+
+
+class ReplyTest(unittest.TestCase):
+    def test_each_answer_has_its_status(self):
+        for answer, status, outcome, retry_after in ANSWERS:
+            with self.subTest(answer=answer):
+                reply = replies.make_answer_reply(answer)
+                body = json.loads(reply.body)
+                headers = dict(reply.headers)
+                self.assertEqual(reply.status, status)
+                self.assertEqual(body["outcome"], outcome)
+                self.assertEqual(headers.get("Retry-After"), retry_after)
+                self.assertEqual(
+                    body["retry_after_s"] is None, retry_after is None
+                )
+
+    def test_a_failed_job_tells_each_verdict(self):
+        failed = verdicts.Failed("j", Reason.OWNER_LOST, (RESULT,))
+        self.assertEqual(
+            json.loads(replies.make_answer_reply(failed).body),
+            {
+                "job": "j",
+                "outcome": "failed",
+                "reason": "owner_lost",
+                "detail": "",
+                "retry_after_s": None,
+                "tasks": [
+                    {
+                        "id": "t-1",
+                        "verdict": "may_have_run",
+                        "reason": "connection_lost",
+                        "output": None,
+                        "run_ms": 0.0,
+                    }
+                ],
+            },
+        )
+
+
+class GatewayCase(unittest.TestCase):
+    bounds = {}
+
+    def setUp(self):
+        self.fake = fakes.FakeBackend()
+        self.server, self.meters = fakes.serve(self.fake, **self.bounds)
+        self.addCleanup(self.server.stop_accepting)
+
+    def ask(self, method="POST", path="/v1/jobs", body=b"", **changes):
+        """Return status, header fields and decoded body of one exchange."""
+        request = raw.make_request(method, path, body, **changes)
+        status, fields, content = raw.exchange(self.server.port, request)
+        return status, fields, json.loads(content)
+
+    def wait_for_jobs(self, count):
+        fakes.wait_until(lambda: len(self.fake.jobs) >= count)
+
+
+class CallersTest(GatewayCase):
+    def test_a_job_is_answered_whole_and_as_it_was_sent(self):
+        tasks = [
+            raw.make_task(
+                id=f"t-{n}", payload={"n": n, "name": "\u00f1"}, declared_ms=n
+            )
+            for n in range(100)
+        ]
+        body = raw.make_job(tasks=tasks, deadline_ms=1500.0, key=fakes.KEY)
+        status, _, answer = self.ask(body=body)
+        self.assertEqual(status, 200)
+        self.assertEqual(
+            [t["id"] for t in answer["tasks"]], [t["id"] for t in tasks]
+        )
+        self.assertEqual(answer["tasks"][7]["output"], tasks[7]["payload"])
+        self.assertEqual(answer["tasks"][7]["run_ms"], 50.0)
+        job = self.fake.jobs[answer["job"]]
+        self.assertEqual(
+            (job.customer_id, job.plan_id, job.deadline_s, job.key),
+            ("red-andina", "training", 1.5, fakes.KEY),
+        )
+        self.assertEqual(
+            job.tasks[3],
+            entities.Task(
+                "t-3", "session-check", tasks[3]["payload"], 3.0, 0.0
+            ),
+        )
+
+    def test_the_plan_gives_the_deadline_that_is_not_asked_for(self):
+        _, _, answer = self.ask(body=raw.make_job())
+        self.assertEqual(self.fake.jobs[answer["job"]].deadline_s, 30.0)
+
+    def test_a_job_is_fetched_and_cancelled_by_its_customer_alone(self):
+        self.fake.held = True
+        body = raw.make_job(wait=False)
+        status, _, answer = self.ask(body=body)
+        path = f"/v1/jobs/{answer['job']}"
+        self.assertEqual((status, answer["state"]), (202, "running"))
+        self.assertEqual(self.ask("GET", path)[0], 202)
+        self.assertEqual(self.ask("GET", path + "?wait_ms=5")[0], 202)
+        self.assertEqual(self.ask("GET", path, token="dalbit")[0], 404)
+        self.assertEqual(self.ask("DELETE", path, token="dalbit")[0], 404)
+        expected = {"job": answer["job"], "cancelled": True}
+        self.assertEqual(self.ask("DELETE", path)[2], expected)
+        self.assertFalse(self.ask("DELETE", path)[2]["cancelled"])
+        self.assertEqual(self.ask("GET", path)[2]["outcome"], "complete")
+
+    def test_a_job_outlives_its_callers_connection(self):
+        self.fake.held = True
+        with raw.connect(self.server.port) as sock:
+            sock.sendall(raw.make_request(body=raw.make_job()))
+            self.wait_for_jobs(1)
+        (job_id,) = self.fake.jobs
+        self.fake.finish(job_id)
+        status, _, answer = self.ask("GET", f"/v1/jobs/{job_id}")
+        self.assertEqual((status, answer["outcome"]), (200, "complete"))
+
+    def test_stamps(self):
+        expected = {"stamp": "quito-norte/0~1~2", "expires_in_s": 60.0}
+        self.assertEqual(self.ask(path="/v1/stamps")[2], expected)
+        self.assertEqual(self.ask(path="/v1/stamps", body=b"{}")[0], 200)
+        self.fake.stamp = None
+        status, fields, answer = self.ask(path="/v1/stamps")
+        self.assertEqual((status, fields["retry-after"]), (503, "1"))
+        self.assertEqual(answer["error"]["code"], "not_ready")
+
+    def test_a_key_made_of_a_stamp_is_taken(self):
+        tasks = [raw.make_task(kind="module-release")]
+        stamp = self.ask(path="/v1/stamps")[2]["stamp"]
+        body = raw.make_job(tasks=tasks, key=f"{stamp}~pedido~7")
+        self.assertEqual(self.ask(body=body)[0], 200)
+
+    def test_a_token_holds_as_long_as_its_declaration(self):
+        self.assertEqual(self.ask(body=raw.make_job())[0], 200)
+        changed = fakes.make_declarations(version=2)
+        del changed.customers["red-andina"]
+        self.fake.declarations = changed
+        self.assertEqual(self.ask(body=raw.make_job())[0], 401)
+
+    def test_many_answers_on_one_connection_are_not_crossed(self):
+        with raw.connect(self.server.port) as sock:
+            for n in range(50):
+                task = raw.make_task(payload=n)
+                body = raw.make_job(tasks=[task])
+                sock.sendall(raw.make_request(body=body))
+                _, _, content = raw.read_response(sock)
+                output = json.loads(content)["tasks"][0]["output"]
+                self.assertEqual(output, n)
+
+    def test_chunked_bodies_are_taken(self):
+        body = raw.encode(raw.make_job())
+        parts = b"".join(b"%x\r\n%c\r\n" % (1, byte) for byte in body)
+        status, _, _ = self.ask(
+            body=parts + b"0\r\n\r\n",
+            Transfer_Encoding="chunked",
+            Content_Length=None,
+        )
+        self.assertEqual(status, 200)
+
+    def test_a_fault_of_ours_is_told_without_detail(self):
+        self.fake.failure = ValueError("secret")
+        with self.assertLogs("pollenladder.gateway", "ERROR"):
+            status, _, answer = self.ask(body=raw.make_job())
+        self.assertEqual((status, answer["error"]["code"]), (500, "internal"))
+        self.assertNotIn("secret", json.dumps(answer))
+
+
+class OperatorsTest(GatewayCase):
+    def test_each_request_has_its_answer(self):
+        self.ask(body=raw.make_job())
+        for request, status, body in OPERATORS:
+            with self.subTest(request=request[:40]):
+                request = request.replace(b"Bearer red-andina", b"Bearer ops")
+                got = raw.exchange(self.server.port, request)
+                self.assertEqual((got[0], json.loads(got[2])), (status, body))
+        self.assertEqual(self.fake.drained, ["w-1"])
+
+    def test_a_daemon_that_is_not_ready_says_why(self):
+        self.fake.unready = "no declarations yet"
+        status, fields, answer = self.ask("GET", "/readyz", token=None)
+        self.assertEqual((status, fields["retry-after"]), (503, "1"))
+        self.assertEqual(answer["reason"], "no declarations yet")
+
+    def test_metrics_count_what_was_answered(self):
+        self.ask(body=raw.make_job())
+        self.ask(body=b"")
+        request = raw.make_request("GET", "/metrics", token=None)
+        _, fields, content = raw.exchange(self.server.port, request)
+        lines = content.decode().splitlines()
+        self.assertIn("text/plain", fields["content-type"])
+        for line in (
+            'pollenladder_http_requests_total{status="200"} 1.0',
+            'pollenladder_http_requests_total{status="400"} 1.0',
+            'pollenladder_messages_total{kind="http_answer"} 2.0',
+            "pollenladder_response_seconds_count 2.0",
+            "pollenladder_http_jobs 0.0",
+        ):
+            self.assertIn(line, lines)
--- a/tests/gateway/test_inputs.py
+++ b/tests/gateway/test_inputs.py
@@ -255,8 +255,7 @@
         wanted = raw.make_job(plan="storefront")
         request = raw.make_request(body=wanted, token="dalbit")
         self.other = gevent.spawn(raw.exchange, self.server.port, request)
-        while not self.fake.jobs:
-            gevent.sleep(0.001)
+        fakes.wait_until(lambda: self.fake.jobs)
 
     def check_undisturbed(self):
         """Check that the other job is alone and waiting, and answer it."""
--- /dev/null
+++ b/tests/gateway/test_load.py
@@ -0,0 +1,184 @@
+"""Floods, slow clients and the drain."""
+
+import contextlib
+import unittest
+
+import gevent
+from gevent import socket
+
+from pollenladder.gateway import limits
+from tests.gateway import fakes
+from tests.gateway import raw
+from tests.gateway import test_contract
+
+JOB = raw.make_request(body=raw.make_job())
+
+
+def send_quietly(sock, data):
+    with contextlib.suppress(OSError):
+        sock.sendall(data)
+
+
+def read_until_closed(sock):
+    try:
+        while sock.recv(4096):
+            pass
+    except ConnectionResetError:
+        return
+
+
+class FloodTest(test_contract.GatewayCase):
+    bounds = {
+        "max_connections": 8,
+        "max_jobs": 3,
+        "max_body_bytes": 20_000,
+        "max_held_bytes": 100_000,
+        "headers_s": 0.1,
+        "body_s": 0.1,
+        "idle_s": 0.1,
+        "linger_s": 0.1,
+    }
+
+    def open(self, count):
+        socks = [raw.connect(self.server.port) for _ in range(count)]
+        for sock in socks:
+            self.addCleanup(sock.close)
+        return socks
+
+    def wait_for_connections(self, count):
+        fakes.wait_until(lambda: self.server.connections == count)
+
+    def test_connections_beyond_the_bound_are_told_at_once(self):
+        self.fake.held = True
+        bodies = [raw.make_job(tasks=[raw.make_task(id=n)]) for n in "abc"]
+        jobs = [gevent.spawn(self.ask, body=body) for body in bodies]
+        self.wait_for_jobs(3)
+        idle = self.open(5)
+        self.wait_for_connections(8)
+        status, fields, answer = self.ask(body=raw.make_job())
+        self.assertEqual((status, fields["retry-after"]), (503, "1"))
+        self.assertEqual(answer["error"]["code"], "overload")
+        self.assertEqual(answer["error"]["retry_after_s"], 1.0)
+        for sock in idle:
+            read_until_closed(sock)
+        for job_id in self.fake.jobs:
+            self.fake.finish(job_id)
+        for name, job in zip("abc", jobs, strict=True):
+            status, _, answer = job.get(timeout=fakes.WAIT_S)
+            self.assertEqual(status, 200)
+            self.assertEqual(answer["tasks"][0]["id"], name)
+        self.assertEqual(self.meters.turned_away._value.get(), 1)
+
+    def test_jobs_beyond_the_bound_are_told_at_once(self):
+        self.fake.held = True
+        jobs = [gevent.spawn(self.ask, body=raw.make_job()) for _ in "abc"]
+        self.wait_for_jobs(3)
+        status, fields, answer = self.ask(body=raw.make_job())
+        self.assertEqual((status, fields["retry-after"]), (503, "1"))
+        self.assertEqual(answer["error"]["field"], "request")
+        self.assertEqual(len(self.fake.jobs), 3)
+        for job_id in self.fake.jobs:
+            self.fake.finish(job_id)
+        gevent.joinall(jobs, fakes.WAIT_S)
+        self.fake.held = False
+        self.assertEqual(self.ask(body=raw.make_job())[0], 200)
+
+    def test_bodies_held_at_a_time_are_bounded(self):
+        partial = raw.make_request(body=b"", Content_Length="20000")
+        for sock in self.open(5):
+            sock.sendall(partial)
+        self.wait_for_connections(5)
+        status, _, answer = self.ask(body=raw.make_job())
+        self.assertEqual((status, answer["error"]["code"]), (503, "overload"))
+        self.wait_for_connections(0)
+        self.assertEqual(self.ask(body=raw.make_job())[0], 200)
+
+    def test_others_are_served_through_a_flood(self):
+        """Waves of slow senders, idle and oversized connections."""
+        oversized = raw.make_request(body=b" " * 20_001)
+        for wave in (b"", JOB[:30], JOB[:-5], oversized):
+            with self.subTest(wave=wave[:40]):
+                for sock in self.open(30):
+                    sock.sendall(wave)
+                statuses = []
+                while 200 not in statuses:
+                    statuses.append(self.ask(body=raw.make_job())[0])
+                self.assertLessEqual(set(statuses), {200, 503})
+        self.wait_for_connections(0)
+
+    def test_a_client_that_does_not_read_is_given_up(self):
+        task = raw.make_task(payload="x" * 15_000)
+        request = raw.make_request(body=raw.make_job(tasks=[task]))
+        server, _ = fakes.serve(self.fake, send_s=0.1)
+        self.addCleanup(server.stop_accepting)
+        with raw.connect(server.port) as sock:
+            flood = gevent.spawn(send_quietly, sock, request * 2000)
+            fakes.wait_until(lambda: self.fake.jobs)
+            fakes.wait_until(lambda: not server.connections)
+            flood.kill()
+
+
+class DrainTest(test_contract.GatewayCase):
+    def drain(self):
+        return gevent.spawn(self.server.drain, fakes.WAIT_S)
+
+    def test_no_request_in_flight_is_cut_off(self):
+        self.fake.held = True
+        waiting = gevent.spawn(self.ask, body=raw.make_job())
+        self.wait_for_jobs(1)
+        partial = raw.connect(self.server.port)
+        self.addCleanup(partial.close)
+        partial.sendall(JOB[:50])
+        idle = raw.connect(self.server.port)
+        self.addCleanup(idle.close)
+        fakes.wait_until(lambda: self.server.connections == 3)
+        queued = raw.connect(self.server.port)
+        self.addCleanup(queued.close)
+        queued.sendall(JOB)
+        drain = self.drain()
+        gevent.sleep(0)
+        with self.assertRaises(ConnectionRefusedError):
+            raw.connect(self.server.port)
+        partial.sendall(JOB[50:])
+        idle.sendall(JOB)
+        self.wait_for_jobs(4)
+        self.assertFalse(drain.ready())
+        for job_id in self.fake.jobs:
+            self.fake.finish(job_id)
+        status, fields, _ = waiting.get(timeout=fakes.WAIT_S)
+        self.assertEqual((status, fields["connection"]), (200, "close"))
+        for sock in (partial, idle, queued):
+            status, fields, _ = raw.read_response(sock)
+            self.assertEqual((status, fields["connection"]), (200, "close"))
+        self.assertTrue(drain.get(timeout=fakes.WAIT_S))
+
+    def test_idle_connections_do_not_hold_up_the_drain(self):
+        with raw.connect(self.server.port) as sock:
+            sock.sendall(JOB)
+            self.assertEqual(raw.read_response(sock)[0], 200)
+            self.assertTrue(self.drain().get(timeout=fakes.WAIT_S))
+            self.assertEqual(sock.recv(10), b"")
+
+    def test_a_drain_that_is_not_done_in_time_says_so(self):
+        self.fake.held = True
+        waiting = gevent.spawn(self.ask, body=raw.make_job())
+        self.wait_for_jobs(1)
+        self.assertFalse(self.server.drain(0.05))
+        self.fake.finish(*self.fake.jobs)
+        self.assertEqual(waiting.get(timeout=fakes.WAIT_S)[0], 200)
+
+
+class ConnectionTest(test_contract.GatewayCase):
+    def test_accepted_sockets_set_nodelay(self):
+        with raw.connect(self.server.port):
+            fakes.wait_until(lambda: self.server.connections)
+            (handler,) = self.server._listener.idle
+            option = (socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            self.assertTrue(handler.socket.getsockopt(*option))
+
+
+class LimitsTest(unittest.TestCase):
+    def test_the_bounds_fit_a_small_vm(self):
+        bounds = limits.Limits()
+        self.assertLessEqual(bounds.max_held_bytes, 64 * 1024 * 1024)
+        self.assertGreaterEqual(bounds.max_held_bytes, bounds.max_body_bytes)
--- /dev/null
+++ b/tests/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the metrics package."""
