Bound how long one body can hold up the event loop

Keeping unknown fields instead of forbidding them was tried and was no faster. A job's body is 256 KiB at most now.

A job that was taken and is then unknown to the rest of the daemon is no longer answered 404, which would say that it did not run.

--- a/pollenladder/gateway/callers.py
+++ b/pollenladder/gateway/callers.py
@@ -57,7 +57,11 @@
 
     def _wait(self, job: entities.Job) -> replies.Reply:
         wait_s = job.deadline_s + self._bounds.wait_margin_s
-        answer = self._backend.wait(job.job_id, job.customer_id, wait_s)
+        try:
+            answer = self._backend.wait(job.job_id, job.customer_id, wait_s)
+        except exceptions.JobUnknownError as error:
+            # Not "unknown" to the caller: it was taken, and may have run.
+            raise RuntimeError(f"{job.job_id} lost") from error
         if answer is None:
             return replies.make_running_reply(job.job_id)
         return replies.make_answer_reply(answer)
--- a/pollenladder/gateway/limits.py
+++ b/pollenladder/gateway/limits.py
@@ -25,7 +25,7 @@
         retry_after_s: What a request beyond these bounds is told.
     """
 
-    max_body_bytes: int = 1024 * 1024
+    max_body_bytes: int = 256 * 1024
     max_connections: int = 2000
     max_jobs: int = 2000
     max_held_bytes: int = 32 * 1024 * 1024
--- a/tests/gateway/test_contract.py
+++ b/tests/gateway/test_contract.py
@@ -83,6 +83,9 @@
 
     def setUp(self):
         self.fake = fakes.FakeBackend()
+        self.listen()
+
+    def listen(self):
         self.server, self.meters = fakes.serve(self.fake, **self.bounds)
         self.addCleanup(self.server.stop_accepting)
 
@@ -202,6 +205,13 @@
         self.assertEqual((status, answer["error"]["code"]), (500, "internal"))
         self.assertNotIn("secret", json.dumps(answer))
 
+    def test_a_job_that_was_taken_is_never_called_unknown(self):
+        self.fake.submit = lambda job: None
+        self.listen()
+        with self.assertLogs("pollenladder.gateway", "ERROR"):
+            status, _, _ = self.ask(body=raw.make_job())
+        self.assertEqual(status, 500)
+
 
 class OperatorsTest(GatewayCase):
     def test_each_request_has_its_answer(self):
