--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Load generation and measurement over real processes."""
+"""Load tool, baselines and measures; they run real processes on loopback."""
--- /dev/null
+++ b/bench/baselines/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that the product is compared with, behind the same HTTP."""
--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,282 @@
+"""A whole cluster as processes on loopback: stand-ins and daemons."""
+
+from collections.abc import Callable
+import dataclasses
+import json
+import pathlib
+import sys
+import time
+from typing import Any
+
+from bench import declarations
+from bench import http
+from bench import layouts
+from bench import processes
+
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+POLICIES = ("product", "random", "bare")
+
+
+@dataclasses.dataclass
+class Cluster:
+    """A running cluster.
+
+    Attributes:
+        layout: Its sizes.
+        policy: `product`, or the name of a baseline.
+        prefix: Put before the names of its processes.
+        group: The processes of the run.
+        folder: Where settings are written.
+        daemons: Rows of the VM list, one a daemon.
+        workers: Rows of the VM list, one a worker.
+        platform_port: The platform, 0 for baselines.
+        platform_control_port: Its control.
+        endpoint_control_ports: Control of each process of workers.
+        platform_ports: What each data centre's daemons use as the platform.
+    """
+
+    layout: layouts.Layout
+    policy: str
+    prefix: str
+    group: processes.Group
+    folder: pathlib.Path
+    daemons: list[dict[str, Any]]
+    workers: list[dict[str, Any]]
+    platform_port: int = 0
+    platform_control_port: int = 0
+    endpoint_control_ports: list[int] = dataclasses.field(default_factory=list)
+    platform_ports: dict[str, int] = dataclasses.field(default_factory=dict)
+
+    def get_http_ports(self) -> list[int]:
+        """Return the callers' port of each daemon."""
+        return [daemon["http_port"] for daemon in self.daemons]
+
+    def name_process(self, daemon_id: str) -> str:
+        """Return the name of a daemon's process in the group."""
+        return f"{self.prefix}{daemon_id}"
+
+
+def start(
+    group: processes.Group,
+    layout: layouts.Layout,
+    *,
+    policy: str = "product",
+    prefix: str = "",
+    endpoint_processes: int = 2,
+    overrides: dict[str, Any] | None = None,
+    declare: Callable[["Cluster"], None] | None = None,
+    cut: bool = False,
+) -> Cluster:
+    """Start a cluster and wait until every daemon takes jobs.
+
+    Args:
+        group: Owns the processes.
+        layout: The sizes.
+        policy: `product`, `random` or `bare`.
+        prefix: Put before the names of the processes.
+        endpoint_processes: Processes that the workers are dealt to.
+        overrides: Fields of the daemons' settings.
+        declare: Applies declarations; by default the bench's own.
+        cut: Whether data centres reach each other and the platform through
+            relays that can cut them off.
+    """
+    cluster = Cluster(
+        layout,
+        policy,
+        prefix,
+        group,
+        group.folder,
+        declarations.build_daemon_rows(layout),
+        declarations.build_worker_rows(layout),
+    )
+    _start_endpoints(cluster, endpoint_processes)
+    if policy == "product":
+        _start_platform(cluster)
+        if cut:
+            _start_relays(cluster)
+        _start_daemons(cluster, overrides)
+        wait_all(cluster, "/healthz")
+        (declare or _declare)(cluster)
+    else:
+        _start_baselines(cluster)
+    wait_all(cluster, "/readyz")
+    return cluster
+
+
+def wait_until(
+    condition: Callable[[], bool],
+    what: str,
+    timeout_s: float = READY_TIMEOUT_S,
+) -> float:
+    """Wait for a condition and return how long it took, in seconds.
+
+    Raises:
+        TimeoutError: It did not come true in time.
+    """
+    start_s = time.monotonic()
+    while not condition():
+        if time.monotonic() - start_s > timeout_s:
+            raise TimeoutError(f"waited {timeout_s} s for {what}")
+        time.sleep(POLL_S)
+    return time.monotonic() - start_s
+
+
+def wait_all(cluster: Cluster, path: str) -> None:
+    """Wait until every daemon answers a path with a good status.
+
+    Raises:
+        TimeoutError: One of them did not; its log is in the message.
+    """
+    for daemon in cluster.daemons:
+        name = cluster.name_process(daemon["vm_id"])
+        try:
+            wait_until(
+                lambda daemon=daemon: http.answers_ok(
+                    daemon["http_port"], path
+                ),
+                f"{path} of {name}",
+            )
+        except TimeoutError as error:
+            tail = cluster.group.read_tail(name)
+            raise TimeoutError(f"{error}\n{tail}") from None
+
+
+def set_worker_faults(
+    cluster: Cluster, worker_ids: list[str], faults: dict[str, Any]
+) -> None:
+    """Set faults of some workers."""
+    for port in cluster.endpoint_control_ports:
+        mine = [
+            worker["vm_id"]
+            for worker in cluster.workers
+            if worker["vm_id"] in worker_ids and worker["control_port"] == port
+        ]
+        if mine:
+            path = f"/control/faults?worker={','.join(mine)}"
+            http.request_json(port, path, faults)
+
+
+def set_platform_faults(cluster: Cluster, faults: dict[str, Any]) -> None:
+    """Set faults of the platform."""
+    http.request_json(cluster.platform_control_port, "/control/faults", faults)
+
+
+def cut_off(cluster: Cluster, data_centres: list[str], mode: str) -> None:
+    """Cut data centres off from all others and from the platform, or heal.
+
+    Args:
+        cluster: Started with `cut`.
+        data_centres: Those cut off from now on; none heals all.
+        mode: `silent` or `closed`.
+    """
+    port = cluster.platform_ports["control"]
+    body = {"data_centres": data_centres, "mode": mode}
+    http.request_json(port, "/control/cut", body)
+
+
+def _start_endpoints(cluster: Cluster, count: int) -> None:
+    for index in range(count):
+        rows = cluster.workers[index::count]
+        name = f"{cluster.prefix}endpoints-{index}"
+        path = _write_json(cluster, f"{name}.json", rows)
+        command = [sys.executable, "-m", "standins.endpoint", "--workers", path]
+        ready = _start_announced(cluster, name, command)
+        control_port = ready["control_port"]
+        cluster.endpoint_control_ports.append(control_port)
+        for row in rows:
+            row["port"] = ready["workers"][row["vm_id"]]
+            row["control_port"] = control_port
+
+
+def _start_platform(cluster: Cluster) -> None:
+    vms = cluster.daemons + [
+        {key: row[key] for key in row if key != "control_port"}
+        for row in cluster.workers
+    ]
+    name = f"{cluster.prefix}platform"
+    path = _write_json(cluster, f"{name}.json", vms)
+    command = [sys.executable, "-m", "standins.platform", "--vms", path]
+    ready = _start_announced(cluster, name, command)
+    cluster.platform_port = ready["port"]
+    cluster.platform_control_port = ready["control_port"]
+    cluster.platform_ports = dict.fromkeys(
+        cluster.layout.data_centres, ready["port"]
+    )
+
+
+def _start_relays(cluster: Cluster) -> None:
+    name = f"{cluster.prefix}relays"
+    setup = {
+        "platform_port": cluster.platform_port,
+        "daemons": [
+            {key: row[key] for key in ("vm_id", "data_centre", "port")}
+            for row in cluster.daemons
+        ],
+        "data_centres": list(cluster.layout.data_centres),
+    }
+    path = _write_json(cluster, f"{name}.json", setup)
+    command = [sys.executable, "-m", "bench.relays", path]
+    ready = _start_announced(cluster, name, command)
+    cluster.platform_ports = ready["platforms"] | {
+        "control": ready["control_port"]
+    }
+
+
+def _start_daemons(cluster: Cluster, overrides: dict[str, Any] | None) -> None:
+    for daemon in cluster.daemons:
+        settings = declarations.build_settings(
+            cluster.layout,
+            daemon,
+            cluster.platform_ports[daemon["data_centre"]],
+            overrides,
+        )
+        name = cluster.name_process(daemon["vm_id"])
+        path = _write_json(cluster, f"{name}.settings.json", settings)
+        command = [sys.executable, "-m", "pollenladder", "--settings", path]
+        cluster.group.start(name, command)
+
+
+def _start_baselines(cluster: Cluster) -> None:
+    worker_ports = [str(row["port"]) for row in cluster.workers]
+    share = cluster.layout.connections // len(cluster.daemons)
+    for daemon in cluster.daemons:
+        name = cluster.name_process(daemon["vm_id"])
+        module = f"bench.baselines.{cluster.policy}"
+        arguments = [name, str(daemon["http_port"]), str(share), *worker_ports]
+        command = [sys.executable, "-m", module, *arguments]
+        cluster.group.start(name, command)
+
+
+def _declare(cluster: Cluster) -> None:
+    declarations.write_row(
+        cluster.platform_port,
+        declarations.build_customers(cluster.layout),
+        declarations.build_plans(cluster.layout),
+        version=1,
+    )
+
+
+def _start_announced(
+    cluster: Cluster, name: str, command: list[str]
+) -> dict[str, Any]:
+    """Start a process that prints a JSON line when it serves; return it."""
+    child = cluster.group.start(name, command)
+    found: list[dict[str, Any]] = []
+
+    def read() -> bool:
+        if not cluster.group.is_running(name):
+            raise RuntimeError(cluster.group.read_tail(name))
+        for line in child.log.read_text().splitlines():
+            if line.startswith('{"ready"'):
+                found.append(json.loads(line))
+        return bool(found)
+
+    wait_until(read, name)
+    return found[0]
+
+
+def _write_json(cluster: Cluster, name: str, value: Any) -> str:
+    path = cluster.folder / name
+    path.write_text(json.dumps(value, indent=1))
+    return str(path)
--- /dev/null
+++ b/bench/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of `scripts/bench`."""
--- /dev/null
+++ b/bench/costs.py
@@ -0,0 +1,23 @@
+"""Processor time and memory of processes, from /proc."""
+
+import os
+import pathlib
+
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+KIB = 1024
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+def read_rss_bytes(pid: int) -> int:
+    """Return the memory that a process holds, in bytes."""
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    for line in text.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * KIB
+    return 0
--- /dev/null
+++ b/bench/relays.py
@@ -0,0 +1,197 @@
+"""Relays between data centres, and to the platform, that can be cut.
+
+`python -m bench.relays SETUP` serves, for each data centre, a platform whose
+VM list names a relay for each daemon of another data centre.
+"""
+
+import json
+import pathlib
+import sys
+from typing import Any
+
+import gevent
+from gevent import server
+from gevent import socket
+import geventhttpclient
+
+from bench import ports
+from bench.baselines import gateway
+
+CHUNK_BYTES = 65536
+TIMEOUT_S = 30.0
+
+
+class Cuts:
+    """Which data centres are cut off now.
+
+    Attributes:
+        cut_off: Their names.
+        mode: `silent` drops what is sent, `closed` closes connections.
+        links: Open connections by the data centres at their ends.
+    """
+
+    def __init__(self):
+        self.cut_off: set[str] = set()
+        self.mode = "silent"
+        self.links: list[tuple[str, str, list[socket.socket]]] = []
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Return whether two data centres can't reach each other."""
+        return one != other and bool({one, other} & self.cut_off)
+
+    def change(self, data_centres: list[str], mode: str) -> None:
+        """Cut these off from now on; connections cut before are closed."""
+        healed = self.cut_off - set(data_centres)
+        self.cut_off, self.mode = set(data_centres), mode
+        for one, other, sockets in list(self.links):
+            closes = mode == "closed" and self.is_cut(one, other)
+            if closes or {one, other} & healed:
+                close_all(sockets)
+
+
+def close_all(sockets: list[socket.socket]) -> None:
+    """Close sockets that others may be reading."""
+    for one in sockets:
+        try:
+            one.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            continue
+
+
+def serve_relay(cuts: Cuts, one: str, other: str, port: int) -> int:
+    """Relay connections of one data centre to a port in another.
+
+    Returns:
+        The port that the relay listens on.
+    """
+
+    def handle(near: socket.socket, address: object) -> None:
+        del address
+        if cuts.is_cut(one, other) and cuts.mode == "closed":
+            near.close()
+            return
+        far = socket.create_connection((ports.HOST, port))
+        link = (one, other, [near, far])
+        cuts.links.append(link)
+        try:
+            gevent.joinall(
+                [
+                    gevent.spawn(pump, cuts, one, other, near, far),
+                    gevent.spawn(pump, cuts, one, other, far, near),
+                ]
+            )
+        finally:
+            cuts.links.remove(link)
+            near.close()
+            far.close()
+
+    stream = server.StreamServer((ports.HOST, 0), handle)
+    stream.start()
+    return stream.server_port
+
+
+def pump(
+    cuts: Cuts,
+    one: str,
+    other: str,
+    source: socket.socket,
+    target: socket.socket,
+) -> None:
+    """Copy bytes until the source ends; drop them while there is a cut."""
+    source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        while chunk := source.recv(CHUNK_BYTES):
+            if not cuts.is_cut(one, other):
+                target.sendall(chunk)
+    except OSError:
+        pass
+    close_all([source, target])
+
+
+def serve_platform(
+    cuts: Cuts, data_centre: str, platform_port: int, relays: dict[str, int]
+) -> int:
+    """Serve the platform as one data centre sees it.
+
+    Args:
+        cuts: The cuts.
+        data_centre: Whose platform this is.
+        platform_port: The platform itself.
+        relays: The relay's port by the id of each daemon elsewhere.
+    """
+    client = geventhttpclient.HTTPClient(
+        ports.HOST, platform_port, concurrency=100, network_timeout=TIMEOUT_S
+    )
+
+    def application(environ: dict[str, Any], start_response: Any) -> list:
+        if cuts.is_cut(data_centre, "platform"):
+            gevent.sleep(TIMEOUT_S if cuts.mode == "silent" else 0)
+            raise ConnectionResetError
+        path = environ["PATH_INFO"]
+        if environ.get("QUERY_STRING"):
+            path += "?" + environ["QUERY_STRING"]
+        response = client.request(
+            environ["REQUEST_METHOD"], path, environ["wsgi.input"].read()
+        )
+        body = bytes(response.read())
+        if environ["PATH_INFO"] == "/v1/vms" and response.status_code == 200:
+            body = rewrite_vms(body, relays)
+        status = f"{response.status_code} {response.status_message}"
+        start_response(status, [("Content-Type", "application/json")])
+        return [body]
+
+    web = gateway.NoDelayServer((ports.HOST, 0), application, log=None)
+    web.start()
+    return web.server_port
+
+
+def rewrite_vms(body: bytes, relays: dict[str, int]) -> bytes:
+    """Return a VM list that names relays for the daemons elsewhere."""
+    answer = json.loads(body)
+    for vm in answer["vms"]:
+        vm["port"] = relays.get(vm["vm_id"], vm["port"])
+    return json.dumps(answer).encode()
+
+
+def serve_control(cuts: Cuts) -> int:
+    """Serve `POST /control/cut` and return the port."""
+
+    def application(environ: dict[str, Any], start_response: Any) -> list:
+        message = json.loads(environ["wsgi.input"].read())
+        cuts.change(message["data_centres"], message["mode"])
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [b"{}"]
+
+    web = gateway.NoDelayServer((ports.HOST, 0), application, log=None)
+    web.start()
+    return web.server_port
+
+
+def main(arguments: list[str]) -> int:
+    """Serve until killed."""
+    setup = json.loads(pathlib.Path(arguments[0]).read_text())
+    cuts = Cuts()
+    platforms = {}
+    for one in setup["data_centres"]:
+        relays = {
+            daemon["vm_id"]: serve_relay(
+                cuts, one, daemon["data_centre"], daemon["port"]
+            )
+            for daemon in setup["daemons"]
+            if daemon["data_centre"] != one
+        }
+        platforms[one] = serve_platform(
+            cuts, one, setup["platform_port"], relays
+        )
+    ready = {
+        "ready": True,
+        "platforms": platforms,
+        "control_port": serve_control(cuts),
+    }
+    print(json.dumps(ready), flush=True)
+    while True:
+        gevent.sleep(3600)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the load tool and the measures."""
