--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -127,19 +127,27 @@
 
     Raises:
         TimeoutError: One of them did not; its log is in the message.
+        RuntimeError: One of them has ended; likewise.
     """
     for daemon in cluster.daemons:
-        name = cluster.name_process(daemon["vm_id"])
-        try:
-            wait_until(
-                lambda daemon=daemon: http.answers_ok(
-                    daemon["http_port"], path
-                ),
-                f"{path} of {name}",
-            )
-        except TimeoutError as error:
-            tail = cluster.group.read_tail(name)
-            raise TimeoutError(f"{error}\n{tail}") from None
+        _wait_for_daemon(cluster, daemon, path)
+
+
+def _wait_for_daemon(
+    cluster: Cluster, daemon: dict[str, Any], path: str
+) -> None:
+    name = cluster.name_process(daemon["vm_id"])
+
+    def answers() -> bool:
+        if not cluster.group.is_running(name):
+            raise RuntimeError(f"{name} ended\n{cluster.group.read_tail(name)}")
+        return http.answers_ok(daemon["http_port"], path)
+
+    try:
+        wait_until(answers, f"{path} of {name}")
+    except TimeoutError as error:
+        tail = cluster.group.read_tail(name)
+        raise TimeoutError(f"{error}\n{tail}") from None
 
 
 def set_worker_faults(
