--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of failures, over whole clusters of processes on loopback."""
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -5,7 +5,7 @@
 
 from geventhttpclient import client
 
-from tests import processes
+from tests import children
 
 
 def request(port, method, path, body=None):
@@ -20,7 +20,7 @@
 
 class ProcessTest(unittest.TestCase):
     def start(self, *arguments):
-        standin = processes.StandIn(*arguments)
+        standin = children.StandIn(*arguments)
         self.addCleanup(lambda: self.assertEqual(standin.stop(), 0))
         return standin.ready
 
