--- a/tests/processes/clusters.py
+++ b/tests/processes/clusters.py
@@ -162,6 +162,8 @@
             may_close: Ports whose connections may have been closed.
         """
         marks = self.read_marks()
+        if SHOWS_TIMES:
+            self._show_times(answers)
         for answer in answers:
             with self.subTest(answer=answer):
                 problem = answer.find_problem(marks, may_close)
@@ -169,3 +171,10 @@
         twice = {mark: n for mark, n in marks.items() if n > 1}
         self.assertEqual(twice, {}, "started more than once")
         self.assertEqual(self.read_counters()["double_starts"], 0)
+
+    def _show_times(self, answers) -> None:
+        worst = max(answers, key=lambda answer: answer.took_s)
+        print(f"{self._testMethodName}: worst answer {worst}"[:400])
+        for status in sorted({answer.status for answer in answers}):
+            count = sum(answer.status == status for answer in answers)
+            print(f"{self._testMethodName}: {count} answers {status}")
--- a/tests/processes/load.py
+++ b/tests/processes/load.py
@@ -12,6 +12,11 @@
 from tests.processes import declared
 
 TIMEOUT_S = 45.0
+# In place of an HTTP status: no connection was made, it ended without an
+# answer, or nothing came in time.
+REFUSED = -2
+CLOSED = 0
+LATE = -1
 _numbers = itertools.count()
 
 
@@ -22,21 +27,20 @@
     Attributes:
         port: Where it was sent.
         marks: Of its tasks, by task id.
-        status: The HTTP status; 0 if the connection closed; -1 if nothing
-            came in time.
+        status: The HTTP status, or one of `CLOSED`, `LATE` and `REFUSED`.
         body: The JSON answer.
-        at_s: When it came, on the monotonic clock.
+        took_s: How long it took.
     """
 
     port: int
     marks: dict[str, str]
     status: int
     body: dict[str, Any]
-    at_s: float
+    took_s: float
 
     def find_problem(self, marks: dict[str, int], may_close) -> str | None:
         """Return what is wrong with it, given the starts by mark."""
-        if self.status == 0:
+        if self.status in (CLOSED, REFUSED):
             return None if self.port in may_close else "closed"
         outcome = self.body.get("outcome")
         if outcome not in ("complete", "failed", "refused"):
@@ -91,13 +95,15 @@
 
 def send(port: int, body: dict[str, Any]) -> Answer:
     """Send a job and wait for its answer."""
+    began_s = time.monotonic()
     status, answer = post(port, "/v1/jobs", body)
+    took_s = time.monotonic() - began_s
     marks = {task["id"]: task["payload"]["mark"] for task in body["tasks"]}
-    return Answer(port, marks, status, answer, time.monotonic())
+    return Answer(port, marks, status, answer, took_s)
 
 
 def post(port: int, path: str, body: Any) -> tuple[int, dict[str, Any]]:
-    """Send a request; return 0 if the connection closed, -1 if it is late."""
+    """Send a request and return the status and the JSON answer."""
     connection = http.client.HTTPConnection(
         "127.0.0.1", port, timeout=TIMEOUT_S
     )
@@ -107,14 +113,17 @@
     }
     try:
         connection.connect()
+    except OSError:
+        return REFUSED, {}
+    try:
         connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection.request("POST", path, json.dumps(body), headers)
         response = connection.getresponse()
         return response.status, json.loads(response.read())
     except TimeoutError:
-        return -1, {}
+        return LATE, {}
     except (OSError, http.client.HTTPException):
-        return 0, {}
+        return CLOSED, {}
     finally:
         connection.close()
 
@@ -134,9 +143,11 @@
         plan: str = declared.WIDE,
         tasks: int = 3,
         run_ms: int = 60,
+        stops_when_closed: bool = False,
     ):
         self.answers: list[Answer] = []
         self._shape = (plan, tasks, run_ms)
+        self._stops_when_closed = stops_when_closed
         self._stopping = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(port,), daemon=True)
@@ -164,6 +175,8 @@
     def _run(self, port: int) -> None:
         while not self._stopping.is_set():
             answer = submit(port, *self._shape)
+            if answer.status == REFUSED and self._stops_when_closed:
+                return
             self.answers.append(answer)
             if answer.status != 200:
                 self._stopping.wait(0.05)
--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -35,7 +35,7 @@
             {answer.status for answer in running.answers}, {200, 503}
         )
         marks = self.read_marks()
-        cut_off = [a for a in hit.answers if a.status == 0 and a.marks]
+        cut_off = [a for a in hit.answers if a.status == load.CLOSED]
         unstarted = [
             mark
             for answer in cut_off
--- /dev/null
+++ b/tests/processes/test_keys.py
@@ -0,0 +1,69 @@
+"""Jobs that must not run twice, submitted again through other daemons."""
+
+import concurrent.futures
+
+from tests.processes import clusters
+from tests.processes import declared
+from tests.processes import load
+
+
+class KeyTest(clusters.ClusterCase):
+    def build_job(self, port, run_ms):
+        """Return a job with a key whose stamp a daemon has issued."""
+        status, answer = load.post(port, "/v1/stamps", {})
+        self.assertEqual(status, 200, answer)
+        body = load.build_body(declared.WIDE, 2, run_ms, "charge")
+        return body | {"key": f"{answer['stamp']}~{body['tasks'][0]['id']}"}
+
+    def check_once(self, body, answers):
+        marks = self.read_marks()
+        for task in body["tasks"]:
+            self.assertLessEqual(marks.get(task["payload"]["mark"], 0), 1)
+        self.check(answers)
+
+    def send_twice(self, first, second, body, between):
+        """Send a job, call a function, and send it again elsewhere."""
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            sent = pool.submit(load.send, first, body)
+            between(body)
+            again = load.send(second, body)
+            return [sent.result(), again]
+
+    def wait_for_start(self, body):
+        marks = [task["payload"]["mark"] for task in body["tasks"]]
+        self.wait_until(
+            lambda: all(mark in self.read_marks() for mark in marks), "starts"
+        )
+
+    def test_again_through_another_daemon_while_it_runs(self):
+        first, second = self.list_ports()[:2]
+        body = self.build_job(first, 800)
+        answers = self.send_twice(first, second, body, self.wait_for_start)
+        self.assertEqual([a.status for a in answers], [200, 200])
+        self.check_once(body, answers)
+
+    def test_again_through_another_daemon_after_it_ended(self):
+        first, second = self.list_ports()[:2]
+        body = self.build_job(first, 50)
+        answers = [load.send(first, body), load.send(second, body)]
+        self.assertEqual([a.status for a in answers], [200, 200])
+        self.check_once(body, answers)
+
+    def test_again_after_its_owner_died(self):
+        owner = self.wait_for_owner("north/0")
+        other = next(d for d in self.list_running("north") if d != owner)
+        far = self.list_running("south")[0]
+        ports = self.get_port(other), self.get_port(far)
+        body = self.build_job(ports[0], 1200)
+        self.assertIn("north/0", body["key"])
+
+        def kill(sent):
+            self.wait_for_start(sent)
+            self.group.kill(owner)
+            self.wait_for_owner("north/0", but=owner)
+            self.wait_for_answers(ports)
+
+        answers = self.send_twice(*ports, body, kill)
+        self.assertEqual([a.status for a in answers], [502, 409], answers)
+        self.check_once(body, answers)
+        self.restart(owner)
