--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -169,6 +169,7 @@
                 on_message=self._take_message,
                 on_joined=self._take_joined,
                 on_relinked=self._engine.ask_daemon,
+                reconnect=lambda daemon_id: self._mesh.connect(daemon_id),
                 on_lost=self._take_lost,
             ),
         )
--- a/pollenladder/core/mesh.py
+++ b/pollenladder/core/mesh.py
@@ -16,6 +16,7 @@
 
 STEP_S = 0.5
 RETRY_S = 1.0
+UNLISTED_KEPT_S = 10.0
 FOREIGN_LINKS = 2
 
 
@@ -25,6 +26,7 @@
 
     Attributes:
         info: Where it is.
+        learned_at: When it was first heard of.
         is_listed: Whether the VM list shows it.
         is_lost: Whether it could not be reached and was not heard of since.
         retry_at: Until when no link to it is tried again.
@@ -33,6 +35,7 @@
     """
 
     info: messages.PeerInfo
+    learned_at: float
     is_listed: bool = False
     is_lost: bool = False
     retry_at: float = float("-inf")
@@ -63,24 +66,35 @@
         self._clock = clock
 
     def learn(self, info: messages.PeerInfo, is_listed: bool = False) -> None:
-        """Note a daemon; a later word on it replaces an earlier one."""
+        """Note a daemon; a later word on it replaces an earlier one.
+
+        Where a daemon is reached from here, the VM list knows better than the
+        daemon itself.
+        """
         if info.daemon_id == self._own.daemon_id:
             return
         known = self.known.get(info.daemon_id)
         if known is None:
-            known = self.known[info.daemon_id] = Known(info)
+            known = self.known[info.daemon_id] = Known(info, self._clock())
         leaving = info.leaving or (is_listed and known.info.leaving)
-        if info.address != known.info.address or not is_listed:
+        if is_listed or not known.is_listed:
             known.info = info
         known.info = dataclasses.replace(known.info, leaving=leaving)
         known.is_listed = known.is_listed or is_listed
 
     def keep_listed(self, daemon_ids: set[str]) -> None:
-        """Forget daemons that left the VM list and have no link."""
+        """Forget daemons that are not in the VM list and have no link.
+
+        One that never was listed may be new, as the list lags: it is kept for
+        a while.
+        """
         linked = set(self._peers.list_linked())
+        now = self._clock()
         for daemon_id, known in list(self.known.items()):
-            gone = known.is_listed and daemon_id not in daemon_ids
-            if gone and daemon_id not in linked:
+            heard_at = max(known.learned_at, known.heard_at)
+            is_old = known.is_listed or now - heard_at >= UNLISTED_KEPT_S
+            gone = daemon_id not in daemon_ids and daemon_id not in linked
+            if gone and (is_old or known.info.leaving):
                 del self.known[daemon_id]
 
     def record_lost(self, daemon_id: str) -> None:
--- a/pollenladder/core/peering.py
+++ b/pollenladder/core/peering.py
@@ -25,6 +25,7 @@
         on_message: A message came from a daemon.
         on_joined: A daemon has a link now and had none.
         on_relinked: A daemon has a new link after a break.
+        reconnect: Try for a link to a daemon; return whether there is one.
         on_lost: A daemon cannot be reached, or has restarted: nothing it was
             sent will be answered.
     """
@@ -32,6 +33,7 @@
     on_message: Callable[[str, Any], None]
     on_joined: Callable[[str], None]
     on_relinked: Callable[[str], None]
+    reconnect: Callable[[str], bool]
     on_lost: Callable[[str], None]
 
 
@@ -42,16 +44,12 @@
     Attributes:
         daemon_id: The daemon.
         incarnation: The one whose links these are.
-        address: Its IP number.
-        port: Its port for peers.
         open: Links that are open, the oldest first.
         relinking: Whether a new link is being tried after a break.
     """
 
     daemon_id: str
     incarnation: int
-    address: str
-    port: int
     open: list[links.Link] = dataclasses.field(default_factory=list)
     relinking: bool = False
 
@@ -136,10 +134,7 @@
             peer = None
         if peer is None:
             peer = self._peers[hello.daemon_id] = Peer(
-                hello.daemon_id,
-                hello.incarnation,
-                hello.address,
-                hello.peer_port,
+                hello.daemon_id, hello.incarnation
             )
             peer.open.append(link)
             self._handlers.on_joined(hello.daemon_id)
@@ -178,7 +173,7 @@
                 gevent.sleep(RECONNECT_PAUSE_S)
             if self._peers.get(peer.daemon_id) is not peer or peer.open:
                 return
-            if self.connect(peer.daemon_id, peer.address, peer.port):
+            if self._handlers.reconnect(peer.daemon_id):
                 return
         if self._peers.get(peer.daemon_id) is peer and not peer.open:
             self._drop_peer(peer)
--- /dev/null
+++ b/tests/core/test_mesh.py
@@ -0,0 +1,95 @@
+"""Tests of which daemons are known and where."""
+
+import unittest
+
+from pollenladder.core import mesh
+from pollenladder.dispatch import directory
+from pollenladder.wire import messages
+
+SHARDS = ("a/0", "b/0")
+
+
+class FakePeers:
+    """Links that are open, and those that can be made."""
+
+    def __init__(self):
+        self.linked = set()
+        self.reachable = set()
+
+    def list_linked(self):
+        return list(self.linked)
+
+    def connect(self, daemon_id, address, port):
+        return daemon_id in self.reachable
+
+
+def make_info(daemon_id, port=1, leaving=False):
+    return messages.PeerInfo(
+        daemon_id, daemon_id[0], "127.0.0.1", port, 2, leaving
+    )
+
+
+class MeshTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.peers = FakePeers()
+        self.mesh = mesh.Mesh(
+            make_info("a-0"),
+            directory.Directory(),
+            SHARDS,
+            self.peers,
+            lambda: self.now,
+        )
+
+    def test_the_list_knows_best_where_a_daemon_is(self):
+        cases = (
+            ("own word", [(1, False), (2, False)], 2),
+            ("listed", [(1, False), (2, True)], 2),
+            ("own word once listed", [(1, True), (2, False)], 1),
+            ("listed anew", [(1, True), (2, True)], 2),
+        )
+        for name, words, port in cases:
+            with self.subTest(name):
+                for word, is_listed in words:
+                    self.mesh.learn(make_info("b-" + name, word), is_listed)
+                known = self.mesh.known["b-" + name]
+                self.assertEqual(known.info.peer_port, port)
+
+    def test_daemons_that_left_are_forgotten(self):
+        cases = (
+            ("unlisted, new", False, False, 0.0, True),
+            ("unlisted, old", False, False, 60.0, False),
+            ("unlisted, left", False, True, 0.0, False),
+            ("was listed", True, False, 0.0, False),
+        )
+        for name, is_listed, leaving, age_s, is_kept in cases:
+            with self.subTest(name):
+                self.mesh.learn(make_info(name, leaving=leaving), is_listed)
+                self.now += age_s
+                self.mesh.keep_listed(set())
+                self.assertEqual(name in self.mesh.known, is_kept)
+                self.mesh.known.clear()
+
+    def test_a_linked_daemon_is_kept_though_it_is_not_listed(self):
+        self.mesh.learn(make_info("a-1"), is_listed=True)
+        self.peers.linked.add("a-1")
+        self.mesh.keep_listed(set())
+        self.assertIn("a-1", self.mesh.known)
+
+    def test_a_lost_daemon_is_tried_again_and_counts_once_it_is_heard(self):
+        daemon_ids = ("a-1", "b-1", "b-2")
+        for daemon_id in daemon_ids:
+            self.mesh.learn(make_info(daemon_id))
+        for daemon_id in daemon_ids:
+            self.assertEqual(self.mesh.list_unreachable(), [])
+            self.assertFalse(self.mesh.connect(daemon_id))
+        self.assertEqual(self.mesh.list_candidates(), [])
+        self.assertEqual(self.mesh.list_unreachable(), ["b"])
+        self.assertEqual(self.mesh.choose_links(), set())
+        self.now += mesh.RETRY_S
+        self.assertIn("a-1", self.mesh.choose_links())
+        self.assertEqual(self.mesh.list_unreachable(), ["b"])
+        self.mesh.record_heard("b-2", 1)
+        self.mesh.record_heard("a-1", 1)
+        self.assertEqual(self.mesh.list_unreachable(), [])
+        self.assertEqual(self.mesh.list_candidates(), ["a-1"])
