Drain a worker through whichever daemon an operator asks

Cause: a drain marked the worker in the tables of the daemon asked. Any daemon of the data centre said that it had done so, but only the shard's owner starts tasks, and the mark died with it. Ruled out: the tool, which asks one daemon after another until one knows the worker, and got 200 from the first. Change: the daemon asked passes the drain to the owner of the worker's shard, in any data centre, and answers when that has confirmed; the owner tells all daemons of its data centre, and each tells those that join.

--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -10,6 +10,7 @@
 
 from pollenladder.conf import settings as conf
 from pollenladder.core import clocks
+from pollenladder.core import drains
 from pollenladder.core import engine as engines
 from pollenladder.core import entities
 from pollenladder.core import leasing
@@ -100,7 +101,7 @@
         )
         self._workers = worker_tables.Workers(
             own.data_centre,
-            own.data_centres[own.data_centre].shards,
+            {name: c.shards for name, c in own.data_centres.items()},
             self._shards,
             own.daemon_id,
             worker_tables.build_limits(own),
@@ -195,6 +196,18 @@
             own.daemon_id, self._engine, self._mesh, self._send, self._clock
         )
 
+        self._drains = drains.Drains(
+            self._shards,
+            self._loads,
+            drains.Outlets(
+                send=self._send,
+                connect=self._mesh.connect,
+                list_linked=self._list_linked_here,
+                find_shard=self._workers.find_shard,
+            ),
+            self._clock,
+        )
+
     def _build_platform(self) -> None:
         own = self._settings
         self._platform = platform_client.PlatformClient(
@@ -323,16 +336,11 @@
         return None
 
     def _drain_target(self, target: str) -> bool:
-        """Drain a worker of the shards here, or this daemon."""
+        """Drain a worker, or this daemon; return whether it is known."""
         if target == self._settings.daemon_id:
             self._stopping.set()
             return True
-        found = False
-        for shard in self._shards.values():
-            if target in shard.workers:
-                shard.workers[target].leaving = True
-                found = True
-        return found
+        return self._drains.drain(target)
 
     def _describe_status(self) -> dict[str, Any]:
         now = self._clock()
@@ -400,6 +408,8 @@
     def _take_message(self, sender: str, message: object) -> None:
         if self._engine.take_message(sender, message):
             return
+        if self._drains.take_message(sender, message):
+            return
         if isinstance(message, messages.Digest):
             self._take_digest(sender, message)
         elif isinstance(message, messages.DeclarationsPush):
@@ -421,6 +431,8 @@
             )
         )
         self._send(daemon_id, self._describe_digest(with_peers=True))
+        if hello.data_centre == self._settings.data_centre:
+            self._drains.tell(daemon_id)
 
     def _take_lost(self, daemon_id: str) -> None:
         LOGGER.warning("lost %s", daemon_id, extra={"peer": daemon_id})
@@ -492,6 +504,7 @@
 
     def _take_vms(self, vms: list[entities.Vm]) -> None:
         self._workers.list_vms(vms)
+        self._drains.apply(self._workers.list_ids())
         entry_vms = [vm for vm in vms if vm.role is entities.VmRole.ENTRY]
         for vm in entry_vms:
             self._mesh.learn(
@@ -565,6 +578,16 @@
             peers,
         )
 
+    def _list_linked_here(self) -> list[str]:
+        """Return the linked daemons of this data centre."""
+        return [
+            daemon_id
+            for daemon_id in self._peering.list_linked()
+            if daemon_id in self._mesh.known
+            and self._mesh.known[daemon_id].info.data_centre
+            == self._settings.data_centre
+        ]
+
     def _tell(self, daemon_id: str) -> None:
         self._send(daemon_id, self._describe_digest())
 
--- a/pollenladder/core/meters.py
+++ b/pollenladder/core/meters.py
@@ -19,6 +19,8 @@
     messages.BatchPending: "inquiry",
     messages.JobLookup: "inquiry",
     messages.JobLookupReply: "inquiry",
+    messages.WorkerDrain: "inquiry",
+    messages.WorkerDrainReply: "inquiry",
     messages.BatchOffer: "spill",
     messages.BatchResult: "spill",
     messages.ShardLoad: "probe",
--- a/pollenladder/core/workers.py
+++ b/pollenladder/core/workers.py
@@ -32,7 +32,7 @@
     def __init__(
         self,
         data_centre: str,
-        shards_here: int,
+        shard_counts: dict[str, int],
         shard_tables: dict[str, tables.Shard],
         daemon_id: str,
         limits: client.Limits,
@@ -40,7 +40,7 @@
         metrics: registry.Metrics,
     ):
         self._data_centre = data_centre
-        self._shards_here = shards_here
+        self._shard_counts = shard_counts
         self._shards = shard_tables
         self._daemon_id = daemon_id
         self._limits = limits
@@ -48,19 +48,29 @@
         self._metrics = metrics
         self._clients: dict[str, client.EndpointClient] = {}
         self._places: dict[str, tuple[str, int]] = {}
+        self._centres: dict[str, str] = {}
 
     def get_client(self, worker_id: str) -> client.EndpointClient | None:
         """Return the client of a worker, or None if it is not listed."""
         return self._clients.get(worker_id)
 
+    def list_ids(self) -> set[str]:
+        """Return the workers that are listed, in any data centre."""
+        return set(self._centres)
+
+    def find_shard(self, worker_id: str) -> str | None:
+        """Return the shard of a worker in any data centre; None if unlisted."""
+        centre = self._centres.get(worker_id)
+        shards_there = self._shard_counts.get(centre or "")
+        if centre is None or shards_there is None:
+            return None
+        return hashing.find_shard(worker_id, centre, shards_there)
+
     def list_vms(self, vms: list[entities.Vm]) -> None:
         """Take in the VM list: the endpoints of this data centre."""
-        here = [
-            vm
-            for vm in vms
-            if vm.role is entities.VmRole.ENDPOINT
-            and vm.data_centre == self._data_centre
-        ]
+        endpoints = [vm for vm in vms if vm.role is entities.VmRole.ENDPOINT]
+        self._centres = {vm.vm_id: vm.data_centre for vm in endpoints}
+        here = [vm for vm in endpoints if vm.data_centre == self._data_centre]
         self._keep_clients(here)
         now = self._clock()
         for shard_id, shard in self._shards.items():
@@ -71,7 +81,7 @@
                     leaving=vm.state is entities.VmState.LEAVING,
                 )
                 for vm in here
-                if self._find_shard(vm.vm_id) == shard_id
+                if self.find_shard(vm.vm_id) == shard_id
             ]
             shards.list_workers(shard, rows, now)
 
@@ -96,11 +106,6 @@
             lease = outcomes.Lease(shard_id, self._daemon_id, epoch)
             endpoint.release_lease(lease)
 
-    def _find_shard(self, worker_id: str) -> str:
-        return hashing.find_shard(
-            worker_id, self._data_centre, self._shards_here
-        )
-
     def _keep_clients(self, vms: list[entities.Vm]) -> None:
         places = {vm.vm_id: (vm.address, vm.port) for vm in vms}
         for worker_id in list(self._clients):
--- a/pollenladder/wire/messages.py
+++ b/pollenladder/wire/messages.py
@@ -267,6 +267,22 @@
     answer: JobAnswer | None
 
 
+@dataclasses.dataclass(frozen=True)
+class WorkerDrain:
+    """An operator drains a worker; a request id of 0 wants no reply."""
+
+    request_id: int
+    worker_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerDrainReply:
+    """Whether the daemon asked owns the worker's shard, and so has done it."""
+
+    request_id: int
+    is_owner: bool
+
+
 def pack_answer(answer: verdicts.Answer) -> JobAnswer:
     """Return the message that carries an answer."""
     if isinstance(answer, verdicts.Complete):
