--- a/pollenladder/conf/models.py
+++ b/pollenladder/conf/models.py
@@ -35,6 +35,7 @@
     """See `settings.DataCentre`."""
 
     shards: Annotated[int, pydantic.Field(ge=1, le=MAX_SHARDS)]
+    region: Id = defaults.REGION
 
 
 class Platform(documents.Border):
@@ -98,6 +99,7 @@
     peer_secret: str
     data_centres: Annotated[dict[Id, DataCentre], pydantic.Field(min_length=1)]
     platform: Platform
+    shards_per_owner: Count = defaults.SHARDS_PER_OWNER
     peers: list[Peer] = []
     log: Log = Log()
     timings: Timings = Timings()
@@ -111,7 +113,7 @@
         for field in dataclasses.fields(settings.Settings)
     }
     centres = {
-        name: settings.DataCentre(centre.shards)
+        name: settings.DataCentre(centre.shards, centre.region)
         for name, centre in file.data_centres.items()
     }
     parts = {
--- a/pollenladder/conf/settings.py
+++ b/pollenladder/conf/settings.py
@@ -7,9 +7,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class DataCentre:
-    """A data centre and the number of shards its workers are split into."""
+    """A data centre.
+
+    Attributes:
+        shards: Number of shards its workers are split into.
+        region: Data centres of one region are less than a millisecond apart.
+    """
 
     shards: int
+    region: str = defaults.REGION
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,6 +113,7 @@
         peer_secret: Shared by all daemons; a stream without it is refused.
         data_centres: All data centres of the system, by name.
         platform: The platform's service.
+        shards_per_owner: Shards of a region that one daemon owns together.
         peers: Daemons to try first; none of them is special.
         log: How logs are written.
         timings: Intervals and timeouts.
@@ -121,6 +128,7 @@
     peer_secret: str
     data_centres: dict[str, DataCentre]
     platform: Platform
+    shards_per_owner: int = defaults.SHARDS_PER_OWNER
     peers: tuple[Peer, ...] = ()
     log: Log = Log()
     timings: Timings = Timings()
--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -32,6 +32,7 @@
 from pollenladder.gateway import limits as gateway_limits
 from pollenladder.gateway import server as gateway_server
 from pollenladder.membership import hashing
+from pollenladder.membership import regions
 from pollenladder.metrics import registry
 from pollenladder.platform import client as platform_client
 from pollenladder.wire import handshake
@@ -65,6 +66,11 @@
                 {n: c.shards for n, c in settings.data_centres.items()}
             )
         )
+        self._regions = regions.Regions(
+            {n: c.region for n, c in settings.data_centres.items()},
+            {n: c.shards for n, c in settings.data_centres.items()},
+            settings.shards_per_owner,
+        )
         self._build_tables()
         self._build_network()
         self._build_platform()
@@ -77,13 +83,10 @@
             max_queued_jobs=bounds.max_queued_jobs,
             lease_ttl_s=timings.lease_ttl_s,
         )
-        local = [
-            shard_id
-            for shard_id in self._shard_ids
-            if directory.get_data_centre(shard_id) == own.data_centre
-        ]
-        self._shards = {
-            shard_id: shards.build(
+        self._shards: dict[str, tables.Shard] = {}
+        first = None
+        for shard_id in self._regions.list_shards(own.data_centre):
+            shard = shards.build(
                 shard_id=shard_id,
                 daemon_id=own.daemon_id,
                 incarnation=str(self._incarnation),
@@ -92,15 +95,15 @@
                 all_shard_ids=self._shard_ids,
                 loan_term_s=timings.loan_term_s,
                 loan_margin_s=LOAN_MARGIN_S,
+                beside=first,
             )
-            for shard_id in local
-        }
+            first = first or shard
+            self._shards[shard_id] = shard
         self._submissions = submissions.Submissions(
             own.data_centre, self._loads, timings.retention_s
         )
         self._workers = worker_tables.Workers(
-            own.data_centre,
-            own.data_centres[own.data_centre].shards,
+            {n: c.shards for n, c in own.data_centres.items()},
             self._shards,
             own.daemon_id,
             worker_tables.build_limits(own),
@@ -130,6 +133,7 @@
         self._leasing = leasing.Leasing(
             self._shards,
             self._loads,
+            self._regions,
             leasing.Outlets(
                 acquire=self._workers.acquire_lease,
                 release=self._workers.release_lease,
@@ -175,7 +179,7 @@
         self._mesh = meshes.Mesh(
             self._describe_self(),
             self._loads,
-            self._shard_ids,
+            self._regions,
             self._peering,
             self._clock,
         )
@@ -379,22 +383,19 @@
             gevent.spawn(self._mesh.connect, daemon_id)
         return sent
 
-    def _start(self, shard_id: str, effect: tables.StartTask) -> None:
+    def _start(self, effect: tables.StartTask) -> None:
         self._metrics.starts.inc()
         self._metrics.messages.labels(kind="start").inc()
-        self._starts.start(shard_id, effect)
+        self._starts.start(effect)
 
     def _take_outcome(
-        self,
-        shard_id: str,
-        effect: tables.StartTask,
-        result: verdicts.TaskResult,
+        self, effect: tables.StartTask, result: verdicts.TaskResult
     ) -> None:
         self._metrics.tasks.labels(
             verdict=result.verdict.value, reason=result.reason.value
         ).inc()
-        self._engine.record_start_outcome(shard_id, effect, result)
-        self._leasing.settle(self._shards[shard_id])
+        self._engine.record_start_outcome(effect, result)
+        self._leasing.settle(self._shards[effect.place.shard_id])
 
     def _take_message(self, sender: str, message: object) -> None:
         if self._engine.take_message(sender, message):
@@ -518,21 +519,10 @@
                 self._send(daemon_id, push)
 
     def _take_ownership_change(self, shard_id: str) -> None:
-        self._refresh_own_loads()
-        self._tell_all()
         self._engine.wake()
+        self._tell_all()
         gevent.spawn(self._mesh.step)
 
-    def _refresh_own_loads(self) -> None:
-        """Keep the directory right about the shards owned here."""
-        now = self._clock()
-        for shard in self._shards.values():
-            if shard.ownership_is_held(now):
-                load = spilling.describe_load(shard, now)
-                directory.record_load(
-                    self._loads, self._settings.daemon_id, load, now
-                )
-
     def _describe_self(self) -> messages.PeerInfo:
         own = self._settings
         return messages.PeerInfo(
@@ -574,7 +564,6 @@
         """Tell linked peers of this daemon at intervals."""
         while True:
             gevent.sleep(self._settings.timings.heartbeat_s)
-            self._refresh_own_loads()
             self._tell_all()
 
     def _update_metrics(self) -> None:
--- a/pollenladder/core/engine.py
+++ b/pollenladder/core/engine.py
@@ -42,8 +42,8 @@
     """
 
     send: Callable[[str, object], bool]
-    start: Callable[[str, tables.StartTask], None]
-    stop: Callable[[str, tables.StopTasks], None]
+    start: Callable[[tables.StartTask], None]
+    stop: Callable[[tables.StopTasks], None]
 
 
 class Engine:
@@ -144,15 +144,12 @@
         return True
 
     def record_start_outcome(
-        self, shard_id: str, effect: tables.StartTask, result
+        self, effect: tables.StartTask, result: verdicts.TaskResult
     ) -> None:
         """Take in the end of a start."""
-        shard = self.shards[shard_id]
+        home = self.shards[effect.home_id]
         now = self._clock()
-        self.execute(
-            completion.record_start_outcome(shard, effect, result, now),
-            shard_id,
-        )
+        self.execute(completion.record_start_outcome(home, effect, result, now))
         self._woken.set()
 
     def lose_daemon(self, daemon_id: str) -> None:
@@ -160,10 +157,10 @@
         now = self._clock()
         directory.forget_daemon(self.loads, daemon_id)
         submissions.lose_daemon(self.submissions, daemon_id, now)
-        for shard_id, shard in self.shards.items():
+        for shard in self.shards.values():
             effects = spilling.lose_batches(shard, daemon_id, now)
             effects += intake.drop_gateway(shard, daemon_id, now)
-            self.execute(effects, shard_id)
+            self.execute(effects)
         self._wake_waiters()
         self._woken.set()
 
@@ -177,13 +174,13 @@
         """Have the systems run soon."""
         self._woken.set()
 
-    def execute(self, effects: list[tables.Effect], shard_id: str = "") -> None:
+    def execute(self, effects: list[tables.Effect]) -> None:
         """Carry out effects, in order."""
         for effect in effects:
             if isinstance(effect, tables.StartTask):
-                self._outlets.start(shard_id, effect)
+                self._outlets.start(effect)
             elif isinstance(effect, tables.StopTasks):
-                self._outlets.stop(shard_id, effect)
+                self._outlets.stop(effect)
             else:
                 self._send(effect)
 
@@ -207,13 +204,20 @@
             shard = self.shards[message.from_shard_id]
             result = spilling.format_unsent(message)
             effects = spilling.record_batch_result(shard, result, now)
-            self.execute(effects, shard.shard_id)
+            self.execute(effects)
             self._woken.set()
 
+    def _refresh_loads(self, now: float) -> None:
+        """Keep the directory right about the shards owned here."""
+        for shard in self.shards.values():
+            if shard.ownership_is_held(now):
+                load = spilling.describe_load(shard, now)
+                directory.record_load(self.loads, self.daemon_id, load, now)
+
     def _run_systems(self) -> None:
         now = self._clock()
-        for shard_id, shard in self.shards.items():
-            self.execute(shards.run_systems(shard, now), shard_id)
+        self._refresh_loads(now)
+        self.execute(shards.run_systems(self.shards.values(), now))
         submissions.expire(self.submissions, now, ANSWER_GRACE_S)
         self._wake_waiters()
 
@@ -233,9 +237,7 @@
         shard = self.shards.get(message.shard_id)
         if shard is None:
             return
-        self.execute(
-            intake.offer_job(shard, sender, message, now), shard.shard_id
-        )
+        self.execute(intake.offer_job(shard, sender, message, now))
 
     def _take_job_answer(self, sender, message, now) -> None:
         self._settle_answer(messages.unpack_answer(message))
@@ -250,7 +252,7 @@
         shard = self.shards.get(shard_id)
         if shard:
             effects = intake.cancel_groups(shard, group_ids, now)
-            self.execute(effects, shard_id)
+            self.execute(effects)
 
     def _take_job_query(self, sender, message, now) -> None:
         shard = self.shards.get(message.shard_id)
@@ -258,7 +260,7 @@
             effects = intake.answer_query(
                 shard, sender, message.job_id, message.task_ids, False, now
             )
-            self.execute(effects, shard.shard_id)
+            self.execute(effects)
 
     def _take_batch_query(self, sender, message, now) -> None:
         shard = self.shards.get(message.shard_id)
@@ -266,28 +268,26 @@
             effects = intake.answer_query(
                 shard, sender, message.batch_id, message.task_ids, True, now
             )
-            self.execute(effects, shard.shard_id)
+            self.execute(effects)
 
     def _take_batch_offer(self, sender, message, now) -> None:
         shard = self.shards.get(message.shard_id)
         if shard is None:
             return
-        self.execute(
-            intake.offer_batch(shard, sender, message, now), shard.shard_id
-        )
+        self.execute(intake.offer_batch(shard, sender, message, now))
 
     def _take_batch_result(self, sender, message, now) -> None:
         for shard in self.shards.values():
             if message.batch_id in shard.batches:
                 effects = spilling.record_batch_result(shard, message, now)
-                self.execute(effects, shard.shard_id)
+                self.execute(effects)
                 return
 
     def _take_load(self, sender, message, now) -> None:
         directory.record_load(self.loads, sender, message, now)
         for shard in self.shards.values():
             effects = spilling.answer_load(shard, sender, message, now)
-            self.execute(effects, shard.shard_id)
+            self.execute(effects)
 
     def _take_loan_ask(self, sender, message, now) -> None:
         shard = self.shards.get(message.lender_id)
--- a/pollenladder/core/leasing.py
+++ b/pollenladder/core/leasing.py
@@ -12,9 +12,9 @@
 from pollenladder.dispatch import shard as shards
 from pollenladder.dispatch import tables
 from pollenladder.endpoints import outcomes
-from pollenladder.membership import hashing
 from pollenladder.membership import leases
 from pollenladder.membership import ownership
+from pollenladder.membership import regions
 
 LOGGER = logging.getLogger(__name__)
 
@@ -31,7 +31,7 @@
         acquire: Ask a worker (id) for a lease of a shard with an epoch and a
             term in seconds.
         release: Give a worker's lease of a shard with an epoch back.
-        list_candidates: Return the live daemons of this data centre.
+        list_candidates: Return the live daemons of this region.
         on_changed: A shard was gained or lost.
     """
 
@@ -48,6 +48,7 @@
         self,
         shard_tables: dict[str, tables.Shard],
         loads: directory.Directory,
+        layout: regions.Regions,
         outlets: Outlets,
         clock: clocks.Clock,
         wall_clock: clocks.Clock,
@@ -55,6 +56,7 @@
     ):
         self._shards = shard_tables
         self._loads = loads
+        self._layout = layout
         self._outlets = outlets
         self._clock = clock
         self._wall_clock = wall_clock
@@ -154,9 +156,8 @@
             self._ownerless_since[shard.shard_id] = now
             return False
         candidates = set(self._outlets.list_candidates()) | {shard.daemon_id}
-        rank = hashing.rank_daemons(shard.shard_id, candidates).index(
-            shard.daemon_id
-        )
+        ranked = self._layout.rank_owners(shard.shard_id, candidates)
+        rank = ranked.index(shard.daemon_id)
         return now >= self._ownerless_since[shard.shard_id] + rank * ttl_s
 
     def _ask(self, shard: tables.Shard, request: leases.LeaseRequest) -> None:
--- a/pollenladder/core/mesh.py
+++ b/pollenladder/core/mesh.py
@@ -10,13 +10,14 @@
 from pollenladder.core import peering
 from pollenladder.dispatch import directory
 from pollenladder.membership import hashing
+from pollenladder.membership import regions
 from pollenladder.wire import messages
 
 LOGGER = logging.getLogger(__name__)
 
 STEP_S = 0.5
 SUSPECT_S = 5.0
-FOREIGN_LINKS = 2
+FAR_LINKS = 2
 
 
 @dataclasses.dataclass
@@ -49,14 +50,14 @@
         self,
         own: messages.PeerInfo,
         loads: directory.Directory,
-        shard_ids: tuple[str, ...],
+        layout: regions.Regions,
         peers: peering.Peering,
         clock: clocks.Clock,
     ):
         self.known: dict[str, Known] = {}
         self._own = own
         self._loads = loads
-        self._shard_ids = shard_ids
+        self._layout = layout
         self._peers = peers
         self._clock = clock
 
@@ -96,12 +97,12 @@
             known.suspect_until = float("-inf")
 
     def list_candidates(self) -> list[str]:
-        """Return the daemons of this data centre that may own its shards."""
+        """Return the daemons of this region that may own its shards."""
         now = self._clock()
         return [
             daemon_id
             for daemon_id, known in self.known.items()
-            if known.info.data_centre == self._own.data_centre
+            if self._is_near(known.info.data_centre)
             and not known.info.leaving
             and known.suspect_until <= now
         ]
@@ -113,8 +114,7 @@
         for known in self.known.values():
             if known.suspect_until <= now:
                 reachable.add(known.info.data_centre)
-        centres = map(directory.get_data_centre, self._shard_ids)
-        return sorted(set(centres) - reachable)
+        return sorted(set(self._layout.list_centres()) - reachable)
 
     def run(self) -> None:
         """Keep the links that are wanted, for ever."""
@@ -134,21 +134,19 @@
     def choose_links(self) -> set[str]:
         """Return the daemons that a link is wanted with.
 
-        All in this data centre link to its owners, and to each other while it
-        lacks one. Owners link to a few owners in each other data centre; so do
-        others while their own data centre has no owner.
+        All in a region link to its owners, and to each other while it lacks
+        one. Owners link to a few owners in each data centre of other regions;
+        so do others while their own region has no owner.
         """
         now = self._clock()
-        wanted: set[str] = set()
-        own_shards = self._list_shards(self._own.data_centre)
-        owners = [self._find_owner(s) for s in own_shards]
-        wanted.update(owner for owner in owners if owner)
+        shards_here = self._layout.list_shards(self._own.data_centre)
+        owners = [self._find_owner(shard_id) for shard_id in shards_here]
+        wanted = {owner for owner in owners if owner}
         if None in owners:
             wanted.update(self.list_candidates())
-        is_owner = self._own.daemon_id in owners
-        if is_owner or not any(owners):
-            for centre in self._list_foreign():
-                wanted.update(self._choose_foreign(centre))
+        if self._own.daemon_id in owners or not any(owners):
+            for centre in self._list_far():
+                wanted.update(self._choose_far(centre))
         wanted.discard(self._own.daemon_id)
         return {
             daemon_id
@@ -168,28 +166,29 @@
         self.record_lost(daemon_id)
         return False
 
-    def _list_shards(self, centre: str) -> list[str]:
-        return [
-            shard_id
-            for shard_id in self._shard_ids
-            if directory.get_data_centre(shard_id) == centre
-        ]
+    def _is_near(self, centre: str) -> bool:
+        return self._layout.is_near(self._own.data_centre, centre)
 
-    def _list_foreign(self) -> list[str]:
-        centres = set(map(directory.get_data_centre, self._shard_ids))
-        return sorted(centres - {self._own.data_centre})
+    def _list_far(self) -> list[str]:
+        """Return the data centres of other regions."""
+        centres = self._layout.list_centres()
+        return [centre for centre in centres if not self._is_near(centre)]
 
     def _find_owner(self, shard_id: str) -> str | None:
         entry = self._loads.entries.get(shard_id)
         return entry.daemon_id if entry else None
 
-    def _choose_foreign(self, centre: str) -> list[str]:
+    def _choose_far(self, centre: str) -> list[str]:
         """Return owners of a data centre, or some daemon that may know them."""
-        owners = {self._find_owner(s) for s in self._list_shards(centre)}
+        owners = {
+            self._find_owner(shard_id)
+            for shard_id in self._layout.shard_ids
+            if directory.get_data_centre(shard_id) == centre
+        }
         owners.discard(None)
         if owners:
             ranked = hashing.rank_daemons(self._own.daemon_id, owners)
-            return ranked[:FOREIGN_LINKS]
+            return ranked[:FAR_LINKS]
         now = self._clock()
         others = [
             daemon_id
--- a/pollenladder/core/starts.py
+++ b/pollenladder/core/starts.py
@@ -22,11 +22,11 @@
 
     Attributes:
         get_client: Return the client of a worker, or None if it is unknown.
-        on_outcome: Take in the end of a start of a shard.
+        on_outcome: Take in the end of a start.
     """
 
     get_client: Callable[[str], client.EndpointClient | None]
-    on_outcome: Callable[[str, tables.StartTask, verdicts.TaskResult], None]
+    on_outcome: Callable[[tables.StartTask, verdicts.TaskResult], None]
 
 
 class Starts:
@@ -42,17 +42,17 @@
         self._outlets = outlets
         self._clock = clock
 
-    def start(self, shard_id: str, effect: tables.StartTask) -> None:
+    def start(self, effect: tables.StartTask) -> None:
         """Begin a start; its outcome is reported once."""
-        gevent.spawn(self._run, shard_id, effect)
+        gevent.spawn(self._run, effect)
 
-    def stop(self, shard_id: str, effect: tables.StopTasks) -> None:
+    def stop(self, effect: tables.StopTasks) -> None:
         """Ask a worker to stop tasks; nothing waits for the answer."""
-        gevent.spawn(self._stop, shard_id, effect)
+        gevent.spawn(self._stop, effect)
 
-    def _run(self, shard_id: str, effect: tables.StartTask) -> None:
+    def _run(self, effect: tables.StartTask) -> None:
         try:
-            result = self._ask(shard_id, effect)
+            result = self._ask(effect)
         except Exception:
             LOGGER.exception("start of %s", effect.start_id)
             result = _describe(
@@ -60,17 +60,16 @@
                 verdicts.Verdict.MAY_HAVE_RUN,
                 verdicts.Reason.BAD_REPLY,
             )
-        self._outlets.on_outcome(shard_id, effect, result)
+        self._outlets.on_outcome(effect, result)
 
-    def _ask(
-        self, shard_id: str, effect: tables.StartTask
-    ) -> verdicts.TaskResult:
-        shard = self._shards[shard_id]
-        endpoint = self._outlets.get_client(effect.worker_id)
+    def _ask(self, effect: tables.StartTask) -> verdicts.TaskResult:
+        place = effect.place
+        shard = self._shards[place.shard_id]
+        endpoint = self._outlets.get_client(place.worker_id)
         sent_at = self._clock()
         # Time may have passed since the decision: look again before sending.
         if endpoint is None or not ownership.may_start(
-            shard.ownership, effect.worker_id, sent_at
+            shard.ownership, place.worker_id, sent_at
         ):
             return _describe(
                 effect, verdicts.Verdict.NOT_RUN, verdicts.Reason.FENCED
@@ -95,21 +94,22 @@
     ) -> None:
         """Note what the reply says of the lease and of the worker."""
         now = self._clock()
-        worker = shard.workers.get(effect.worker_id)
+        worker = shard.workers.get(effect.place.worker_id)
         if outcome.verdict is verdicts.Verdict.RAN:
             ownership.record_started(
-                shard.ownership, effect.worker_id, sent_at, now
+                shard.ownership, effect.place.worker_id, sent_at, now
             )
         if outcome.reason is verdicts.Reason.FENCED:
-            ownership.record_lost(shard.ownership, effect.worker_id, now)
+            ownership.record_lost(shard.ownership, effect.place.worker_id, now)
         if worker and outcome.leaving:
             worker.leaving = True
 
-    def _stop(self, shard_id: str, effect: tables.StopTasks) -> None:
-        endpoint = self._outlets.get_client(effect.worker_id)
+    def _stop(self, effect: tables.StopTasks) -> None:
+        endpoint = self._outlets.get_client(effect.place.worker_id)
         if endpoint is None:
             return
-        lease = _get_lease(self._shards[shard_id], effect.worker_id)
+        shard = self._shards[effect.place.shard_id]
+        lease = _get_lease(shard, effect.place.worker_id)
         endpoint.stop_tasks(list(effect.start_ids), lease)
 
 
@@ -127,7 +127,7 @@
         customer_id=effect.line[0],
         plan_id=effect.line[1],
         kind=effect.task.kind,
-        lease=_get_lease(shard, effect.worker_id),
+        lease=_get_lease(shard, effect.place.worker_id),
         ttl_s=shard.limits.lease_ttl_s,
         max_run_s=effect.max_run_s,
         payload=effect.task.payload,
--- a/pollenladder/core/workers.py
+++ b/pollenladder/core/workers.py
@@ -1,4 +1,4 @@
-"""The endpoints of this data centre: their clients and their shards."""
+"""The endpoints of this region: their clients and their shards."""
 
 import dataclasses
 
@@ -31,16 +31,14 @@
 
     def __init__(
         self,
-        data_centre: str,
-        shards_here: int,
+        shard_counts: dict[str, int],
         shard_tables: dict[str, tables.Shard],
         daemon_id: str,
         limits: client.Limits,
         clock: clocks.Clock,
         metrics: registry.Metrics,
     ):
-        self._data_centre = data_centre
-        self._shards_here = shards_here
+        self._shard_counts = shard_counts
         self._shards = shard_tables
         self._daemon_id = daemon_id
         self._limits = limits
@@ -54,12 +52,12 @@
         return self._clients.get(worker_id)
 
     def list_vms(self, vms: list[entities.Vm]) -> None:
-        """Take in the VM list: the endpoints of this data centre."""
+        """Take in the VM list: the endpoints of this region."""
         here = [
             vm
             for vm in vms
             if vm.role is entities.VmRole.ENDPOINT
-            and vm.data_centre == self._data_centre
+            and self._find_shard(vm) in self._shards
         ]
         self._keep_clients(here)
         now = self._clock()
@@ -71,7 +69,7 @@
                     leaving=vm.state is entities.VmState.LEAVING,
                 )
                 for vm in here
-                if self._find_shard(vm.vm_id) == shard_id
+                if self._find_shard(vm) == shard_id
             ]
             shards.list_workers(shard, rows, now)
 
@@ -96,10 +94,11 @@
             lease = outcomes.Lease(shard_id, self._daemon_id, epoch)
             endpoint.release_lease(lease)
 
-    def _find_shard(self, worker_id: str) -> str:
-        return hashing.find_shard(
-            worker_id, self._data_centre, self._shards_here
-        )
+    def _find_shard(self, vm: entities.Vm) -> str | None:
+        count = self._shard_counts.get(vm.data_centre)
+        if count is None:
+            return None
+        return hashing.find_shard(vm.vm_id, vm.data_centre, count)
 
     def _keep_clients(self, vms: list[entities.Vm]) -> None:
         places = {vm.vm_id: (vm.address, vm.port) for vm in vms}
--- a/pollenladder/dispatch/admission.py
+++ b/pollenladder/dispatch/admission.py
@@ -8,9 +8,9 @@
 
 from pollenladder.core import entities
 from pollenladder.core import verdicts
-from pollenladder.dispatch import directory
 from pollenladder.dispatch import estimates
 from pollenladder.dispatch import fairness
+from pollenladder.dispatch import spilling
 from pollenladder.dispatch import tables
 from pollenladder.plans import declarations
 
@@ -28,19 +28,23 @@
     )
 
 
-def count_slots(shard: tables.Shard) -> int:
+def count_slots(shard: tables.Shard, now: float) -> int:
     """Count the slots that the shard's queue can use: its own, and idle ones.
 
     Slots that others have lent by running our batches are counted by the tasks
     now there.
     """
     own = sum(
-        worker.slots for worker in shard.workers.values() if not worker.leaving
+        worker.slots
+        for owned in spilling.list_own_shards(shard, now)
+        for worker in owned.workers.values()
+        if not worker.leaving
     )
     spilled = sum(len(batch.indexes) for batch in shard.batches.values())
     idle = sum(
         entry.free
-        for entry in directory.iterate_others(shard.loads, shard.shard_id)
+        for entry in shard.loads.entries.values()
+        if entry.daemon_id != shard.daemon_id
     )
     return own + spilled + idle
 
@@ -61,7 +65,7 @@
         )
     if len(shard.groups) >= shard.limits.max_queued_jobs:
         return _refuse(job, verdicts.Reason.OVERLOAD, MIN_RETRY_AFTER_S)
-    return _refuse_overload(shard, plan, job) or _refuse_allowance(
+    return _refuse_overload(shard, plan, job, now) or _refuse_allowance(
         shard, plan, job
     )
 
@@ -92,12 +96,15 @@
 
 
 def _refuse_overload(
-    shard: tables.Shard, plan: declarations.Plan, job: entities.Job
+    shard: tables.Shard,
+    plan: declarations.Plan,
+    job: entities.Job,
+    now: float,
 ) -> verdicts.Refused | None:
     """Bound the wait of each customer by its fair part of the slots."""
     line_id = (job.customer_id, job.plan_id)
     work_s = estimate_work_s(shard, job.plan_id, job.tasks)
-    slots = max(1, count_slots(shard))
+    slots = max(1, count_slots(shard, now))
     line = shard.queue.lines.get(line_id)
     ahead_s = line.work_s if line else 0.0
     part = fairness.get_service_part(shard.queue, line_id, plan.weight)
--- a/pollenladder/dispatch/completion.py
+++ b/pollenladder/dispatch/completion.py
@@ -31,13 +31,18 @@
     result: verdicts.TaskResult,
     now: float,
 ) -> list[tables.Effect]:
-    """Take in the end of a start that this owner has sent."""
-    worker = shard.workers.get(effect.worker_id)
-    if worker:
-        worker.running -= 1
+    """Take in the end of a start that this owner has sent.
+
+    Args:
+        shard: The shard of the group.
+        effect: The start.
+        result: How it ended.
+        now: Monotonic time in seconds.
+    """
+    _free_slot(shard.local[effect.place.shard_id], effect)
     health.record_result(
-        shard.health,
-        effect.worker_id,
+        shard.local[effect.place.shard_id].health,
+        effect.place.worker_id,
         effect.task.kind,
         result.reason,
         result.run_s,
@@ -54,6 +59,12 @@
     return settle_or_retry(shard, group, effect.index, result, now)
 
 
+def _free_slot(host: tables.Shard, effect: tables.StartTask) -> None:
+    worker = host.workers.get(effect.place.worker_id)
+    if worker:
+        worker.running -= 1
+
+
 def settle_or_retry(
     shard: tables.Shard,
     group: tables.Group,
@@ -100,9 +111,8 @@
     now: float,
 ) -> None:
     """Give a task's unit back, or hold it while the task may still run."""
-    if group.is_guest and verdict is not verdicts.Verdict.MAY_HAVE_RUN:
-        start_id = tables.format_start_id(group.job_id, index)
-        takeover.end_hosting(shard.ledger, (start_id,))
+    if verdict is not verdicts.Verdict.MAY_HAVE_RUN:
+        _end_hosting(shard, group, index)
     unit = group.units.pop(index, None)
     if unit is None:
         return
@@ -113,6 +123,13 @@
         escrow.give_back(shard.ledger, unit, now)
 
 
+def _end_hosting(shard: tables.Shard, group: tables.Group, index: int) -> None:
+    start_ids = (tables.format_start_id(group.job_id, index),)
+    for host in shard.local.values():
+        if group.is_guest or host is not shard:
+            takeover.end_hosting(host.ledger, start_ids)
+
+
 def fail_group(
     shard: tables.Shard,
     group: tables.Group,
@@ -247,15 +264,15 @@
     reason: verdicts.Reason,
     now: float,
 ) -> list[tables.Effect]:
-    stops: dict[str, list[str]] = {}
-    for index, worker_id in group.started.items():
+    stops: dict[tables.Place, list[str]] = {}
+    for index, place in group.started.items():
         start_id = tables.format_start_id(group.job_id, index)
-        stops.setdefault(worker_id, []).append(start_id)
+        stops.setdefault(place, []).append(start_id)
         _mark_uncertain(shard, group, index, reason, now)
     group.started.clear()
     return [
-        tables.StopTasks(worker_id, tuple(start_ids))
-        for worker_id, start_ids in stops.items()
+        tables.StopTasks(place, tuple(start_ids))
+        for place, start_ids in stops.items()
     ]
 
 
@@ -313,7 +330,7 @@
         group.line,
         shard.get_weight(group.line[1]),
         group.group_id,
+        group.due,
         1,
         group.expected_s[index],
-        first=True,
     )
--- a/pollenladder/dispatch/fairness.py
+++ b/pollenladder/dispatch/fairness.py
@@ -1,30 +1,35 @@
-"""The order in which customers' jobs get slots.
-
-Start-time fair queueing: each customer has a virtual time that grows with the
-run time it was given over its weight, and the smallest goes first. Within a
-customer, jobs keep their order.
+"""The order in which jobs get slots: as they came, unless a customer overdoes it.
+
+Each job has a due time. It is the time when the job came, as long as its
+customer stays within its fair part of the slots, give or take a tolerance;
+beyond that it is later, as if the customer had been served at that rate alone
+(the generic cell rate algorithm). The earliest due time goes first, so a light
+customer never waits for the backlog of a heavy one, and without a backlog all
+are served first come, first served, a whole job at a time.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterator
 import dataclasses
 
+# A customer may be ahead of its fair part by so much work, in seconds at its
+# fair rate, before its jobs are put back.
+TOLERANCE_S = 5.0
+
 
 @dataclasses.dataclass
 class Line:
     """The queued jobs of one customer under one plan.
 
     Attributes:
-        virtual_time: Seconds given so far over the weight.
         weight: The plan's weight.
-        job_ids: Jobs with tasks that wait, in order (a dict as ordered set).
+        due: Due times by job id, of jobs with tasks that wait, in order.
         work_s: Expected run time of all that waits, in seconds.
         tasks: Tasks that wait.
     """
 
-    virtual_time: float
     weight: float
-    job_ids: dict[str, None] = dataclasses.field(default_factory=dict)
+    due: dict[str, float] = dataclasses.field(default_factory=dict)
     work_s: float = 0.0
     tasks: int = 0
 
@@ -35,19 +40,16 @@
 
     Attributes:
         lines: Lines with jobs that wait.
-        past: Virtual times of dropped lines that are ahead of the queue's, so
-            that a customer gains nothing by sending in bursts.
-        virtual_time: The largest start time served so far.
+        served_until: By line, when its work so far would be done at its fair
+            rate; a line that is not ahead has no entry.
+        tasks: Tasks that wait in all lines.
     """
 
     lines: dict[tuple[str, str], Line] = dataclasses.field(default_factory=dict)
-    past: dict[tuple[str, str], float] = dataclasses.field(default_factory=dict)
-    virtual_time: float = 0.0
-
-    @property
-    def tasks(self) -> int:
-        """Count the tasks that wait."""
-        return sum(line.tasks for line in self.lines.values())
+    served_until: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    tasks: int = 0
 
     @property
     def work_s(self) -> float:
@@ -55,95 +57,106 @@
         return sum(line.work_s for line in self.lines.values())
 
 
+def compute_due(
+    queue: FairQueue,
+    line_id: tuple[str, str],
+    weight: float,
+    work_s: float,
+    slots: int,
+    now: float,
+) -> float:
+    """Return when a new job is due, and note its work for the next one.
+
+    Args:
+        queue: The queue.
+        line_id: The customer and the plan.
+        weight: The plan's weight.
+        work_s: Expected run time of the job's tasks, in seconds.
+        slots: Slots that serve the queue.
+        now: Monotonic time in seconds.
+    """
+    part = get_service_part(queue, line_id, weight)
+    start = max(now, queue.served_until.get(line_id, now))
+    queue.served_until[line_id] = start + work_s / (max(1, slots) * part)
+    return max(now, start - TOLERANCE_S)
+
+
+def forget_past(queue: FairQueue, now: float) -> None:
+    """Drop the notes on customers that are not ahead of their part."""
+    for line_id, until in list(queue.served_until.items()):
+        if until <= now:
+            del queue.served_until[line_id]
+
+
 def add_work(
     queue: FairQueue,
-    owner: tuple[str, str],
+    line_id: tuple[str, str],
     weight: float,
     job_id: str,
+    due: float,
     tasks: int,
     work_s: float,
-    first: bool = False,
 ) -> None:
-    """Add tasks of a job to its line, at the line's head if `first`."""
-    line = queue.lines.get(owner)
-    if line is None:
-        start = max(queue.virtual_time, queue.past.pop(owner, 0.0))
-        line = queue.lines[owner] = Line(start, weight)
+    """Add tasks of a job to its line, in the order of due times."""
+    line = queue.lines.setdefault(line_id, Line(weight))
+    queue.tasks += tasks
     line.tasks += tasks
     line.work_s += work_s
-    if job_id in line.job_ids:
+    if job_id in line.due:
         return
-    if first:
-        line.job_ids = {job_id: None} | line.job_ids
-    else:
-        line.job_ids[job_id] = None
+    is_last = not line.due or next(reversed(line.due.values())) <= due
+    line.due[job_id] = due
+    if not is_last:
+        ordered = sorted(line.due.items(), key=lambda item: item[1])
+        line.due = dict(ordered)
 
 
 def remove_work(
     queue: FairQueue,
-    owner: tuple[str, str],
+    line_id: tuple[str, str],
     job_id: str,
     tasks: int,
     work_s: float,
     job_is_done: bool,
 ) -> None:
-    """Take tasks out of a line without giving them a slot."""
-    line = queue.lines.get(owner)
+    """Take tasks out of a line, as they get a slot or are given up."""
+    line = queue.lines.get(line_id)
     if line is None:
         return
+    queue.tasks -= tasks
     line.tasks -= tasks
     line.work_s = max(0.0, line.work_s - work_s)
     if job_is_done:
-        line.job_ids.pop(job_id, None)
-    if not line.job_ids:
-        del queue.lines[owner]
-        _remember_line(queue, owner, line)
-
-
-def _remember_line(
-    queue: FairQueue, owner: tuple[str, str], line: Line
-) -> None:
-    for key, ahead in list(queue.past.items()):
-        if ahead <= queue.virtual_time:
-            del queue.past[key]
-    if line.virtual_time > queue.virtual_time:
-        queue.past[owner] = line.virtual_time
-
-
-def charge(queue: FairQueue, owner: tuple[str, str], work_s: float) -> None:
-    """Charge a line for run time it is about to be given."""
-    line = queue.lines.get(owner)
-    if line is None:
-        return
-    queue.virtual_time = max(queue.virtual_time, line.virtual_time)
-    line.virtual_time += work_s / line.weight
+        line.due.pop(job_id, None)
+    if not line.due:
+        del queue.lines[line_id]
 
 
 def iterate_lines(
     queue: FairQueue, may_start: Callable[[tuple[str, str]], bool]
 ) -> Iterator[tuple[tuple[str, str], Line]]:
-    """Yield lines, the one with most arrears first, as long as any may start.
+    """Yield the line whose first job is due first, as long as any may start.
 
-    The caller charges or empties the line it got before it asks for the next;
-    a line for which `may_start` is false is left out.
+    The caller takes work out of the line it got before it asks for the next; a
+    line for which `may_start` is false is left out.
     """
     while True:
         best = None
-        for owner, line in queue.lines.items():
-            if best and line.virtual_time >= best[1].virtual_time:
-                continue
-            if may_start(owner):
-                best = owner, line
+        best_due = float("inf")
+        for line_id, line in queue.lines.items():
+            due = next(iter(line.due.values()))
+            if due < best_due and may_start(line_id):
+                best, best_due = (line_id, line), due
         if best is None:
             return
         yield best
 
 
 def get_service_part(
-    queue: FairQueue, owner: tuple[str, str], weight: float
+    queue: FairQueue, line_id: tuple[str, str], weight: float
 ) -> float:
     """Return the part of all slots, 0 to 1, that a line is entitled to now."""
     others = sum(
-        line.weight for key, line in queue.lines.items() if key != owner
+        line.weight for key, line in queue.lines.items() if key != line_id
     )
     return weight / (weight + others)
--- a/pollenladder/dispatch/intake.py
+++ b/pollenladder/dispatch/intake.py
@@ -44,6 +44,7 @@
         tasks=dict(enumerate(job.tasks)),
         deadline_s=_bound_deadline_s(shard, job),
         start_within_s=math.inf,
+        due=_compute_due(shard, job, now),
         key=key,
         now=now,
     )
@@ -83,6 +84,7 @@
         tasks={item.index: item.task for item in offer.tasks},
         deadline_s=offer.deadline_s,
         start_within_s=offer.start_within_s,
+        due=now - offer.waited_s,
         key=None,
         now=now,
     )
@@ -180,7 +182,9 @@
     orphans = [
         group
         for group in shard.groups.values()
-        if group.reply_to == daemon_id and group.key is None
+        if group.reply_to == daemon_id
+        and group.key is None
+        and group.shard_id == shard.shard_id
     ]
     effects: list[tables.Effect] = []
     for group in orphans:
@@ -255,6 +259,7 @@
     tasks: dict[int, entities.Task],
     deadline_s: float,
     start_within_s: float,
+    due: float,
     key: keys.Key | None,
     now: float,
 ) -> None:
@@ -264,6 +269,7 @@
     }
     group = tables.Group(
         group_id=group_id,
+        shard_id=shard.shard_id,
         job_id=job_id,
         reply_to=reply_to,
         is_guest=is_guest,
@@ -271,10 +277,13 @@
         tasks=tasks,
         deadline_at=now + deadline_s,
         start_by=now + start_within_s,
+        due=due,
         began_at=now,
         expected_s=expected_s,
         # The longest goes first, from the end.
-        waiting=sorted(tasks, key=lambda index: (expected_s[index], -index)),
+        waiting=sorted(
+            tasks, key=lambda i: _rank_task(tasks[i], expected_s[i])
+        ),
         key=key,
     )
     shard.groups[group_id] = group
@@ -283,11 +292,23 @@
         line,
         shard.get_weight(line[1]),
         group_id,
+        due,
         len(tasks),
         sum(expected_s.values()),
     )
 
 
+def _compute_due(shard: tables.Shard, job: entities.Job, now: float) -> float:
+    return fairness.compute_due(
+        shard.queue,
+        (job.customer_id, job.plan_id),
+        shard.get_weight(job.plan_id),
+        admission.estimate_work_s(shard, job.plan_id, job.tasks),
+        admission.count_slots(shard, now),
+        now,
+    )
+
+
 def _bound_deadline_s(shard: tables.Shard, job: entities.Job) -> float:
     return min(job.deadline_s, shard.declared.plans[job.plan_id].deadline_s)
 
@@ -314,3 +335,12 @@
 
 def _send_answer(sender: str, answer: verdicts.Answer) -> tables.SendMessage:
     return tables.SendMessage(sender, messages.pack_answer(answer))
+
+
+def _rank_task(task: entities.Task, expected_s: float) -> tuple[float, float]:
+    """Return a task's place within its job, the longest last.
+
+    What the caller declares only orders tasks that are expected to take
+    equally long; it decides nothing between jobs.
+    """
+    return expected_s, task.declared_ms
--- a/pollenladder/dispatch/placement.py
+++ b/pollenladder/dispatch/placement.py
@@ -1,10 +1,14 @@
-"""Give waiting tasks to free slots of the shard's workers."""
+"""Give waiting tasks to free slots of the workers of the shards owned here."""
+
+from collections.abc import Collection
 
 from pollenladder.dispatch import fairness
 from pollenladder.dispatch import tables
 from pollenladder.membership import health
 from pollenladder.membership import ownership
 from pollenladder.plans import escrow
+from pollenladder.plans import ledgers
+from pollenladder.plans import takeover
 
 # A reply may come this long after the worker must have stopped the task.
 REPLY_MARGIN_S = 2.0
@@ -39,25 +43,28 @@
     )
 
 
-def place(shard: tables.Shard, now: float) -> list[tables.Effect]:
-    """Start tasks on free slots, in fair order, as far as allowances go."""
-    shard.stalled.clear()
-    if not ownership.owns(shard.ownership, now):
+def place(shards: Collection[tables.Shard], now: float) -> list[tables.Effect]:
+    """Start tasks on free slots, in order of due times, as allowances go.
+
+    Args:
+        shards: Those of this daemon, which share one queue.
+        now: Monotonic time in seconds.
+    """
+    owned = [shard for shard in shards if shard.ownership_is_held(now)]
+    if not owned:
         return []
-    free = {
-        worker.worker_id: slots
-        for worker in shard.workers.values()
-        if (slots := count_free(shard, worker, now))
-    }
+    free = _list_free(owned, now)
     effects: list[tables.Effect] = []
     blocked: set[tuple[str, str]] = set()
+    first = owned[0]
     lines = fairness.iterate_lines(
-        shard.queue, lambda line_id: line_id not in blocked
+        first.queue, lambda line_id: line_id not in blocked
     )
     for line_id, line in lines:
         if not free:
             break
-        effect = _start_next(shard, line_id, line, free, now)
+        group = first.groups[next(iter(line.due))]
+        effect = _start_next(first.local[group.shard_id], group, free, now)
         if effect is None:
             blocked.add(line_id)
         else:
@@ -65,46 +72,84 @@
     return effects
 
 
+def _list_free(
+    owned: Collection[tables.Shard], now: float
+) -> dict[tables.Place, int]:
+    """Return the free slots by worker, where there are any."""
+    return {
+        tables.Place(shard.shard_id, worker.worker_id): slots
+        for shard in owned
+        for worker in shard.workers.values()
+        if (slots := count_free(shard, worker, now))
+    }
+
+
 def _start_next(
-    shard: tables.Shard,
-    line_id: tuple[str, str],
-    line: fairness.Line,
-    free: dict[str, int],
+    home: tables.Shard,
+    group: tables.Group,
+    free: dict[tables.Place, int],
     now: float,
 ) -> tables.StartTask | None:
-    """Start the next task of a line; None if it has to wait."""
-    group = shard.groups[next(iter(line.job_ids))]
-    worker_id = _choose_worker(shard, group, free)
-    if worker_id is None:
+    """Start the next task of a group; None if it has to wait."""
+    place_found = _choose_worker(home, group, free)
+    if place_found is None:
         return None
     index = group.waiting[-1]
-    if not take_unit(shard, group, index, now):
+    if not take_unit(home, group, index, now):
+        return None
+    if not _host(home, group, index, place_found, now):
         return None
-    take_waiting(shard, group, index)
-    free[worker_id] -= 1
-    if not free[worker_id]:
-        del free[worker_id]
-    return _start(shard, group, index, worker_id)
+    take_waiting(home, group, index)
+    free[place_found] -= 1
+    if not free[place_found]:
+        del free[place_found]
+    return _start(home, group, index, place_found)
+
+
+def _host(
+    home: tables.Shard,
+    group: tables.Group,
+    index: int,
+    place_found: tables.Place,
+    now: float,
+) -> bool:
+    """Note a task of one shard that runs on another one's workers.
+
+    A new owner of either shard asks for such tasks before it uses its share.
+    """
+    if place_found.shard_id == home.shard_id or group.is_guest:
+        return True
+    hosted = ledgers.Hosted(
+        tables.format_start_id(group.job_id, index),
+        group.line[1],
+        home.shard_id,
+        group.units[index].lender_id,
+        now + get_max_run_s(home, group, index) + REPLY_MARGIN_S,
+    )
+    host = home.local[place_found.shard_id]
+    return takeover.host(host.ledger, hosted, home.ownership.epoch)
 
 
 def _choose_worker(
-    shard: tables.Shard, group: tables.Group, free: dict[str, int]
-) -> str | None:
+    home: tables.Shard, group: tables.Group, free: dict[tables.Place, int]
+) -> tables.Place | None:
     """Return the fastest worker with the most free slots, or None."""
     small = len(group.tasks) <= PROBATION_MAX_TASKS and not group.is_guest
     best = None
     best_score = 0.0
-    for worker_id, slots in free.items():
+    for place_found, slots in free.items():
+        shard = home.local[place_found.shard_id]
+        worker_id = place_found.worker_id
         probing = health.is_quarantined(shard.health, worker_id)
         if probing and small:
-            return worker_id
+            return place_found
         if probing:
             continue
         score = health.get_speed(shard.health, worker_id) * (
             slots / shard.workers[worker_id].slots + 1
         )
         if score > best_score:
-            best, best_score = worker_id, score
+            best, best_score = place_found, score
     return best
 
 
@@ -129,7 +174,6 @@
     """Move a task out of the queue, as it is about to get a slot."""
     group.waiting.remove(index)
     work_s = group.expected_s[index]
-    fairness.charge(shard.queue, group.line, work_s)
     fairness.remove_work(
         shard.queue, group.line, group.group_id, 1, work_s, not group.waiting
     )
@@ -144,19 +188,22 @@
 
 
 def _start(
-    shard: tables.Shard, group: tables.Group, index: int, worker_id: str
+    home: tables.Shard,
+    group: tables.Group,
+    index: int,
+    place_found: tables.Place,
 ) -> tables.StartTask:
-    worker = shard.workers[worker_id]
-    worker.running += 1
-    group.started[index] = worker_id
+    host = home.local[place_found.shard_id]
+    host.workers[place_found.worker_id].running += 1
+    group.started[index] = place_found
     group.attempts[index] = group.attempts.get(index, 0) + 1
-    max_run_s = get_max_run_s(shard, group, index)
-    shard.retry_tokens = min(
-        shard.limits.retry_burst,
-        shard.retry_tokens + shard.limits.retry_ratio,
+    max_run_s = get_max_run_s(home, group, index)
+    home.retry_tokens = min(
+        home.limits.retry_burst, home.retry_tokens + home.limits.retry_ratio
     )
     return tables.StartTask(
-        worker_id=worker_id,
+        place=place_found,
+        home_id=home.shard_id,
         start_id=tables.format_start_id(group.job_id, index),
         group_id=group.group_id,
         index=index,
--- a/pollenladder/dispatch/shard.py
+++ b/pollenladder/dispatch/shard.py
@@ -1,10 +1,12 @@
 """The systems that run over a shard's tables each tick."""
 
 import collections
+from collections.abc import Collection
 
 from pollenladder.core import verdicts
 from pollenladder.dispatch import completion
 from pollenladder.dispatch import directory
+from pollenladder.dispatch import fairness
 from pollenladder.dispatch import keys
 from pollenladder.dispatch import placement
 from pollenladder.dispatch import sharing
@@ -32,9 +34,22 @@
     all_shard_ids: tuple[str, ...],
     loan_term_s: float,
     loan_margin_s: float,
+    beside: tables.Shard | None = None,
 ) -> tables.Shard:
-    """Return the tables of a shard that this daemon does not own yet."""
-    return tables.Shard(
+    """Return the tables of a shard that this daemon does not own yet.
+
+    Args:
+        shard_id: The shard.
+        daemon_id: This daemon.
+        incarnation: Differs from start to start of this daemon.
+        limits: Bounds of the policy.
+        loads: Where other shards are and how loaded.
+        all_shard_ids: Shards of all data centres.
+        loan_term_s: Term of loans of allowance, in seconds.
+        loan_margin_s: What a lender adds to it.
+        beside: Another shard of this daemon, to share the queue with.
+    """
+    shard = tables.Shard(
         shard_id=shard_id,
         data_centre=directory.get_data_centre(shard_id),
         daemon_id=daemon_id,
@@ -46,6 +61,15 @@
         all_shard_ids=all_shard_ids,
         retry_tokens=limits.retry_burst,
     )
+    if beside:
+        shard.local = beside.local
+        shard.queue = beside.queue
+        shard.groups = beside.groups
+        shard.batches = beside.batches
+        shard.ended = beside.ended
+        shard.estimates = beside.estimates
+    shard.local[shard_id] = shard
+    return shard
 
 
 def declare(
@@ -75,33 +99,45 @@
             escrow.declare(shard.ledger, plan_id, 0, 0.0, 0, now)
 
 
-def run_systems(shard: tables.Shard, now: float) -> list[tables.Effect]:
-    """Expire, place, spill and announce; return what is to be done."""
-    effects = expire(shard, now)
-    if shard.queue.tasks:
-        effects += placement.place(shard, now)
-    if shard.queue.tasks:
-        effects += spilling.spill(shard, now)
-    effects += sharing.share(shard, now)
-    effects += spilling.announce(shard, now)
+def run_systems(
+    shards: Collection[tables.Shard], now: float
+) -> list[tables.Effect]:
+    """Expire, place, spill and announce; return what is to be done.
+
+    Args:
+        shards: Those of this daemon, which share one queue; one or more.
+        now: Monotonic time in seconds.
+    """
+    first = next(iter(shards))
+    effects = expire(first, now)
+    for shard in shards:
+        shard.stalled.clear()
+    if first.queue.tasks:
+        effects += placement.place(shards, now)
+    if first.queue.tasks:
+        effects += spilling.spill(shards, now)
+    for shard in shards:
+        effects += sharing.share(shard, now)
+        if shard.ownership_is_held(now):
+            effects += spilling.announce(shard, now)
     return effects
 
 
 def expire(shard: tables.Shard, now: float) -> list[tables.Effect]:
-    """Give up the groups whose deadline has come."""
+    """Give up the groups of this daemon whose deadline has come."""
     completion.forget_ended(shard, now)
     if now < shard.next_expiry_at:
         return []
-    due = [g for g in shard.groups.values() if g.deadline_at <= now]
-    late = [g for g in shard.groups.values() if g.start_by <= now and g.waiting]
+    shard.next_expiry_at = now + tables.EXPIRY_INTERVAL_S
+    fairness.forget_past(shard.queue, now)
     effects: list[tables.Effect] = []
-    for group in late:
-        effects += completion.hand_back_waiting(shard, group, now)
-    for group in due:
-        if group.group_id in shard.groups:
+    for group in list(shard.groups.values()):
+        home = shard.local[group.shard_id]
+        if group.deadline_at <= now:
             reason = verdicts.Reason.DEADLINE
-            effects += completion.fail_group(shard, group, reason, now)
-    shard.next_expiry_at = now + tables.EXPIRY_INTERVAL_S
+            effects += completion.fail_group(home, group, reason, now)
+        elif group.start_by <= now and group.waiting:
+            effects += completion.hand_back_waiting(home, group, now)
     return effects
 
 
--- a/pollenladder/dispatch/spilling.py
+++ b/pollenladder/dispatch/spilling.py
@@ -1,5 +1,6 @@
 """Share work between shards: spill tasks that would wait, and ask for some."""
 
+from collections.abc import Collection
 import math
 
 from pollenladder.core import verdicts
@@ -16,49 +17,69 @@
 LOAD_VALID_S = 1.0
 
 
-def spill(shard: tables.Shard, now: float) -> list[tables.Effect]:
-    """Send tasks that would wait here to shards believed to have free slots."""
-    surplus = _count_surplus(shard)
-    if surplus <= 0:
-        return []
-    targets = _list_targets(shard, now)
-    if not targets:
-        return []
+def spill(shards: Collection[tables.Shard], now: float) -> list[tables.Effect]:
+    """Send tasks that would wait here to shards believed to have free slots.
+
+    Args:
+        shards: Those of this daemon, which share one queue.
+        now: Monotonic time in seconds.
+    """
+    first = next(iter(shards))
+    surplus = _count_surplus(first, now)
+    targets = _list_targets(first, now) if surplus > 0 else []
     picked: dict[tuple[str, str], list[int]] = {}
     blocked: set[tuple[str, str]] = set()
     lines = fairness.iterate_lines(
-        shard.queue, lambda line_id: line_id not in blocked
+        first.queue, lambda line_id: line_id not in blocked
     )
     for line_id, line in lines:
         if not targets or surplus <= 0:
             break
-        group = _find_own_group(shard, line)
-        if group is None or not placement.take_unit(
-            shard, group, group.waiting[-1], now
-        ):
+        group = _find_own_group(first, line)
+        if group is None or not _take_to_spill(first, group, now):
             blocked.add(line_id)
             continue
-        index = group.waiting[-1]
-        placement.take_waiting(shard, group, index)
         target = targets[0]
-        picked.setdefault((target.shard_id, group.group_id), []).append(index)
+        key = (target.shard_id, group.group_id)
+        picked.setdefault(key, []).append(_pop_waiting(first, group))
         target.free -= 1
         surplus -= 1
         if target.free <= 0:
             targets.pop(0)
     return [
-        _offer(shard, shard.loads.entries[shard_id], group_id, indexes, now)
+        _offer(first, first.loads.entries[shard_id], group_id, indexes, now)
         for (shard_id, group_id), indexes in picked.items()
     ]
 
 
-def _count_surplus(shard: tables.Shard) -> int:
+def _take_to_spill(
+    shard: tables.Shard, group: tables.Group, now: float
+) -> bool:
+    home = shard.local[group.shard_id]
+    return placement.take_unit(home, group, group.waiting[-1], now)
+
+
+def _pop_waiting(shard: tables.Shard, group: tables.Group) -> int:
+    index = group.waiting[-1]
+    placement.take_waiting(shard, group, index)
+    return index
+
+
+def list_own_shards(shard: tables.Shard, now: float) -> list[tables.Shard]:
+    """Return the shards that this daemon owns now."""
+    return [s for s in shard.local.values() if s.ownership_is_held(now)]
+
+
+def _count_surplus(shard: tables.Shard, now: float) -> int:
     """Count the tasks that would wait here for longer than is worth it."""
     waiting = shard.queue.tasks
     if not waiting:
         return 0
     slots = sum(
-        worker.slots for worker in shard.workers.values() if not worker.leaving
+        worker.slots
+        for own in list_own_shards(shard, now)
+        for worker in own.workers.values()
+        if not worker.leaving
     )
     mean_s = max(0.001, shard.queue.work_s / waiting)
     keep = math.floor(shard.limits.spill_wait_s * slots / mean_s)
@@ -70,7 +91,9 @@
     targets = [
         entry
         for entry in directory.iterate_others(shard.loads, shard.shard_id)
-        if entry.free > 0 and now - entry.heard_at < LOAD_VALID_S
+        if entry.free > 0
+        and now - entry.heard_at < LOAD_VALID_S
+        and entry.daemon_id != shard.daemon_id
     ]
     targets.sort(
         key=lambda entry: (
@@ -85,7 +108,7 @@
     shard: tables.Shard, line: fairness.Line
 ) -> tables.Group | None:
     """Return the first group of a line that is not a guest."""
-    for group_id in line.job_ids:
+    for group_id in line.due:
         if not shard.groups[group_id].is_guest:
             return shard.groups[group_id]
     return None
@@ -99,23 +122,30 @@
     now: float,
 ) -> tables.SendMessage:
     group = shard.groups[group_id]
-    shard.next_batch += 1
-    batch_id = f"{shard.batch_prefix}.{shard.next_batch}"
+    home = shard.local[group.shard_id]
+    home.next_batch += 1
+    batch_id = f"{home.batch_prefix}.{home.next_batch}"
     shard.batches[batch_id] = tables.Batch(
-        batch_id, group_id, target.shard_id, target.daemon_id, tuple(indexes)
+        batch_id,
+        group_id,
+        home.shard_id,
+        target.shard_id,
+        target.daemon_id,
+        tuple(indexes),
     )
     for index in indexes:
         group.spilled[index] = batch_id
     offer = messages.BatchOffer(
         batch_id=batch_id,
-        from_shard_id=shard.shard_id,
-        from_epoch=shard.ownership.epoch,
+        from_shard_id=home.shard_id,
+        from_epoch=home.ownership.epoch,
         shard_id=target.shard_id,
         job_id=group.job_id,
         customer_id=group.line[0],
         plan_id=group.line[1],
+        waited_s=max(0.0, now - group.due),
         deadline_s=group.deadline_at - now,
-        start_within_s=compute_start_within_s(shard, group, indexes, now),
+        start_within_s=compute_start_within_s(home, group, indexes, now),
         tasks=tuple(
             messages.BatchTask(
                 index, group.tasks[index], group.units[index].lender_id
@@ -157,7 +187,8 @@
             break
         if group.spilled.pop(index, None) is None:
             continue
-        effects += completion.settle_or_retry(shard, group, index, result, now)
+        home = shard.local[group.shard_id]
+        effects += completion.settle_or_retry(home, group, index, result, now)
     return effects
 
 
@@ -236,6 +267,8 @@
     load = describe_load(shard, now)
     effects: list[tables.Effect] = []
     for entry in directory.iterate_others(shard.loads, shard.shard_id):
+        if entry.daemon_id == shard.daemon_id:
+            continue
         if _is_worth_telling(shard, entry, load, now):
             shard.announced[entry.shard_id] = now
             effects.append(tables.SendMessage(entry.daemon_id, load))
@@ -255,7 +288,7 @@
     told_of_queue = entry.shard_id in shard.told_of_queue
     if load.free > 0 and entry.queued > 0:
         return True
-    surplus = _count_surplus(shard) if load.queued else 0
+    surplus = _count_surplus(shard, now) if load.queued else 0
     return surplus > 0 and entry.queued == 0 and not told_of_queue
 
 
--- a/pollenladder/dispatch/tables.py
+++ b/pollenladder/dispatch/tables.py
@@ -67,12 +67,21 @@
     granted_epoch: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """A worker and the shard that it belongs to."""
+
+    shard_id: str
+    worker_id: str
+
+
 @dataclasses.dataclass
 class Group:
     """A job, or a batch of another owner's job, that this owner answers.
 
     Attributes:
         group_id: The job's or the batch's id.
+        shard_id: The shard it was sent to, whose allowance it uses.
         job_id: The job's id.
         reply_to: The daemon that gets the answer.
         is_guest: Whether it is a batch; a batch takes no allowance here.
@@ -80,11 +89,12 @@
         tasks: Tasks by their place in the job.
         deadline_at: When it must be answered.
         start_by: No task of it may start later.
+        due: Its place in the queue; see `dispatch.fairness`.
         began_at: When it came.
         expected_s: Expected run time of each task, by place.
         waiting: Places of tasks that wait, the longest last.
         units: Allowance held by each task that is started or spilled.
-        started: Places of tasks that are running, with their worker.
+        started: Places of tasks that are running, with where they run.
         spilled: Places of tasks in a batch elsewhere, with the batch id.
         results: Results by place.
         attempts: Starts tried, by place.
@@ -94,6 +104,7 @@
     """
 
     group_id: str
+    shard_id: str
     job_id: str
     reply_to: str
     is_guest: bool
@@ -101,11 +112,12 @@
     tasks: dict[int, entities.Task]
     deadline_at: float
     start_by: float
+    due: float
     began_at: float
     expected_s: dict[int, float]
     waiting: list[int]
     units: dict[int, ledgers.Unit] = dataclasses.field(default_factory=dict)
-    started: dict[int, str] = dataclasses.field(default_factory=dict)
+    started: dict[int, Place] = dataclasses.field(default_factory=dict)
     spilled: dict[int, str] = dataclasses.field(default_factory=dict)
     results: dict[int, verdicts.TaskResult] = dataclasses.field(
         default_factory=dict
@@ -122,6 +134,7 @@
     Attributes:
         batch_id: Its id.
         group_id: The group here.
+        from_shard_id: The group's shard.
         shard_id: The shard it went to.
         daemon_id: That shard's owner at the time.
         indexes: Places of its tasks.
@@ -129,6 +142,7 @@
 
     batch_id: str
     group_id: str
+    from_shard_id: str
     shard_id: str
     daemon_id: str
     indexes: tuple[int, ...]
@@ -151,6 +165,9 @@
 class Shard:
     """All that the owner of a shard knows.
 
+    A daemon that owns several shards serves them from one queue: their tables
+    share the queue, the groups, the batches and the estimates.
+
     Attributes:
         shard_id: The shard.
         data_centre: Where it is.
@@ -160,6 +177,7 @@
         ownership: Leases on the shard's workers.
         ledger: The shard's part of every allowance.
         health: How the workers are doing.
+        local: Tables of all shards that this daemon may own, by shard id.
         estimates: Run times by kind.
         queue: What waits, by customer and plan.
         declared: The declarations in force.
@@ -190,6 +208,7 @@
     ownership: ownership.Ownership
     ledger: ledgers.Ledger
     loads: directory.Directory
+    local: dict[str, Shard] = dataclasses.field(default_factory=dict)
     health: health.Health = dataclasses.field(default_factory=health.Health)
     estimates: estimates.Estimates = dataclasses.field(
         default_factory=estimates.Estimates
@@ -229,7 +248,8 @@
     """Ask a worker to run a task, once.
 
     Attributes:
-        worker_id: The worker.
+        place: The worker.
+        home_id: The group's shard.
         start_id: Unique for the task over all time.
         group_id: The group at this owner.
         index: The task's place.
@@ -240,7 +260,8 @@
         wait_s: Give up on a reply after this long.
     """
 
-    worker_id: str
+    place: Place
+    home_id: str
     start_id: str
     group_id: str
     index: int
@@ -255,7 +276,7 @@
 class StopTasks:
     """Ask a worker to stop tasks whose results nobody wants."""
 
-    worker_id: str
+    place: Place
     start_ids: tuple[str, ...]
 
 
--- a/pollenladder/wire/messages.py
+++ b/pollenladder/wire/messages.py
@@ -98,6 +98,7 @@
         job_id: The job.
         customer_id: The job's customer.
         plan_id: The job's plan.
+        waited_s: For how long the job has been due, in seconds.
         deadline_s: Seconds left of the job's deadline.
         start_within_s: No task may start later than this.
         tasks: The tasks with their places.
@@ -110,6 +111,7 @@
     job_id: str
     customer_id: str
     plan_id: str
+    waited_s: float
     deadline_s: float
     start_within_s: float
     tasks: tuple[BatchTask, ...]
