Keep links and digests to those who use them; forget debts when idle

Change: a link is closed when neither end owns a shard nor has anything open with the other; digests go out on a change and each 10 s; an owner is alive while its link is; leases are renewed with 2/5 of their term left; what a customer had is forgotten when nothing waits.

--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -45,8 +45,7 @@
 LOAN_MARGIN_S = 1.0
 # A daemon that has just started first hears who owns the shards.
 BOOT_GRACE_S = 1.0
-HANDED_ON_S = 0.5
-LISTENING_AGAIN_S = 0.2
+DIGEST_INTERVAL_S = 10.0
 
 
 class Daemon:
@@ -138,6 +137,7 @@
                 acquire=self._workers.acquire_lease,
                 release=self._workers.release_lease,
                 list_candidates=lambda: self._mesh.list_candidates(),
+                is_linked=lambda peer: self._peering.is_linked(peer),
                 on_changed=self._take_ownership_change,
             ),
             self._clock,
@@ -174,6 +174,7 @@
                 on_joined=self._take_joined,
                 on_relinked=self._engine.ask_daemon,
                 on_lost=self._take_lost,
+                is_wanted=self._is_link_wanted,
             ),
         )
         self._mesh = meshes.Mesh(
@@ -553,6 +554,20 @@
             peers,
         )
 
+    def _is_link_wanted(self, daemon_id: str) -> bool:
+        """Return whether a link to a daemon is of any use to either end.
+
+        Both ends judge alike: owners are linked with all, and others with
+        each other only while a shard of the region has no owner.
+        """
+        owners = {entry.daemon_id for entry in self._loads.entries.values()}
+        return (
+            daemon_id in owners
+            or self._settings.daemon_id in owners
+            or daemon_id in self._mesh.choose_links()
+            or self._engine.is_involved(daemon_id)
+        )
+
     def _tell(self, daemon_id: str) -> None:
         self._send(daemon_id, self._describe_digest())
 
@@ -561,9 +576,12 @@
             self._tell(daemon_id)
 
     def _tell_digests(self) -> None:
-        """Tell linked peers of this daemon at intervals."""
+        """Tell linked peers of this daemon, rarely, as changes are told at once.
+
+        That a peer lives is seen by the heartbeats of the link.
+        """
         while True:
-            gevent.sleep(self._settings.timings.heartbeat_s)
+            gevent.sleep(DIGEST_INTERVAL_S)
             self._tell_all()
 
     def _update_metrics(self) -> None:
--- a/pollenladder/core/engine.py
+++ b/pollenladder/core/engine.py
@@ -170,6 +170,20 @@
         for shard in self.shards.values():
             self.execute(spilling.query_batches(shard, daemon_id))
 
+    def is_involved(self, daemon_id: str) -> bool:
+        """Return whether anything is open between a daemon and this one."""
+        if any(
+            row.daemon_id == daemon_id for row in self.submissions.rows.values()
+        ):
+            return True
+        shard = next(iter(self.shards.values()))
+        if any(b.daemon_id == daemon_id for b in shard.batches.values()):
+            return True
+        return any(
+            group.reply_to == daemon_id or daemon_id in group.followers.values()
+            for group in shard.groups.values()
+        )
+
     def wake(self) -> None:
         """Have the systems run soon."""
         self._woken.set()
--- a/pollenladder/core/leasing.py
+++ b/pollenladder/core/leasing.py
@@ -32,12 +32,14 @@
             term in seconds.
         release: Give a worker's lease of a shard with an epoch back.
         list_candidates: Return the live daemons of this region.
+        is_linked: Return whether a daemon has an open link, and so is alive.
         on_changed: A shard was gained or lost.
     """
 
     acquire: Callable[[str, str, int, float], outcomes.LeaseOutcome]
     release: Callable[[str, str, int], None]
     list_candidates: Callable[[], Iterable[str]]
+    is_linked: Callable[[str], bool]
     on_changed: Callable[[str], None]
 
 
@@ -148,11 +150,8 @@
             return True
         entry = self._loads.entries.get(shard.shard_id)
         ttl_s = shard.limits.lease_ttl_s
-        if (
-            entry
-            and entry.daemon_id != shard.daemon_id
-            and now - entry.heard_at < SILENT_TERMS * ttl_s
-        ):
+        is_other = entry is not None and entry.daemon_id != shard.daemon_id
+        if is_other and self._is_alive(entry, ttl_s, now):
             self._ownerless_since[shard.shard_id] = now
             return False
         candidates = set(self._outlets.list_candidates()) | {shard.daemon_id}
@@ -160,6 +159,14 @@
         rank = ranked.index(shard.daemon_id)
         return now >= self._ownerless_since[shard.shard_id] + rank * ttl_s
 
+    def _is_alive(
+        self, entry: directory.Entry, ttl_s: float, now: float
+    ) -> bool:
+        """Return whether the daemon that owned a shard may still do so."""
+        if self._outlets.is_linked(entry.daemon_id):
+            return True
+        return now - entry.heard_at < SILENT_TERMS * ttl_s
+
     def _ask(self, shard: tables.Shard, request: leases.LeaseRequest) -> None:
         """Ask one worker and record what it says."""
         sent_at = self._clock()
--- a/pollenladder/core/mesh.py
+++ b/pollenladder/core/mesh.py
@@ -18,6 +18,7 @@
 STEP_S = 0.5
 SUSPECT_S = 5.0
 FAR_LINKS = 2
+CLOSE_INTERVAL_S = 10.0
 
 
 @dataclasses.dataclass
@@ -60,6 +61,7 @@
         self._layout = layout
         self._peers = peers
         self._clock = clock
+        self._close_at = clock() + CLOSE_INTERVAL_S
 
     def learn(self, info: messages.PeerInfo, is_listed: bool = False) -> None:
         """Note a daemon; a later word on it replaces an earlier one."""
@@ -130,6 +132,10 @@
         linked = set(self._peers.list_linked())
         for daemon_id in self.choose_links() - linked:
             gevent.spawn(self.connect, daemon_id)
+        now = self._clock()
+        if now >= self._close_at:
+            self._close_at = now + CLOSE_INTERVAL_S
+            self._peers.close_unwanted()
 
     def choose_links(self) -> set[str]:
         """Return the daemons that a link is wanted with.
--- a/pollenladder/core/peering.py
+++ b/pollenladder/core/peering.py
@@ -27,12 +27,14 @@
         on_relinked: A daemon has a new link after a break.
         on_lost: A daemon cannot be reached, or has restarted: nothing it was
             sent will be answered.
+        is_wanted: Return whether a link to a daemon is of any use.
     """
 
     on_message: Callable[[str, Any], None]
     on_joined: Callable[[str], None]
     on_relinked: Callable[[str], None]
     on_lost: Callable[[str], None]
+    is_wanted: Callable[[str], bool]
 
 
 @dataclasses.dataclass
@@ -75,6 +77,11 @@
         """Return the ids of daemons with an open link."""
         return [peer.daemon_id for peer in self._peers.values() if peer.open]
 
+    def is_linked(self, daemon_id: str) -> bool:
+        """Return whether a daemon has an open link."""
+        peer = self._peers.get(daemon_id)
+        return peer is not None and bool(peer.open)
+
     def get_hello(self, daemon_id: str) -> Any:
         """Return what a linked daemon said of itself, or None."""
         peer = self._peers.get(daemon_id)
@@ -112,6 +119,13 @@
                 _add_counts(total, link.counts)
         return total
 
+    def close_unwanted(self) -> None:
+        """Close the links that are of no use to this end."""
+        for peer in list(self._peers.values()):
+            if not self._handlers.is_wanted(peer.daemon_id):
+                for link in list(peer.open):
+                    link.close()
+
     def close(self, flush_s: float) -> None:
         """Write what is queued, close all links and accept no more."""
         self.server.stop()
@@ -162,6 +176,8 @@
         if peer.open:
             # What went over the closed link may be lost: ask over the other.
             self._handlers.on_relinked(peer.daemon_id)
+        elif not self._handlers.is_wanted(peer.daemon_id):
+            del self._peers[peer.daemon_id]
         elif not peer.relinking:
             peer.relinking = True
             gevent.spawn(self._relink, peer)
--- a/pollenladder/dispatch/fairness.py
+++ b/pollenladder/dispatch/fairness.py
@@ -75,6 +75,9 @@
         slots: Slots that serve the queue.
         now: Monotonic time in seconds.
     """
+    if not queue.tasks:
+        # Nobody waits, so nobody is kept from a slot by what others had.
+        queue.served_until.clear()
     part = get_service_part(queue, line_id, weight)
     start = max(now, queue.served_until.get(line_id, now))
     queue.served_until[line_id] = start + work_s / (max(1, slots) * part)
--- a/pollenladder/membership/ownership.py
+++ b/pollenladder/membership/ownership.py
@@ -14,7 +14,7 @@
 from pollenladder.membership import leases
 
 # A lease with less than this part of its term left is renewed.
-RENEW_BELOW_PART = 2 / 3
+RENEW_BELOW_PART = 2 / 5
 # An unanswered request is sent again after this part of the term.
 RETRY_PART = 1 / 6
 MAX_BACKOFF_DOUBLINGS = 3
