Let a customer that had less than its part catch up when slots are short

Ruled out: the order of service (light customers are served first). Change: a customer within the tolerance of its fair part is admitted whatever its own backlog.

--- a/pollenladder/dispatch/admission.py
+++ b/pollenladder/dispatch/admission.py
@@ -106,15 +106,16 @@
     work_s = estimate_work_s(shard, job.plan_id, job.tasks)
     slots = max(1, count_slots(shard, now))
     line = shard.queue.lines.get(line_id)
-    ahead_s = line.work_s if line else 0.0
+    queued_s = line.work_s if line else 0.0
     part = fairness.get_service_part(shard.queue, line_id, plan.weight)
-    wait_s = ahead_s / (slots * part)
+    wait_s = queued_s / (slots * part)
     longest_s = work_s / len(job.tasks)
-    bound_s = min(
-        shard.limits.max_queue_wait_s,
-        max(0.0, min(job.deadline_s, plan.deadline_s) - longest_s),
-    )
-    if wait_s <= bound_s:
+    left_s = max(0.0, min(job.deadline_s, plan.deadline_s) - longest_s)
+    bound_s = min(shard.limits.max_queue_wait_s, left_s)
+    # Who had less than its part of late may catch up with a deeper backlog.
+    ahead_s = fairness.get_ahead_s(shard.queue, line_id, now)
+    is_behind = ahead_s <= min(fairness.TOLERANCE_S, left_s)
+    if wait_s <= bound_s or is_behind:
         return None
     retry_after_s = max(MIN_RETRY_AFTER_S, wait_s - bound_s / 2)
     return _refuse(job, verdicts.Reason.OVERLOAD, retry_after_s)
--- a/pollenladder/dispatch/fairness.py
+++ b/pollenladder/dispatch/fairness.py
@@ -84,6 +84,15 @@
     return max(now, start - TOLERANCE_S)
 
 
+def get_ahead_s(
+    queue: FairQueue, line_id: tuple[str, str], now: float
+) -> float:
+    """Return how far a line is ahead of its fair part, in seconds at it."""
+    if not queue.tasks:
+        return 0.0
+    return max(0.0, queue.served_until.get(line_id, now) - now)
+
+
 def forget_past(queue: FairQueue, now: float) -> None:
     """Drop the notes on customers that are not ahead of their part."""
     for line_id, until in list(queue.served_until.items()):
