--- a/pollenladder/core/drains.py
+++ b/pollenladder/core/drains.py
@@ -1,7 +1,7 @@
 """Drain workers on an operator's word, whichever daemon that reaches.
 
 The owner of the worker's shard has to know; it tells the other daemons of its
-data centre, as one of them may own the shard next.
+region, as one of them may own the shard next.
 """
 
 from collections.abc import Callable
@@ -29,7 +29,7 @@
     Attributes:
         send: Send a message to another daemon; return whether it was queued.
         connect: Link to a daemon; return whether there is a link.
-        list_linked: Return the linked daemons of this data centre.
+        list_linked: Return the linked daemons of this region.
         find_shard: Return the shard of a listed worker, or None.
     """
 
@@ -40,7 +40,7 @@
 
 
 class Drains:
-    """Workers of this data centre that operators drain.
+    """Workers of this region that operators drain.
 
     Attributes:
         workers: Their ids.
@@ -102,7 +102,7 @@
         return False
 
     def tell(self, daemon_id: str) -> None:
-        """Tell a daemon of this data centre, newly linked, of all drains."""
+        """Tell a daemon of this region, newly linked, of all drains."""
         for worker_id in sorted(self.workers):
             told = messages.WorkerDrain(NO_REPLY, worker_id)
             self._outlets.send(daemon_id, told)
--- a/pollenladder/core/leasing.py
+++ b/pollenladder/core/leasing.py
@@ -12,9 +12,9 @@
 from pollenladder.dispatch import shard as shards
 from pollenladder.dispatch import tables
 from pollenladder.endpoints import outcomes
-from pollenladder.membership import hashing
 from pollenladder.membership import leases
 from pollenladder.membership import ownership
+from pollenladder.membership import regions
 
 LOGGER = logging.getLogger(__name__)
 
@@ -31,13 +31,15 @@
         acquire: Ask a worker (id) for a lease of a shard with an epoch and a
             term in seconds.
         release: Give a worker's lease of a shard with an epoch back.
-        list_candidates: Return the live daemons of this data centre.
+        list_candidates: Return the live daemons of this region.
+        is_linked: Return whether a daemon has an open link, and so is alive.
         on_changed: A shard was gained or lost.
     """
 
     acquire: Callable[[str, str, int, float], outcomes.LeaseOutcome]
     release: Callable[[str, str, int], None]
     list_candidates: Callable[[], Iterable[str]]
+    is_linked: Callable[[str], bool]
     on_changed: Callable[[str], None]
 
 
@@ -48,6 +50,7 @@
         self,
         shard_tables: dict[str, tables.Shard],
         loads: directory.Directory,
+        layout: regions.Regions,
         outlets: Outlets,
         clock: clocks.Clock,
         wall_clock: clocks.Clock,
@@ -55,6 +58,7 @@
     ):
         self._shards = shard_tables
         self._loads = loads
+        self._layout = layout
         self._outlets = outlets
         self._clock = clock
         self._wall_clock = wall_clock
@@ -146,19 +150,23 @@
             return True
         entry = self._loads.entries.get(shard.shard_id)
         ttl_s = shard.limits.lease_ttl_s
-        if (
-            entry
-            and entry.daemon_id != shard.daemon_id
-            and now - entry.heard_at < SILENT_TERMS * ttl_s
-        ):
+        is_other = entry is not None and entry.daemon_id != shard.daemon_id
+        if is_other and self._is_alive(entry, ttl_s, now):
             self._ownerless_since[shard.shard_id] = now
             return False
         candidates = set(self._outlets.list_candidates()) | {shard.daemon_id}
-        rank = hashing.rank_daemons(shard.shard_id, candidates).index(
-            shard.daemon_id
-        )
+        ranked = self._layout.rank_owners(shard.shard_id, candidates)
+        rank = ranked.index(shard.daemon_id)
         return now >= self._ownerless_since[shard.shard_id] + rank * ttl_s
 
+    def _is_alive(
+        self, entry: directory.Entry, ttl_s: float, now: float
+    ) -> bool:
+        """Return whether the daemon that owned a shard may still do so."""
+        if self._outlets.is_linked(entry.daemon_id):
+            return True
+        return now - entry.heard_at < SILENT_TERMS * ttl_s
+
     def _ask(self, shard: tables.Shard, request: leases.LeaseRequest) -> None:
         """Ask one worker and record what it says."""
         sent_at = self._clock()
--- a/pollenladder/core/workers.py
+++ b/pollenladder/core/workers.py
@@ -1,4 +1,4 @@
-"""The endpoints of this data centre: their clients and their shards."""
+"""The endpoints of this region: their clients and their shards."""
 
 import dataclasses
 
@@ -31,7 +31,6 @@
 
     def __init__(
         self,
-        data_centre: str,
         shard_counts: dict[str, int],
         shard_tables: dict[str, tables.Shard],
         daemon_id: str,
@@ -39,7 +38,6 @@
         clock: clocks.Clock,
         metrics: registry.Metrics,
     ):
-        self._data_centre = data_centre
         self._shard_counts = shard_counts
         self._shards = shard_tables
         self._daemon_id = daemon_id
@@ -67,10 +65,12 @@
         return hashing.find_shard(worker_id, centre, shards_there)
 
     def list_vms(self, vms: list[entities.Vm]) -> None:
-        """Take in the VM list: the endpoints of this data centre."""
+        """Take in the VM list: the endpoints of this region."""
         endpoints = [vm for vm in vms if vm.role is entities.VmRole.ENDPOINT]
         self._centres = {vm.vm_id: vm.data_centre for vm in endpoints}
-        here = [vm for vm in endpoints if vm.data_centre == self._data_centre]
+        here = [
+            vm for vm in endpoints if self.find_shard(vm.vm_id) in self._shards
+        ]
         self._keep_clients(here)
         now = self._clock()
         for shard_id, shard in self._shards.items():
--- a/tests/core/test_mesh.py
+++ b/tests/core/test_mesh.py
@@ -4,9 +4,10 @@
 
 from pollenladder.core import mesh
 from pollenladder.dispatch import directory
+from pollenladder.membership import regions
 from pollenladder.wire import messages
 
-SHARDS = ("a/0", "b/0")
+LAYOUT = regions.Regions({"a": "r", "b": "r"}, {"a": 1, "b": 1}, 4)
 
 
 class FakePeers:
@@ -36,7 +37,7 @@
         self.mesh = mesh.Mesh(
             make_info("a-0"),
             directory.Directory(),
-            SHARDS,
+            LAYOUT,
             self.peers,
             lambda: self.now,
         )
@@ -92,4 +93,4 @@
         self.mesh.record_heard("b-2", 1)
         self.mesh.record_heard("a-1", 1)
         self.assertEqual(self.mesh.list_unreachable(), [])
-        self.assertEqual(self.mesh.list_candidates(), ["a-1"])
+        self.assertEqual(self.mesh.list_candidates(), ["a-1", "b-2"])
--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -18,7 +18,7 @@
 
     def test_kill_of_a_gateway_that_owns_nothing(self):
         owner = self.wait_for_owner("north/0")
-        gateway = next(d for d in self.list_running("north") if d != owner)
+        gateway = self.find_gateway()
         others, port = self.list_ports(but=gateway), self.get_port(gateway)
         with (
             load.Load(others, tasks=1) as running,
--- a/tests/processes/test_keys.py
+++ b/tests/processes/test_keys.py
@@ -56,11 +56,9 @@
 
     def test_again_after_its_owner_died(self):
         owner = self.wait_for_owner("north/0")
-        other = next(d for d in self.list_running("north") if d != owner)
-        far = self.list_running("south")[0]
-        ports = self.get_port(other), self.get_port(far)
+        ports = self.list_ports(but=owner)[:2]
         body = self.build_job(ports[0], 1200)
-        self.assertIn("north/0", body["key"])
+        self.assertEqual(owner, self.wait_for_owner(body["key"].split("~")[0]))
 
         def kill():
             self.group.kill(owner)
