Serve a request that arrives as the drain closes its connection

The socket is now shut through a twin of its descriptor, which leaves the reader alone.

Ruled out: closing later, which only makes the race rarer.

--- a/pollenladder/gateway/server.py
+++ b/pollenladder/gateway/server.py
@@ -4,7 +4,9 @@
 Nagle's algorithm against delayed ACKs would hold each answer some 40 ms.
 """
 
+import contextlib
 import logging
+import socket as stdlib_socket
 import time
 from typing import Any
 
@@ -72,6 +74,17 @@
         return
 
 
+def _end_reading(sock: socket.socket) -> None:
+    """Shut a socket for reading, but for what has come already.
+
+    The shutdown of gevent's own socket would also wake its reader with an
+    error, and a request that has just come would be lost.
+    """
+    twin = stdlib_socket.fromfd(sock.fileno(), sock.family, sock.type)
+    with twin, contextlib.suppress(OSError):
+        twin.shutdown(socket.SHUT_RD)
+
+
 class _Input(pywsgi.Input):
     """A body that is left unread once the application has answered."""
 
@@ -276,10 +289,7 @@
     def _close_idle(self) -> None:
         """Read no more from idle connections; what has come is served."""
         for handler in list(self._listener.idle):
-            try:
-                handler.socket.shutdown(socket.SHUT_RD)
-            except OSError:
-                LOGGER.debug("an idle connection was closed already")
+            _end_reading(handler.socket)
 
 
 def serve(
--- a/tests/gateway/raw.py
+++ b/tests/gateway/raw.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import socket as stdlib_socket
 
 from gevent import socket
 
@@ -69,6 +70,12 @@
     return socket.create_connection(("127.0.0.1", port), fakes.WAIT_S)
 
 
+def connect_unseen(port):
+    """Connect without giving the server's greenlet a chance to accept."""
+    blocking = stdlib_socket.create_connection(("127.0.0.1", port))
+    return socket.socket(fileno=blocking.detach())
+
+
 def exchange(port, request, end=False):
     """Send bytes on a new connection and return the response.
 
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -157,9 +157,10 @@
         text = "x" * shapes.MAX_TEXT_CHARS
         while self.far.links[0].send(samples.Note(1, text)):
             pass
-        while not self.far.closed:
-            sock.sendall(HEARTBEAT)
-            gevent.sleep(0.02)
+        with gevent.Timeout(samples.WAIT_S, AssertionError("still open")):
+            while not self.far.closed:
+                sock.sendall(HEARTBEAT)
+                gevent.sleep(0.02)
         self.assertEqual(self.far.closed, [Reason.STALLED])
 
     def test_heartbeats_keep_an_idle_link(self):
@@ -204,6 +205,11 @@
         with self.assertRaises(exceptions.EncodingError):
             near.send(samples.Note(1, "x" * 100))
 
+    def test_both_ends_set_nodelay(self):
+        for link in self.link_up():
+            option = (socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            self.assertTrue(link._sock.getsockopt(*option))
+
     def test_a_failing_handler_does_not_end_the_link(self):
         def fail(link, message):
             self.far.received.append(message)
