--- a/pollenladder/gateway/replies.py
+++ b/pollenladder/gateway/replies.py
@@ -74,8 +74,8 @@
 def _describe_result(result: verdicts.TaskResult) -> dict[str, Any]:
     return {
         "id": result.task_id,
-        "verdict": result.verdict,
-        "reason": result.reason,
+        "verdict": result.verdict.value,
+        "reason": result.reason.value,
         "output": result.output,
         "run_ms": round(result.run_s * 1000, 3),
     }
@@ -91,7 +91,7 @@
     return {
         "job": answer.job_id,
         "outcome": outcome,
-        "reason": reason,
+        "reason": reason.value,
         "detail": getattr(answer, "detail", ""),
         "retry_after_s": retry_after_s,
         "tasks": [_describe_result(result) for result in results],
