--- a/pollenladder/membership/ownership.py
+++ b/pollenladder/membership/ownership.py
@@ -19,6 +19,8 @@
 RETRY_PART = 1 / 6
 MAX_BACKOFF_DOUBLINGS = 3
 JITTER_PART = 1 / 4
+# An epoch is a counter times this, plus a number of the daemon's own.
+DAEMON_DIGITS = 1024
 
 
 Ownership = leases.Ownership
@@ -262,9 +264,18 @@
 
 
 def _choose_new_epoch(state: Ownership, wall_ms: int) -> int:
+    """Return an epoch above all known ones that no other daemon chooses.
+
+    Its last digits are the daemon's: after a worker has restarted and forgotten
+    its epochs, two daemons could else own the shard with the same epoch, and
+    the second would take the first one's keys for its own.
+    """
     rows = state.rows.values()
     told = [max(row.asked_epoch, row.seen_epoch) for row in rows]
-    return max(wall_ms, 1 + max(told, default=0), state.epoch + 1)
+    highest = max(state.epoch, *told, 0)
+    counter = max(wall_ms, highest // DAEMON_DIGITS + 1)
+    own_digits = hashing.hash_text(state.daemon_id) % DAEMON_DIGITS
+    return counter * DAEMON_DIGITS + own_digits
 
 
 def _choose_phase(
--- a/tests/imports.py
+++ b/tests/imports.py
@@ -6,7 +6,7 @@
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-PACKAGES = ("pollenladder", "standins", "bench", "tests")
+PACKAGES = ("pollenladder", "standins", "bench", "models", "tests")
 TYPING = {"typing", "collections.abc", "__future__"}
 
 
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -104,6 +104,26 @@
         self.assertTrue(ownership.owns(state, 21.0))
 
 
+class EpochTest(unittest.TestCase):
+    def test_daemons_choose_different_epochs_above_all_known(self):
+        epochs = set()
+        for i in range(7):
+            state = make_state(f"d{i}")
+            [request, *_] = ownership.choose_requests(state, True, 7, 1.0)
+            epochs.add(request.epoch)
+        self.assertEqual(len(epochs), 7)
+        state = make_state()
+        ownership.record_refused(state, "w0", 10**15, 0.0, 0.5, "d1")
+        requests = ownership.choose_requests(state, True, 7, 1.0)
+        self.assertTrue(all(r.epoch > 10**15 for r in requests))
+
+    def test_epochs_stay_exact_in_json(self):
+        state = make_state()
+        wall_ms = 4_000_000_000_000
+        requests = ownership.choose_requests(state, True, wall_ms, 1.0)
+        self.assertLess(requests[0].epoch, 2**53)
+
+
 class LossTest(unittest.TestCase):
     def gain(self):
         state, workers = make_state(), make_workers()
--- /dev/null
+++ b/tests/models/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the program that checks the models."""
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -19,6 +19,7 @@
     ("lint", [BIN / "ruff", "check", "-q", "."]),
     ("imports", [BIN / "lint-imports", "--no-cache"]),
     ("module imports", [sys.executable, "-m", "tests.imports"]),
+    ("models", [sys.executable, "-m", "models.run"]),
 )
 FAILED_TEST = re.compile(r"^(?:FAIL|ERROR): (\S+) \((\S+?)\)", re.MULTILINE)
 RAN = re.compile(r"^Ran (\d+) tests?", re.MULTILINE)
