--- a/pollenladder/membership/leases.py
+++ b/pollenladder/membership/leases.py
@@ -95,6 +95,7 @@
         phase: See `Phase`.
         lapsed_at: When the quorum was lost, in the phase `LAPSED`.
         campaign_at: No campaign begins before.
+        quorum_until: A quorum is live at least until then; -inf if not known.
         attempts: Campaigns given up since the last success.
         rows: By worker id, one for each listed worker.
         releases: Leases to give back, not yet taken by `take_releases`.
@@ -108,7 +109,23 @@
     phase: Phase = Phase.IDLE
     lapsed_at: float = -math.inf
     campaign_at: float = -math.inf
+    quorum_until: float = -math.inf
     attempts: int = 0
     rows: dict[str, LeaseRow] = dataclasses.field(default_factory=dict)
     releases: list[LeaseRelease] = dataclasses.field(default_factory=list)
     events: list[OwnershipEvent] = dataclasses.field(default_factory=list)
+
+
+def void(state: Ownership, row: LeaseRow, now: float) -> None:
+    """End a lease that is known not to be ours."""
+    state.quorum_until = -math.inf
+    row.lease_until = -math.inf
+    row.voided_at = now
+
+
+def clear_failures(row: LeaseRow) -> None:
+    """Forget refusals and unanswered requests, after a grant."""
+    row.failures = 0
+    row.next_try = -math.inf
+    row.holder = ""
+    row.blocked_until = -math.inf
--- a/pollenladder/membership/ownership.py
+++ b/pollenladder/membership/ownership.py
@@ -40,7 +40,10 @@
     """Return whether this daemon owns the shard at `now`."""
     if state.phase is not leases.Phase.OWNER:
         return False
-    return count_live(state, now) >= compute_quorum(len(state.rows))
+    if now >= state.quorum_until:
+        # Renewals only move the end on, so it is looked for no sooner.
+        state.quorum_until = _find_quorum_end(state)
+    return now < state.quorum_until
 
 
 def may_start(state: Ownership, worker_id: str, now: float) -> bool:
@@ -71,6 +74,7 @@
     """
     _notice_lapse(state, now)
     listed = set(worker_ids)
+    state.quorum_until = -math.inf
     for worker_id in state.rows.keys() - listed:
         del state.rows[worker_id]
     for worker_id in sorted(listed - state.rows.keys()):
@@ -139,7 +143,7 @@
         return
     row.epoch = epoch
     row.lease_until = max(row.lease_until, sent_at + state.ttl_s)
-    _clear_failures(row)
+    leases.clear_failures(row)
     _notice_quorum(state, now)
 
 
@@ -165,14 +169,14 @@
     row = state.rows.get(worker_id)
     if row is None:
         return
-    _void(row, now)
+    leases.void(state, row, now)
     row.seen_epoch = max(row.seen_epoch, max_epoch)
     row.holder = holder
     row.blocked_until = now + remaining_s
     row.failures += 1
     row.next_try = row.blocked_until
     if remaining_s > 0:
-        row.next_try += _compute_jitter(state, row)
+        row.next_try += _compute_jitter(state, row.worker_id, str(row.failures))
     _notice_lapse(state, now)
     if state.phase is leases.Phase.CAMPAIGN:
         _judge_campaign(state, now)
@@ -189,7 +193,7 @@
     if state.phase is leases.Phase.IDLE:
         return
     row.lease_until = max(row.lease_until, sent_at + state.ttl_s)
-    _clear_failures(row)
+    leases.clear_failures(row)
     _notice_quorum(state, now)
 
 
@@ -202,7 +206,7 @@
     row = state.rows.get(worker_id)
     if row is None:
         return
-    _void(row, now)
+    leases.void(state, row, now)
     row.next_try = now
     _notice_lapse(state, now)
 
@@ -216,7 +220,9 @@
     doublings = min(row.failures, MAX_BACKOFF_DOUBLINGS)
     row.failures += 1
     wait_s = state.ttl_s * RETRY_PART * 2**doublings
-    row.next_try = now + wait_s + _compute_jitter(state, row)
+    row.next_try = (
+        now + wait_s + _compute_jitter(state, row.worker_id, str(row.failures))
+    )
 
 
 def resign(state: Ownership) -> list[leases.LeaseRelease]:
@@ -297,6 +303,7 @@
 
 def _begin_campaign(state: Ownership, wall_ms: int) -> None:
     state.phase = leases.Phase.CAMPAIGN
+    state.quorum_until = -math.inf
     state.epoch = _choose_new_epoch(state, wall_ms)
 
 
@@ -314,19 +321,20 @@
     if state.phase is not leases.Phase.OWNER or owns(state, now):
         return
     state.phase = leases.Phase.LAPSED
-    state.lapsed_at = min(now, _find_quorum_end(state))
+    ended_at = _find_quorum_end(state)
+    # A lease that was taken away ended no sooner than now.
+    state.lapsed_at = ended_at if ended_at > -math.inf else now
     state.events.append(leases.OwnershipEvent(leases.Change.LOST, state.epoch))
 
 
 def _find_quorum_end(state: Ownership) -> float:
-    """Return when the last quorum of leases ended; inf if none is known."""
+    """Return when the quorum of leases ends or ended; -inf if there is none."""
     quorum = compute_quorum(len(state.rows))
-    ends = sorted(
-        (row.lease_until for row in state.rows.values()), reverse=True
-    )
-    if len(ends) < quorum or ends[quorum - 1] == -math.inf:
-        return math.inf
-    return ends[quorum - 1]
+    epoch = max(1, state.epoch)
+    ends = [r.lease_until for r in state.rows.values() if r.epoch >= epoch]
+    if len(ends) < quorum:
+        return -math.inf
+    return sorted(ends, reverse=True)[quorum - 1]
 
 
 def _notice_quorum(state: Ownership, now: float) -> None:
@@ -366,7 +374,7 @@
         return
     ends = sorted(row.blocked_until for row in blocked)
     state.attempts += 1
-    wait_s = _compute_campaign_jitter(state)
+    wait_s = _compute_jitter(state, str(state.attempts))
     surplus = len(blocked) - (len(state.rows) - quorum)
     state.campaign_at = ends[surplus - 1] + wait_s
     _abandon(state)
@@ -378,30 +386,11 @@
         if row.lease_until > -math.inf:
             state.releases.append(leases.LeaseRelease(row.worker_id, row.epoch))
         row.lease_until = -math.inf
+    state.quorum_until = -math.inf
     state.phase = leases.Phase.IDLE
 
 
-def _void(row: leases.LeaseRow, now: float) -> None:
-    row.lease_until = -math.inf
-    row.voided_at = now
-
-
-def _clear_failures(row: leases.LeaseRow) -> None:
-    row.failures = 0
-    row.next_try = -math.inf
-    row.holder = ""
-    row.blocked_until = -math.inf
-
-
-def _compute_jitter(state: Ownership, row: leases.LeaseRow) -> float:
-    fraction = hashing.compute_fraction(
-        state.daemon_id, state.shard_id, row.worker_id, str(row.failures)
-    )
-    return fraction * state.ttl_s * JITTER_PART
-
-
-def _compute_campaign_jitter(state: Ownership) -> float:
-    fraction = hashing.compute_fraction(
-        state.daemon_id, state.shard_id, str(state.attempts)
-    )
+def _compute_jitter(state: Ownership, *parts: str) -> float:
+    """Return seconds that differ between daemons but not between runs."""
+    fraction = hashing.compute_fraction(state.daemon_id, state.shard_id, *parts)
     return fraction * state.ttl_s * JITTER_PART
--- a/tests/membership/test_health.py
+++ b/tests/membership/test_health.py
@@ -27,19 +27,20 @@
         health.record_result(table, worker_id, kind, reason, 0.001, now)
 
 
-def simulate_minute(bad_worker):
+def simulate_minute(bad_worker, count=24):
     """Run 60 s at 0.7 load with one worker that fails at once.
 
     Returns:
-        Tasks failed and tasks sent, one shard of 24 workers of 8 slots.
+        Tasks failed and tasks sent, one shard of `count` workers of 8 slots.
     """
-    workers = [f"w{i}" for i in range(24)]
+    workers = [f"w{i}" for i in range(count)]
+    rate = 224 * count // 24
     table = health.Health()
     health.list_workers(table, workers)
     running = {worker_id: [] for worker_id in workers}
     failed = sent = 0
-    for tick in range(60 * 224):
-        now = tick / 224
+    for tick in range(60 * rate):
+        now = tick / rate
         for worker_id, ends in running.items():
             while ends and ends[0] <= now:
                 ends.pop(0)
@@ -117,9 +118,10 @@
         self.assertEqual(health.list_quarantined(table), ["w0"])
 
     def test_harm_of_a_failing_worker_in_a_minute(self):
-        failed, sent = simulate_minute("w7")
-        self.assertGreater(failed, 0)
-        self.assertLess(failed, sent / 100)
+        for count in (8, 24):
+            failed, sent = simulate_minute("w7", count)
+            self.assertGreater(failed, 0)
+            self.assertLess(failed, sent / 100)
 
     def test_harm_without_quarantine(self):
         with mock.patch.object(health, "_quarantine"):
