End a loan's rate at its term, however late that is noticed

Cause: a borrower that looked at its bucket only after a loan had ended filled it at the loan's rate up to then, while the lender already used that rate.

Change: the bucket's rate is set back as of the end of each loan. Random runs now also check that all starts fit into one bucket of the whole plan, at three small rates, through loans, losses, deaths and takeovers.

Conclusion: no run exceeds rate and burst by more than one start a shard.

--- a/pollenladder/plans/escrow.py
+++ b/pollenladder/plans/escrow.py
@@ -205,9 +205,11 @@
     for loan in ended:
         del row.lent[loan.loan_id]
     over = [loan for loan in row.borrowed.values() if loan.until <= now]
-    for loan in over:
+    for loan in sorted(over, key=lambda loan: loan.until):
         _end_borrowed(row, loan)
-    if ended or over:
+        # Its rate ended with it, however late that is noticed.
+        update_rate(ledger, row, loan.until)
+    if ended:
         update_rate(ledger, row, now)
     return row
 
--- a/tests/plans/cluster.py
+++ b/tests/plans/cluster.py
@@ -10,7 +10,8 @@
 PLAN = "checks"
 TERM_S = 10.0
 MARGIN_S = 0.5
-RATE = 1000.0
+STARTS_PER_S = 1000.0
+BURST = 10
 
 
 @dataclasses.dataclass
@@ -23,9 +24,21 @@
 
 
 class Cluster:
-    """Some shards that share one plan; each owner's clock has an offset."""
-
-    def __init__(self, shards: int, allowance: int, max_run_s: float):
+    """Some shards that share one plan; each owner's clock has an offset.
+
+    Rate and burst are those that go with each unit of the allowance.
+    """
+
+    def __init__(
+        self,
+        shards: int,
+        allowance: int,
+        max_run_s: float,
+        starts_per_s: float = STARTS_PER_S,
+        burst: int = BURST,
+    ):
+        self.starts_per_s = starts_per_s
+        self.burst = burst
         self.max_run_s = max_run_s
         self.now = 100.0
         self.allowance = allowance
@@ -55,7 +68,8 @@
         epoch = self.epochs[shard_id]
         takeover.begin_takeover(ledger, epoch, others, ["w"], now)
         share = escrow.split(self.allowance, self.ids)[shard_id]
-        escrow.declare(ledger, PLAN, share, RATE * share, 10 * share, now)
+        rate, burst = self.starts_per_s * share, self.burst * share
+        escrow.declare(ledger, PLAN, share, rate, burst, now)
         self.ledgers[shard_id] = ledger
         for other in others:
             self.claim(shard_id, other)
--- a/tests/plans/test_escrow.py
+++ b/tests/plans/test_escrow.py
@@ -141,6 +141,18 @@
         [loan] = borrower.rows[PLAN].borrowed.values()
         self.assertEqual(loan.until, 20.0)
 
+    def test_the_rate_of_a_loan_ends_with_it_however_late_it_is_noticed(self):
+        lender = make_ledger(A, base=100, rate=1000.0, burst=1000)
+        borrower = make_ledger(B, rate=10.0)
+        take_all(borrower, 10.0)
+        lend(lender, borrower, 80, 10.0)
+        bucket = borrower.rows[PLAN].bucket
+        for step in range(2000):
+            buckets.take_token(bucket, 19.0 + step / 2010)
+        self.assertTrue(borrower.rows[PLAN].borrowed)
+        escrow.open_row(borrower, PLAN, 20.05)
+        self.assertEqual(buckets.count_tokens(bucket, 20.05), 0)
+
     def test_loans_in_use_are_renewed_without_a_gap(self):
         lender, borrower = make_ledger(A), make_ledger(B)
         take_all(borrower, 10.0)
--- a/tests/plans/test_escrow_property.py
+++ b/tests/plans/test_escrow_property.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from models import run
+from pollenladder.plans import buckets
 from pollenladder.plans import escrow
 from pollenladder.plans import ledgers
 from pollenladder.plans import loans
@@ -18,9 +19,17 @@
 ALLOWANCE = 7
 
 
-def run_steps(steps, max_run_s):
-    """Run (operation, a, b) steps; assert the sum after each start."""
-    world = cluster.Cluster(SHARDS, ALLOWANCE, max_run_s)
+def run_steps(steps, max_run_s, starts_per_s=1000.0, burst=10):
+    """Run (operation, a, b) steps; assert sum and rate after each start."""
+    world = cluster.Cluster(SHARDS, ALLOWANCE, max_run_s, starts_per_s, burst)
+    # All starts must fit into one bucket of the whole plan.
+    whole = buckets.Bucket(level=1e9, at=world.now)
+    buckets.set_rate(
+        whole,
+        starts_per_s * ALLOWANCE,
+        burst * ALLOWANCE + SHARDS,
+        world.now,
+    )
     for operation, a, b in steps:
         shard_id = world.ids[a % SHARDS]
         other = world.ids[(a + 1 + b % (SHARDS - 1)) % SHARDS]
@@ -34,7 +43,10 @@
             world.drop(a * 16 + b)
         elif operation < 25:
             for _ in range(1 + b % 8):
-                world.start(shard_id, (1.0, 2.0, 6.0, 6.0)[b % 4])
+                if not world.start(shard_id, (1.0, 2.0, 6.0, 6.0)[b % 4]):
+                    break
+                if not buckets.take_token(whole, world.now + 1e-6):
+                    raise AssertionError("starts beyond rate and burst")
                 if len(world.runs) > ALLOWANCE:
                     raise AssertionError(f"{len(world.runs)} tasks run")
         elif operation < 28:
@@ -264,6 +276,12 @@
         for max_run_s in (3.0, 6.0):
             self.assertIsNone(find_violation(range(100), max_run_s))
 
+    def test_rate_is_never_exceeded_in_long_runs(self):
+        for starts_per_s, burst in ((0.2, 1), (1.0, 0), (3.0, 2)):
+            for seed in range(60):
+                steps = make_random_steps(seed)
+                run_steps(steps, 3.0, starts_per_s, burst)
+
     def test_without_a_wait_long_runs_exceed_the_sum(self):
         with mock.patch.object(escrow, "owns_base", lambda *_: True):
             self.assertIsNotNone(find_violation(range(100), 6.0))
