--- a/bench/processes.py
+++ b/bench/processes.py
@@ -35,6 +35,8 @@
     ) -> Child:
         """Start a command; its output goes to `<folder>/<name>.log`."""
         log = self.folder / f"{name}.log"
+        # An earlier run in the same folder must not be taken for this one.
+        log.unlink(missing_ok=True)
         full_env = os.environ | {"PYTHONUNBUFFERED": "1"} | (env or {})
         popen = self._open(command, full_env, log)
         child = Child(name, command, full_env, log, popen)
--- a/tests/bench/test_processes.py
+++ b/tests/bench/test_processes.py
@@ -47,6 +47,12 @@
             group.kill("deaf")
             self.assertFalse(group.is_running("deaf"))
 
+    def test_the_log_of_an_earlier_run_is_dropped(self):
+        (self.folder / "one.log").write_text("earlier")
+        with processes.open_group(self.folder) as group:
+            group.start("one", SLEEP)
+            self.assertEqual(group.read_tail("one"), "")
+
     def test_restart_runs_the_same_command(self):
         with processes.open_group(self.folder) as group:
             before = group.start("one", SLEEP).popen.pid
