--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,6 +5,7 @@
 import sys
 import tempfile
 
+from bench.commands import capacity
 from bench.commands import config
 from bench.commands import control
 from bench.commands import faults
@@ -17,6 +18,7 @@
     "faults": faults,
     "config": config,
     "control": control,
+    "capacity": capacity,
 }
 
 
--- /dev/null
+++ b/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of what daemons spend, and the target's arithmetic on them."""
--- /dev/null
+++ b/bench/capacity/samples.py
@@ -0,0 +1,93 @@
+"""Messages, lists and declarations of a size, shaped as at the target."""
+
+import hashlib
+import json
+from typing import Any
+
+from pollenladder.core import entities
+from pollenladder.wire import messages
+
+CUSTOMERS_PER_PLAN = 1
+KINDS_PER_PLAN = 3
+
+
+def build_vm(number: int, data_centre: str = "elsewhere") -> dict[str, Any]:
+    """Return a worker's row of the VM list."""
+    return {
+        "vm_id": f"{data_centre}-w{number}",
+        "role": "endpoint",
+        "data_centre": data_centre,
+        "rack": f"{data_centre}-r{number // 40}",
+        "address": f"10.{number // 65536}.{number // 256 % 256}.{number % 256}",
+        "port": 8080,
+        "http_port": 0,
+        "state": "live",
+        "slots": 64,
+        "connections": 128,
+    }
+
+
+def build_vm_list(count: int) -> bytes:
+    """Return the platform's answer with so many VMs."""
+    rows = [build_vm(number) for number in range(count)]
+    body = {"version": 1, "vms": rows}
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
+def build_plan(number: int) -> dict[str, Any]:
+    """Return one plan of the plans file."""
+    kinds = [
+        {"name": f"kind-{n}", "idempotent": True, "max_run_ms": 8000}
+        for n in range(KINDS_PER_PLAN)
+    ]
+    return {
+        "id": f"plan-{number}",
+        "allowance": {
+            "running_tasks": 6000,
+            "starts_per_s": 6400,
+            "burst": 6400,
+        },
+        "deadline_ms": 60_000,
+        "weight": 1,
+        "kinds": kinds,
+    }
+
+
+def build_customer(number: int, plan_id: str) -> dict[str, Any]:
+    """Return one customer of the customers file."""
+    token = hashlib.sha256(str(number).encode()).hexdigest()
+    return {
+        "id": f"customer-{number}",
+        "plans": [plan_id],
+        "token_sha256": token,
+    }
+
+
+def build_row(plans: int) -> dict[str, Any]:
+    """Return the value of the declarations' row with so many plans."""
+    customers = [
+        build_customer(number, f"plan-{number // CUSTOMERS_PER_PLAN}")
+        for number in range(plans * CUSTOMERS_PER_PLAN)
+    ]
+    return {
+        "version": 1,
+        "change_id": "change-1",
+        "customers": {"customers": customers, "operators": []},
+        "plans": {"plans": [build_plan(number) for number in range(plans)]},
+    }
+
+
+def build_load(number: int) -> messages.ShardLoad:
+    """Return the load message of a shard."""
+    shard_id = f"north/{number}"
+    stamp = f"{shard_id}~1790000000000~12"
+    return messages.ShardLoad(
+        shard_id, 1790000000000, 17, 300, 2048, stamp, 412.5
+    )
+
+
+def build_task(number: int) -> entities.Task:
+    """Return a task with a small payload."""
+    return entities.Task(
+        f"t{number}", "kind-1", {"run_ms": 250, "echo": "e" * 16}, 200.0, 1.0
+    )
--- a/bench/reports.py
+++ b/bench/reports.py
@@ -59,14 +59,19 @@
         print(json.dumps(self.result))
 
 
-def describe_run() -> str:
-    """Return the command, the commit, the machine and the date."""
-    commit = subprocess.run(
+def read_commit() -> str:
+    """Return the commit that is checked out."""
+    return subprocess.run(
         ["git", "rev-parse", "--short", "HEAD"],
         capture_output=True,
         text=True,
         check=False,
     ).stdout.strip()
+
+
+def describe_run() -> str:
+    """Return the command, the commit, the machine and the date."""
+    commit = read_commit()
     command = "scripts/bench " + " ".join(sys.argv[1:])
     date = time.strftime("%Y-%m-%d %H:%M")
     return (
--- a/pollenladder/core/meters.py
+++ b/pollenladder/core/meters.py
@@ -56,6 +56,9 @@
     frames = metrics.link_frames
     _advance(frames.labels(direction="in"), counts.frames_in)
     _advance(frames.labels(direction="out"), counts.frames_out)
+    octets = metrics.link_bytes
+    _advance(octets.labels(direction="in"), counts.bytes_in)
+    _advance(octets.labels(direction="out"), counts.bytes_out)
 
 
 def _advance(counter, value: int) -> None:
--- a/pollenladder/metrics/registry.py
+++ b/pollenladder/metrics/registry.py
@@ -71,6 +71,9 @@
         self.link_frames = make(
             "link_frames_total", "Frames over peer links.", "direction"
         )
+        self.link_bytes = make(
+            "link_bytes_total", "Bytes over peer links.", "direction"
+        )
         self.link_closes = make(
             "link_closes_total", "Peer links ended.", "reason"
         )
--- a/pollenladder/platform/client.py
+++ b/pollenladder/platform/client.py
@@ -198,7 +198,7 @@
         """
         response = self._exchange("GET", "/v1/vms")
         message = _read(response, messages.VmsMessage)
-        vms = tuple(_convert_vm(vm) for vm in message.vms)
+        vms = tuple(convert_vm(vm) for vm in message.vms)
         return entities.VmList(message.version, vms)
 
     def _exchange_object(
@@ -255,7 +255,8 @@
         ) from error
 
 
-def _convert_vm(message: messages.VmMessage) -> core_entities.Vm:
+def convert_vm(message: messages.VmMessage) -> core_entities.Vm:
+    """Return a row of the VM list as the daemon holds it."""
     return core_entities.Vm(
         message.vm_id,
         core_entities.VmRole(message.role),
