--- a/bench/capacity/loaded.py
+++ b/bench/capacity/loaded.py
@@ -100,9 +100,7 @@
         RuntimeError: A job was not answered complete and right.
     """
     port = next(
-        row["http_port"]
-        for row in running.daemons
-        if row["vm_id"] == daemon_id
+        row["http_port"] for row in running.daemons if row["vm_id"] == daemon_id
     )
     numbers = iter(range(jobs))
 
--- a/bench/capacity/micro.py
+++ b/bench/capacity/micro.py
@@ -26,6 +26,8 @@
 VM_COUNTS = (500, 2000, 8000, 16000)
 TASK_COUNTS = (1, 10, 50, 100)
 MESSAGE_COUNTS = (1, 10, 100)
+SHARD_COUNTS = (26, 130, 494)
+TARGET_PLANS = 140
 
 
 def measure_all(repeats: int) -> list[slopes.Slope]:
@@ -55,6 +57,7 @@
         lambda body: loading.parse_row(json.loads(body), 1),
         repeats,
     )
+    found.append(_measure_declare(repeats))
     return found
 
 
@@ -116,6 +119,12 @@
     return slopes.fit(name, size, "us", points)
 
 
+def _measure_declare(repeats: int) -> slopes.Slope:
+    """Measure a change of one plan of many, by shards of all data centres."""
+    work = {n: samples.build_declare(n, TARGET_PLANS) for n in SHARD_COUNTS}
+    return _time_sizes("declare_us", "shards in all", work, repeats)
+
+
 def _parse_vms(body: bytes) -> Any:
     message = platform_messages.VmsMessage.model_validate_json(body)
     return [client.convert_vm(vm) for vm in message.vms]
--- a/bench/capacity/readings.py
+++ b/bench/capacity/readings.py
@@ -80,9 +80,7 @@
     running: cluster.Cluster, daemon_id: str
 ) -> tuple[float, dict[str, float]]:
     port = next(
-        row["http_port"]
-        for row in running.daemons
-        if row["vm_id"] == daemon_id
+        row["http_port"] for row in running.daemons if row["vm_id"] == daemon_id
     )
     samples = counters.read_metrics(port)
     octets = samples.get("pollenladder_link_bytes_total", [])
--- a/bench/capacity/samples.py
+++ b/bench/capacity/samples.py
@@ -1,10 +1,17 @@
 """Messages, lists and declarations of a size, shaped as at the target."""
 
+from collections.abc import Callable
+import dataclasses
 import hashlib
+import itertools
 import json
 from typing import Any
 
 from pollenladder.core import entities
+from pollenladder.dispatch import directory
+from pollenladder.dispatch import shard as shards
+from pollenladder.dispatch import tables
+from pollenladder.plans import loading
 from pollenladder.wire import messages
 
 CUSTOMERS_PER_PLAN = 1
@@ -77,6 +84,36 @@
     }
 
 
+def build_declare(shard_count: int, plans: int) -> Callable[[], None]:
+    """Return a function that changes one plan of many on one shard."""
+    ids = tuple(f"south/{number}" for number in range(shard_count))
+    shard = shards.build(
+        shard_id=ids[0],
+        daemon_id="south-d0",
+        incarnation="1",
+        limits=tables.Limits(),
+        loads=directory.Directory(),
+        all_shard_ids=ids,
+        loan_term_s=15.0,
+        loan_margin_s=1.0,
+    )
+    declared = loading.parse_row(build_row(plans), 1)
+    shards.declare(shard, declared, 0.0)
+    numbers = itertools.count(2)
+
+    def change() -> None:
+        version = next(numbers)
+        plan = dataclasses.replace(
+            declared.plans["plan-0"], weight=1 + version / 1e9
+        )
+        changed = dataclasses.replace(
+            declared, version=version, plans=declared.plans | {"plan-0": plan}
+        )
+        shards.declare(shard, changed, 0.0)
+
+    return change
+
+
 def build_load(number: int) -> messages.ShardLoad:
     """Return the load message of a shard."""
     shard_id = f"north/{number}"
