Read and share only what has changed

(1) Each change of the plans shared every allowance out among the shards of all data centres, once for each local shard: 148.5 us a shard in all, 70 ms for each local shard with 494 shards and 140 plans. (2) Every daemon read and parsed the VMs of all data centres every 2 s: 15.6 to 20.5 us and 190 bytes a VM. (3) A change was told as the whole of both files, 324 bytes a plan, over each link.

Ruled out: a reader of the VM list in each data centre that pushes deltas; a conditional read of the filtered list costs 259 bytes and about 130 us a poll and needs no reader to be chosen.

Change: `escrow.find_share` computes one shard's share; `platform.rereads` asks with If-None-Match, and the VM list may be filtered by data centre; `plans.deltas` tells changed entries to peers that have the version before, and the whole to others. A platform that knows neither tag nor filter answers in full. The workers of a list are dealt to shards in one pass.

--- a/bench/capacity/idle.py
+++ b/bench/capacity/idle.py
@@ -14,6 +14,7 @@
 WORKERS = (8, 32, 96, 192)
 DAEMONS = (2, 4, 8, 16)
 CENTRES = (2, 4, 8)
+SHARDS = (1, 6, 19)
 PLANS = (1, 140, 420)
 LISTED = (0, 2000, 8000, 16000)
 WINDOW_S = 6.0
@@ -37,6 +38,7 @@
         ("idle_workers", "workers of the daemon's shards", _walk_workers),
         ("idle_daemons", "daemons of the data centre", _walk_daemons),
         ("idle_centres", "data centres of one daemon", _walk_centres),
+        ("idle_shards", "shards of the data centre", _walk_shards),
         ("idle_plans", "plans", _walk_plans),
         ("idle_vms", "VMs listed elsewhere", _walk_listed),
     ):
@@ -102,6 +104,13 @@
             yield count, running
 
 
+def _walk_shards() -> Iterator[Step]:
+    layout = sizes.build_layout(workers=2 * SHARDS[-1], daemons=2)
+    for count in SHARDS:
+        with sizes.run_cluster(layout, shards=count) as running:
+            yield count, running
+
+
 def _walk_plans() -> Iterator[Step]:
     layout = sizes.build_layout(workers=4, daemons=2)
     with sizes.run_cluster(layout) as running:
--- a/bench/capacity/micro.py
+++ b/bench/capacity/micro.py
@@ -1,28 +1,30 @@
 """Processor time and bytes of control messages, measured in this process."""
 
 from collections.abc import Callable
-import gc
 import json
-import time
 from typing import Any
 
 import msgpack
 
+from bench.capacity import polls
 from bench.capacity import samples
 from bench.capacity import slopes
+from bench.capacity import timing
 from pollenladder.core import entities
 from pollenladder.core import tags
 from pollenladder.core import verdicts
+from pollenladder.http import exchanges
+from pollenladder.plans import deltas
 from pollenladder.plans import loading
 from pollenladder.plans import loans
 from pollenladder.platform import client
 from pollenladder.platform import messages as platform_messages
 from pollenladder.wire import messages
+from standins import servers
 
-US_PER_S = 1_000_000
-LEAST_S = 0.05
 LOAD_COUNTS = (1, 4, 16, 64)
 PLAN_COUNTS = (10, 40, 140, 280)
+CHANGED_COUNTS = (1, 4, 16)
 VM_COUNTS = (500, 2000, 8000, 16000)
 TASK_COUNTS = (1, 10, 50, 100)
 MESSAGE_COUNTS = (1, 10, 100)
@@ -36,6 +38,7 @@
     for name, size, counts, build in (
         ("digest", "shards in it", LOAD_COUNTS, _build_digest),
         ("push", "plans", PLAN_COUNTS, _build_push),
+        ("delta", "plans changed", CHANGED_COUNTS, _build_delta),
         ("job_offer", "tasks of a job", TASK_COUNTS, _build_offer),
         ("job_answer", "tasks of a job", TASK_COUNTS, _build_answer),
         ("load_message", "messages", MESSAGE_COUNTS, _build_loads),
@@ -58,21 +61,11 @@
         repeats,
     )
     found.append(_measure_declare(repeats))
+    found.append(_measure_lease_bytes())
+    found += polls.measure_all(repeats)
     return found
 
 
-def time_us(run: Callable[[], Any]) -> float:
-    """Return the processor time of one run, in us."""
-    run()
-    gc.collect()
-    count = 0
-    start_s = time.process_time()
-    while (spent_s := time.process_time() - start_s) < LEAST_S:
-        run()
-        count += 1
-    return spent_s / count * US_PER_S
-
-
 def _measure_messages(
     name: str, size: str, sizes: dict[int, list], repeats: int
 ) -> list[slopes.Slope]:
@@ -114,7 +107,8 @@
     name: str, size: str, work: dict[int, Callable], repeats: int
 ) -> slopes.Slope:
     points = [
-        [(n, time_us(run)) for n, run in work.items()] for _ in range(repeats)
+        [(n, timing.time_us(run)) for n, run in work.items()]
+        for _ in range(repeats)
     ]
     return slopes.fit(name, size, "us", points)
 
@@ -125,6 +119,23 @@
     return _time_sizes("declare_us", "shards in all", work, repeats)
 
 
+def _measure_lease_bytes() -> slopes.Slope:
+    """Return bytes of a renewal, both ways, by tasks the worker runs."""
+    body = {
+        "shard": "north/7",
+        "holder": "north-d1",
+        "epoch": 1790000000000,
+        "ttl_ms": 3000,
+    }
+    head = exchanges.build_head(("10.0.0.1", 8080), "POST", "/v1/lease")
+    request = exchanges.build_request(head, json.dumps(body).encode())
+    points = []
+    for count in MESSAGE_COUNTS:
+        reply = servers.render(samples.build_grant(count), close=False)
+        points.append((count, float(len(request) + len(reply))))
+    return slopes.fit("lease_bytes", "tasks told", "bytes", [points])
+
+
 def _parse_vms(body: bytes) -> Any:
     message = platform_messages.VmsMessage.model_validate_json(body)
     return [client.convert_vm(vm) for vm in message.vms]
@@ -139,6 +150,14 @@
     return [messages.DeclarationsPush(1234, samples.build_row(count))]
 
 
+def _build_delta(count: int) -> list:
+    old, new = samples.build_row(TARGET_PLANS), samples.build_row(TARGET_PLANS)
+    for plan in new["plans"]["plans"][:count]:
+        plan["weight"] = 2
+    delta = deltas.build(old, new)
+    return [messages.DeclarationsDelta(1234, 1235, delta)]
+
+
 def _build_offer(count: int) -> list:
     tasks = tuple(samples.build_task(n) for n in range(count))
     job = entities.Job("north-d1-1790000000000-7", "c-1", "p-1", tasks, 10.0)
--- a/bench/capacity/samples.py
+++ b/bench/capacity/samples.py
@@ -13,6 +13,7 @@
 from pollenladder.dispatch import tables
 from pollenladder.plans import loading
 from pollenladder.wire import messages
+from standins import servers
 
 CUSTOMERS_PER_PLAN = 1
 KINDS_PER_PLAN = 3
@@ -114,6 +115,31 @@
     return change
 
 
+def build_grant(running: int) -> servers.Reply:
+    """Return a worker's answer to a lease request, by tasks it runs."""
+    tasks = [
+        {
+            "task": f"north-d1-1790000000000-7:{number}",
+            "customer": "customer-1",
+            "plan": "plan-1",
+            "kind": "kind-1",
+            "holder": "north-d1",
+            "epoch": 1790000000000,
+            "run_ms": 250,
+        }
+        for number in range(running)
+    ]
+    body = {
+        "granted": True,
+        "epoch": 1790000000000,
+        "running": tasks,
+        "slots": 64,
+        "connections": 128,
+        "leaving": False,
+    }
+    return servers.Reply(200, body, (("Content-Type", "application/json"),))
+
+
 def build_load(number: int) -> messages.ShardLoad:
     """Return the load message of a shard."""
     shard_id = f"north/{number}"
--- a/bench/capacity/sizes.py
+++ b/bench/capacity/sizes.py
@@ -7,7 +7,6 @@
 import pathlib
 import tempfile
 import time
-from typing import Any
 
 from bench import cluster
 from bench import declarations
@@ -64,13 +63,18 @@
 
 @contextlib.contextmanager
 def run_cluster(
-    layout: layouts.Layout, overrides: dict[str, Any] | None = None
+    layout: layouts.Layout, shards: int = 0
 ) -> Iterator[cluster.Cluster]:
-    """Give a running cluster whose shards all have owners."""
+    """Give a running cluster whose shards all have owners.
+
+    Args:
+        layout: The sizes.
+        shards: Shards of each data centre; by default by its workers.
+    """
     local = math.ceil(layout.workers / len(layout.data_centres))
-    shards = math.ceil(local / WORKERS_PER_SHARD)
+    shards = shards or math.ceil(local / WORKERS_PER_SHARD)
     centres = {name: {"shards": shards} for name in layout.data_centres}
-    settings = {"data_centres": centres} | (overrides or {})
+    settings = {"data_centres": centres}
     with (
         tempfile.TemporaryDirectory(prefix="capacity-") as folder,
         processes.open_group(pathlib.Path(folder)) as group,
--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -404,6 +404,10 @@
         elif isinstance(message, messages.DeclarationsPush):
             if self._polling.take_push(message):
                 self._tell(sender)
+        elif isinstance(message, messages.DeclarationsDelta):
+            # If it needs a version that is not here, the digest tells so.
+            self._polling.take_delta(message)
+            self._tell(sender)
         else:
             self._lookups.take_message(sender, message)
 
@@ -454,8 +458,8 @@
             changed |= directory.record_owner(self._loads, owner, now)
         if changed:
             gevent.spawn(self._mesh.step)
-        push = self._polling.push
-        if push and digest.version < push.version and self._is_sharer(sender):
+        push = self._polling.choose_push(digest.version)
+        if push and self._is_sharer(sender):
             self._send(sender, push)
         self._engine.wake()
 
@@ -479,14 +483,15 @@
 
     def _read_row(self) -> polling.Row | None:
         self._metrics.messages.labels(kind="platform").inc()
-        row = self._platform.get_row(polling.CURRENT_KEY)
+        row = self._platform.reread_row(polling.CURRENT_KEY)
         if row is None:
             return None
         return polling.Row(int(row.value["version"]), row.value)
 
     def _read_vms(self) -> list[entities.Vm]:
         self._metrics.messages.labels(kind="platform").inc()
-        return list(self._platform.list_vms().vms)
+        own = self._settings.data_centre
+        return list(self._platform.list_vms(own).vms)
 
     def _take_vms(self, vms: list[entities.Vm]) -> None:
         self._workers.list_vms(vms)
@@ -511,10 +516,12 @@
         self._metrics.plans_version.set(declared.version)
         return True
 
-    def _share_declarations(self, push: messages.DeclarationsPush) -> None:
+    def _share_declarations(self) -> None:
         for daemon_id in self._peering.list_linked():
             known = self._mesh.known.get(daemon_id)
-            if known is None or (known.version or 0) < push.version:
+            version = known.version if known and known.version else 0
+            push = self._polling.choose_push(version)
+            if push:
                 self._send(daemon_id, push)
 
     def _take_ownership_change(self, shard_id: str) -> None:
--- a/pollenladder/core/meters.py
+++ b/pollenladder/core/meters.py
@@ -23,6 +23,7 @@
     messages.BatchResult: "spill",
     messages.ShardLoad: "probe",
     messages.DeclarationsPush: "plans",
+    messages.DeclarationsDelta: "plans",
     messages.Claim: "loan",
     messages.ClaimReply: "loan",
     loans.LoanAsk: "loan",
--- a/pollenladder/core/polling.py
+++ b/pollenladder/core/polling.py
@@ -15,6 +15,7 @@
 from pollenladder.core import clocks
 from pollenladder.core import entities
 from pollenladder.plans import declarations
+from pollenladder.plans import deltas
 from pollenladder.plans import loading
 from pollenladder.platform import exceptions as platform_exceptions
 from pollenladder.wire import messages
@@ -42,7 +43,7 @@
         is_reader: Return whether this daemon shall read the row now.
         on_vms: Take in the VM list.
         on_declared: Put declarations in force; return whether they are newer.
-        share: Push a row to the peers whose version is older.
+        share: Tell the peers whose version is older, by `choose_push`.
     """
 
     read_row: Callable[[], Row | None]
@@ -50,7 +51,7 @@
     is_reader: Callable[[], bool]
     on_vms: Callable[[list[entities.Vm]], None]
     on_declared: Callable[[declarations.Declarations], bool]
-    share: Callable[[messages.DeclarationsPush], None]
+    share: Callable[[], None]
 
 
 class Polling:
@@ -58,6 +59,7 @@
 
     Attributes:
         push: The newest declarations as they are pushed; None before any.
+        delta: What they change in those before; None if it is not known.
         platform_heard_at: When the platform last answered.
     """
 
@@ -69,6 +71,7 @@
         vms_interval_s: float,
     ):
         self.push: messages.DeclarationsPush | None = None
+        self.delta: messages.DeclarationsDelta | None = None
         self.platform_heard_at = float("-inf")
         self._outlets = outlets
         self._clock = clock
@@ -105,10 +108,34 @@
             return False
         if not self._outlets.on_declared(declared):
             return False
+        self.delta = _compare(self.push, push)
         self.push = push
         LOGGER.info("declarations %d are in force here", push.version)
         return True
 
+    def take_delta(self, delta: messages.DeclarationsDelta) -> bool:
+        """Put a change in force; return False if it needs another version."""
+        if self.push and delta.version <= self.push.version:
+            return True
+        if self.push is None or delta.base != self.push.version:
+            return False
+        try:
+            value = deltas.apply(self.push.value, delta.delta)
+        except (AttributeError, KeyError, TypeError) as error:
+            LOGGER.error("change %d: %r", delta.version, error)
+            return False
+        return self.take_push(messages.DeclarationsPush(delta.version, value))
+
+    def choose_push(
+        self, version: int
+    ) -> messages.DeclarationsPush | messages.DeclarationsDelta | None:
+        """Return what brings a peer at a version up to the newest, or None."""
+        if self.push is None or version >= self.push.version:
+            return None
+        if self.delta and self.delta.base == version:
+            return self.delta
+        return self.push
+
     def _read_declarations(self) -> None:
         try:
             row = self._outlets.read_row()
@@ -120,4 +147,15 @@
             return
         push = messages.DeclarationsPush(row.version, row.value)
         if self.take_push(push):
-            self._outlets.share(push)
+            self._outlets.share()
+
+
+def _compare(
+    old: messages.DeclarationsPush | None, new: messages.DeclarationsPush
+) -> messages.DeclarationsDelta | None:
+    if old is None:
+        return None
+    delta = deltas.build(old.value, new.value)
+    if delta is None:
+        return None
+    return messages.DeclarationsDelta(old.version, new.version, delta)
--- a/pollenladder/core/tags.py
+++ b/pollenladder/core/tags.py
@@ -28,6 +28,7 @@
     (18, loans.LoanAsk),
     (19, loans.LoanGrant),
     (20, loans.LoanReturn),
+    (21, messages.DeclarationsDelta),
 )
 
 
--- a/pollenladder/core/workers.py
+++ b/pollenladder/core/workers.py
@@ -63,17 +63,17 @@
         ]
         self._keep_clients(here)
         now = self._clock()
-        for shard_id, shard in self._shards.items():
-            rows = [
+        rows: dict[str, list[tables.Worker]] = {key: [] for key in self._shards}
+        for vm in here:
+            rows[self._find_shard(vm.vm_id)].append(
                 tables.Worker(
                     vm.vm_id,
                     vm.slots,
                     leaving=vm.state is entities.VmState.LEAVING,
                 )
-                for vm in here
-                if self._find_shard(vm.vm_id) == shard_id
-            ]
-            shards.list_workers(shard, rows, now)
+            )
+        for shard_id, shard in self._shards.items():
+            shards.list_workers(shard, rows[shard_id], now)
 
     def acquire_lease(
         self, worker_id: str, shard_id: str, epoch: int, ttl_s: float
--- a/pollenladder/dispatch/shard.py
+++ b/pollenladder/dispatch/shard.py
@@ -59,15 +59,16 @@
 
 
 def _declare_shares(shard: tables.Shard, now: float) -> None:
-    ids = shard.all_shard_ids
+    ids = sorted(set(shard.all_shard_ids))
+    position, count = ids.index(shard.shard_id), len(ids)
     for plan in shard.declared.plans.values():
         allowed = plan.allowance
         escrow.declare(
             shard.ledger,
             plan.plan_id,
-            escrow.split(allowed.running_tasks, ids)[shard.shard_id],
-            escrow.split_rate(allowed.starts_per_s, ids)[shard.shard_id],
-            escrow.split(allowed.burst, ids)[shard.shard_id],
+            escrow.find_share(allowed.running_tasks, position, count),
+            escrow.find_rate_share(allowed.starts_per_s, position, count),
+            escrow.find_share(allowed.burst, position, count),
             now,
         )
     for plan_id in list(shard.ledger.rows):
--- a/pollenladder/plans/escrow.py
+++ b/pollenladder/plans/escrow.py
@@ -34,6 +34,21 @@
     return {shard: share + (i < rest) for i, shard in enumerate(ordered)}
 
 
+def find_share(total: int, position: int, shards: int) -> int:
+    """Return what `split` gives the shard at a position of the sorted ids.
+
+    Sharing out an allowance of one shard among all would cost a change of the
+    plans time that grows with the shards of all data centres.
+    """
+    share, rest = divmod(total, shards)
+    return share + (position < rest)
+
+
+def find_rate_share(total: float, position: int, shards: int) -> float:
+    """Return what `split_rate` gives the shard at a position."""
+    return find_share(int(total * MILLI), position, shards) / MILLI
+
+
 def split_rate(total: float, shard_ids: Iterable[str]) -> dict[str, float]:
     """Return each shard's share of a rate, to a thousandth of a start."""
     shares = split(int(total * MILLI), shard_ids)
--- a/pollenladder/platform/client.py
+++ b/pollenladder/platform/client.py
@@ -4,6 +4,7 @@
 which tell whether a write took effect.
 """
 
+from collections.abc import Callable
 import dataclasses
 import json
 from typing import Any
@@ -21,6 +22,7 @@
 from pollenladder.platform import entities
 from pollenladder.platform import exceptions
 from pollenladder.platform import messages
+from pollenladder.platform import rereads
 
 Message = TypeVar("Message", bound=pydantic.BaseModel)
 
@@ -71,6 +73,7 @@
         """
         self._place = (address, port)
         self._timeout_s = limits.timeout_s
+        self._seen: rereads.Table = {}
         self._connections = connections.Connections(
             self._place,
             limits.connections,
@@ -90,10 +93,17 @@
             UnavailableError: No usable answer.
         """
         response = self._exchange("GET", f"/v1/table/{_quote(key)}")
-        if response.status == NOT_FOUND:
-            return None
-        message = _read(response, messages.RowMessage)
-        return entities.Row(message.key, message.value, message.version)
+        return _read_row(response)
+
+    def reread_row(self, key: str) -> entities.Row | None:
+        """Return a row as `get_row` does; cheap while it has not changed.
+
+        The last answer is kept, so this is for a few rows that are read often.
+
+        Raises:
+            UnavailableError: No usable answer.
+        """
+        return self._reread(f"/v1/table/{_quote(key)}", _read_row)
 
     def list_rows(
         self, prefix: str, after: str = "", limit: int = PAGE_ROWS
@@ -190,16 +200,28 @@
         _read(response, messages.EtagMessage)
         return True
 
-    def list_vms(self) -> entities.VmList:
-        """Return the VM list, which lags.
+    def list_vms(self, data_centre: str = "") -> entities.VmList:
+        """Return the VM list, which lags; cheap while it has not changed.
+
+        Args:
+            data_centre: If given, endpoints of other data centres may be left
+                out of the list.
 
         Raises:
             UnavailableError: No usable answer.
         """
-        response = self._exchange("GET", "/v1/vms")
-        message = _read(response, messages.VmsMessage)
-        vms = tuple(convert_vm(vm) for vm in message.vms)
-        return entities.VmList(message.version, vms)
+        target = "/v1/vms"
+        if data_centre:
+            query = {"data_centre": data_centre}
+            target += f"?{urllib.parse.urlencode(query)}"
+        return self._reread(target, _read_vms)
+
+    def _reread(
+        self, target: str, parse: Callable[[responses.Response], Any]
+    ) -> Any:
+        fields = rereads.format_fields(self._seen, target)
+        response = self._exchange("GET", target, b"", fields)
+        return rereads.read(self._seen, target, response, parse)
 
     def _exchange_object(
         self, method: str, name: str, data: bytes, etag: str | None
@@ -244,6 +266,19 @@
     return _read_status(response, message_type)
 
 
+def _read_row(response: responses.Response) -> entities.Row | None:
+    if response.status == NOT_FOUND:
+        return None
+    message = _read(response, messages.RowMessage)
+    return entities.Row(message.key, message.value, message.version)
+
+
+def _read_vms(response: responses.Response) -> entities.VmList:
+    message = _read(response, messages.VmsMessage)
+    vms = tuple(convert_vm(vm) for vm in message.vms)
+    return entities.VmList(message.version, vms)
+
+
 def _read_status(
     response: responses.Response, message_type: type[Message]
 ) -> Message:
--- a/pollenladder/wire/messages.py
+++ b/pollenladder/wire/messages.py
@@ -219,6 +219,21 @@
     value: Any
 
 
+@dataclasses.dataclass(frozen=True)
+class DeclarationsDelta:
+    """What a version of the declarations changes in an earlier one.
+
+    Attributes:
+        base: The version that it changes; of use only to who has that one.
+        version: The version that it makes.
+        delta: See `plans.deltas`.
+    """
+
+    base: int
+    version: int
+    delta: Any
+
+
 @dataclasses.dataclass(frozen=True)
 class Claim:
     """A new owner of a shard asks what another shard holds from it."""
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import hashlib
+import json
+from typing import Any
 
 import gevent
 import pydantic
@@ -15,6 +17,7 @@
 TABLE_PREFIX = "/v1/table/"
 OBJECT_PREFIX = "/v1/objects/"
 LIST_LIMIT = 1000
+VM_ANSWERS_KEPT = 64
 JSON_TYPE = (("Content-Type", "application/json"),)
 
 
@@ -48,6 +51,15 @@
     return servers.Reply(status, body, JSON_TYPE)
 
 
+def reply_tagged(
+    request: servers.Request, etag: str, body: Any
+) -> servers.Reply:
+    """Return a body with its entity tag, or only that it is not modified."""
+    if request.headers.get("If-None-Match") == etag:
+        return servers.Reply(304, b"", (("ETag", etag),))
+    return servers.Reply(200, body, (*JSON_TYPE, ("ETag", etag)))
+
+
 def parse_body(
     message_type: type[platform_messages.Message], body: bytes
 ) -> platform_messages.Message:
@@ -83,6 +95,7 @@
         self._table = platform_table.Table()
         self._objects: dict[str, bytes] = {}
         self._vms = [platform_vms.EMPTY]
+        self._vm_answers: dict[tuple[int, str], tuple[str, bytes]] = {}
 
     def answer(self, request: servers.Request) -> servers.Reply | None:
         """Answer any request; None closes the connection."""
@@ -129,19 +142,20 @@
         if request.method != "GET":
             return reply_json(404, {"error": "not found"})
         if path == "/v1/vms":
-            return self._read_vms()
+            return self._read_vms(request)
         if path == "/v1/table":
             return self._list_rows(request)
         if path.startswith(TABLE_PREFIX):
-            return self._get_row(path[len(TABLE_PREFIX) :])
+            return self._get_row(request, path[len(TABLE_PREFIX) :])
         return reply_json(404, {"error": "not found"})
 
-    def _get_row(self, key: str) -> servers.Reply:
+    def _get_row(self, request: servers.Request, key: str) -> servers.Reply:
         self.counters.reads += 1
         row = self._table.get(key)
         if row is None:
             return reply_json(404, {"key": key})
-        return reply_json(200, dataclasses.asdict(row))
+        body = dataclasses.asdict(row)
+        return reply_tagged(request, f'"{row.version}"', body)
 
     def _list_rows(self, request: servers.Request) -> servers.Reply:
         self.counters.reads += 1
@@ -196,13 +210,22 @@
                 return reply_json(200, {"etag": etag})
         return reply_json(404, {"name": name})
 
-    def _read_vms(self) -> servers.Reply:
+    def _read_vms(self, request: servers.Request) -> servers.Reply:
         self.counters.vms_reads += 1
         seen = platform_vms.find_visible(
             self._vms, self._clock(), self.faults.vm_lag_s
         )
-        body = {"version": seen.version, "vms": list(seen.vms.values())}
-        return reply_json(200, body)
+        wanted = request.get_parameter("data_centre")
+        key = (seen.version, wanted)
+        if key not in self._vm_answers:
+            if len(self._vm_answers) >= VM_ANSWERS_KEPT:
+                self._vm_answers.clear()
+            rows = platform_vms.list_rows(seen, wanted)
+            body = {"version": seen.version, "vms": rows}
+            etag = compute_etag(json.dumps(rows).encode())
+            data = json.dumps(body, separators=(",", ":")).encode()
+            self._vm_answers[key] = etag, data
+        return reply_tagged(request, *self._vm_answers[key])
 
     def _change_vms(self, body: bytes) -> servers.Reply:
         self.change_vms(parse_body(platform_messages.VmsMessage, body))
--- a/standins/platform_vms.py
+++ b/standins/platform_vms.py
@@ -38,3 +38,14 @@
     """Return the list as a reader sees it, `lag_s` late."""
     seen_s = now_s - lag_s
     return next(seen for seen in reversed(history) if seen.since_s <= seen_s)
+
+
+def list_rows(seen: VmList, data_centre: str) -> list[dict]:
+    """Return the rows, without endpoints of other data centres if one is named."""
+    return [
+        vm
+        for vm in seen.vms.values()
+        if not data_centre
+        or vm["role"] != "endpoint"
+        or vm["data_centre"] == data_centre
+    ]
--- a/tests/plans/test_escrow.py
+++ b/tests/plans/test_escrow.py
@@ -54,6 +54,18 @@
             self.assertAlmostEqual(sum(rates), total, delta=0.001)
             self.assertLessEqual(sum(rates), total + 1e-6)
 
+    def test_one_share_is_that_of_the_split(self):
+        ids = sorted(SHARDS)
+        for total in (0, 1, 2, 7, 333.333, 890000):
+            whole = escrow.split(int(total), SHARDS)
+            rates = escrow.split_rate(total, SHARDS)
+            for i, shard_id in enumerate(ids):
+                found = (
+                    escrow.find_share(int(total), i, len(ids)),
+                    escrow.find_rate_share(total, i, len(ids)),
+                )
+                self.assertEqual(found, (whole[shard_id], rates[shard_id]))
+
 
 class BucketTest(unittest.TestCase):
     def test_starts_in_any_time_stay_within_rate_and_burst(self):
