--- a/bench/capacity/pages.py
+++ b/bench/capacity/pages.py
@@ -44,7 +44,7 @@
     """
     over: list[str] = []
     parts = {
-        "slopes": _draw_slopes(known),
+        "slopes": draw_slopes(known),
         "layout": _draw_layout(known),
         "roles": _draw_roles(known),
         "control": _draw_control(known, over),
@@ -132,7 +132,8 @@
     return f"**OVER** by {value / limit:.3g} times"
 
 
-def _draw_slopes(known: Slopes) -> str:
+def draw_slopes(known: Slopes) -> str:
+    """Return the table of all slopes."""
     columns = [
         "slope",
         "against",
--- a/bench/commands/capacity.py
+++ b/bench/commands/capacity.py
@@ -60,14 +60,17 @@
     known = slopes.read_slopes(options.slopes)
     if not options.redraw:
         _measure(options, known)
-    tables = pages.build_tables(known, slopes.read_slopes(EARLIER))
-    if options.slopes == SLOPES:
-        PAGE.write_text(pages.fill(PAGE.read_text(), tables))
-        pages.draw_plots(FOLDER, known)
-    result = {"command": "capacity", "seed": options.seed, "over": tables.over}
+    result = {"command": "capacity", "seed": options.seed}
     report = reports.Report(options.out, "capacity", "Capacity", result)
+    if options.slopes != SLOPES:
+        report.add_text(pages.draw_slopes(known))
+        return report
+    tables = pages.build_tables(known, slopes.read_slopes(EARLIER))
+    PAGE.write_text(pages.fill(PAGE.read_text(), tables))
+    pages.draw_plots(FOLDER, known)
     for name, text in tables.parts.items():
         report.add_text(f"## {name}\n\n{text}")
+    result["over"] = tables.over
     return report
 
 
@@ -76,7 +79,7 @@
 ) -> None:
     """Measure what is asked for and record it after each group."""
     commit = reports.read_commit()
-    command = "scripts/bench " + " ".join(sys.argv[1:])
+    command = _format_command(options)
     for name, measure in GROUPS.items():
         wanted = options.only
         if wanted and not wanted.startswith(name):
@@ -89,6 +92,11 @@
         slopes.write_slopes(options.slopes, known)
 
 
+def _format_command(options: argparse.Namespace) -> str:
+    only = f" --only {options.only}" if options.only else ""
+    return f"scripts/bench capacity{only} --repeats {options.repeats}"
+
+
 def _check(options: argparse.Namespace) -> reports.Report:
     known = slopes.read_slopes(options.slopes)
     earlier = slopes.read_slopes(EARLIER)
