--- a/tests/runner.py
+++ b/tests/runner.py
@@ -19,6 +19,10 @@
     ("lint", [BIN / "ruff", "check", "-q", "."]),
     ("imports", [BIN / "lint-imports", "--no-cache"]),
     ("module imports", [sys.executable, "-m", "tests.imports"]),
+    (
+        "capacity page",
+        [sys.executable, "-m", "bench", "capacity", "--check"],
+    ),
 )
 FAILED_TEST = re.compile(r"^(?:FAIL|ERROR): (\S+) \((\S+?)\)", re.MULTILINE)
 RAN = re.compile(r"^Ran (\d+) tests?", re.MULTILINE)
