--- a/bench/capacity/polls.py
+++ b/bench/capacity/polls.py
@@ -36,7 +36,7 @@
 
     def poll(count: int) -> None:
         for _ in range(count):
-            reader.list_vms("elsewhere")
+            reader.list_vms(["elsewhere"])
 
     points = [
         [(n, timing.time_us(lambda n=n: poll(n))) for n in COUNTS]
--- a/bench/capacity/sizes.py
+++ b/bench/capacity/sizes.py
@@ -73,8 +73,10 @@
     """
     local = math.ceil(layout.workers / len(layout.data_centres))
     shards = shards or math.ceil(local / WORKERS_PER_SHARD)
-    centres = {name: {"shards": shards} for name in layout.data_centres}
-    settings = {"data_centres": centres}
+    centres = {
+        name: {"shards": shards, "region": name} for name in layout.data_centres
+    }
+    settings = {"data_centres": centres, "shards_per_owner": 1}
     with (
         tempfile.TemporaryDirectory(prefix="capacity-") as folder,
         processes.open_group(pathlib.Path(folder)) as group,
--- a/pollenladder/platform/client.py
+++ b/pollenladder/platform/client.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import json
 from typing import Any
@@ -200,19 +201,18 @@
         _read(response, messages.EtagMessage)
         return True
 
-    def list_vms(self, data_centre: str = "") -> entities.VmList:
+    def list_vms(self, data_centres: Sequence[str] = ()) -> entities.VmList:
         """Return the VM list, which lags; cheap while it has not changed.
 
         Args:
-            data_centre: If given, endpoints of other data centres may be left
-                out of the list.
+            data_centres: If given, endpoints of others may be left out.
 
         Raises:
             UnavailableError: No usable answer.
         """
         target = "/v1/vms"
-        if data_centre:
-            query = {"data_centre": data_centre}
+        if data_centres:
+            query = [("data_centre", name) for name in data_centres]
             target += f"?{urllib.parse.urlencode(query)}"
         return self._reread(target, _read_vms)
 
--- a/standins/platform_http.py
+++ b/standins/platform_http.py
@@ -95,7 +95,7 @@
         self._table = platform_table.Table()
         self._objects: dict[str, bytes] = {}
         self._vms = [platform_vms.EMPTY]
-        self._vm_answers: dict[tuple[int, str], tuple[str, bytes]] = {}
+        self._vm_answers: dict[tuple, tuple[str, bytes]] = {}
 
     def answer(self, request: servers.Request) -> servers.Reply | None:
         """Answer any request; None closes the connection."""
@@ -215,7 +215,7 @@
         seen = platform_vms.find_visible(
             self._vms, self._clock(), self.faults.vm_lag_s
         )
-        wanted = request.get_parameter("data_centre")
+        wanted = request.list_parameters("data_centre")
         key = (seen.version, wanted)
         if key not in self._vm_answers:
             if len(self._vm_answers) >= VM_ANSWERS_KEPT:
--- a/standins/platform_vms.py
+++ b/standins/platform_vms.py
@@ -40,12 +40,12 @@
     return next(seen for seen in reversed(history) if seen.since_s <= seen_s)
 
 
-def list_rows(seen: VmList, data_centre: str) -> list[dict]:
-    """Return the rows, without endpoints of other data centres if one is named."""
+def list_rows(seen: VmList, data_centres: tuple[str, ...]) -> list[dict]:
+    """Return the rows, without endpoints elsewhere if any are named."""
     return [
         vm
         for vm in seen.vms.values()
-        if not data_centre
+        if not data_centres
         or vm["role"] != "endpoint"
-        or vm["data_centre"] == data_centre
+        or vm["data_centre"] in data_centres
     ]
--- a/tests/contracts/test_rereads.py
+++ b/tests/contracts/test_rereads.py
@@ -30,13 +30,14 @@
         elsewhere = contract.VM | {"vm_id": "w-2", "data_centre": "quito-sur"}
         entry = elsewhere | {"vm_id": "d-1", "role": "entry"}
         self.world.change_vms(set=[contract.VM, entry], at_once=True)
-        first = self.client.list_vms("ambato")
+        first = self.client.list_vms(["ambato"])
         self.world.change_vms(set=[elsewhere], at_once=True)
-        self.assertIs(self.client.list_vms("ambato"), first)
+        self.assertIs(self.client.list_vms(["ambato"]), first)
         self.assertEqual([vm.vm_id for vm in first.vms], ["w-1", "d-1"])
-        self.assertEqual(len(self.client.list_vms().vms), 3)
+        for wanted in ([], ["ambato", "quito-sur"]):
+            self.assertEqual(len(self.client.list_vms(wanted).vms), 3)
         self.world.change_vms(remove=["w-1"], at_once=True)
-        second = self.client.list_vms("ambato")
+        second = self.client.list_vms(["ambato"])
         self.assertEqual([vm.vm_id for vm in second.vms], ["d-1"])
 
     def test_not_modified_without_an_earlier_answer_is_no_answer(self):
