--- a/pollenladder/core/workers.py
+++ b/pollenladder/core/workers.py
@@ -53,25 +53,17 @@
 
     def list_vms(self, vms: list[entities.Vm]) -> None:
         """Take in the VM list: the endpoints of this region."""
-        here = [
-            vm
-            for vm in vms
-            if vm.role is entities.VmRole.ENDPOINT
-            and self._find_shard(vm) in self._shards
-        ]
+        here = []
+        rows: dict[str, list[tables.Worker]] = {key: [] for key in self._shards}
+        for vm in vms:
+            shard_id = self._find_shard(vm)
+            if shard_id in rows:
+                here.append(vm)
+                rows[shard_id].append(_build_row(vm))
         self._keep_clients(here)
         now = self._clock()
         for shard_id, shard in self._shards.items():
-            rows = [
-                tables.Worker(
-                    vm.vm_id,
-                    vm.slots,
-                    leaving=vm.state is entities.VmState.LEAVING,
-                )
-                for vm in here
-                if self._find_shard(vm) == shard_id
-            ]
-            shards.list_workers(shard, rows, now)
+            shards.list_workers(shard, rows[shard_id], now)
 
     def acquire_lease(
         self, worker_id: str, shard_id: str, epoch: int, ttl_s: float
@@ -96,7 +88,7 @@
 
     def _find_shard(self, vm: entities.Vm) -> str | None:
         count = self._shard_counts.get(vm.data_centre)
-        if count is None:
+        if count is None or vm.role is not entities.VmRole.ENDPOINT:
             return None
         return hashing.find_shard(vm.vm_id, vm.data_centre, count)
 
@@ -117,3 +109,9 @@
                     vm.vm_id, vm.address, vm.port, limits, self._clock
                 )
         self._places = places
+
+
+def _build_row(vm: entities.Vm) -> tables.Worker:
+    return tables.Worker(
+        vm.vm_id, vm.slots, leaving=vm.state is entities.VmState.LEAVING
+    )
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -72,8 +72,12 @@
 
     def get_parameter(self, name: str, default: str = "") -> str:
         """Return a parameter of the query."""
+        return (self.list_parameters(name) or (default,))[0]
+
+    def list_parameters(self, name: str) -> tuple[str, ...]:
+        """Return all values of a parameter of the query."""
         values = urllib.parse.parse_qs(self.query, keep_blank_values=True)
-        return values.get(name, [default])[0]
+        return tuple(values.get(name, ()))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -20,6 +20,10 @@
     ("imports", [BIN / "lint-imports", "--no-cache"]),
     ("module imports", [sys.executable, "-m", "tests.imports"]),
     ("models", [sys.executable, "-m", "models.run"]),
+    (
+        "capacity page",
+        [sys.executable, "-m", "bench", "capacity", "--check"],
+    ),
 )
 FAILED_TEST = re.compile(r"^(?:FAIL|ERROR): (\S+) \((\S+?)\)", re.MULTILINE)
 RAN = re.compile(r"^Ran (\d+) tests?", re.MULTILINE)
