Keep refusals and late answers from starting a task twice

An owner that is asked twice (two breaks of a link) refuses twice; the second refusal then sent the job to a third owner while the second ran it. An answer now counts only if it comes from the daemon that has the job, and a job does not return to a daemon that refused it, so a late refusal of that daemon cannot be taken for a newer one. - An owner kept no note of a job or a batch that it refused, so the same frame come late or twice could start it after "not run" was said. Refusals are kept like answers. - A resubmission that waits for the answer of another job with its key was not known to queries: after a broken link it was told "not run, never received" while the tasks of its key ran. It could not be cancelled either, and its answer, if lost, could not be had again. - Tasks hosted for another shard that may have run were never forgotten; they are dropped when they must have ended.

Ruled out: a frame is never sent twice by a link, so a repeated offer needs no other guard than these notes; adding the shard to each answer would do for the first fault too, but changes a message.

Change: `submissions.record_answer` takes the sender; `Shard.followed`.

--- a/pollenladder/core/engine.py
+++ b/pollenladder/core/engine.py
@@ -193,16 +193,16 @@
             gevent.spawn(self.take_message, effect.daemon_id, effect.message)
             return
         if not self._outlets.send(effect.daemon_id, effect.message):
-            self._take_unsent(effect.message)
+            self._take_unsent(effect.daemon_id, effect.message)
 
-    def _take_unsent(self, message: object) -> None:
+    def _take_unsent(self, daemon_id: str, message: object) -> None:
         """Settle what certainly did not leave this daemon."""
         now = self._clock()
         reason = verdicts.Reason.CONNECTION_LOST
         if isinstance(message, messages.JobOffer):
             job_id = message.job.job_id
             refused = verdicts.Refused(job_id, reason, 1.0, "no link")
-            gevent.spawn(self._settle_answer, refused)
+            gevent.spawn(self._settle_answer, daemon_id, refused)
         elif isinstance(message, messages.BatchOffer):
             shard = self.shards[message.from_shard_id]
             result = spilling.format_unsent(message)
@@ -224,9 +224,11 @@
                 waiter.set()
         self.submissions.changed.clear()
 
-    def _settle_answer(self, answer: verdicts.Answer) -> None:
+    def _settle_answer(self, sender: str, answer: verdicts.Answer) -> None:
         now = self._clock()
-        self.execute(submissions.record_answer(self.submissions, answer, now))
+        self.execute(
+            submissions.record_answer(self.submissions, sender, answer, now)
+        )
         self._wake_waiters()
 
     def _take_job_offer(self, sender, message, now) -> None:
@@ -238,7 +240,7 @@
         )
 
     def _take_job_answer(self, sender, message, now) -> None:
-        self._settle_answer(messages.unpack_answer(message))
+        self._settle_answer(sender, messages.unpack_answer(message))
 
     def _take_job_cancel(self, sender, message, now) -> None:
         self._cancel(message.shard_id, message.job_ids, now)
--- a/pollenladder/dispatch/intake.py
+++ b/pollenladder/dispatch/intake.py
@@ -21,7 +21,7 @@
 ) -> list[tables.Effect]:
     """Take a job from a gateway, or answer at once why not."""
     job = offer.job
-    if job.job_id in shard.groups or job.job_id in shard.ended:
+    if _is_known(shard, job.job_id):
         # A frame that comes late or twice: its job is decided already.
         return []
     key = keys.parse_key(job.key) if job.key else None
@@ -33,7 +33,7 @@
     if refused:
         if key and shard.keys:
             keys.release_key(shard.keys, key)
-        return [_send_answer(sender, refused)]
+        return [_answer_at_once(shard, sender, refused, now)]
     _add_group(
         shard,
         group_id=job.job_id,
@@ -50,11 +50,19 @@
     return []
 
 
+def _is_known(shard: tables.Shard, group_id: str) -> bool:
+    return (
+        group_id in shard.groups
+        or group_id in shard.ended
+        or group_id in shard.followed
+    )
+
+
 def offer_batch(
     shard: tables.Shard, sender: str, offer: messages.BatchOffer, now: float
 ) -> list[tables.Effect]:
     """Take tasks that the owner of another shard spills here."""
-    if offer.batch_id in shard.groups or offer.batch_id in shard.ended:
+    if _is_known(shard, offer.batch_id):
         return []
     plan = shard.declared.plans.get(offer.plan_id)
     runnable = plan is not None and all(
@@ -72,6 +80,8 @@
             (item.task.task_id for item in offer.tasks), reason
         )
         message = messages.BatchResult(offer.batch_id, results)
+        # The sender may start the tasks elsewhere: they never start here.
+        completion.remember_ended(shard, offer.batch_id, message, now)
         return [tables.SendMessage(sender, message)]
     _add_group(
         shard,
@@ -115,6 +125,9 @@
     """
     effects: list[tables.Effect] = []
     for group_id in group_ids:
+        if group_id in shard.followed:
+            effects.append(_stop_following(shard, group_id, now))
+            continue
         group = shard.groups.get(group_id)
         if group is None:
             continue
@@ -126,6 +139,19 @@
     return effects
 
 
+def _stop_following(
+    shard: tables.Shard, job_id: str, now: float
+) -> tables.SendMessage:
+    """Answer a resubmission that is given up; the job with the key goes on."""
+    group = shard.groups[shard.followed.pop(job_id)]
+    sender = group.followers.pop(job_id)
+    reason = verdicts.Reason.CANCELLED
+    answer = verdicts.Failed(
+        job_id, reason, _format_uncertain(group.tasks.values(), reason)
+    )
+    return _answer_at_once(shard, sender, answer, now)
+
+
 def drop_replies(
     effects: list[tables.Effect], daemon_id: str
 ) -> list[tables.Effect]:
@@ -151,9 +177,12 @@
     One that never came is noted as ended, so that it cannot start should its
     frame still arrive, and is answered as "not run".
     """
-    group = shard.groups.get(group_id)
+    group = shard.groups.get(shard.followed.get(group_id, group_id))
     if group:
-        group.reply_to = sender
+        if group_id in group.followers:
+            group.followers[group_id] = sender
+        else:
+            group.reply_to = sender
         pending = messages.BatchPending if is_guest else messages.JobPending
         return [tables.SendMessage(sender, pending(group_id))]
     ended = shard.ended.get(group_id)
@@ -198,10 +227,10 @@
 ) -> list[tables.Effect] | None:
     """Return the effects if the key decides the answer, else None."""
     if shard.keys is None or not shard.ownership_is_held(now):
-        reason = verdicts.Reason.NOT_READY
-        return [
-            _refuse(sender, job, reason, 1.0, "the key's home has no owner")
-        ]
+        detail = "the key's home has no owner"
+        return _refuse(
+            shard, sender, job, verdicts.Reason.NOT_READY, 1.0, detail, now
+        )
     task_ids = tuple(task.task_id for task in job.tasks)
     if key is None:
         state, entry = keys.KeyState.MAY_HAVE_RUN, None
@@ -210,40 +239,55 @@
     if state is keys.KeyState.NEW:
         return None
     if state is keys.KeyState.FULL:
-        reason = verdicts.Reason.OVERLOAD
-        return [_refuse(sender, job, reason, 10.0, "too many keys are held")]
+        detail = "too many keys are held"
+        return _refuse(
+            shard, sender, job, verdicts.Reason.OVERLOAD, 10.0, detail, now
+        )
     if entry is None:
-        return [_send_answer(sender, _format_unknown(job))]
+        return [_answer_at_once(shard, sender, _format_unknown(job), now)]
     if entry.task_ids != task_ids:
-        reason = verdicts.Reason.KEY_IN_USE
         detail = "the key belongs to a job with other tasks"
-        return [_refuse(sender, job, reason, None, detail)]
+        return _refuse(
+            shard, sender, job, verdicts.Reason.KEY_IN_USE, None, detail, now
+        )
     if state is keys.KeyState.ANSWERED:
-        return [_send_answer(sender, keys.relabel(entry.answer, job.job_id))]
-    return _follow(shard, sender, job, entry)
+        answer = keys.relabel(entry.answer, job.job_id)
+        return [_answer_at_once(shard, sender, answer, now)]
+    return _follow(shard, sender, job, entry, now)
 
 
 def _follow(
-    shard: tables.Shard, sender: str, job: entities.Job, entry: keys.Entry
+    shard: tables.Shard,
+    sender: str,
+    job: entities.Job,
+    entry: keys.Entry,
+    now: float,
 ) -> list[tables.Effect]:
     """Answer a resubmission together with the job that has the key."""
     group = shard.groups.get(entry.job_id)
     if group is None:
-        return [_send_answer(sender, _format_unknown(job))]
+        return [_answer_at_once(shard, sender, _format_unknown(job), now)]
     group.followers[job.job_id] = sender
+    shard.followed[job.job_id] = group.group_id
     return []
 
 
 def _format_unknown(job: entities.Job) -> verdicts.Failed:
     """Return the answer to a key of which nothing is known here."""
     reason = verdicts.Reason.KEY_UNKNOWN
-    results = tuple(
-        verdicts.TaskResult(task.task_id, verdicts.Verdict.MAY_HAVE_RUN, reason)
-        for task in job.tasks
-    )
+    results = _format_uncertain(job.tasks, reason)
     return verdicts.Failed(job.job_id, reason, results)
 
 
+def _format_uncertain(
+    tasks: Iterable[entities.Task], reason: verdicts.Reason
+) -> tuple[verdicts.TaskResult, ...]:
+    verdict = verdicts.Verdict.MAY_HAVE_RUN
+    return tuple(
+        verdicts.TaskResult(task.task_id, verdict, reason) for task in tasks
+    )
+
+
 def _add_group(
     shard: tables.Shard,
     *,
@@ -302,15 +346,22 @@
 
 
 def _refuse(
+    shard: tables.Shard,
     sender: str,
     job: entities.Job,
     reason: verdicts.Reason,
     retry_after_s: float | None,
     detail: str,
-) -> tables.SendMessage:
+    now: float,
+) -> list[tables.Effect]:
     refused = verdicts.Refused(job.job_id, reason, retry_after_s, detail)
-    return _send_answer(sender, refused)
+    return [_answer_at_once(shard, sender, refused, now)]
 
 
-def _send_answer(sender: str, answer: verdicts.Answer) -> tables.SendMessage:
-    return tables.SendMessage(sender, messages.pack_answer(answer))
+def _answer_at_once(
+    shard: tables.Shard, sender: str, answer: verdicts.Answer, now: float
+) -> tables.SendMessage:
+    """Answer a job that is not taken, so that no late frame can start it."""
+    message = messages.pack_answer(answer)
+    completion.remember_ended(shard, answer.job_id, message, now)
+    return tables.SendMessage(sender, message)
--- a/pollenladder/dispatch/shard.py
+++ b/pollenladder/dispatch/shard.py
@@ -92,6 +92,9 @@
     completion.forget_ended(shard, now)
     if now < shard.next_expiry_at:
         return []
+    hosted = shard.ledger.hosted.values()
+    over = [item.host_id for item in hosted if item.until <= now]
+    takeover.end_hosting(shard.ledger, over)
     due = [g for g in shard.groups.values() if g.deadline_at <= now]
     late = [g for g in shard.groups.values() if g.start_by <= now and g.waiting]
     effects: list[tables.Effect] = []
--- a/pollenladder/dispatch/submissions.py
+++ b/pollenladder/dispatch/submissions.py
@@ -31,7 +31,7 @@
         shard_id: The shard it was last offered to.
         daemon_id: That shard's owner at the time; empty if not offered.
         offers: How often it was offered.
-        refused_by: Shards that would not take it.
+        refused_by: Daemons that would not take it.
         answer: The final answer, once there is one.
         ended_at: When that came.
     """
@@ -77,14 +77,18 @@
 
 
 def record_answer(
-    table: Submissions, answer: verdicts.Answer, now: float
+    table: Submissions, sender: str, answer: verdicts.Answer, now: float
 ) -> list[tables.Effect]:
-    """Take in an owner's answer; a job that has not run may go elsewhere."""
+    """Take in an owner's answer; a job that has not run may go elsewhere.
+
+    An answer of a daemon that the job has left since is its refusal again,
+    and says nothing of the daemon that has the job now.
+    """
     row = table.rows.get(answer.job_id)
-    if row is None:
+    if row is None or row.daemon_id != sender:
         return []
     if isinstance(answer, verdicts.Refused) and _may_go_elsewhere(row, answer):
-        row.refused_by.add(row.shard_id)
+        row.refused_by.add(row.daemon_id)
         return _offer(table, row, now)
     _end(table, row, answer, now)
     return []
@@ -196,7 +200,7 @@
     entries = [
         entry
         for entry in table.loads.entries.values()
-        if entry.shard_id not in row.refused_by and entry.slots
+        if entry.daemon_id not in row.refused_by and entry.slots
     ]
     return min(entries, key=lambda e: _rank(table, e), default=None)
 
--- a/pollenladder/dispatch/tables.py
+++ b/pollenladder/dispatch/tables.py
@@ -167,6 +167,7 @@
         groups: Jobs and batches by id.
         batches: Batches spilled, by id.
         ended: Groups that must never start again, by id.
+        followed: Groups whose answer a resubmission waits for, by its job id.
         keys: Keys of this owner's epoch; None while it is not the owner.
         loads: Where other shards are and how loaded.
         retry_tokens: Retries allowed now.
@@ -202,6 +203,7 @@
     groups: dict[str, Group] = dataclasses.field(default_factory=dict)
     batches: dict[str, Batch] = dataclasses.field(default_factory=dict)
     ended: dict[str, Ended] = dataclasses.field(default_factory=dict)
+    followed: dict[str, str] = dataclasses.field(default_factory=dict)
     keys: keys.KeyTable | None = None
     retry_tokens: float = 50.0
     next_batch: int = 0
--- /dev/null
+++ b/tests/dispatch/test_intake.py
@@ -0,0 +1,131 @@
+"""Late, repeated and resubmitted frames at the owner of a shard."""
+
+import unittest
+from unittest import mock
+
+from pollenladder.core import verdicts
+from pollenladder.dispatch import completion
+from pollenladder.dispatch import intake
+from pollenladder.dispatch import shard as shards
+from pollenladder.dispatch import tables
+from pollenladder.wire import messages
+from tests.dispatch import worlds
+
+KEY = "dc/0~1~0~own"
+
+
+def offer(shard, job, sender="g", now=110.0):
+    message = messages.JobOffer(shard.shard_id, job)
+    return intake.offer_job(shard, sender, message, now)
+
+
+def offer_batch(shard, batch_id="b1", epoch=1, tasks=2, now=110.0, **changes):
+    job = worlds.make_job("j", tasks)
+    items = tuple(
+        messages.BatchTask(i, task, "") for i, task in enumerate(job.tasks)
+    )
+    fields = {"deadline_s": 5.0, "start_within_s": 3.0} | changes
+    message = messages.BatchOffer(
+        batch_id, "dc/1", epoch, "dc/0", "j", "c", "p", tasks=items, **fields
+    )
+    return intake.offer_batch(shard, "g", message, now)
+
+
+def query(shard, group_id, is_guest=False, now=110.0):
+    task_ids = ("t0",)
+    return intake.answer_query(shard, "g2", group_id, task_ids, is_guest, now)
+
+
+def get_answers(effects):
+    """Return (daemon, answer) of all answers among effects."""
+    return [
+        (effect.daemon_id, messages.unpack_answer(effect.message))
+        for effect in effects
+        if isinstance(effect, tables.SendMessage)
+        and isinstance(effect.message, messages.JobAnswer)
+    ]
+
+
+def start_all(shard, now=110.0):
+    effects = shards.run_systems(shard, now)
+    return [e for e in effects if isinstance(e, tables.StartTask)]
+
+
+def end(shard, start, kind="ok", now=110.1):
+    verdict, reason, _ = worlds.ENDS[kind]
+    result = verdicts.TaskResult(
+        start.task.task_id, verdict, reason, start.task.payload, 0.1
+    )
+    return completion.record_start_outcome(shard, start, result, now)
+
+
+class LateFramesTest(unittest.TestCase):
+    def refuse_then_repeat(self):
+        """Refuse a job while draining; return starts when it comes again."""
+        shard = worlds.make_shard()
+        shard.draining = True
+        offer(shard, worlds.make_job("j"))
+        shard.draining = False
+        offer(shard, worlds.make_job("j"))
+        return start_all(shard)
+
+    def refuse_batch_then_repeat(self):
+        shard = worlds.make_shard()
+        shard.draining = True
+        offer_batch(shard)
+        shard.draining = False
+        offer_batch(shard)
+        return start_all(shard)
+
+    def test_a_refused_job_never_starts(self):
+        self.assertEqual(self.refuse_then_repeat(), [])
+        self.assertEqual(self.refuse_batch_then_repeat(), [])
+
+    def test_it_starts_if_refusals_are_not_kept(self):
+        with mock.patch.object(completion, "remember_ended"):
+            self.assertTrue(self.refuse_then_repeat())
+            self.assertTrue(self.refuse_batch_then_repeat())
+
+    def test_a_refusal_is_told_again(self):
+        shard = worlds.make_shard()
+        shard.draining = True
+        first = offer(shard, worlds.make_job("j"))
+        (again,) = query(shard, "j")
+        self.assertEqual(again.message, first[0].message)
+
+
+class FollowingTest(unittest.TestCase):
+    def setUp(self):
+        self.shard = worlds.make_shard()
+        offer(self.shard, worlds.make_job("j1", key=KEY))
+        self.starts = start_all(self.shard)
+        self.assertEqual(
+            offer(self.shard, worlds.make_job("j2", key=KEY), "g2"), []
+        )
+
+    def test_it_gets_the_same_answer(self):
+        answers = get_answers(end(self.shard, self.starts[0]))
+        self.assertEqual([a.job_id for _, a in answers], ["j1", "j2"])
+        self.assertEqual([to for to, _ in answers], ["g", "g2"])
+        self.assertEqual(answers[0][1].results, answers[1][1].results)
+
+    def test_a_query_finds_it(self):
+        (effect,) = query(self.shard, "j2")
+        self.assertEqual(effect.message, messages.JobPending("j2"))
+        end(self.shard, self.starts[0])
+        ((_, answer),) = get_answers(query(self.shard, "j2"))
+        self.assertIsInstance(answer, verdicts.Complete)
+
+    def test_unknown_to_queries_it_would_be_told_not_run(self):
+        self.shard.followed.clear()
+        ((_, answer),) = get_answers(query(self.shard, "j2"))
+        self.assertIsInstance(answer, verdicts.Refused)
+
+    def test_cancelling_it_leaves_the_first(self):
+        effects = intake.cancel_groups(self.shard, ["j2"], 110.0)
+        ((to, answer),) = get_answers(effects)
+        self.assertEqual((to, answer.job_id), ("g2", "j2"))
+        (result,) = answer.results
+        self.assertIs(result.verdict, verdicts.Verdict.MAY_HAVE_RUN)
+        answers = get_answers(end(self.shard, self.starts[0]))
+        self.assertEqual([a.job_id for _, a in answers], ["j1"])
--- /dev/null
+++ b/tests/dispatch/worlds.py
@@ -0,0 +1,266 @@
+"""Daemons, links that lose things, and workers that count what they run."""
+
+import collections
+import dataclasses
+import math
+
+from pollenladder.core import entities
+from pollenladder.core import verdicts
+from pollenladder.dispatch import completion
+from pollenladder.dispatch import directory
+from pollenladder.dispatch import intake
+from pollenladder.dispatch import shard as shards
+from pollenladder.dispatch import sharing
+from pollenladder.dispatch import spilling
+from pollenladder.dispatch import submissions
+from pollenladder.dispatch import tables
+from pollenladder.membership import leases
+from pollenladder.plans import declarations
+from pollenladder.plans import escrow
+from pollenladder.plans import loans
+from pollenladder.wire import messages
+
+TERM_S = 10.0
+MAX_RUN_S = 2.0
+RAN = verdicts.Verdict.RAN
+NOT_RUN = verdicts.Verdict.NOT_RUN
+UNKNOWN = verdicts.Verdict.MAY_HAVE_RUN
+# How a start ends: the verdict, the reason, and whether the task has run.
+ENDS = {
+    "ok": (RAN, verdicts.Reason.OK, True),
+    "error": (RAN, verdicts.Reason.TASK_ERROR, True),
+    "busy": (NOT_RUN, verdicts.Reason.BUSY, False),
+    "lost_reply": (UNKNOWN, verdicts.Reason.NO_REPLY, True),
+    "lost_request": (UNKNOWN, verdicts.Reason.NO_REPLY, False),
+}
+
+
+def make_plan(plan_id="p", running=1000, rate=1e5, burst=1000, **changes):
+    kinds = {"k": declarations.Kind("k", True, MAX_RUN_S)}
+    allowance = declarations.Allowance(running, rate, burst)
+    plan = declarations.Plan(plan_id, allowance, 5.0, 1.0, kinds)
+    return dataclasses.replace(plan, **changes)
+
+
+def make_job(job_id, tasks=1, customer="c", plan="p", key=None, **changes):
+    rows = tuple(
+        entities.Task(f"t{i}", "k", f"{key or job_id}/{i}")
+        for i in range(tasks)
+    )
+    job = entities.Job(job_id, customer, plan, rows, 5.0, key)
+    return dataclasses.replace(job, **changes)
+
+
+def become_owner(shard, epoch, now):
+    """Give a daemon live leases on all workers, with nothing to wait for."""
+    state = shard.ownership
+    state.epoch, state.phase = epoch, leases.Phase.OWNER
+    for worker_id in shard.workers:
+        row = leases.LeaseRow(worker_id, epoch=epoch, lease_until=math.inf)
+        state.rows[worker_id] = row
+    shards.become_owner(shard, now)
+    escrow.end_takeover(shard.ledger, now)
+
+
+def make_shard(
+    shard_id="dc/0", daemon="d", ids=(), loads=None, workers=2, **limits
+):
+    """Return a shard's tables, owned with epoch 1 at time 100."""
+    shard = shards.build(
+        shard_id=shard_id,
+        daemon_id=daemon,
+        incarnation="1",
+        limits=tables.Limits(**limits),
+        loads=loads or directory.Directory(),
+        all_shard_ids=ids or (shard_id,),
+        loan_term_s=TERM_S,
+        loan_margin_s=1.0,
+    )
+    for i in range(workers):
+        worker_id = f"{shard_id}w{i}"
+        shard.workers[worker_id] = tables.Worker(worker_id, 2)
+    declared = declarations.Declarations(1, {"p": make_plan()}, {}, {})
+    shards.declare(shard, declared, 100.0)
+    become_owner(shard, 1, 100.0)
+    return shard
+
+
+class World:
+    """Daemons that own a shard each; every daemon is a gateway as well.
+
+    Attributes:
+        frames: (to, sender, message) on their way.
+        starts: (daemon, shard id, effect) of tasks on their way or running.
+        runs: How often each task ran, by start id.
+        answers: Final answers by job id, in order.
+    """
+
+    def __init__(self, daemons=3, **limits):
+        self.now = 110.0
+        self.ids = tuple(f"dc{i}/0" for i in range(daemons))
+        self.names = [f"d{i}" for i in range(daemons)]
+        self.dead = set()
+        self.frames = []
+        self.starts = []
+        self.stops = []
+        self.sent = collections.Counter()
+        self.runs = collections.Counter()
+        self.jobs = {}
+        self.answers = collections.defaultdict(list)
+        self.owned = {}
+        self.gateways = {}
+        for name, shard_id in zip(self.names, self.ids, strict=True):
+            loads = directory.Directory()
+            shard = make_shard(shard_id, name, self.ids, loads, **limits)
+            self.owned[name] = shard
+            data_centre = shard.data_centre
+            self.gateways[name] = submissions.Submissions(
+                data_centre, loads, 60.0
+            )
+        self.tell_loads()
+
+    def tell_loads(self):
+        for sender in self.live():
+            load = spilling.describe_load(self.owned[sender], self.now)
+            for name in self.live():
+                loads = self.owned[name].loads
+                directory.record_load(loads, sender, load, self.now)
+
+    def live(self):
+        return [name for name in self.names if name not in self.dead]
+
+    def submit(self, name, job):
+        self.jobs[job.job_id] = job
+        gateway = self.gateways[name]
+        self.execute(name, submissions.submit(gateway, job, self.now))
+
+    def cancel(self, name, job_id):
+        self.execute(name, submissions.cancel(self.gateways[name], job_id))
+
+    def execute(self, name, effects):
+        for effect in effects:
+            if isinstance(effect, tables.StartTask):
+                self.starts.append((name, effect))
+            elif isinstance(effect, tables.StopTasks):
+                self.stops.append(effect)
+            else:
+                self.sent[type(effect.message)] += 1
+                self.frames.append((effect.daemon_id, name, effect.message))
+        gateway = self.gateways[name]
+        for job_id in gateway.changed:
+            self.answers[job_id].append(gateway.answered[job_id].answer)
+        gateway.changed.clear()
+
+    def tick(self, name):
+        if name in self.dead:
+            return
+        shard, gateway = self.owned[name], self.gateways[name]
+        self.execute(name, shards.run_systems(shard, self.now))
+        submissions.expire(gateway, self.now, 0.5)
+        self.execute(name, [])
+
+    def deliver(self, index=0, keep=False):
+        """Deliver one message, in any order; it may come again."""
+        if not self.frames:
+            return
+        index %= len(self.frames)
+        frame = self.frames[index] if keep else self.frames.pop(index)
+        if frame[0] not in self.dead:
+            self.execute(frame[0], self.handle(*frame))
+
+    def handle(self, name, sender, message):
+        shard, gateway, now = self.owned[name], self.gateways[name], self.now
+        match message:
+            case messages.JobOffer():
+                return intake.offer_job(shard, sender, message, now)
+            case messages.JobAnswer():
+                answer = messages.unpack_answer(message)
+                return submissions.record_answer(gateway, sender, answer, now)
+            case messages.JobCancel(_, ids) | messages.BatchCancel(_, ids):
+                return intake.cancel_groups(shard, ids, now)
+            case messages.JobQuery(_, group_id, task_ids):
+                return intake.answer_query(
+                    shard, sender, group_id, task_ids, False, now
+                )
+            case messages.BatchQuery(_, group_id, task_ids):
+                return intake.answer_query(
+                    shard, sender, group_id, task_ids, True, now
+                )
+            case messages.BatchOffer():
+                return intake.offer_batch(shard, sender, message, now)
+            case messages.BatchResult():
+                return spilling.record_batch_result(shard, message, now)
+            case messages.ShardLoad():
+                directory.record_load(shard.loads, sender, message, now)
+                return spilling.answer_load(shard, sender, message, now)
+            case loans.LoanAsk():
+                granted = loans.grant(shard.ledger, message, now)
+                return [tables.SendMessage(sender, granted)]
+            case loans.LoanGrant():
+                loans.accept(shard.ledger, message, now)
+            case loans.LoanReturn():
+                loans.return_loan(shard.ledger, message, now)
+            case messages.Claim():
+                reply = sharing.answer_claim(shard, message, now)
+                return [tables.SendMessage(sender, reply)] if reply else []
+            case messages.ClaimReply():
+                sharing.record_claim_reply(shard, message, now)
+        return []
+
+    def finish(self, index=0, end="ok"):
+        """End one start; the worker may have run it even if nobody learns."""
+        if not self.starts:
+            return
+        name, effect = self.starts.pop(index % len(self.starts))
+        verdict, reason, ran = ENDS[end]
+        self.runs[effect.start_id] += ran
+        output = effect.task.payload if end == "ok" else None
+        result = verdicts.TaskResult(
+            effect.task.task_id, verdict, reason, output, 0.1
+        )
+        if name not in self.dead:
+            outcome = completion.record_start_outcome(
+                self.owned[name], effect, result, self.now
+            )
+            self.execute(name, outcome)
+
+    def relink(self, a, b, lost=lambda i: True):
+        """Break the link of two daemons; some of its frames come late."""
+        between = [f for f in self.frames if set(f[:2]) == {a, b} and a != b]
+        for i, frame in enumerate(between):
+            if lost(i):
+                self.frames.remove(frame)
+        for name, other in ((a, b), (b, a)):
+            if a == b or {a, b} & self.dead:
+                return
+            gateway = self.gateways[name]
+            self.execute(name, submissions.query_daemon(gateway, other))
+            shard = self.owned[name]
+            self.execute(name, spilling.query_batches(shard, other))
+
+    def kill(self, dead):
+        """End a daemon; its starts go on at the workers."""
+        self.dead.add(dead)
+        for name in self.live():
+            self.lose(name, dead)
+
+    def lose(self, name, other):
+        """Let a daemon take another for dead, which may be wrong."""
+        self.frames = [f for f in self.frames if set(f[:2]) != {name, other}]
+        shard = self.owned[name]
+        directory.forget_daemon(shard.loads, other)
+        submissions.lose_daemon(self.gateways[name], other, self.now)
+        effects = spilling.lose_batches(shard, other, self.now)
+        effects += intake.drop_gateway(shard, other, self.now)
+        self.execute(name, effects)
+
+    def settle(self, end="ok"):
+        """Deliver, run and end everything, and let time pass."""
+        for _ in range(60):
+            while self.frames:
+                self.deliver()
+            for name in self.live():
+                self.tick(name)
+            while self.starts:
+                self.finish(0, end)
+            self.now += 0.25
