Tell apart the keys of customers, and the tasks behind a key

Cause: an owner held keys by the caller's own part alone. Two customers with the same own part and the same stamp (order numbers, say) shared an entry: the second got the first one's answer, outputs included, and its own tasks never ran. Of the tasks only the ids were compared, so a job with other payloads under the same key got an answer that was not its own.

Change: entries are held by customer and own part; a digest of plan, task ids, kinds and payloads is compared (the callers' hints are left out, so a corrected hint is still the same job). A key whose stamp names another shard is refused as "may have run" by the owner itself, not only by the way it is sent.

Ruled out: a check in the gateway alone, as the home of the key decides. tests/dispatch/test_keys.py has a table of 14 rows; each of 6 naive rules breaks a row of it.

--- a/pollenladder/dispatch/intake.py
+++ b/pollenladder/dispatch/intake.py
@@ -24,7 +24,7 @@
     if _is_known(shard, job.job_id):
         # A frame that comes late or twice: its job is decided already.
         return []
-    key = keys.parse_key(job.key) if job.key else None
+    key = keys.parse_key(job.key, job.customer_id) if job.key else None
     if job.key:
         answered = _use_key(shard, sender, job, key, now)
         if answered is not None:
@@ -231,11 +231,13 @@
         return _refuse(
             shard, sender, job, verdicts.Reason.NOT_READY, 1.0, detail, now
         )
-    task_ids = tuple(task.task_id for task in job.tasks)
+    fingerprint = keys.compute_fingerprint(job)
     if key is None:
         state, entry = keys.KeyState.MAY_HAVE_RUN, None
     else:
-        state, entry = keys.use_key(shard.keys, key, job.job_id, task_ids, now)
+        state, entry = keys.use_key(
+            shard.keys, key, job.job_id, fingerprint, now
+        )
     if state is keys.KeyState.NEW:
         return None
     if state is keys.KeyState.FULL:
@@ -245,7 +247,7 @@
         )
     if entry is None:
         return [_answer_at_once(shard, sender, _format_unknown(job), now)]
-    if entry.task_ids != task_ids:
+    if entry.fingerprint != fingerprint:
         detail = "the key belongs to a job with other tasks"
         return _refuse(
             shard, sender, job, verdicts.Reason.KEY_IN_USE, None, detail, now
--- a/pollenladder/dispatch/keys.py
+++ b/pollenladder/dispatch/keys.py
@@ -8,7 +8,11 @@
 
 import dataclasses
 import enum
+import json
 
+import xxhash
+
+from pollenladder.core import entities
 from pollenladder.core import verdicts
 
 SEPARATOR = "~"
@@ -24,14 +28,21 @@
         shard_id: The home shard.
         epoch: The epoch of the owner that issued the stamp.
         window: The number of the window within the epoch.
+        customer_id: Whose key it is; customers do not share keys.
         own: The caller's part.
     """
 
     shard_id: str
     epoch: int
     window: int
+    customer_id: str
     own: str
 
+    @property
+    def owner_and_own(self) -> tuple[str, str]:
+        """Return what tells the key from others of its window."""
+        return self.customer_id, self.own
+
 
 class KeyState(enum.Enum):
     """What the home of a key says of it."""
@@ -45,10 +56,16 @@
 
 @dataclasses.dataclass
 class Entry:
-    """A key in use: its job, and the answer once there is one."""
+    """A key in use.
+
+    Attributes:
+        job_id: The job that has it.
+        fingerprint: That job's plan and tasks, digested.
+        answer: The job's answer, once there is one.
+    """
 
     job_id: str
-    task_ids: tuple[str, ...]
+    fingerprint: bytes
     answer: verdicts.Answer | None = None
 
 
@@ -66,12 +83,12 @@
     shard_id: str
     epoch: int
     began_at: float
-    windows: dict[int, dict[str, Entry]] = dataclasses.field(
+    windows: dict[int, dict[tuple[str, str], Entry]] = dataclasses.field(
         default_factory=dict
     )
 
 
-def parse_key(text: str) -> Key | None:
+def parse_key(text: str, customer_id: str) -> Key | None:
     """Return the parts of a key, or None if it has no valid stamp."""
     parts = text.split(SEPARATOR, 3)
     if len(parts) != 4 or not parts[3]:
@@ -81,7 +98,14 @@
         return None
     if not (window.isascii() and window.isdigit()):
         return None
-    return Key(shard_id, int(epoch), int(window), own)
+    return Key(shard_id, int(epoch), int(window), customer_id, own)
+
+
+def compute_fingerprint(job: entities.Job) -> bytes:
+    """Return a digest of what a job runs, without its callers' hints."""
+    tasks = [[task.task_id, task.kind, task.payload] for task in job.tasks]
+    text = json.dumps([job.plan_id, tasks], sort_keys=True)
+    return xxhash.xxh3_128_digest(text.encode())
 
 
 def get_window(table: KeyTable, now: float) -> int:
@@ -112,7 +136,7 @@
     table: KeyTable,
     key: Key,
     job_id: str,
-    task_ids: tuple[str, ...],
+    fingerprint: bytes,
     now: float,
 ) -> tuple[KeyState, Entry | None]:
     """Take a key for a job, or say what became of it.
@@ -123,14 +147,16 @@
     """
     drop_old_windows(table, now)
     current = get_window(table, now)
-    if key.epoch != table.epoch or not current - 1 <= key.window <= current:
+    if key.shard_id != table.shard_id or key.epoch != table.epoch:
+        return KeyState.MAY_HAVE_RUN, None
+    if not current - 1 <= key.window <= current:
         return KeyState.MAY_HAVE_RUN, None
     entries = table.windows.setdefault(key.window, {})
-    entry = entries.get(key.own)
+    entry = entries.get(key.owner_and_own)
     if entry is None:
         if sum(map(len, table.windows.values())) >= MAX_KEYS:
             return KeyState.FULL, None
-        entry = entries[key.own] = Entry(job_id, task_ids)
+        entry = entries[key.owner_and_own] = Entry(job_id, fingerprint)
         return KeyState.NEW, entry
     state = KeyState.RUNNING if entry.answer is None else KeyState.ANSWERED
     return state, entry
@@ -138,12 +164,12 @@
 
 def release_key(table: KeyTable, key: Key) -> None:
     """Forget a key whose job has certainly not run, so it can be used again."""
-    table.windows.get(key.window, {}).pop(key.own, None)
+    table.windows.get(key.window, {}).pop(key.owner_and_own, None)
 
 
 def record_answer(table: KeyTable, key: Key, answer: verdicts.Answer) -> None:
     """Keep the final answer of the job that has the key."""
-    entry = table.windows.get(key.window, {}).get(key.own)
+    entry = table.windows.get(key.window, {}).get(key.owner_and_own)
     if entry:
         entry.answer = answer
 
--- a/pollenladder/dispatch/submissions.py
+++ b/pollenladder/dispatch/submissions.py
@@ -193,7 +193,8 @@
     table: Submissions, row: Submission
 ) -> directory.Entry | None:
     """Return the key's home, else the least loaded shard, local ones first."""
-    key = keys.parse_key(row.job.key) if row.job.key else None
+    job = row.job
+    key = keys.parse_key(job.key, job.customer_id) if job.key else None
     if key:
         entry = table.loads.entries.get(key.shard_id)
         return entry if row.offers == 0 else None
--- /dev/null
+++ b/tests/dispatch/test_keys.py
@@ -0,0 +1,149 @@
+"""What becomes of a job that is submitted again with its key."""
+
+import dataclasses
+import unittest
+from unittest import mock
+
+from pollenladder.core import verdicts
+from pollenladder.dispatch import intake
+from pollenladder.dispatch import keys
+from tests.dispatch import test_intake
+from tests.dispatch import worlds
+
+KEY = test_intake.KEY
+FIRST = worlds.make_job("j1", 2, key=KEY)
+AGAIN = dataclasses.replace(FIRST, job_id="j2")
+OTHER = worlds.make_job("j2", 2, key=KEY, customer="other")
+HINTED = dataclasses.replace(
+    AGAIN,
+    tasks=tuple(dataclasses.replace(t, declared_ms=9) for t in AGAIN.tasks),
+)
+MORE = worlds.make_job("j2", 3, key=KEY)
+CHANGED = dataclasses.replace(
+    AGAIN, tasks=tuple(dataclasses.replace(t, payload=1) for t in AGAIN.tasks)
+)
+REASON = verdicts.Reason
+WINDOW_S = keys.WINDOW_S
+
+
+def offer_first(shard, end):
+    """Offer the first job and end its starts; None leaves it running."""
+    test_intake.offer(shard, FIRST)
+    starts = test_intake.start_all(shard)
+    for start in starts if end else ():
+        test_intake.end(shard, start, end)
+
+
+def refuse_first(shard):
+    shard.draining = True
+    test_intake.offer(shard, FIRST)
+    shard.draining = False
+
+
+def cancel_first(shard):
+    test_intake.offer(shard, FIRST)
+    intake.cancel_groups(shard, ["j1"], 110.0)
+
+
+def pass_windows(count):
+    def wait(shard):
+        offer_first(shard, "ok")
+        shard.keys.began_at -= count * WINDOW_S
+
+    return wait
+
+
+def change_epoch(shard):
+    offer_first(shard, "ok")
+    worlds.become_owner(shard, 2, 105.0)
+
+
+def describe(effects):
+    """Return what a resubmission got: a kind of answer, or how it goes on."""
+    answers = test_intake.get_answers(effects)
+    if not answers:
+        return None
+    ((_, answer),) = answers
+    if isinstance(answer, verdicts.Complete):
+        return "complete"
+    return answer.reason
+
+
+class KeysTest(unittest.TestCase):
+    # What came before, the job that comes then, its answer, whether it starts.
+    CASES = (
+        (lambda s: offer_first(s, None), AGAIN, None, False),
+        (lambda s: offer_first(s, "ok"), AGAIN, "complete", False),
+        (lambda s: offer_first(s, "ok"), HINTED, "complete", False),
+        (lambda s: offer_first(s, "error"), AGAIN, REASON.TASK_ERROR, False),
+        (lambda s: offer_first(s, "ok"), MORE, REASON.KEY_IN_USE, False),
+        (lambda s: offer_first(s, "ok"), CHANGED, REASON.KEY_IN_USE, False),
+        (lambda s: offer_first(s, "ok"), OTHER, None, True),
+        (refuse_first, AGAIN, None, True),
+        (refuse_first, CHANGED, None, True),
+        (cancel_first, AGAIN, None, True),
+        (pass_windows(0), AGAIN, "complete", False),
+        (pass_windows(1), AGAIN, "complete", False),
+        (pass_windows(2), AGAIN, REASON.KEY_UNKNOWN, False),
+        (change_epoch, AGAIN, REASON.KEY_UNKNOWN, False),
+    )
+
+    def resubmit(self, before, job):
+        shard = worlds.make_shard()
+        before(shard)
+        answered = describe(test_intake.offer(shard, job))
+        return answered, bool(test_intake.start_all(shard))
+
+    def test_table(self):
+        for i, (before, job, answer, starts) in enumerate(self.CASES):
+            with self.subTest(i):
+                self.assertEqual(self.resubmit(before, job), (answer, starts))
+
+    def test_stamps_of_others(self):
+        for text in ("dc/1~1~0~own", "dc/0~9~0~own", "dc/0~1~7~own", "own"):
+            with self.subTest(text):
+                job = dataclasses.replace(FIRST, key=text)
+                answered = self.resubmit(lambda _: None, job)
+                self.assertEqual(answered, (REASON.KEY_UNKNOWN, False))
+
+    def test_each_guard_is_needed(self):
+        """Each naive rule must break a row of the table."""
+        twins = {
+            "keys of all customers": mock.patch.object(
+                keys.Key, "owner_and_own", property(lambda key: key.own)
+            ),
+            "any tasks": mock.patch.object(
+                keys, "compute_fingerprint", lambda job: b""
+            ),
+            "only the ids of tasks": mock.patch.object(
+                keys,
+                "compute_fingerprint",
+                lambda job: tuple(t.task_id for t in job.tasks),
+            ),
+            "keys kept after a refusal": mock.patch.object(keys, "release_key"),
+            "answers not kept": mock.patch.object(keys, "record_answer"),
+            "windows without end": mock.patch.object(
+                keys, "get_window", lambda table, now: 0
+            ),
+        }
+        for name, twin in twins.items():
+            with self.subTest(name), twin:
+                wrong = [
+                    row
+                    for row in self.CASES
+                    if self.resubmit(*row[:2]) != row[2:]
+                ]
+                self.assertTrue(wrong)
+
+    def test_the_table_is_bounded(self):
+        table = keys.KeyTable("dc/0", 1, 0.0)
+        with mock.patch.object(keys, "MAX_KEYS", 2):
+            states = [
+                keys.use_key(
+                    table, keys.Key("dc/0", 1, 0, "c", own), "j", b"", 1.0
+                )[0]
+                for own in "abca"
+            ]
+        new, full = keys.KeyState.NEW, keys.KeyState.FULL
+        running = keys.KeyState.RUNNING
+        self.assertEqual(states, [new, new, full, running])
--- a/tests/dispatch/test_starts_once.py
+++ b/tests/dispatch/test_starts_once.py
@@ -150,9 +150,9 @@
     return RECORD_ANSWER(table, sender, answer, now)
 
 
-def use_any_key(table, key, job_id, task_ids, now):
+def use_any_key(table, key, job_id, fingerprint, now):
     """Take each key as one never used before."""
-    return keys.KeyState.NEW, keys.Entry(job_id, task_ids)
+    return keys.KeyState.NEW, keys.Entry(job_id, fingerprint)
 
 
 def complete_early(shard, group, index, result, now):
