Give whole batches true verdicts, and hold what may still start

The first that failed ended the job, and the results after it, though known, were told as "may have run" with their units held. They are now recorded together, and the job names the cause (task_error, deadline) rather than what followed from it (sibling_failed). - A deadline or a cancellation was told as "sibling failed" for each task. - Units of tasks spilled to an owner that was lost were held for one longest run from the loss, although the owner, if only cut off, may start them until `start_within_s` is over: the allowance could be passed. They are held until that moment plus a run; a guest's start time also ends with the job's deadline, which keeps this short. - A guest's task could start up to 50 ms after its last allowed moment. - Tasks were spilled that the guest had to hand back at once, as its time to start was 0 (a kind that runs nearly as long as a loan, or a borrowed unit at its end). Each cost a token of the retry budget, and jobs failed without it. - Plans stalled for allowance stayed so when nothing waited any more, and lines that stalled in placement and in spilling counted twice: loans were asked for that nobody needed, and none were given. - An owner that regained its shard with a new epoch did not count its own running tasks in the new ledger, and forgot tasks it hosts and claims it saw. - A wave of cancelled jobs sent a stop per job and worker; now one a worker, and one message a shard for batches.

Ruled out: holding units until the guest confirms a cancel (one more message a batch). `spilling.py` and `placement.py` changes are small, but depend on the change of `completion.py`, so they are here too.

--- a/pollenladder/dispatch/admission.py
+++ b/pollenladder/dispatch/admission.py
@@ -128,7 +128,8 @@
     deadline_s = min(job.deadline_s, plan.deadline_s)
     wait_s = (queued + len(job.tasks) - allowed.burst / shards) / rate
     bound_s = min(deadline_s, 2 * shard.limits.max_queue_wait_s)
-    if wait_s <= bound_s or not shard.stalled.get(plan.plan_id):
+    is_stalled = any(plan_id == plan.plan_id for _, plan_id in shard.stalled)
+    if wait_s <= bound_s or not is_stalled:
         return None
     retry_after_s = max(MIN_RETRY_AFTER_S, wait_s - bound_s / 2)
     return _refuse(job, verdicts.Reason.ALLOWANCE, retry_after_s)
--- a/pollenladder/dispatch/completion.py
+++ b/pollenladder/dispatch/completion.py
@@ -1,5 +1,7 @@
 """Collect results, retry what has not run, and answer whole groups."""
 
+from collections.abc import Mapping
+
 from pollenladder.core import verdicts
 from pollenladder.dispatch import estimates
 from pollenladder.dispatch import fairness
@@ -51,47 +53,60 @@
     if group is None or effect.index not in group.started:
         return []
     del group.started[effect.index]
-    return settle_or_retry(shard, group, effect.index, result, now)
-
-
-def settle_or_retry(
-    shard: tables.Shard,
-    group: tables.Group,
-    index: int,
-    result: verdicts.TaskResult,
-    now: float,
-) -> list[tables.Effect]:
-    """Queue a task again if it has not run, else record its result."""
-    dropped = result.reason in FINAL_REASONS
-    if (
-        result.verdict.allows_retry()
-        and not dropped
-        and _may_retry(shard, group, index)
-    ):
-        _requeue(shard, group, index, now)
-        return []
-    return settle_task(shard, group, index, result, now)
+    return settle_results(shard, group, {effect.index: result}, now)
 
 
-def settle_task(
+def settle_results(
     shard: tables.Shard,
     group: tables.Group,
-    index: int,
-    result: verdicts.TaskResult,
+    results: Mapping[int, verdicts.TaskResult],
     now: float,
 ) -> list[tables.Effect]:
-    """Record the final result of a task and end its group when due."""
-    group.results[index] = result
-    release_unit(shard, group, index, result.verdict, now)
+    """Record results by place, or queue again what has not run.
+
+    All of them are recorded before the group is answered, so that none of its
+    verdicts is vaguer than what is known.
+    """
+    failed = [r for r in results.values() if _is_failure(r)]
+    retryable = [i for i, r in results.items() if _is_retryable(r)]
+    again = [
+        index
+        for index in retryable
+        if not failed and _may_retry(shard, group, index)
+    ]
     # What a guest has not run is queued again by the owner that sent it.
-    is_handed_back = group.is_guest and result.verdict.allows_retry()
-    if result.reason is not verdicts.Reason.OK and not is_handed_back:
-        return fail_group(shard, group, result.reason, now)
+    if len(again) < len(retryable) and not group.is_guest:
+        failed = failed or [results[index] for index in retryable]
+        again = []
+    for index, result in results.items():
+        if index not in again:
+            group.results[index] = result
+            release_unit(shard, group, index, result.verdict, now)
+    if failed:
+        return fail_group(shard, group, _choose_reason(failed), now)
+    for index in again:
+        _requeue(shard, group, index, now)
     if len(group.results) < len(group.tasks):
         return []
     return _complete_group(shard, group, now)
 
 
+def _is_retryable(result: verdicts.TaskResult) -> bool:
+    is_final = result.reason in FINAL_REASONS
+    return result.verdict.allows_retry() and not is_final
+
+
+def _is_failure(result: verdicts.TaskResult) -> bool:
+    return result.reason is not verdicts.Reason.OK and not _is_retryable(result)
+
+
+def _choose_reason(failed: list[verdicts.TaskResult]) -> verdicts.Reason:
+    """Return the cause of a failure rather than what followed from it."""
+    sibling = verdicts.Reason.SIBLING_FAILED
+    causes = [r.reason for r in failed if r.reason is not sibling]
+    return causes[0] if causes else sibling
+
+
 def release_unit(
     shard: tables.Shard,
     group: tables.Group,
@@ -108,7 +123,8 @@
         return
     if verdict is verdicts.Verdict.MAY_HAVE_RUN:
         max_run_s = placement.get_max_run_s(shard, group, index)
-        escrow.hold(shard.ledger, unit, now + max_run_s + TRANSIT_S)
+        start_by = max(now, group.spilled_until.get(index, now))
+        escrow.hold(shard.ledger, unit, start_by + max_run_s + TRANSIT_S)
     else:
         escrow.give_back(shard.ledger, unit, now)
 
@@ -120,7 +136,7 @@
     now: float,
 ) -> list[tables.Effect]:
     """Answer a group that cannot complete, at once, and drop the rest of it."""
-    effects = _drop_rest(shard, group, now)
+    effects = _drop_rest(shard, group, reason, now)
     results = tuple(group.results[index] for index in group.tasks)
     if group.is_guest:
         return effects + _answer(shard, group, results, None, now)
@@ -199,10 +215,14 @@
 
 
 def _drop_rest(
-    shard: tables.Shard, group: tables.Group, now: float
+    shard: tables.Shard,
+    group: tables.Group,
+    reason: verdicts.Reason,
+    now: float,
 ) -> list[tables.Effect]:
     """Give every open task of a group its final result."""
-    rest = verdicts.Reason.SIBLING_FAILED
+    is_final = reason in FINAL_REASONS
+    rest = reason if is_final else verdicts.Reason.SIBLING_FAILED
     _drop_waiting(shard, group, rest, now)
     effects = _drop_started(shard, group, rest, now)
     return effects + _drop_spilled(shard, group, rest, now)
--- a/pollenladder/dispatch/intake.py
+++ b/pollenladder/dispatch/intake.py
@@ -136,7 +136,34 @@
         if group.is_guest:
             ending = drop_replies(ending, group.reply_to)
         effects += ending
-    return effects
+    return _merge_effects(effects)
+
+
+def _merge_effects(effects: list[tables.Effect]) -> list[tables.Effect]:
+    """Put what goes to the same worker, or the same shard, into one message."""
+    others: list[tables.Effect] = []
+    stops: dict[str, tuple[str, ...]] = {}
+    cancels: dict[tuple[str, str], tuple[str, ...]] = {}
+    for effect in effects:
+        if isinstance(effect, tables.StopTasks):
+            worker_id = effect.worker_id
+            stops[worker_id] = stops.get(worker_id, ()) + effect.start_ids
+        elif isinstance(effect, tables.SendMessage) and isinstance(
+            effect.message, messages.BatchCancel
+        ):
+            target = (effect.daemon_id, effect.message.shard_id)
+            batch_ids = effect.message.batch_ids
+            cancels[target] = cancels.get(target, ()) + batch_ids
+        else:
+            others.append(effect)
+    return [
+        *others,
+        *(tables.StopTasks(*item) for item in stops.items()),
+        *(
+            tables.SendMessage(daemon_id, messages.BatchCancel(shard_id, ids))
+            for (daemon_id, shard_id), ids in cancels.items()
+        ),
+    ]
 
 
 def _stop_following(
@@ -215,7 +242,7 @@
     for group in orphans:
         reason = verdicts.Reason.CONNECTION_LOST
         effects += completion.fail_group(shard, group, reason, now)
-    return drop_replies(effects, daemon_id)
+    return _merge_effects(drop_replies(effects, daemon_id))
 
 
 def _use_key(
--- a/pollenladder/dispatch/placement.py
+++ b/pollenladder/dispatch/placement.py
@@ -41,7 +41,6 @@
 
 def place(shard: tables.Shard, now: float) -> list[tables.Effect]:
     """Start tasks on free slots, in fair order, as far as allowances go."""
-    shard.stalled.clear()
     if not ownership.owns(shard.ownership, now):
         return []
     free = {
@@ -74,6 +73,8 @@
 ) -> tables.StartTask | None:
     """Start the next task of a line; None if it has to wait."""
     group = shard.groups[next(iter(line.job_ids))]
+    if now >= group.start_by:
+        return None
     worker_id = _choose_worker(shard, group, free)
     if worker_id is None:
         return None
@@ -109,17 +110,28 @@
 
 
 def take_unit(
-    shard: tables.Shard, group: tables.Group, index: int, now: float
+    shard: tables.Shard,
+    group: tables.Group,
+    index: int,
+    now: float,
+    start_within_s: float = 0.0,
 ) -> bool:
-    """Take a unit of the allowance for a task; a guest brings its own."""
+    """Take a unit of the allowance for a task; a guest brings its own.
+
+    Args:
+        shard: The shard.
+        group: The task's group.
+        index: The task's place.
+        now: Monotonic time in seconds.
+        start_within_s: The unit must last if the task starts so late.
+    """
     if group.is_guest or index in group.units:
         return True
     plan_id = group.line[1]
-    max_run_s = get_max_run_s(shard, group, index)
-    unit = escrow.take(shard.ledger, plan_id, max_run_s, now)
+    needed_s = start_within_s + get_max_run_s(shard, group, index)
+    unit = escrow.take(shard.ledger, plan_id, needed_s, now)
     if unit is None:
-        waiting = shard.queue.lines[group.line].tasks
-        shard.stalled[plan_id] = shard.stalled.get(plan_id, 0) + waiting
+        shard.stalled[group.line] = shard.queue.lines[group.line].tasks
         return False
     group.units[index] = unit
     return True
--- a/pollenladder/dispatch/shard.py
+++ b/pollenladder/dispatch/shard.py
@@ -78,6 +78,7 @@
 def run_systems(shard: tables.Shard, now: float) -> list[tables.Effect]:
     """Expire, place, spill and announce; return what is to be done."""
     effects = expire(shard, now)
+    shard.stalled.clear()
     if shard.queue.tasks:
         effects += placement.place(shard, now)
     if shard.queue.tasks:
@@ -116,6 +117,9 @@
     shard.ledger = ledgers.Ledger(shard.shard_id, old.term_s, old.margin_s)
     # Units of an earlier epoch must not be taken for new ones.
     shard.ledger.next_unit_id = old.next_unit_id
+    # Tasks of others that wait or run here keep using units of others.
+    shard.ledger.hosted = old.hosted
+    shard.ledger.claimed = old.claimed
     others = [s for s in shard.all_shard_ids if s != shard.shard_id]
     takeover.begin_takeover(
         shard.ledger, epoch, others, list(shard.workers), now
@@ -148,7 +152,12 @@
     }
     foreign = [task for task in granted.running if task.task_id not in ours]
     worker.foreign = collections.Counter(task.plan_id for task in foreign)
-    left_s = [_get_left_s(shard, task) for task in foreign]
+    # Units of tasks that this daemon started in an earlier epoch were of the
+    # earlier ledger: to the new one, they are like those of another owner.
+    worker.survivors = collections.Counter(
+        task.plan_id for task in granted.running
+    )
+    left_s = [_get_left_s(shard, task) for task in granted.running]
     worker.foreign_until = now + max(left_s, default=0.0)
     if shard.ledger.epoch == granted.epoch:
         _report_running(shard, worker, now)
@@ -168,7 +177,7 @@
     takeover.record_worker_reply(
         shard.ledger,
         worker.worker_id,
-        worker.foreign,
+        worker.survivors,
         worker.foreign_until,
         now,
     )
--- a/pollenladder/dispatch/sharing.py
+++ b/pollenladder/dispatch/sharing.py
@@ -1,5 +1,6 @@
 """Move allowance between shards: claims of a new owner, loans and returns."""
 
+import collections
 import dataclasses
 
 from pollenladder.dispatch import tables
@@ -19,7 +20,10 @@
         return []
     shard.next_sharing_at = now + INTERVAL_S
     effects = _claim(shard, now)
-    asks = loans.choose_asks(shard.ledger, shard.stalled, now)
+    stalled: collections.Counter[str] = collections.Counter()
+    for (_, plan_id), tasks in shard.stalled.items():
+        stalled[plan_id] += tasks
+    asks = loans.choose_asks(shard.ledger, stalled, now)
     returns = loans.choose_returns(shard.ledger, now)
     for message in [*asks, *returns]:
         effects += _send(shard, message.lender_id, message)
--- a/pollenladder/dispatch/spilling.py
+++ b/pollenladder/dispatch/spilling.py
@@ -14,6 +14,8 @@
 
 # A load is not trusted for longer than this.
 LOAD_VALID_S = 1.0
+# A guest that gets less time than this to start a task hands it back.
+MIN_START_WITHIN_S = 0.1
 
 
 def spill(shard: tables.Shard, now: float) -> list[tables.Effect]:
@@ -33,9 +35,7 @@
         if not targets or surplus <= 0:
             break
         group = _find_own_group(shard, line)
-        if group is None or not placement.take_unit(
-            shard, group, group.waiting[-1], now
-        ):
+        if group is None or not _take_unit(shard, group, now):
             blocked.add(line_id)
             continue
         index = group.waiting[-1]
@@ -91,6 +91,15 @@
     return None
 
 
+def _take_unit(shard: tables.Shard, group: tables.Group, now: float) -> bool:
+    """Take a unit that leaves a guest the time to start the next task."""
+    index = group.waiting[-1]
+    left_s = shard.ledger.term_s - placement.get_max_run_s(shard, group, index)
+    if min(left_s, group.deadline_at - now) < MIN_START_WITHIN_S:
+        return False
+    return placement.take_unit(shard, group, index, now, MIN_START_WITHIN_S)
+
+
 def _offer(
     shard: tables.Shard,
     target: directory.Entry,
@@ -104,8 +113,10 @@
     shard.batches[batch_id] = tables.Batch(
         batch_id, group_id, target.shard_id, target.daemon_id, tuple(indexes)
     )
+    start_within_s = compute_start_within_s(shard, group, indexes, now)
     for index in indexes:
         group.spilled[index] = batch_id
+        group.spilled_until[index] = now + start_within_s
     offer = messages.BatchOffer(
         batch_id=batch_id,
         from_shard_id=shard.shard_id,
@@ -115,7 +126,7 @@
         customer_id=group.line[0],
         plan_id=group.line[1],
         deadline_s=group.deadline_at - now,
-        start_within_s=compute_start_within_s(shard, group, indexes, now),
+        start_within_s=start_within_s,
         tasks=tuple(
             messages.BatchTask(
                 index, group.tasks[index], group.units[index].lender_id
@@ -134,7 +145,7 @@
     A new owner of this shard takes it that nothing of ours runs any more once
     a term of loans has passed, and a borrowed unit ends with its loan.
     """
-    within_s = math.inf
+    within_s = max(0.0, group.deadline_at - now)
     for index in indexes:
         max_run_s = placement.get_max_run_s(shard, group, index)
         unit = group.units[index]
@@ -144,21 +155,36 @@
 
 
 def record_batch_result(
-    shard: tables.Shard, message: messages.BatchResult, now: float
+    shard: tables.Shard,
+    message: messages.BatchResult,
+    now: float,
+    is_guess: bool = False,
 ) -> list[tables.Effect]:
-    """Take in the results of a batch; what has not run is queued again."""
+    """Take in the results of a batch; what has not run is queued again.
+
+    Args:
+        shard: The shard that spilled the batch.
+        message: The results.
+        now: Monotonic time in seconds.
+        is_guess: Whether the results are not the word of the batch's guest,
+            which may still start tasks of it.
+    """
     batch = shard.batches.pop(message.batch_id, None)
     if batch is None or len(message.results) != len(batch.indexes):
         return []
     group = shard.groups.get(batch.group_id)
-    effects: list[tables.Effect] = []
-    for index, result in zip(batch.indexes, message.results, strict=True):
-        if group is None or group.group_id not in shard.groups:
-            break
-        if group.spilled.pop(index, None) is None:
-            continue
-        effects += completion.settle_or_retry(shard, group, index, result, now)
-    return effects
+    if group is None:
+        return []
+    results = {
+        index: result
+        for index, result in zip(batch.indexes, message.results, strict=True)
+        if group.spilled.pop(index, None) is not None
+    }
+    if not is_guess:
+        # The guest knows: nothing of the batch starts from now on.
+        for index in batch.indexes:
+            group.spilled_until.pop(index, None)
+    return completion.settle_results(shard, group, results, now)
 
 
 def lose_batches(
@@ -178,7 +204,7 @@
             if batch.group_id in shard.groups
         )
         message = messages.BatchResult(batch.batch_id, results)
-        effects += record_batch_result(shard, message, now)
+        effects += record_batch_result(shard, message, now, True)
     return effects
 
 
--- a/pollenladder/dispatch/tables.py
+++ b/pollenladder/dispatch/tables.py
@@ -53,6 +53,7 @@
         slots: Tasks it runs at once.
         running: Tasks that this owner has running there.
         foreign: Tasks of earlier owners that ran at takeover, by plan.
+        survivors: All tasks that ran there at takeover, by plan.
         foreign_until: When the last of those must have ended.
         leaving: Whether it gets no new work.
         granted_epoch: The epoch of the last lease it granted.
@@ -62,6 +63,7 @@
     slots: int
     running: int = 0
     foreign: dict[str, int] = dataclasses.field(default_factory=dict)
+    survivors: dict[str, int] = dataclasses.field(default_factory=dict)
     foreign_until: float = 0.0
     leaving: bool = False
     granted_epoch: int = 0
@@ -86,6 +88,8 @@
         units: Allowance held by each task that is started or spilled.
         started: Places of tasks that are running, with their worker.
         spilled: Places of tasks in a batch elsewhere, with the batch id.
+        spilled_until: When the latest start of a spilled task may come, by
+            place.
         results: Results by place.
         attempts: Starts tried, by place.
         key: The idempotency key, if it has one.
@@ -107,6 +111,7 @@
     units: dict[int, ledgers.Unit] = dataclasses.field(default_factory=dict)
     started: dict[int, str] = dataclasses.field(default_factory=dict)
     spilled: dict[int, str] = dataclasses.field(default_factory=dict)
+    spilled_until: dict[int, float] = dataclasses.field(default_factory=dict)
     results: dict[int, verdicts.TaskResult] = dataclasses.field(
         default_factory=dict
     )
@@ -172,7 +177,7 @@
         loads: Where other shards are and how loaded.
         retry_tokens: Retries allowed now.
         next_batch: Number of the next batch.
-        stalled: Plans whose tasks waited for allowance in the last tick, with
+        stalled: Lines whose tasks waited for allowance in the last tick, with
             how many.
         announced: When each other shard's owner was last told of the load.
         told_of_queue: Shards whose owners were last told that tasks wait here.
@@ -207,7 +212,9 @@
     keys: keys.KeyTable | None = None
     retry_tokens: float = 50.0
     next_batch: int = 0
-    stalled: dict[str, int] = dataclasses.field(default_factory=dict)
+    stalled: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
     announced: dict[str, float] = dataclasses.field(default_factory=dict)
     told_of_queue: set[str] = dataclasses.field(default_factory=set)
     draining: bool = False
--- a/tests/dispatch/test_starts_once.py
+++ b/tests/dispatch/test_starts_once.py
@@ -155,19 +155,22 @@
     return keys.KeyState.NEW, keys.Entry(job_id, fingerprint)
 
 
-def complete_early(shard, group, index, result, now):
+def complete_early(shard, group, results, now):
     """Answer with what there is as soon as one task has ended well."""
-    if group.is_guest or result.reason is not verdicts.Reason.OK:
-        return SETTLE_TASK(shard, group, index, result, now)
-    group.results[index] = result
-    completion.release_unit(shard, group, index, result.verdict, now)
-    effects = completion._drop_rest(shard, group, now)
-    answer = verdicts.Complete(group.job_id, (result,))
+    good = [r for r in results.values() if r.reason is verdicts.Reason.OK]
+    if group.is_guest or not good:
+        return SETTLE_RESULTS(shard, group, results, now)
+    for index, result in results.items():
+        group.results[index] = result
+        completion.release_unit(shard, group, index, result.verdict, now)
+    reason = verdicts.Reason.SIBLING_FAILED
+    effects = completion._drop_rest(shard, group, reason, now)
+    answer = verdicts.Complete(group.job_id, tuple(good))
     return effects + completion._answer(shard, group, (), answer, now)
 
 
 RECORD_ANSWER = submissions.record_answer
-SETTLE_TASK = completion.settle_task
+SETTLE_RESULTS = completion.settle_results
 # What is left out, how, and the check that must notice.
 TWINS = {
     "retry what may have run": (
@@ -188,7 +191,7 @@
     ),
     "keys used again": ((keys, "use_key", use_any_key), check_starts),
     "partial answers": (
-        (completion, "settle_task", complete_early),
+        (completion, "settle_results", complete_early),
         check_answers,
     ),
     "units kept": ((escrow, "give_back", lambda *_: None), check_ended),
