--- a/pollenladder/dispatch/intake.py
+++ b/pollenladder/dispatch/intake.py
@@ -44,6 +44,7 @@
         tasks=dict(enumerate(job.tasks)),
         deadline_s=_bound_deadline_s(shard, job),
         start_within_s=math.inf,
+        due=_compute_due(shard, job, now),
         key=key,
         now=now,
     )
@@ -93,6 +94,7 @@
         tasks={item.index: item.task for item in offer.tasks},
         deadline_s=offer.deadline_s,
         start_within_s=offer.start_within_s,
+        due=now - offer.waited_s,
         key=None,
         now=now,
     )
@@ -142,12 +144,12 @@
 def _merge_effects(effects: list[tables.Effect]) -> list[tables.Effect]:
     """Put what goes to the same worker, or the same shard, into one message."""
     others: list[tables.Effect] = []
-    stops: dict[str, tuple[str, ...]] = {}
+    stops: dict[tables.Place, tuple[str, ...]] = {}
     cancels: dict[tuple[str, str], tuple[str, ...]] = {}
     for effect in effects:
         if isinstance(effect, tables.StopTasks):
-            worker_id = effect.worker_id
-            stops[worker_id] = stops.get(worker_id, ()) + effect.start_ids
+            started = stops.get(effect.place, ())
+            stops[effect.place] = started + effect.start_ids
         elif isinstance(effect, tables.SendMessage) and isinstance(
             effect.message, messages.BatchCancel
         ):
@@ -236,7 +238,9 @@
     orphans = [
         group
         for group in shard.groups.values()
-        if group.reply_to == daemon_id and group.key is None
+        if group.reply_to == daemon_id
+        and group.key is None
+        and group.shard_id == shard.shard_id
     ]
     effects: list[tables.Effect] = []
     for group in orphans:
@@ -328,6 +332,7 @@
     tasks: dict[int, entities.Task],
     deadline_s: float,
     start_within_s: float,
+    due: float,
     key: keys.Key | None,
     now: float,
 ) -> None:
@@ -337,6 +342,7 @@
     }
     group = tables.Group(
         group_id=group_id,
+        shard_id=shard.shard_id,
         job_id=job_id,
         reply_to=reply_to,
         is_guest=is_guest,
@@ -344,10 +350,13 @@
         tasks=tasks,
         deadline_at=now + deadline_s,
         start_by=now + start_within_s,
+        due=due,
         began_at=now,
         expected_s=expected_s,
         # The longest goes first, from the end.
-        waiting=sorted(tasks, key=lambda index: (expected_s[index], -index)),
+        waiting=sorted(
+            tasks, key=lambda i: _rank_task(tasks[i], expected_s[i])
+        ),
         key=key,
     )
     shard.groups[group_id] = group
@@ -356,11 +365,23 @@
         line,
         shard.get_weight(line[1]),
         group_id,
+        due,
         len(tasks),
         sum(expected_s.values()),
     )
 
 
+def _compute_due(shard: tables.Shard, job: entities.Job, now: float) -> float:
+    return fairness.compute_due(
+        shard.queue,
+        (job.customer_id, job.plan_id),
+        shard.get_weight(job.plan_id),
+        admission.estimate_work_s(shard, job.plan_id, job.tasks),
+        admission.count_slots(shard, now),
+        now,
+    )
+
+
 def _bound_deadline_s(shard: tables.Shard, job: entities.Job) -> float:
     return min(job.deadline_s, shard.declared.plans[job.plan_id].deadline_s)
 
@@ -394,3 +415,12 @@
     message = messages.pack_answer(answer)
     completion.remember_ended(shard, answer.job_id, message, now)
     return tables.SendMessage(sender, message)
+
+
+def _rank_task(task: entities.Task, expected_s: float) -> tuple[float, float]:
+    """Return a task's place within its job, the longest last.
+
+    What the caller declares only orders tasks that are expected to take
+    equally long; it decides nothing between jobs.
+    """
+    return expected_s, task.declared_ms
--- a/tests/dispatch/test_completion.py
+++ b/tests/dispatch/test_completion.py
@@ -27,7 +27,7 @@
     load = messages.ShardLoad("dc/1", 1, free, 0, 8, "", 0.0)
     directory.record_load(shard.loads, "guest", load, now)
     test_intake.offer(shard, worlds.make_job("j", tasks))
-    effects = shards.run_systems(shard, now)
+    effects = shards.run_systems([shard], now)
     starts = [e for e in effects if isinstance(e, tables.StartTask)]
     return shard, starts, get_messages(effects, messages.BatchOffer)
 
@@ -139,7 +139,7 @@
         test_intake.offer_batch(shard, now=110.0, start_within_s=0.02)
         shard.next_expiry_at = 110.05
         self.assertEqual(test_intake.start_all(shard, 110.03), [])
-        effects = shards.run_systems(shard, 110.06)
+        effects = shards.run_systems([shard], 110.06)
         (result,) = get_messages(effects, messages.BatchResult)
         for task in result.results:
             self.assertIs(task.verdict, worlds.NOT_RUN)
@@ -190,7 +190,7 @@
         test_intake.start_all(shard)
         self.assertEqual(shard.stalled, {("c", "p"): 2})
         intake.cancel_groups(shard, ["j"], 110.0)
-        shards.run_systems(shard, 110.2)
+        shards.run_systems([shard], 110.2)
         self.assertEqual(shard.stalled, {})
 
 
@@ -203,12 +203,12 @@
         for job_id in jobs:
             test_intake.offer(shard, worlds.make_job(job_id))
         offers = get_messages(
-            shards.run_systems(shard, 110.0), messages.BatchOffer
+            shards.run_systems([shard], 110.0), messages.BatchOffer
         )
         effects = intake.cancel_groups(shard, jobs, 110.1)
         stops = [e for e in effects if isinstance(e, tables.StopTasks)]
         self.assertEqual(
-            sorted(stop.worker_id for stop in stops), ["dc/0w0", "dc/0w1"]
+            sorted(stop.place.worker_id for stop in stops), ["dc/0w0", "dc/0w1"]
         )
         self.assertEqual(sum(len(stop.start_ids) for stop in stops), 4)
         (cancel,) = get_messages(effects, messages.BatchCancel)
@@ -237,7 +237,7 @@
         test_intake.offer(shard, worlds.make_job("j", 6, deadline_s=1.0))
         starts = test_intake.start_all(shard)
         test_intake.end(shard, starts[0])
-        effects = shards.run_systems(shard, 111.0)
+        effects = shards.run_systems([shard], 111.0)
         ((_, answer),) = test_intake.get_answers(effects)
         told = [result.verdict for result in answer.results]
         self.assertEqual(answer.reason, REASON.DEADLINE)
--- a/tests/dispatch/test_intake.py
+++ b/tests/dispatch/test_intake.py
@@ -24,7 +24,11 @@
     items = tuple(
         messages.BatchTask(i, task, "") for i, task in enumerate(job.tasks)
     )
-    fields = {"deadline_s": 5.0, "start_within_s": 3.0} | changes
+    fields = {
+        "waited_s": 0.0,
+        "deadline_s": 5.0,
+        "start_within_s": 3.0,
+    } | changes
     message = messages.BatchOffer(
         batch_id, "dc/1", epoch, "dc/0", "j", "c", "p", tasks=items, **fields
     )
@@ -47,7 +51,7 @@
 
 
 def start_all(shard, now=110.0):
-    effects = shards.run_systems(shard, now)
+    effects = shards.run_systems([shard], now)
     return [e for e in effects if isinstance(e, tables.StartTask)]
 
 
--- a/tests/dispatch/test_starts_once.py
+++ b/tests/dispatch/test_starts_once.py
@@ -59,7 +59,7 @@
     """Submit a job; some have a key, which may have been used before."""
     key = None
     if b % 3 == 0:
-        key = f"{world.ids[a % 2]}~1~0~own{b % 2}"
+        key = f"{world.ids[a % 4]}~1~0~own{b % 2}"
     tasks = 2 + b % 2 if key else 1 + b % 9
     job = worlds.make_job(f"j{len(world.jobs)}", tasks, key=key)
     world.submit(name, job)
@@ -115,10 +115,12 @@
         assert not shard.batches, "batches left"
         assert not shard.queue.lines, "lines left"
         assert not shard.ended, "answers kept"
-        assert not any(w.running for w in shard.workers.values())
-        in_use = escrow.count_in_use(shard.ledger, "p", world.now)
-        assert not in_use, f"{in_use} units in use"
-        assert not shard.ledger.hosted, "tasks hosted"
+        assert not shard.followed, "resubmissions left"
+        for own in shard.local.values():
+            assert not any(w.running for w in own.workers.values())
+            in_use = escrow.count_in_use(own.ledger, "p", world.now)
+            assert not in_use, f"{in_use} units in use"
+            assert not own.ledger.hosted, "tasks hosted"
         assert not world.gateways[name].rows
 
 
--- a/tests/dispatch/worlds.py
+++ b/tests/dispatch/worlds.py
@@ -63,7 +63,13 @@
 
 
 def make_shard(
-    shard_id="dc/0", daemon="d", ids=(), loads=None, workers=2, **limits
+    shard_id="dc/0",
+    daemon="d",
+    ids=(),
+    loads=None,
+    workers=2,
+    beside=None,
+    **limits,
 ):
     """Return a shard's tables, owned with epoch 1 at time 100."""
     shard = shards.build(
@@ -75,6 +81,7 @@
         all_shard_ids=ids or (shard_id,),
         loan_term_s=TERM_S,
         loan_margin_s=1.0,
+        beside=beside,
     )
     for i in range(workers):
         worker_id = f"{shard_id}w{i}"
@@ -85,8 +92,19 @@
     return shard
 
 
+def get_target(message):
+    """Return the shard that a message is for."""
+    if isinstance(message, messages.Claim):
+        return message.asked_id
+    if isinstance(message, loans.LoanGrant):
+        return loans.get_borrower_id(message.loan_id)
+    if isinstance(message, loans.LoanAsk | loans.LoanReturn):
+        return message.lender_id
+    return getattr(message, "shard_id", None)
+
+
 class World:
-    """Daemons that own a shard each; every daemon is a gateway as well.
+    """Daemons that own shards, the first one two; each is a gateway as well.
 
     Attributes:
         frames: (to, sender, message) on their way.
@@ -97,7 +115,7 @@
 
     def __init__(self, daemons=3, **limits):
         self.now = 110.0
-        self.ids = tuple(f"dc{i}/0" for i in range(daemons))
+        self.ids = ("dc0/0", *(f"dc{i}/0" for i in range(1, daemons)), "dc0/1")
         self.names = [f"d{i}" for i in range(daemons)]
         self.dead = set()
         self.frames = []
@@ -109,7 +127,7 @@
         self.answers = collections.defaultdict(list)
         self.owned = {}
         self.gateways = {}
-        for name, shard_id in zip(self.names, self.ids, strict=True):
+        for name, shard_id in zip(self.names, self.ids, strict=False):
             loads = directory.Directory()
             shard = make_shard(shard_id, name, self.ids, loads, **limits)
             self.owned[name] = shard
@@ -117,14 +135,17 @@
             self.gateways[name] = submissions.Submissions(
                 data_centre, loads, 60.0
             )
+        first = self.owned["d0"]
+        make_shard("dc0/1", "d0", self.ids, first.loads, 1, first, **limits)
         self.tell_loads()
 
     def tell_loads(self):
         for sender in self.live():
-            load = spilling.describe_load(self.owned[sender], self.now)
-            for name in self.live():
-                loads = self.owned[name].loads
-                directory.record_load(loads, sender, load, self.now)
+            for shard in self.owned[sender].local.values():
+                load = spilling.describe_load(shard, self.now)
+                for name in self.live():
+                    loads = self.owned[name].loads
+                    directory.record_load(loads, sender, load, self.now)
 
     def live(self):
         return [name for name in self.names if name not in self.dead]
@@ -155,7 +176,8 @@
         if name in self.dead:
             return
         shard, gateway = self.owned[name], self.gateways[name]
-        self.execute(name, shards.run_systems(shard, self.now))
+        owned = shard.local.values()
+        self.execute(name, shards.run_systems(owned, self.now))
         submissions.expire(gateway, self.now, 0.5)
         self.execute(name, [])
 
@@ -170,6 +192,7 @@
 
     def handle(self, name, sender, message):
         shard, gateway, now = self.owned[name], self.gateways[name], self.now
+        shard = shard.local.get(get_target(message), shard)
         match message:
             case messages.JobOffer():
                 return intake.offer_job(shard, sender, message, now)
@@ -219,8 +242,9 @@
             effect.task.task_id, verdict, reason, output, 0.1
         )
         if name not in self.dead:
+            home = self.owned[name].local[effect.home_id]
             outcome = completion.record_start_outcome(
-                self.owned[name], effect, result, self.now
+                home, effect, result, self.now
             )
             self.execute(name, outcome)
 
@@ -235,8 +259,8 @@
                 return
             gateway = self.gateways[name]
             self.execute(name, submissions.query_daemon(gateway, other))
-            shard = self.owned[name]
-            self.execute(name, spilling.query_batches(shard, other))
+            for shard in self.owned[name].local.values():
+                self.execute(name, spilling.query_batches(shard, other))
 
     def kill(self, dead):
         """End a daemon; its starts go on at the workers."""
@@ -250,8 +274,10 @@
         shard = self.owned[name]
         directory.forget_daemon(shard.loads, other)
         submissions.lose_daemon(self.gateways[name], other, self.now)
-        effects = spilling.lose_batches(shard, other, self.now)
-        effects += intake.drop_gateway(shard, other, self.now)
+        effects = []
+        for owned in shard.local.values():
+            effects += spilling.lose_batches(owned, other, self.now)
+            effects += intake.drop_gateway(owned, other, self.now)
         self.execute(name, effects)
 
     def settle(self, end="ok"):
