--- a/pollenladder/dispatch/fairness.py
+++ b/pollenladder/dispatch/fairness.py
@@ -75,12 +75,24 @@
         slots: Slots that serve the queue.
         now: Monotonic time in seconds.
     """
+    if not queue.tasks:
+        # Nobody waits, so nobody is kept from a slot by what others had.
+        queue.served_until.clear()
     part = get_service_part(queue, line_id, weight)
     start = max(now, queue.served_until.get(line_id, now))
     queue.served_until[line_id] = start + work_s / (max(1, slots) * part)
     return max(now, start - TOLERANCE_S)
 
 
+def get_ahead_s(
+    queue: FairQueue, line_id: tuple[str, str], now: float
+) -> float:
+    """Return how far a line is ahead of its fair part, in seconds at it."""
+    if not queue.tasks:
+        return 0.0
+    return max(0.0, queue.served_until.get(line_id, now) - now)
+
+
 def forget_past(queue: FairQueue, now: float) -> None:
     """Drop the notes on customers that are not ahead of their part."""
     for line_id, until in list(queue.served_until.items()):
