--- a/pollenladder/dispatch/shard.py
+++ b/pollenladder/dispatch/shard.py
@@ -67,6 +67,7 @@
         shard.groups = beside.groups
         shard.batches = beside.batches
         shard.ended = beside.ended
+        shard.followed = beside.followed
         shard.estimates = beside.estimates
     shard.local[shard_id] = shard
     return shard
@@ -129,6 +130,10 @@
     completion.forget_ended(shard, now)
     if now < shard.next_expiry_at:
         return []
+    for host in shard.local.values():
+        hosted = host.ledger.hosted.values()
+        over = [item.host_id for item in hosted if item.until <= now]
+        takeover.end_hosting(host.ledger, over)
     shard.next_expiry_at = now + tables.EXPIRY_INTERVAL_S
     fairness.forget_past(shard.queue, now)
     effects: list[tables.Effect] = []
@@ -150,6 +155,9 @@
     shard.ledger = ledgers.Ledger(shard.shard_id, old.term_s, old.margin_s)
     # Units of an earlier epoch must not be taken for new ones.
     shard.ledger.next_unit_id = old.next_unit_id
+    # Tasks of others that wait or run here keep using units of others.
+    shard.ledger.hosted = old.hosted
+    shard.ledger.claimed = old.claimed
     others = [s for s in shard.all_shard_ids if s != shard.shard_id]
     takeover.begin_takeover(
         shard.ledger, epoch, others, list(shard.workers), now
@@ -182,7 +190,12 @@
     }
     foreign = [task for task in granted.running if task.task_id not in ours]
     worker.foreign = collections.Counter(task.plan_id for task in foreign)
-    left_s = [_get_left_s(shard, task) for task in foreign]
+    # Units of tasks that this daemon started in an earlier epoch were of the
+    # earlier ledger: to the new one, they are like those of another owner.
+    worker.survivors = collections.Counter(
+        task.plan_id for task in granted.running
+    )
+    left_s = [_get_left_s(shard, task) for task in granted.running]
     worker.foreign_until = now + max(left_s, default=0.0)
     if shard.ledger.epoch == granted.epoch:
         _report_running(shard, worker, now)
@@ -202,7 +215,7 @@
     takeover.record_worker_reply(
         shard.ledger,
         worker.worker_id,
-        worker.foreign,
+        worker.survivors,
         worker.foreign_until,
         now,
     )
