--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -10,6 +10,7 @@
 
 from pollenladder.conf import settings as conf
 from pollenladder.core import clocks
+from pollenladder.core import drains
 from pollenladder.core import engine as engines
 from pollenladder.core import entities
 from pollenladder.core import leasing
@@ -173,6 +174,7 @@
                 on_message=self._take_message,
                 on_joined=self._take_joined,
                 on_relinked=self._engine.ask_daemon,
+                reconnect=lambda daemon_id: self._mesh.connect(daemon_id),
                 on_lost=self._take_lost,
                 is_wanted=self._is_link_wanted,
             ),
@@ -199,6 +201,18 @@
             own.daemon_id, self._engine, self._mesh, self._send, self._clock
         )
 
+        self._drains = drains.Drains(
+            self._shards,
+            self._loads,
+            drains.Outlets(
+                send=self._send,
+                connect=self._mesh.connect,
+                list_linked=self._list_linked_here,
+                find_shard=self._workers.find_shard,
+            ),
+            self._clock,
+        )
+
     def _build_platform(self) -> None:
         own = self._settings
         self._platform = platform_client.PlatformClient(
@@ -327,16 +341,11 @@
         return None
 
     def _drain_target(self, target: str) -> bool:
-        """Drain a worker of the shards here, or this daemon."""
+        """Drain a worker, or this daemon; return whether it is known."""
         if target == self._settings.daemon_id:
             self._stopping.set()
             return True
-        found = False
-        for shard in self._shards.values():
-            if target in shard.workers:
-                shard.workers[target].leaving = True
-                found = True
-        return found
+        return self._drains.drain(target)
 
     def _describe_status(self) -> dict[str, Any]:
         now = self._clock()
@@ -366,7 +375,7 @@
         self, known: meshes.Known, now: float
     ) -> status.DaemonFacts:
         state = "leaving" if known.info.leaving else "live"
-        if known.suspect_until > now:
+        if known.is_lost:
             state = "unreachable"
         return status.DaemonFacts(
             known.info.daemon_id,
@@ -401,6 +410,8 @@
     def _take_message(self, sender: str, message: object) -> None:
         if self._engine.take_message(sender, message):
             return
+        if self._drains.take_message(sender, message):
+            return
         if isinstance(message, messages.Digest):
             self._take_digest(sender, message)
         elif isinstance(message, messages.DeclarationsPush):
@@ -426,6 +437,8 @@
             )
         )
         self._send(daemon_id, self._describe_digest(with_peers=True))
+        if hello.data_centre == self._settings.data_centre:
+            self._drains.tell(daemon_id)
 
     def _take_lost(self, daemon_id: str) -> None:
         LOGGER.warning("lost %s", daemon_id, extra={"peer": daemon_id})
@@ -481,7 +494,8 @@
         if self._is_first_owner() or not self._engine.declared.version:
             return True
         entry = self._loads.entries.get(f"{self._settings.data_centre}/0")
-        return entry is None
+        # An owner known by hearsay alone pushes nothing here.
+        return entry is None or not self._peering.is_linked(entry.daemon_id)
 
     def _read_row(self) -> polling.Row | None:
         self._metrics.messages.labels(kind="platform").inc()
@@ -497,6 +511,7 @@
 
     def _take_vms(self, vms: list[entities.Vm]) -> None:
         self._workers.list_vms(vms)
+        self._drains.apply(self._workers.list_ids())
         entry_vms = [vm for vm in vms if vm.role is entities.VmRole.ENTRY]
         for vm in entry_vms:
             self._mesh.learn(
@@ -575,6 +590,18 @@
             or self._engine.is_involved(daemon_id)
         )
 
+    def _list_linked_here(self) -> list[str]:
+        """Return the linked daemons of this region."""
+        own = self._settings.data_centre
+        return [
+            daemon_id
+            for daemon_id in self._peering.list_linked()
+            if daemon_id in self._mesh.known
+            and self._regions.is_near(
+                own, self._mesh.known[daemon_id].info.data_centre
+            )
+        ]
+
     def _tell(self, daemon_id: str) -> None:
         self._send(daemon_id, self._describe_digest())
 
--- a/pollenladder/core/tags.py
+++ b/pollenladder/core/tags.py
@@ -29,6 +29,8 @@
     (19, loans.LoanGrant),
     (20, loans.LoanReturn),
     (21, messages.DeclarationsDelta),
+    (22, messages.WorkerDrain),
+    (23, messages.WorkerDrainReply),
 )
 
 
