Rank lenders only when there is something to ask for

Cause: with 500 shards `choose_asks` ranked all of them at each call while its asks were still open.

--- a/pollenladder/plans/loans.py
+++ b/pollenladder/plans/loans.py
@@ -260,6 +260,8 @@
     missing = row.wanted - free - sum(p.units for p in new)
     missing = math.ceil(missing * ASK_HEADROOM)
     asks: list[LoanAsk] = []
+    if missing <= 0 or len(new) >= ASKS_AT_ONCE:
+        return asks
     for lender_id in _rank_lenders(ledger, row, now):
         if missing <= 0 or len(new) + len(asks) >= ASKS_AT_ONCE:
             break
