Tell a change as a delta to every peer that may have its base

What a reader has heard of a peer's version is up to a digest's interval old, so readers told peers whole files that these had from another reader, or could have had as a delta. Now a change is told as a delta to all that have any version; a peer that lacks the base answers with its digest and gets the whole. The arithmetic counts regions: daemons keep the shards and workers of their region.

--- a/bench/capacity/budget.py
+++ b/bench/capacity/budget.py
@@ -78,13 +78,13 @@
 
     plans = target.TEAMS
     running = layout.shard_starts * target.MEAN_RUN_S
-    rows = layout.centre_shards * plans
+    rows = layout.region_shards * plans
     return [
         Memory("the process itself", 1, known["idle_daemons_owner_rss"].fixed),
         Memory(
-            "workers of the data centre",
-            layout.workers,
-            scale("idle_workers_owner_rss", layout.workers),
+            "workers of the region",
+            layout.region_workers,
+            scale("idle_workers_owner_rss", layout.region_workers),
         ),
         Memory(
             "links to daemons",
@@ -97,7 +97,9 @@
             scale("memory_peer", layout.daemons),
         ),
         Memory("plans in force", plans, scale("memory_plan", plans)),
-        Memory("shares of local shards", rows, scale("memory_share", rows)),
+        Memory(
+            "shares of the region's shards", rows, scale("memory_share", rows)
+        ),
         Memory(
             "running tasks of the shard",
             running,
@@ -122,10 +124,10 @@
 def _build_base(known: Slopes, layout: target.Layout) -> Line:
     cpu_us = known["idle_shards_owner_cpu_us"]
     return Line(
-        "ticks over the tables of local shards",
+        "ticks over the tables of the region's shards",
         "core.engine, core.leasing",
         0.0,
-        cpu_us.slope * layout.centre_shards
+        cpu_us.slope * layout.region_shards
         + known["idle_daemons_owner_cpu_us"].fixed,
         0.0,
     )
@@ -155,7 +157,7 @@
 
 
 def _build_vm_polls(known: Slopes, layout: target.Layout) -> list[Line]:
-    listed = layout.workers + layout.daemons
+    listed = layout.region_workers + layout.daemons
     changes = target.count_vm_changes_per_s(layout)
     polls = target.VM_POLLS_PER_S
     return [
@@ -184,7 +186,9 @@
     def compute(name: str, size: float = plans) -> float:
         return known[name].compute(size) * changes
 
-    shares_us = compute("declare_us", layout.shards) * layout.centre_shards
+    # Readers of other data centres that are linked tell of it as well.
+    copies = 1 + layout.far_links / layout.centre_shards
+    shares_us = compute("declare_us", layout.shards) * layout.region_shards
     return [
         Line(
             "declarations, unchanged (reader only)",
@@ -201,11 +205,11 @@
             compute("row_parse_bytes"),
         ),
         Line(
-            "declarations, changed: taken from the reader",
+            "declarations, changed: taken from readers",
             "core.polling, plans.deltas",
-            changes,
-            compute("row_parse_us") + compute("delta_us", 1) / 2,
-            compute("delta_bytes", 1),
+            changes * copies,
+            compute("row_parse_us") + compute("delta_us", 1) / 2 * copies,
+            compute("delta_bytes", 1) * copies,
         ),
         Line(
             "declarations, changed: pushed to all links (reader only)",
@@ -215,9 +219,9 @@
             compute("delta_bytes", 1) * layout.links,
         ),
         Line(
-            "declarations, changed: shares of local shards",
+            "declarations, changed: shares of the region's shards",
             "dispatch.shard, plans.escrow",
-            changes * layout.centre_shards,
+            changes * layout.region_shards,
             shares_us,
             0.0,
         ),
--- a/bench/capacity/faults.py
+++ b/bench/capacity/faults.py
@@ -67,7 +67,7 @@
     known: Slopes, layout: target.Layout, changes: float, daemons: float
 ) -> tuple[float, float, float]:
     """Return messages, bytes and us of reading a changed VM list."""
-    listed = layout.workers + layout.daemons
+    listed = layout.region_workers + layout.daemons
     reads = changes * daemons
     return (
         2 * reads,
@@ -78,7 +78,7 @@
 
 def _lose_workers(known: Slopes, layout: target.Layout, count: int) -> Day:
     # Those of a rack leave the list between two polls, and others join it.
-    sent, octets, cpu_us = _reread(known, layout, 2, layout.centre_daemons)
+    sent, octets, cpu_us = _reread(known, layout, 2, layout.region_daemons)
     running = layout.shard_starts / target.WORKERS_PER_SHARD
     running *= target.MEAN_RUN_S * count
     return Day(
@@ -92,7 +92,7 @@
 
 
 def _drain_worker(known: Slopes, layout: target.Layout) -> Day:
-    sent, octets, cpu_us = _reread(known, layout, 3, layout.centre_daemons)
+    sent, octets, cpu_us = _reread(known, layout, 3, layout.region_daemons)
     return Day("", sent, octets, cpu_us, "none")
 
 
@@ -137,7 +137,7 @@
     others = layout.daemons - layout.centre_daemons
     sent, octets, cpu_us = _reread(known, layout, 1, others)
     owners = layout.centre_shards * (target.CENTRES - 1)
-    tries = owners * target.FOREIGN_LINKS * 3
+    tries = owners * target.FAR_LINKS * 3
     part = 100 / target.CENTRES
     return Day(
         "a data centre",
@@ -155,7 +155,7 @@
     outside = target.CENTRES - inside
     owners = layout.centre_shards * (inside * outside + outside * inside)
     tries = owners * HOUR_S / SUSPECT_S
-    pushes = inside * target.FOREIGN_LINKS
+    pushes = inside * target.FAR_LINKS
     whole = known["push_bytes"].compute(target.TEAMS)
     return Day(
         "an hour's cut between one region and all others",
--- a/bench/capacity/pages.py
+++ b/bench/capacity/pages.py
@@ -169,11 +169,14 @@
             ("workers of a data centre", "workers"),
             ("shards of a data centre", "centre_shards"),
             ("shards of all data centres", "shards"),
+            ("shards of a region", "region_shards"),
+            ("workers of a region", "region_workers"),
             ("owner, us a start", "owner_us"),
             ("gateway, us a start", "gateway_us"),
             ("starts a second of a shard", "shard_starts"),
             ("cores a shard's owner needs", "shard_cores"),
             ("daemons of a data centre", "centre_daemons"),
+            ("daemons of a region", "region_daemons"),
             ("daemons of all data centres", "daemons"),
             ("links of an owner", "links"),
         )
@@ -373,10 +376,10 @@
 
     rows = [
         (
-            "shares of local shards at each change, us a second",
+            "shares of the region's shards at each change, us a second",
             "declare_us",
             layout.shards,
-            changes * layout.centre_shards,
+            changes * layout.region_shards,
         ),
         (
             "an idle owner with the VMs of all data centres listed, us a "
@@ -400,9 +403,9 @@
     before = earlier["vms_parse_bytes"].compute(listed) * polls
     after = known["poll_bytes"].slope * polls + known[
         "vms_parse_bytes"
-    ].compute(layout.workers + layout.daemons) * target.count_vm_changes_per_s(
-        layout
-    )
+    ].compute(
+        layout.region_workers + layout.daemons
+    ) * target.count_vm_changes_per_s(layout)
     cells.append(
         [
             "VM list, bytes a second of each daemon",
--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -407,9 +407,10 @@
             if self._polling.take_push(message):
                 self._tell(sender)
         elif isinstance(message, messages.DeclarationsDelta):
-            # If it needs a version that is not here, the digest tells so.
-            self._polling.take_delta(message)
-            self._tell(sender)
+            if self._polling.lacks(message.version):
+                # If it needs another version, the digest tells so.
+                self._polling.take_delta(message)
+                self._tell(sender)
         else:
             self._lookups.take_message(sender, message)
 
@@ -522,7 +523,7 @@
         for daemon_id in self._peering.list_linked():
             known = self._mesh.known.get(daemon_id)
             version = known.version if known and known.version else 0
-            push = self._polling.choose_push(version)
+            push = self._polling.choose_share(version)
             if push:
                 self._send(daemon_id, push)
 
--- a/pollenladder/core/polling.py
+++ b/pollenladder/core/polling.py
@@ -43,7 +43,7 @@
         is_reader: Return whether this daemon shall read the row now.
         on_vms: Take in the VM list.
         on_declared: Put declarations in force; return whether they are newer.
-        share: Tell the peers whose version is older, by `choose_push`.
+        share: Tell the peers whose version is older, by `choose_share`.
     """
 
     read_row: Callable[[], Row | None]
@@ -113,10 +113,12 @@
         LOGGER.info("declarations %d are in force here", push.version)
         return True
 
+    def lacks(self, version: int) -> bool:
+        """Return whether a version is newer than what was read or pushed."""
+        return self.push is None or version > self.push.version
+
     def take_delta(self, delta: messages.DeclarationsDelta) -> bool:
-        """Put a change in force; return False if it needs another version."""
-        if self.push and delta.version <= self.push.version:
-            return True
+        """Put a newer change in force; return False if that can't be done."""
         if self.push is None or delta.base != self.push.version:
             return False
         try:
@@ -136,6 +138,19 @@
             return self.delta
         return self.push
 
+    def choose_share(
+        self, heard_version: int
+    ) -> messages.DeclarationsPush | messages.DeclarationsDelta | None:
+        """Return what to tell a peer of a change, or None.
+
+        What was heard of its version may be old, so it gets the delta: if it
+        lacks the base, it answers with its version and gets the whole.
+        """
+        push = self.choose_push(heard_version)
+        if push and heard_version and self.delta:
+            return self.delta
+        return push
+
     def _read_declarations(self) -> None:
         try:
             row = self._outlets.read_row()
