--- a/pollenladder/dispatch/tables.py
+++ b/pollenladder/dispatch/tables.py
@@ -53,6 +53,7 @@
         slots: Tasks it runs at once.
         running: Tasks that this owner has running there.
         foreign: Tasks of earlier owners that ran at takeover, by plan.
+        survivors: All tasks that ran there at takeover, by plan.
         foreign_until: When the last of those must have ended.
         leaving: Whether it gets no new work.
         granted_epoch: The epoch of the last lease it granted.
@@ -62,6 +63,7 @@
     slots: int
     running: int = 0
     foreign: dict[str, int] = dataclasses.field(default_factory=dict)
+    survivors: dict[str, int] = dataclasses.field(default_factory=dict)
     foreign_until: float = 0.0
     leaving: bool = False
     granted_epoch: int = 0
@@ -96,6 +98,8 @@
         units: Allowance held by each task that is started or spilled.
         started: Places of tasks that are running, with where they run.
         spilled: Places of tasks in a batch elsewhere, with the batch id.
+        spilled_until: When the latest start of a spilled task may come, by
+            place.
         results: Results by place.
         attempts: Starts tried, by place.
         key: The idempotency key, if it has one.
@@ -119,6 +123,7 @@
     units: dict[int, ledgers.Unit] = dataclasses.field(default_factory=dict)
     started: dict[int, Place] = dataclasses.field(default_factory=dict)
     spilled: dict[int, str] = dataclasses.field(default_factory=dict)
+    spilled_until: dict[int, float] = dataclasses.field(default_factory=dict)
     results: dict[int, verdicts.TaskResult] = dataclasses.field(
         default_factory=dict
     )
@@ -185,11 +190,12 @@
         groups: Jobs and batches by id.
         batches: Batches spilled, by id.
         ended: Groups that must never start again, by id.
+        followed: Groups whose answer a resubmission waits for, by its job id.
         keys: Keys of this owner's epoch; None while it is not the owner.
         loads: Where other shards are and how loaded.
         retry_tokens: Retries allowed now.
         next_batch: Number of the next batch.
-        stalled: Plans whose tasks waited for allowance in the last tick, with
+        stalled: Lines whose tasks waited for allowance in the last tick, with
             how many.
         announced: When each other shard's owner was last told of the load.
         told_of_queue: Shards whose owners were last told that tasks wait here.
@@ -221,10 +227,13 @@
     groups: dict[str, Group] = dataclasses.field(default_factory=dict)
     batches: dict[str, Batch] = dataclasses.field(default_factory=dict)
     ended: dict[str, Ended] = dataclasses.field(default_factory=dict)
+    followed: dict[str, str] = dataclasses.field(default_factory=dict)
     keys: keys.KeyTable | None = None
     retry_tokens: float = 50.0
     next_batch: int = 0
-    stalled: dict[str, int] = dataclasses.field(default_factory=dict)
+    stalled: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
     announced: dict[str, float] = dataclasses.field(default_factory=dict)
     told_of_queue: set[str] = dataclasses.field(default_factory=set)
     draining: bool = False
--- a/tests/plans/test_escrow.py
+++ b/tests/plans/test_escrow.py
@@ -153,6 +153,18 @@
         [loan] = borrower.rows[PLAN].borrowed.values()
         self.assertEqual(loan.until, 20.0)
 
+    def test_the_rate_of_a_loan_ends_with_it_however_late_it_is_noticed(self):
+        lender = make_ledger(A, base=100, rate=1000.0, burst=1000)
+        borrower = make_ledger(B, rate=10.0)
+        take_all(borrower, 10.0)
+        lend(lender, borrower, 80, 10.0)
+        bucket = borrower.rows[PLAN].bucket
+        for step in range(2000):
+            buckets.take_token(bucket, 19.0 + step / 2010)
+        self.assertTrue(borrower.rows[PLAN].borrowed)
+        escrow.open_row(borrower, PLAN, 20.05)
+        self.assertEqual(buckets.count_tokens(bucket, 20.05), 0)
+
     def test_loans_in_use_are_renewed_without_a_gap(self):
         lender, borrower = make_ledger(A), make_ledger(B)
         take_all(borrower, 10.0)
@@ -193,6 +205,21 @@
         escrow.count_free(lender, PLAN, 1.0, 20.6)
         self.assertEqual(escrow.count_free(lender, PLAN, 1.0, 20.8), 10)
 
+    def test_an_ask_from_the_lender_calls_units_back_as_they_are_freed(self):
+        lender, borrower = make_ledger(A), make_ledger(B)
+        take_all(borrower, 10.0)
+        lend(lender, borrower, 8, 10.0)
+        units = take_all(borrower, 10.1)
+        [ask] = loans.choose_asks(lender, {PLAN: 4}, 11.0)
+        self.assertEqual(loans.grant(borrower, ask, 11.0).units, 0)
+        self.assertEqual(take_all(borrower, 11.1), [])
+        for freed, unit in enumerate(units[:6], 1):
+            escrow.give_back(borrower, unit, 11.2)
+            for returned in loans.choose_returns(borrower, 11.2):
+                loans.return_loan(lender, returned, 11.2)
+            free = escrow.count_own_free(lender, lender.rows[PLAN], 11.2)
+            self.assertEqual(free, min(freed, 5))
+
     def test_a_smaller_share_shrinks_what_was_borrowed(self):
         lender, borrower = make_ledger(A), make_ledger(B)
         take_all(borrower, 10.0)
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -19,6 +19,7 @@
     ("lint", [BIN / "ruff", "check", "-q", "."]),
     ("imports", [BIN / "lint-imports", "--no-cache"]),
     ("module imports", [sys.executable, "-m", "tests.imports"]),
+    ("models", [sys.executable, "-m", "models.run"]),
     (
         "capacity page",
         [sys.executable, "-m", "bench", "capacity", "--check"],
