--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -207,7 +207,7 @@
             drains.Outlets(
                 send=self._send,
                 connect=self._mesh.connect,
-                list_linked=self._list_linked_near,
+                list_linked=self._list_linked_here,
                 find_shard=self._workers.find_shard,
             ),
             self._clock,
@@ -417,6 +417,11 @@
         elif isinstance(message, messages.DeclarationsPush):
             if self._polling.take_push(message):
                 self._tell(sender)
+        elif isinstance(message, messages.DeclarationsDelta):
+            if self._polling.lacks(message.version):
+                # If it needs another version, the digest tells so.
+                self._polling.take_delta(message)
+                self._tell(sender)
         else:
             self._lookups.take_message(sender, message)
 
@@ -433,7 +438,7 @@
             )
         )
         self._send(daemon_id, self._describe_digest(with_peers=True))
-        if self._mesh.is_near(daemon_id):
+        if hello.data_centre == self._settings.data_centre:
             self._drains.tell(daemon_id)
 
     def _take_lost(self, daemon_id: str) -> None:
@@ -469,8 +474,8 @@
             changed |= directory.record_owner(self._loads, owner, now)
         if changed:
             gevent.spawn(self._mesh.step)
-        push = self._polling.push
-        if push and digest.version < push.version and self._is_sharer(sender):
+        push = self._polling.choose_push(digest.version)
+        if push and self._is_sharer(sender):
             self._send(sender, push)
         self._engine.wake()
 
@@ -495,14 +500,15 @@
 
     def _read_row(self) -> polling.Row | None:
         self._metrics.messages.labels(kind="platform").inc()
-        row = self._platform.get_row(polling.CURRENT_KEY)
+        row = self._platform.reread_row(polling.CURRENT_KEY)
         if row is None:
             return None
         return polling.Row(int(row.value["version"]), row.value)
 
     def _read_vms(self) -> list[entities.Vm]:
         self._metrics.messages.labels(kind="platform").inc()
-        return list(self._platform.list_vms().vms)
+        near = self._regions.list_near(self._settings.data_centre)
+        return list(self._platform.list_vms(near).vms)
 
     def _take_vms(self, vms: list[entities.Vm]) -> None:
         self._workers.list_vms(vms)
@@ -528,10 +534,12 @@
         self._metrics.plans_version.set(declared.version)
         return True
 
-    def _share_declarations(self, push: messages.DeclarationsPush) -> None:
+    def _share_declarations(self) -> None:
         for daemon_id in self._peering.list_linked():
             known = self._mesh.known.get(daemon_id)
-            if known is None or (known.version or 0) < push.version:
+            version = known.version if known and known.version else 0
+            push = self._polling.choose_share(version)
+            if push:
                 self._send(daemon_id, push)
 
     def _take_ownership_change(self, shard_id: str) -> None:
@@ -569,14 +577,6 @@
             peers,
         )
 
-    def _list_linked_near(self) -> list[str]:
-        """Return the linked daemons of this region."""
-        return [
-            daemon_id
-            for daemon_id in self._peering.list_linked()
-            if self._mesh.is_near(daemon_id)
-        ]
-
     def _is_link_wanted(self, daemon_id: str) -> bool:
         """Return whether a link to a daemon is of any use to either end.
 
@@ -591,6 +591,18 @@
             or self._engine.is_involved(daemon_id)
         )
 
+    def _list_linked_here(self) -> list[str]:
+        """Return the linked daemons of this region."""
+        own = self._settings.data_centre
+        return [
+            daemon_id
+            for daemon_id in self._peering.list_linked()
+            if daemon_id in self._mesh.known
+            and self._regions.is_near(
+                own, self._mesh.known[daemon_id].info.data_centre
+            )
+        ]
+
     def _tell(self, daemon_id: str) -> None:
         self._send(daemon_id, self._describe_digest())
 
--- a/pollenladder/core/mesh.py
+++ b/pollenladder/core/mesh.py
@@ -126,11 +126,6 @@
             and not known.is_lost
         ]
 
-    def is_near(self, daemon_id: str) -> bool:
-        """Return whether a daemon is known and of this region."""
-        known = self.known.get(daemon_id)
-        return known is not None and self._is_near(known.info.data_centre)
-
     def list_unreachable(self) -> list[str]:
         """Return the data centres of which no daemon can be reached.
 
@@ -185,7 +180,7 @@
         }
 
     def connect(self, daemon_id: str) -> bool:
-        """Link to a known daemon; one that cannot be reached is lost."""
+        """Link to a known daemon; one that cannot be reached is suspect."""
         known = self.known.get(daemon_id)
         if known is None:
             return False
@@ -195,6 +190,9 @@
         self.record_lost(daemon_id)
         return False
 
+    def _is_near(self, centre: str) -> bool:
+        return self._layout.is_near(self._own.data_centre, centre)
+
     def _list_near(self) -> list[str]:
         return [
             daemon_id
@@ -202,9 +200,6 @@
             if self._is_near(known.info.data_centre)
         ]
 
-    def _is_near(self, centre: str) -> bool:
-        return self._layout.is_near(self._own.data_centre, centre)
-
     def _list_far(self) -> list[str]:
         """Return the data centres of other regions."""
         centres = self._layout.list_centres()
--- a/pollenladder/core/meters.py
+++ b/pollenladder/core/meters.py
@@ -25,6 +25,7 @@
     messages.BatchResult: "spill",
     messages.ShardLoad: "probe",
     messages.DeclarationsPush: "plans",
+    messages.DeclarationsDelta: "plans",
     messages.Claim: "loan",
     messages.ClaimReply: "loan",
     loans.LoanAsk: "loan",
@@ -58,6 +59,9 @@
     frames = metrics.link_frames
     _advance(frames.labels(direction="in"), counts.frames_in)
     _advance(frames.labels(direction="out"), counts.frames_out)
+    octets = metrics.link_bytes
+    _advance(octets.labels(direction="in"), counts.bytes_in)
+    _advance(octets.labels(direction="out"), counts.bytes_out)
 
 
 def _advance(counter, value: int) -> None:
--- a/pollenladder/core/workers.py
+++ b/pollenladder/core/workers.py
@@ -68,22 +68,17 @@
         """Take in the VM list: the endpoints of this region."""
         endpoints = [vm for vm in vms if vm.role is entities.VmRole.ENDPOINT]
         self._centres = {vm.vm_id: vm.data_centre for vm in endpoints}
-        here = [
-            vm for vm in endpoints if self.find_shard(vm.vm_id) in self._shards
-        ]
+        here = []
+        rows: dict[str, list[tables.Worker]] = {key: [] for key in self._shards}
+        for vm in endpoints:
+            shard_id = self.find_shard(vm.vm_id)
+            if shard_id in rows:
+                here.append(vm)
+                rows[shard_id].append(_build_row(vm))
         self._keep_clients(here)
         now = self._clock()
         for shard_id, shard in self._shards.items():
-            rows = [
-                tables.Worker(
-                    vm.vm_id,
-                    vm.slots,
-                    leaving=vm.state is entities.VmState.LEAVING,
-                )
-                for vm in here
-                if self.find_shard(vm.vm_id) == shard_id
-            ]
-            shards.list_workers(shard, rows, now)
+            shards.list_workers(shard, rows[shard_id], now)
 
     def acquire_lease(
         self, worker_id: str, shard_id: str, epoch: int, ttl_s: float
@@ -123,3 +118,9 @@
                     vm.vm_id, vm.address, vm.port, limits, self._clock
                 )
         self._places = places
+
+
+def _build_row(vm: entities.Vm) -> tables.Worker:
+    return tables.Worker(
+        vm.vm_id, vm.slots, leaving=vm.state is entities.VmState.LEAVING
+    )
--- a/tests/plans/test_escrow.py
+++ b/tests/plans/test_escrow.py
@@ -54,6 +54,18 @@
             self.assertAlmostEqual(sum(rates), total, delta=0.001)
             self.assertLessEqual(sum(rates), total + 1e-6)
 
+    def test_one_share_is_that_of_the_split(self):
+        ids = sorted(SHARDS)
+        for total in (0, 1, 2, 7, 333.333, 890000):
+            whole = escrow.split(int(total), SHARDS)
+            rates = escrow.split_rate(total, SHARDS)
+            for i, shard_id in enumerate(ids):
+                found = (
+                    escrow.find_share(int(total), i, len(ids)),
+                    escrow.find_rate_share(total, i, len(ids)),
+                )
+                self.assertEqual(found, (whole[shard_id], rates[shard_id]))
+
 
 class BucketTest(unittest.TestCase):
     def test_starts_in_any_time_stay_within_rate_and_burst(self):
@@ -141,6 +153,19 @@
         [loan] = borrower.rows[PLAN].borrowed.values()
         self.assertEqual(loan.until, 20.0)
 
+    def test_the_rate_of_a_loan_ends_with_it_however_late_it_is_noticed(self):
+        lender = make_ledger(A, base=100, rate=1000.0, burst=1000)
+        borrower = make_ledger(B, rate=10.0)
+        take_all(borrower, 10.0)
+        lend(lender, borrower, 80, 10.0)
+        bucket = borrower.rows[PLAN].bucket
+        for step in range(2000):
+            buckets.take_token(bucket, 19.0 + step / 2010)
+        self.assertTrue(borrower.rows[PLAN].borrowed)
+        escrow.open_row(borrower, PLAN, 20.05)
+        # Less than one was left, and the own rate brought half of one.
+        self.assertLessEqual(buckets.count_tokens(bucket, 20.05), 1)
+
     def test_loans_in_use_are_renewed_without_a_gap(self):
         lender, borrower = make_ledger(A), make_ledger(B)
         take_all(borrower, 10.0)
@@ -181,6 +206,21 @@
         escrow.count_free(lender, PLAN, 1.0, 20.6)
         self.assertEqual(escrow.count_free(lender, PLAN, 1.0, 20.8), 10)
 
+    def test_an_ask_from_the_lender_calls_units_back_as_they_are_freed(self):
+        lender, borrower = make_ledger(A), make_ledger(B)
+        take_all(borrower, 10.0)
+        lend(lender, borrower, 8, 10.0)
+        units = take_all(borrower, 10.1)
+        [ask] = loans.choose_asks(lender, {PLAN: 4}, 11.0)
+        self.assertEqual(loans.grant(borrower, ask, 11.0).units, 0)
+        self.assertEqual(take_all(borrower, 11.1), [])
+        for freed, unit in enumerate(units[:6], 1):
+            escrow.give_back(borrower, unit, 11.2)
+            for returned in loans.choose_returns(borrower, 11.2):
+                loans.return_loan(lender, returned, 11.2)
+            free = escrow.count_own_free(lender, lender.rows[PLAN], 11.2)
+            self.assertEqual(free, min(freed, 5))
+
     def test_a_smaller_share_shrinks_what_was_borrowed(self):
         lender, borrower = make_ledger(A), make_ledger(B)
         take_all(borrower, 10.0)
