Give up at once what waits for the share of a lost shard

Cause: an owner that was paused past its leases kept the jobs that waited there until their deadline (15 s seen), as nothing could start them. Worse, with one queue for several shards it could go on to start them on the workers of a shard it still owned, with the share of the one it had lost, which a new owner takes as its own once a term of loans is over. Ruled out: leases (the new owner had the shard after 1.9 s) and the links. Change: a task starts or is spilled only while its home shard is owned; when that cannot be regained in its epoch, jobs of which nothing began are refused, so that their gateway offers them to the new owner, batches are handed back, and jobs of which a part waits fail. Tasks that run are waited for.

--- a/pollenladder/core/peering.py
+++ b/pollenladder/core/peering.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from pollenladder.core import clocks
 from pollenladder.wire import exceptions
 from pollenladder.wire import links
 from pollenladder.wire import server
@@ -15,6 +16,8 @@
 
 RECONNECT_PAUSE_S = 0.2
 RECONNECT_ATTEMPTS = 3
+# No further try is begun after this, as callers wait for what may be lost.
+RECONNECT_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -179,9 +182,12 @@
 
     def _relink(self, peer: Peer) -> None:
         """Try for a new link a few times; else the daemon is lost."""
+        ends_at = clocks.read_monotonic_s() + RECONNECT_S
         for attempt in range(RECONNECT_ATTEMPTS):
             if attempt:
                 gevent.sleep(RECONNECT_PAUSE_S)
+            if clocks.read_monotonic_s() >= ends_at:
+                break
             if self._peers.get(peer.daemon_id) is not peer or peer.open:
                 return
             if self._handlers.reconnect(peer.daemon_id):
--- a/pollenladder/dispatch/completion.py
+++ b/pollenladder/dispatch/completion.py
@@ -165,6 +165,18 @@
     return effects + _answer(shard, group, results, answer, now)
 
 
+def refuse_group(
+    shard: tables.Shard,
+    group: tables.Group,
+    refused: verdicts.Refused,
+    now: float,
+) -> list[tables.Effect]:
+    """Refuse a job of which nothing has begun."""
+    _drop_waiting(shard, group, refused.reason, now)
+    results = tuple(group.results[index] for index in group.tasks)
+    return _answer(shard, group, results, refused, now)
+
+
 def _complete_group(
     shard: tables.Shard, group: tables.Group, now: float
 ) -> list[tables.Effect]:
@@ -223,7 +235,7 @@
         return
     if group.key.epoch != shard.keys.epoch:
         return
-    if isinstance(answer, verdicts.Failed) and all(
+    if isinstance(answer, verdicts.Refused) or all(
         result.verdict is verdicts.Verdict.NOT_RUN for result in answer.results
     ):
         keys.release_key(shard.keys, group.key)
--- a/pollenladder/dispatch/placement.py
+++ b/pollenladder/dispatch/placement.py
@@ -91,7 +91,7 @@
     now: float,
 ) -> tables.StartTask | None:
     """Start the next task of a group; None if it has to wait."""
-    if now >= group.start_by:
+    if now >= group.start_by or not home.ownership_is_held(now):
         return None
     place_found = _choose_worker(home, group, free)
     if place_found is None:
--- a/pollenladder/dispatch/shard.py
+++ b/pollenladder/dispatch/shard.py
@@ -11,6 +11,7 @@
 from pollenladder.dispatch import placement
 from pollenladder.dispatch import sharing
 from pollenladder.dispatch import spilling
+from pollenladder.dispatch import surrender
 from pollenladder.dispatch import tables
 from pollenladder.endpoints import outcomes
 from pollenladder.membership import health
@@ -112,6 +113,7 @@
     """
     first = next(iter(shards))
     effects = expire(first, now)
+    effects += surrender.give_up(first, now)
     for shard in shards:
         shard.stalled.clear()
     if first.queue.tasks:
--- a/pollenladder/dispatch/spilling.py
+++ b/pollenladder/dispatch/spilling.py
@@ -59,6 +59,8 @@
 ) -> bool:
     """Take a unit that leaves a guest the time to start the next task."""
     home = shard.local[group.shard_id]
+    if not home.ownership_is_held(now):
+        return False
     index = group.waiting[-1]
     left_s = home.ledger.term_s - placement.get_max_run_s(home, group, index)
     if min(left_s, group.deadline_at - now) < MIN_START_WITHIN_S:
--- /dev/null
+++ b/pollenladder/dispatch/surrender.py
@@ -0,0 +1,58 @@
+"""Give up what waits for the share of a shard that is no longer owned here."""
+
+from pollenladder.core import verdicts
+from pollenladder.dispatch import completion
+from pollenladder.dispatch import tables
+from pollenladder.membership import leases
+
+RETRY_AFTER_S = 1.0
+
+
+def give_up(shard: tables.Shard, now: float) -> list[tables.Effect]:
+    """Answer the groups that cannot go on, as their shard was lost.
+
+    Tasks that run already are waited for, so a group ends only if some of it
+    still waits. A job of which nothing has begun may go to the new owner.
+
+    Args:
+        shard: One of this daemon's shards, which share their groups.
+        now: Monotonic time in seconds.
+    """
+    if not shard.groups:
+        return []
+    lost = {
+        own.shard_id: own
+        for own in shard.local.values()
+        if not own.ownership_is_held(now)
+    }
+    effects: list[tables.Effect] = []
+    for group in list(shard.groups.values()):
+        if group.shard_id in lost and group.waiting:
+            effects += _give_up_group(lost[group.shard_id], group, now)
+    return effects
+
+
+def _give_up_group(
+    home: tables.Shard, group: tables.Group, now: float
+) -> list[tables.Effect]:
+    if group.is_guest:
+        return completion.hand_back_waiting(home, group, now)
+    if _may_regain(home):
+        return []
+    if group.started or group.spilled or group.results:
+        reason = verdicts.Reason.OWNER_LOST
+        return completion.fail_group(home, group, reason, now)
+    refused = verdicts.Refused(
+        group.job_id,
+        verdicts.Reason.NOT_READY,
+        RETRY_AFTER_S,
+        "the shard has another owner",
+    )
+    return completion.refuse_group(home, group, refused, now)
+
+
+def _may_regain(home: tables.Shard) -> bool:
+    """Return whether the shard may still be owned again in the same epoch."""
+    entry = home.loads.entries.get(home.shard_id)
+    replaced = entry is not None and entry.epoch > home.ownership.epoch
+    return home.ownership.phase is leases.Phase.LAPSED and not replaced
--- /dev/null
+++ b/tests/dispatch/test_surrender.py
@@ -0,0 +1,94 @@
+"""Tests of what becomes of groups whose shard was lost."""
+
+import unittest
+
+from pollenladder.core import verdicts
+from pollenladder.dispatch import intake
+from pollenladder.dispatch import keys
+from pollenladder.dispatch import shard as shards
+from pollenladder.dispatch import tables
+from pollenladder.membership import leases
+from pollenladder.wire import messages
+from tests.dispatch import worlds
+
+NOW = 110.0
+IDS = ("dc/0", "dc/1")
+REFUSED = messages.AnswerKind.REFUSED
+FAILED = messages.AnswerKind.FAILED
+
+
+class SurrenderTest(unittest.TestCase):
+    def setUp(self):
+        self.lost = worlds.make_shard("dc/0", ids=IDS)
+        self.kept = worlds.make_shard(
+            "dc/1", ids=IDS, loads=self.lost.loads, beside=self.lost
+        )
+
+    def lose(self, phase=leases.Phase.IDLE):
+        self.lost.ownership.phase = phase
+        for row in self.lost.ownership.rows.values():
+            row.lease_until = -1.0
+
+    def offer(self, job):
+        offer = messages.JobOffer("dc/0", job)
+        return intake.offer_job(self.lost, "gateway", offer, NOW)
+
+    def run_systems(self, now=NOW):
+        return shards.run_systems([self.lost, self.kept], now)
+
+    def list_answers(self, effects):
+        return [
+            effect.message
+            for effect in effects
+            if isinstance(effect, tables.SendMessage)
+            and isinstance(effect.message, messages.JobAnswer)
+        ]
+
+    def list_starts(self, effects):
+        return [e for e in effects if isinstance(e, tables.StartTask)]
+
+    def test_a_job_of_which_nothing_began_may_go_elsewhere(self):
+        self.offer(worlds.make_job("j", 3))
+        self.lose()
+        effects = self.run_systems()
+        [answer] = self.list_answers(effects)
+        self.assertEqual((answer.job_id, answer.kind), ("j", REFUSED))
+        self.assertIs(answer.reason, verdicts.Reason.NOT_READY)
+        self.assertEqual(self.list_starts(effects), [])
+        self.assertEqual((self.lost.groups, self.lost.queue.tasks), ({}, 0))
+
+    def test_a_job_that_began_fails_if_some_of_it_waits(self):
+        self.offer(worlds.make_job("j", 20))
+        started = {e.index for e in self.list_starts(self.run_systems())}
+        self.assertTrue(0 < len(started) < 20)
+        self.lose()
+        [answer] = self.list_answers(self.run_systems())
+        self.assertIs(answer.kind, FAILED)
+        for index, result in enumerate(answer.results):
+            expected = worlds.UNKNOWN if index in started else worlds.NOT_RUN
+            self.assertIs(result.verdict, expected, index)
+
+    def test_a_job_that_runs_whole_is_waited_for(self):
+        self.offer(worlds.make_job("j", 2))
+        self.assertEqual(len(self.list_starts(self.run_systems())), 2)
+        self.lose()
+        self.assertEqual(self.run_systems(), [])
+        self.assertIn("j", self.lost.groups)
+
+    def test_no_task_uses_the_share_of_a_shard_that_may_be_regained(self):
+        self.offer(worlds.make_job("j", 2))
+        self.lose(leases.Phase.LAPSED)
+        self.assertEqual(self.list_starts(self.run_systems()), [])
+        self.assertIn("j", self.lost.groups)
+        load = messages.ShardLoad("dc/0", 2, 0, 0, 4, "", 0.0)
+        worlds.directory.record_load(self.lost.loads, "other", load, NOW)
+        [answer] = self.list_answers(self.run_systems())
+        self.assertIs(answer.kind, REFUSED)
+
+    def test_a_key_can_be_used_again_after_a_refusal(self):
+        stamp = keys.format_stamp(self.lost.keys, NOW)
+        job = worlds.make_job("j", 1, key=f"{stamp}~own")
+        self.offer(job)
+        self.lose()
+        self.run_systems()
+        self.assertEqual(list(map(len, self.lost.keys.windows.values())), [0])
--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -60,3 +60,5 @@
             self.group.thaw(owner)
             self.wait_for_more(running, [self.get_port(owner)])
         self.check(running.answers)
+        reasons = {answer.body.get("reason") for answer in running.answers}
+        self.assertNotIn("deadline", reasons)
