Use the share of a shard as soon as all its workers have granted it

Cause: after the death of an owner two others raced for its shards; the worker that both had asked granted a higher epoch than the ownership's, and what it reported to run was left out. The new owner then waited a whole term of loans (4 s here, 16 s by default) for that worker and started nothing meanwhile. The race itself: the second candidate began one lease term after the death, while the first gets the leases a term and a retry after it; so the shards of one region got two owners, and each waited for the other's claim as well. Ruled out: claims between the two (answered within 0.5 s each), leases (owned after 1.1 s). Change: a grant of the ownership's epoch or a higher one counts; each next candidate waits one and a half terms.

--- a/pollenladder/core/leasing.py
+++ b/pollenladder/core/leasing.py
@@ -21,6 +21,9 @@
 STEP_S = 0.1
 # An owner that was not heard of for this many lease terms is taken for dead.
 SILENT_TERMS = 1.7
+# A dead owner's leases run out within a term, and are asked for again within a
+# part of another one.
+CANDIDATE_TERMS = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -141,7 +144,7 @@
         """Return whether this daemon should own the shard.
 
         The first candidate in rendezvous order should; each next one only
-        after another lease term without an owner.
+        after the time in which the one before would have got it.
         """
         if self.draining:
             return False
@@ -157,7 +160,8 @@
         candidates = set(self._outlets.list_candidates()) | {shard.daemon_id}
         ranked = self._layout.rank_owners(shard.shard_id, candidates)
         rank = ranked.index(shard.daemon_id)
-        return now >= self._ownerless_since[shard.shard_id] + rank * ttl_s
+        wait_s = rank * CANDIDATE_TERMS * ttl_s
+        return now >= self._ownerless_since[shard.shard_id] + wait_s
 
     def _is_alive(
         self, entry: directory.Entry, ttl_s: float, now: float
--- a/pollenladder/dispatch/shard.py
+++ b/pollenladder/dispatch/shard.py
@@ -166,7 +166,8 @@
     )
     _declare_shares(shard, now)
     for worker in shard.workers.values():
-        if worker.granted_epoch == epoch:
+        # A worker that another candidate has asked grants a higher epoch.
+        if worker.granted_epoch >= epoch:
             _report_running(shard, worker, now)
 
 
@@ -199,7 +200,7 @@
     )
     left_s = [_get_left_s(shard, task) for task in granted.running]
     worker.foreign_until = now + max(left_s, default=0.0)
-    if shard.ledger.epoch == granted.epoch:
+    if granted.epoch >= shard.ledger.epoch:
         _report_running(shard, worker, now)
 
 
