Give all who ask for a link the outcome of the attempt under way

Cause: a second request for a link while the first attempt was under way was answered "no link" at once, so the mesh took the daemon for lost, and a drain or a look-up through it failed. Ruled out: the handshake, which succeeded. Change: they wait for the one attempt. After: all True, over one link.

--- a/pollenladder/core/peering.py
+++ b/pollenladder/core/peering.py
@@ -68,7 +68,7 @@
         )
         self._handlers = handlers
         self._peers: dict[str, Peer] = {}
-        self._connecting: set[str] = set()
+        self._attempts: dict[str, gevent.Greenlet] = {}
         self._closed = links.Counts()
         self.server = server.Server(
             self._own, own.hello.address, own.hello.peer_port, self._add_link
@@ -96,21 +96,26 @@
         return peer.open[0].send(message)
 
     def connect(self, daemon_id: str, address: str, port: int) -> bool:
-        """Make a link if there is none; return whether there is one then."""
-        peer = self._peers.get(daemon_id)
-        if peer and peer.open:
+        """Make a link if there is none; return whether there is one then.
+
+        Whoever asks while an attempt is made gets the outcome of that.
+        """
+        if self.is_linked(daemon_id):
             return True
-        if daemon_id in self._connecting:
-            return False
-        self._connecting.add(daemon_id)
+        attempt = self._attempts.get(daemon_id)
+        if attempt is None:
+            attempt = gevent.spawn(self._try, address, port)
+            self._attempts[daemon_id] = attempt
+            attempt.link(lambda _: self._attempts.pop(daemon_id, None))
+        attempt.join()
+        return self.is_linked(daemon_id)
+
+    def _try(self, address: str, port: int) -> None:
         try:
-            link = server.connect(dataclasses.replace(self._own), address, port)
+            link = server.connect(self._own, address, port)
         except (exceptions.UnreachableError, exceptions.HandshakeError):
-            return False
-        finally:
-            self._connecting.discard(daemon_id)
+            return
         self._add_link(link)
-        return not link.closed
 
     def count(self) -> links.Counts:
         """Return the sum of what went over all links so far."""
--- /dev/null
+++ b/tests/core/test_peering.py
@@ -0,0 +1,73 @@
+"""Tests of links to other daemons, over loopback."""
+
+import unittest
+
+import gevent
+
+from pollenladder.core import peering
+from pollenladder.wire import links
+from tests.wire import samples
+
+
+class Daemon:
+    """The links of one daemon, and what it was told of others."""
+
+    def __init__(self, daemon_id):
+        self.events = []
+        self.peering = peering.Peering(
+            samples.End(daemon_id).settings,
+            peering.Handlers(
+                on_message=lambda sender, message: None,
+                on_joined=lambda other: self.events.append("joined"),
+                on_relinked=lambda other: self.events.append("relinked"),
+                reconnect=self.connect,
+                on_lost=lambda other: self.events.append("lost"),
+                is_wanted=lambda other: True,
+            ),
+        )
+        self.peering.server = self.build_server()
+        self.port = 0
+
+    def build_server(self):
+        own = self.peering._own
+        return peering.server.Server(
+            own, "127.0.0.1", 0, self.peering._add_link
+        )
+
+    def listen(self):
+        self.peering.server.start()
+        return self.peering.server.port
+
+    def connect(self, daemon_id):
+        return self.peering.connect(daemon_id, "127.0.0.1", self.port)
+
+
+class PeeringTest(unittest.TestCase):
+    def setUp(self):
+        self.one, self.other = Daemon("one"), Daemon("other")
+        self.one.port = self.other.listen()
+        self.addCleanup(self.other.peering.close, 0.0)
+        self.addCleanup(self.one.peering.close, 0.0)
+
+    def test_all_who_ask_for_a_link_at_a_time_get_the_same_one(self):
+        asked = [gevent.spawn(self.one.connect, "other") for _ in range(3)]
+        gevent.joinall(asked, timeout=samples.WAIT_S)
+        self.assertEqual([one.value for one in asked], [True] * 3)
+        self.assertEqual(self.one.events, ["joined"])
+        self.assertTrue(self.one.peering.is_linked("other"))
+
+    def test_a_broken_link_is_replaced_by_a_new_one(self):
+        self.assertTrue(self.one.connect("other"))
+        [peer] = self.one.peering._peers.values()
+        peer.open[0].close(links.CloseReason.BROKEN)
+        self.assertTrue(samples.wait_until(lambda: len(self.one.events) > 1))
+        self.assertEqual(self.one.events, ["joined", "relinked"])
+
+    def test_a_daemon_that_is_gone_is_lost(self):
+        self.assertTrue(self.one.connect("other"))
+        self.other.peering.close(0.0)
+        self.assertTrue(
+            samples.wait_until(lambda: "lost" in self.one.events),
+            self.one.events,
+        )
+        self.assertFalse(self.one.connect("other"))
