--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -176,7 +176,8 @@
     Args:
         cluster: Started with `cut`.
         data_centres: Those cut off from now on; none heals all.
-        mode: `silent` or `closed`.
+        mode: `silent`, `closed`, or `forget` to have only the connections
+            that are open now fall silent.
     """
     port = cluster.platform_ports["control"]
     body = {"data_centres": data_centres, "mode": mode}
--- a/bench/relays.py
+++ b/bench/relays.py
@@ -4,6 +4,7 @@
 VM list names a relay for each daemon and worker of another data centre.
 """
 
+import dataclasses
 import json
 import pathlib
 import sys
@@ -21,19 +22,36 @@
 TIMEOUT_S = 30.0
 
 
+@dataclasses.dataclass(eq=False)
+class Link:
+    """A connection through a relay.
+
+    Attributes:
+        one: The data centre at one end.
+        other: The one at the other end.
+        sockets: Both ends here.
+        is_silent: Whether all that is sent is dropped from now on.
+    """
+
+    one: str
+    other: str
+    sockets: list[socket.socket]
+    is_silent: bool = False
+
+
 class Cuts:
     """Which data centres are cut off now.
 
     Attributes:
         cut_off: Their names.
         mode: `silent` drops what is sent, `closed` closes connections.
-        links: Open connections by the data centres at their ends.
+        links: Open connections.
     """
 
     def __init__(self):
         self.cut_off: set[str] = set()
         self.mode = "silent"
-        self.links: list[tuple[str, str, list[socket.socket]]] = []
+        self.links: list[Link] = []
 
     def is_cut(self, one: str, other: str) -> bool:
         """Return whether two data centres can't reach each other."""
@@ -43,10 +61,16 @@
         """Cut these off from now on; connections cut before are closed."""
         healed = self.cut_off - set(data_centres)
         self.cut_off, self.mode = set(data_centres), mode
-        for one, other, sockets in list(self.links):
-            closes = mode == "closed" and self.is_cut(one, other)
-            if closes or {one, other} & healed:
-                close_all(sockets)
+        for link in list(self.links):
+            closes = mode == "closed" and self.is_cut(link.one, link.other)
+            if closes or {link.one, link.other} & healed:
+                close_all(link.sockets)
+
+    def forget(self, data_centres: list[str]) -> None:
+        """Let the connections that these have now fall silent for good."""
+        for link in self.links:
+            ends = {link.one, link.other}
+            link.is_silent = link.is_silent or bool(ends & set(data_centres))
 
 
 def close_all(sockets: list[socket.socket]) -> None:
@@ -71,13 +95,13 @@
             near.close()
             return
         far = socket.create_connection((ports.HOST, port))
-        link = (one, other, [near, far])
+        link = Link(one, other, [near, far])
         cuts.links.append(link)
         try:
             gevent.joinall(
                 [
-                    gevent.spawn(pump, cuts, one, other, near, far),
-                    gevent.spawn(pump, cuts, one, other, far, near),
+                    gevent.spawn(pump, cuts, link, near, far),
+                    gevent.spawn(pump, cuts, link, far, near),
                 ]
             )
         finally:
@@ -91,17 +115,13 @@
 
 
 def pump(
-    cuts: Cuts,
-    one: str,
-    other: str,
-    source: socket.socket,
-    target: socket.socket,
+    cuts: Cuts, link: Link, source: socket.socket, target: socket.socket
 ) -> None:
     """Copy bytes until the source ends; drop them while there is a cut."""
     source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
         while chunk := source.recv(CHUNK_BYTES):
-            if not cuts.is_cut(one, other):
+            if not (link.is_silent or cuts.is_cut(link.one, link.other)):
                 target.sendall(chunk)
     except OSError:
         pass
@@ -154,11 +174,17 @@
 
 
 def serve_control(cuts: Cuts) -> int:
-    """Serve `POST /control/cut` and return the port."""
+    """Serve `POST /control/cut` and return the port.
+
+    The mode `forget` cuts nothing off: connections that are open fall silent.
+    """
 
     def application(environ: dict[str, Any], start_response: Any) -> list:
         message = json.loads(environ["wsgi.input"].read())
-        cuts.change(message["data_centres"], message["mode"])
+        if message["mode"] == "forget":
+            cuts.forget(message["data_centres"])
+        else:
+            cuts.change(message["data_centres"], message["mode"])
         start_response("200 OK", [("Content-Type", "application/json")])
         return [b"{}"]
 
--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -50,6 +50,16 @@
         self.check(busy.answers + late.answers)
         self.assertEqual(self.read_max_running(narrow), declared.NARROW_RUNNING)
 
+    def test_links_that_fell_silent_are_replaced(self):
+        with load.Load(self.list_ports()) as running:
+            self.wait_for_more(running, self.list_ports())
+            cluster.cut_off(self.running, ["south"], "forget")
+            for data_centre in ("north", "south"):
+                self.wait_for_more(running, self.list_ports_in(data_centre))
+            self.wait_for_owner("south/0")
+            self.wait_for_more(running, self.list_ports_in("south"))
+        self.check(running.answers)
+
     def test_an_owner_dies_in_a_cut_while_the_platform_is_down(self):
         owner = self.wait_for_owner("north/0")
         others = self.list_ports(but=owner)
