Take a daemon for reachable as soon as it has a link again

Cause: a daemon that was paused and went on was shown as unreachable, and left out as a candidate, until its next digest (up to 10 s; 17 s since last heard seen): its end took the new link for a repaired one and told nothing. Ruled out: the link itself, which was there and carried jobs. Change: a link clears the mark at both ends, and each end tells its digest and drains over a repaired link too; drains are told to the whole region.

--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -173,7 +173,7 @@
             peering.Handlers(
                 on_message=self._take_message,
                 on_joined=self._take_joined,
-                on_relinked=self._engine.ask_daemon,
+                on_relinked=self._take_relinked,
                 reconnect=lambda daemon_id: self._mesh.connect(daemon_id),
                 on_lost=self._take_lost,
                 is_wanted=self._is_link_wanted,
@@ -437,8 +437,18 @@
                 False,
             )
         )
+        self._greet(daemon_id)
+
+    def _take_relinked(self, daemon_id: str) -> None:
+        self._engine.ask_daemon(daemon_id)
+        # To the other end the link may be the first: it knows nothing of us.
+        self._greet(daemon_id)
+
+    def _greet(self, daemon_id: str) -> None:
+        """Tell a daemon that has a new link all that it may not know."""
+        self._mesh.record_linked(daemon_id)
         self._send(daemon_id, self._describe_digest(with_peers=True))
-        if hello.data_centre == self._settings.data_centre:
+        if daemon_id in self._list_linked_here():
             self._drains.tell(daemon_id)
 
     def _take_lost(self, daemon_id: str) -> None:
--- a/pollenladder/core/mesh.py
+++ b/pollenladder/core/mesh.py
@@ -107,14 +107,20 @@
             known.is_lost = True
             known.retry_at = self._clock() + RETRY_S
 
+    def record_linked(self, daemon_id: str) -> None:
+        """Note that there is a link to a daemon, so it can be reached."""
+        known = self.known.get(daemon_id)
+        if known:
+            known.is_lost = False
+            known.retry_at = float("-inf")
+
     def record_heard(self, daemon_id: str, version: int) -> None:
         """Note that a daemon has said which version it has."""
         known = self.known.get(daemon_id)
         if known:
             known.version = version
             known.heard_at = self._clock()
-            known.is_lost = False
-            known.retry_at = float("-inf")
+            self.record_linked(daemon_id)
 
     def list_candidates(self) -> list[str]:
         """Return the daemons of this region that may own its shards."""
--- a/tests/processes/test_deaths.py
+++ b/tests/processes/test_deaths.py
@@ -45,6 +45,10 @@
         self.assertTrue(unstarted, "queued jobs of a dead gateway went on")
         self.restart(gateway)
 
+    def find_state(self, asked, daemon_id):
+        rows = self.read_status(asked)["daemons"]
+        return next(r["state"] for r in rows if r["daemon"] == daemon_id)
+
     def count_waiting(self, daemon_id):
         plans = self.read_status(daemon_id)["plans"]
         return sum(plan["waiting"] + plan["running"] for plan in plans)
@@ -59,6 +63,11 @@
             self.wait_for_more(running, others)
             self.group.thaw(owner)
             self.wait_for_more(running, [self.get_port(owner)])
+        new_owner = self.wait_for_owner("south/0")
+        self.wait_until(
+            lambda: self.find_state(new_owner, owner) == "live",
+            "the paused daemon is seen again",
+        )
         self.check(running.answers)
         reasons = {answer.body.get("reason") for answer in running.answers}
         self.assertNotIn("deadline", reasons)
