--- a/tests/processes/test_keys.py
+++ b/tests/processes/test_keys.py
@@ -55,17 +55,27 @@
         self.check_once(body, answers)
 
     def test_again_after_its_owner_died(self):
+        owner = self.lose_owner(self.group.kill)
+        self.restart(owner)
+
+    def test_again_after_its_owner_was_paused(self):
+        owner = self.lose_owner(self.group.freeze)
+        self.group.thaw(owner)
+        self.wait_for_answers([self.get_port(owner)])
+
+    def lose_owner(self, stop):
+        """Lose the owner of a key that runs, and submit it again."""
         owner = self.wait_for_owner("north/0")
         ports = self.list_ports(but=owner)[:2]
         body = self.build_job(ports[0], 1200)
         self.assertEqual(owner, self.wait_for_owner(body["key"].split("~")[0]))
 
-        def kill():
-            self.group.kill(owner)
+        def replace():
+            stop(owner)
             self.wait_for_owner("north/0", but=owner)
             self.wait_for_answers(ports)
 
-        answers = self.send_twice(*ports, body, kill)
+        answers = self.send_twice(*ports, body, replace)
         self.assertEqual([a.status for a in answers], [502, 409], answers)
         self.check_once(body, answers)
-        self.restart(owner)
+        return owner
