--- a/pollenladder/core/mesh.py
+++ b/pollenladder/core/mesh.py
@@ -1,16 +1,20 @@
 """Which daemons are known, and with which ones this daemon keeps a link."""
 
+from collections.abc import Iterable
 import dataclasses
 import logging
 import random
 
 import gevent
 
+from pollenladder.conf import settings as conf
 from pollenladder.core import clocks
+from pollenladder.core import entities
 from pollenladder.core import peering
 from pollenladder.dispatch import directory
 from pollenladder.membership import hashing
 from pollenladder.membership import regions
+from pollenladder.wire import handshake
 from pollenladder.wire import messages
 
 LOGGER = logging.getLogger(__name__)
@@ -54,14 +58,16 @@
 
     def __init__(
         self,
-        own: messages.PeerInfo,
+        daemon_id: str,
+        data_centre: str,
         loads: directory.Directory,
         layout: regions.Regions,
         peers: peering.Peering,
         clock: clocks.Clock,
     ):
         self.known: dict[str, Known] = {}
-        self._own = own
+        self._daemon_id = daemon_id
+        self._data_centre = data_centre
         self._loads = loads
         self._layout = layout
         self._peers = peers
@@ -74,7 +80,7 @@
         Where a daemon is reached from here, the VM list knows better than the
         daemon itself.
         """
-        if info.daemon_id == self._own.daemon_id:
+        if info.daemon_id == self._daemon_id:
             return
         known = self.known.get(info.daemon_id)
         if known is None:
@@ -85,6 +91,46 @@
         known.info = dataclasses.replace(known.info, leaving=leaving)
         known.is_listed = known.is_listed or is_listed
 
+    def learn_hints(self, peers: Iterable[conf.Peer]) -> None:
+        """Note the daemons that the settings name."""
+        for peer in peers:
+            info = messages.PeerInfo(
+                peer.daemon_id,
+                peer.data_centre,
+                peer.address,
+                peer.peer_port,
+                0,
+                False,
+            )
+            self.learn(info)
+
+    def learn_hello(self, hello: handshake.Hello) -> None:
+        """Note what a daemon said of itself when a link was made."""
+        info = messages.PeerInfo(
+            hello.daemon_id,
+            hello.data_centre,
+            hello.address,
+            hello.peer_port,
+            hello.http_port,
+            False,
+        )
+        self.learn(info)
+
+    def list_vms(self, vms: Iterable[entities.Vm]) -> None:
+        """Take in the VM list: its daemons."""
+        entry_vms = [vm for vm in vms if vm.role is entities.VmRole.ENTRY]
+        for vm in entry_vms:
+            info = messages.PeerInfo(
+                vm.vm_id,
+                vm.data_centre,
+                vm.address,
+                vm.port,
+                vm.http_port,
+                vm.state is entities.VmState.LEAVING,
+            )
+            self.learn(info, is_listed=True)
+        self.keep_listed({vm.vm_id for vm in entry_vms})
+
     def keep_listed(self, daemon_ids: set[str]) -> None:
         """Forget daemons that are not in the VM list and have no link.
 
@@ -137,7 +183,7 @@
 
         Only owners keep links to other data centres, so only they notice.
         """
-        reachable = {self._own.data_centre}
+        reachable = {self._data_centre}
         for known in self.known.values():
             if not known.is_lost:
                 reachable.add(known.info.data_centre)
@@ -170,21 +216,43 @@
         so do others while their own region has no owner.
         """
         now = self._clock()
-        shards_here = self._layout.list_shards(self._own.data_centre)
+        shards_here = self._layout.list_shards(self._data_centre)
         owners = [self._find_owner(shard_id) for shard_id in shards_here]
         wanted = {owner for owner in owners if owner}
         if None in owners:
             wanted.update(self._list_near())
-        if self._own.daemon_id in owners or not any(owners):
+        if self._daemon_id in owners or not any(owners):
             for centre in self._list_far():
                 wanted.update(self._choose_far(centre))
-        wanted.discard(self._own.daemon_id)
+        wanted.discard(self._daemon_id)
         return {
             daemon_id
             for daemon_id in wanted
             if daemon_id in self.known and self.known[daemon_id].retry_at <= now
         }
 
+    def wants_link(self, daemon_id: str) -> bool:
+        """Return whether a link to a daemon serves the shards of either end.
+
+        Both ends judge alike: owners are linked with all, and others with
+        each other only while a shard of the region has no owner.
+        """
+        owners = {entry.daemon_id for entry in self._loads.entries.values()}
+        return (
+            daemon_id in owners
+            or self._daemon_id in owners
+            or daemon_id in self.choose_links()
+        )
+
+    def is_near(self, daemon_id: str) -> bool:
+        """Return whether a daemon is known and of this region."""
+        known = self.known.get(daemon_id)
+        return known is not None and self._is_near(known.info.data_centre)
+
+    def list_linked_near(self) -> list[str]:
+        """Return the linked daemons of this region."""
+        return [d for d in self._peers.list_linked() if self.is_near(d)]
+
     def connect(self, daemon_id: str) -> bool:
         """Link to a known daemon; one that cannot be reached is suspect."""
         known = self.known.get(daemon_id)
@@ -197,7 +265,7 @@
         return False
 
     def _is_near(self, centre: str) -> bool:
-        return self._layout.is_near(self._own.data_centre, centre)
+        return self._layout.is_near(self._data_centre, centre)
 
     def _list_near(self) -> list[str]:
         return [
@@ -224,7 +292,7 @@
         }
         owners.discard(None)
         if owners:
-            ranked = hashing.rank_daemons(self._own.daemon_id, owners)
+            ranked = hashing.rank_daemons(self._daemon_id, owners)
             return ranked[:FAR_LINKS]
         now = self._clock()
         others = [
--- a/pollenladder/core/meters.py
+++ b/pollenladder/core/meters.py
@@ -1,5 +1,8 @@
 """Read the tables into the metrics."""
 
+import gevent
+
+from pollenladder.core import clocks
 from pollenladder.core import peering
 from pollenladder.dispatch import tables
 from pollenladder.membership import health
@@ -7,6 +10,7 @@
 from pollenladder.plans import loans
 from pollenladder.wire import messages
 
+INTERVAL_S = 1.0
 KINDS = {
     messages.Digest: "heartbeat",
     messages.JobOffer: "hand_on",
@@ -39,6 +43,18 @@
     metrics.messages.labels(kind=KINDS[type(message)]).inc()
 
 
+def run(
+    metrics: registry.Metrics,
+    shard_tables: dict[str, tables.Shard],
+    peers: peering.Peering,
+    clock: clocks.Clock,
+) -> None:
+    """Set the gauges at intervals, for ever."""
+    while True:
+        gevent.sleep(INTERVAL_S)
+        update(metrics, list(shard_tables.values()), peers, clock())
+
+
 def update(
     metrics: registry.Metrics,
     shards: list[tables.Shard],
--- a/pollenladder/core/peering.py
+++ b/pollenladder/core/peering.py
@@ -7,8 +7,11 @@
 
 import gevent
 
+from pollenladder.conf import settings as conf
 from pollenladder.core import clocks
+from pollenladder.core import tags
 from pollenladder.wire import exceptions
+from pollenladder.wire import handshake
 from pollenladder.wire import links
 from pollenladder.wire import server
 
@@ -59,6 +62,29 @@
     relinking: bool = False
 
 
+def build_settings(own: conf.Settings, incarnation: int) -> server.Settings:
+    """Return what all links of a daemon share."""
+    return server.Settings(
+        hello=handshake.Hello(
+            daemon_id=own.daemon_id,
+            incarnation=incarnation,
+            data_centre=own.data_centre,
+            address=own.address,
+            peer_port=own.peer_port,
+            http_port=own.http_port,
+        ),
+        secret=own.peer_secret.encode(),
+        messages=tags.build_codec(),
+        on_message=lambda link, message: None,
+        on_close=lambda link, reason: None,
+        limits=links.Limits(
+            max_frame_bytes=own.limits.max_frame_bytes,
+            heartbeat_s=own.timings.heartbeat_s,
+            peer_timeout_s=own.timings.peer_timeout_s,
+        ),
+    )
+
+
 class Peering:
     """All links of this daemon."""
 
--- a/pollenladder/core/polling.py
+++ b/pollenladder/core/polling.py
@@ -22,6 +22,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
+Push = messages.DeclarationsPush | messages.DeclarationsDelta
+
 CURRENT_KEY = "declarations/current"
 
 
@@ -128,9 +130,7 @@
             return False
         return self.take_push(messages.DeclarationsPush(delta.version, value))
 
-    def choose_push(
-        self, version: int
-    ) -> messages.DeclarationsPush | messages.DeclarationsDelta | None:
+    def choose_push(self, version: int) -> Push | None:
         """Return what brings a peer at a version up to the newest, or None."""
         if self.push is None or version >= self.push.version:
             return None
@@ -138,9 +138,7 @@
             return self.delta
         return self.push
 
-    def choose_share(
-        self, heard_version: int
-    ) -> messages.DeclarationsPush | messages.DeclarationsDelta | None:
+    def choose_share(self, heard_version: int) -> Push | None:
         """Return what to tell a peer of a change, or None.
 
         What was heard of its version may be old, so it gets the delta: if it
--- /dev/null
+++ b/pollenladder/core/serving.py
@@ -0,0 +1,110 @@
+"""What the gateway asks of the rest of the daemon."""
+
+from collections.abc import Callable
+from typing import Any
+
+from pollenladder.conf import settings as conf
+from pollenladder.core import clocks
+from pollenladder.core import engine as engines
+from pollenladder.core import mesh as meshes
+from pollenladder.core import status
+from pollenladder.dispatch import directory
+from pollenladder.gateway import backend
+
+LONGEST_SILENCE_S = 1e6
+
+
+class Serving:
+    """Ids, stamps, readiness and the status, as the gateway shows them."""
+
+    def __init__(
+        self,
+        own: conf.Settings,
+        incarnation: int,
+        engine: engines.Engine,
+        mesh: meshes.Mesh,
+        is_draining: Callable[[], bool],
+        clock: clocks.Clock,
+    ):
+        self._own = own
+        self._incarnation = incarnation
+        self._engine = engine
+        self._mesh = mesh
+        self._is_draining = is_draining
+        self._clock = clock
+        self._jobs_issued = 0
+
+    def issue_job_id(self) -> str:
+        """Return an id that no other job has or will have."""
+        self._jobs_issued += 1
+        own = self._own.daemon_id
+        return f"{own}-{self._incarnation}-{self._jobs_issued}"
+
+    def issue_stamp(self) -> backend.Stamp | None:
+        """Return a stamp of a local shard if there is one, else of any."""
+        now = self._clock()
+        entries = [
+            entry
+            for entry in self._engine.loads.entries.values()
+            if entry.stamp and entry.stamp_until > now
+        ]
+        best = min(entries, key=self._rank, default=None)
+        if best is None:
+            return None
+        return backend.Stamp(best.stamp, best.stamp_until - now)
+
+    def get_unready_reason(self) -> str | None:
+        """Return why no job can be taken now, or None."""
+        if self._is_draining():
+            return "draining"
+        if not self._engine.declared.version:
+            return "no declarations yet"
+        if not self._engine.loads.entries:
+            return "no owner of a shard is known"
+        return None
+
+    def describe_status(self) -> dict[str, Any]:
+        """Return what operators are shown."""
+        now = self._clock()
+        return status.describe(
+            self._describe_self(),
+            [self._describe_known(k, now) for k in self._mesh.known.values()],
+            [
+                shard
+                for shard in self._engine.shards.values()
+                if shard.ownership_is_held(now)
+            ],
+            [
+                (entry.shard_id, entry.daemon_id, entry.epoch)
+                for entry in self._engine.loads.entries.values()
+            ],
+            self._mesh.list_unreachable(),
+            now,
+        )
+
+    def _rank(self, entry: directory.Entry) -> tuple[bool, str]:
+        centre = directory.get_data_centre(entry.shard_id)
+        return centre != self._own.data_centre, entry.shard_id
+
+    def _describe_self(self) -> status.DaemonFacts:
+        return status.DaemonFacts(
+            self._own.daemon_id,
+            self._own.data_centre,
+            self._engine.declared.version,
+            "leaving" if self._is_draining() else "live",
+            0.0,
+        )
+
+    def _describe_known(
+        self, known: meshes.Known, now: float
+    ) -> status.DaemonFacts:
+        state = "leaving" if known.info.leaving else "live"
+        if known.is_lost:
+            state = "unreachable"
+        return status.DaemonFacts(
+            known.info.daemon_id,
+            known.info.data_centre,
+            known.version or 0,
+            state,
+            min(LONGEST_SILENCE_S, now - known.heard_at),
+        )
--- /dev/null
+++ b/pollenladder/core/sources.py
@@ -0,0 +1,47 @@
+"""What is read from the platform's service."""
+
+from pollenladder.conf import settings as conf
+from pollenladder.core import entities
+from pollenladder.core import polling
+from pollenladder.membership import regions
+from pollenladder.metrics import registry
+from pollenladder.platform import client
+
+
+class Sources:
+    """The platform as one daemon reads it; each read is counted."""
+
+    def __init__(
+        self,
+        own: conf.Settings,
+        layout: regions.Regions,
+        metrics: registry.Metrics,
+    ):
+        self._near = layout.list_near(own.data_centre)
+        self._metrics = metrics
+        self._platform = client.PlatformClient(
+            own.platform.address,
+            own.platform.port,
+            client.Limits(timeout_s=own.platform.timeout_s),
+        )
+
+    def read_row(self) -> polling.Row | None:
+        """Read the declarations' row; None if there is none.
+
+        Raises:
+            exceptions.PlatformError: The platform did not answer.
+        """
+        self._metrics.messages.labels(kind="platform").inc()
+        row = self._platform.reread_row(polling.CURRENT_KEY)
+        if row is None:
+            return None
+        return polling.Row(int(row.value["version"]), row.value)
+
+    def read_vms(self) -> list[entities.Vm]:
+        """Read the VM list of the region.
+
+        Raises:
+            exceptions.PlatformError: The platform did not answer.
+        """
+        self._metrics.messages.labels(kind="platform").inc()
+        return list(self._platform.list_vms(self._near).vms)
--- a/tests/core/test_mesh.py
+++ b/tests/core/test_mesh.py
@@ -35,7 +35,8 @@
         self.now = 100.0
         self.peers = FakePeers()
         self.mesh = mesh.Mesh(
-            make_info("a-0"),
+            "a-0",
+            "a",
             directory.Directory(),
             LAYOUT,
             self.peers,
