Ask the owners of other regions to drain a worker that is not listed here

Cause: a daemon lists the endpoints of its own region only, so the drain of a worker elsewhere was answered 404 (tests.processes.test_workers). Change: a worker that is not listed is asked for at the known owners of other regions. The clusters of these tests have a region a data centre, as before.

--- a/pollenladder/core/drains.py
+++ b/pollenladder/core/drains.py
@@ -65,14 +65,14 @@
         """Have no more tasks started on a worker.
 
         Returns:
-            False if no such worker is listed.
+            False if no such worker is listed, nor known to another region.
 
         Raises:
             exceptions.RequestError: The owner of its shard did not confirm.
         """
         shard_id = self._outlets.find_shard(worker_id)
         if shard_id is None:
-            return False
+            return self._ask_far(worker_id)
         if self._owns(shard_id):
             self._mark(worker_id, "")
             return True
@@ -118,6 +118,15 @@
         shard = self._shards.get(shard_id)
         return shard is not None and shard.ownership_is_held(self._clock())
 
+    def _ask_far(self, worker_id: str) -> bool:
+        """Ask the owners in other regions, whose workers are not listed here."""
+        owners = {
+            entry.daemon_id
+            for entry in self._loads.entries.values()
+            if entry.shard_id not in self._shards
+        }
+        return any(self._ask(owner, worker_id) for owner in sorted(owners))
+
     def _ask(self, daemon_id: str, worker_id: str) -> bool:
         """Ask the owner; return whether it says that it is and has done so."""
         if not self._outlets.connect(daemon_id):
--- a/tests/core/test_mesh.py
+++ b/tests/core/test_mesh.py
@@ -4,9 +4,10 @@
 
 from pollenladder.core import mesh
 from pollenladder.dispatch import directory
+from pollenladder.membership import regions
 from pollenladder.wire import messages
 
-SHARDS = ("a/0", "b/0")
+LAYOUT = regions.Regions({"a": "a", "b": "b"}, {"a": 1, "b": 1}, 1)
 
 
 class FakePeers:
@@ -19,6 +20,9 @@
     def list_linked(self):
         return list(self.linked)
 
+    def close_unwanted(self):
+        """Keep all links."""
+
     def connect(self, daemon_id, address, port):
         return daemon_id in self.reachable
 
@@ -36,7 +40,7 @@
         self.mesh = mesh.Mesh(
             make_info("a-0"),
             directory.Directory(),
-            SHARDS,
+            LAYOUT,
             self.peers,
             lambda: self.now,
         )
--- a/tests/processes/clusters.py
+++ b/tests/processes/clusters.py
@@ -23,11 +23,14 @@
 
     Attributes:
         CUT: Whether it has relays between data centres.
+        IS_ONE_REGION: Whether one daemon may own the shards of all data
+            centres.
         running: The cluster.
         group: Its processes.
     """
 
     CUT = False
+    IS_ONE_REGION = False
     running: cluster.Cluster
     group: processes.Group
 
@@ -41,11 +44,22 @@
             cls.group,
             declared.LAYOUT,
             endpoint_processes=1,
-            overrides={"timings": declared.TIMINGS},
+            overrides={
+                "timings": declared.TIMINGS,
+                "data_centres": cls.list_data_centres(),
+            },
             declare=declared.declare,
             cut=cls.CUT,
         )
 
+    @classmethod
+    def list_data_centres(cls) -> dict[str, dict[str, Any]]:
+        """Return the data centres as the settings list them."""
+        return {
+            name: {"shards": 1, "region": "one" if cls.IS_ONE_REGION else name}
+            for name in declared.LAYOUT.data_centres
+        }
+
     def tearDown(self):
         """Tell how the daemons saw a test that failed."""
         outcome = self._outcome
