--- a/pollenladder/dispatch/admission.py
+++ b/pollenladder/dispatch/admission.py
@@ -58,22 +58,47 @@
         return _refuse(job, verdicts.Reason.DRAINING, NOT_READY_RETRY_AFTER_S)
     if plan is None or not shard.ownership_is_held(now):
         return _refuse(job, verdicts.Reason.NOT_READY, NOT_READY_RETRY_AFTER_S)
-    never = find_obstacle(shard, plan, job)
+    never = find_obstacle(shard, plan, job, now)
     if never:
         return verdicts.Refused(
             job.job_id, verdicts.Reason.NEVER_RUNS, None, never
         )
-    if len(shard.groups) >= shard.limits.max_queued_jobs:
+    if _is_full(shard, plan, job):
         return _refuse(job, verdicts.Reason.OVERLOAD, MIN_RETRY_AFTER_S)
     return _refuse_overload(shard, plan, job, now) or _refuse_allowance(
         shard, plan, job
     )
 
 
-def find_obstacle(
+def _is_full(
     shard: tables.Shard, plan: declarations.Plan, job: entities.Job
+) -> bool:
+    """Return whether no more jobs are held, or none more of this customer.
+
+    A customer with fewer jobs than its part is not shut out by the many small
+    jobs of another.
+    """
+    most = shard.limits.max_queued_jobs
+    if len(shard.groups) < most:
+        return False
+    line_id = (job.customer_id, job.plan_id)
+    part = fairness.get_service_part(shard.queue, line_id, plan.weight)
+    line = shard.queue.lines.get(line_id)
+    own = len(line.due) if line else 0
+    return own >= most * part or len(shard.groups) >= 2 * most
+
+
+def find_obstacle(
+    shard: tables.Shard,
+    plan: declarations.Plan,
+    job: entities.Job,
+    now: float,
 ) -> str:
-    """Return why the job could not run even alone, or an empty string."""
+    """Return why the job could not run even alone, or an empty string.
+
+    Of run times, the shortest seen lately counts: a mean may be that of a slow
+    hour, and a kind refused by it would never be seen to have become faster.
+    """
     unknown = [task.kind for task in job.tasks if task.kind not in plan.kinds]
     if unknown:
         return f"plan {plan.plan_id} has no kind {unknown[0]}"
@@ -84,13 +109,11 @@
     startable = allowed.burst + allowed.starts_per_s * deadline_s
     if len(job.tasks) > startable:
         return f"{len(job.tasks)} tasks cannot start within the deadline"
-    seen = [
-        shard.estimates.rows.get((plan.plan_id, task.kind))
+    least_s = [
+        estimates.get_least_run_s(shard.estimates, plan.plan_id, task.kind, now)
         for task in job.tasks
     ]
-    work_s = sum(row.mean_s for row in seen if row)
-    longest_s = max((row.mean_s for row in seen if row), default=0.0)
-    if max(work_s / allowed.running_tasks, longest_s) > deadline_s:
+    if max(sum(least_s) / allowed.running_tasks, *least_s) > deadline_s:
         return "its tasks take longer than the deadline at this allowance"
     return ""
 
--- a/pollenladder/dispatch/completion.py
+++ b/pollenladder/dispatch/completion.py
@@ -17,6 +17,9 @@
 ENDED_KEPT_S = 15.0
 # Time a request may take to reach a worker, on top of the longest run.
 TRANSIT_S = 3.0
+# A worker that refused a task as busy gets none for so long, then longer.
+BUSY_PAUSE_S = 0.1
+MAX_BUSY_DOUBLINGS = 5
 # A task dropped for one of these has not run, but is not to run either.
 FINAL_REASONS = frozenset(
     {
@@ -41,9 +44,10 @@
         result: How it ended.
         now: Monotonic time in seconds.
     """
-    _free_slot(shard.local[effect.place.shard_id], effect)
+    host = shard.local[effect.place.shard_id]
+    _free_slot(host, effect, result, now)
     health.record_result(
-        shard.local[effect.place.shard_id].health,
+        host.health,
         effect.place.worker_id,
         effect.task.kind,
         result.reason,
@@ -52,7 +56,11 @@
     )
     if result.reason is verdicts.Reason.OK:
         estimates.record_run(
-            shard.estimates, effect.line[1], effect.task.kind, result.run_s
+            shard.estimates,
+            effect.line[1],
+            effect.task.kind,
+            result.run_s,
+            now,
         )
     group = shard.groups.get(effect.group_id)
     if group is None or effect.index not in group.started:
@@ -61,10 +69,23 @@
     return settle_results(shard, group, {effect.index: result}, now)
 
 
-def _free_slot(host: tables.Shard, effect: tables.StartTask) -> None:
+def _free_slot(
+    host: tables.Shard,
+    effect: tables.StartTask,
+    result: verdicts.TaskResult,
+    now: float,
+) -> None:
     worker = host.workers.get(effect.place.worker_id)
-    if worker:
-        worker.running -= 1
+    if worker is None:
+        return
+    worker.running -= 1
+    if result.reason is verdicts.Reason.BUSY:
+        # It looks free to us, and would be chosen again and again.
+        doublings = min(worker.refusals, MAX_BUSY_DOUBLINGS)
+        worker.busy_until = now + BUSY_PAUSE_S * 2**doublings
+        worker.refusals += 1
+    elif result.verdict is verdicts.Verdict.RAN:
+        worker.refusals = 0
 
 
 def settle_results(
--- a/pollenladder/dispatch/placement.py
+++ b/pollenladder/dispatch/placement.py
@@ -19,9 +19,9 @@
 
 def count_free(shard: tables.Shard, worker: tables.Worker, now: float) -> int:
     """Count the slots of a worker that may be given work now."""
-    if worker.leaving or not ownership.may_start(
-        shard.ownership, worker.worker_id, now
-    ):
+    if worker.leaving or now < worker.busy_until:
+        return 0
+    if not ownership.may_start(shard.ownership, worker.worker_id, now):
         return 0
     limit = health.get_limit(shard.health, worker.worker_id, worker.slots, now)
     return max(0, limit - worker.running - count_foreign(worker, now))
--- a/pollenladder/dispatch/submissions.py
+++ b/pollenladder/dispatch/submissions.py
@@ -57,6 +57,7 @@
         rows: Submissions that run.
         answered: Submissions that have their answer, the oldest first.
         changed: Ids of jobs answered since the last look.
+        next_expiry_at: When deadlines are looked at next.
     """
 
     data_centre: str
@@ -65,6 +66,7 @@
     rows: dict[str, Submission] = dataclasses.field(default_factory=dict)
     answered: dict[str, Submission] = dataclasses.field(default_factory=dict)
     changed: list[str] = dataclasses.field(default_factory=list)
+    next_expiry_at: float = 0.0
 
 
 def submit(
@@ -87,9 +89,11 @@
     row = table.rows.get(answer.job_id)
     if row is None or row.daemon_id != sender:
         return []
-    if isinstance(answer, verdicts.Refused) and _may_go_elsewhere(row, answer):
-        row.refused_by.add(row.daemon_id)
-        return _offer(table, row, now)
+    if isinstance(answer, verdicts.Refused):
+        if _may_go_elsewhere(row, answer, now):
+            row.refused_by.add(row.daemon_id)
+            return _offer(table, row, now)
+        answer = _correct_reason(row, answer)
     _end(table, row, answer, now)
     return []
 
@@ -141,6 +145,9 @@
 
 def expire(table: Submissions, now: float, grace_s: float) -> None:
     """Answer jobs whose owner is silent past the deadline; forget old ones."""
+    if now < table.next_expiry_at:
+        return
+    table.next_expiry_at = now + tables.EXPIRY_INTERVAL_S
     overdue = [
         row for row in table.rows.values() if row.deadline_at + grace_s <= now
     ]
@@ -214,8 +221,30 @@
     return remote, load, entry.shard_id
 
 
-def _may_go_elsewhere(row: Submission, answer: verdicts.Refused) -> bool:
-    return answer.reason in ELSEWHERE and row.offers < MAX_OFFERS
+def _may_go_elsewhere(
+    row: Submission, answer: verdicts.Refused, now: float
+) -> bool:
+    if answer.reason not in ELSEWHERE or row.offers >= MAX_OFFERS:
+        return False
+    return now < row.deadline_at
+
+
+def _correct_reason(
+    row: Submission, answer: verdicts.Refused
+) -> verdicts.Refused:
+    """Return a refusal that says what is so for the job as it was submitted.
+
+    An owner that was offered a job late refuses it as one that can never run if
+    what is left of its deadline is too short.
+    """
+    if row.offers == 1 or answer.reason is not verdicts.Reason.NEVER_RUNS:
+        return answer
+    return verdicts.Refused(
+        answer.job_id,
+        verdicts.Reason.DEADLINE,
+        NOT_READY_RETRY_AFTER_S,
+        "too little of the deadline was left",
+    )
 
 
 def _end(
--- a/pollenladder/dispatch/tables.py
+++ b/pollenladder/dispatch/tables.py
@@ -55,6 +55,8 @@
         foreign: Tasks of earlier owners that ran at takeover, by plan.
         survivors: All tasks that ran there at takeover, by plan.
         foreign_until: When the last of those must have ended.
+        busy_until: It gets no work before, as it refused some as busy.
+        refusals: Tasks refused as busy since one last ran there.
         leaving: Whether it gets no new work.
         granted_epoch: The epoch of the last lease it granted.
     """
@@ -65,6 +67,8 @@
     foreign: dict[str, int] = dataclasses.field(default_factory=dict)
     survivors: dict[str, int] = dataclasses.field(default_factory=dict)
     foreign_until: float = 0.0
+    busy_until: float = 0.0
+    refusals: int = 0
     leaving: bool = False
     granted_epoch: int = 0
 
--- /dev/null
+++ b/tests/dispatch/test_submissions.py
@@ -0,0 +1,130 @@
+"""Jobs at their gateway: offers, refusals, and one final answer each."""
+
+import unittest
+
+from pollenladder.core import verdicts
+from pollenladder.dispatch import directory
+from pollenladder.dispatch import submissions
+from pollenladder.wire import messages
+from tests.dispatch import test_intake
+from tests.dispatch import worlds
+
+REASON = verdicts.Reason
+NOW = 110.0
+
+
+def make_gateway():
+    loads = directory.Directory()
+    for shard_id, daemon in (("dc/0", "a"), ("dc/1", "b"), ("far/0", "c")):
+        load = messages.ShardLoad(shard_id, 1, 4, 0, 4, "", 0.0)
+        directory.record_load(loads, daemon, load, NOW)
+    return submissions.Submissions("dc", loads, 60.0)
+
+
+def refuse(reason):
+    return verdicts.Refused("j", reason, 1.0)
+
+
+class SubmissionsTest(unittest.TestCase):
+    def setUp(self):
+        self.table = make_gateway()
+
+    def submit(self, **changes):
+        job = worlds.make_job("j", 2, **changes)
+        return get_targets(submissions.submit(self.table, job, NOW))
+
+    def record(self, sender, answer, now=NOW):
+        return get_targets(
+            submissions.record_answer(self.table, sender, answer, now)
+        )
+
+    def get_reason(self):
+        return self.table.answered["j"].answer.reason
+
+    def test_refusals(self):
+        """A job goes elsewhere only if the next owner may take it."""
+        for reason, goes_on in (
+            (REASON.NOT_READY, True),
+            (REASON.DRAINING, True),
+            (REASON.CONNECTION_LOST, True),
+            (REASON.OVERLOAD, False),
+            (REASON.ALLOWANCE, False),
+            (REASON.NEVER_RUNS, False),
+            (REASON.KEY_IN_USE, False),
+        ):
+            with self.subTest(reason):
+                self.table = make_gateway()
+                self.assertEqual(self.submit(), ["a"])
+                sent = self.record("a", refuse(reason))
+                self.assertEqual(sent, ["b"] if goes_on else [])
+                if not goes_on:
+                    self.assertEqual(self.get_reason(), reason)
+
+    def test_a_late_refusal_is_not_that_of_the_next_owner(self):
+        self.submit()
+        self.record("a", refuse(REASON.CONNECTION_LOST))
+        self.assertEqual(self.record("a", refuse(REASON.CONNECTION_LOST)), [])
+        self.assertEqual(self.table.rows["j"].daemon_id, "b")
+
+    def test_offers_end(self):
+        self.submit()
+        for sender, sent in (("a", ["b"]), ("b", ["c"]), ("c", [])):
+            self.assertEqual(self.record(sender, refuse(REASON.DRAINING)), sent)
+        self.assertEqual(self.get_reason(), REASON.DRAINING)
+
+    def test_a_key_goes_to_its_home_alone(self):
+        self.assertEqual(self.submit(key="far/0~1~0~own"), ["c"])
+        self.assertEqual(self.record("c", refuse(REASON.NOT_READY)), [])
+        self.assertEqual(self.get_reason(), REASON.NOT_READY)
+
+    def test_a_job_offered_late_is_not_one_that_can_never_run(self):
+        self.submit()
+        self.record("a", refuse(REASON.NOT_READY), NOW + 4.9)
+        self.record("b", refuse(REASON.NEVER_RUNS), NOW + 4.9)
+        answer = self.table.answered["j"].answer
+        self.assertEqual(answer.reason, REASON.DEADLINE)
+        self.assertIsNotNone(answer.retry_after_s)
+
+    def test_no_offer_after_the_deadline(self):
+        self.submit()
+        self.assertEqual(
+            self.record("a", refuse(REASON.NOT_READY), NOW + 5.1), []
+        )
+        self.assertEqual(self.get_reason(), REASON.NOT_READY)
+
+    def test_there_is_one_final_answer(self):
+        self.submit()
+        submissions.lose_daemon(self.table, "a", NOW)
+        self.record("a", refuse(REASON.NOT_READY))
+        submissions.expire(self.table, NOW + 9.0, 0.5)
+        self.assertEqual(self.table.changed, ["j"])
+        answer = self.table.answered["j"].answer
+        self.assertEqual(answer.reason, REASON.OWNER_LOST)
+        for result in answer.results:
+            self.assertIs(result.verdict, worlds.UNKNOWN)
+
+    def test_a_silent_owner_is_given_up(self):
+        self.submit()
+        submissions.expire(self.table, NOW + 5.4, 0.5)
+        self.assertIn("j", self.table.rows)
+        submissions.expire(self.table, NOW + 5.6, 0.5)
+        self.assertEqual(self.get_reason(), REASON.DEADLINE)
+        submissions.expire(self.table, NOW + 66.0, 0.5)
+        self.assertEqual(self.table.answered, {})
+
+    def test_others_do_not_see_it(self):
+        self.submit()
+        self.assertIsNotNone(submissions.find(self.table, "j", "c"))
+        self.assertIsNone(submissions.find(self.table, "j", "other"))
+
+    def test_an_unready_owner_never_got_a_key(self):
+        shard = worlds.make_shard()
+        shard.keys = None
+        ((_, answer),) = test_intake.get_answers(
+            test_intake.offer(shard, worlds.make_job("j", key=test_intake.KEY))
+        )
+        self.assertEqual(answer.reason, REASON.NOT_READY)
+
+
+def get_targets(effects):
+    return [effect.daemon_id for effect in effects]
