--- a/pollenladder/core/mesh.py
+++ b/pollenladder/core/mesh.py
@@ -16,7 +16,8 @@
 LOGGER = logging.getLogger(__name__)
 
 STEP_S = 0.5
-SUSPECT_S = 5.0
+RETRY_S = 1.0
+UNLISTED_KEPT_S = 10.0
 FAR_LINKS = 2
 CLOSE_INTERVAL_S = 10.0
 
@@ -27,15 +28,19 @@
 
     Attributes:
         info: Where it is.
+        learned_at: When it was first heard of.
         is_listed: Whether the VM list shows it.
-        suspect_until: Until when it is taken for unreachable.
+        is_lost: Whether it could not be reached and was not heard of since.
+        retry_at: Until when no link to it is tried again.
         version: Its version of the declarations; None if unknown.
         heard_at: When it was last heard of.
     """
 
     info: messages.PeerInfo
+    learned_at: float
     is_listed: bool = False
-    suspect_until: float = float("-inf")
+    is_lost: bool = False
+    retry_at: float = float("-inf")
     version: int | None = None
     heard_at: float = float("-inf")
 
@@ -64,31 +69,43 @@
         self._close_at = clock() + CLOSE_INTERVAL_S
 
     def learn(self, info: messages.PeerInfo, is_listed: bool = False) -> None:
-        """Note a daemon; a later word on it replaces an earlier one."""
+        """Note a daemon; a later word on it replaces an earlier one.
+
+        Where a daemon is reached from here, the VM list knows better than the
+        daemon itself.
+        """
         if info.daemon_id == self._own.daemon_id:
             return
         known = self.known.get(info.daemon_id)
         if known is None:
-            known = self.known[info.daemon_id] = Known(info)
+            known = self.known[info.daemon_id] = Known(info, self._clock())
         leaving = info.leaving or (is_listed and known.info.leaving)
-        if info.address != known.info.address or not is_listed:
+        if is_listed or not known.is_listed:
             known.info = info
         known.info = dataclasses.replace(known.info, leaving=leaving)
         known.is_listed = known.is_listed or is_listed
 
     def keep_listed(self, daemon_ids: set[str]) -> None:
-        """Forget daemons that left the VM list and have no link."""
+        """Forget daemons that are not in the VM list and have no link.
+
+        One that never was listed may be new, as the list lags: it is kept for
+        a while.
+        """
         linked = set(self._peers.list_linked())
+        now = self._clock()
         for daemon_id, known in list(self.known.items()):
-            gone = known.is_listed and daemon_id not in daemon_ids
-            if gone and daemon_id not in linked:
+            heard_at = max(known.learned_at, known.heard_at)
+            is_old = known.is_listed or now - heard_at >= UNLISTED_KEPT_S
+            gone = daemon_id not in daemon_ids and daemon_id not in linked
+            if gone and (is_old or known.info.leaving):
                 del self.known[daemon_id]
 
     def record_lost(self, daemon_id: str) -> None:
         """Take a daemon for unreachable for a while."""
         known = self.known.get(daemon_id)
         if known:
-            known.suspect_until = self._clock() + SUSPECT_S
+            known.is_lost = True
+            known.retry_at = self._clock() + RETRY_S
 
     def record_heard(self, daemon_id: str, version: int) -> None:
         """Note that a daemon has said which version it has."""
@@ -96,25 +113,27 @@
         if known:
             known.version = version
             known.heard_at = self._clock()
-            known.suspect_until = float("-inf")
+            known.is_lost = False
+            known.retry_at = float("-inf")
 
     def list_candidates(self) -> list[str]:
         """Return the daemons of this region that may own its shards."""
-        now = self._clock()
         return [
             daemon_id
             for daemon_id, known in self.known.items()
             if self._is_near(known.info.data_centre)
             and not known.info.leaving
-            and known.suspect_until <= now
+            and not known.is_lost
         ]
 
     def list_unreachable(self) -> list[str]:
-        """Return the data centres of which no daemon can be reached."""
-        now = self._clock()
+        """Return the data centres of which no daemon can be reached.
+
+        Only owners keep links to other data centres, so only they notice.
+        """
         reachable = {self._own.data_centre}
         for known in self.known.values():
-            if known.suspect_until <= now:
+            if not known.is_lost:
                 reachable.add(known.info.data_centre)
         return sorted(set(self._layout.list_centres()) - reachable)
 
@@ -149,7 +168,7 @@
         owners = [self._find_owner(shard_id) for shard_id in shards_here]
         wanted = {owner for owner in owners if owner}
         if None in owners:
-            wanted.update(self.list_candidates())
+            wanted.update(self._list_near())
         if self._own.daemon_id in owners or not any(owners):
             for centre in self._list_far():
                 wanted.update(self._choose_far(centre))
@@ -157,8 +176,7 @@
         return {
             daemon_id
             for daemon_id in wanted
-            if daemon_id in self.known
-            and self.known[daemon_id].suspect_until <= now
+            if daemon_id in self.known and self.known[daemon_id].retry_at <= now
         }
 
     def connect(self, daemon_id: str) -> bool:
@@ -175,6 +193,13 @@
     def _is_near(self, centre: str) -> bool:
         return self._layout.is_near(self._own.data_centre, centre)
 
+    def _list_near(self) -> list[str]:
+        return [
+            daemon_id
+            for daemon_id, known in self.known.items()
+            if self._is_near(known.info.data_centre)
+        ]
+
     def _list_far(self) -> list[str]:
         """Return the data centres of other regions."""
         centres = self._layout.list_centres()
@@ -199,6 +224,6 @@
         others = [
             daemon_id
             for daemon_id, known in self.known.items()
-            if known.info.data_centre == centre and known.suspect_until <= now
+            if known.info.data_centre == centre and known.retry_at <= now
         ]
         return random.sample(others, min(1, len(others)))
--- a/pollenladder/plans/escrow.py
+++ b/pollenladder/plans/escrow.py
@@ -15,7 +15,7 @@
 from pollenladder.plans import ledgers
 
 # Use is remembered for one to two windows of this length.
-WINDOW_S = 1.0
+WINDOW_S = 0.5
 MILLI = 1000
 
 Ledger = ledgers.Ledger
@@ -34,6 +34,21 @@
     return {shard: share + (i < rest) for i, shard in enumerate(ordered)}
 
 
+def find_share(total: int, position: int, shards: int) -> int:
+    """Return what `split` gives the shard at a position of the sorted ids.
+
+    Sharing out an allowance of one shard among all would cost a change of the
+    plans time that grows with the shards of all data centres.
+    """
+    share, rest = divmod(total, shards)
+    return share + (position < rest)
+
+
+def find_rate_share(total: float, position: int, shards: int) -> float:
+    """Return what `split_rate` gives the shard at a position."""
+    return find_share(int(total * MILLI), position, shards) / MILLI
+
+
 def split_rate(total: float, shard_ids: Iterable[str]) -> dict[str, float]:
     """Return each shard's share of a rate, to a thousandth of a start."""
     shares = split(int(total * MILLI), shard_ids)
@@ -205,9 +220,11 @@
     for loan in ended:
         del row.lent[loan.loan_id]
     over = [loan for loan in row.borrowed.values() if loan.until <= now]
-    for loan in over:
+    for loan in sorted(over, key=lambda loan: loan.until):
         _end_borrowed(row, loan)
-    if ended or over:
+        # Its rate ended with it, however late that is noticed.
+        update_rate(ledger, row, loan.until)
+    if ended:
         update_rate(ledger, row, now)
     return row
 
--- a/pollenladder/wire/messages.py
+++ b/pollenladder/wire/messages.py
@@ -221,6 +221,21 @@
     value: Any
 
 
+@dataclasses.dataclass(frozen=True)
+class DeclarationsDelta:
+    """What a version of the declarations changes in an earlier one.
+
+    Attributes:
+        base: The version that it changes; of use only to who has that one.
+        version: The version that it makes.
+        delta: See `plans.deltas`.
+    """
+
+    base: int
+    version: int
+    delta: Any
+
+
 @dataclasses.dataclass(frozen=True)
 class Claim:
     """A new owner of a shard asks what another shard holds from it."""
@@ -269,6 +284,22 @@
     answer: JobAnswer | None
 
 
+@dataclasses.dataclass(frozen=True)
+class WorkerDrain:
+    """An operator drains a worker; a request id of 0 wants no reply."""
+
+    request_id: int
+    worker_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerDrainReply:
+    """Whether the daemon asked owns the worker's shard, and so has done it."""
+
+    request_id: int
+    is_owner: bool
+
+
 def pack_answer(answer: verdicts.Answer) -> JobAnswer:
     """Return the message that carries an answer."""
     if isinstance(answer, verdicts.Complete):
