--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -173,7 +173,7 @@
             peering.Handlers(
                 on_message=self._take_message,
                 on_joined=self._take_joined,
-                on_relinked=self._engine.ask_daemon,
+                on_relinked=self._take_relinked,
                 reconnect=lambda daemon_id: self._mesh.connect(daemon_id),
                 on_lost=self._take_lost,
                 is_wanted=self._is_link_wanted,
@@ -267,11 +267,12 @@
         return 0
 
     def _drain(self) -> None:
-        """Take nothing new, finish what has begun, hand leases back."""
+        """Take nothing new, hand on what waits, finish what has begun."""
         LOGGER.info("draining")
         timeout_s = self._settings.timings.drain_timeout_s
         ends_at = self._clock() + timeout_s
         self._start_drain()
+        gevent.spawn(self._hand_over, ends_at)
         # Callers whose connection the balancer still brings here are answered
         # until it has noticed.
         self._gateway.drain(timeout_s)
@@ -288,6 +289,23 @@
             shard.draining = True
         self._tell_all()
 
+    def _hand_over(self, ends_at: float) -> None:
+        """Give the shards to others once all that has begun here runs.
+
+        What runs needs no lease to end, so nobody waits for it.
+        """
+        while self._clock() < ends_at and self._has_waiting():
+            gevent.sleep(0.02)
+        self._leasing.resign()
+        self._tell_all()
+
+    def _has_waiting(self) -> bool:
+        return any(
+            group.waiting or group.spilled
+            for shard in self._shards.values()
+            for group in shard.groups.values()
+        )
+
     def _has_work(self) -> bool:
         return bool(self._submissions.rows) or any(
             shard.groups for shard in self._shards.values()
@@ -437,8 +455,18 @@
                 False,
             )
         )
+        self._greet(daemon_id)
+
+    def _take_relinked(self, daemon_id: str) -> None:
+        self._engine.ask_daemon(daemon_id)
+        # To the other end the link may be the first: it knows nothing of us.
+        self._greet(daemon_id)
+
+    def _greet(self, daemon_id: str) -> None:
+        """Tell a daemon that has a new link all that it may not know."""
+        self._mesh.record_linked(daemon_id)
         self._send(daemon_id, self._describe_digest(with_peers=True))
-        if hello.data_centre == self._settings.data_centre:
+        if daemon_id in self._list_linked_here():
             self._drains.tell(daemon_id)
 
     def _take_lost(self, daemon_id: str) -> None:
--- a/pollenladder/core/peering.py
+++ b/pollenladder/core/peering.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from pollenladder.core import clocks
 from pollenladder.wire import exceptions
 from pollenladder.wire import links
 from pollenladder.wire import server
@@ -15,6 +16,8 @@
 
 RECONNECT_PAUSE_S = 0.2
 RECONNECT_ATTEMPTS = 3
+# No further try is begun after this, as callers wait for what may be lost.
+RECONNECT_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,7 +68,7 @@
         )
         self._handlers = handlers
         self._peers: dict[str, Peer] = {}
-        self._connecting: set[str] = set()
+        self._attempts: dict[str, gevent.Greenlet] = {}
         self._closed = links.Counts()
         self.server = server.Server(
             self._own, own.hello.address, own.hello.peer_port, self._add_link
@@ -93,21 +96,26 @@
         return peer.open[0].send(message)
 
     def connect(self, daemon_id: str, address: str, port: int) -> bool:
-        """Make a link if there is none; return whether there is one then."""
-        peer = self._peers.get(daemon_id)
-        if peer and peer.open:
+        """Make a link if there is none; return whether there is one then.
+
+        Whoever asks while an attempt is made gets the outcome of that.
+        """
+        if self.is_linked(daemon_id):
             return True
-        if daemon_id in self._connecting:
-            return False
-        self._connecting.add(daemon_id)
+        attempt = self._attempts.get(daemon_id)
+        if attempt is None:
+            attempt = gevent.spawn(self._try, address, port)
+            self._attempts[daemon_id] = attempt
+            attempt.link(lambda _: self._attempts.pop(daemon_id, None))
+        attempt.join()
+        return self.is_linked(daemon_id)
+
+    def _try(self, address: str, port: int) -> None:
         try:
-            link = server.connect(dataclasses.replace(self._own), address, port)
+            link = server.connect(self._own, address, port)
         except (exceptions.UnreachableError, exceptions.HandshakeError):
-            return False
-        finally:
-            self._connecting.discard(daemon_id)
+            return
         self._add_link(link)
-        return not link.closed
 
     def count(self) -> links.Counts:
         """Return the sum of what went over all links so far."""
@@ -179,9 +187,12 @@
 
     def _relink(self, peer: Peer) -> None:
         """Try for a new link a few times; else the daemon is lost."""
+        ends_at = clocks.read_monotonic_s() + RECONNECT_S
         for attempt in range(RECONNECT_ATTEMPTS):
             if attempt:
                 gevent.sleep(RECONNECT_PAUSE_S)
+            if clocks.read_monotonic_s() >= ends_at:
+                break
             if self._peers.get(peer.daemon_id) is not peer or peer.open:
                 return
             if self._handlers.reconnect(peer.daemon_id):
