Let the load tool meet dead daemons, and cut workers off with their data centre

Cause, each seen in `scripts/bench faults`: a daemon that died mid-answer ended the load process with an uncaught HTTPConnectionClosed; a port found free was taken by an outgoing connection before its daemon bound it; jobs were sent to a dead daemon for as long as it was dead; a cut data centre was still reached by owners elsewhere, which talk to its workers directly.

Change: broken and garbled answers count as `closed`; ports come from below the range of outgoing connections; a refused connection is tried at the next daemon, as a balancer would, and nothing else is; relays stand before workers of other data centres as well. A table of bad answers tests the load tool.

--- a/bench/baselines/workers.py
+++ b/bench/baselines/workers.py
@@ -5,6 +5,7 @@
 
 import geventhttpclient
 
+from bench import callers
 from bench import ports
 
 HOLDER = "baseline"
@@ -59,7 +60,7 @@
         }
         try:
             return self.post("/v1/start", body)
-        except (OSError, ValueError, EOFError) as error:
+        except callers.BROKEN_ERRORS as error:
             return {"verdict": "may_have_run", "reason": repr(error)}
 
 
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -5,7 +5,10 @@
 from typing import Any
 
 import geventhttpclient
+from geventhttpclient import response as http_response
 
+# What a broken connection or a garbled answer raises.
+BROKEN_ERRORS = (OSError, ValueError, EOFError, http_response.HTTPParseError)
 OUTCOMES = ("complete", "failed", "refused")
 
 
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -217,9 +217,9 @@
     name = f"{cluster.prefix}relays"
     setup = {
         "platform_port": cluster.platform_port,
-        "daemons": [
+        "vms": [
             {key: row[key] for key in ("vm_id", "data_centre", "port")}
-            for row in cluster.daemons
+            for row in cluster.daemons + cluster.workers
         ],
         "data_centres": list(cluster.layout.data_centres),
     }
--- a/bench/flood.py
+++ b/bench/flood.py
@@ -50,7 +50,7 @@
     while time.monotonic() < end_s:
         try:
             status, retry_after_s, answer = callers.submit(client, request)
-        except (OSError, ValueError, EOFError):
+        except callers.BROKEN_ERRORS:
             score.bad += 1
             continue
         outcome = callers.check_answer(
--- a/bench/load.py
+++ b/bench/load.py
@@ -16,6 +16,7 @@
 import geventhttpclient
 
 from bench import callers
+from bench import ports
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,23 +40,14 @@
     """Wait until the job is due, submit it and check the answer."""
     due_s = settings.start_s + request.at_s
     gevent.sleep(max(0.0, due_s - time.time()) + settings.latency_s)
-    port = settings.targets[request.target % len(settings.targets)]
-    client = geventhttpclient.HTTPClient(
-        "127.0.0.1",
-        port,
-        connection_timeout=settings.timeout_s,
-        network_timeout=settings.timeout_s,
-    )
     try:
-        status, retry_after_s, answer = callers.submit(client, request)
+        status, retry_after_s, answer = _submit(settings, request)
     except TimeoutError as error:
         response_s = time.time() - due_s
         return callers.describe_loss(request, response_s, "lost", repr(error))
-    except (OSError, ValueError, EOFError) as error:
+    except callers.BROKEN_ERRORS as error:
         response_s = time.time() - due_s
         return callers.describe_loss(request, response_s, "closed", repr(error))
-    finally:
-        client.close()
     gevent.sleep(settings.latency_s)
     response_s = time.time() - due_s
     return callers.check_answer(
@@ -63,6 +55,32 @@
     )
 
 
+def _submit(
+    settings: Settings, request: callers.Request
+) -> tuple[int, float | None, Any]:
+    """Submit to the daemon drawn, or to the next ones while nobody listens.
+
+    This is what a balancer does; a refused connection has run nothing.
+    """
+    count = len(settings.targets)
+    for attempt in range(count):
+        port = settings.targets[(request.target + attempt) % count]
+        client = geventhttpclient.HTTPClient(
+            ports.HOST,
+            port,
+            connection_timeout=settings.timeout_s,
+            network_timeout=settings.timeout_s,
+        )
+        try:
+            return callers.submit(client, request)
+        except ConnectionRefusedError:
+            if attempt == count - 1:
+                raise
+        finally:
+            client.close()
+    raise AssertionError("no targets")
+
+
 def run_all(
     settings: Settings, requests: list[callers.Request]
 ) -> list[callers.Outcome]:
--- a/bench/ports.py
+++ b/bench/ports.py
@@ -1,17 +1,32 @@
 """Free TCP ports on loopback."""
 
+import random
 import socket
 
 HOST = "127.0.0.1"
+# Below the ports that the system gives to outgoing connections: one of those
+# may be taken between the look and the use.
+RANGE = range(20_000, 32_000)
 
 
 def find_free_ports(count: int) -> list[int]:
     """Return so many different ports that nobody listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((HOST, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    source = random.SystemRandom()
+    found: list[int] = []
+    for port in source.sample(RANGE, len(RANGE)):
+        if len(found) == count:
+            break
+        if is_free(port):
+            found.append(port)
+    return found
+
+
+def is_free(port: int) -> bool:
+    """Return whether a port can be listened on."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- a/bench/relays.py
+++ b/bench/relays.py
@@ -1,7 +1,7 @@
 """Relays between data centres, and to the platform, that can be cut.
 
 `python -m bench.relays SETUP` serves, for each data centre, a platform whose
-VM list names a relay for each daemon of another data centre.
+VM list names a relay for each daemon and worker of another data centre.
 """
 
 import json
@@ -117,7 +117,7 @@
         cuts: The cuts.
         data_centre: Whose platform this is.
         platform_port: The platform itself.
-        relays: The relay's port by the id of each daemon elsewhere.
+        relays: The relay's port by the id of each VM elsewhere.
     """
     client = geventhttpclient.HTTPClient(
         ports.HOST, platform_port, concurrency=100, network_timeout=TIMEOUT_S
@@ -146,7 +146,7 @@
 
 
 def rewrite_vms(body: bytes, relays: dict[str, int]) -> bytes:
-    """Return a VM list that names relays for the daemons elsewhere."""
+    """Return a VM list that names relays for the VMs elsewhere."""
     answer = json.loads(body)
     for vm in answer["vms"]:
         vm["port"] = relays.get(vm["vm_id"], vm["port"])
@@ -174,11 +174,9 @@
     platforms = {}
     for one in setup["data_centres"]:
         relays = {
-            daemon["vm_id"]: serve_relay(
-                cuts, one, daemon["data_centre"], daemon["port"]
-            )
-            for daemon in setup["daemons"]
-            if daemon["data_centre"] != one
+            vm["vm_id"]: serve_relay(cuts, one, vm["data_centre"], vm["port"])
+            for vm in setup["vms"]
+            if vm["data_centre"] != one
         }
         platforms[one] = serve_platform(
             cuts, one, setup["platform_port"], relays
--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,90 @@
+"""Tests of `bench.load` against servers that answer badly."""
+
+import json
+import time
+import unittest
+
+from gevent import server
+
+from bench import load
+from bench import ports
+from tests.bench import jobs
+
+WHOLE = {
+    "job": "j",
+    "outcome": "complete",
+    "tasks": [jobs.make_result("t0", "a")],
+}
+
+
+def reply(text: str) -> bytes:
+    """Return an HTTP answer with a body."""
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n"
+    return (head + text).encode()
+
+
+# Name, what the server sends before it closes, outcome.
+CASES = (
+    ("whole", reply(json.dumps(WHOLE)), "complete"),
+    ("closed at once", b"", "closed"),
+    ("closed in the head", b"HTTP/1.1 200 OK\r\nContent-", "closed"),
+    ("cut body", reply(json.dumps(WHOLE))[:-5], "closed"),
+    ("garbage", b"\x00\x01\x02 nonsense\r\n\r\n", "closed"),
+    ("not JSON", reply("{nonsense"), "closed"),
+)
+
+
+class RunAllTest(unittest.TestCase):
+    def run_against(self, *targets: int, timeout_s: float = 10.0) -> str:
+        settings = load.Settings(list(targets), 0.0, timeout_s, time.time())
+        return load.run_all(settings, [jobs.make_request("a")])[0].outcome
+
+    def serve(self, handle) -> int:
+        stream = server.StreamServer((ports.HOST, 0), handle)
+        stream.start()
+        self.addCleanup(stream.stop, 0)
+        return stream.server_port
+
+    def test_answers(self):
+        for name, answer, expected in CASES:
+
+            def handle(peer, address, answer=answer):
+                peer.recv(65536)
+                peer.sendall(answer)
+                peer.close()
+
+            with self.subTest(name):
+                self.assertEqual(self.run_against(self.serve(handle)), expected)
+
+    def test_nobody_listens(self):
+        port = ports.find_free_ports(1)[0]
+        self.assertEqual(self.run_against(port), "closed")
+
+    def test_the_balancer_passes_over_a_dead_daemon(self):
+        def handle(peer, address):
+            peer.recv(65536)
+            peer.sendall(reply(json.dumps(WHOLE)))
+            peer.close()
+
+        dead = ports.find_free_ports(1)[0]
+        outcome = self.run_against(dead, self.serve(handle))
+        self.assertEqual(outcome, "complete")
+
+    def test_a_broken_connection_is_not_tried_elsewhere(self):
+        taken = []
+
+        def handle(peer, address):
+            taken.append(peer.recv(65536))
+            peer.close()
+
+        targets = self.serve(handle), self.serve(handle)
+        self.assertEqual(self.run_against(*targets), "closed")
+        self.assertEqual(len(taken), 1)
+
+    def test_no_answer_in_time_is_lost(self):
+        def handle(peer, address):
+            while peer.recv(65536):
+                pass
+
+        port = self.serve(handle)
+        self.assertEqual(self.run_against(port, timeout_s=0.05), "lost")
