--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -10,6 +10,7 @@
 
 from pollenladder.conf import settings as conf
 from pollenladder.core import clocks
+from pollenladder.core import drains
 from pollenladder.core import engine as engines
 from pollenladder.core import entities
 from pollenladder.core import leasing
@@ -173,6 +174,7 @@
                 on_message=self._take_message,
                 on_joined=self._take_joined,
                 on_relinked=self._engine.ask_daemon,
+                reconnect=lambda daemon_id: self._mesh.connect(daemon_id),
                 on_lost=self._take_lost,
                 is_wanted=self._is_link_wanted,
             ),
@@ -199,6 +201,18 @@
             own.daemon_id, self._engine, self._mesh, self._send, self._clock
         )
 
+        self._drains = drains.Drains(
+            self._shards,
+            self._loads,
+            drains.Outlets(
+                send=self._send,
+                connect=self._mesh.connect,
+                list_linked=self._list_linked_here,
+                find_shard=self._workers.find_shard,
+            ),
+            self._clock,
+        )
+
     def _build_platform(self) -> None:
         own = self._settings
         self._platform = platform_client.PlatformClient(
@@ -327,16 +341,11 @@
         return None
 
     def _drain_target(self, target: str) -> bool:
-        """Drain a worker of the shards here, or this daemon."""
+        """Drain a worker, or this daemon; return whether it is known."""
         if target == self._settings.daemon_id:
             self._stopping.set()
             return True
-        found = False
-        for shard in self._shards.values():
-            if target in shard.workers:
-                shard.workers[target].leaving = True
-                found = True
-        return found
+        return self._drains.drain(target)
 
     def _describe_status(self) -> dict[str, Any]:
         now = self._clock()
@@ -366,7 +375,7 @@
         self, known: meshes.Known, now: float
     ) -> status.DaemonFacts:
         state = "leaving" if known.info.leaving else "live"
-        if known.suspect_until > now:
+        if known.is_lost:
             state = "unreachable"
         return status.DaemonFacts(
             known.info.daemon_id,
@@ -401,11 +410,18 @@
     def _take_message(self, sender: str, message: object) -> None:
         if self._engine.take_message(sender, message):
             return
+        if self._drains.take_message(sender, message):
+            return
         if isinstance(message, messages.Digest):
             self._take_digest(sender, message)
         elif isinstance(message, messages.DeclarationsPush):
             if self._polling.take_push(message):
                 self._tell(sender)
+        elif isinstance(message, messages.DeclarationsDelta):
+            if self._polling.lacks(message.version):
+                # If it needs another version, the digest tells so.
+                self._polling.take_delta(message)
+                self._tell(sender)
         else:
             self._lookups.take_message(sender, message)
 
@@ -422,6 +438,8 @@
             )
         )
         self._send(daemon_id, self._describe_digest(with_peers=True))
+        if hello.data_centre == self._settings.data_centre:
+            self._drains.tell(daemon_id)
 
     def _take_lost(self, daemon_id: str) -> None:
         LOGGER.warning("lost %s", daemon_id, extra={"peer": daemon_id})
@@ -456,8 +474,8 @@
             changed |= directory.record_owner(self._loads, owner, now)
         if changed:
             gevent.spawn(self._mesh.step)
-        push = self._polling.push
-        if push and digest.version < push.version and self._is_sharer(sender):
+        push = self._polling.choose_push(digest.version)
+        if push and self._is_sharer(sender):
             self._send(sender, push)
         self._engine.wake()
 
@@ -477,21 +495,24 @@
         if self._is_first_owner() or not self._engine.declared.version:
             return True
         entry = self._loads.entries.get(f"{self._settings.data_centre}/0")
-        return entry is None
+        # An owner known by hearsay alone pushes nothing here.
+        return entry is None or not self._peering.is_linked(entry.daemon_id)
 
     def _read_row(self) -> polling.Row | None:
         self._metrics.messages.labels(kind="platform").inc()
-        row = self._platform.get_row(polling.CURRENT_KEY)
+        row = self._platform.reread_row(polling.CURRENT_KEY)
         if row is None:
             return None
         return polling.Row(int(row.value["version"]), row.value)
 
     def _read_vms(self) -> list[entities.Vm]:
         self._metrics.messages.labels(kind="platform").inc()
-        return list(self._platform.list_vms().vms)
+        near = self._regions.list_near(self._settings.data_centre)
+        return list(self._platform.list_vms(near).vms)
 
     def _take_vms(self, vms: list[entities.Vm]) -> None:
         self._workers.list_vms(vms)
+        self._drains.apply(self._workers.list_ids())
         entry_vms = [vm for vm in vms if vm.role is entities.VmRole.ENTRY]
         for vm in entry_vms:
             self._mesh.learn(
@@ -513,10 +534,12 @@
         self._metrics.plans_version.set(declared.version)
         return True
 
-    def _share_declarations(self, push: messages.DeclarationsPush) -> None:
+    def _share_declarations(self) -> None:
         for daemon_id in self._peering.list_linked():
             known = self._mesh.known.get(daemon_id)
-            if known is None or (known.version or 0) < push.version:
+            version = known.version if known and known.version else 0
+            push = self._polling.choose_share(version)
+            if push:
                 self._send(daemon_id, push)
 
     def _take_ownership_change(self, shard_id: str) -> None:
@@ -568,6 +591,18 @@
             or self._engine.is_involved(daemon_id)
         )
 
+    def _list_linked_here(self) -> list[str]:
+        """Return the linked daemons of this region."""
+        own = self._settings.data_centre
+        return [
+            daemon_id
+            for daemon_id in self._peering.list_linked()
+            if daemon_id in self._mesh.known
+            and self._regions.is_near(
+                own, self._mesh.known[daemon_id].info.data_centre
+            )
+        ]
+
     def _tell(self, daemon_id: str) -> None:
         self._send(daemon_id, self._describe_digest())
 
--- a/pollenladder/core/tags.py
+++ b/pollenladder/core/tags.py
@@ -28,6 +28,9 @@
     (18, loans.LoanAsk),
     (19, loans.LoanGrant),
     (20, loans.LoanReturn),
+    (21, messages.DeclarationsDelta),
+    (22, messages.WorkerDrain),
+    (23, messages.WorkerDrainReply),
 )
 
 
--- a/pollenladder/core/workers.py
+++ b/pollenladder/core/workers.py
@@ -46,32 +46,39 @@
         self._metrics = metrics
         self._clients: dict[str, client.EndpointClient] = {}
         self._places: dict[str, tuple[str, int]] = {}
+        self._centres: dict[str, str] = {}
 
     def get_client(self, worker_id: str) -> client.EndpointClient | None:
         """Return the client of a worker, or None if it is not listed."""
         return self._clients.get(worker_id)
 
+    def list_ids(self) -> set[str]:
+        """Return the workers that are listed, in any data centre."""
+        return set(self._centres)
+
+    def find_shard(self, worker_id: str) -> str | None:
+        """Return the shard of a worker in any data centre; None if unlisted."""
+        centre = self._centres.get(worker_id)
+        shards_there = self._shard_counts.get(centre or "")
+        if centre is None or shards_there is None:
+            return None
+        return hashing.find_shard(worker_id, centre, shards_there)
+
     def list_vms(self, vms: list[entities.Vm]) -> None:
         """Take in the VM list: the endpoints of this region."""
-        here = [
-            vm
-            for vm in vms
-            if vm.role is entities.VmRole.ENDPOINT
-            and self._find_shard(vm) in self._shards
-        ]
+        endpoints = [vm for vm in vms if vm.role is entities.VmRole.ENDPOINT]
+        self._centres = {vm.vm_id: vm.data_centre for vm in endpoints}
+        here = []
+        rows: dict[str, list[tables.Worker]] = {key: [] for key in self._shards}
+        for vm in endpoints:
+            shard_id = self.find_shard(vm.vm_id)
+            if shard_id in rows:
+                here.append(vm)
+                rows[shard_id].append(_build_row(vm))
         self._keep_clients(here)
         now = self._clock()
         for shard_id, shard in self._shards.items():
-            rows = [
-                tables.Worker(
-                    vm.vm_id,
-                    vm.slots,
-                    leaving=vm.state is entities.VmState.LEAVING,
-                )
-                for vm in here
-                if self._find_shard(vm) == shard_id
-            ]
-            shards.list_workers(shard, rows, now)
+            shards.list_workers(shard, rows[shard_id], now)
 
     def acquire_lease(
         self, worker_id: str, shard_id: str, epoch: int, ttl_s: float
@@ -94,12 +101,6 @@
             lease = outcomes.Lease(shard_id, self._daemon_id, epoch)
             endpoint.release_lease(lease)
 
-    def _find_shard(self, vm: entities.Vm) -> str | None:
-        count = self._shard_counts.get(vm.data_centre)
-        if count is None:
-            return None
-        return hashing.find_shard(vm.vm_id, vm.data_centre, count)
-
     def _keep_clients(self, vms: list[entities.Vm]) -> None:
         places = {vm.vm_id: (vm.address, vm.port) for vm in vms}
         for worker_id in list(self._clients):
@@ -117,3 +118,9 @@
                     vm.vm_id, vm.address, vm.port, limits, self._clock
                 )
         self._places = places
+
+
+def _build_row(vm: entities.Vm) -> tables.Worker:
+    return tables.Worker(
+        vm.vm_id, vm.slots, leaving=vm.state is entities.VmState.LEAVING
+    )
--- a/pollenladder/dispatch/placement.py
+++ b/pollenladder/dispatch/placement.py
@@ -91,6 +91,8 @@
     now: float,
 ) -> tables.StartTask | None:
     """Start the next task of a group; None if it has to wait."""
+    if now >= group.start_by:
+        return None
     place_found = _choose_worker(home, group, free)
     if place_found is None:
         return None
@@ -98,6 +100,7 @@
     if not take_unit(home, group, index, now):
         return None
     if not _host(home, group, index, place_found, now):
+        _give_unit_back(home, group, index, now)
         return None
     take_waiting(home, group, index)
     free[place_found] -= 1
@@ -130,6 +133,15 @@
     return takeover.host(host.ledger, hosted, home.ownership.epoch)
 
 
+def _give_unit_back(
+    shard: tables.Shard, group: tables.Group, index: int, now: float
+) -> None:
+    """Keep no unit for a task that waits on: a loan could end meanwhile."""
+    unit = group.units.pop(index, None)
+    if unit:
+        escrow.give_back(shard.ledger, unit, now)
+
+
 def _choose_worker(
     home: tables.Shard, group: tables.Group, free: dict[tables.Place, int]
 ) -> tables.Place | None:
@@ -154,17 +166,28 @@
 
 
 def take_unit(
-    shard: tables.Shard, group: tables.Group, index: int, now: float
+    shard: tables.Shard,
+    group: tables.Group,
+    index: int,
+    now: float,
+    start_within_s: float = 0.0,
 ) -> bool:
-    """Take a unit of the allowance for a task; a guest brings its own."""
+    """Take a unit of the allowance for a task; a guest brings its own.
+
+    Args:
+        shard: The shard.
+        group: The task's group.
+        index: The task's place.
+        now: Monotonic time in seconds.
+        start_within_s: The unit must last if the task starts so late.
+    """
     if group.is_guest or index in group.units:
         return True
     plan_id = group.line[1]
-    max_run_s = get_max_run_s(shard, group, index)
-    unit = escrow.take(shard.ledger, plan_id, max_run_s, now)
+    needed_s = start_within_s + get_max_run_s(shard, group, index)
+    unit = escrow.take(shard.ledger, plan_id, needed_s, now)
     if unit is None:
-        waiting = shard.queue.lines[group.line].tasks
-        shard.stalled[plan_id] = shard.stalled.get(plan_id, 0) + waiting
+        shard.stalled[group.line] = shard.queue.lines[group.line].tasks
         return False
     group.units[index] = unit
     return True
--- a/pollenladder/membership/regions.py
+++ b/pollenladder/membership/regions.py
@@ -56,6 +56,14 @@
         near = self._regions.get(data_centre)
         return near is not None and near == self._regions.get(other)
 
+    def list_near(self, data_centre: str) -> list[str]:
+        """Return the data centres of a region, sorted."""
+        return [
+            other
+            for other in sorted(self._regions)
+            if self.is_near(data_centre, other)
+        ]
+
     def list_centres(self) -> list[str]:
         """Return all data centres, sorted."""
         return sorted(self._regions)
