Count free slots only when an owner could use them

Cause: `announce` counted the free slots of each shard at each tick, whether or not any owner had tasks that wait; an idle owner's time grew with its workers. Change: nothing is counted while no task waits here nor with any other owner, as nobody would be told then. What is told, and when, is the same.

--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -87,7 +87,7 @@
     table = keys.KeyTable("north/0", 1790000000000, 0.0)
     for n in range(count):
         own = f"order-{n:012}"
-        key = keys.Key("north/0", 1790000000000, 0, own)
+        key = keys.Key("north/0", 1790000000000, 0, "customer-1", own)
         keys.use_key(table, key, f"north-d1-1790000000000-{n}", ("t0",), 1.0)
     return table
 
@@ -100,6 +100,7 @@
     job_id = f"north-d1-1790000000000-{number}"
     return tables.Group(
         group_id=job_id,
+        shard_id="north/0",
         job_id=job_id,
         reply_to="north-d1",
         is_guest=False,
@@ -112,6 +113,7 @@
         },
         deadline_at=10.0,
         start_by=10.0,
+        due=0.0,
         began_at=0.0,
         expected_s={n: 0.25 + n for n in range(JOB_TASKS)},
         waiting=list(range(JOB_TASKS)),
@@ -119,14 +121,13 @@
 
 
 def _build_peers(count: int) -> Any:
-    return {
-        f"north-d{n}": mesh.Known(
-            messages.PeerInfo(
-                f"north-d{n}", f"north-{n % 26}", f"10.0.0.{n}", n, n, False
-            )
+    infos = (
+        messages.PeerInfo(
+            f"north-d{n}", f"north-{n % 26}", f"10.0.0.{n}", n, n, False
         )
         for n in range(count)
-    }
+    )
+    return {info.daemon_id: mesh.Known(info, 0.0) for info in infos}
 
 
 def _build_plans(count: int) -> Any:
--- a/pollenladder/dispatch/spilling.py
+++ b/pollenladder/dispatch/spilling.py
@@ -288,11 +288,17 @@
     An owner with tasks that wait tells all others once; those with free slots
     tell it so, at most at an interval, until it says that it has none left.
     """
+    others = [
+        entry
+        for entry in directory.iterate_others(shard.loads, shard.shard_id)
+        if entry.daemon_id != shard.daemon_id
+    ]
+    # Counting free slots looks at every worker, and this runs at each tick.
+    if not shard.queue.tasks and not any(entry.queued for entry in others):
+        return []
     load = describe_load(shard, now)
     effects: list[tables.Effect] = []
-    for entry in directory.iterate_others(shard.loads, shard.shard_id):
-        if entry.daemon_id == shard.daemon_id:
-            continue
+    for entry in others:
         if _is_worth_telling(shard, entry, load, now):
             shard.announced[entry.shard_id] = now
             effects.append(tables.SendMessage(entry.daemon_id, load))
