--- a/bench/capacity/budget.py
+++ b/bench/capacity/budget.py
@@ -51,6 +51,7 @@
     layout = target.lay_out(known)
     return [
         _build_base(known, layout),
+        _build_plans(known),
         _build_leases(known),
         _build_digests(known, layout),
         *_build_vm_polls(known, layout),
@@ -133,11 +134,22 @@
     )
 
 
+def _build_plans(known: Slopes) -> Line:
+    cpu_us = known["idle_plans_owner_cpu_us"].slope * target.TEAMS
+    return Line(
+        "looks at the plans of the shard",
+        "dispatch.sharing, plans.loans",
+        0.0,
+        max(0.0, cpu_us),
+        0.0,
+    )
+
+
 def _build_leases(known: Slopes) -> Line:
     workers = target.WORKERS_PER_SHARD
     per_s = known["idle_workers_owner_leases"].slope * workers
     return Line(
-        "lease renewals of idle workers",
+        "lease renewals of idle workers, and looks at them",
         "core.leasing",
         per_s,
         known["idle_workers_owner_cpu_us"].slope * workers,
--- a/bench/commands/capacity.py
+++ b/bench/commands/capacity.py
@@ -11,6 +11,8 @@
 from bench.capacity import memory
 from bench.capacity import micro
 from bench.capacity import pages
+from bench.capacity import plots
+from bench.capacity import sections
 from bench.capacity import slopes
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -63,11 +65,11 @@
     result = {"command": "capacity", "seed": options.seed}
     report = reports.Report(options.out, "capacity", "Capacity", result)
     if options.slopes != SLOPES:
-        report.add_text(pages.draw_slopes(known))
+        report.add_text(sections.draw_slopes(known))
         return report
     tables = pages.build_tables(known, slopes.read_slopes(EARLIER))
     PAGE.write_text(pages.fill(PAGE.read_text(), tables))
-    pages.draw_plots(FOLDER, known)
+    plots.draw_all(FOLDER, known)
     for name, text in tables.parts.items():
         report.add_text(f"## {name}\n\n{text}")
     result["over"] = tables.over
