Offer free slots less often the more shards there are

Cause: an owner with tasks that wait is told of free slots by every other owner up to 50 times a second: with the 494 shards of the target 24,650 messages a second, worked out at 62 bytes and 10 us each. Ruled out for now: telling only a few chosen by hash, as it needs a rule for when to tell more. Change: above 32 shards the least time between two messages to one owner grows with their number, so an owner hears as many as from 32; nothing changes below.

--- a/bench/capacity/budget.py
+++ b/bench/capacity/budget.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from bench.capacity import target
+from pollenladder.dispatch import spilling
 
 Slopes = target.Slopes
 
@@ -253,7 +254,8 @@
 
 
 def _build_loads(known: Slopes, layout: target.Layout) -> Line:
-    per_s = (layout.shards - 1) * target.ANNOUNCES_PER_S
+    crowd = max(1.0, layout.shards / spilling.FULL_RATE_SHARDS)
+    per_s = (layout.shards - 1) * target.ANNOUNCES_PER_S / crowd
     return Line(
         "load messages, if tasks wait here and nowhere else",
         "dispatch.spilling",
--- a/pollenladder/dispatch/spilling.py
+++ b/pollenladder/dispatch/spilling.py
@@ -15,6 +15,8 @@
 
 # A load is not trusted for longer than this.
 LOAD_VALID_S = 1.0
+# Up to so many shards, each tells the others at the full rate.
+FULL_RATE_SHARDS = 32
 # A guest that gets less time than this to start a task hands it back.
 MIN_START_WITHIN_S = 0.1
 
@@ -313,7 +315,7 @@
     now: float,
 ) -> bool:
     since_s = now - shard.announced.get(entry.shard_id, -math.inf)
-    if since_s < shard.limits.announce_interval_s:
+    if since_s < _get_announce_interval_s(shard):
         return False
     told_of_queue = entry.shard_id in shard.told_of_queue
     if load.free > 0 and entry.queued > 0:
@@ -322,6 +324,15 @@
     return surplus > 0 and entry.queued == 0 and not told_of_queue
 
 
+def _get_announce_interval_s(shard: tables.Shard) -> float:
+    """Return the least time between two messages to one owner.
+
+    It grows with the shards, as an owner with tasks that wait hears from all.
+    """
+    crowd = len(shard.all_shard_ids) / FULL_RATE_SHARDS
+    return shard.limits.announce_interval_s * max(1.0, crowd)
+
+
 def _note_told(
     shard: tables.Shard, shard_id: str, load: messages.ShardLoad
 ) -> None:
