--- a/pollenladder/dispatch/spilling.py
+++ b/pollenladder/dispatch/spilling.py
@@ -15,6 +15,8 @@
 
 # A load is not trusted for longer than this.
 LOAD_VALID_S = 1.0
+# Up to so many shards, each tells the others at the full rate.
+FULL_RATE_SHARDS = 32
 # A guest that gets less time than this to start a task hands it back.
 MIN_START_WITHIN_S = 0.1
 
@@ -290,11 +292,17 @@
     An owner with tasks that wait tells all others once; those with free slots
     tell it so, at most at an interval, until it says that it has none left.
     """
+    others = [
+        entry
+        for entry in directory.iterate_others(shard.loads, shard.shard_id)
+        if entry.daemon_id != shard.daemon_id
+    ]
+    # Counting free slots looks at every worker, and this runs at each tick.
+    if not shard.queue.tasks and not any(entry.queued for entry in others):
+        return []
     load = describe_load(shard, now)
     effects: list[tables.Effect] = []
-    for entry in directory.iterate_others(shard.loads, shard.shard_id):
-        if entry.daemon_id == shard.daemon_id:
-            continue
+    for entry in others:
         if _is_worth_telling(shard, entry, load, now):
             shard.announced[entry.shard_id] = now
             effects.append(tables.SendMessage(entry.daemon_id, load))
@@ -309,7 +317,7 @@
     now: float,
 ) -> bool:
     since_s = now - shard.announced.get(entry.shard_id, -math.inf)
-    if since_s < shard.limits.announce_interval_s:
+    if since_s < _get_announce_interval_s(shard):
         return False
     told_of_queue = entry.shard_id in shard.told_of_queue
     if load.free > 0 and entry.queued > 0:
@@ -318,6 +326,15 @@
     return surplus > 0 and entry.queued == 0 and not told_of_queue
 
 
+def _get_announce_interval_s(shard: tables.Shard) -> float:
+    """Return the least time between two messages to one owner.
+
+    It grows with the shards, as an owner with tasks that wait hears from all.
+    """
+    crowd = len(shard.all_shard_ids) / FULL_RATE_SHARDS
+    return shard.limits.announce_interval_s * max(1.0, crowd)
+
+
 def _note_told(
     shard: tables.Shard, shard_id: str, load: messages.ShardLoad
 ) -> None:
