Let any shard owned here take a job that its own cannot

Cause: a gateway offers a job once to a daemon, so that a late refusal cannot be taken for a newer one. Since one daemon owns several shards, a job refused for one lapsed shard was no longer offered to the others of the same daemon. Change: the owner itself takes a job without a key on another of its shards; a key has one home. A cancel names the shard that was asked, so units are now given back to the ledger of the group's own shard; with the asked one they stayed in use. Ruled out: the shard's id in each answer, which changes a message.

--- a/pollenladder/dispatch/intake.py
+++ b/pollenladder/dispatch/intake.py
@@ -29,6 +29,8 @@
         answered = _use_key(shard, sender, job, key, now)
         if answered is not None:
             return answered
+    else:
+        shard = _find_ready(shard, now)
     refused = admission.decide(shard, job, now)
     if refused:
         if key and shard.keys:
@@ -51,6 +53,17 @@
     return []
 
 
+def _find_ready(shard: tables.Shard, now: float) -> tables.Shard:
+    """Return a shard owned here that may take a job, the one asked if it may.
+
+    A gateway offers a job to a daemon once, whichever of its shards it names.
+    """
+    if shard.ownership_is_held(now):
+        return shard
+    ready = (s for s in shard.local.values() if s.ownership_is_held(now))
+    return next(ready, shard)
+
+
 def _is_known(shard: tables.Shard, group_id: str) -> bool:
     return (
         group_id in shard.groups
@@ -134,7 +147,8 @@
         if group is None:
             continue
         reason = verdicts.Reason.CANCELLED
-        ending = completion.fail_group(shard, group, reason, now)
+        home = shard.local[group.shard_id]
+        ending = completion.fail_group(home, group, reason, now)
         if group.is_guest:
             ending = drop_replies(ending, group.reply_to)
         effects += ending
--- a/tests/dispatch/test_intake.py
+++ b/tests/dispatch/test_intake.py
@@ -8,6 +8,7 @@
 from pollenladder.dispatch import intake
 from pollenladder.dispatch import shard as shards
 from pollenladder.dispatch import tables
+from pollenladder.plans import escrow
 from pollenladder.wire import messages
 from tests.dispatch import worlds
 
@@ -133,3 +134,38 @@
         self.assertIs(result.verdict, verdicts.Verdict.MAY_HAVE_RUN)
         answers = get_answers(end(self.shard, self.starts[0]))
         self.assertEqual([a.job_id for _, a in answers], ["j1"])
+
+
+class TwoShardsTest(unittest.TestCase):
+    def setUp(self):
+        ids = ("dc/0", "dc/1")
+        self.lapsed = worlds.make_shard("dc/0", ids=ids)
+        self.held = worlds.make_shard("dc/1", ids=ids, beside=self.lapsed)
+        for row in self.lapsed.ownership.rows.values():
+            row.lease_until = 0.0
+
+    def count_units(self):
+        return escrow.count_in_use(self.held.ledger, "p", 110.0)
+
+    def test_another_shard_of_the_daemon_takes_the_job(self):
+        self.assertEqual(offer(self.lapsed, worlds.make_job("j")), [])
+        owned = self.held.local.values()
+        (start,) = shards.run_systems(owned, 110.0)
+        self.assertEqual(start.home_id, "dc/1")
+        self.assertEqual(self.count_units(), 1)
+        ((_, answer),) = get_answers(end(self.held, start))
+        self.assertIsInstance(answer, verdicts.Complete)
+        self.assertEqual(self.count_units(), 0)
+
+    def test_a_cancel_by_the_shard_asked_leaks_no_unit(self):
+        offer(self.lapsed, worlds.make_job("j"))
+        shards.run_systems(self.held.local.values(), 110.0)
+        intake.cancel_groups(self.lapsed, ["j"], 110.1)
+        late = 110.1 + worlds.MAX_RUN_S + completion.TRANSIT_S
+        in_use = escrow.count_in_use(self.held.ledger, "p", late)
+        self.assertEqual(in_use, 0)
+
+    def test_a_key_has_one_home(self):
+        job = worlds.make_job("j", key=KEY)
+        ((_, answer),) = get_answers(offer(self.lapsed, job))
+        self.assertEqual(answer.reason, verdicts.Reason.NOT_READY)
