--- a/tests/processes/test_partitions.py
+++ b/tests/processes/test_partitions.py
@@ -18,7 +18,8 @@
 
     def wait_for_view(self, data_centres):
         """Wait until the owner in the north misses just these."""
-        owner = self.wait_for_owner("north/0")
+        among = "north" if data_centres else None
+        owner = self.wait_for_owner("north/0", among=among)
         self.wait_until(
             lambda: (
                 self.read_status(owner)["unreachable_data_centres"]
@@ -49,17 +50,28 @@
         self.check(busy.answers + late.answers)
         self.assertEqual(self.read_max_running(narrow), declared.NARROW_RUNNING)
 
+    def test_links_that_fell_silent_are_replaced(self):
+        with load.Load(self.list_ports()) as running:
+            self.wait_for_more(running, self.list_ports())
+            cluster.cut_off(self.running, ["south"], "forget")
+            for data_centre in ("north", "south"):
+                self.wait_for_more(running, self.list_ports_in(data_centre))
+            self.wait_for_owner("south/0")
+            self.wait_for_more(running, self.list_ports_in("south"))
+        self.check(running.answers)
+
     def test_an_owner_dies_in_a_cut_while_the_platform_is_down(self):
         owner = self.wait_for_owner("north/0")
         others = self.list_ports(but=owner)
         north = [p for p in self.list_ports_in("north") if p in others]
-        south = self.list_ports_in("south")
+        south = [p for p in self.list_ports_in("south") if p in others]
         with load.Load(self.list_ports()) as running:
             self.wait_for_more(running, others)
             cluster.set_platform_faults(self.running, {"down": True})
             self.cut(["south"])
             self.group.kill(owner)
-            self.wait_for_owner("north/0", but=owner)
+            for data_centre in ("north", "south"):
+                self.wait_for_owner(f"{data_centre}/0", owner, data_centre)
             self.wait_for_more(running, north)
             self.wait_for_more(running, south)
             self.cut([])
