--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -36,6 +36,7 @@
 from pollenladder.gateway import server as gateway_server
 from pollenladder.membership import hashing
 from pollenladder.membership import regions
+from pollenladder.metrics import lag
 from pollenladder.metrics import registry
 from pollenladder.wire import messages
 
@@ -125,6 +126,7 @@
                 send=self._send,
                 start=self._start,
                 stop=self._starts.stop,
+                on_answered=self._metrics.count_job,
             ),
             clock=self._clock,
         )
@@ -260,6 +262,7 @@
             self._polling.run_declarations,
             self._digests.run,
             self._run_meters,
+            lambda: lag.watch_event_loop(self._metrics),
         ):
             gevent.spawn(loop)
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -314,15 +317,13 @@
 
     def _start(self, effect: tables.StartTask) -> None:
         self._metrics.starts.inc()
-        self._metrics.messages.labels(kind="start").inc()
+        self._metrics.count_message("start")
         self._starts.start(effect)
 
     def _take_outcome(
         self, effect: tables.StartTask, result: verdicts.TaskResult
     ) -> None:
-        self._metrics.tasks.labels(
-            verdict=result.verdict.value, reason=result.reason.value
-        ).inc()
+        self._metrics.count_task(result)
         self._engine.record_start_outcome(effect, result)
         self._leasing.settle(self._shards[effect.place.shard_id])
 
--- a/pollenladder/core/engine.py
+++ b/pollenladder/core/engine.py
@@ -39,11 +39,13 @@
         start: Start a task on a worker, and report by
             `Engine.record_start_outcome` once.
         stop: Stop tasks on a worker.
+        on_answered: A job submitted here has its final answer.
     """
 
     send: Callable[[str, object], bool]
     start: Callable[[tables.StartTask], None]
     stop: Callable[[tables.StopTasks], None]
+    on_answered: Callable[[verdicts.Answer], None]
 
 
 class Engine:
@@ -75,6 +77,7 @@
         self._outlets = outlets
         self._clock = clock
         self._woken = event.Event()
+        self._next_tick_at = float("-inf")
         self._waiters: dict[str, event.Event] = {}
         self._handlers: dict[type, Callable[[str, Any, float], None]] = {
             messages.JobOffer: self._take_job_offer,
@@ -232,10 +235,12 @@
 
     def _run_systems(self) -> None:
         now = self._clock()
-        self._refresh_loads(now)
+        if now >= self._next_tick_at:
+            self._next_tick_at = now + TICK_S
+            self._refresh_loads(now)
+            submissions.expire(self.submissions, now, ANSWER_GRACE_S)
         self.execute(shards.run_systems(self.shards.values(), now))
         self.execute(submissions.offer_held(self.submissions, now))
-        submissions.expire(self.submissions, now, ANSWER_GRACE_S)
         self._wake_waiters()
 
     def _wake_waiters(self) -> None:
@@ -243,6 +248,7 @@
             waiter = self._waiters.pop(job_id, None)
             if waiter:
                 waiter.set()
+            self._outlets.on_answered(self.submissions.answered[job_id].answer)
         self.submissions.changed.clear()
 
     def _settle_answer(self, sender: str, answer: verdicts.Answer) -> None:
--- a/pollenladder/core/meters.py
+++ b/pollenladder/core/meters.py
@@ -40,7 +40,7 @@
 
 def count_message(metrics: registry.Metrics, message: object) -> None:
     """Count a message to a peer under its kind."""
-    metrics.messages.labels(kind=KINDS[type(message)]).inc()
+    metrics.count_message(KINDS[type(message)])
 
 
 def run(
--- a/pollenladder/core/sources.py
+++ b/pollenladder/core/sources.py
@@ -31,7 +31,7 @@
         Raises:
             exceptions.PlatformError: The platform did not answer.
         """
-        self._metrics.messages.labels(kind="platform").inc()
+        self._metrics.count_message("platform")
         row = self._platform.reread_row(polling.CURRENT_KEY)
         if row is None:
             return None
@@ -43,5 +43,5 @@
         Raises:
             exceptions.PlatformError: The platform did not answer.
         """
-        self._metrics.messages.labels(kind="platform").inc()
+        self._metrics.count_message("platform")
         return list(self._platform.list_vms(self._near).vms)
--- a/pollenladder/core/workers.py
+++ b/pollenladder/core/workers.py
@@ -89,7 +89,7 @@
             return outcomes.Failure(
                 verdicts.Verdict.NOT_RUN, verdicts.Reason.UNREACHABLE
             )
-        self._metrics.messages.labels(kind="lease").inc()
+        self._metrics.count_message("lease")
         lease = outcomes.Lease(shard_id, self._daemon_id, epoch)
         return endpoint.acquire_lease(lease, ttl_s)
 
@@ -97,7 +97,7 @@
         """Give a worker's lease back."""
         endpoint = self._clients.get(worker_id)
         if endpoint:
-            self._metrics.messages.labels(kind="lease").inc()
+            self._metrics.count_message("lease")
             lease = outcomes.Lease(shard_id, self._daemon_id, epoch)
             endpoint.release_lease(lease)
 
