Note guests wherever they run, and feed the metrics that stood still

Change: the note follows the task; metrics are fed, link counters by what was added since the last look. Test: a guest on another shard's workers is noted there until it ends (fails without the change).

--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -38,6 +38,7 @@
 from pollenladder.membership import regions
 from pollenladder.metrics import lag
 from pollenladder.metrics import registry
+from pollenladder.wire import links
 from pollenladder.wire import messages
 
 LOGGER = logging.getLogger(__name__)
@@ -156,6 +157,7 @@
                 on_relinked=self._take_relinked,
                 reconnect=lambda daemon_id: self._mesh.connect(daemon_id),
                 on_lost=self._take_lost,
+                on_closed=self._count_close,
                 is_wanted=self._is_link_wanted,
             ),
         )
@@ -396,5 +398,8 @@
             daemon_id
         )
 
+    def _count_close(self, reason: links.CloseReason) -> None:
+        self._metrics.link_closes.labels(reason=reason.value).inc()
+
     def _run_meters(self) -> None:
         meters.run(self._metrics, self._shards, self._peering, self._clock)
--- a/pollenladder/core/meters.py
+++ b/pollenladder/core/meters.py
@@ -4,10 +4,12 @@
 
 from pollenladder.core import clocks
 from pollenladder.core import peering
+from pollenladder.dispatch import sharing
 from pollenladder.dispatch import tables
 from pollenladder.membership import health
 from pollenladder.metrics import registry
 from pollenladder.plans import loans
+from pollenladder.wire import links
 from pollenladder.wire import messages
 
 INTERVAL_S = 1.0
@@ -50,9 +52,13 @@
     clock: clocks.Clock,
 ) -> None:
     """Set the gauges at intervals, for ever."""
+    before = links.Counts()
     while True:
         gevent.sleep(INTERVAL_S)
         update(metrics, list(shard_tables.values()), peers, clock())
+        counts = peers.count()
+        add_link_counts(metrics, before, counts)
+        before = counts
 
 
 def update(
@@ -64,24 +70,29 @@
     """Set the gauges from the tables of the shards owned here."""
     owned = [shard for shard in shards if shard.ownership_is_held(now)]
     workers = [w for shard in owned for w in shard.workers.values()]
-    metrics.queue_tasks.set(sum(shard.queue.tasks for shard in owned))
+    metrics.queue_tasks.set(owned[0].queue.tasks if owned else 0)
     metrics.running_tasks.set(sum(worker.running for worker in workers))
     metrics.slots.set(sum(worker.slots for worker in workers))
     metrics.quarantined_workers.set(
         sum(len(health.list_quarantined(shard.health)) for shard in owned)
     )
     metrics.peers.set(len(peers.list_linked()))
-    counts = peers.count()
-    frames = metrics.link_frames
-    _advance(frames.labels(direction="in"), counts.frames_in)
-    _advance(frames.labels(direction="out"), counts.frames_out)
-    octets = metrics.link_bytes
-    _advance(octets.labels(direction="in"), counts.bytes_in)
-    _advance(octets.labels(direction="out"), counts.bytes_out)
+    uses = [
+        sharing.describe_use(shard, plan_id, now)
+        for shard in owned
+        for plan_id in shard.declared.plans
+    ]
+    metrics.shares.labels(state="held").set(sum(use.share for use in uses))
+    metrics.shares.labels(state="taken").set(sum(use.taken for use in uses))
 
 
-def _advance(counter, value: int) -> None:
-    """Bring a counter up to a total that is kept elsewhere."""
-    behind = value - counter._value.get()
-    if behind > 0:
-        counter.inc(behind)
+def add_link_counts(
+    metrics: registry.Metrics, before: links.Counts, now: links.Counts
+) -> None:
+    """Add what went over all links since an earlier count."""
+    frames = metrics.link_frames
+    frames.labels(direction="in").inc(now.frames_in - before.frames_in)
+    frames.labels(direction="out").inc(now.frames_out - before.frames_out)
+    octets = metrics.link_bytes
+    octets.labels(direction="in").inc(now.bytes_in - before.bytes_in)
+    octets.labels(direction="out").inc(now.bytes_out - before.bytes_out)
--- a/pollenladder/core/peering.py
+++ b/pollenladder/core/peering.py
@@ -34,6 +34,7 @@
         reconnect: Try for a link to a daemon; return whether there is one.
         on_lost: A daemon cannot be reached, or has restarted: nothing it was
             sent will be answered.
+        on_closed: A link has ended, for a reason.
         is_wanted: Return whether a link to a daemon is of any use.
     """
 
@@ -42,6 +43,7 @@
     on_relinked: Callable[[str], None]
     reconnect: Callable[[str], bool]
     on_lost: Callable[[str], None]
+    on_closed: Callable[[links.CloseReason], None]
     is_wanted: Callable[[str], bool]
 
 
@@ -192,6 +194,7 @@
 
     def _take_close(self, link: links.Link, reason: links.CloseReason) -> None:
         _add_counts(self._closed, link.counts)
+        self._handlers.on_closed(reason)
         peer = self._peers.get(link.peer.daemon_id)
         if peer is None or link not in peer.open:
             return
--- a/pollenladder/dispatch/intake.py
+++ b/pollenladder/dispatch/intake.py
@@ -111,6 +111,7 @@
         due=now - offer.waited_s,
         key=None,
         now=now,
+        origin_epoch=offer.from_epoch,
     )
     return []
 
@@ -265,6 +266,7 @@
     due: float,
     key: keys.Key | None,
     now: float,
+    origin_epoch: int = 0,
 ) -> None:
     expected_s = {
         index: estimates.estimate_run_s(shard.estimates, line[1], task.kind)
@@ -288,6 +290,7 @@
             tasks, key=lambda i: _rank_task(tasks[i], expected_s[i])
         ),
         key=key,
+        origin_epoch=origin_epoch,
     )
     shard.groups[group_id] = group
     fairness.add_work(
--- a/pollenladder/dispatch/placement.py
+++ b/pollenladder/dispatch/placement.py
@@ -120,16 +120,22 @@
 
     A new owner of either shard asks for such tasks before it uses its share.
     """
-    if place_found.shard_id == home.shard_id or group.is_guest:
+    if place_found.shard_id == home.shard_id:
         return True
+    host = home.local[place_found.shard_id]
+    start_id = tables.format_start_id(group.job_id, index)
+    if group.is_guest:
+        noted = home.ledger.hosted.get(start_id)
+        return noted is None or takeover.host(
+            host.ledger, noted, group.origin_epoch
+        )
     hosted = ledgers.Hosted(
-        tables.format_start_id(group.job_id, index),
+        start_id,
         group.line[1],
         home.shard_id,
         group.units[index].lender_id,
         now + get_max_run_s(home, group, index) + REPLY_MARGIN_S,
     )
-    host = home.local[place_found.shard_id]
     return takeover.host(host.ledger, hosted, home.ownership.epoch)
 
 
--- a/pollenladder/dispatch/tables.py
+++ b/pollenladder/dispatch/tables.py
@@ -106,6 +106,7 @@
             place.
         results: Results by place.
         attempts: Starts tried, by place.
+        origin_epoch: Of a batch, the epoch of the owner that sent it.
         key: The idempotency key, if it has one.
         followers: Daemons that wait for the same answer, by the id of the job
             that was submitted again with the key.
@@ -132,6 +133,7 @@
         default_factory=dict
     )
     attempts: dict[int, int] = dataclasses.field(default_factory=dict)
+    origin_epoch: int = 0
     key: keys.Key | None = None
     followers: dict[str, str] = dataclasses.field(default_factory=dict)
 
--- a/tests/core/test_peering.py
+++ b/tests/core/test_peering.py
@@ -22,6 +22,7 @@
                 on_relinked=lambda other: self.events.append("relinked"),
                 reconnect=self.connect,
                 on_lost=lambda other: self.events.append("lost"),
+                on_closed=lambda reason: None,
                 is_wanted=lambda other: True,
             ),
         )
--- a/tests/dispatch/test_intake.py
+++ b/tests/dispatch/test_intake.py
@@ -165,6 +165,20 @@
         in_use = escrow.count_in_use(self.held.ledger, "p", late)
         self.assertEqual(in_use, 0)
 
+    def test_a_guest_is_noted_wherever_it_runs(self):
+        offer_batch(self.held)
+        self.held.workers["dc/1w0"].leaving = True
+        self.held.workers["dc/1w1"].leaving = True
+        for row in self.lapsed.ownership.rows.values():
+            row.lease_until = 1000.0
+        starts = shards.run_systems(self.held.local.values(), 110.0)
+        hosts = {start.place.shard_id for start in starts}
+        self.assertEqual(hosts, {"dc/0"})
+        self.assertEqual(len(self.lapsed.ledger.hosted), len(starts))
+        for start in starts:
+            end(self.held, start)
+        self.assertFalse(self.lapsed.ledger.hosted)
+
     def test_a_key_has_one_home(self):
         job = worlds.make_job("j", key=KEY)
         ((_, answer),) = get_answers(offer(self.lapsed, job))
