--- a/bench/capacity/sections.py
+++ b/bench/capacity/sections.py
@@ -209,7 +209,7 @@
             layout.daemons * target.ROW_POLLS_PER_S,
             "core.polling",
         ),
-        ("apply: read, check, confirm", 3 * changes, "platform.changes"),
+        ("apply: read, check, confirm", 3 * changes, "audit.commits"),
     ]
     rows = [
         [
--- a/tests/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the platform package."""
