Bound the memory of answers that keys hold

Ruled out: dropping outputs only, as the answer would be partial. Change: 100,000 keys and the answers of 50,000 tasks; beyond these the oldest answers are forgotten and their keys are answered as may have run. Test: test_the_oldest_answers_are_forgotten.

--- a/bench/capacity/target.py
+++ b/bench/capacity/target.py
@@ -4,6 +4,7 @@
 import math
 
 from bench.capacity import slopes
+from pollenladder.dispatch import keys
 
 Slopes = dict[str, slopes.Slope]
 
@@ -40,7 +41,7 @@
 VM_POLLS_PER_S = 0.5
 LOAN_TERM_S = 15.0
 ANNOUNCES_PER_S = 50.0
-KEYS_PER_SHARD = 200_000
+KEYS_PER_SHARD = keys.MAX_KEYS
 QUEUED_JOBS = 2_000
 
 
--- a/pollenladder/dispatch/keys.py
+++ b/pollenladder/dispatch/keys.py
@@ -17,7 +17,9 @@
 
 SEPARATOR = "~"
 WINDOW_S = 300.0
-MAX_KEYS = 200_000
+MAX_KEYS = 100_000
+# Results of tasks kept in answers; beyond them the oldest answers are forgotten.
+MAX_HELD_RESULTS = 50_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,11 +64,13 @@
         job_id: The job that has it.
         fingerprint: That job's plan and tasks, digested.
         answer: The job's answer, once there is one.
+        is_forgotten: Whether there was one, which is not kept any more.
     """
 
     job_id: str
     fingerprint: bytes
     answer: verdicts.Answer | None = None
+    is_forgotten: bool = False
 
 
 @dataclasses.dataclass
@@ -78,6 +82,8 @@
         epoch: The owner's epoch.
         began_at: When the epoch began, on the owner's clock.
         windows: Entries by window number; the current and the previous one.
+        answered: Results kept in each answer, the oldest first.
+        held_results: Their sum.
     """
 
     shard_id: str
@@ -86,6 +92,8 @@
     windows: dict[int, dict[tuple[str, str], Entry]] = dataclasses.field(
         default_factory=dict
     )
+    answered: dict[Key, int] = dataclasses.field(default_factory=dict)
+    held_results: int = 0
 
 
 def parse_key(text: str, customer_id: str) -> Key | None:
@@ -130,6 +138,8 @@
     oldest = get_window(table, now) - 1
     for window in [w for w in table.windows if w < oldest]:
         del table.windows[window]
+    for key in [k for k in table.answered if k.window < oldest]:
+        table.held_results -= table.answered.pop(key)
 
 
 def use_key(
@@ -158,6 +168,8 @@
             return KeyState.FULL, None
         entry = entries[key.owner_and_own] = Entry(job_id, fingerprint)
         return KeyState.NEW, entry
+    if entry.is_forgotten:
+        return KeyState.MAY_HAVE_RUN, None
     state = KeyState.RUNNING if entry.answer is None else KeyState.ANSWERED
     return state, entry
 
@@ -168,10 +180,24 @@
 
 
 def record_answer(table: KeyTable, key: Key, answer: verdicts.Answer) -> None:
-    """Keep the final answer of the job that has the key."""
+    """Keep the final answer of the job that has the key, as long as fits."""
     entry = table.windows.get(key.window, {}).get(key.owner_and_own)
-    if entry:
-        entry.answer = answer
+    if entry is None:
+        return
+    entry.answer = answer
+    table.answered[key] = len(getattr(answer, "results", ()))
+    table.held_results += table.answered[key]
+    while table.held_results > MAX_HELD_RESULTS:
+        _forget_oldest(table)
+
+
+def _forget_oldest(table: KeyTable) -> None:
+    """Drop the oldest answer; of its key only "may have run" can be said."""
+    key = next(iter(table.answered))
+    table.held_results -= table.answered.pop(key)
+    entry = table.windows[key.window][key.owner_and_own]
+    entry.answer = None
+    entry.is_forgotten = True
 
 
 def relabel(answer: verdicts.Answer, job_id: str) -> verdicts.Answer:
--- a/tests/dispatch/test_keys.py
+++ b/tests/dispatch/test_keys.py
@@ -135,6 +135,22 @@
                 ]
                 self.assertTrue(wrong)
 
+    def test_the_oldest_answers_are_forgotten(self):
+        table = keys.KeyTable("dc/0", 1, 0.0)
+        result = verdicts.TaskResult("t", worlds.RAN, verdicts.Reason.OK)
+        answer = verdicts.Complete("j", (result, result))
+        used = [keys.Key("dc/0", 1, 0, "c", own) for own in "abc"]
+        with mock.patch.object(keys, "MAX_HELD_RESULTS", 4):
+            for key in used:
+                keys.use_key(table, key, "j", b"", 1.0)
+                keys.record_answer(table, key, answer)
+        states = [keys.use_key(table, k, "j", b"", 1.0)[0] for k in used]
+        kept = keys.KeyState.ANSWERED
+        self.assertEqual(states, [keys.KeyState.MAY_HAVE_RUN, kept, kept])
+        self.assertEqual(table.held_results, 4)
+        keys.drop_old_windows(table, 2 * keys.WINDOW_S)
+        self.assertEqual((table.held_results, table.answered), (0, {}))
+
     def test_the_table_is_bounded(self):
         table = keys.KeyTable("dc/0", 1, 0.0)
         with mock.patch.object(keys, "MAX_KEYS", 2):
