Forget what a daemon owned once it cannot be reached

Cause: one run of the proofs waited 60 s for an owner of north/0 after the owner was killed (tests.processes.test_deaths, busy machine). A daemon without a link to the dead owner can learn of it by hearsay; nothing drops that entry, as only the end of a link did, and with every shard owned by its word it links to no other daemon and never hears of the next owner. Ruled out: four runs of the test alone pass; the entry's age is looked at by campaigns only. That this is what that run saw is not shown, its logs are gone. Change: a failed connection drops the entries. Test: test_an_owner_known_by_hearsay_that_is_dead_is_not_waited_for fails without it.

--- a/pollenladder/core/mesh.py
+++ b/pollenladder/core/mesh.py
@@ -254,7 +254,12 @@
         return [d for d in self._peers.list_linked() if self.is_near(d)]
 
     def connect(self, daemon_id: str) -> bool:
-        """Link to a known daemon; one that cannot be reached is suspect."""
+        """Link to a known daemon; return whether there is a link.
+
+        One that cannot be reached is lost, and owns nothing as far as can be
+        told from here: else a daemon that knew it as an owner by hearsay alone
+        would wait for it, and never look for the next owner.
+        """
         known = self.known.get(daemon_id)
         if known is None:
             return False
@@ -262,6 +267,7 @@
         if self._peers.connect(daemon_id, info.address, info.peer_port):
             return True
         self.record_lost(daemon_id)
+        directory.forget_daemon(self._loads, daemon_id)
         return False
 
     def _is_near(self, centre: str) -> bool:
--- a/tests/core/test_mesh.py
+++ b/tests/core/test_mesh.py
@@ -72,6 +72,18 @@
                 self.assertEqual(name in self.mesh.known, is_kept)
                 self.mesh.known.clear()
 
+    def test_an_owner_known_by_hearsay_that_is_dead_is_not_waited_for(self):
+        for daemon_id in ("a-1", "b-1"):
+            self.mesh.learn(make_info(daemon_id))
+        loads = self.mesh._loads
+        for shard_id in ("a/0", "b/0"):
+            owner = messages.ShardOwner(shard_id, "a-1", 7, 8)
+            directory.record_owner(loads, owner, self.now)
+        self.assertEqual(self.mesh.choose_links(), {"a-1"})
+        self.assertFalse(self.mesh.connect("a-1"))
+        self.assertEqual(loads.entries, {})
+        self.assertEqual(self.mesh.choose_links(), {"b-1"})
+
     def test_a_linked_daemon_is_kept_though_it_is_not_listed(self):
         self.mesh.learn(make_info("a-1"), is_listed=True)
         self.peers.linked.add("a-1")
