--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -34,11 +34,9 @@
 from pollenladder.gateway import backend
 from pollenladder.gateway import limits as gateway_limits
 from pollenladder.gateway import server as gateway_server
-from pollenladder.membership import hashing
 from pollenladder.membership import regions
 from pollenladder.metrics import lag
 from pollenladder.metrics import registry
-from pollenladder.wire import links
 from pollenladder.wire import messages
 
 LOGGER = logging.getLogger(__name__)
@@ -60,11 +58,6 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._metrics = registry.Metrics()
         self._loads = directory.Directory()
-        self._shard_ids = tuple(
-            hashing.list_shards(
-                {n: c.shards for n, c in settings.data_centres.items()}
-            )
-        )
         self._regions = regions.Regions(
             {n: c.region for n, c in settings.data_centres.items()},
             {n: c.shards for n, c in settings.data_centres.items()},
@@ -92,7 +85,7 @@
                 incarnation=str(self._incarnation),
                 limits=limits,
                 loads=self._loads,
-                all_shard_ids=self._shard_ids,
+                all_shard_ids=tuple(self._regions.shard_ids),
                 loan_term_s=timings.loan_term_s,
                 loan_margin_s=LOAN_MARGIN_S,
                 beside=first,
@@ -157,7 +150,9 @@
                 on_relinked=self._take_relinked,
                 reconnect=lambda daemon_id: self._mesh.connect(daemon_id),
                 on_lost=self._take_lost,
-                on_closed=self._count_close,
+                on_closed=lambda reason: meters.count_close(
+                    self._metrics, reason
+                ),
                 is_wanted=self._is_link_wanted,
             ),
         )
@@ -398,8 +393,5 @@
             daemon_id
         )
 
-    def _count_close(self, reason: links.CloseReason) -> None:
-        self._metrics.link_closes.labels(reason=reason.value).inc()
-
     def _run_meters(self) -> None:
         meters.run(self._metrics, self._shards, self._peering, self._clock)
--- a/pollenladder/core/engine.py
+++ b/pollenladder/core/engine.py
@@ -20,6 +20,7 @@
 from pollenladder.dispatch import submissions
 from pollenladder.dispatch import tables
 from pollenladder.plans import declarations
+from pollenladder.plans import ledgers
 from pollenladder.plans import loans
 from pollenladder.wire import messages
 
@@ -321,7 +322,7 @@
             self.execute([tables.SendMessage(sender, granted)])
 
     def _take_loan_grant(self, sender, message, now) -> None:
-        shard = self.shards.get(loans.get_borrower_id(message.loan_id))
+        shard = self.shards.get(ledgers.get_borrower_id(message.loan_id))
         if shard:
             loans.accept(shard.ledger, message, now)
 
--- a/pollenladder/core/meters.py
+++ b/pollenladder/core/meters.py
@@ -45,6 +45,11 @@
     metrics.count_message(KINDS[type(message)])
 
 
+def count_close(metrics: registry.Metrics, reason: links.CloseReason) -> None:
+    """Count a link that ended."""
+    metrics.link_closes.labels(reason=reason.value).inc()
+
+
 def run(
     metrics: registry.Metrics,
     shard_tables: dict[str, tables.Shard],
--- a/pollenladder/core/polling.py
+++ b/pollenladder/core/polling.py
@@ -22,6 +22,9 @@
 
 LOGGER = logging.getLogger(__name__)
 
+# Between two reads, however long the first one took.
+MIN_PAUSE_S = 0.05
+
 Push = messages.DeclarationsPush | messages.DeclarationsDelta
 
 CURRENT_KEY = "declarations/current"
@@ -81,11 +84,16 @@
         self._vms_interval_s = vms_interval_s
 
     def run_declarations(self) -> None:
-        """Read the declarations for ever."""
+        """Read the declarations for ever.
+
+        The interval counts from the start of a read, so a slow platform is not
+        read less often.
+        """
         while True:
+            next_at = self._clock() + self._row_interval_s
             if self._outlets.is_reader():
                 self._read_declarations()
-            gevent.sleep(self._row_interval_s)
+            gevent.sleep(max(MIN_PAUSE_S, next_at - self._clock()))
 
     def run_vms(self) -> None:
         """Read the VM list for ever."""
--- a/pollenladder/plans/ledgers.py
+++ b/pollenladder/plans/ledgers.py
@@ -209,3 +209,13 @@
     )
     loans: int = 0
     next_unit_id: int = 0
+
+
+def format_loan_id(ledger: Ledger) -> str:
+    """Return the id of the loan that is asked for now."""
+    return f"{ledger.shard_id}~{ledger.epoch}~{ledger.loans}"
+
+
+def get_borrower_id(loan_id: str) -> str:
+    """Return the shard that issued a loan's id."""
+    return loan_id.partition("~")[0]
--- a/pollenladder/plans/loans.py
+++ b/pollenladder/plans/loans.py
@@ -80,11 +80,6 @@
     kept: int
 
 
-def get_borrower_id(loan_id: str) -> str:
-    """Return the shard that issued a loan's id."""
-    return loan_id.partition("~")[0]
-
-
 def choose_asks(
     ledger: ledgers.Ledger, wanted: Mapping[str, int], now: float
 ) -> list[LoanAsk]:
@@ -275,7 +270,7 @@
         units = min(missing, hint if hint > 0 else missing)
         missing -= units
         ledger.loans += 1
-        loan_id = f"{ledger.shard_id}~{ledger.epoch}~{ledger.loans}"
+        loan_id = ledgers.format_loan_id(ledger)
         pending = ledgers.PendingAsk(loan_id, lender_id, 0, units, now, now)
         row.pending[loan_id] = pending
         asks.append(_make_ask(ledger, row, pending))
--- a/tests/dispatch/worlds.py
+++ b/tests/dispatch/worlds.py
@@ -17,6 +17,7 @@
 from pollenladder.membership import leases
 from pollenladder.plans import declarations
 from pollenladder.plans import escrow
+from pollenladder.plans import ledgers
 from pollenladder.plans import loans
 from pollenladder.wire import messages
 
@@ -97,7 +98,7 @@
     if isinstance(message, messages.Claim):
         return message.asked_id
     if isinstance(message, loans.LoanGrant):
-        return loans.get_borrower_id(message.loan_id)
+        return ledgers.get_borrower_id(message.loan_id)
     if isinstance(message, loans.LoanAsk | loans.LoanReturn):
         return message.lender_id
     return getattr(message, "shard_id", None)
