--- a/pollenladder/dispatch/placement.py
+++ b/pollenladder/dispatch/placement.py
@@ -93,36 +93,36 @@
     """Start the next task of a group; None if it has to wait."""
     if now >= group.start_by or not home.ownership_is_held(now):
         return None
-    place_found = _choose_worker(home, group, free)
-    if place_found is None:
+    worker_place = _choose_worker(home, group, free)
+    if worker_place is None:
         return None
     index = group.waiting[-1]
     if not take_unit(home, group, index, now):
         return None
-    if not _host(home, group, index, place_found, now):
+    if not _host(home, group, index, worker_place, now):
         _give_unit_back(home, group, index, now)
         return None
     take_waiting(home, group, index)
-    free[place_found] -= 1
-    if not free[place_found]:
-        del free[place_found]
-    return _start(home, group, index, place_found)
+    free[worker_place] -= 1
+    if not free[worker_place]:
+        del free[worker_place]
+    return _start(home, group, index, worker_place)
 
 
 def _host(
     home: tables.Shard,
     group: tables.Group,
     index: int,
-    place_found: tables.Place,
+    worker_place: tables.Place,
     now: float,
 ) -> bool:
     """Note a task of one shard that runs on another one's workers.
 
     A new owner of either shard asks for such tasks before it uses its share.
     """
-    if place_found.shard_id == home.shard_id:
+    if worker_place.shard_id == home.shard_id:
         return True
-    host = home.local[place_found.shard_id]
+    host = home.local[worker_place.shard_id]
     start_id = tables.format_start_id(group.job_id, index)
     if group.is_guest:
         noted = home.ledger.hosted.get(start_id)
@@ -155,19 +155,19 @@
     small = len(group.tasks) <= PROBATION_MAX_TASKS and not group.is_guest
     best = None
     best_score = 0.0
-    for place_found, slots in free.items():
-        shard = home.local[place_found.shard_id]
-        worker_id = place_found.worker_id
+    for worker_place, slots in free.items():
+        shard = home.local[worker_place.shard_id]
+        worker_id = worker_place.worker_id
         probing = health.is_quarantined(shard.health, worker_id)
         if probing and small:
-            return place_found
+            return worker_place
         if probing:
             continue
         score = health.get_speed(shard.health, worker_id) * (
             slots / shard.workers[worker_id].slots + 1
         )
         if score > best_score:
-            best, best_score = place_found, score
+            best, best_score = worker_place, score
     return best
 
 
@@ -220,18 +220,18 @@
     home: tables.Shard,
     group: tables.Group,
     index: int,
-    place_found: tables.Place,
+    worker_place: tables.Place,
 ) -> tables.StartTask:
-    host = home.local[place_found.shard_id]
-    host.workers[place_found.worker_id].running += 1
-    group.started[index] = place_found
+    host = home.local[worker_place.shard_id]
+    host.workers[worker_place.worker_id].running += 1
+    group.started[index] = worker_place
     group.attempts[index] = group.attempts.get(index, 0) + 1
     max_run_s = get_max_run_s(home, group, index)
     home.retry_tokens = min(
         home.limits.retry_burst, home.retry_tokens + home.limits.retry_ratio
     )
     return tables.StartTask(
-        place=place_found,
+        place=worker_place,
         home_id=home.shard_id,
         start_id=tables.format_start_id(group.job_id, index),
         group_id=group.group_id,
