--- a/pollenladder/core/engine.py
+++ b/pollenladder/core/engine.py
@@ -27,6 +27,7 @@
 LOGGER = logging.getLogger(__name__)
 
 TICK_S = 0.05
+IDLE_TICK_S = 0.25
 # An owner that is silent past a job's deadline gets this long to answer.
 ANSWER_GRACE_S = 0.5
 
@@ -102,7 +103,7 @@
     def run(self) -> None:
         """Run the systems whenever something happened, and at each tick."""
         while True:
-            self._woken.wait(TICK_S)
+            self._woken.wait(TICK_S if self._has_jobs() else IDLE_TICK_S)
             self._woken.clear()
             try:
                 self._run_systems()
@@ -117,6 +118,7 @@
         now = self._clock()
         self.execute(submissions.submit(self.submissions, job, now))
         self._wake_waiters()
+        self._woken.set()
 
     def wait(self, job_id: str, timeout_s: float) -> None:
         """Wait until a job submitted here has its answer, or so long."""
@@ -234,6 +236,12 @@
                 load = spilling.describe_load(shard, now)
                 directory.record_load(self.loads, self.daemon_id, load, now)
 
+    def _has_jobs(self) -> bool:
+        """Return whether any job or batch is open here."""
+        if self.submissions.rows:
+            return True
+        return bool(next(iter(self.shards.values())).groups)
+
     def _run_systems(self) -> None:
         now = self._clock()
         if now >= self._next_tick_at:
