--- a/pollenladder/dispatch/shard.py
+++ b/pollenladder/dispatch/shard.py
@@ -7,11 +7,11 @@
 from pollenladder.dispatch import completion
 from pollenladder.dispatch import directory
 from pollenladder.dispatch import fairness
+from pollenladder.dispatch import handover
 from pollenladder.dispatch import keys
 from pollenladder.dispatch import placement
 from pollenladder.dispatch import sharing
 from pollenladder.dispatch import spilling
-from pollenladder.dispatch import surrender
 from pollenladder.dispatch import tables
 from pollenladder.endpoints import outcomes
 from pollenladder.membership import health
@@ -113,7 +113,7 @@
     """
     first = next(iter(shards))
     effects = expire(first, now)
-    effects += surrender.give_up(first, now)
+    effects += handover.give_up(first, now)
     for shard in shards:
         shard.stalled.clear()
     if first.queue.tasks:
--- a/tests/dispatch/test_surrender.py
+++ b/tests/dispatch/test_handover.py
@@ -18,7 +18,7 @@
 FAILED = messages.AnswerKind.FAILED
 
 
-class SurrenderTest(unittest.TestCase):
+class HandoverTest(unittest.TestCase):
     def setUp(self):
         self.lost = worlds.make_shard("dc/0", ids=IDS)
         self.kept = worlds.make_shard(
