Print commands of the demonstration that run as they stand

Change: status by daemons, history by the platform, both from the environment that was set up. Tried by pasting them: both end with 0; status, history, diff, apply, check, drain and job were all run against the kept demonstration, with exit codes 0, 4 (race) and 8 (unknown).

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -116,13 +116,18 @@
     )
 
 
-def build_tool_command(running: cluster.Cluster, *arguments: str) -> list[str]:
-    """Return a command line of the tool for this cluster."""
-    command = [str(TOOL), *arguments]
-    command += ["--platform", f"127.0.0.1:{running.platform_port}"]
-    for port in running.get_http_ports():
-        command += ["--daemon", f"127.0.0.1:{port}"]
-    return command
+def list_daemon_options(running: cluster.Cluster) -> list[str]:
+    """Return the tool's options that name all daemons."""
+    return [
+        word
+        for port in running.get_http_ports()
+        for word in ("--daemon", f"127.0.0.1:{port}")
+    ]
+
+
+def list_platform_options(running: cluster.Cluster) -> list[str]:
+    """Return the tool's options that name the platform."""
+    return ["--platform", f"127.0.0.1:{running.platform_port}"]
 
 
 def apply_examples(running: cluster.Cluster) -> None:
@@ -131,7 +136,8 @@
     Raises:
         RuntimeError: The tool did not end well.
     """
-    command = build_tool_command(running, "apply", *map(str, EXAMPLES))
+    command = [str(TOOL), "apply", *map(str, EXAMPLES)]
+    command += list_platform_options(running) + list_daemon_options(running)
     token = read_operator_token(EXAMPLES[0])
     done = subprocess.run(
         command,
@@ -168,9 +174,8 @@
 
 def describe_next(running: cluster.Cluster) -> str:
     """Return what to type while the cluster is kept running."""
-    tool = " ".join(
-        ["pollenladder", *build_tool_command(running, "status")[1:]]
-    )
+    daemons = " ".join(list_daemon_options(running))
+    platform = " ".join(list_platform_options(running))
     token = read_operator_token(EXAMPLES[0])
     customer = read_accesses(EXAMPLES[0])["centro-quito"]
     job = {
@@ -183,7 +188,8 @@
     return (
         f"Running; logs and settings are in {running.folder}.\n\n"
         f"  export POLLENLADDER_TOKEN={token}\n"
-        f"  {tool}\n"
+        f"  .venv/bin/pollenladder status {daemons}\n"
+        f"  .venv/bin/pollenladder history {platform}\n"
         f"  curl -s -H 'Authorization: Bearer {customer.token}' \\\n"
         f"    -H 'Content-Type: application/json' \\\n"
         f"    -d '{json.dumps(job)}' http://127.0.0.1:{port}/v1/jobs\n"
