--- a/pollenladder/endpoints/client.py
+++ b/pollenladder/endpoints/client.py
@@ -10,6 +10,8 @@
 from typing import Any
 from typing import TypeVar
 
+import pydantic_core
+
 from pollenladder.core import clocks
 from pollenladder.core import verdicts
 from pollenladder.endpoints import outcomes
@@ -21,9 +23,8 @@
 
 Outcome = TypeVar("Outcome")
 
-encode = json.JSONEncoder(
-    allow_nan=False, separators=(",", ":"), check_circular=False
-).encode
+# What JSON lacks and the fast encoder writes all the same.
+NOT_JSON = (b"NaN", b"Infinity")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,8 +114,8 @@
             or the worker said so.
         """
         try:
-            body = _encode_start(start)
-        except (TypeError, ValueError, RecursionError) as error:
+            body = encode_start(start)
+        except ValueError as error:
             return outcomes.StartOutcome(
                 verdicts.Verdict.NOT_RUN,
                 verdicts.Reason.NEVER_RUNS,
@@ -184,7 +185,7 @@
         body: dict[str, Any],
         read: Callable[[responses.Response], Outcome],
     ) -> Outcome | outcomes.Failure:
-        return self._exchange("POST", path, encode(body).encode(), read)
+        return self._exchange("POST", path, encode(body), read)
 
     def _exchange(
         self,
@@ -204,6 +205,19 @@
         return read(response)
 
 
+def encode(body: dict[str, Any]) -> bytes:
+    """Return JSON.
+
+    Raises:
+        ValueError: The body holds what JSON lacks, or is nested too deep.
+    """
+    data = pydantic_core.to_json(body)
+    if any(word in data for word in NOT_JSON):
+        # The words may stand in a text; this raises if they do not.
+        data = json.dumps(body, allow_nan=False).encode()
+    return data
+
+
 def _to_milliseconds(seconds: float) -> int:
     return round(seconds * 1000)
 
@@ -216,7 +230,12 @@
     }
 
 
-def _encode_start(start: outcomes.Start) -> bytes:
+def encode_start(start: outcomes.Start) -> bytes:
+    """Return the body of a start.
+
+    Raises:
+        ValueError: The payload is not JSON, or nested too deep.
+    """
     lease = start.lease
     body = {
         "task": start.task_id,
@@ -231,4 +250,4 @@
         "max_run_ms": _to_milliseconds(start.max_run_s),
         "payload": start.payload,
     }
-    return encode(body).encode()
+    return encode(body)
--- a/pollenladder/http/exchanges.py
+++ b/pollenladder/http/exchanges.py
@@ -4,12 +4,16 @@
 may have reached the peer.
 """
 
+from collections.abc import Callable
+
 import gevent
 
 from pollenladder.http import connections
 from pollenladder.http import exceptions
 from pollenladder.http import responses
 
+MakeParser = Callable[[], responses.ResponseParser]
+
 
 def build_head(address: tuple[str, int], method: str, target: str) -> bytes:
     """Return the head of a request up to the value of its Content-Length.
@@ -48,10 +52,11 @@
         response: The response, once there is one.
     """
 
-    __slots__ = ("response", "written")
+    __slots__ = ("_make_parser", "response", "written")
 
-    def __init__(self):
+    def __init__(self, make_parser: MakeParser):
         self.written = False
+        self._make_parser = make_parser
         self.response: responses.Response | None = None
 
     def run(self, connection: connections.Connection, request: bytes) -> None:
@@ -62,26 +67,31 @@
         self.written = True
         if sent < len(request):
             sock.sendall(request[sent:])
-        self.response = responses.receive_response(sock)
+        self.response = responses.receive_response(sock, self._make_parser)
 
 
 def exchange(
-    pool: connections.Connections, request: bytes, timeout_s: float
+    pool: connections.Connections,
+    request: bytes,
+    timeout_s: float,
+    make_parser: MakeParser = responses.ResponseParser,
 ) -> responses.Response:
     """Send a request once and return the response.
 
-    If the calling greenlet is killed meanwhile, the request may have arrived.
+    If the calling greenlet is killed meanwhile, or a timeout of its own strikes,
+    the request may have arrived.
 
     Args:
         pool: Connections to the peer.
         request: The bytes to send.
         timeout_s: For the whole of it, in seconds.
+        make_parser: `HeaderParser` if the headers are wanted.
 
     Raises:
         NotSentError: No byte was written.
         NoResponseError: The request may have arrived.
     """
-    state = Exchange()
+    state = Exchange(make_parser)
     timer = gevent.Timeout.start_new(timeout_s)
     try:
         _run(pool, request, state)
--- a/pollenladder/platform/client.py
+++ b/pollenladder/platform/client.py
@@ -218,7 +218,10 @@
         request = exchanges.build_request(head, body, fields)
         try:
             return exchanges.exchange(
-                self._connections, request, self._timeout_s
+                self._connections,
+                request,
+                self._timeout_s,
+                responses.HeaderParser,
             )
         except http_exceptions.NotSentError as error:
             raise exceptions.UnreachableError(str(error)) from error
--- a/standins/endpoint_leases.py
+++ b/standins/endpoint_leases.py
@@ -90,9 +90,9 @@
     """Put off the lapse of a held lease; a shorter term changes nothing."""
     if not is_held(state, named, now_s):
         return state
-    expires_s = max(state.lease.expires_s, named.expires_s)
-    lease = dataclasses.replace(state.lease, expires_s=expires_s)
-    return LeaseState(lease, state.max_epoch)
+    if named.expires_s <= state.lease.expires_s:
+        return state
+    return LeaseState(named, state.max_epoch)
 
 
 def release(
--- a/tests/processes.py
+++ b/standins/processes.py
@@ -1,4 +1,4 @@
-"""Start and stop stand-in processes in tests."""
+"""Start and stop stand-ins as processes, from tests and benches."""
 
 import json
 import os
@@ -19,7 +19,11 @@
     """
 
     def __init__(self, module: str, *arguments: str):
-        """Start it and wait until it listens."""
+        """Start it and wait until it listens.
+
+        Raises:
+            RuntimeError: It ended instead.
+        """
         paths = [str(ROOT), os.environ.get("PYTHONPATH", "")]
         self._process = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
@@ -28,7 +32,12 @@
             text=True,
             env=os.environ | {"PYTHONPATH": os.pathsep.join(paths)},
         )
-        self.ready: dict[str, Any] = json.loads(self._process.stdout.readline())
+        line = self._process.stdout.readline()
+        if not line:
+            self._process.stdout.close()
+            code = self._process.wait(STOP_TIMEOUT_S)
+            raise RuntimeError(f"{module} ended with {code}")
+        self.ready: dict[str, Any] = json.loads(line)
 
     def stop(self) -> int:
         """Send SIGTERM and return the exit code."""
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -19,6 +19,7 @@
 
 EPOLL_LOOP = "libev-cext"
 RECEIVE_BYTES = 65536
+encode = json.JSONEncoder(separators=(",", ":")).encode
 PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
 
@@ -121,7 +122,7 @@
     """Return the bytes of a reply."""
     body = reply.body
     if not isinstance(body, bytes):
-        body = json.dumps(body, separators=(",", ":")).encode()
+        body = encode(body).encode()
     lines = [f"HTTP/1.1 {reply.status} {PHRASES[reply.status]}"]
     lines += [f"{name}: {value}" for name, value in reply.headers]
     if close:
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -1,11 +1,13 @@
 """Tests of the stand-ins as processes."""
 
 import json
+import os
 import unittest
+from unittest import mock
 
 from geventhttpclient import client
 
-from tests import processes
+from standins import processes
 
 
 def request(port, method, path, body=None):
@@ -67,3 +69,10 @@
         self.assertTrue(body["granted"], "a restart forgets the lease")
         _, counters = request(control, "GET", "/control/counters")
         self.assertEqual(counters["leases"], 2)
+
+    def test_another_event_loop_is_refused(self):
+        with (
+            mock.patch.dict(os.environ, {"GEVENT_BACKEND": "select"}),
+            self.assertRaisesRegex(RuntimeError, "ended with 1"),
+        ):
+            processes.StandIn("standins.platform")
