--- a/tests/contracts/test_endpoint_starts.py
+++ b/tests/contracts/test_endpoint_starts.py
@@ -15,93 +15,31 @@
 from pollenladder.core import verdicts
 from pollenladder.endpoints import client
 from pollenladder.endpoints import outcomes
-from standins import endpoint_control
-from standins import endpoint_messages
 from tests import waiting
+from tests.contracts import endpoint_world
 
 NOT_RUN = verdicts.Verdict.NOT_RUN
 MAY_HAVE_RUN = verdicts.Verdict.MAY_HAVE_RUN
 RAN = verdicts.Verdict.RAN
 Reason = verdicts.Reason
 
-LEASE = outcomes.Lease("s-0", "d-1", 7)
 SHORT_S = 0.15
 # Long enough for a start to reach the worker on a busy machine.
 STARTED_S = 2.0
-LONG_S = 60.0
+LEASE = endpoint_world.LEASE
+LONG_S = endpoint_world.LONG_S
+World = endpoint_world.World
+build_start = endpoint_world.build_start
 
 
-class World:
-    """One hosted worker with its client and its lease taken."""
-
-    def __init__(self):
-        self.now_s = 1000.0
-        self.held = []
-        self.host = endpoint_control.Host(self.read_clock)
-        settings = endpoint_messages.WorkerSettings(
-            vm_id="w-1", slots=2, connections=10, kinds=["check"]
-        )
-        self.host.add(settings)
-        self.hosted = self.host.workers["w-1"]
-        limits = client.Limits(connect_timeout_s=LONG_S)
-        self.client = client.EndpointClient(
-            "w-1", "127.0.0.1", self.hosted.port, limits
-        )
-        self.client.acquire_lease(LEASE, 60.0)
-
-    def read_clock(self) -> float:
-        return self.now_s
-
-    def set_faults(self, **faults) -> None:
-        message = endpoint_messages.FaultsMessage(**faults)
-        self.hosted.apply_faults(message)
-
-    def occupy(self, count: int) -> None:
-        """Run long tasks in the background and wait until they run."""
-        tasks = self.hosted.worker.tasks.running
-        for index in range(count):
-            long = build_start(f"long:{index}", {"run_ms": 10**8})
-            gevent.spawn(self.client.start, long, LONG_S)
-        waiting.wait_until(lambda: len(tasks) == count)
-
-    def soon(self, act: Callable[[], object]) -> None:
-        """Act as soon as the case's task runs."""
-
-        def wait_and_act():
-            waiting.wait_until(lambda: self.hosted.worker.tasks.running)
-            act()
-
-        gevent.spawn(wait_and_act)
-
-    def close(self) -> None:
-        self.client.close()
-        self.hosted.worker.restart()
-        self.hosted.close()
-
-
-def build_start(task_id="j:0", payload=None, **changes) -> outcomes.Start:
-    start = outcomes.Start(
-        task_id,
-        "j",
-        "c-1",
-        "p-1",
-        "check",
-        LEASE,
-        60.0,
-        10**6,
-        payload or {"run_ms": 1, "echo": "x"},
-    )
-    return dataclasses.replace(start, **changes)
-
-
-def fail_on_reconnect(world):
+def leave_stale_connection(world):
     """Leave a connection idle that the worker then closes."""
     world.client.start(build_start("earlier:0"), LONG_S)
     world.hosted.restart(kept=None)
     world.client.acquire_lease(LEASE, 60.0)
 
 
-def run_once_before(world):
+def leave_silent_connection(world):
     world.client.start(build_start("earlier:0"), LONG_S)
     world.set_faults(silent_existing=True)
 
@@ -201,7 +139,7 @@
     "refused connection": Case(
         NOT_RUN, Reason.UNREACHABLE, 0, with_faults(down=True)
     ),
-    "stale idle connection": Case(RAN, Reason.OK, 1, fail_on_reconnect),
+    "stale idle connection": Case(RAN, Reason.OK, 1, leave_stale_connection),
     "dropped before it starts": Case(
         MAY_HAVE_RUN, Reason.CONNECTION_LOST, 0, with_faults(drop_requests=1)
     ),
@@ -229,7 +167,7 @@
         MAY_HAVE_RUN,
         Reason.NO_REPLY,
         0,
-        run_once_before,
+        leave_silent_connection,
         timeout_s=SHORT_S,
     ),
     "stalled for longer than the timeout": Case(
@@ -306,7 +244,7 @@
     def test_after_a_silent_connection_new_ones_are_used(self):
         world = World()
         self.addCleanup(world.close)
-        run_once_before(world)
+        leave_silent_connection(world)
         lost = world.client.start(build_start("j:1"), SHORT_S)
         self.assertIs(lost.verdict, MAY_HAVE_RUN)
         self.assertIs(
