--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -1,11 +1,13 @@
 """Tests of the stand-ins as processes."""
 
 import json
+import os
 import unittest
+from unittest import mock
 
 from geventhttpclient import client
 
-from tests import children
+from standins import processes
 
 
 def request(port, method, path, body=None):
@@ -20,7 +22,7 @@
 
 class ProcessTest(unittest.TestCase):
     def start(self, *arguments):
-        standin = children.StandIn(*arguments)
+        standin = processes.StandIn(*arguments)
         self.addCleanup(lambda: self.assertEqual(standin.stop(), 0))
         return standin.ready
 
@@ -67,3 +69,10 @@
         self.assertTrue(body["granted"], "a restart forgets the lease")
         _, counters = request(control, "GET", "/control/counters")
         self.assertEqual(counters["leases"], 2)
+
+    def test_another_event_loop_is_refused(self):
+        with (
+            mock.patch.dict(os.environ, {"GEVENT_BACKEND": "select"}),
+            self.assertRaisesRegex(RuntimeError, "ended with 1"),
+        ):
+            processes.StandIn("standins.platform")
