Keep what is known of an owner that made the link itself

Since a failed connection drops what a daemon owns, an attempt that failed while the owner's own link had come dropped the owner's stamps too; hearsay brought the owner back without them until its next digest, 10 s later. Change: with a link there is nothing lost. Test: test_an_owner_that_made_the_link_itself_is_kept fails without it; test_keys passed twice after.

--- a/pollenladder/core/mesh.py
+++ b/pollenladder/core/mesh.py
@@ -266,6 +266,9 @@
         info = known.info
         if self._peers.connect(daemon_id, info.address, info.peer_port):
             return True
+        if self._peers.is_linked(daemon_id):
+            # It made a link itself while this attempt failed.
+            return True
         self.record_lost(daemon_id)
         directory.forget_daemon(self._loads, daemon_id)
         return False
--- a/tests/core/test_mesh.py
+++ b/tests/core/test_mesh.py
@@ -20,6 +20,9 @@
     def list_linked(self):
         return list(self.linked)
 
+    def is_linked(self, daemon_id):
+        return daemon_id in self.linked
+
     def connect(self, daemon_id, address, port):
         return daemon_id in self.reachable
 
@@ -84,6 +87,15 @@
         self.assertEqual(loads.entries, {})
         self.assertEqual(self.mesh.choose_links(), {"b-1"})
 
+    def test_an_owner_that_made_the_link_itself_is_kept(self):
+        self.mesh.learn(make_info("a-1"))
+        load = messages.ShardLoad("a/0", 7, 2, 0, 8, "a/0~7~0", 60.0)
+        directory.record_load(self.mesh._loads, "a-1", load, self.now)
+        self.peers.linked.add("a-1")
+        self.assertTrue(self.mesh.connect("a-1"))
+        self.assertEqual(self.mesh._loads.entries["a/0"].stamp, "a/0~7~0")
+        self.assertIn("a-1", self.mesh.list_candidates())
+
     def test_a_linked_daemon_is_kept_though_it_is_not_listed(self):
         self.mesh.learn(make_info("a-1"), is_listed=True)
         self.peers.linked.add("a-1")
