--- a/bench/capacity/micro.py
+++ b/bench/capacity/micro.py
@@ -17,8 +17,8 @@
 from pollenladder.plans import deltas
 from pollenladder.plans import loading
 from pollenladder.plans import loans
-from pollenladder.platform import client
-from pollenladder.platform import messages as platform_messages
+from pollenladder.table import client
+from pollenladder.table import messages as platform_messages
 from pollenladder.wire import messages
 from standins import servers
 
--- a/bench/capacity/polls.py
+++ b/bench/capacity/polls.py
@@ -7,7 +7,7 @@
 from bench.capacity import slopes
 from bench.capacity import timing
 from pollenladder.http import exchanges
-from pollenladder.platform import client
+from pollenladder.table import client
 from standins import platform as standin
 from standins import platform_http
 from standins import platform_messages
--- /dev/null
+++ b/pollenladder/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons there are, which one owns the workers, and their links."""
--- /dev/null
+++ b/pollenladder/cluster/mesh.py
@@ -0,0 +1,166 @@
+"""Links to all other daemons, kept up.
+
+Of two daemons the one with the smaller id connects; the other one does so only
+if it has waited for `PATIENCE_S`, as it may know more. A link that was silent
+for `SILENCE_S` is closed and made anew at once, as channels may go silent for
+good while new ones work.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+
+import gevent
+from gevent import event
+
+from pollenladder.cluster import messages
+from pollenladder.cluster import roster as rosters
+from pollenladder.core import clocks
+from pollenladder.wire import exceptions
+from pollenladder.wire import handshake
+from pollenladder.wire import links
+from pollenladder.wire import server
+
+LOGGER = logging.getLogger(__name__)
+
+SILENCE_S = 0.45
+CONNECT_TIMEOUT_S = 0.3
+RETRY_S = 0.15
+PATIENCE_S = 0.8
+MAX_FRAME_BYTES = 1024 * 1024
+# Daemons know each other by this word; links are not encrypted.
+SECRET = b"pollenladder"
+
+
+@dataclasses.dataclass(frozen=True)
+class Handlers:
+    """Whom the mesh tells.
+
+    Attributes:
+        on_message: Called with the sender's id and each message.
+        on_change: Called when a link was made or has ended.
+    """
+
+    on_message: Callable[[str, object], None]
+    on_change: Callable[[str, bool], None]
+
+
+class Mesh:
+    """The links of one daemon, one a peer."""
+
+    def __init__(
+        self,
+        own: rosters.Member,
+        roster: rosters.Roster,
+        handlers: Handlers,
+        clock: clocks.Clock,
+    ):
+        self._own = own
+        self._roster = roster
+        self._handlers = handlers
+        self._clock = clock
+        self._links: dict[str, links.Link] = {}
+        self._connecting: set[str] = set()
+        self._wake = event.Event()
+        self._settings = server.Settings(
+            hello=handshake.Hello(
+                daemon_id=own.daemon_id,
+                incarnation=own.incarnation,
+                data_centre=own.data_centre,
+                address=own.address,
+                peer_port=own.port,
+                http_port=0,
+            ),
+            secret=SECRET,
+            messages=messages.build_codec(),
+            on_message=self._take_message,
+            on_close=self._take_close,
+            limits=links.Limits(
+                max_frame_bytes=MAX_FRAME_BYTES,
+                heartbeat_s=SILENCE_S,
+                peer_timeout_s=SILENCE_S,
+            ),
+            handshake_timeout_s=CONNECT_TIMEOUT_S,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+        self._server = server.Server(
+            self._settings, own.address, own.port, self._take_link
+        )
+
+    def start(self) -> None:
+        """Begin to accept links."""
+        self._server.start()
+
+    def wake(self) -> None:
+        """Connect to whoever is missing now."""
+        self._wake.set()
+
+    def run(self) -> None:
+        """Keep the links up, for ever."""
+        while True:
+            self._connect_missing()
+            self._wake.wait(RETRY_S)
+            self._wake.clear()
+
+    def send(self, daemon_id: str, message: object) -> bool:
+        """Send a message; return whether it may arrive."""
+        link = self._links.get(daemon_id)
+        return link is not None and link.send(message)
+
+    def broadcast(self, message: object) -> None:
+        """Send a message to all linked daemons."""
+        for link in list(self._links.values()):
+            link.send(message)
+
+    def _connect_missing(self) -> None:
+        for daemon_id, peer in list(self._roster.peers.items()):
+            if daemon_id in self._links or daemon_id in self._connecting:
+                continue
+            waited_s = self._clock() - peer.unlinked_since
+            if self._own.daemon_id < daemon_id or waited_s > PATIENCE_S:
+                self._connecting.add(daemon_id)
+                gevent.spawn(self._connect, peer.member)
+
+    def _connect(self, member: rosters.Member) -> None:
+        try:
+            link = server.connect(self._settings, member.address, member.port)
+        except (exceptions.WireError, OSError) as error:
+            LOGGER.debug("no link to %s: %s", member.daemon_id, error)
+            return
+        finally:
+            self._connecting.discard(member.daemon_id)
+        self._take_link(link)
+
+    def _take_link(self, link: links.Link) -> None:
+        hello = link.peer
+        member = rosters.Member(
+            hello.daemon_id,
+            hello.address,
+            hello.peer_port,
+            hello.data_centre,
+            hello.incarnation,
+        )
+        now = self._clock()
+        self._roster.learn(member, now, is_linked=True)
+        old = self._links.get(hello.daemon_id)
+        self._links[hello.daemon_id] = link
+        if old is not None:
+            old.close()
+        self._roster.record_linked(hello.daemon_id, True, now)
+        self._handlers.on_change(hello.daemon_id, True)
+
+    def _take_message(self, link: links.Link, message: object) -> None:
+        if self._links.get(link.peer.daemon_id) is link:
+            self._handlers.on_message(link.peer.daemon_id, message)
+
+    def _take_close(self, link: links.Link, reason: links.CloseReason) -> None:
+        daemon_id = link.peer.daemon_id
+        if self._links.get(daemon_id) is not link:
+            return
+        del self._links[daemon_id]
+        self._roster.record_linked(daemon_id, False, self._clock())
+        LOGGER.warning(
+            "link_lost", extra={"peer": daemon_id, "reason": reason.value}
+        )
+        self._handlers.on_change(daemon_id, False)
+        self._wake.set()
--- /dev/null
+++ b/pollenladder/cluster/messages.py
@@ -0,0 +1,92 @@
+"""What daemons tell each other; durations are relative, in seconds."""
+
+import dataclasses
+
+from pollenladder.jobs import entities as jobs
+from pollenladder.wire import codec
+
+
+@dataclasses.dataclass(frozen=True)
+class Beat:
+    """A heartbeat: what a daemon is and believes.
+
+    Attributes:
+        is_owner: Whether it orders the workers.
+        epoch: The epoch of its ownership; 0 without one.
+        workers_reached: Workers that it reaches as the owner.
+        reads_store: Whether the platform's store has answered it lately.
+        config_version: The configuration that it has.
+        lag_s: How late its event loop runs.
+        is_leaving: Whether it is shutting down.
+        pending: As the owner, jobs not begun, by queue.
+    """
+
+    is_owner: bool
+    epoch: int
+    workers_reached: int
+    reads_store: bool
+    config_version: int
+    lag_s: float
+    is_leaving: bool
+    pending: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Submit:
+    """A gateway hands a job to the owner."""
+
+    submission: jobs.Submission
+
+
+@dataclasses.dataclass(frozen=True)
+class Cancel:
+    """Nobody waits for a job any more, or its caller cancelled it."""
+
+    job_id: str
+    reason: jobs.Reason
+
+
+@dataclasses.dataclass(frozen=True)
+class Answered:
+    """The owner's final answer to a job."""
+
+    answer: jobs.Answer
+
+
+@dataclasses.dataclass(frozen=True)
+class NotOwner:
+    """A daemon that is not the owner sends a job back; it has not begun."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class AskConfiguration:
+    """Ask for the configuration, as the peer has a newer one."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PushConfiguration:
+    """A configuration, as it lies in the platform's store."""
+
+    version: int
+    source: bytes
+
+
+# A tag is never used again for another message.
+TAGS = (
+    (1, Beat),
+    (2, Submit),
+    (3, Cancel),
+    (4, Answered),
+    (5, NotOwner),
+    (6, AskConfiguration),
+    (7, PushConfiguration),
+)
+
+
+def build_codec() -> codec.Codec:
+    """Return the codec of all links."""
+    return codec.Codec(TAGS)
--- /dev/null
+++ b/pollenladder/cluster/ownership.py
@@ -0,0 +1,160 @@
+"""Decide which daemon owns the workers.
+
+Workers arbitrate: each keeps the highest epoch it has seen and does nothing for
+a lower one, so a new owner fences out an old one whether that one knows of it or
+not. What is decided here is only who tries, from heartbeats:
+
+- An owner that is heard stays; nobody replaces it for its rank.
+- Without one, the best daemon that hears most of the others claims the workers.
+- A daemon cut off with its data centre claims the workers that it still reaches,
+  if it reaches none elsewhere: nobody else can reach its own then.
+- Of two owners that hear each other, the one with more workers stays.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+# An owner whose event loop is so late hands over to one that is not.
+SLOW_LAG_S = 0.06
+QUICK_LAG_S = 0.02
+# A daemon that has just lost the workers to another one does not claim at once.
+YIELD_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """A daemon as it is heard here.
+
+    Attributes:
+        is_owner: Whether it says that it owns the workers.
+        epoch: Of its ownership.
+        workers_reached: Workers that it reaches.
+        reads_store: Whether it reaches the platform's store.
+        lag_s: How late its event loop runs.
+        is_leaving: Whether it is shutting down.
+    """
+
+    is_owner: bool = False
+    epoch: int = 0
+    workers_reached: int = 0
+    reads_store: bool = True
+    lag_s: float = 0.0
+    is_leaving: bool = False
+
+
+class Decision(enum.Enum):
+    """What a daemon does about the ownership now."""
+
+    KEEP = "keep"
+    CLAIM = "claim"
+    RESIGN = "resign"
+    FOLLOW = "follow"
+    WAIT = "wait"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """What a decision rests on.
+
+    Attributes:
+        own_id: This daemon.
+        own: What it says of itself.
+        heard: The daemons that are heard, by id.
+        known: All daemons that are thought to exist, this one among them.
+        is_cut_off_with_zone: Whether no worker of another data centre is
+            reached, and at least one here is.
+        may_claim_alone: Whether the store shows that no other owner lives.
+        yields_until: This daemon does not claim before.
+        now: Monotonic time in seconds.
+    """
+
+    own_id: str
+    own: View
+    heard: Mapping[str, View]
+    known: frozenset[str]
+    is_cut_off_with_zone: bool
+    may_claim_alone: bool
+    yields_until: float
+    now: float
+
+
+def decide(situation: Situation) -> tuple[Decision, str]:
+    """Return what to do, and the owner that is followed or ""."""
+    rival = find_owner(situation.heard)
+    if situation.own.is_owner:
+        return _decide_as_owner(situation, rival)
+    if rival:
+        return Decision.FOLLOW, rival
+    if _may_claim(situation) and _is_best(situation):
+        return Decision.CLAIM, situation.own_id
+    return Decision.WAIT, ""
+
+
+def find_owner(heard: Mapping[str, View]) -> str:
+    """Return the strongest owner that is heard, or ""."""
+    owners = [name for name, view in heard.items() if view.is_owner]
+    return max(owners, key=lambda n: _get_strength(n, heard[n]), default="")
+
+
+def hears_most(known: frozenset[str], heard: Mapping[str, View]) -> bool:
+    """Return whether half of the daemons or more are heard, with this one."""
+    return 2 * (len(known & heard.keys()) + 1) >= len(known)
+
+
+def _get_strength(name: str, view: View) -> tuple[int, int, str]:
+    return (view.workers_reached, view.epoch, name)
+
+
+def _decide_as_owner(situation: Situation, rival: str) -> tuple[Decision, str]:
+    own = situation.own
+    if rival:
+        other = situation.heard[rival]
+        stronger = _get_strength(rival, other) > _get_strength(
+            situation.own_id, own
+        )
+        if stronger:
+            return Decision.RESIGN, rival
+        if other.epoch > own.epoch:
+            # Workers have seen the weaker one's epoch: ours must be higher.
+            return Decision.CLAIM, situation.own_id
+    if _should_hand_over(situation):
+        return Decision.RESIGN, ""
+    return Decision.KEEP, situation.own_id
+
+
+def _should_hand_over(situation: Situation) -> bool:
+    """Return whether another daemon is clearly better off."""
+    own = situation.own
+    others = [v for v in situation.heard.values() if not v.is_leaving]
+    if own.is_leaving:
+        return bool(others)
+    if not own.reads_store and any(v.reads_store for v in others):
+        return True
+    return own.lag_s > SLOW_LAG_S and any(
+        v.lag_s < QUICK_LAG_S and v.reads_store >= own.reads_store
+        for v in others
+    )
+
+
+def _may_claim(situation: Situation) -> bool:
+    if situation.own.is_leaving and situation.heard:
+        return False
+    if situation.now < situation.yields_until:
+        return False
+    if hears_most(situation.known, situation.heard):
+        return True
+    return situation.is_cut_off_with_zone or situation.may_claim_alone
+
+
+def _is_best(situation: Situation) -> bool:
+    own = _get_rank(situation.own_id, situation.own)
+    return all(
+        own < _get_rank(name, view) for name, view in situation.heard.items()
+    )
+
+
+def _get_rank(name: str, view: View) -> tuple[bool, bool, bool, str]:
+    """Return the key by which the next owner is chosen, the smallest first."""
+    is_slow = view.lag_s > SLOW_LAG_S
+    return (view.is_leaving, not view.reads_store, is_slow, name)
--- a/pollenladder/conf/checks.py
+++ b/pollenladder/conf/checks.py
@@ -11,6 +11,7 @@
 import enum
 import ipaddress
 
+from pollenladder.conf import pinning
 from pollenladder.conf import positions
 from pollenladder.conf import settings
 
@@ -19,22 +20,6 @@
 LEAVING_S = 3.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Loop:
-    """The event loop that runs.
-
-    Attributes:
-        library: "libev" or another library's name.
-        backend: The system call that it waits with, such as "epoll".
-    """
-
-    library: str
-    backend: str
-
-
-PINNED_LOOP = Loop("libev", "epoll")
-
-
 class Level(enum.Enum):
     """How bad a finding is."""
 
@@ -74,7 +59,7 @@
     """What the checks look at; `loop` is None where no daemon runs."""
 
     settings: settings.Settings
-    loop: Loop | None = None
+    loop: pinning.Loop | None = None
 
 
 Check = Callable[[Facts], Iterable[Finding]]
@@ -101,7 +86,7 @@
 def check_loop(facts: Facts) -> Iterable[Finding]:
     """Check that the event loop is libev with epoll."""
     loop = facts.loop
-    if loop is None or loop == PINNED_LOOP:
+    if loop is None or loop == pinning.PINNED_LOOP:
         return
     yield Finding(
         "conf.E001",
--- a/pollenladder/core/polling.py
+++ b/pollenladder/core/polling.py
@@ -17,7 +17,7 @@
 from pollenladder.plans import declarations
 from pollenladder.plans import deltas
 from pollenladder.plans import loading
-from pollenladder.platform import exceptions as platform_exceptions
+from pollenladder.table import exceptions as platform_exceptions
 from pollenladder.wire import messages
 
 LOGGER = logging.getLogger(__name__)
--- a/pollenladder/core/sources.py
+++ b/pollenladder/core/sources.py
@@ -5,7 +5,7 @@
 from pollenladder.core import polling
 from pollenladder.membership import regions
 from pollenladder.metrics import registry
-from pollenladder.platform import client
+from pollenladder.table import client
 
 
 class Sources:
--- a/pollenladder/gateway/application.py
+++ b/pollenladder/gateway/application.py
@@ -12,6 +12,7 @@
 from pollenladder.gateway import callers
 from pollenladder.gateway import exceptions
 from pollenladder.gateway import limits
+from pollenladder.gateway import listeners
 from pollenladder.gateway import operators
 from pollenladder.gateway import replies
 from pollenladder.gateway import tokens
@@ -24,7 +25,6 @@
 OPERATOR_JOBS = "/v1/operator/jobs"
 
 Handler = Callable[..., replies.Reply]
-Application = Callable[[dict[str, Any], Callable], Iterable[bytes]]
 
 
 def _show_health(environ: dict[str, Any]) -> replies.Reply:
@@ -123,7 +123,7 @@
     source: backend.Backend,
     bounds: limits.Limits,
     meters: registry.Metrics,
-) -> Application:
+) -> listeners.Application:
     """Return the WSGI application over a backend.
 
     Args:
--- /dev/null
+++ b/pollenladder/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs as callers submit them, and the queues that take them."""
--- /dev/null
+++ b/pollenladder/jobs/routing.py
@@ -0,0 +1,41 @@
+"""Find the queue that a request is for."""
+
+from collections.abc import Iterable
+
+from pollenladder.jobs import entities
+
+
+class RoutingTable:
+    """The queues of one configuration, by host.
+
+    Attributes:
+        configuration: What it was built from.
+    """
+
+    def __init__(self, configuration: entities.Configuration):
+        self.configuration = configuration
+        self._by_host = _group_by_host(configuration.queues)
+
+    def find(self, host: str, path: str) -> entities.Queue | None:
+        """Return the queue with the longest prefix of a path, or None."""
+        for queue in self._by_host.get(_strip_port(host), ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+
+def _group_by_host(
+    queues: Iterable[entities.Queue],
+) -> dict[str, list[entities.Queue]]:
+    """Return the queues of each host, the longest prefix first."""
+    by_host: dict[str, list[entities.Queue]] = {}
+    for queue in queues:
+        by_host.setdefault(queue.host.lower(), []).append(queue)
+    for group in by_host.values():
+        group.sort(key=lambda queue: -len(queue.prefix))
+    return by_host
+
+
+def _strip_port(host: str) -> str:
+    name, _, _ = host.partition(":")
+    return name.lower()
--- a/pollenladder/management/connections.py
+++ b/pollenladder/management/connections.py
@@ -14,9 +14,9 @@
 from pollenladder.audit import tables
 from pollenladder.core import verdicts
 from pollenladder.management import configuration
-from pollenladder.platform import client
-from pollenladder.platform import entities
-from pollenladder.platform import exceptions
+from pollenladder.table import client
+from pollenladder.table import entities
+from pollenladder.table import exceptions
 
 CONNECT_TIMEOUT_S = 2.0
 REQUEST_TIMEOUT_S = 5.0
--- a/pollenladder/platform/__init__.py
+++ b/pollenladder/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The client of the platform: table, object store and VM list."""
+"""Translate between the users' platform and the product; nothing else does."""
--- a/pollenladder/platform/exceptions.py
+++ b/pollenladder/platform/exceptions.py
@@ -1,58 +1,29 @@
-"""Errors of the platform's client; each tells whether a write took effect."""
-
-from pollenladder.core import verdicts
+"""Errors of the platform's interfaces."""
 
 
 class PlatformError(Exception):
-    """A request to the platform that failed.
-
-    Attributes:
-        verdict: `NOT_RUN` if the request had no effect, `MAY_HAVE_RUN` if
-            that is unknown. For a read it matters to nobody.
-    """
-
-    verdict = verdicts.Verdict.NOT_RUN
-
-
-class UnavailableError(PlatformError):
-    """The platform gave no usable answer; it may do so later."""
-
-
-class UnreachableError(UnavailableError):
-    """No byte of the request was sent; it had no effect."""
-
+    """Something that the platform, a caller or a worker got wrong."""
 
-class NoReplyError(UnavailableError):
-    """A write may have taken effect, or may yet do so."""
 
-    verdict = verdicts.Verdict.MAY_HAVE_RUN
+class SettingsError(PlatformError):
+    """The settings file lacks a value or holds one that can't be used."""
 
 
-class ConflictError(PlatformError):
-    """A check of a transaction failed; nothing was written.
+class BadDocumentError(PlatformError):
+    """Bytes that are not the document they should be."""
 
-    Attributes:
-        key: The row.
-        version: The version it has; 0 for no row.
-    """
 
-    def __init__(self, key: str, version: int):
-        super().__init__(f"row {key!r} has version {version}")
-        self.key = key
-        self.version = version
+class UnsupportedJobError(PlatformError):
+    """A job of a shape that is not run here."""
 
 
-class EtagMismatchError(PlatformError):
-    """An object is not the expected one; nothing was written.
+class StoreError(PlatformError):
+    """The store gave no usable answer; nothing is known of the outcome."""
 
-    Attributes:
-        name: The object.
-    """
 
-    def __init__(self, name: str):
-        super().__init__(f"object {name!r} has changed or is gone")
-        self.name = name
+class StoreRefusedError(StoreError):
+    """The store did nothing, as it was busy or is turning this daemon away."""
 
 
-class RequestRefusedError(PlatformError):
-    """The platform calls the request wrong; it had no effect."""
+class HistoryLostError(StoreError):
+    """The changes asked for are no longer kept; read everything again."""
--- /dev/null
+++ b/pollenladder/scheduling/intake.py
@@ -0,0 +1,240 @@
+"""Admit jobs, refuse them at once, or cancel them.
+
+Answers bursts and lost workers: a job that would begin too late to be in time
+is refused when it comes, with the time after which there should be room. A job
+that may have begun under an earlier owner is never refused as not run.
+"""
+
+import math
+
+from pollenladder.jobs import entities as jobs
+from pollenladder.jobs import estimates
+from pollenladder.scheduling import forecast
+from pollenladder.scheduling import placement
+from pollenladder.scheduling import runs
+from pollenladder.scheduling import tables
+
+# Time between a start's decision and the worker's first step, and between the
+# end of the last task and the caller's receipt of the answer.
+OVERHEAD_S = 0.015
+# Answers given lately are repeated to whoever asks again.
+ANSWERS_KEPT_S = 5.0
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 5.0
+
+
+def submit(
+    region: tables.Region,
+    submission: jobs.Submission,
+    gateway_id: str,
+    now: float,
+) -> None:
+    """Admit a job or refuse it; a job known already gets a new gateway."""
+    job_id = submission.job_id
+    known = region.jobs.get(job_id)
+    if known is not None:
+        known.gateway_id = gateway_id
+        region.note("job_rejoined", job=job_id, gateway=gateway_id)
+        return
+    answered = region.answered.get(job_id)
+    if answered is not None:
+        region.effects.append(tables.AnswerJob(gateway_id, answered[0]))
+        region.note("answer_repeated", job=job_id, gateway=gateway_id)
+        return
+    job = _build_job(region, submission, gateway_id, now)
+    reason, wait_s = _find_reason_against(region, job, now)
+    if reason is not None:
+        _refuse(region, job, reason, wait_s)
+        return
+    region.jobs[job_id] = job
+    region.waiting.add(job_id)
+    region.note(
+        "job_admitted",
+        job=job_id,
+        queue=submission.queue,
+        tasks=submission.tasks,
+        expected_s=round(job.expected_s, 4),
+        wait_s=round(wait_s, 4),
+        latest_start_s=round(job.latest_start_at - now, 4),
+        jobs=len(region.jobs),
+    )
+    if submission.may_have_begun:
+        _adopt(region, job, now)
+    placement.place(region, now)
+
+
+def cancel(
+    region: tables.Region, job_id: str, reason: jobs.Reason, now: float
+) -> bool:
+    """Stop a job that nobody wants any more; return whether it was known."""
+    job = region.jobs.get(job_id)
+    if job is None:
+        return False
+    end_job(region, job, jobs.Outcome.CANCELLED, reason, now)
+    return True
+
+
+def expire(region: tables.Region, now: float) -> None:
+    """Answer the jobs that can no longer be served."""
+    for job in list(region.jobs.values()):
+        if now >= job.gives_up_at:
+            outcome = jobs.Outcome.GIVEN_UP
+            end_job(region, job, outcome, jobs.Reason.DEADLINE, now)
+        elif not job.has_begun and now > job.latest_start_at:
+            _give_up_waiting(region, job, now)
+    old = now - ANSWERS_KEPT_S
+    for job_id, (_, at) in list(region.answered.items()):
+        if at > old:
+            break
+        del region.answered[job_id]
+
+
+def end_job(
+    region: tables.Region,
+    job: tables.Job,
+    outcome: jobs.Outcome,
+    reason: jobs.Reason,
+    now: float,
+    retry_after_s: float = 0.0,
+) -> None:
+    """Answer a job and stop what still runs of it."""
+    job_id = job.submission.job_id
+    region.jobs.pop(job_id, None)
+    region.waiting.discard(job_id)
+    answer = jobs.Answer(job_id, outcome, reason, retry_after_s)
+    region.answered[job_id] = (answer, now)
+    region.effects.append(tables.AnswerJob(job.gateway_id, answer))
+    region.note(
+        "job_ended",
+        job=job_id,
+        queue=job.submission.queue,
+        outcome=outcome.value,
+        reason=reason.value,
+        took_s=round(now - job.submitted_at, 4),
+        in_time=now <= job.objective_at,
+    )
+    for task in job.tasks:
+        if task.state is tables.TaskState.PLACED:
+            runs.abandon(region, job, task, now)
+
+
+def _build_job(
+    region: tables.Region,
+    submission: jobs.Submission,
+    gateway_id: str,
+    now: float,
+) -> tables.Job:
+    expected_s = estimates.predict_run_s(
+        region.estimates, submission.queue, submission.estimate_s
+    )
+    submitted_at = now - submission.age_s
+    allowed_s = submission.stretch * expected_s + submission.slack_s
+    objective_at = submitted_at + allowed_s
+    first_run = submission.first_run
+    return tables.Job(
+        submission=submission,
+        gateway_id=gateway_id,
+        resources=jobs.Resources(
+            submission.cpu_milli, submission.memory_mb, submission.gpus
+        ),
+        tasks=[
+            tables.Task(index, tables.TaskState.WAITING, first_run)
+            for index in range(submission.tasks)
+        ],
+        expected_s=expected_s,
+        submitted_at=submitted_at,
+        objective_at=objective_at,
+        latest_start_at=objective_at - expected_s - OVERHEAD_S,
+        gives_up_at=now + submission.budget_s,
+    )
+
+
+def _find_reason_against(
+    region: tables.Region, job: tables.Job, now: float
+) -> tuple[jobs.Reason | None, float]:
+    """Return why a job is refused, or None, and how long it would wait."""
+    service = job.submission.service
+    if not any(
+        w.is_listed and w.listing.service == service
+        for w in region.workers.values()
+    ):
+        return jobs.Reason.NO_WORKERS, MAX_RETRY_AFTER_S
+    if not forecast.can_ever_fit(region, service, job.resources):
+        return jobs.Reason.TOO_LARGE, MAX_RETRY_AFTER_S
+    wait_s = forecast.predict_wait_s(region, job, now)
+    if job.submission.may_have_begun:
+        return None, wait_s
+    if now + wait_s > job.latest_start_at:
+        return jobs.Reason.NO_ROOM_IN_TIME, wait_s
+    return None, wait_s
+
+
+def _refuse(
+    region: tables.Region,
+    job: tables.Job,
+    reason: jobs.Reason,
+    wait_s: float,
+) -> None:
+    """Answer that a job has not run, and when there should be room."""
+    submission = job.submission
+    outcome = jobs.Outcome.REFUSED
+    if submission.may_have_begun:
+        outcome = jobs.Outcome.GIVEN_UP
+    answer = jobs.Answer(
+        submission.job_id, outcome, reason, _bound_retry_after(wait_s)
+    )
+    region.effects.append(tables.AnswerJob(job.gateway_id, answer))
+    region.note(
+        "job_refused",
+        job=submission.job_id,
+        queue=submission.queue,
+        tasks=submission.tasks,
+        reason=reason.value,
+        wait_s=round(min(wait_s, 99.0), 4),
+        allowed_s=round(job.latest_start_at - job.submitted_at, 4),
+        jobs=len(region.jobs),
+    )
+
+
+def _give_up_waiting(
+    region: tables.Region, job: tables.Job, now: float
+) -> None:
+    """Refuse a job that has waited in vain; none of it has begun here."""
+    wait_s = forecast.predict_wait_s(region, job, now)
+    outcome = jobs.Outcome.REFUSED
+    if job.submission.may_have_begun:
+        if now < job.gives_up_at - job.expected_s:
+            return
+        outcome = jobs.Outcome.GIVEN_UP
+    end_job(
+        region,
+        job,
+        outcome,
+        jobs.Reason.WAITED_TOO_LONG,
+        now,
+        _bound_retry_after(wait_s),
+    )
+
+
+def _bound_retry_after(wait_s: float) -> float:
+    if not math.isfinite(wait_s):
+        return MAX_RETRY_AFTER_S
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+
+def _adopt(region: tables.Region, job: tables.Job, now: float) -> None:
+    """Take over the runs that an earlier owner of the workers has begun."""
+    safe_at = runs.find_lapse_time(region, now)
+    for task in job.tasks:
+        name = jobs.format_task_name(job.submission.job_id, task.index)
+        if region.orphan_ends.pop(name, None) is not None:
+            task.state = tables.TaskState.DONE
+            job.has_begun = True
+            continue
+        task.not_before = safe_at
+        runs.adopt_orphan(region, job, task)
+    if job.is_complete():
+        outcome = jobs.Outcome.COMPLETED
+        end_job(region, job, outcome, jobs.Reason.ALL_DONE, now)
+    elif not job.list_waiting():
+        region.waiting.discard(job.submission.job_id)
--- /dev/null
+++ b/pollenladder/scheduling/tables.py
@@ -0,0 +1,169 @@
+"""What the owner of a region's workers knows, and the effects it decides on."""
+
+import dataclasses
+import enum
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as job_entities
+from pollenladder.jobs import estimates as run_estimates
+
+
+class TaskState(enum.Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    PLACED = "placed"
+    DONE = "done"
+
+
+@dataclasses.dataclass(slots=True)
+class Task:
+    """One task of a job.
+
+    Attributes:
+        index: Its place in the job.
+        state: Where it stands.
+        next_run: The number of its next run.
+        failures: Runs that ended in failure.
+        worker_id: Where its run is.
+        avoided: Workers on which a run of it went wrong.
+        not_before: It is not started before, as a run of an earlier owner
+            may still be in progress where this owner cannot look.
+    """
+
+    index: int
+    state: TaskState
+    next_run: int
+    failures: int = 0
+    worker_id: str = ""
+    avoided: set[str] = dataclasses.field(default_factory=set)
+    not_before: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A job that has been admitted.
+
+    Attributes:
+        submission: What was submitted.
+        gateway_id: The daemon that waits for the answer.
+        resources: What each task takes.
+        tasks: Its tasks.
+        expected_s: Expected run time of a task.
+        submitted_at: When the caller sent it, by the local clock.
+        objective_at: It is in time until then, if the expectation holds.
+        latest_start_at: Its last task should have started by then.
+        gives_up_at: The caller waits no longer.
+        has_begun: Whether any task of it was ever started.
+    """
+
+    submission: job_entities.Submission
+    gateway_id: str
+    resources: job_entities.Resources
+    tasks: list[Task]
+    expected_s: float
+    submitted_at: float
+    objective_at: float
+    latest_start_at: float
+    gives_up_at: float
+    has_begun: bool = False
+
+    def list_waiting(self) -> list[Task]:
+        """Return the tasks that wait for a worker."""
+        return [t for t in self.tasks if t.state is TaskState.WAITING]
+
+    def is_complete(self) -> bool:
+        """Return whether every task is done."""
+        return all(t.state is TaskState.DONE for t in self.tasks)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartRun:
+    """Tell a worker to run a task."""
+
+    worker_id: str
+    task: str
+    number: int
+    spec: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRun:
+    """Tell a worker to stop a run, or never to begin it."""
+
+    worker_id: str
+    task: str
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookNow:
+    """Look at a worker without waiting for an end."""
+
+    worker_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerJob:
+    """Send the final answer of a job to the daemon that waits for it."""
+
+    gateway_id: str
+    answer: job_entities.Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """A decision for the log.
+
+    Attributes:
+        event: Its name.
+        fields: What it was about and what decided it.
+    """
+
+    event: str
+    fields: dict[str, object]
+
+
+Effect = StartRun | StopRun | LookNow | AnswerJob | Note
+
+
+@dataclasses.dataclass(slots=True)
+class Region:
+    """All tables of one owner.
+
+    Attributes:
+        epoch: The owner's epoch, which fences out earlier owners.
+        owned_since: When the ownership began.
+        max_lease_s: The longest lease that workers grant.
+        workers: Workers by id.
+        jobs: Jobs that have not been answered, by id.
+        waiting: Ids of the jobs with a task that waits.
+        orphan_ends: When a run without a job here ended well, by task name.
+        answered: Answers given lately and when, by job id.
+        estimates: How far off declared run times are.
+        effects: Decided and not yet carried out.
+    """
+
+    epoch: int
+    owned_since: float
+    max_lease_s: float
+    workers: dict[str, fleet.Worker] = dataclasses.field(default_factory=dict)
+    jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
+    waiting: set[str] = dataclasses.field(default_factory=set)
+    orphan_ends: dict[str, float] = dataclasses.field(default_factory=dict)
+    answered: dict[str, tuple[job_entities.Answer, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    estimates: run_estimates.Estimates = dataclasses.field(
+        default_factory=run_estimates.Estimates
+    )
+    effects: list[Effect] = dataclasses.field(default_factory=list)
+
+    def note(self, event: str, **fields: object) -> None:
+        """Decide on a line of the log."""
+        self.effects.append(Note(event, fields))
+
+    def take_effects(self) -> list[Effect]:
+        """Return what has been decided since the last call."""
+        effects, self.effects = self.effects, []
+        return effects
--- /dev/null
+++ b/pollenladder/scheduling/upkeep.py
@@ -0,0 +1,83 @@
+"""What the owner does from time to time, whether anything happens or not."""
+
+from collections.abc import Iterable
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.scheduling import intake
+from pollenladder.scheduling import placement
+from pollenladder.scheduling import runs
+from pollenladder.scheduling import tables
+
+ORPHAN_ENDS_KEPT_S = 3.0
+
+
+def step(region: tables.Region, now: float) -> None:
+    """Expire jobs, settle lapsed runs, send stops again, place again."""
+    intake.expire(region, now)
+    for worker in list(region.workers.values()):
+        _settle(region, worker, now)
+        if not worker.is_listed and not worker.runs:
+            del region.workers[worker.listing.worker_id]
+    _forget_orphan_ends(region, now)
+    placement.place(region, now)
+
+
+def list_workers(
+    region: tables.Region, listings: Iterable[fleet.Listing], now: float
+) -> None:
+    """Take the newest list of workers, whole."""
+    listed = {listing.worker_id: listing for listing in listings}
+    for worker_id, listing in listed.items():
+        worker = region.workers.get(worker_id)
+        if worker is None:
+            region.workers[worker_id] = fleet.Worker(listing)
+            region.note("worker_listed", worker=worker_id)
+        else:
+            _update(region, worker, listing)
+    for worker_id, worker in region.workers.items():
+        if worker.is_listed and worker_id not in listed:
+            worker.is_listed = False
+            region.note("worker_unlisted", worker=worker_id)
+    placement.place(region, now)
+
+
+def _update(
+    region: tables.Region, worker: fleet.Worker, listing: fleet.Listing
+) -> None:
+    if listing.is_draining and not worker.listing.is_draining:
+        region.note("worker_draining", worker=listing.worker_id)
+    worker.listing = listing
+    worker.is_listed = True
+
+
+def _settle(region: tables.Region, worker: fleet.Worker, now: float) -> None:
+    lapsed = has_lapsed(worker, now)
+    for run in list(worker.runs.values()):
+        if lapsed and not worker.is_reachable:
+            runs.release(region, worker, run, "lapsed")
+        elif run.state is fleet.RunState.STOPPING:
+            if now >= run.next_stop_at:
+                runs.stop(region, run, now)
+        elif run.is_orphan and now > run.sent_at + runs.ORPHAN_GRACE_S:
+            region.note("orphan_stopped", task=run.task, worker=run.worker_id)
+            runs.stop(region, run, now)
+
+
+def has_lapsed(worker: fleet.Worker, now: float) -> bool:
+    """Return whether every lease on a worker must have lapsed."""
+    if not worker.is_synced:
+        return False
+    clock_s = now + worker.clock_ahead_s
+    return clock_s > worker.lease_until_s + _get_margin_s(worker)
+
+
+def _get_margin_s(worker: fleet.Worker) -> float:
+    return runs.LAPSE_MARGIN_S + runs.MAX_CLOCK_DRIFT
+
+
+def _forget_orphan_ends(region: tables.Region, now: float) -> None:
+    old = now - ORPHAN_ENDS_KEPT_S
+    for name, at in list(region.orphan_ends.items()):
+        if at > old:
+            break
+        del region.orphan_ends[name]
--- /dev/null
+++ b/pollenladder/service/application.py
@@ -0,0 +1,191 @@
+"""The WSGI application that callers reach."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import logging
+from typing import Any
+
+import gevent
+from gevent import socket
+
+from pollenladder.gateway import replies
+from pollenladder.jobs import entities as jobs
+from pollenladder.jobs import routing
+from pollenladder.platform import callers
+from pollenladder.platform import exceptions
+from pollenladder.service import gateway as gateways
+from pollenladder.service import logs
+
+LOGGER = logging.getLogger(__name__)
+
+MAX_JOB_ID_CHARS = 64
+# Until it knows the configuration, a daemon asks callers to wait so long.
+RETRY_AFTER_START_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """The rest of the daemon.
+
+    Attributes:
+        gateway: The jobs that wait.
+        get_routes: Returns the queues, or None before there are any.
+        cancel_elsewhere: Cancels a job that does not wait here; returns
+            whether it may have been known.
+        count_pending: Returns the jobs of a queue that have not begun.
+    """
+
+    gateway: gateways.Gateway
+    get_routes: Callable[[], routing.RoutingTable | None]
+    cancel_elsewhere: Callable[[str], bool]
+    count_pending: Callable[[str], int]
+
+
+def make_application(source: Source) -> Callable:
+    """Return the WSGI application."""
+
+    def serve(
+        environ: dict[str, Any], start_response: Callable
+    ) -> Iterable[bytes]:
+        reply = _answer(source, environ)
+        headers = [
+            ("Content-Type", replies.JSON_TYPE),
+            ("Content-Length", str(len(reply.body))),
+        ]
+        if reply.retry_after_s:
+            text = gateways.format_retry_after(reply.retry_after_s)
+            headers.append(("Retry-After", text))
+        start_response(replies.STATUS_LINES[reply.status], headers)
+        return [reply.body]
+
+    return serve
+
+
+def _answer(source: Source, environ: dict[str, Any]) -> callers.Reply:
+    routes = source.get_routes()
+    if routes is None:
+        body = callers.encode_error("no configuration yet")
+        return callers.Reply(503, body, RETRY_AFTER_START_S)
+    path = environ["PATH_INFO"]
+    queue = routes.find(environ.get("HTTP_HOST", ""), path)
+    if queue is None:
+        return callers.Reply(404, callers.encode_error("no such queue"))
+    job_id = path[len(queue.prefix) :]
+    method = environ["REQUEST_METHOD"]
+    if method == "GET" and not job_id:
+        return callers.encode_pending(source.count_pending(queue.name))
+    if not job_id or len(job_id) > MAX_JOB_ID_CHARS or not job_id.isalnum():
+        return callers.Reply(400, callers.encode_error("bad job id"))
+    if method == "POST":
+        max_bytes = routes.configuration.max_body_bytes
+        return _submit(source, queue, job_id, environ, max_bytes)
+    if method == "GET":
+        return _show(source, job_id)
+    if method == "DELETE":
+        return _cancel(source, job_id)
+    return callers.Reply(405, callers.encode_error("unknown method"))
+
+
+def _show(source: Source, job_id: str) -> callers.Reply:
+    job = source.gateway.open.get(job_id)
+    if job is None:
+        return callers.Reply(410, callers.encode_error("no such job"))
+    state = "running" if job.has_been_sent else "queued"
+    return callers.encode_state(state)
+
+
+def _cancel(source: Source, job_id: str) -> callers.Reply:
+    if source.gateway.cancel(job_id) or source.cancel_elsewhere(job_id):
+        return callers.encode_state(jobs.Outcome.CANCELLED.value)
+    return callers.Reply(410, callers.encode_error("no such job"))
+
+
+def _submit(
+    source: Source,
+    queue: jobs.Queue,
+    job_id: str,
+    environ: dict[str, Any],
+    max_bytes: int,
+) -> callers.Reply:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > max_bytes:
+        return callers.Reply(413, callers.encode_error("body too long"))
+    try:
+        body = callers.decode_job(environ["wsgi.input"].read())
+    except exceptions.BadDocumentError as error:
+        return _reject(400, job_id, queue, str(error))
+    except exceptions.UnsupportedJobError as error:
+        return _reject(503, job_id, queue, f"not supported: {error}")
+    if queue.needs_advice:
+        return _reject(503, job_id, queue, "not supported: advice")
+    budget_s = callers.read_budget_s(environ, queue.timeout_s)
+    submission = _build_submission(queue, job_id, body, budget_s)
+    job = source.gateway.submit(submission)
+    _wait(source.gateway, job, environ["wsgi.input"].socket)
+    if job.answer is None:
+        return callers.Reply(504, callers.encode_error("caller left"))
+    return callers.encode_answer(job.answer)
+
+
+def _reject(
+    status: int, job_id: str, queue: jobs.Queue, text: str
+) -> callers.Reply:
+    logs.log(
+        LOGGER,
+        "job_rejected",
+        job=job_id,
+        queue=queue.name,
+        status=status,
+        reason=text[:200],
+    )
+    return callers.Reply(status, callers.encode_error(text))
+
+
+def _build_submission(
+    queue: jobs.Queue, job_id: str, body: callers.JobBody, budget_s: float
+) -> jobs.Submission:
+    return jobs.Submission(
+        job_id=job_id,
+        queue=queue.name,
+        service=queue.service,
+        priority=queue.priority,
+        max_attempts=queue.max_attempts,
+        stretch=queue.stretch,
+        slack_s=queue.slack_s,
+        age_s=0.0,
+        budget_s=budget_s,
+        spec=body.spec,
+        tasks=body.tasks,
+        cpu_milli=body.resources.cpu_milli,
+        memory_mb=body.resources.memory_mb,
+        gpus=body.resources.gpus,
+        estimate_s=body.estimate_s,
+        may_have_begun=False,
+        first_run=1,
+    )
+
+
+def _wait(
+    gateway: gateways.Gateway, job: gateways.OpenJob, sock: socket.socket
+) -> None:
+    """Wait for the answer, or until the caller closes its connection."""
+    watcher = None
+    if not job.answered.is_set():
+        watcher = gevent.spawn(_watch_end, gateway, job, sock)
+    job.answered.wait()
+    if watcher is not None:
+        watcher.kill(block=False)
+
+
+def _watch_end(
+    gateway: gateways.Gateway, job: gateways.OpenJob, sock: socket.socket
+) -> None:
+    """Cancel a job when its caller closes the connection."""
+    try:
+        socket.wait_read(sock.fileno())
+        has_ended = not sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        has_ended = True
+    if has_ended:
+        gateway.leave(job)
--- /dev/null
+++ b/pollenladder/service/dispatcher.py
@@ -0,0 +1,352 @@
+"""The composition root of the daemon on the users' platform."""
+
+import logging
+import signal
+import time
+
+import gevent
+from gevent import event
+from gevent import pywsgi
+
+from pollenladder.cluster import mesh as meshes
+from pollenladder.cluster import messages
+from pollenladder.cluster import roster as rosters
+from pollenladder.core import clocks
+from pollenladder.gateway import limits
+from pollenladder.gateway import listeners
+from pollenladder.jobs import entities as jobs
+from pollenladder.jobs import routing
+from pollenladder.platform import exceptions
+from pollenladder.platform import rows
+from pollenladder.platform import settings as conf
+from pollenladder.platform import store as stores
+from pollenladder.service import application
+from pollenladder.service import engine as engines
+from pollenladder.service import feeds
+from pollenladder.service import gateway as gateways
+from pollenladder.service import leadership
+from pollenladder.service import logs
+from pollenladder.service import meters as metering
+from pollenladder.service import reachability
+
+LOGGER = logging.getLogger(__name__)
+
+# After a request to stop, callers may still come for so long.
+LAST_CALLERS_S = 2.3
+# Kept back of the time to stop, for the process to end by itself.
+STOP_MARGIN_S = 0.6
+LOG_FLUSH_S = 0.05
+
+
+class Dispatcher:
+    """All parts of one daemon, wired."""
+
+    def __init__(self, settings: conf.Settings):
+        self._settings = settings
+        self._clock = clocks.read_monotonic_s
+        self._stopping = event.Event()
+        self._routes: routing.RoutingTable | None = None
+        self._meters = metering.Meters()
+        self._own = rosters.Member(
+            daemon_id=settings.daemon_id,
+            address=settings.address,
+            port=settings.peer_port,
+            data_centre=settings.data_centre,
+            incarnation=time.time_ns() // 1_000_000,
+        )
+        self._roster = rosters.Roster(settings.daemon_id)
+        self._build_scheduling()
+        self._build_cluster()
+
+    def _build_scheduling(self) -> None:
+        own = self._settings
+        self._engine = engines.Engine(
+            own.max_lease_s,
+            engines.Outlets(answer=self._answer, on_fenced=self._take_fenced),
+            self._clock,
+        )
+        self._gateway = gateways.Gateway(
+            gateways.Outlets(
+                find_owner=lambda: self._leadership.owner_id,
+                submit=self._submit,
+                cancel=self._cancel,
+                on_answered=self._count_answered,
+            ),
+            self._clock,
+        )
+
+    def _build_cluster(self) -> None:
+        own = self._settings
+        self._mesh = meshes.Mesh(
+            self._own,
+            self._roster,
+            meshes.Handlers(
+                on_message=self._take_message, on_change=self._take_link_change
+            ),
+            self._clock,
+        )
+        self._feeds = feeds.Feeds(
+            stores.Store(own.store),
+            self._own,
+            feeds.Outlets(
+                on_configuration=self._take_configuration,
+                on_workers=self._engine.list_workers,
+                on_member=self._take_member,
+                is_owner=lambda: self._leadership.is_owner,
+            ),
+            self._clock,
+        )
+        self._reachability = reachability.Reachability(
+            own.data_centre, self._feeds.list_workers, self._clock
+        )
+        self._leadership = leadership.Leadership(
+            own.daemon_id,
+            self._roster,
+            leadership.Outlets(
+                broadcast=self._mesh.broadcast,
+                claim=self._engine.claim,
+                resign=self._engine.resign,
+                on_owner=self._take_owner,
+                on_forgotten=self._take_forgotten,
+                count_reached=self._engine.count_reached,
+                count_pending=self._engine.count_pending,
+                reads_store=lambda: self._feeds.is_store_up,
+                get_version=self._get_version,
+                is_leaving=self._stopping.is_set,
+                is_cut_off_with_zone=self._reachability.is_cut_off_with_zone,
+            ),
+            self._clock,
+            clocks.read_wall_s,
+        )
+
+    def run(self) -> int:
+        """Serve until told to stop; return the exit code."""
+        own = self._settings
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._stopping.set)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        self._mesh.start()
+        leadership.run_in_background(
+            self._feeds.run_configuration,
+            self._feeds.run_daemons,
+            self._feeds.run_workers,
+            self._mesh.run,
+            self._engine.run,
+            self._leadership.run,
+            self._gateway.run,
+        )
+        server = self._serve_callers()
+        pywsgi.WSGIServer(
+            own.readiness_address, self._show_readiness, log=None
+        ).start()
+        metering.serve(self._meters, own.address)
+        logs.log(
+            LOGGER,
+            "started",
+            data_centre=own.data_centre,
+            incarnation=self._own.incarnation,
+        )
+        self._stopping.wait()
+        self._leave(server)
+        return 0
+
+    def _serve_callers(self) -> listeners.Server:
+        source = application.Source(
+            gateway=self._gateway,
+            get_routes=lambda: self._routes,
+            cancel_elsewhere=self._cancel_elsewhere,
+            count_pending=self._count_pending,
+        )
+        address, port = self._settings.caller_address
+        return listeners.listen(
+            address,
+            port,
+            application.make_application(source),
+            self._meters,
+            limits.Limits(),
+        )
+
+    def _leave(self, server: listeners.Server) -> None:
+        """Hand over, let the last callers come, and answer them all."""
+        began_at = self._clock()
+        logs.log(LOGGER, "stopping", open_jobs=len(self._gateway.open))
+        self._leadership.wake()
+        gevent.sleep(LAST_CALLERS_S)
+        left_s = self._settings.stop_grace_s - STOP_MARGIN_S
+        left_s -= self._clock() - began_at
+        drained = server.drain(max(0.0, left_s))
+        logs.log(
+            LOGGER,
+            "stopped",
+            drained=drained,
+            open_jobs=len(self._gateway.open),
+            took_s=round(self._clock() - began_at, 3),
+        )
+
+    def _show_readiness(self, environ: dict, start_response) -> list[bytes]:
+        is_ready = (
+            self._routes is not None
+            and bool(self._leadership.owner_id)
+            and not self._stopping.is_set()
+        )
+        status = "200 OK" if is_ready else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+    def _reload(self) -> None:
+        """Read the settings again; what is in use stays until a restart."""
+        try:
+            found = conf.load(conf.find_path())
+        except exceptions.SettingsError as error:
+            logs.log(LOGGER, "reload_failed", logging.ERROR, error=str(error))
+            return
+        logs.log(LOGGER, "reloaded", changed=found != self._settings)
+
+    def _submit(self, daemon_id: str, submission: jobs.Submission) -> bool:
+        if daemon_id == self._settings.daemon_id:
+            return self._engine.submit(submission, daemon_id)
+        return self._mesh.send(daemon_id, messages.Submit(submission))
+
+    def _cancel(self, daemon_id: str, job_id: str, reason: jobs.Reason) -> None:
+        if daemon_id == self._settings.daemon_id:
+            self._engine.cancel(job_id, reason)
+        else:
+            self._mesh.send(daemon_id, messages.Cancel(job_id, reason))
+
+    def _cancel_elsewhere(self, job_id: str) -> bool:
+        """Cancel a job that came by another daemon."""
+        owner_id = self._leadership.owner_id
+        reason = jobs.Reason.CALLER_CANCELLED
+        if owner_id == self._settings.daemon_id:
+            return self._engine.cancel(job_id, reason)
+        if owner_id:
+            self._mesh.send(owner_id, messages.Cancel(job_id, reason))
+        return False
+
+    def _answer(self, gateway_id: str, answer: jobs.Answer) -> None:
+        if gateway_id == self._settings.daemon_id:
+            self._gateway.take_answer(answer)
+        elif not self._mesh.send(gateway_id, messages.Answered(answer)):
+            logs.log(
+                LOGGER, "answer_not_sent", job=answer.job_id, peer=gateway_id
+            )
+
+    def _count_answered(
+        self, queue: str, answer: jobs.Answer, took_s: float
+    ) -> None:
+        self._meters.count_job(answer, took_s)
+
+    def _count_pending(self, queue: str) -> int:
+        owner_id = self._leadership.owner_id
+        if owner_id == self._settings.daemon_id:
+            return self._engine.count_pending().get(queue, 0)
+        peer = self._roster.peers.get(owner_id)
+        return peer.beat.pending.get(queue, 0) if peer and peer.beat else 0
+
+    def _take_message(self, sender: str, message: object) -> None:
+        if isinstance(message, messages.Beat):
+            self._take_beat(sender, message)
+        elif isinstance(message, messages.Submit):
+            if not self._engine.submit(message.submission, sender):
+                job_id = message.submission.job_id
+                self._mesh.send(sender, messages.NotOwner(job_id))
+        elif isinstance(message, messages.Answered):
+            self._gateway.take_answer(message.answer)
+        elif isinstance(message, messages.Cancel):
+            self._engine.cancel(message.job_id, message.reason)
+        elif isinstance(message, messages.NotOwner):
+            self._gateway.take_back(message.job_id)
+        elif isinstance(message, messages.AskConfiguration):
+            self._push_configuration(sender, message.version)
+        elif isinstance(message, messages.PushConfiguration):
+            self._take_pushed(message)
+
+    def _take_beat(self, sender: str, beat: messages.Beat) -> None:
+        self._leadership.take_beat(sender, beat)
+        if beat.config_version > self._get_version():
+            version = self._get_version()
+            self._mesh.send(sender, messages.AskConfiguration(version))
+
+    def _push_configuration(self, sender: str, version: int) -> None:
+        if self._routes is None or version >= self._get_version():
+            return
+        found = self._routes.configuration
+        message = messages.PushConfiguration(found.version, found.source)
+        self._mesh.send(sender, message)
+
+    def _take_pushed(self, message: messages.PushConfiguration) -> None:
+        try:
+            found = rows.decode_configuration(message.source)
+        except exceptions.BadDocumentError as error:
+            logs.log(
+                LOGGER,
+                "configuration_rejected",
+                logging.WARNING,
+                version=message.version,
+                error=str(error)[:200],
+            )
+            return
+        self._take_configuration(found)
+
+    def _take_configuration(self, found: jobs.Configuration) -> None:
+        """Put a configuration in force, unless it is older."""
+        version = self._get_version()
+        if found.version <= version:
+            return
+        self._routes = routing.RoutingTable(found)
+        logs.log(
+            LOGGER,
+            "configuration_changed",
+            version=found.version,
+            before=version,
+            queues=len(found.queues),
+        )
+
+    def _take_member(self, member: rosters.Member) -> None:
+        if self._roster.learn(member, self._clock()):
+            logs.log(
+                LOGGER,
+                "daemon_found",
+                peer=member.daemon_id,
+                incarnation=member.incarnation,
+            )
+            self._mesh.wake()
+
+    def _take_link_change(self, daemon_id: str, is_linked: bool) -> None:
+        logs.log(
+            LOGGER,
+            "link_made" if is_linked else "link_ended",
+            peer=daemon_id,
+        )
+        if not is_linked:
+            self._gateway.lose_daemon(daemon_id)
+        self._leadership.wake()
+
+    def _take_owner(self, owner_id: str) -> None:
+        self._gateway.hand_on_again()
+
+    def _take_forgotten(self, daemon_id: str) -> None:
+        if self._leadership.is_owner:
+            gevent.spawn(self._feeds.drop_daemon, daemon_id)
+
+    def _take_fenced(self, worker_id: str) -> None:
+        self._leadership.take_fenced(worker_id)
+
+    def _get_version(self) -> int:
+        return self._routes.configuration.version if self._routes else 0
+
+
+def main() -> int:
+    """Run the daemon by the settings that the platform laid."""
+    try:
+        settings = conf.load(conf.find_path())
+    except exceptions.SettingsError as error:
+        logging.basicConfig()
+        LOGGER.error("settings: %s", error)
+        return 2
+    handler = logs.configure_logging(settings.daemon_id)
+    gevent.spawn(handler.run)
+    code = Dispatcher(settings).run()
+    gevent.sleep(LOG_FLUSH_S)
+    handler.flush_some()
+    return code
--- /dev/null
+++ b/pollenladder/service/engine.py
@@ -0,0 +1,180 @@
+"""Feed the owner's decisions with events, and carry out their effects."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import logging
+
+import gevent
+
+from pollenladder.core import clocks
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import intake
+from pollenladder.scheduling import tables
+from pollenladder.scheduling import upkeep
+from pollenladder.service import logs
+from pollenladder.service import sessions
+
+LOGGER = logging.getLogger(__name__)
+
+TICK_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class Outlets:
+    """Whom the engine tells.
+
+    Attributes:
+        answer: Called with a gateway's id and a job's final answer.
+        on_fenced: Called when a worker turns out to have another owner.
+    """
+
+    answer: Callable[[str, jobs.Answer], None]
+    on_fenced: Callable[[str], None]
+
+
+class Engine:
+    """The owner's side of a daemon; idle unless it is the owner.
+
+    Attributes:
+        region: The owner's tables; None unless this daemon is the owner.
+    """
+
+    def __init__(
+        self, max_lease_s: float, outlets: Outlets, clock: clocks.Clock
+    ):
+        self.region: tables.Region | None = None
+        self._max_lease_s = max_lease_s
+        self._outlets = outlets
+        self._clock = clock
+        self._sessions: dict[str, sessions.Session] = {}
+        self._listings: tuple[fleet.Listing, ...] = ()
+        self._is_carrying_out = False
+
+    def claim(self, epoch: int) -> None:
+        """Become the owner, or stay it under a higher epoch."""
+        if self.region is not None:
+            self.region.epoch = epoch
+            return
+        self.region = tables.Region(epoch, self._clock(), self._max_lease_s)
+        self.list_workers(self._listings)
+
+    def resign(self) -> None:
+        """Stop being the owner; runs go on until the next one takes them."""
+        self.region = None
+        for session in self._sessions.values():
+            session.close()
+        self._sessions.clear()
+
+    def list_workers(self, listings: Iterable[fleet.Listing]) -> None:
+        """Take the newest list of workers, whole."""
+        self._listings = tuple(listings)
+        region = self.region
+        if region is None:
+            return
+        upkeep.list_workers(region, self._listings, self._clock())
+        self._open_sessions(region)
+        self._carry_out()
+
+    def submit(self, submission: jobs.Submission, gateway_id: str) -> bool:
+        """Admit or refuse a job; return False if this is not the owner."""
+        if self.region is None:
+            return False
+        intake.submit(self.region, submission, gateway_id, self._clock())
+        self._carry_out()
+        return True
+
+    def cancel(self, job_id: str, reason: jobs.Reason) -> bool:
+        """Stop a job; return whether it was known."""
+        if self.region is None:
+            return False
+        known = intake.cancel(self.region, job_id, reason, self._clock())
+        self._carry_out()
+        return known
+
+    def count_reached(self) -> int:
+        """Return how many workers this owner reaches."""
+        if self.region is None:
+            return 0
+        return sum(w.is_reachable for w in self.region.workers.values())
+
+    def count_pending(self) -> dict[str, int]:
+        """Return the jobs that have not begun, by queue."""
+        counts: dict[str, int] = {}
+        if self.region is None:
+            return counts
+        for job_id in self.region.waiting:
+            job = self.region.jobs[job_id]
+            if not job.has_begun:
+                queue = job.submission.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def run(self) -> None:
+        """Do what time brings, for ever."""
+        while True:
+            gevent.sleep(TICK_S)
+            if self.region is not None:
+                upkeep.step(self.region, self._clock())
+                self._close_sessions(self.region)
+                self._carry_out()
+
+    def _open_sessions(self, region: tables.Region) -> None:
+        for worker_id, worker in region.workers.items():
+            session = self._sessions.get(worker_id)
+            if session and session.address == worker.listing.address:
+                continue
+            if session:
+                session.close()
+            outlets = sessions.Outlets(
+                on_event=self._carry_out, on_fenced=self._outlets.on_fenced
+            )
+            session = sessions.Session(region, worker, outlets, self._clock)
+            self._sessions[worker_id] = session
+            session.begin()
+
+    def _close_sessions(self, region: tables.Region) -> None:
+        for worker_id in list(self._sessions):
+            if worker_id not in region.workers:
+                self._sessions.pop(worker_id).close()
+
+    def _carry_out(self) -> None:
+        """Carry out all effects, also those that effects bring about."""
+        region = self.region
+        if region is None or self._is_carrying_out:
+            return
+        self._is_carrying_out = True
+        try:
+            while region.effects:
+                for effect in region.take_effects():
+                    self._apply(effect)
+        finally:
+            self._is_carrying_out = False
+
+    def _apply(self, effect: tables.Effect) -> None:
+        if isinstance(effect, tables.Note):
+            logs.log(LOGGER, effect.event, **effect.fields)
+        elif isinstance(effect, tables.AnswerJob):
+            self._outlets.answer(effect.gateway_id, effect.answer)
+        else:
+            self._order(effect)
+
+    def _order(
+        self, effect: tables.StartRun | tables.StopRun | tables.LookNow
+    ) -> None:
+        session = self._sessions.get(effect.worker_id)
+        if session is None:
+            logs.log(
+                LOGGER,
+                "order_dropped",
+                logging.WARNING,
+                worker=effect.worker_id,
+                order=type(effect).__name__,
+            )
+        elif isinstance(effect, tables.StartRun):
+            session.start(effect)
+        elif isinstance(effect, tables.StopRun):
+            session.stop(effect)
+        else:
+            session.look_now()
--- /dev/null
+++ b/pollenladder/service/feeds.py
@@ -0,0 +1,251 @@
+"""What the platform's store tells: configuration, workers, other daemons."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+
+import gevent
+
+from pollenladder.cluster import roster as rosters
+from pollenladder.core import clocks
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.platform import exceptions
+from pollenladder.platform import rows
+from pollenladder.platform import store as stores
+from pollenladder.service import logs
+
+LOGGER = logging.getLogger(__name__)
+
+# A change of the configuration has to be seen within 2 s, also if a feed
+# hears nothing: it is asked anew this often.
+CONFIGURATION_WAIT_S = 1.2
+OWNER_WORKERS_PAUSE_S = 0.4
+WORKERS_PAUSE_S = 2.0
+DAEMONS_PAUSE_S = 2.0
+DAEMONS_BOOT_PAUSE_S = 0.25
+RETRY_S = 0.15
+MAX_RETRY_S = 0.6
+# The workers' entries may be missing so long after the store was away.
+RETURN_GRACE_S = 2.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Outlets:
+    """Whom the feeds tell.
+
+    Attributes:
+        on_configuration: Called with each configuration read.
+        on_workers: Called with the list of workers, whole.
+        on_member: Called with each daemon found.
+        is_owner: Returns whether this daemon owns the workers.
+    """
+
+    on_configuration: Callable[[jobs.Configuration], None]
+    on_workers: Callable[[tuple[fleet.Listing, ...]], None]
+    on_member: Callable[[rosters.Member], None]
+    is_owner: Callable[[], bool]
+
+
+class Feeds:
+    """Loops that follow the store.
+
+    Attributes:
+        is_store_up: Whether the last call was answered.
+    """
+
+    def __init__(
+        self,
+        store: stores.Store,
+        own: rosters.Member,
+        outlets: Outlets,
+        clock: clocks.Clock,
+    ):
+        self.is_store_up = False
+        self._store = store
+        self._own = own
+        self._outlets = outlets
+        self._clock = clock
+        self._workers: dict[str, fleet.Listing] = {}
+        self._missing_since: dict[str, float] = {}
+        self._store_back_at = 0.0
+        self._rejected: dict[str, int] = {}
+
+    def run_configuration(self) -> None:
+        """Follow the configuration, for ever."""
+        self._follow(
+            rows.OPERATOR_TABLE,
+            self._take_configuration,
+            lambda: 0.0,
+            CONFIGURATION_WAIT_S,
+        )
+
+    def run_workers(self) -> None:
+        """Follow the workers, for ever."""
+        self._follow(
+            rows.WORKERS_TABLE, self._take_workers, self._choose_pause_s, 0.0
+        )
+
+    def run_daemons(self) -> None:
+        """Enter this daemon in the table of daemons, and read the others."""
+        boot_reads = 4
+        while True:
+            try:
+                found = self._store.read_table(rows.DAEMONS_TABLE)
+                self._record_up(True)
+                self._take_members(found.rows)
+            except exceptions.StoreError as error:
+                self._record_failure("daemons", error)
+                gevent.sleep(MAX_RETRY_S)
+                continue
+            boot_reads -= 1
+            gevent.sleep(
+                DAEMONS_BOOT_PAUSE_S if boot_reads > 0 else DAEMONS_PAUSE_S
+            )
+
+    def drop_daemon(self, daemon_id: str) -> None:
+        """Drop the row of a daemon that is gone."""
+        try:
+            self._store.delete(rows.DAEMONS_TABLE, daemon_id)
+        except exceptions.StoreError as error:
+            self._record_failure("daemons", error)
+
+    def list_workers(self) -> tuple[fleet.Listing, ...]:
+        """Return the workers that are listed."""
+        return tuple(self._workers.values())
+
+    def _follow(
+        self,
+        table: str,
+        take: Callable[[stores.Snapshot, bool], None],
+        choose_pause_s: Callable[[], float],
+        wait_s: float,
+    ) -> None:
+        """Read a table whole, then its changes; again after each failure."""
+        version = None
+        retry_s = RETRY_S
+        while True:
+            try:
+                version = self._read_once(table, take, version, wait_s)
+                retry_s = RETRY_S
+                self._record_up(True)
+            except exceptions.HistoryLostError:
+                logs.log(LOGGER, "history_lost", table=table, version=version)
+                version = None
+                continue
+            except exceptions.StoreError as error:
+                self._record_failure(table, error)
+                # What was missed meanwhile is told by a full read alone.
+                version = None
+                gevent.sleep(retry_s)
+                retry_s = min(MAX_RETRY_S, 2 * retry_s)
+                continue
+            gevent.sleep(choose_pause_s())
+
+    def _read_once(
+        self,
+        table: str,
+        take: Callable[[stores.Snapshot, bool], None],
+        version: int | None,
+        wait_s: float,
+    ) -> int:
+        if version is None:
+            snapshot = self._store.read_table(table)
+            take(snapshot, True)
+        else:
+            snapshot = self._store.wait_for_changes(table, version, wait_s)
+            take(snapshot, False)
+        return max(snapshot.version, version or 0)
+
+    def _record_up(self, is_up: bool) -> None:
+        if is_up == self.is_store_up:
+            return
+        self.is_store_up = is_up
+        event = "store_regained" if is_up else "store_lost"
+        logs.log(LOGGER, event, calls=dict(self._store.calls))
+        if is_up:
+            self._store_back_at = self._clock()
+
+    def _record_failure(self, what: str, error: Exception) -> None:
+        if self.is_store_up:
+            logs.log(LOGGER, "store_failed", what=what, error=str(error))
+        self._record_up(False)
+
+    def _take_configuration(
+        self, snapshot: stores.Snapshot, is_whole: bool
+    ) -> None:
+        for row in snapshot.rows:
+            if row.key != rows.CONFIGURATION_KEY or row.is_removed:
+                continue
+            try:
+                found = rows.decode_configuration(row.value)
+            except exceptions.BadDocumentError as error:
+                self._reject(row, error)
+                continue
+            self._outlets.on_configuration(found)
+
+    def _take_workers(self, snapshot: stores.Snapshot, is_whole: bool) -> None:
+        listed = {}
+        for row in snapshot.rows:
+            if row.is_removed:
+                self._miss(row.key)
+                continue
+            try:
+                listed[row.key] = rows.decode_worker(row.key, row.value)
+            except exceptions.BadDocumentError as error:
+                self._reject(row, error)
+        if is_whole:
+            for worker_id in self._workers.keys() - listed.keys():
+                self._miss(worker_id)
+        for worker_id in listed:
+            self._missing_since.pop(worker_id, None)
+        self._workers.update(listed)
+        self._drop_missing()
+        self._outlets.on_workers(tuple(self._workers.values()))
+
+    def _miss(self, worker_id: str) -> None:
+        self._missing_since.setdefault(worker_id, self._clock())
+
+    def _drop_missing(self) -> None:
+        """Drop missing workers, unless the store has only just come back."""
+        now = self._clock()
+        if now < self._store_back_at + RETURN_GRACE_S:
+            return
+        for worker_id in self._missing_since:
+            self._workers.pop(worker_id, None)
+        self._missing_since.clear()
+
+    def _choose_pause_s(self) -> float:
+        if self._outlets.is_owner():
+            return OWNER_WORKERS_PAUSE_S
+        return WORKERS_PAUSE_S
+
+    def _take_members(self, found: tuple[stores.Row, ...]) -> None:
+        is_entered = False
+        for row in found:
+            try:
+                member = rows.decode_member(row.value)
+            except exceptions.BadDocumentError as error:
+                self._reject(row, error)
+                continue
+            if member == self._own:
+                is_entered = True
+            else:
+                self._outlets.on_member(member)
+        if not is_entered:
+            entry = rows.encode_member(self._own)
+            self._store.put(rows.DAEMONS_TABLE, self._own.daemon_id, entry)
+
+    def _reject(self, row: stores.Row, error: Exception) -> None:
+        """Log a row that is of no use, once for each of its versions."""
+        if self._rejected.get(row.key) == row.version:
+            return
+        self._rejected[row.key] = row.version
+        logs.log(
+            LOGGER,
+            "row_rejected",
+            logging.WARNING,
+            key=row.key,
+            version=row.version,
+            error=str(error)[:200],
+        )
--- /dev/null
+++ b/pollenladder/service/gateway.py
@@ -0,0 +1,236 @@
+"""Callers' jobs: taken in, handed to the owner, and answered."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+import math
+
+import gevent
+from gevent import event
+
+from pollenladder.core import clocks
+from pollenladder.jobs import entities as jobs
+from pollenladder.service import logs
+
+LOGGER = logging.getLogger(__name__)
+
+# Each time a job is handed to another owner, its runs get higher numbers.
+RUN_NUMBERS_PER_OWNER = 32
+SWEEP_S = 0.03
+RETRY_AFTER_WITHOUT_OWNER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Outlets:
+    """Whom the gateway tells.
+
+    Attributes:
+        find_owner: Returns the id of the daemon that schedules, or "".
+        submit: Hands a job to a daemon; returns whether it may arrive.
+        cancel: Tells a daemon that a job is not wanted.
+        on_answered: Called with a job's queue, its answer, and how long it
+            took in seconds.
+    """
+
+    find_owner: Callable[[], str]
+    submit: Callable[[str, jobs.Submission], bool]
+    cancel: Callable[[str, str, jobs.Reason], None]
+    on_answered: Callable[[str, jobs.Answer, float], None]
+
+
+@dataclasses.dataclass
+class OpenJob:
+    """A job whose caller waits.
+
+    Attributes:
+        submission: As the caller sent it.
+        came_at: When it came.
+        gives_up_at: The caller waits no longer.
+        patience_s: It is refused if no owner has taken it for so long.
+        owner_id: The owner that it was handed to; "" if none has it.
+        has_been_sent: Whether any owner may have begun it.
+        first_run: See `jobs.Submission`.
+        waiters: Requests that wait for the answer.
+        answered: Set once there is an answer.
+        answer: The answer.
+    """
+
+    submission: jobs.Submission
+    came_at: float
+    gives_up_at: float
+    patience_s: float
+    owner_id: str = ""
+    has_been_sent: bool = False
+    first_run: int = 1
+    waiters: int = 0
+    answered: event.Event = dataclasses.field(default_factory=event.Event)
+    answer: jobs.Answer | None = None
+
+
+class Gateway:
+    """The jobs whose callers are connected to this daemon.
+
+    Attributes:
+        open: Jobs without an answer, by id.
+    """
+
+    def __init__(self, outlets: Outlets, clock: clocks.Clock):
+        self.open: dict[str, OpenJob] = {}
+        self._outlets = outlets
+        self._clock = clock
+
+    def submit(self, submission: jobs.Submission) -> OpenJob:
+        """Take a job in; one that is known gets another waiter."""
+        job = self.open.get(submission.job_id)
+        if job is None:
+            now = self._clock()
+            job = OpenJob(
+                submission=submission,
+                came_at=now,
+                gives_up_at=now + submission.budget_s,
+                patience_s=_measure_patience_s(submission),
+            )
+            self.open[submission.job_id] = job
+            self._hand_on(job)
+        job.waiters += 1
+        return job
+
+    def leave(self, job: OpenJob) -> None:
+        """Note that a waiting caller is gone."""
+        job.waiters -= 1
+        if job.waiters or job.answer is not None:
+            return
+        self._cancel(job, jobs.Reason.CALLER_LEFT)
+
+    def cancel(self, job_id: str) -> bool:
+        """Cancel a job for its caller; return whether it waits here."""
+        job = self.open.get(job_id)
+        if job is None:
+            return False
+        self._cancel(job, jobs.Reason.CALLER_CANCELLED)
+        return True
+
+    def take_answer(self, answer: jobs.Answer) -> None:
+        """Pass an owner's answer on to whoever waits."""
+        job = self.open.get(answer.job_id)
+        if job is None:
+            logs.log(
+                LOGGER,
+                "answer_without_caller",
+                job=answer.job_id,
+                outcome=answer.outcome.value,
+            )
+            return
+        self._finish(job, answer)
+
+    def take_back(self, job_id: str) -> None:
+        """Note that a daemon was not the owner and has not begun a job."""
+        job = self.open.get(job_id)
+        if job is not None:
+            job.owner_id = ""
+
+    def hand_on_again(self) -> None:
+        """Hand all jobs to the owner of now, if it has not got them."""
+        for job in list(self.open.values()):
+            self._hand_on(job)
+
+    def lose_daemon(self, daemon_id: str) -> None:
+        """Note that the link to a daemon has ended."""
+        for job in self.open.values():
+            if job.owner_id == daemon_id:
+                job.owner_id = ""
+
+    def run(self) -> None:
+        """Answer the jobs that no owner has taken in time, for ever."""
+        while True:
+            gevent.sleep(SWEEP_S)
+            self.hand_on_again()
+            self._expire(self._clock())
+
+    def _hand_on(self, job: OpenJob) -> None:
+        owner_id = self._outlets.find_owner()
+        if not owner_id or job.owner_id == owner_id or job.answer is not None:
+            return
+        now = self._clock()
+        submission = dataclasses.replace(
+            job.submission,
+            age_s=now - job.came_at,
+            budget_s=job.gives_up_at - now,
+            may_have_begun=job.has_been_sent,
+            first_run=job.first_run,
+        )
+        # Before the call, which may answer at once.
+        was_sent = job.has_been_sent
+        job.owner_id = owner_id
+        job.has_been_sent = True
+        if not self._outlets.submit(owner_id, submission):
+            job.owner_id = ""
+            job.has_been_sent = was_sent
+            return
+        job.first_run += RUN_NUMBERS_PER_OWNER
+        if was_sent:
+            logs.log(
+                LOGGER,
+                "job_handed_on_again",
+                job=submission.job_id,
+                owner=owner_id,
+                age_s=round(submission.age_s, 3),
+            )
+
+    def _expire(self, now: float) -> None:
+        for job in list(self.open.values()):
+            waited_s = now - job.came_at
+            if now >= job.gives_up_at:
+                self._give_up(job, jobs.Reason.DEADLINE)
+            elif not job.has_been_sent and waited_s > job.patience_s:
+                self._refuse(job)
+
+    def _refuse(self, job: OpenJob) -> None:
+        answer = jobs.Answer(
+            job.submission.job_id,
+            jobs.Outcome.REFUSED,
+            jobs.Reason.NO_OWNER,
+            RETRY_AFTER_WITHOUT_OWNER_S,
+        )
+        self._finish(job, answer)
+
+    def _give_up(self, job: OpenJob, reason: jobs.Reason) -> None:
+        outcome = jobs.Outcome.GIVEN_UP
+        if job.owner_id:
+            self._outlets.cancel(job.owner_id, job.submission.job_id, reason)
+        self._finish(job, jobs.Answer(job.submission.job_id, outcome, reason))
+
+    def _cancel(self, job: OpenJob, reason: jobs.Reason) -> None:
+        job_id = job.submission.job_id
+        if job.owner_id:
+            self._outlets.cancel(job.owner_id, job_id, reason)
+        self._finish(job, jobs.Answer(job_id, jobs.Outcome.CANCELLED, reason))
+
+    def _finish(self, job: OpenJob, answer: jobs.Answer) -> None:
+        self.open.pop(answer.job_id, None)
+        job.answer = answer
+        job.answered.set()
+        took_s = self._clock() - job.came_at
+        self._outlets.on_answered(job.submission.queue, answer, took_s)
+        logs.log(
+            LOGGER,
+            "job_answered",
+            job=answer.job_id,
+            queue=job.submission.queue,
+            outcome=answer.outcome.value,
+            reason=answer.reason.value,
+            owner=job.owner_id,
+            took_s=round(took_s, 4),
+            retry_after_s=round(answer.retry_after_s, 3),
+        )
+
+
+def _measure_patience_s(submission: jobs.Submission) -> float:
+    """Return how long a job can wait and still be in time, in seconds."""
+    slack_s = (submission.stretch - 1) * submission.estimate_s
+    return max(0.0, slack_s + submission.slack_s)
+
+
+def format_retry_after(retry_after_s: float) -> str:
+    """Return whole seconds, at least one, as the header allows no others."""
+    return str(max(1, math.ceil(retry_after_s)))
--- /dev/null
+++ b/pollenladder/service/leadership.py
@@ -0,0 +1,237 @@
+"""Beats, and what follows from them: who owns the workers."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+import zlib
+
+import gevent
+from gevent import event
+
+from pollenladder.cluster import messages
+from pollenladder.cluster import ownership
+from pollenladder.cluster import roster as rosters
+from pollenladder.core import clocks
+from pollenladder.service import logs
+
+LOGGER = logging.getLogger(__name__)
+
+BEAT_S = 0.1
+# A daemon that has just started first hears whether there is an owner.
+BOOT_GRACE_S = 0.8
+LAG_DECAY = 0.8
+# Epochs count milliseconds since 2020 and leave room for a daemon's number, so
+# that no two daemons make the same one.
+EPOCH_ORIGIN_S = 1_577_836_800
+EPOCH_DAEMONS = 1024
+# Above an epoch of unknown height, by so many milliseconds.
+EPOCH_LEAP_MS = 10_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Outlets:
+    """What the leadership asks and whom it tells.
+
+    Attributes:
+        broadcast: Sends a message to all linked daemons.
+        claim: Makes this daemon the owner, with an epoch.
+        resign: Ends its ownership.
+        on_owner: Called when another owner, or none, is followed.
+        on_forgotten: Called with a daemon that has long been away.
+        count_reached: Returns how many workers the owner reaches.
+        count_pending: Returns jobs that have not begun, by queue.
+        reads_store: Returns whether the platform's store answers.
+        get_version: Returns the configuration's version.
+        is_leaving: Returns whether this daemon is shutting down.
+        is_cut_off_with_zone: Returns whether workers are reached in this data
+            centre alone.
+    """
+
+    broadcast: Callable[[object], None]
+    claim: Callable[[int], None]
+    resign: Callable[[], None]
+    on_owner: Callable[[str], None]
+    on_forgotten: Callable[[str], None]
+    count_reached: Callable[[], int]
+    count_pending: Callable[[], dict[str, int]]
+    reads_store: Callable[[], bool]
+    get_version: Callable[[], int]
+    is_leaving: Callable[[], bool]
+    is_cut_off_with_zone: Callable[[], bool]
+
+
+class Leadership:
+    """Who owns the workers, as this daemon sees it.
+
+    Attributes:
+        owner_id: The owner that is followed, which may be this one, or "".
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        roster: rosters.Roster,
+        outlets: Outlets,
+        clock: clocks.Clock,
+        wall_clock: clocks.Clock,
+    ):
+        self.owner_id = ""
+        self._own_id = own_id
+        self._roster = roster
+        self._outlets = outlets
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._epoch = 0
+        self._highest_epoch = 0
+        self._lag_s = 0.0
+        self._yields_until = clock() + BOOT_GRACE_S
+        self._wake = event.Event()
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether this daemon is the owner."""
+        return self._epoch > 0
+
+    def wake(self) -> None:
+        """Decide anew now."""
+        self._wake.set()
+
+    def take_beat(self, daemon_id: str, beat: messages.Beat) -> None:
+        """Note what another daemon says."""
+        self._roster.record_beat(daemon_id, beat)
+        self._highest_epoch = max(self._highest_epoch, beat.epoch)
+        if beat.is_owner != (daemon_id == self.owner_id):
+            self.wake()
+
+    def take_fenced(self, worker_id: str) -> None:
+        """Note that a worker has seen a higher epoch than ours."""
+        now = self._clock()
+        if not self.is_owner or now < self._yields_until:
+            return
+        self._yields_until = now + ownership.YIELD_S
+        heard = self._roster.list_heard()
+        rival = ownership.find_owner(heard)
+        hears_most = ownership.hears_most(self._roster.list_known(), heard)
+        logs.log(
+            LOGGER,
+            "fenced",
+            logging.WARNING,
+            worker=worker_id,
+            epoch=self._epoch,
+            rival=rival,
+            hears_most=hears_most,
+        )
+        if hears_most and not rival:
+            self._highest_epoch = max(
+                self._highest_epoch,
+                self._epoch + EPOCH_LEAP_MS * EPOCH_DAEMONS,
+            )
+            self._claim("fenced by an owner that is not heard")
+        else:
+            self._resign("fenced")
+
+    def run(self) -> None:
+        """Decide and beat, for ever."""
+        while True:
+            self._decide()
+            self._outlets.broadcast(self._build_beat())
+            before = self._clock()
+            woken = self._wake.wait(BEAT_S)
+            self._wake.clear()
+            if not woken:
+                late_s = max(0.0, self._clock() - before - BEAT_S)
+                self._lag_s += (1 - LAG_DECAY) * (late_s - self._lag_s)
+
+    def _decide(self) -> None:
+        now = self._clock()
+        for daemon_id in self._roster.forget_lost(now):
+            logs.log(LOGGER, "daemon_forgotten", peer=daemon_id)
+            self._outlets.on_forgotten(daemon_id)
+        heard = self._roster.list_heard()
+        known = self._roster.list_known()
+        is_cut_off = (
+            not self.owner_id or self.owner_id not in heard
+        ) and not ownership.hears_most(known, heard)
+        situation = ownership.Situation(
+            own_id=self._own_id,
+            own=self._view_self(),
+            heard=heard,
+            known=known,
+            is_cut_off_with_zone=(
+                is_cut_off and self._outlets.is_cut_off_with_zone()
+            ),
+            may_claim_alone=False,
+            yields_until=self._yields_until,
+            now=now,
+        )
+        decision, owner_id = ownership.decide(situation)
+        if decision is ownership.Decision.CLAIM:
+            self._claim(f"hears {len(heard)} of {len(known) - 1}")
+        elif decision is ownership.Decision.RESIGN:
+            self._resign("hands over", owner_id)
+        else:
+            self._follow(owner_id)
+
+    def _view_self(self) -> ownership.View:
+        return ownership.View(
+            is_owner=self.is_owner,
+            epoch=self._epoch,
+            workers_reached=self._outlets.count_reached(),
+            reads_store=self._outlets.reads_store(),
+            lag_s=self._lag_s,
+            is_leaving=self._outlets.is_leaving(),
+        )
+
+    def _build_beat(self) -> messages.Beat:
+        own = self._view_self()
+        return messages.Beat(
+            is_owner=own.is_owner,
+            epoch=max(own.epoch, 0 if own.is_owner else self._highest_epoch),
+            workers_reached=own.workers_reached,
+            reads_store=own.reads_store,
+            config_version=self._outlets.get_version(),
+            lag_s=own.lag_s,
+            is_leaving=own.is_leaving,
+            pending=self._outlets.count_pending(),
+        )
+
+    def _claim(self, reason: str) -> None:
+        self._epoch = self._make_epoch()
+        self._highest_epoch = self._epoch
+        logs.log(LOGGER, "ownership_claimed", epoch=self._epoch, reason=reason)
+        self._outlets.claim(self._epoch)
+        self._follow(self._own_id)
+
+    def _resign(self, reason: str, owner_id: str = "") -> None:
+        logs.log(
+            LOGGER,
+            "ownership_resigned",
+            epoch=self._epoch,
+            reason=reason,
+            owner=owner_id,
+        )
+        self._epoch = 0
+        self._yields_until = self._clock() + ownership.YIELD_S
+        self._outlets.resign()
+        self._follow(owner_id)
+        self._outlets.broadcast(self._build_beat())
+
+    def _follow(self, owner_id: str) -> None:
+        if owner_id == self.owner_id:
+            return
+        logs.log(LOGGER, "owner_changed", owner=owner_id, before=self.owner_id)
+        self.owner_id = owner_id
+        self._outlets.on_owner(owner_id)
+
+    def _make_epoch(self) -> int:
+        """Return an epoch above all that are known here, of this daemon."""
+        wall_ms = int((self._wall_clock() - EPOCH_ORIGIN_S) * 1000)
+        highest_ms = self._highest_epoch // EPOCH_DAEMONS + 1
+        number = zlib.crc32(self._own_id.encode()) % EPOCH_DAEMONS
+        return max(wall_ms, highest_ms, 1) * EPOCH_DAEMONS + number
+
+
+def run_in_background(*loops: Callable[[], None]) -> None:
+    """Run loops that never end, each in a greenlet of its own."""
+    for loop in loops:
+        gevent.spawn(loop)
--- /dev/null
+++ b/pollenladder/service/meters.py
@@ -0,0 +1,73 @@
+"""The daemon's metrics, and the server that shows them."""
+
+from gevent import pywsgi
+import prometheus_client
+
+from pollenladder.jobs import entities as jobs
+
+PORT = 9464
+RESPONSE_BUCKETS_S = (
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.4,
+    0.8,
+    1.6,
+    3.2,
+)
+
+
+class Meters:
+    """The counters, gauges and histograms of one daemon.
+
+    Attributes:
+        registry: All of them.
+        http_connections: Callers' connections open.
+        turned_away: Callers' connections beyond the bound.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self.http_connections = prometheus_client.Gauge(
+            "pollenladder_http_connections",
+            "Open connections of callers.",
+            registry=self.registry,
+        )
+        self.turned_away = prometheus_client.Counter(
+            "pollenladder_connections_refused",
+            "Connections of callers beyond the bound.",
+            registry=self.registry,
+        )
+        self._jobs = prometheus_client.Counter(
+            "pollenladder_jobs",
+            "Jobs answered.",
+            ("outcome", "reason"),
+            registry=self.registry,
+        )
+        self._response = prometheus_client.Histogram(
+            "pollenladder_response_seconds",
+            "Time from a job's arrival to its answer.",
+            buckets=RESPONSE_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._counters: dict[tuple[str, str], prometheus_client.Counter] = {}
+
+    def count_job(self, answer: jobs.Answer, took_s: float) -> None:
+        """Count a job's answer."""
+        labels = (answer.outcome.value, answer.reason.value)
+        counter = self._counters.get(labels)
+        if counter is None:
+            counter = self._counters[labels] = self._jobs.labels(*labels)
+        counter.inc()
+        self._response.observe(took_s)
+
+
+def serve(meters: Meters, address: str) -> None:
+    """Show the metrics to whoever asks.
+
+    Raises:
+        OSError: The port can't be had.
+    """
+    application = prometheus_client.make_wsgi_app(meters.registry)
+    pywsgi.WSGIServer((address, PORT), application, log=None).start()
--- /dev/null
+++ b/pollenladder/service/reachability.py
@@ -0,0 +1,91 @@
+"""Find out whether this daemon is cut off together with its data centre."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+
+import gevent
+from gevent import socket
+
+from pollenladder.core import clocks
+from pollenladder.fleet import entities as fleet
+from pollenladder.service import logs
+
+LOGGER = logging.getLogger(__name__)
+
+PROBES_EACH = 3
+CONNECT_TIMEOUT_S = 0.2
+# A finding holds for so long.
+VALID_S = 0.5
+
+
+class Reachability:
+    """Probes workers here and elsewhere by opening connections to a few."""
+
+    def __init__(
+        self,
+        data_centre: str,
+        list_workers: Callable[[], Iterable[fleet.Listing]],
+        clock: clocks.Clock,
+    ):
+        self._data_centre = data_centre
+        self._list_workers = list_workers
+        self._clock = clock
+        self._found_at = float("-inf")
+        self._is_cut_off = False
+        self._is_probing = False
+
+    def is_cut_off_with_zone(self) -> bool:
+        """Return whether workers were found in reach here, and only here.
+
+        It never waits: the first call begins to probe and returns False.
+        """
+        now = self._clock()
+        if now - self._found_at <= VALID_S:
+            return self._is_cut_off
+        if not self._is_probing:
+            self._is_probing = True
+            gevent.spawn(self._probe)
+        return False
+
+    def _probe(self) -> None:
+        here, elsewhere = self._choose()
+        probes = [gevent.spawn(_can_connect, a) for a in here + elsewhere]
+        gevent.joinall(probes)
+        found = [probe.value for probe in probes]
+        reached_here = any(found[: len(here)])
+        reached_elsewhere = any(found[len(here) :])
+        self._is_cut_off = (
+            reached_here and bool(elsewhere) and not reached_elsewhere
+        )
+        self._found_at = self._clock()
+        self._is_probing = False
+        logs.log(
+            LOGGER,
+            "reachability_probed",
+            here=reached_here,
+            elsewhere=reached_elsewhere,
+            probes=len(probes),
+        )
+
+    def _choose(self) -> tuple[list, list]:
+        here: list[tuple[str, int]] = []
+        by_data_centre: dict[str, list[tuple[str, int]]] = {}
+        for listing in self._list_workers():
+            if listing.data_centre == self._data_centre:
+                here.append(listing.address)
+            else:
+                group = by_data_centre.setdefault(listing.data_centre, [])
+                group.append(listing.address)
+        elsewhere = []
+        for group in by_data_centre.values():
+            elsewhere += group[:PROBES_EACH]
+        return here[:PROBES_EACH], elsewhere
+
+
+def _can_connect(address: tuple[str, int]) -> bool:
+    try:
+        socket.create_connection(address, CONNECT_TIMEOUT_S).close()
+    except OSError:
+        return False
+    return True
--- /dev/null
+++ b/pollenladder/service/sessions.py
@@ -0,0 +1,178 @@
+"""The owner's conversation with one worker: looks, starts and stops."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+
+import gevent
+
+from pollenladder.core import clocks
+from pollenladder.fleet import entities as fleet
+from pollenladder.platform import workers
+from pollenladder.scheduling import replies
+from pollenladder.scheduling import tables
+from pollenladder.service import logs
+
+LOGGER = logging.getLogger(__name__)
+
+# A look waits so long for an end; each look also renews the leases.
+BUSY_WAIT_S = 0.2
+IDLE_WAIT_S = 0.4
+# Pause before the next look at a worker that does not reply.
+UNREACHABLE_PAUSE_S = 0.15
+FENCED_PAUSE_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True)
+class Outlets:
+    """Whom a session tells.
+
+    Attributes:
+        on_event: Called after the tables have changed.
+        on_fenced: Called when the worker has another owner.
+    """
+
+    on_event: Callable[[], None]
+    on_fenced: Callable[[str], None]
+
+
+class Session:
+    """One worker's looks and orders, while this daemon owns it."""
+
+    def __init__(
+        self,
+        region: tables.Region,
+        worker: fleet.Worker,
+        outlets: Outlets,
+        clock: clocks.Clock,
+    ):
+        self._region = region
+        self._worker = worker
+        self._worker_id = worker.listing.worker_id
+        self._outlets = outlets
+        self._clock = clock
+        self._client = workers.WorkerClient(
+            self._worker_id, worker.listing.address, clock
+        )
+        self._closed = False
+        self._extra_wanted = False
+        self._extra_running = False
+        self.address = worker.listing.address
+
+    @property
+    def connections_opened(self) -> int:
+        """Connections opened so far."""
+        return self._client.connections_opened
+
+    def begin(self) -> None:
+        """Begin to look."""
+        gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Look no more; orders on their way are not taken back."""
+        self._closed = True
+        self._client.close()
+
+    def start(self, order: tables.StartRun) -> None:
+        """Send an order to start a run, without waiting for the reply."""
+        gevent.spawn(self._start, order)
+
+    def stop(self, order: tables.StopRun) -> None:
+        """Send an order to stop a run, without waiting for the reply."""
+        gevent.spawn(self._stop, order)
+
+    def look_now(self) -> None:
+        """Look once more, beside the look that waits for an end."""
+        self._extra_wanted = True
+        if not self._extra_running:
+            self._extra_running = True
+            gevent.spawn(self._look_extra)
+
+    def _run(self) -> None:
+        while not self._closed:
+            pause_s = self._look(self._choose_wait_s())
+            if pause_s:
+                gevent.sleep(pause_s)
+
+    def _look_extra(self) -> None:
+        while self._extra_wanted and not self._closed:
+            self._extra_wanted = False
+            self._look(0.0)
+        self._extra_running = False
+
+    def _choose_wait_s(self) -> float:
+        worker = self._worker
+        if not worker.is_synced or not worker.is_reachable:
+            return 0.0
+        return BUSY_WAIT_S if worker.runs else IDLE_WAIT_S
+
+    def _look(self, wait_s: float) -> float:
+        """Look once and return how long to pause, in seconds."""
+        sent_at = self._clock()
+        worker = self._worker
+        lease_until_s = self._extend_lease() if worker.is_synced else None
+        try:
+            look = self._client.look(
+                self._region.epoch, worker.cursor, wait_s, lease_until_s
+            )
+        except workers.FencedError:
+            if not self._closed:
+                self._outlets.on_fenced(self._worker_id)
+            return FENCED_PAUSE_S
+        except workers.LookError as error:
+            return self._take_missed(error)
+        if not self._closed:
+            replies.take_look(
+                self._region, self._worker_id, look, sent_at, self._clock()
+            )
+            self._outlets.on_event()
+        return 0.0
+
+    def _take_missed(self, error: workers.LookError) -> float:
+        if self._closed:
+            return 0.0
+        was_reachable = self._worker.is_reachable
+        replies.take_missed_look(self._region, self._worker_id, self._clock())
+        if was_reachable:
+            logs.log(
+                LOGGER,
+                "look_missed",
+                worker=self._worker_id,
+                error=str(error),
+                missed=self._worker.missed_looks,
+            )
+        self._outlets.on_event()
+        if self._worker.missed_looks < replies.MAX_MISSED_LOOKS:
+            return 0.0
+        return UNREACHABLE_PAUSE_S
+
+    def _extend_lease(self) -> float:
+        """Return a lease's end by the worker's clock, and keep the latest."""
+        worker = self._worker
+        until_s = (
+            self._clock() + worker.clock_ahead_s + self._region.max_lease_s
+        )
+        worker.lease_until_s = max(worker.lease_until_s, until_s)
+        return until_s
+
+    def _start(self, order: tables.StartRun) -> None:
+        reply = self._client.start(
+            order.task,
+            order.number,
+            order.spec,
+            self._extend_lease(),
+            self._region.epoch,
+        )
+        if self._closed:
+            return
+        if reply is fleet.StartReply.FENCED:
+            self._outlets.on_fenced(self._worker_id)
+        replies.take_start_reply(self._region, order, reply, self._clock())
+        self._outlets.on_event()
+
+    def _stop(self, order: tables.StopRun) -> None:
+        reply = self._client.stop(order.task, order.number, self._region.epoch)
+        if self._closed:
+            return
+        replies.take_stop_reply(self._region, order, reply, self._clock())
+        self._outlets.on_event()
--- a/pollenladder/platform/client.py
+++ b/pollenladder/table/client.py
@@ -20,10 +20,10 @@
 from pollenladder.http import exceptions as http_exceptions
 from pollenladder.http import exchanges
 from pollenladder.http import responses
-from pollenladder.platform import entities
-from pollenladder.platform import exceptions
-from pollenladder.platform import messages
-from pollenladder.platform import rereads
+from pollenladder.table import entities
+from pollenladder.table import exceptions
+from pollenladder.table import messages
+from pollenladder.table import rereads
 
 Message = TypeVar("Message", bound=pydantic.BaseModel)
 
--- a/tests/conf/test_loader.py
+++ b/tests/conf/test_loader.py
@@ -10,6 +10,7 @@
 from pollenladder.conf import exceptions
 from pollenladder.conf import loader
 from pollenladder.conf import loops
+from pollenladder.conf import pinning
 from pollenladder.conf import settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -87,7 +88,7 @@
     def test_examples_pass(self):
         for name in ("red-andina", "dalbit"):
             loaded = loader.load(ROOT / "examples" / name / "settings.json")
-            facts = checks.Facts(loaded, checks.PINNED_LOOP)
+            facts = checks.Facts(loaded, pinning.PINNED_LOOP)
             self.assertEqual(checks.run(facts), [])
 
     def test_each_check_finds_its_fault(self):
@@ -140,8 +141,8 @@
         base = loader.load(EXAMPLE)
         for loop, found in (
             (loops.describe_loop(), []),
-            (checks.Loop("libuv", "default"), ["conf.E001"]),
-            (checks.Loop("libev", "select"), ["conf.E001"]),
+            (pinning.Loop("libuv", "default"), ["conf.E001"]),
+            (pinning.Loop("libev", "select"), ["conf.E001"]),
         ):
             findings = checks.run(checks.Facts(base, loop))
             self.assertEqual([f.check_id for f in findings], found)
--- a/tests/contracts/test_platform.py
+++ b/tests/contracts/test_platform.py
@@ -12,9 +12,9 @@
 
 from pollenladder.core import entities as core_entities
 from pollenladder.core import verdicts
-from pollenladder.platform import client
-from pollenladder.platform import entities
-from pollenladder.platform import exceptions
+from pollenladder.table import client
+from pollenladder.table import entities
+from pollenladder.table import exceptions
 from standins import platform as standin
 from standins import platform_http
 from standins import platform_messages
--- a/tests/contracts/test_rereads.py
+++ b/tests/contracts/test_rereads.py
@@ -3,7 +3,7 @@
 import functools
 import unittest
 
-from pollenladder.platform import exceptions
+from pollenladder.table import exceptions
 from tests.contracts import scripted
 from tests.contracts import test_platform as contract
 
