Judge runs by those of the same job, and keep cut-off jobs from running twice

Change: the owner abandons the jobs of a gateway lost for 0.5 s; a task that may have begun waits a lease unless all listed workers are seen; runs are compared with those of the same job; remaining time by progress; wide jobs get the time of several rounds; a job on the edge is tried.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -138,6 +138,7 @@
         confirmed_at: When the worker confirmed it.
         expected_s: Its expected run time.
         percent: How much of it was done at the last look.
+        seen_at: When that was.
         is_orphan: Whether no job here wants it.
         next_stop_at: When its stop is sent again.
     """
@@ -151,6 +152,7 @@
     expected_s: float
     confirmed_at: float = 0.0
     percent: float = 0.0
+    seen_at: float = 0.0
     is_orphan: bool = False
     next_stop_at: float = 0.0
 
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -26,6 +26,16 @@
             and self.gpus <= other.gpus
         )
 
+    def count(self, other: "Resources") -> int:
+        """Return how many times another fits into this."""
+        pairs = (
+            (self.cpu_milli, other.cpu_milli),
+            (self.memory_mb, other.memory_mb),
+            (self.gpus, other.gpus),
+        )
+        counts = [have // need for have, need in pairs if need]
+        return max(0, min(counts, default=1))
+
     def plus(self, other: "Resources") -> "Resources":
         """Return the sum."""
         return Resources(
@@ -159,6 +169,7 @@
     NO_WORKERS = "no_workers"
     NO_OWNER = "no_owner"
     OWNER_LOST = "owner_lost"
+    GATEWAY_LOST = "gateway_lost"
     DEADLINE = "deadline"
     DRAINING = "draining"
 
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -9,10 +9,9 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import placement
+from pollenladder.scheduling import progress
 from pollenladder.scheduling import tables
 
-# A run that is overdue is expected to go on for this part of its time.
-OVERDUE_SHARE = 0.25
 NEVER_S = 1e9
 
 
@@ -53,6 +52,17 @@
     )
 
 
+def count_room(
+    region: tables.Region, service: str, needed: jobs.Resources
+) -> int:
+    """Return how many tasks of one size all listed workers hold together."""
+    return sum(
+        worker.listing.capacity.count(needed)
+        for worker in region.workers.values()
+        if worker.is_listed and worker.listing.service == service
+    )
+
+
 def _list_places(
     region: tables.Region, job: tables.Job, now: float
 ) -> list[float]:
@@ -76,18 +86,11 @@
         places.append(0.0)
         free = free.minus(needed)
     runs = sorted(
-        worker.runs.values(), key=lambda run: get_remaining_s(run, now)
+        worker.runs.values(), key=lambda run: progress.get_remaining_s(run, now)
     )
     for run in runs:
         free = free.plus(run.resources)
         while needed.fits(free):
-            places.append(get_remaining_s(run, now))
+            places.append(progress.get_remaining_s(run, now))
             free = free.minus(needed)
     return places
-
-
-def get_remaining_s(run: fleet.Run, now: float) -> float:
-    """Return how long a run is expected to go on, in seconds."""
-    elapsed_s = now - (run.confirmed_at or run.sent_at)
-    remaining_s = run.expected_s - elapsed_s
-    return max(remaining_s, OVERDUE_SHARE * run.expected_s)
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -17,6 +17,10 @@
 # Time between a start's decision and the worker's first step, and between the
 # end of the last task and the caller's receipt of the answer.
 OVERHEAD_S = 0.015
+# A job wider than this part of all room is given more time.
+WAVE_SHARE = 0.25
+# Expectations are off by about this part; a job on the edge is tried.
+TOLERANCE_SHARE = 0.25
 # Answers given lately are repeated to whoever asks again.
 ANSWERS_KEPT_S = 5.0
 MIN_RETRY_AFTER_S = 0.1
@@ -102,8 +106,9 @@
     region.jobs.pop(job_id, None)
     region.waiting.discard(job_id)
     answer = jobs.Answer(job_id, outcome, reason, retry_after_s)
-    region.answered[job_id] = (answer, now)
-    region.effects.append(tables.AnswerJob(job.gateway_id, answer))
+    if reason is not jobs.Reason.GATEWAY_LOST:
+        region.answered[job_id] = (answer, now)
+        region.effects.append(tables.AnswerJob(job.gateway_id, answer))
     region.note(
         "job_ended",
         job=job_id,
@@ -128,15 +133,14 @@
         region.estimates, submission.queue, submission.estimate_s
     )
     submitted_at = now - submission.age_s
-    allowed_s = submission.stretch * expected_s + submission.slack_s
+    waves = _count_waves(region, submission)
+    allowed_s = submission.stretch * expected_s * waves + submission.slack_s
     objective_at = submitted_at + allowed_s
     first_run = submission.first_run
     return tables.Job(
         submission=submission,
         gateway_id=gateway_id,
-        resources=jobs.Resources(
-            submission.cpu_milli, submission.memory_mb, submission.gpus
-        ),
+        resources=_get_resources(submission),
         tasks=[
             tables.Task(index, tables.TaskState.WAITING, first_run)
             for index in range(submission.tasks)
@@ -149,6 +153,21 @@
     )
 
 
+def _get_resources(submission: jobs.Submission) -> jobs.Resources:
+    return jobs.Resources(
+        submission.cpu_milli, submission.memory_mb, submission.gpus
+    )
+
+
+def _count_waves(region: tables.Region, submission: jobs.Submission) -> int:
+    """Return in how many rounds a wide job may run and still be in time."""
+    room = forecast.count_room(
+        region, submission.service, _get_resources(submission)
+    )
+    width = max(1.0, room * WAVE_SHARE)
+    return max(1, math.ceil(submission.tasks / width))
+
+
 def _find_reason_against(
     region: tables.Region, job: tables.Job, now: float
 ) -> tuple[jobs.Reason | None, float]:
@@ -164,7 +183,8 @@
     wait_s = forecast.predict_wait_s(region, job, now)
     if job.submission.may_have_begun:
         return None, wait_s
-    if now + wait_s > job.latest_start_at:
+    tolerance_s = TOLERANCE_SHARE * job.expected_s
+    if now + wait_s > job.latest_start_at + tolerance_s:
         return jobs.Reason.NO_ROOM_IN_TIME, wait_s
     return None, wait_s
 
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -9,6 +9,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
 # Of workers with equal room a faster one is better.
@@ -20,8 +21,9 @@
     if not region.waiting:
         return
     usable = list_usable(region, now)
+    sees_all = runs.sees_all(region)
     for job in sort_waiting(region):
-        _place_job(region, job, usable, now)
+        _place_job(region, job, usable, sees_all, now)
 
 
 def sort_waiting(region: tables.Region) -> list[tables.Job]:
@@ -57,11 +59,12 @@
     region: tables.Region,
     job: tables.Job,
     usable: list[fleet.Worker],
+    sees_all: bool,
     now: float,
 ) -> None:
     waiting = job.list_waiting()
     for task in waiting:
-        if now < task.not_before:
+        if now < task.not_before and not sees_all:
             continue
         worker = _choose_worker(job, task, usable, now)
         if worker is None:
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -6,6 +6,7 @@
 from pollenladder.jobs import estimates
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import placement
+from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import stalls
 from pollenladder.scheduling import tables
@@ -115,6 +116,16 @@
         )
 
 
+def take_fenced(region: tables.Region, worker_id: str) -> None:
+    """Note that a worker obeys another owner: its runs are not known here."""
+    worker = region.workers.get(worker_id)
+    if worker is None:
+        return
+    worker.is_synced = False
+    worker.is_reachable = False
+    region.note("worker_fenced", worker=worker_id, epoch=region.epoch)
+
+
 def take_look(
     region: tables.Region,
     worker_id: str,
@@ -218,8 +229,7 @@
             region.orphan_ends[run.task] = now
         return
     measured_s = now - (run.confirmed_at or run.sent_at)
-    slowness = measured_s / run.expected_s if run.expected_s else 1.0
-    health.record_success(worker.health, slowness, now)
+    _judge_worker(region, worker, job, run, measured_s, now)
     if worker.health.slowness < health.SLOW_FACTOR:
         estimates.record_run(
             region.estimates,
@@ -228,12 +238,28 @@
             measured_s,
         )
     task.state = tables.TaskState.DONE
+    task.took_s = measured_s
     if job.is_complete():
         intake.end_job(
             region, job, jobs.Outcome.COMPLETED, jobs.Reason.ALL_DONE, now
         )
 
 
+def _judge_worker(
+    region: tables.Region,
+    worker: fleet.Worker,
+    job: tables.Job,
+    run: fleet.Run,
+    measured_s: float,
+    now: float,
+) -> None:
+    """Compare a run with those of the same job elsewhere, if there are any."""
+    usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
+    usual_s = usual_s or run.expected_s
+    slowness = measured_s / usual_s if usual_s else 1.0
+    health.record_success(worker.health, slowness, now)
+
+
 def _take_failed(
     region: tables.Region, worker: fleet.Worker, run: fleet.Run, now: float
 ) -> None:
@@ -268,6 +294,7 @@
         )
         return
     run.percent = observed.percent
+    run.seen_at = now
     run.confirmed_at = run.confirmed_at or now
     if run.state in (fleet.RunState.STARTING, fleet.RunState.UNCERTAIN):
         run.state = fleet.RunState.RUNNING
@@ -292,6 +319,7 @@
         expected_s=job.expected_s if job else 0.0,
         confirmed_at=now,
         percent=observed.percent,
+        seen_at=now,
         is_orphan=True,
     )
     worker.add_run(run)
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -45,17 +45,19 @@
     return int(text) if text.isdecimal() else -1
 
 
+def sees_all(region: tables.Region) -> bool:
+    """Return whether no worker can hold a run that this owner does not see."""
+    return all(
+        worker.is_synced and worker.is_reachable
+        for worker in region.workers.values()
+        if worker.is_listed
+    )
+
+
 def find_lapse_time(region: tables.Region, now: float) -> float:
-    """Return when no run of an earlier owner can be at work unseen.
-
-    Once all listed workers have been looked at, it is now. Before, a worker
-    that is out of reach may hold a run until the last lease that an earlier
-    owner was granted has lapsed.
-    """
-    if all(w.is_synced for w in region.workers.values() if w.is_listed):
-        return now
+    """Return when no run of another owner, gone by now, can be at work."""
     lease_s = region.max_lease_s * (1 + MAX_CLOCK_DRIFT) + LAPSE_MARGIN_S
-    return region.owned_since + lease_s
+    return now + lease_s
 
 
 def adopt_orphan(
--- a/pollenladder/scheduling/stalls.py
+++ b/pollenladder/scheduling/stalls.py
@@ -7,15 +7,16 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.scheduling import placement
+from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
-# A run this many times slower than expected is a candidate.
-STALL_FACTOR = 3.0
+# A run is stalled if it takes so many times as long as others of its job, or,
+# if there are none elsewhere, as was declared; declared times are far off.
+SIBLING_FACTOR = 2.2
+DECLARED_FACTOR = 5.0
 # No run is judged before this much time, in seconds.
-MIN_JUDGED_S = 0.08
-# With less than this done, a run is taken to stand still.
-STILL_PERCENT = 2.0
+MIN_JUDGED_S = 0.06
 # What a stop and another start cost, in seconds.
 MOVE_COST_S = 0.03
 
@@ -25,15 +26,15 @@
 ) -> None:
     """Stop the runs of a worker that had better begin anew elsewhere."""
     for run in list(worker.runs.values()):
-        slowness = measure_slowness(run, now)
-        if slowness < STALL_FACTOR or not _is_worth_moving(run, now):
-            continue
         job, task = runs.find_task(region, run)
         if job is None or task is None:
             continue
+        slowness = measure_slowness(region, job, run, now)
+        if slowness < 1.0:
+            continue
         if not _has_room_elsewhere(region, worker, job, now):
             continue
-        health.record_stall(worker.health, slowness, now)
+        health.record_stall(worker.health, SIBLING_FACTOR * slowness, now)
         task.avoided.add(run.worker_id)
         runs.stop(region, run, now)
         region.note(
@@ -48,24 +49,30 @@
         )
 
 
-def measure_slowness(run: fleet.Run, now: float) -> float:
-    """Return how many times as long as expected a run will take, at least."""
-    if run.state is not fleet.RunState.RUNNING or not run.expected_s:
+def measure_slowness(
+    region: tables.Region, job: tables.Job, run: fleet.Run, now: float
+) -> float:
+    """Return by how much a run is over what would be worth a move.
+
+    Returns:
+        At 1 and above the run is taken to be stalled.
+    """
+    if run.state is not fleet.RunState.RUNNING:
         return 0.0
     elapsed_s = now - run.confirmed_at
-    if elapsed_s < max(MIN_JUDGED_S, 0.5 * run.expected_s):
+    usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
+    limit = SIBLING_FACTOR if usual_s else DECLARED_FACTOR
+    usual_s = usual_s or job.expected_s
+    if elapsed_s < max(MIN_JUDGED_S, 0.5 * usual_s):
         return 0.0
-    if run.percent < STILL_PERCENT:
-        return health.MAX_SLOWNESS
-    return 100.0 * elapsed_s / run.percent / run.expected_s
-
-
-def _is_worth_moving(run: fleet.Run, now: float) -> bool:
-    if run.percent < STILL_PERCENT:
-        return True
-    elapsed_s = now - run.confirmed_at
-    remaining_s = elapsed_s * (100.0 / run.percent - 1.0)
-    return remaining_s > run.expected_s + MOVE_COST_S
+    total_s = progress.predict_total_s(run)
+    if total_s is None:
+        # Hardly begun: it stands still, or takes many times as long.
+        total_s = 100.0 / progress.MIN_PERCENT * elapsed_s
+    remaining_s = total_s - elapsed_s
+    if remaining_s < usual_s + MOVE_COST_S:
+        return 0.0
+    return total_s / usual_s / limit
 
 
 def _has_room_elsewhere(
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -25,10 +25,11 @@
         state: Where it stands.
         next_run: The number of its next run.
         failures: Runs that ended in failure.
-        worker_id: Where its run is.
+        worker_id: Where its run is, or was when it was done.
+        took_s: How long its run took; 0 until it is done.
         avoided: Workers on which a run of it went wrong.
-        not_before: It is not started before, as a run of an earlier owner
-            may still be in progress where this owner cannot look.
+        not_before: It is not started before unless all workers are seen, as
+            a run of another owner may still be in progress on one that is not.
     """
 
     index: int
@@ -36,6 +37,7 @@
     next_run: int
     failures: int = 0
     worker_id: str = ""
+    took_s: float = 0.0
     avoided: set[str] = dataclasses.field(default_factory=set)
     not_before: float = 0.0
 
@@ -139,6 +141,7 @@
         jobs: Jobs that have not been answered, by id.
         waiting: Ids of the jobs with a task that waits.
         orphan_ends: When a run without a job here ended well, by task name.
+        lost_gateways: When the link to a gateway ended, by its id.
         answered: Answers given lately and when, by job id.
         estimates: How far off declared run times are.
         effects: Decided and not yet carried out.
@@ -151,6 +154,7 @@
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     waiting: set[str] = dataclasses.field(default_factory=set)
     orphan_ends: dict[str, float] = dataclasses.field(default_factory=dict)
+    lost_gateways: dict[str, float] = dataclasses.field(default_factory=dict)
     answered: dict[str, tuple[job_entities.Answer, float]] = dataclasses.field(
         default_factory=dict
     )
--- a/pollenladder/scheduling/upkeep.py
+++ b/pollenladder/scheduling/upkeep.py
@@ -3,17 +3,22 @@
 from collections.abc import Iterable
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
 ORPHAN_ENDS_KEPT_S = 3.0
+# A gateway that is cut off hands its jobs to another owner, which starts them
+# anew once a lease has lapsed; by then nothing of them may run here.
+GATEWAY_GRACE_S = 0.5
 
 
 def step(region: tables.Region, now: float) -> None:
     """Expire jobs, settle lapsed runs, send stops again, place again."""
     intake.expire(region, now)
+    _abandon_lost_gateways(region, now)
     for worker in list(region.workers.values()):
         _settle(region, worker, now)
         if not worker.is_listed and not worker.runs:
@@ -22,6 +27,32 @@
     placement.place(region, now)
 
 
+def lose_gateway(region: tables.Region, gateway_id: str, now: float) -> None:
+    """Note that the link to a gateway has ended."""
+    region.lost_gateways[gateway_id] = now
+
+
+def regain_gateway(region: tables.Region, gateway_id: str) -> None:
+    """Note that there is a link to a gateway again."""
+    region.lost_gateways.pop(gateway_id, None)
+
+
+def _abandon_lost_gateways(region: tables.Region, now: float) -> None:
+    """Stop the jobs whose gateways may have handed them to another owner."""
+    lost = {
+        gateway_id
+        for gateway_id, at in region.lost_gateways.items()
+        if now > at + GATEWAY_GRACE_S
+    }
+    if not lost:
+        return
+    for job in list(region.jobs.values()):
+        if job.gateway_id in lost:
+            outcome = jobs.Outcome.CANCELLED
+            reason = jobs.Reason.GATEWAY_LOST
+            intake.end_job(region, job, outcome, reason, now)
+
+
 def list_workers(
     region: tables.Region, listings: Iterable[fleet.Listing], now: float
 ) -> None:
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -318,6 +318,7 @@
             "link_made" if is_linked else "link_ended",
             peer=daemon_id,
         )
+        self._engine.note_gateway(daemon_id, is_linked)
         if not is_linked:
             self._gateway.lose_daemon(daemon_id)
         self._leadership.wake()
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -93,6 +93,15 @@
         self._carry_out()
         return known
 
+    def note_gateway(self, gateway_id: str, is_linked: bool) -> None:
+        """Note that the link to a gateway was made or has ended."""
+        if self.region is None:
+            return
+        if is_linked:
+            upkeep.regain_gateway(self.region, gateway_id)
+        else:
+            upkeep.lose_gateway(self.region, gateway_id, self._clock())
+
     def count_reached(self) -> int:
         """Return how many workers this owner reaches."""
         if self.region is None:
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -116,8 +116,7 @@
                 self._region.epoch, worker.cursor, wait_s, lease_until_s
             )
         except workers.FencedError:
-            if not self._closed:
-                self._outlets.on_fenced(self._worker_id)
+            self._take_fenced()
             return FENCED_PAUSE_S
         except workers.LookError as error:
             return self._take_missed(error)
@@ -128,6 +127,12 @@
             self._outlets.on_event()
         return 0.0
 
+    def _take_fenced(self) -> None:
+        if self._closed:
+            return
+        replies.take_fenced(self._region, self._worker_id)
+        self._outlets.on_fenced(self._worker_id)
+
     def _take_missed(self, error: workers.LookError) -> float:
         if self._closed:
             return 0.0
@@ -166,7 +171,7 @@
         if self._closed:
             return
         if reply is fleet.StartReply.FENCED:
-            self._outlets.on_fenced(self._worker_id)
+            self._take_fenced()
         replies.take_start_reply(self._region, order, reply, self._clock())
         self._outlets.on_event()
 
--- /dev/null
+++ b/tests/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of daemons among each other."""
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is known of workers."""
--- /dev/null
+++ b/tests/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of jobs and queues."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter of the users' platform."""
--- /dev/null
+++ b/tests/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the owner's decisions."""
--- /dev/null
+++ b/tests/scheduling/test_takeover.py
@@ -0,0 +1,74 @@
+"""Jobs that another owner may have begun."""
+
+import unittest
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import replies
+from tests.scheduling import worlds
+
+
+class TakeoverTest(unittest.TestCase):
+    """No task runs twice at the same time, whoever started it."""
+
+    def setUp(self):
+        self.world = worlds.World(workers=2)
+
+    def test_a_run_that_is_seen_is_adopted(self):
+        self.world.look("w0", running=(("a1.0.0.0", 1, 40.0),))
+        self.world.submit("a1", may_have_begun=True, first_run=33)
+        started = [order.task for order in self.world.take_starts()]
+        self.assertEqual(started, ["a1.0.0.1"])
+
+    def test_an_end_that_was_seen_counts(self):
+        end = fleet.ObservedEnd(1, "a1.0.0.0", 1, fleet.RunEnd.DONE)
+        self.world.ends["w0"] = [end]
+        self.world.look("w0")
+        self.world.submit("a1", may_have_begun=True, tasks=1)
+        (answer,) = self.world.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.COMPLETED)
+
+    def test_nothing_starts_while_a_worker_is_unseen(self):
+        self.world.list_workers(["w0", "w1", "w2"], synced=False)
+        self.world.submit("a1", may_have_begun=True, budget_s=5.0)
+        self.assertEqual(self.world.take_starts(), [])
+        self.world.step(worlds.LEASE_S)
+        self.assertEqual(self.world.take_starts(), [])
+        self.world.step(0.1)
+        self.assertEqual(len(self.world.take_starts()), 2)
+
+    def test_a_worker_lost_long_ago_counts_as_unseen(self):
+        for _ in range(replies.MAX_MISSED_LOOKS):
+            replies.take_missed_look(self.world.region, "w1", self.world.now)
+        self.world.step(20.0)
+        self.world.submit("a1", may_have_begun=True, budget_s=5.0)
+        self.assertEqual(self.world.take_starts(), [])
+
+    def test_a_fenced_worker_counts_as_unseen(self):
+        replies.take_fenced(self.world.region, "w1")
+        self.world.submit("a1", may_have_begun=True, budget_s=5.0)
+        self.assertEqual(self.world.take_starts(), [])
+
+    def test_a_run_seen_meanwhile_is_adopted_and_the_rest_starts(self):
+        self.world.list_workers(["w0", "w1", "w2"], synced=False)
+        self.world.submit("a1", may_have_begun=True, budget_s=5.0)
+        self.world.step(0.05)
+        self.world.look("w2", running=(("a1.0.0.0", 1, 10.0),))
+        for worker_id in ("w0", "w1"):
+            self.world.look(worker_id)
+        started = [order.task for order in self.world.take_starts()]
+        self.assertEqual(started, ["a1.0.0.1"])
+
+    def test_a_run_nobody_claims_is_stopped(self):
+        self.world.look("w0", running=(("gone.0.0.0", 1, 10.0),))
+        self.world.step(0.2)
+        self.assertEqual(self.world.take_stops(), [])
+        self.world.step(0.2)
+        (order,) = self.world.take_stops()
+        self.assertEqual((order.task, order.number), ("gone.0.0.0", 1))
+
+    def test_a_job_that_may_have_begun_is_never_refused_as_not_run(self):
+        self.world.list_workers([])
+        self.world.submit("a1", may_have_begun=True)
+        (answer,) = self.world.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.GIVEN_UP)
--- /dev/null
+++ b/tests/scheduling/worlds.py
@@ -0,0 +1,169 @@
+"""A region with workers that do as a test says, and a clock that it sets."""
+
+import dataclasses
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import intake
+from pollenladder.scheduling import replies
+from pollenladder.scheduling import tables
+from pollenladder.scheduling import upkeep
+
+LEASE_S = 1.0
+CORES_64 = jobs.Resources(cpu_milli=64_000, memory_mb=131_072)
+SERVICE = "training"
+BORN_MS = 1_000
+
+
+def build_listing(
+    worker_id: str, capacity: jobs.Resources = CORES_64
+) -> fleet.Listing:
+    """Return a worker as it lists itself."""
+    return fleet.Listing(
+        worker_id, ("10.0.0.1", 80), "norte", SERVICE, capacity, False
+    )
+
+
+def build_submission(job_id: str, **changes: object) -> jobs.Submission:
+    """Return a job of two tasks of 27 cores and 200 ms."""
+    plain = jobs.Submission(
+        job_id=job_id,
+        queue="lookup",
+        service=SERVICE,
+        priority=1,
+        max_attempts=3,
+        stretch=1.6,
+        slack_s=0.06,
+        age_s=0.0,
+        budget_s=2.0,
+        spec="(spec)",
+        tasks=2,
+        cpu_milli=27_000,
+        memory_mb=64,
+        gpus=0,
+        estimate_s=0.2,
+        may_have_begun=False,
+        first_run=1,
+    )
+    return dataclasses.replace(plain, **changes)
+
+
+class World:
+    """A region, its clock, and the effects it has decided on.
+
+    Attributes:
+        now: Monotonic time in seconds.
+        region: The tables.
+        effects: All effects so far, without those for the log.
+        notes: All effects for the log.
+        ends: Ends that each worker lists, by worker.
+    """
+
+    def __init__(self, workers: int = 3, epoch: int = 1):
+        self.now = 100.0
+        self.region = tables.Region(epoch, self.now, LEASE_S)
+        self.effects: list[tables.Effect] = []
+        self.notes: list[tables.Note] = []
+        self.ends: dict[str, list[fleet.ObservedEnd]] = {}
+        self.list_workers([f"w{i}" for i in range(workers)])
+
+    def list_workers(self, worker_ids: list[str], synced: bool = True) -> None:
+        """List workers; each is seen once without a run, unless told not to."""
+        listings = [build_listing(worker_id) for worker_id in worker_ids]
+        upkeep.list_workers(self.region, listings, self.now)
+        if synced:
+            for worker_id in worker_ids:
+                self.look(worker_id)
+        self._collect()
+
+    def submit(
+        self, job_id: str, gateway_id: str = "g1", **changes: object
+    ) -> None:
+        """Submit a job."""
+        submission = build_submission(job_id, **changes)
+        intake.submit(self.region, submission, gateway_id, self.now)
+        self._collect()
+
+    def step(self, seconds: float = 0.0) -> None:
+        """Let time pass, and do what it brings."""
+        self.now += seconds
+        upkeep.step(self.region, self.now)
+        self._collect()
+
+    def look(
+        self,
+        worker_id: str,
+        running: tuple[tuple[str, int, float], ...] | None = None,
+        sent_ago_s: float = 0.001,
+        born_ms: int = BORN_MS,
+    ) -> None:
+        """Let a worker tell its runs; by default all that are known of it."""
+        worker = self.region.workers[worker_id]
+        if running is None:
+            running = tuple(
+                (run.task, run.number, run.percent)
+                for run in worker.runs.values()
+            )
+        look = fleet.Look(
+            clock_s=self.now - 50.0,
+            born_ms=born_ms,
+            running=tuple(fleet.ObservedRun(*row) for row in running),
+            ended=tuple(self.ends.get(worker_id, ())),
+        )
+        replies.take_look(
+            self.region, worker_id, look, self.now - sent_ago_s, self.now
+        )
+        self._collect()
+
+    def confirm(self, order: tables.StartRun) -> None:
+        """Let a worker confirm a start."""
+        self.reply(order, fleet.StartReply.STARTED)
+
+    def reply(self, order: tables.StartRun, reply: fleet.StartReply) -> None:
+        """Let a worker reply to a start, or not at all."""
+        replies.take_start_reply(self.region, order, reply, self.now)
+        self._collect()
+
+    def reply_stop(self, order: tables.StopRun, reply: fleet.StopReply) -> None:
+        """Let a worker reply to a stop, or not at all."""
+        replies.take_stop_reply(self.region, order, reply, self.now)
+        self._collect()
+
+    def end(
+        self, order: tables.StartRun, end: fleet.RunEnd = fleet.RunEnd.DONE
+    ) -> None:
+        """Let a run end, and its worker tell of it."""
+        ends = self.ends.setdefault(order.worker_id, [])
+        ends.append(
+            fleet.ObservedEnd(len(ends) + 1, order.task, order.number, end)
+        )
+        others = tuple(
+            (run.task, run.number, run.percent)
+            for run in self.region.workers[order.worker_id].runs.values()
+            if run.task != order.task
+        )
+        self.look(order.worker_id, running=others)
+
+    def take_starts(self) -> list[tables.StartRun]:
+        """Return the starts decided on since the last call."""
+        return self._take(tables.StartRun)
+
+    def take_stops(self) -> list[tables.StopRun]:
+        """Return the stops decided on since the last call."""
+        return self._take(tables.StopRun)
+
+    def take_answers(self) -> list[jobs.Answer]:
+        """Return the answers given since the last call."""
+        return [effect.answer for effect in self._take(tables.AnswerJob)]
+
+    def _take(self, kind: type) -> list:
+        taken = [effect for effect in self.effects if type(effect) is kind]
+        self.effects = [e for e in self.effects if type(e) is not kind]
+        return taken
+
+    def _collect(self) -> None:
+        for effect in self.region.take_effects():
+            if isinstance(effect, tables.Note):
+                self.notes.append(effect)
+            else:
+                self.effects.append(effect)
--- /dev/null
+++ b/tests/service/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemon's parts."""
