Keep the ownership while the store fails for a moment, and believe the owner of now

All daemons' feeds were reset when the store dropped its history; the owner saw its store lost for 0.1 s, handed over to a peer that had it back, and the gateway passed the old owner's refusal on while the new one had the job. Change: a store counts as lost after 1 s; a refusal counts only from the owner that has the job now; a new owner trusts no list of workers from before it. Tests: tests.service.test_gateway, tests.scheduling.test_takeover.

--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -21,7 +21,7 @@
     if not region.waiting:
         return
     usable = list_usable(region, now)
-    sees_all = runs.sees_all(region)
+    sees_all = runs.sees_all(region, now)
     for job in sort_waiting(region):
         _place_job(region, job, usable, sees_all, now)
 
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -45,8 +45,10 @@
     return int(text) if text.isdecimal() else -1
 
 
-def sees_all(region: tables.Region) -> bool:
+def sees_all(region: tables.Region, now: float) -> bool:
     """Return whether no worker can hold a run that this owner does not see."""
+    if not region.is_list_fresh or now <= region.unseen_until:
+        return False
     return all(
         worker.is_synced and worker.is_reachable
         for worker in region.workers.values()
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -141,6 +141,10 @@
         jobs: Jobs that have not been answered, by id.
         waiting: Ids of the jobs with a task that waits.
         orphan_ends: When a run without a job here ended well, by task name.
+        is_list_fresh: Whether all workers have been read since this daemon
+            became the owner.
+        unseen_until: Until then workers may be at work that are not listed, as
+            their entries lapsed without a farewell.
         lost_gateways: When the link to a gateway ended, by its id.
         answered: Answers given lately and when, by job id.
         estimates: How far off declared run times are.
@@ -154,6 +158,8 @@
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     waiting: set[str] = dataclasses.field(default_factory=set)
     orphan_ends: dict[str, float] = dataclasses.field(default_factory=dict)
+    is_list_fresh: bool = False
+    unseen_until: float = 0.0
     lost_gateways: dict[str, float] = dataclasses.field(default_factory=dict)
     answered: dict[str, tuple[job_entities.Answer, float]] = dataclasses.field(
         default_factory=dict
--- a/pollenladder/scheduling/upkeep.py
+++ b/pollenladder/scheduling/upkeep.py
@@ -10,6 +10,8 @@
 from pollenladder.scheduling import tables
 
 ORPHAN_ENDS_KEPT_S = 3.0
+# A worker whose entry has lapsed may be cut off, and obey another owner there.
+LAPSED_WORKER_S = 30.0
 # A gateway that is cut off hands its jobs to another owner, which starts them
 # anew once a lease has lapsed; by then nothing of them may run here.
 GATEWAY_GRACE_S = 0.5
@@ -54,9 +56,20 @@
 
 
 def list_workers(
-    region: tables.Region, listings: Iterable[fleet.Listing], now: float
+    region: tables.Region,
+    listings: Iterable[fleet.Listing],
+    lapsed_at: float,
+    now: float,
 ) -> None:
-    """Take the newest list of workers, whole."""
+    """Take the newest list of workers, whole.
+
+    Args:
+        region: The tables.
+        listings: The workers.
+        lapsed_at: When an entry last lapsed without a farewell.
+        now: Monotonic time in seconds.
+    """
+    region.unseen_until = lapsed_at + LAPSED_WORKER_S
     listed = {listing.worker_id: listing for listing in listings}
     for worker_id, listing in listed.items():
         worker = region.workers.get(worker_id)
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -104,13 +104,13 @@
             self._roster,
             leadership.Outlets(
                 broadcast=self._mesh.broadcast,
-                claim=self._engine.claim,
+                claim=self._claim,
                 resign=self._engine.resign,
                 on_owner=self._take_owner,
                 on_forgotten=self._take_forgotten,
                 count_reached=self._engine.count_reached,
                 count_pending=self._engine.count_pending,
-                reads_store=lambda: self._feeds.is_store_up,
+                reads_store=lambda: self._feeds.reads_store(),
                 get_version=self._get_version,
                 is_leaving=self._stopping.is_set,
                 is_cut_off_with_zone=self._reachability.is_cut_off_with_zone,
@@ -225,7 +225,7 @@
 
     def _answer(self, gateway_id: str, answer: jobs.Answer) -> None:
         if gateway_id == self._settings.daemon_id:
-            self._gateway.take_answer(answer)
+            self._gateway.take_answer(answer, gateway_id)
         elif not self._mesh.send(gateway_id, messages.Answered(answer)):
             logs.log(
                 LOGGER, "answer_not_sent", job=answer.job_id, peer=gateway_id
@@ -251,7 +251,7 @@
                 job_id = message.submission.job_id
                 self._mesh.send(sender, messages.NotOwner(job_id))
         elif isinstance(message, messages.Answered):
-            self._gateway.take_answer(message.answer)
+            self._gateway.take_answer(message.answer, sender)
         elif isinstance(message, messages.Cancel):
             self._engine.cancel(message.job_id, message.reason)
         elif isinstance(message, messages.NotOwner):
@@ -323,6 +323,10 @@
             self._gateway.lose_daemon(daemon_id)
         self._leadership.wake()
 
+    def _claim(self, epoch: int) -> None:
+        self._engine.claim(epoch)
+        self._feeds.refresh_workers()
+
     def _take_owner(self, owner_id: str) -> None:
         self._gateway.hand_on_again()
 
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -50,6 +50,7 @@
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
+        self._lapsed_at = float("-inf")
         self._is_carrying_out = False
 
     def claim(self, epoch: int) -> None:
@@ -58,7 +59,7 @@
             self.region.epoch = epoch
             return
         self.region = tables.Region(epoch, self._clock(), self._max_lease_s)
-        self.list_workers(self._listings)
+        self.list_workers(self._listings, self._lapsed_at, False)
 
     def resign(self) -> None:
         """Stop being the owner; runs go on until the next one takes them."""
@@ -67,13 +68,28 @@
             session.close()
         self._sessions.clear()
 
-    def list_workers(self, listings: Iterable[fleet.Listing]) -> None:
-        """Take the newest list of workers, whole."""
+    def list_workers(
+        self,
+        listings: Iterable[fleet.Listing],
+        lapsed_at: float,
+        is_whole: bool,
+    ) -> None:
+        """Take the newest list of workers; see `upkeep.list_workers`.
+
+        Args:
+            listings: The workers.
+            lapsed_at: When an entry last lapsed without a farewell.
+            is_whole: Whether all have just been read.
+        """
         self._listings = tuple(listings)
+        self._lapsed_at = lapsed_at
         region = self.region
         if region is None:
             return
-        upkeep.list_workers(region, self._listings, self._clock())
+        upkeep.list_workers(
+            region, self._listings, self._lapsed_at, self._clock()
+        )
+        region.is_list_fresh |= is_whole
         self._open_sessions(region)
         self._carry_out()
 
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -5,6 +5,7 @@
 import logging
 
 import gevent
+from gevent import event
 
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
@@ -24,6 +25,8 @@
 WORKERS_PAUSE_S = 2.0
 DAEMONS_PAUSE_S = 2.0
 DAEMONS_BOOT_PAUSE_S = 0.25
+# A store that fails for a moment is not taken for lost.
+STORE_LOST_GRACE_S = 1.0
 RETRY_S = 0.15
 MAX_RETRY_S = 0.6
 # The workers' entries may be missing so long after the store was away.
@@ -36,13 +39,14 @@
 
     Attributes:
         on_configuration: Called with each configuration read.
-        on_workers: Called with the list of workers, whole.
+        on_workers: Called with the list of workers, whole, and when an entry
+            last lapsed without a farewell, and whether all have just been read.
         on_member: Called with each daemon found.
         is_owner: Returns whether this daemon owns the workers.
     """
 
     on_configuration: Callable[[jobs.Configuration], None]
-    on_workers: Callable[[tuple[fleet.Listing, ...]], None]
+    on_workers: Callable[[tuple[fleet.Listing, ...], float, bool], None]
     on_member: Callable[[rosters.Member], None]
     is_owner: Callable[[], bool]
 
@@ -52,6 +56,7 @@
 
     Attributes:
         is_store_up: Whether the last call was answered.
+        store_lost_at: When that changed to the worse.
     """
 
     def __init__(
@@ -62,6 +67,7 @@
         clock: clocks.Clock,
     ):
         self.is_store_up = False
+        self.store_lost_at = clock()
         self._store = store
         self._own = own
         self._outlets = outlets
@@ -69,6 +75,8 @@
         self._workers: dict[str, fleet.Listing] = {}
         self._missing_since: dict[str, float] = {}
         self._store_back_at = 0.0
+        self._lapsed_at = float("-inf")
+        self._workers_wanted = event.Event()
         self._rejected: dict[str, int] = {}
 
     def run_configuration(self) -> None:
@@ -76,7 +84,7 @@
         self._follow(
             rows.OPERATOR_TABLE,
             self._take_configuration,
-            lambda: 0.0,
+            None,
             CONFIGURATION_WAIT_S,
         )
 
@@ -110,6 +118,15 @@
         except exceptions.StoreError as error:
             self._record_failure("daemons", error)
 
+    def reads_store(self) -> bool:
+        """Return whether the store has answered lately."""
+        lost_s = self._clock() - self.store_lost_at
+        return self.is_store_up or lost_s < STORE_LOST_GRACE_S
+
+    def refresh_workers(self) -> None:
+        """Read the list of workers whole, now."""
+        self._workers_wanted.set()
+
     def list_workers(self) -> tuple[fleet.Listing, ...]:
         """Return the workers that are listed."""
         return tuple(self._workers.values())
@@ -118,7 +135,7 @@
         self,
         table: str,
         take: Callable[[stores.Snapshot, bool], None],
-        choose_pause_s: Callable[[], float],
+        choose_pause_s: Callable[[], float] | None,
         wait_s: float,
     ) -> None:
         """Read a table whole, then its changes; again after each failure."""
@@ -140,7 +157,11 @@
                 gevent.sleep(retry_s)
                 retry_s = min(MAX_RETRY_S, 2 * retry_s)
                 continue
-            gevent.sleep(choose_pause_s())
+            if choose_pause_s is not None and self._workers_wanted.wait(
+                choose_pause_s()
+            ):
+                self._workers_wanted.clear()
+                version = None
 
     def _read_once(
         self,
@@ -161,10 +182,12 @@
         if is_up == self.is_store_up:
             return
         self.is_store_up = is_up
-        event = "store_regained" if is_up else "store_lost"
-        logs.log(LOGGER, event, calls=dict(self._store.calls))
+        name = "store_regained" if is_up else "store_lost"
+        logs.log(LOGGER, name, calls=dict(self._store.calls))
         if is_up:
             self._store_back_at = self._clock()
+        else:
+            self.store_lost_at = self._clock()
 
     def _record_failure(self, what: str, error: Exception) -> None:
         if self.is_store_up:
@@ -201,7 +224,7 @@
             self._missing_since.pop(worker_id, None)
         self._workers.update(listed)
         self._drop_missing()
-        self._outlets.on_workers(tuple(self._workers.values()))
+        self._outlets.on_workers(self.list_workers(), self._lapsed_at, is_whole)
 
     def _miss(self, worker_id: str) -> None:
         self._missing_since.setdefault(worker_id, self._clock())
@@ -212,7 +235,10 @@
         if now < self._store_back_at + RETURN_GRACE_S:
             return
         for worker_id in self._missing_since:
-            self._workers.pop(worker_id, None)
+            listing = self._workers.pop(worker_id, None)
+            if listing is not None and not listing.is_draining:
+                self._lapsed_at = now
+                logs.log(LOGGER, "worker_lapsed", worker=worker_id)
         self._missing_since.clear()
 
     def _choose_pause_s(self) -> float:
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -110,8 +110,12 @@
         self._cancel(job, jobs.Reason.CALLER_CANCELLED)
         return True
 
-    def take_answer(self, answer: jobs.Answer) -> None:
-        """Pass an owner's answer on to whoever waits."""
+    def take_answer(self, answer: jobs.Answer, sender: str) -> None:
+        """Pass an owner's answer on to whoever waits.
+
+        That a job has not begun counts only from the owner that has it now:
+        another one may have begun it since.
+        """
         job = self.open.get(answer.job_id)
         if job is None:
             logs.log(
@@ -121,6 +125,16 @@
                 outcome=answer.outcome.value,
             )
             return
+        is_refusal = answer.outcome is jobs.Outcome.REFUSED
+        if is_refusal and job.owner_id and sender != job.owner_id:
+            logs.log(
+                LOGGER,
+                "refusal_ignored",
+                job=answer.job_id,
+                sender=sender,
+                owner=job.owner_id,
+            )
+            return
         self._finish(job, answer)
 
     def take_back(self, job_id: str) -> None:
@@ -145,7 +159,7 @@
         while True:
             gevent.sleep(SWEEP_S)
             self.hand_on_again()
-            self._expire(self._clock())
+            self.expire(self._clock())
 
     def _hand_on(self, job: OpenJob) -> None:
         owner_id = self._outlets.find_owner()
@@ -177,7 +191,8 @@
                 age_s=round(submission.age_s, 3),
             )
 
-    def _expire(self, now: float) -> None:
+    def expire(self, now: float) -> None:
+        """Answer the jobs that no owner has taken in time."""
         for job in list(self.open.values()):
             waited_s = now - job.came_at
             if now >= job.gives_up_at:
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -49,6 +49,20 @@
         self.world.submit("a1", may_have_begun=True, budget_s=5.0)
         self.assertEqual(self.world.take_starts(), [])
 
+    def test_a_worker_whose_entry_lapsed_counts_as_unseen(self):
+        self.world.list_workers(["w0"], lapsed_at=self.world.now)
+        self.world.step(5.0)
+        self.world.submit("a1", may_have_begun=True, budget_s=5.0)
+        self.assertEqual(self.world.take_starts(), [])
+
+    def test_a_list_from_before_the_takeover_is_not_trusted(self):
+        self.world.region.is_list_fresh = False
+        self.world.submit("a1", may_have_begun=True, budget_s=5.0)
+        self.assertEqual(self.world.take_starts(), [])
+        self.world.region.is_list_fresh = True
+        self.world.step(0.02)
+        self.assertEqual(len(self.world.take_starts()), 2)
+
     def test_a_run_seen_meanwhile_is_adopted_and_the_rest_starts(self):
         self.world.list_workers(["w0", "w1", "w2"], synced=False)
         self.world.submit("a1", may_have_begun=True, budget_s=5.0)
--- a/tests/scheduling/worlds.py
+++ b/tests/scheduling/worlds.py
@@ -62,15 +62,21 @@
     def __init__(self, workers: int = 3, epoch: int = 1):
         self.now = 100.0
         self.region = tables.Region(epoch, self.now, LEASE_S)
+        self.region.is_list_fresh = True
         self.effects: list[tables.Effect] = []
         self.notes: list[tables.Note] = []
         self.ends: dict[str, list[fleet.ObservedEnd]] = {}
         self.list_workers([f"w{i}" for i in range(workers)])
 
-    def list_workers(self, worker_ids: list[str], synced: bool = True) -> None:
+    def list_workers(
+        self,
+        worker_ids: list[str],
+        synced: bool = True,
+        lapsed_at: float = float("-inf"),
+    ) -> None:
         """List workers; each is seen once without a run, unless told not to."""
         listings = [build_listing(worker_id) for worker_id in worker_ids]
-        upkeep.list_workers(self.region, listings, self.now)
+        upkeep.list_workers(self.region, listings, lapsed_at, self.now)
         if synced:
             for worker_id in worker_ids:
                 self.look(worker_id)
--- /dev/null
+++ b/tests/service/test_gateway.py
@@ -0,0 +1,107 @@
+"""Jobs of callers, while owners come and go."""
+
+import unittest
+
+from pollenladder.jobs import entities as jobs
+from pollenladder.service import gateway as gateways
+from tests.scheduling import worlds
+
+
+class GatewayTest(unittest.TestCase):
+    """What a gateway hands on, and which answers it believes."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.owner_id = "a"
+        self.sent: list[tuple[str, jobs.Submission]] = []
+        self.cancelled: list[tuple[str, str]] = []
+        self.arrives = True
+        self.gateway = gateways.Gateway(
+            gateways.Outlets(
+                find_owner=lambda: self.owner_id,
+                submit=self._submit,
+                cancel=lambda owner, job, _: self.cancelled.append(
+                    (owner, job)
+                ),
+                on_answered=lambda queue, answer, took_s: None,
+            ),
+            lambda: self.now,
+        )
+
+    def _submit(self, owner_id: str, submission: jobs.Submission) -> bool:
+        if self.arrives:
+            self.sent.append((owner_id, submission))
+        return self.arrives
+
+    def _take(self) -> gateways.OpenJob:
+        return self.gateway.submit(worlds.build_submission("a1"))
+
+    def _refuse(self, sender: str) -> None:
+        answer = jobs.Answer(
+            "a1", jobs.Outcome.REFUSED, jobs.Reason.NO_ROOM_IN_TIME, 1.0
+        )
+        self.gateway.take_answer(answer, sender)
+
+    def test_a_refusal_of_an_earlier_owner_is_not_believed(self):
+        job = self._take()
+        self.owner_id = "b"
+        self.gateway.hand_on_again()
+        self._refuse("a")
+        self.assertIsNone(job.answer)
+        self._refuse("b")
+        self.assertIs(job.answer.outcome, jobs.Outcome.REFUSED)
+
+    def test_a_result_of_an_earlier_owner_is_taken(self):
+        job = self._take()
+        self.owner_id = "b"
+        self.gateway.hand_on_again()
+        done = jobs.Answer("a1", jobs.Outcome.COMPLETED, jobs.Reason.ALL_DONE)
+        self.gateway.take_answer(done, "a")
+        self.assertIs(job.answer, done)
+
+    def test_another_owner_is_told_that_the_job_may_have_begun(self):
+        self._take()
+        self.owner_id = "b"
+        self.gateway.hand_on_again()
+        first, second = [submission for _, submission in self.sent]
+        self.assertFalse(first.may_have_begun)
+        self.assertTrue(second.may_have_begun)
+        self.assertGreater(second.first_run, first.first_run)
+
+    def test_a_job_that_reached_nobody_has_not_begun(self):
+        self.arrives = False
+        self._take()
+        self.arrives = True
+        self.gateway.hand_on_again()
+        ((_, submission),) = self.sent
+        self.assertFalse(submission.may_have_begun)
+
+    def test_a_job_without_an_owner_is_refused_within_its_slack(self):
+        self.owner_id = ""
+        job = self._take()
+        self.now += job.patience_s + 0.01
+        self.gateway.expire(self.now)
+        self.assertIs(job.answer.outcome, jobs.Outcome.REFUSED)
+        self.assertGreater(job.answer.retry_after_s, 0)
+
+    def test_a_job_that_was_sent_is_not_refused_for_want_of_an_owner(self):
+        job = self._take()
+        self.gateway.lose_daemon("a")
+        self.owner_id = ""
+        self.now += job.patience_s + 0.01
+        self.gateway.expire(self.now)
+        self.assertIsNone(job.answer)
+        self.now = job.gives_up_at
+        self.gateway.expire(self.now)
+        self.assertIs(job.answer.outcome, jobs.Outcome.GIVEN_UP)
+
+    def test_a_caller_that_leaves_cancels_its_job(self):
+        job = self._take()
+        self.gateway.leave(job)
+        self.assertEqual(self.cancelled, [("a", "a1")])
+
+    def test_a_job_with_another_waiter_goes_on(self):
+        job = self._take()
+        self._take()
+        self.gateway.leave(job)
+        self.assertEqual(self.cancelled, [])
