Notice callers that leave, and test the daemon on a stand-in of its platform

Cause: a test that reads the daemons' logs met tracebacks: whoever waited for a caller's connection to close had no socket, as pywsgi gives a request's body one only for 100-continue; so no caller that left was ever noticed. Ruled out: the test's own clients (they kept their connections). Change: the listener passes the connection on; an error that ends a greenlet is one JSON line. Tests: tests.service.test_daemons test_the_work_for_a_caller_that_left_is_stopped fails without the change.

--- a/pollenladder/fleet/health.py
+++ b/pollenladder/fleet/health.py
@@ -73,7 +73,8 @@
     """Count the workers on which a job failed lately."""
     since = now - FAILED_JOBS_KEPT_S
     return sum(
-        worker.health.failed_jobs.get(job_id, 0.0) > since for worker in workers
+        worker.health.failed_jobs.get(job_id, since) > since
+        for worker in workers
     )
 
 
--- a/pollenladder/gateway/listeners.py
+++ b/pollenladder/gateway/listeners.py
@@ -29,6 +29,8 @@
 # Beyond this, connections over the bound are closed without an answer.
 MAX_TURNING_AWAY = 256
 POLL_S = 0.02
+# Where an application finds the connection, to notice its end.
+SOCKET_VARIABLE = "pollenladder.socket"
 # How long an idle connection may still bring a request during a drain.
 QUIET_S = 0.5
 
@@ -178,6 +180,7 @@
             plain.rfile, plain.content_length, plain.socket, plain.chunked_input
         )
         environ["wsgi.input"] = self.wsgi_input
+        environ[SOCKET_VARIABLE] = self.socket
         return environ
 
     def start_response(self, status: str, headers: list, exc_info=None) -> Any:
--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -9,6 +9,7 @@
 import gevent
 from gevent import socket
 
+from pollenladder.gateway import listeners
 from pollenladder.gateway import replies
 from pollenladder.jobs import entities as jobs
 from pollenladder.jobs import routing
@@ -122,7 +123,7 @@
     budget_s = callers.read_budget_s(environ, queue.timeout_s)
     submission = _build_submission(queue, job_id, body, budget_s)
     job = source.gateway.submit(submission)
-    _wait(source.gateway, job, environ["wsgi.input"].socket)
+    _wait(source.gateway, job, environ[listeners.SOCKET_VARIABLE])
     if job.answer is None:
         return callers.Reply(504, callers.encode_error("caller left"))
     return callers.encode_answer(job.answer)
--- a/pollenladder/service/logs.py
+++ b/pollenladder/service/logs.py
@@ -14,6 +14,8 @@
 import gevent
 import msgspec
 
+LOGGER = logging.getLogger(__name__)
+
 MAX_LINES_PER_S = 500
 MAX_WAITING_BYTES = 512 * 1024
 FLUSH_S = 0.1
@@ -110,9 +112,19 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
+    gevent.get_hub().print_exception = _log_failed_greenlet
     return handler
 
 
+def _log_failed_greenlet(context: object, *error: object) -> None:
+    """Log an error that ended a greenlet, in place of a bare traceback."""
+    LOGGER.error(
+        "greenlet_failed",
+        exc_info=error,
+        extra={"fields": {"greenlet": repr(context)[:200]}},
+    )
+
+
 def _format(record: logging.LogRecord, daemon_id: str) -> bytes:
     line: dict[str, Any] = {
         "time": _format_time(record.created),
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,97 @@
+"""Jobs as callers write them, and the answers they get."""
+
+import json
+import unittest
+
+from pollenladder.jobs import entities as jobs
+from pollenladder.platform import callers
+from pollenladder.platform import exceptions
+from standins import site as sites
+
+STEP = {"Count": 4, "Cpu": 500, "MemMb": 256, "EstimateMs": 900}
+JOB = {"Spec": "(text)", "Steps": [STEP], "Preemptible": True}
+
+
+def _encode(**changes: object) -> bytes:
+    return json.dumps(JOB | changes).encode()
+
+
+class JobBodyTest(unittest.TestCase):
+    """Each body is a job, unsupported, or bad; and it is said which."""
+
+    def test_a_job(self):
+        body = callers.decode_job(_encode())
+        self.assertEqual(body.tasks, 4)
+        self.assertEqual(body.resources, jobs.Resources(500, 256, 0))
+        self.assertEqual(body.estimate_s, 0.9)
+
+    def test_the_stand_ins_job(self):
+        self.assertEqual(callers.decode_job(sites.build_job(tasks=3)).tasks, 3)
+
+    def test_unsupported_shapes(self):
+        cases = (
+            {"Preemptible": False},
+            {"Steps": [STEP, STEP]},
+            {"Times": 3},
+            {"Steps": [STEP | {"Gang": True}]},
+            {"Steps": [STEP | {"LongRunning": True}]},
+            {"Steps": [STEP | {"Requires": "b"}]},
+            {"Steps": [STEP | {"AntiAffinity": 1}]},
+            {"Steps": [STEP | {"Fills": True}]},
+        )
+        for changes in cases:
+            with (
+                self.subTest(changes=changes),
+                self.assertRaises(exceptions.UnsupportedJobError),
+            ):
+                callers.decode_job(_encode(**changes))
+
+    def test_bad_bodies(self):
+        cases = (
+            b"",
+            b"{",
+            b"\xff",
+            b"[]",
+            _encode(Steps=[]),
+            _encode(Steps=[STEP | {"Count": 0}]),
+            _encode(Steps=[STEP | {"Count": "4"}]),
+            _encode(Steps=[STEP | {"Cpu": -1}]),
+            _encode(Spec=5),
+            _encode(Spec="x" * 4001),
+        )
+        for body in cases:
+            with (
+                self.subTest(body=body[:60]),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                callers.decode_job(body)
+
+
+class AnswerTest(unittest.TestCase):
+    """Each outcome has the status that says whether the job may have run."""
+
+    def test_statuses(self):
+        cases = (
+            (jobs.Outcome.COMPLETED, 200),
+            (jobs.Outcome.FAILED, 200),
+            (jobs.Outcome.CANCELLED, 200),
+            (jobs.Outcome.REFUSED, 429),
+            (jobs.Outcome.GIVEN_UP, 504),
+        )
+        for outcome, status in cases:
+            with self.subTest(outcome=outcome):
+                answer = jobs.Answer("j", outcome, jobs.Reason.DEADLINE, 2.0)
+                self.assertEqual(callers.encode_answer(answer).status, status)
+
+    def test_only_a_refusal_says_when_to_come_back(self):
+        refused = jobs.Answer(
+            "j", jobs.Outcome.REFUSED, jobs.Reason.NO_ROOM_IN_TIME, 2.0
+        )
+        self.assertEqual(callers.encode_answer(refused).retry_after_s, 2.0)
+
+    def test_the_budget(self):
+        cases = (("1500", 1.5), ("", 9.0), ("soon", 9.0), ("-5", 9.0))
+        for text, budget_s in cases:
+            with self.subTest(text=text):
+                environ = {callers.DEADLINE_VARIABLE: text}
+                self.assertEqual(callers.read_budget_s(environ, 9.0), budget_s)
--- /dev/null
+++ b/tests/platform/test_rows.py
@@ -0,0 +1,105 @@
+"""What lies in the store, and rows that others wrote."""
+
+import json
+import unittest
+
+from pollenladder.cluster import roster
+from pollenladder.platform import exceptions
+from pollenladder.platform import rows
+
+ENTRY = {
+    "Service": "training",
+    "Addr": "10.0.0.9:8080",
+    "Zone": "norte",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "ColdLeftMs": 0,
+    "Capacity": {"Cpu": 64_000, "MemMb": 1000, "Gpu": 0},
+    "Labels": ["a", "r1-3"],
+    "ClockMs": 1,
+    "Seq": 4,
+}
+ROUTE = {
+    "Name": "r",
+    "Host": "h.example",
+    "Prefix": "/a/",
+    "TimeoutMs": 1500,
+    "SloMs": 60,
+    "Priority": 2,
+    "Service": "training",
+    "Attempts": 4,
+    "Stretch": 1.6,
+}
+
+
+class WorkerRowTest(unittest.TestCase):
+    """A row names a worker, or is of no use."""
+
+    def test_a_worker(self):
+        found = rows.decode_worker("w1", json.dumps(ENTRY).encode())
+        self.assertEqual(found.address, ("10.0.0.9", 8080))
+        self.assertEqual(found.capacity.cpu_milli, 64_000)
+        self.assertFalse(found.is_draining)
+
+    def test_a_draining_worker(self):
+        entry = json.dumps(ENTRY | {"State": "draining"}).encode()
+        self.assertTrue(rows.decode_worker("w1", entry).is_draining)
+
+    def test_rows_of_other_writers(self):
+        cases = (
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            b'"ready"',
+            json.dumps(ENTRY | {"State": "tired"}).encode(),
+            json.dumps(ENTRY | {"Addr": "nowhere"}).encode(),
+            json.dumps(ENTRY | {"Addr": 7}).encode(),
+            json.dumps(ENTRY | {"Capacity": None}).encode(),
+            json.dumps({k: ENTRY[k] for k in ENTRY if k != "Addr"}).encode(),
+        )
+        for source in cases:
+            with (
+                self.subTest(source=source),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_worker("w1", source)
+
+
+class ConfigurationRowTest(unittest.TestCase):
+    """The configuration under the product's names."""
+
+    def test_a_queue(self):
+        source = json.dumps({"Version": 7, "Routes": [ROUTE]}).encode()
+        found = rows.decode_configuration(source)
+        (queue,) = found.queues
+        self.assertEqual(found.version, 7)
+        self.assertEqual(queue.slack_s, 0.06)
+        self.assertEqual(queue.max_attempts, 4)
+        self.assertFalse(queue.needs_advice)
+
+    def test_unknown_fields_are_left_alone(self):
+        route = ROUTE | {"New": {"deep": 1}, "Advice": {"DecideMs": 5}}
+        source = json.dumps({"Version": 7, "Routes": [route]}).encode()
+        (queue,) = rows.decode_configuration(source).queues
+        self.assertTrue(queue.needs_advice)
+
+    def test_bad_documents(self):
+        for source in (b"", b"{}", b'{"Version":0}', b'{"Version":"7"}'):
+            with (
+                self.subTest(source=source),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_configuration(source)
+
+
+class MemberRowTest(unittest.TestCase):
+    """A daemon's own row."""
+
+    def test_a_daemon_is_read_as_written(self):
+        member = roster.Member("d1", "10.0.0.1", 7720, "norte", 5)
+        self.assertEqual(rows.decode_member(rows.encode_member(member)), member)
+
+    def test_a_foreign_row(self):
+        with self.assertRaises(exceptions.BadDocumentError):
+            rows.decode_member(b'{"daemon_id": 5}')
--- /dev/null
+++ b/tests/service/clusters.py
@@ -0,0 +1,195 @@
+"""Daemons as processes of their own, on a stand-in of the users' platform."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from typing import Any
+import unittest
+
+import gevent
+from gevent import subprocess as gevent_subprocess
+
+from pollenladder.http import connections
+from pollenladder.http import exceptions as http_exceptions
+from pollenladder.http import exchanges
+from standins import site as sites
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.05
+CALL_TIMEOUT_S = 8.0
+
+
+@dataclasses.dataclass
+class Daemon:
+    """One daemon.
+
+    Attributes:
+        daemon_id: Its id.
+        ports: For callers, readiness and peers.
+        settings: Its settings file.
+        log: What it writes.
+        process: It runs.
+    """
+
+    daemon_id: str
+    ports: list[int]
+    settings: pathlib.Path
+    log: pathlib.Path
+    process: Any = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """What a caller got; status 0 means that the connection broke."""
+
+    status: int
+    state: str = ""
+
+
+class Cluster:
+    """A site and a few daemons, ended with the test.
+
+    Attributes:
+        site: The platform.
+        daemons: By id.
+    """
+
+    def __init__(self, test: unittest.TestCase, names: list[str], workers: int):
+        folder = tempfile.TemporaryDirectory()
+        test.addCleanup(folder.cleanup)
+        self._folder = pathlib.Path(folder.name)
+        self.site = sites.Site()
+        test.addCleanup(self.site.close)
+        test.addCleanup(self.stop_all)
+        self.site.configure(1)
+        for index in range(workers):
+            self.site.add_worker(f"w{index}")
+        self.daemons = {name: self._prepare(name) for name in names}
+        for name in names:
+            self.start(name)
+
+    def _prepare(self, name: str) -> Daemon:
+        ports = _find_free_ports(3)
+        path = self._folder / f"{name}.conf"
+        self.site.write_settings(path, name, ports)
+        return Daemon(name, ports, path, self._folder / f"{name}.log")
+
+    def start(self, name: str) -> None:
+        """Start a daemon, again or for the first time."""
+        daemon = self.daemons[name]
+        # Its end is tied to ours: it reads nothing, and is ended by id.
+        with daemon.log.open("ab") as log:
+            daemon.process = gevent_subprocess.Popen(
+                [sys.executable, "-m", "tests.service.daemon"],
+                cwd=ROOT,
+                stdin=subprocess.PIPE,
+                stdout=log,
+                stderr=log,
+                env=os.environ
+                | {"POLLENLADDER_SETTINGS": str(daemon.settings)},
+            )
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a daemon."""
+        self.daemons[name].process.send_signal(number)
+
+    def stop_all(self) -> None:
+        """End all daemons that this cluster has started."""
+        for daemon in self.daemons.values():
+            if daemon.process and daemon.process.poll() is None:
+                daemon.process.send_signal(signal.SIGCONT)
+                daemon.process.kill()
+                daemon.process.wait()
+            if daemon.process:
+                daemon.process.stdin.close()
+
+    def wait_until_ready(self, *names: str) -> None:
+        """Wait until daemons say that callers may come."""
+        end_s = time.monotonic() + READY_TIMEOUT_S
+        for name in names or self.daemons:
+            while not self.is_ready(name):
+                if time.monotonic() > end_s:
+                    log = self.daemons[name].log.read_text()
+                    raise AssertionError(f"{name} not ready: {log[-2000:]}")
+                gevent.sleep(POLL_S)
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether a daemon says that callers may come."""
+        return self._call(name, 1, "GET", "/ready", b"").status == 200
+
+    def submit(
+        self,
+        name: str,
+        job_id: str,
+        body: bytes,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Reply:
+        """Submit a job and wait for its answer, or leave after a while."""
+        path = sites.PREFIX + job_id
+        return self._call(name, 0, "POST", path, body, timeout_s)
+
+    def read_log(self, name: str) -> list[dict[str, Any]]:
+        """Return the lines that a daemon has written."""
+        whole, _, _ = self.daemons[name].log.read_text().rpartition("\n")
+        return [json.loads(line) for line in whole.splitlines()]
+
+    def wait_for_owner(self) -> str:
+        """Return the daemon that owns the workers, once its log tells."""
+        end_s = time.monotonic() + READY_TIMEOUT_S
+        while not (owners := self.find_owners()):
+            if time.monotonic() > end_s:
+                raise AssertionError("nobody owns the workers")
+            gevent.sleep(POLL_S)
+        return owners[-1]
+
+    def find_owners(self) -> list[str]:
+        """Return who has claimed the workers, in the order of the claims."""
+        claims = [
+            (line["time"], name)
+            for name in self.daemons
+            for line in self.read_log(name)
+            if line["event"] == "ownership_claimed"
+        ]
+        return [name for _, name in sorted(claims)]
+
+    def _call(
+        self,
+        name: str,
+        port: int,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Reply:
+        address = (sites.HOST, self.daemons[name].ports[port])
+        pool = connections.Connections(address, 1, 1.0, 1.0, time.monotonic)
+        head = exchanges.build_head(address, method, path)
+        host = f"{address[0]}:{address[1]}".encode()
+        head = head.replace(host, sites.QUEUE_HOST.encode(), 1)
+        request = exchanges.build_request(head, body)
+        try:
+            response = exchanges.exchange(pool, request, timeout_s)
+        except http_exceptions.ExchangeError:
+            return Reply(0)
+        finally:
+            pool.close_idle()
+        found = json.loads(response.body or b"{}")
+        return Reply(response.status, found.get("State", ""))
+
+
+def _find_free_ports(count: int) -> list[int]:
+    held = [socket.socket() for _ in range(count)]
+    for sock in held:
+        sock.bind((sites.HOST, 0))
+    ports = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    return ports
--- /dev/null
+++ b/tests/service/test_daemons.py
@@ -0,0 +1,147 @@
+"""The whole daemon, as processes, on a stand-in of the users' platform."""
+
+import signal
+import unittest
+
+import gevent
+
+from standins import site as sites
+from standins import site_store
+from tests.service import clusters
+
+
+class DaemonsTest(unittest.TestCase):
+    """Jobs are answered, and no task runs twice, whatever goes wrong."""
+
+    def setUp(self):
+        self.cluster = clusters.Cluster(self, ["d1", "d2", "d3"], workers=4)
+        self.cluster.wait_until_ready()
+        self.site = self.cluster.site
+        self._next = 0
+
+    def tearDown(self):
+        for name in self.cluster.daemons:
+            errors = [
+                line
+                for line in self.cluster.read_log(name)
+                if line["level"] == "ERROR"
+            ]
+            self.assertEqual(errors, [], name)
+
+    def _submit_some(self, names: list[str], **changes: int) -> list:
+        """Submit one job by each daemon named, at the same time."""
+        pending = []
+        for name in names:
+            self._next += 1
+            body = sites.build_job(**changes)
+            job_id = f"{self._next:016x}"
+            pending.append(
+                gevent.spawn(self.cluster.submit, name, job_id, body)
+            )
+        return pending
+
+    def _collect(self, pending: list) -> list[clusters.Reply]:
+        gevent.joinall(pending)
+        return [greenlet.value for greenlet in pending]
+
+    def _find_owner(self) -> str:
+        return self.cluster.wait_for_owner()
+
+    def _list_others(self, name: str) -> list[str]:
+        return [other for other in self.cluster.daemons if other != name]
+
+    def test_jobs_come_by_any_daemon_and_one_owns_the_workers(self):
+        replies = self._collect(self._submit_some(["d1", "d2", "d3"]))
+        self.assertEqual({r.state for r in replies}, {"completed"})
+        self.assertEqual(len(self.cluster.find_owners()), 1)
+        self.assertEqual(self.site.find_overlaps(), [])
+
+    def test_a_job_that_fails_everywhere_is_failed(self):
+        body = sites.build_job(tasks=1, fail=True)
+        reply = self.cluster.submit("d1", "f" * 16, body)
+        self.assertEqual(reply.state, "failed")
+
+    def test_bad_requests(self):
+        cases = (("zz", b"{", 400), ("zz", b"", 400), ("a/b", b"{}", 400))
+        for job_id, body, status in cases:
+            with self.subTest(job_id=job_id, body=body):
+                reply = self.cluster.submit("d1", job_id, body)
+                self.assertEqual(reply.status, status)
+
+    def test_a_killed_owner_is_replaced_and_its_jobs_go_on(self):
+        owner = self._find_owner()
+        others = self._list_others(owner)
+        pending = self._submit_some(others, run_ms=600)
+        gevent.sleep(0.2)
+        self.cluster.signal(owner, signal.SIGKILL)
+        replies = self._collect(pending)
+        self.assertEqual({r.state for r in replies}, {"completed"})
+        self.assertEqual(self.site.find_overlaps(), [])
+        runs = [r for w in self.site.workers.values() for r in w.history]
+        self.assertEqual(len(runs), 4, "runs were not taken over")
+
+    def test_a_frozen_owner_is_replaced_and_does_no_harm_when_it_wakes(self):
+        owner = self._find_owner()
+        others = self._list_others(owner)
+        pending = self._submit_some(others, run_ms=900)
+        gevent.sleep(0.2)
+        self.cluster.signal(owner, signal.SIGSTOP)
+        gevent.sleep(2.0)
+        self.cluster.signal(owner, signal.SIGCONT)
+        replies = self._collect(pending)
+        self.assertEqual({r.state for r in replies}, {"completed"})
+        replies = self._collect(self._submit_some([*others, owner]))
+        self.assertEqual(self.site.find_overlaps(), [])
+
+    def test_a_stopped_owner_hands_over_and_answers_what_it_has(self):
+        owner = self._find_owner()
+        pending = self._submit_some([owner, *self._list_others(owner)])
+        gevent.sleep(0.02)
+        self.cluster.signal(owner, signal.SIGTERM)
+        replies = self._collect(pending)
+        self.assertEqual({r.state for r in replies}, {"completed"})
+        process = self.cluster.daemons[owner].process
+        self.assertEqual(process.wait(timeout=8), 0)
+        self.assertEqual(self.site.find_overlaps(), [])
+
+    def test_all_killed_come_back_and_serve(self):
+        for name in self.cluster.daemons:
+            self.cluster.signal(name, signal.SIGKILL)
+        for name in self.cluster.daemons:
+            self.cluster.start(name)
+        self.cluster.wait_until_ready()
+        replies = self._collect(self._submit_some(["d1", "d2", "d3"]))
+        self.assertEqual({r.state for r in replies}, {"completed"})
+
+    def test_jobs_are_served_while_the_store_is_away(self):
+        self.site.store.faults.trouble = site_store.Trouble.SILENT
+        gevent.sleep(1.5)
+        replies = self._collect(self._submit_some(["d1", "d2", "d3"]))
+        self.assertEqual({r.state for r in replies}, {"completed"})
+
+    def test_a_new_configuration_is_in_force_everywhere(self):
+        self.site.configure(2, Prefix="/new/")
+        gevent.sleep(1.0)
+        for name in self.cluster.daemons:
+            reply = self.cluster.submit(name, "a" * 16, sites.build_job())
+            self.assertEqual(reply.status, 404)
+
+    def test_a_start_without_reply_is_not_run_twice(self):
+        for worker in self.site.workers.values():
+            worker.faults.lost_starts = 1
+        replies = self._collect(self._submit_some(["d1", "d2"], run_ms=200))
+        self.assertEqual({r.state for r in replies}, {"completed"})
+        self.assertEqual(self.site.find_overlaps(), [])
+
+    def test_the_work_for_a_caller_that_left_is_stopped(self):
+        body = sites.build_job(run_ms=2500)
+        self.cluster.submit("d1", "c" * 16, body, timeout_s=0.3)
+        gevent.sleep(0.5)
+        runs = [r for w in self.site.workers.values() for r in w.history]
+        self.assertEqual([run.how for run in runs], ["stopped", "stopped"])
+
+    def test_a_hanging_worker_is_left(self):
+        self.site.workers["w0"].faults.hangs = True
+        replies = self._collect(self._submit_some(["d1", "d2", "d3"]))
+        self.assertEqual({r.state for r in replies}, {"completed"})
+        self.assertEqual(self.site.find_overlaps(), [])
