Tell a request's story from the logs of several daemons

A typed list of events with its page (docs/ref/events.md), held to the calls by a test; pollenladder explain JOB FILE... Found by a test: while the reader of the logs stalls, each summary of dropped lines was itself kept; it waits now.

--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -16,6 +16,7 @@
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
+from pollenladder.logs import lines as logs
 from pollenladder.wire import exceptions
 from pollenladder.wire import handshake
 from pollenladder.wire import links
@@ -159,8 +160,6 @@
             return
         del self._links[daemon_id]
         self._roster.record_linked(daemon_id, False, self._clock())
-        LOGGER.warning(
-            "link_lost", extra={"peer": daemon_id, "reason": reason.value}
-        )
+        logs.log(LOGGER, "link_lost", peer=daemon_id, reason=reason.value)
         self._handlers.on_change(daemon_id, False)
         self._wake.set()
--- /dev/null
+++ b/pollenladder/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs: which events there are, how they are written and read."""
--- a/pollenladder/service/logs.py
+++ b/pollenladder/logs/lines.py
@@ -49,7 +49,7 @@
 
     def flush_some(self) -> None:
         """Write what the reader takes without a wait."""
-        if self.dropped:
+        if self.dropped and self._waiting_bytes <= MAX_WAITING_BYTES:
             count, self.dropped = self.dropped, 0
             self._append(_format_dropped(count, self._daemon_id))
         while self._lines:
--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -13,10 +13,10 @@
 from pollenladder.gateway import replies
 from pollenladder.jobs import entities as jobs
 from pollenladder.jobs import routing
+from pollenladder.logs import lines as logs
 from pollenladder.platform import callers
 from pollenladder.platform import exceptions
 from pollenladder.service import gateway as gateways
-from pollenladder.service import logs
 
 LOGGER = logging.getLogger(__name__)
 
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -16,6 +16,7 @@
 from pollenladder.gateway import listeners
 from pollenladder.jobs import entities as jobs
 from pollenladder.jobs import routing
+from pollenladder.logs import lines as logs
 from pollenladder.platform import exceptions
 from pollenladder.platform import rows
 from pollenladder.platform import settings as conf
@@ -25,7 +26,6 @@
 from pollenladder.service import feeds
 from pollenladder.service import gateway as gateways
 from pollenladder.service import leadership
-from pollenladder.service import logs
 from pollenladder.service import meters as metering
 from pollenladder.service import reachability
 
@@ -313,11 +313,10 @@
             self._mesh.wake()
 
     def _take_link_change(self, daemon_id: str, is_linked: bool) -> None:
-        logs.log(
-            LOGGER,
-            "link_made" if is_linked else "link_ended",
-            peer=daemon_id,
-        )
+        if is_linked:
+            logs.log(LOGGER, "link_made", peer=daemon_id)
+        else:
+            logs.log(LOGGER, "link_ended", peer=daemon_id)
         self._engine.note_gateway(daemon_id, is_linked)
         if not is_linked:
             self._gateway.lose_daemon(daemon_id)
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -10,10 +10,10 @@
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.logs import lines as logs
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import tables
 from pollenladder.scheduling import upkeep
-from pollenladder.service import logs
 from pollenladder.service import sessions
 
 LOGGER = logging.getLogger(__name__)
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -11,10 +11,10 @@
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.logs import lines as logs
 from pollenladder.platform import exceptions
 from pollenladder.platform import rows
 from pollenladder.platform import store as stores
-from pollenladder.service import logs
 
 LOGGER = logging.getLogger(__name__)
 
@@ -182,8 +182,11 @@
         if is_up == self.is_store_up:
             return
         self.is_store_up = is_up
-        name = "store_regained" if is_up else "store_lost"
-        logs.log(LOGGER, name, calls=dict(self._store.calls))
+        calls = dict(self._store.calls)
+        if is_up:
+            logs.log(LOGGER, "store_regained", calls=calls)
+        else:
+            logs.log(LOGGER, "store_lost", calls=calls)
         if is_up:
             self._store_back_at = self._clock()
         else:
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -10,7 +10,7 @@
 
 from pollenladder.core import clocks
 from pollenladder.jobs import entities as jobs
-from pollenladder.service import logs
+from pollenladder.logs import lines as logs
 
 LOGGER = logging.getLogger(__name__)
 
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -12,7 +12,7 @@
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
-from pollenladder.service import logs
+from pollenladder.logs import lines as logs
 
 LOGGER = logging.getLogger(__name__)
 
--- a/pollenladder/service/reachability.py
+++ b/pollenladder/service/reachability.py
@@ -9,7 +9,7 @@
 
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
-from pollenladder.service import logs
+from pollenladder.logs import lines as logs
 
 LOGGER = logging.getLogger(__name__)
 
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -8,10 +8,10 @@
 
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.logs import lines as logs
 from pollenladder.platform import workers
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import tables
-from pollenladder.service import logs
 
 LOGGER = logging.getLogger(__name__)
 
--- /dev/null
+++ b/tests/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the logs and of what is read from them."""
--- /dev/null
+++ b/tests/logs/test_events.py
@@ -0,0 +1,52 @@
+"""The list of events is whole, and each is logged with its fields."""
+
+import ast
+import pathlib
+import unittest
+
+from pollenladder.logs import events
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PACKAGES = ("service", "scheduling", "cluster")
+# Written by the handler itself, not by a call with fields.
+BY_HANDLER = {"greenlet_failed", "log_lines_dropped"}
+PAGE = ROOT / "docs" / "ref" / "events.md"
+
+
+def _find_calls() -> dict[str, list[tuple[str, ...]]]:
+    """Return the fields of each call that logs an event, by its name."""
+    found: dict[str, list[tuple[str, ...]]] = {}
+    for package in PACKAGES:
+        for path in (ROOT / "pollenladder" / package).rglob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if not isinstance(node, ast.Call):
+                    continue
+                text = ast.unparse(node.func)
+                place = {"logs.log": 1, "region.note": 0}.get(text)
+                if place is None:
+                    continue
+                name = node.args[place]
+                if isinstance(name, ast.Constant):
+                    fields = tuple(k.arg for k in node.keywords)
+                    found.setdefault(name.value, []).append(fields)
+    return found
+
+
+class EventsTest(unittest.TestCase):
+    """What is logged and what is listed are the same."""
+
+    def setUp(self):
+        self.calls = _find_calls()
+
+    def test_every_event_logged_is_listed_with_its_fields(self):
+        for name, calls in self.calls.items():
+            for fields in calls:
+                with self.subTest(event=name):
+                    listed = set(events.EVENTS[name].fields)
+                    self.assertEqual(set(fields), listed)
+
+    def test_every_event_listed_is_logged(self):
+        self.assertEqual(set(events.EVENTS), set(self.calls) | BY_HANDLER)
+
+    def test_the_page_is_up_to_date(self):
+        self.assertEqual(PAGE.read_text(), events.write_page())
--- /dev/null
+++ b/tests/logs/test_stories.py
@@ -0,0 +1,176 @@
+"""Stories of requests, told from logs."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from cleo.io.inputs import string_input
+from cleo.io.outputs import buffered_output
+
+from pollenladder.logs import exceptions
+from pollenladder.logs import stories
+from pollenladder.management import application
+from pollenladder.management import environment
+from pollenladder.management import exit_codes
+
+
+def _line(second: int, daemon: str, event: str, **fields: object) -> str:
+    time = f"2026-12-04T00:00:{second:02}.000Z"
+    base = {"time": time, "level": "INFO", "daemon": daemon, "event": event}
+    return json.dumps(base | fields)
+
+
+REFUSED = (
+    _line(
+        2,
+        "owner",
+        "job_refused",
+        job="a1",
+        queue="q",
+        tasks=8,
+        reason="no_room_in_time",
+        wait_s=0.4,
+        allowed_s=0.1,
+        jobs=30,
+    ),
+    _line(
+        3,
+        "gate",
+        "job_answered",
+        job="a1",
+        queue="q",
+        outcome="refused",
+        reason="no_room_in_time",
+        owner="owner",
+        took_s=0.003,
+        retry_after_s=0.4,
+    ),
+)
+MOVED = (
+    _line(
+        4,
+        "owner",
+        "run_moved",
+        job="b2",
+        task="b2.0.0.1",
+        run=1,
+        worker="w9",
+        percent=0.0,
+        elapsed_s=0.2,
+        expected_s=0.1,
+    ),
+    _line(
+        6,
+        "owner",
+        "job_ended",
+        job="b2",
+        queue="q",
+        outcome="completed",
+        reason="all_done",
+        took_s=1.2,
+        in_time=False,
+    ),
+)
+OWNERLESS = (
+    _line(
+        10,
+        "gate",
+        "owner_changed",
+        owner="",
+        before="owner",
+    ),
+    _line(
+        11,
+        "gate",
+        "job_answered",
+        job="c3",
+        queue="q",
+        outcome="given_up",
+        reason="deadline",
+        owner="",
+        took_s=2.0,
+        retry_after_s=0.0,
+    ),
+)
+
+
+class StoryTest(unittest.TestCase):
+    """The cause names the input that decided."""
+
+    def _tell(self, job: str, texts: tuple[str, ...]) -> stories.Story:
+        lines = [stories.read_line(text, "log:1") for text in texts]
+        return stories.build_story(job, lines)
+
+    def test_causes(self):
+        cases = (
+            ("a1", REFUSED, "would have waited 0.4 s"),
+            ("b2", MOVED, "b2.0.0.1 on w9: run_moved"),
+            ("c3", OWNERLESS, "given_up \\(deadline\\) by its gateway"),
+        )
+        for job, texts, cause in cases:
+            with self.subTest(job=job):
+                self.assertRegex(self._tell(job, texts).cause, cause)
+
+    def test_lines_of_several_daemons_are_put_in_order(self):
+        story = self._tell("a1", tuple(reversed(REFUSED)))
+        daemons = [line.daemon for line in story.lines]
+        self.assertEqual(daemons, ["owner", "gate"])
+
+    def test_an_unknown_request(self):
+        self.assertIsNone(self._tell("zz", REFUSED))
+
+    def test_bad_lines(self):
+        for text in ("", "hello", '{"time": 1', '{"time": "x"}', "[1]"):
+            with (
+                self.subTest(text=text),
+                self.assertRaisesRegex(exceptions.BadLogError, "f:7"),
+            ):
+                stories.read_line(text, "f:7")
+
+    def test_a_line_behind_a_prefix_is_read(self):
+        line = stories.read_line(" 1.2 front-1 " + REFUSED[0], "f:1")
+        self.assertEqual(line.event.name, "job_refused")
+
+
+class CommandTest(unittest.TestCase):
+    """`pollenladder explain`."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "front.log"
+        self.path.write_text("\n".join((*REFUSED, '{"torn', *MOVED)) + "\n")
+
+    def _run(self, text: str) -> tuple[int, str, str]:
+        output = buffered_output.BufferedOutput()
+        errors = buffered_output.BufferedOutput()
+        code = application.run(
+            environment.build_environment(),
+            string_input.StringInput(text),
+            output,
+            errors,
+        )
+        return code, output.fetch(), errors.fetch()
+
+    def test_a_story_and_a_torn_line(self):
+        code, output, errors = self._run(f"explain a1 {self.path}")
+        self.assertEqual(code, exit_codes.ExitCode.OK)
+        self.assertIn("cause: refused when it came", output)
+        self.assertIn(f"{self.path}:3: torn line", errors)
+
+    def test_as_json(self):
+        _, output, _ = self._run(f"explain b2 {self.path} --json")
+        found = json.loads(output)
+        self.assertEqual(found["job"], "b2")
+        self.assertEqual(len(found["lines"]), 2)
+
+    def test_unknown(self):
+        code, _, errors = self._run(f"explain zz {self.path}")
+        self.assertEqual(code, exit_codes.ExitCode.UNKNOWN_TARGET)
+        self.assertIn("no line touches zz", errors)
+
+    def test_a_missing_file(self):
+        code, _, errors = self._run("explain a1 /nowhere/x.log")
+        self.assertEqual(code, exit_codes.ExitCode.USAGE)
+        self.assertIn("/nowhere/x.log", errors)
