Keep the workers owned while the store is away for all, and take over results

When the store went for all, the owner saw its loss before its peers' beats told of theirs, handed over, and all waited 2 s for it, as it ranked first and claimed nothing. After all were killed, each waited 0.8 s though it heard all others. And a test found that a run that had ended before the takeover ran again if its job came before the look. Change: an owner is more patient with the store than its peers; beats tell who claims nothing for now; who hears all known daemons claims at once; a result of an earlier owner's run counts for a job that waits.

--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -18,6 +18,7 @@
         config_version: The configuration that it has.
         lag_s: How late its event loop runs.
         is_leaving: Whether it is shutting down.
+        is_yielding: Whether it claims no workers for a while.
         pending: As the owner, jobs not begun, by queue.
     """
 
@@ -28,6 +29,7 @@
     config_version: int
     lag_s: float
     is_leaving: bool
+    is_yielding: bool
     pending: dict[str, int]
 
 
--- a/pollenladder/cluster/ownership.py
+++ b/pollenladder/cluster/ownership.py
@@ -33,6 +33,7 @@
         reads_store: Whether it reaches the platform's store.
         lag_s: How late its event loop runs.
         is_leaving: Whether it is shutting down.
+        is_yielding: Whether it claims nothing for a while.
     """
 
     is_owner: bool = False
@@ -41,6 +42,7 @@
     reads_store: bool = True
     lag_s: float = 0.0
     is_leaving: bool = False
+    is_yielding: bool = False
 
 
 class Decision(enum.Enum):
@@ -65,8 +67,6 @@
         is_cut_off_with_zone: Whether no worker of another data centre is
             reached, and at least one here is.
         may_claim_alone: Whether the store shows that no other owner lives.
-        yields_until: This daemon does not claim before.
-        now: Monotonic time in seconds.
     """
 
     own_id: str
@@ -75,8 +75,6 @@
     known: frozenset[str]
     is_cut_off_with_zone: bool
     may_claim_alone: bool
-    yields_until: float
-    now: float
 
 
 def decide(situation: Situation) -> tuple[Decision, str]:
@@ -140,7 +138,7 @@
 def _may_claim(situation: Situation) -> bool:
     if situation.own.is_leaving and situation.heard:
         return False
-    if situation.now < situation.yields_until:
+    if situation.own.is_yielding:
         return False
     if hears_most(situation.known, situation.heard):
         return True
@@ -154,7 +152,13 @@
     )
 
 
-def _get_rank(name: str, view: View) -> tuple[bool, bool, bool, str]:
+def _get_rank(name: str, view: View) -> tuple[bool, bool, bool, bool, str]:
     """Return the key by which the next owner is chosen, the smallest first."""
     is_slow = view.lag_s > SLOW_LAG_S
-    return (view.is_leaving, not view.reads_store, is_slow, name)
+    return (
+        view.is_yielding,
+        view.is_leaving,
+        not view.reads_store,
+        is_slow,
+        name,
+    )
--- a/pollenladder/cluster/roster.py
+++ b/pollenladder/cluster/roster.py
@@ -133,4 +133,5 @@
         reads_store=beat.reads_store,
         lag_s=beat.lag_s,
         is_leaving=beat.is_leaving,
+        is_yielding=beat.is_yielding,
     )
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -123,6 +123,15 @@
             runs.abandon(region, job, task, now)
 
 
+def settle(region: tables.Region, job: tables.Job, now: float) -> None:
+    """Answer a job whose tasks are all done, and note whether any waits."""
+    if job.is_complete():
+        outcome = jobs.Outcome.COMPLETED
+        end_job(region, job, outcome, jobs.Reason.ALL_DONE, now)
+    elif not job.list_waiting():
+        region.waiting.discard(job.submission.job_id)
+
+
 def _build_job(
     region: tables.Region,
     submission: jobs.Submission,
@@ -253,8 +262,4 @@
             continue
         task.not_before = safe_at
         runs.adopt_orphan(region, job, task)
-    if job.is_complete():
-        outcome = jobs.Outcome.COMPLETED
-        end_job(region, job, outcome, jobs.Reason.ALL_DONE, now)
-    elif not job.list_waiting():
-        region.waiting.discard(job.submission.job_id)
+    settle(region, job, now)
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -214,9 +214,18 @@
 def _take_orphan_end(
     region: tables.Region, ended: fleet.ObservedEnd, now: float
 ) -> None:
-    """Keep a result whose job has not been claimed yet."""
-    if jobs.read_job_id(ended.task) not in region.jobs:
+    """Take a result of an earlier owner's run, or keep it for its job."""
+    job = region.jobs.get(jobs.read_job_id(ended.task))
+    if job is None:
         region.orphan_ends[ended.task] = now
+        return
+    index = runs.read_index(ended.task)
+    if not 0 <= index < len(job.tasks):
+        return
+    task = job.tasks[index]
+    if task.state is tables.TaskState.WAITING:
+        task.state = tables.TaskState.DONE
+        intake.settle(region, job, now)
 
 
 def _take_done(
@@ -239,10 +248,7 @@
         )
     task.state = tables.TaskState.DONE
     task.took_s = measured_s
-    if job.is_complete():
-        intake.end_job(
-            region, job, jobs.Outcome.COMPLETED, jobs.Reason.ALL_DONE, now
-        )
+    intake.settle(region, job, now)
 
 
 def _judge_worker(
@@ -330,8 +336,7 @@
     if task.state is tables.TaskState.WAITING and runs.adopt_orphan(
         region, job, task
     ):
-        if not job.list_waiting():
-            region.waiting.discard(job.submission.job_id)
+        intake.settle(region, job, now)
         return
     runs.stop(region, run, now)
 
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -25,8 +25,6 @@
 WORKERS_PAUSE_S = 2.0
 DAEMONS_PAUSE_S = 2.0
 DAEMONS_BOOT_PAUSE_S = 0.25
-# A store that fails for a moment is not taken for lost.
-STORE_LOST_GRACE_S = 1.0
 RETRY_S = 0.15
 MAX_RETRY_S = 0.6
 # The workers' entries may be missing so long after the store was away.
@@ -57,6 +55,7 @@
     Attributes:
         is_store_up: Whether the last call was answered.
         store_lost_at: When that changed to the worse.
+        knows_daemons: Whether the daemons have been read.
     """
 
     def __init__(
@@ -68,6 +67,7 @@
     ):
         self.is_store_up = False
         self.store_lost_at = clock()
+        self.knows_daemons = False
         self._store = store
         self._own = own
         self._outlets = outlets
@@ -102,6 +102,7 @@
                 found = self._store.read_table(rows.DAEMONS_TABLE)
                 self._record_up(True)
                 self._take_members(found.rows)
+                self.knows_daemons = True
             except exceptions.StoreError as error:
                 self._record_failure("daemons", error)
                 gevent.sleep(MAX_RETRY_S)
@@ -118,10 +119,10 @@
         except exceptions.StoreError as error:
             self._record_failure("daemons", error)
 
-    def reads_store(self) -> bool:
-        """Return whether the store has answered lately."""
+    def reads_store(self, within_s: float) -> bool:
+        """Return whether the store has answered within some seconds."""
         lost_s = self._clock() - self.store_lost_at
-        return self.is_store_up or lost_s < STORE_LOST_GRACE_S
+        return self.is_store_up or lost_s < within_s
 
     def refresh_workers(self) -> None:
         """Read the list of workers whole, now."""
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -19,6 +19,9 @@
 BEAT_S = 0.1
 # A daemon that has just started first hears whether there is an owner.
 BOOT_GRACE_S = 0.8
+# A store that fails for a moment is not taken for lost.
+PATIENCE_S = 1.0
+OWNER_PATIENCE_S = 1.8
 LAG_DECAY = 0.8
 # Epochs count milliseconds since 2020 and leave room for a daemon's number, so
 # that no two daemons make the same one.
@@ -40,7 +43,10 @@
         on_forgotten: Called with a daemon that has long been away.
         count_reached: Returns how many workers the owner reaches.
         count_pending: Returns jobs that have not begun, by queue.
-        reads_store: Returns whether the platform's store answers.
+        reads_store: Returns whether the platform's store has answered within
+            some seconds.
+        knows_all: Returns whether the other daemons have been read from the
+            store.
         get_version: Returns the configuration's version.
         is_leaving: Returns whether this daemon is shutting down.
         is_cut_off_with_zone: Returns whether workers are reached in this data
@@ -54,7 +60,8 @@
     on_forgotten: Callable[[str], None]
     count_reached: Callable[[], int]
     count_pending: Callable[[], dict[str, int]]
-    reads_store: Callable[[], bool]
+    reads_store: Callable[[float], bool]
+    knows_all: Callable[[], bool]
     get_version: Callable[[], int]
     is_leaving: Callable[[], bool]
     is_cut_off_with_zone: Callable[[], bool]
@@ -85,6 +92,7 @@
         self._highest_epoch = 0
         self._lag_s = 0.0
         self._yields_until = clock() + BOOT_GRACE_S
+        self._is_booting = True
         self._wake = event.Event()
 
     @property
@@ -109,6 +117,7 @@
         if not self.is_owner or now < self._yields_until:
             return
         self._yields_until = now + ownership.YIELD_S
+        self._is_booting = False
         heard = self._roster.list_heard()
         rival = ownership.find_owner(heard)
         hears_most = ownership.hears_most(self._roster.list_known(), heard)
@@ -133,8 +142,8 @@
     def run(self) -> None:
         """Decide and beat, for ever."""
         while True:
-            self._decide()
-            self._outlets.broadcast(self._build_beat())
+            self.step()
+            self._outlets.broadcast(self.build_beat())
             before = self._clock()
             woken = self._wake.wait(BEAT_S)
             self._wake.clear()
@@ -142,7 +151,8 @@
                 late_s = max(0.0, self._clock() - before - BEAT_S)
                 self._lag_s += (1 - LAG_DECAY) * (late_s - self._lag_s)
 
-    def _decide(self) -> None:
+    def step(self) -> None:
+        """Decide once."""
         now = self._clock()
         for daemon_id in self._roster.forget_lost(now):
             logs.log(LOGGER, "daemon_forgotten", peer=daemon_id)
@@ -161,8 +171,6 @@
                 is_cut_off and self._outlets.is_cut_off_with_zone()
             ),
             may_claim_alone=False,
-            yields_until=self._yields_until,
-            now=now,
         )
         decision, owner_id = ownership.decide(situation)
         if decision is ownership.Decision.CLAIM:
@@ -177,12 +185,33 @@
             is_owner=self.is_owner,
             epoch=self._epoch,
             workers_reached=self._outlets.count_reached(),
-            reads_store=self._outlets.reads_store(),
+            reads_store=self._reads_store(),
             lag_s=self._lag_s,
             is_leaving=self._outlets.is_leaving(),
+            is_yielding=self._is_yielding(),
         )
 
-    def _build_beat(self) -> messages.Beat:
+    def _reads_store(self) -> bool:
+        """Return whether the store answers, as far as it matters here.
+
+        An owner is more patient than its peers, which so all know when the
+        store is away for everybody.
+        """
+        patience_s = OWNER_PATIENCE_S if self.is_owner else PATIENCE_S
+        return self._outlets.reads_store(patience_s)
+
+    def _is_yielding(self) -> bool:
+        if self._clock() >= self._yields_until:
+            return False
+        if not self._is_booting:
+            return True
+        # Who hears all the others need not wait for more to come.
+        known = self._roster.list_known() - {self._own_id}
+        hears_all = known <= self._roster.list_heard().keys()
+        return not (known and hears_all and self._outlets.knows_all())
+
+    def build_beat(self) -> messages.Beat:
+        """Return what this daemon says of itself."""
         own = self._view_self()
         return messages.Beat(
             is_owner=own.is_owner,
@@ -192,6 +221,8 @@
             config_version=self._outlets.get_version(),
             lag_s=own.lag_s,
             is_leaving=own.is_leaving,
+            # One that boots is waited for, so that not two claim at once.
+            is_yielding=own.is_yielding and not self._is_booting,
             pending=self._outlets.count_pending(),
         )
 
@@ -212,9 +243,10 @@
         )
         self._epoch = 0
         self._yields_until = self._clock() + ownership.YIELD_S
+        self._is_booting = False
         self._outlets.resign()
         self._follow(owner_id)
-        self._outlets.broadcast(self._build_beat())
+        self._outlets.broadcast(self.build_beat())
 
     def _follow(self, owner_id: str) -> None:
         if owner_id == self.owner_id:
--- a/tests/cluster/test_ownership.py
+++ b/tests/cluster/test_ownership.py
@@ -14,8 +14,6 @@
     known=frozenset("abc"),
     is_cut_off_with_zone=False,
     may_claim_alone=False,
-    yields_until=0.0,
-    now=100.0,
 )
 
 
@@ -74,9 +72,15 @@
         self.assertEqual(decision[0], ownership.Decision.CLAIM)
 
     def test_who_has_just_lost_the_workers_waits(self):
-        decision = _decide(heard={"c": PEER}, yields_until=101.0)
+        yielding = _change(PEER, is_yielding=True)
+        decision = _decide(own=yielding, heard={"c": PEER})
         self.assertEqual(decision[0], ownership.Decision.WAIT)
 
+    def test_who_has_just_lost_the_workers_keeps_nobody_waiting(self):
+        yielding = _change(PEER, is_yielding=True)
+        decision = _decide(heard={"a": yielding, "c": PEER})
+        self.assertEqual(decision[0], ownership.Decision.CLAIM)
+
     def test_who_is_leaving_does_not_claim(self):
         leaving = _change(PEER, is_leaving=True)
         decision = _decide(own=leaving, heard={"c": leaving})
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -28,6 +28,16 @@
         (answer,) = self.world.take_answers()
         self.assertIs(answer.outcome, jobs.Outcome.COMPLETED)
 
+    def test_an_end_that_is_seen_after_the_job_came_counts(self):
+        self.world.list_workers(["w0", "w1", "w2"], synced=False)
+        self.world.submit("a1", may_have_begun=True, tasks=1, budget_s=5.0)
+        end = fleet.ObservedEnd(1, "a1.0.0.0", 1, fleet.RunEnd.DONE)
+        self.world.ends["w2"] = [end]
+        self.world.look("w2")
+        (answer,) = self.world.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.COMPLETED)
+        self.assertEqual(self.world.take_starts(), [])
+
     def test_nothing_starts_while_a_worker_is_unseen(self):
         self.world.list_workers(["w0", "w1", "w2"], synced=False)
         self.world.submit("a1", may_have_begun=True, budget_s=5.0)
--- a/tests/service/clusters.py
+++ b/tests/service/clusters.py
@@ -142,13 +142,25 @@
         return [json.loads(line) for line in whole.splitlines()]
 
     def wait_for_owner(self) -> str:
-        """Return the daemon that owns the workers, once its log tells."""
+        """Return the one daemon that owns the workers, once logs tell."""
         end_s = time.monotonic() + READY_TIMEOUT_S
-        while not (owners := self.find_owners()):
+        while len(owners := self._find_present_owners()) != 1:
             if time.monotonic() > end_s:
-                raise AssertionError("nobody owns the workers")
+                raise AssertionError(f"owners: {owners}")
             gevent.sleep(POLL_S)
-        return owners[-1]
+        return owners[0]
+
+    def _find_present_owners(self) -> list[str]:
+        owners = []
+        for name in self.daemons:
+            changes = [
+                line["event"]
+                for line in self.read_log(name)
+                if line["event"].startswith("ownership_")
+            ]
+            if changes and changes[-1] == "ownership_claimed":
+                owners.append(name)
+        return owners
 
     def find_owners(self) -> list[str]:
         """Return who has claimed the workers, in the order of the claims."""
--- /dev/null
+++ b/tests/service/test_leadership.py
@@ -0,0 +1,130 @@
+"""When a daemon claims the workers, gives them up, or waits."""
+
+import unittest
+
+from pollenladder.cluster import messages
+from pollenladder.cluster import ownership
+from pollenladder.cluster import roster as rosters
+from pollenladder.service import leadership
+
+
+def _build_beat(**changes: object) -> messages.Beat:
+    plain = {
+        "is_owner": False,
+        "epoch": 0,
+        "workers_reached": 0,
+        "reads_store": True,
+        "config_version": 1,
+        "lag_s": 0.0,
+        "is_leaving": False,
+        "is_yielding": False,
+        "pending": {},
+    }
+    return messages.Beat(**(plain | changes))
+
+
+class LeadershipTest(unittest.TestCase):
+    """One daemon, "b", and the beats it hears and sends."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.store_lost_at = None
+        self.knows_all = True
+        self.roster = rosters.Roster("b")
+        self.sent: list[messages.Beat] = []
+        self.claimed: list[int] = []
+        self.resigned = 0
+        self.leading = leadership.Leadership(
+            "b",
+            self.roster,
+            leadership.Outlets(
+                broadcast=self.sent.append,
+                claim=self.claimed.append,
+                resign=self._count_resigned,
+                on_owner=lambda owner_id: None,
+                on_forgotten=lambda daemon_id: None,
+                count_reached=lambda: 5,
+                count_pending=dict,
+                reads_store=self._reads_store,
+                knows_all=lambda: self.knows_all,
+                get_version=lambda: 1,
+                is_leaving=lambda: False,
+                is_cut_off_with_zone=lambda: False,
+            ),
+            lambda: self.now,
+            lambda: 1_800_000_000.0,
+        )
+
+    def _count_resigned(self) -> None:
+        self.resigned += 1
+
+    def _reads_store(self, within_s: float) -> bool:
+        lost_at = self.store_lost_at
+        return lost_at is None or self.now < lost_at + within_s
+
+    def _hear(self, daemon_id: str, **changes: object) -> None:
+        member = rosters.Member(daemon_id, "10.0.0.1", 1, "norte", 1)
+        self.roster.learn(member, self.now)
+        self.roster.record_linked(daemon_id, True, self.now)
+        self.leading.take_beat(daemon_id, _build_beat(**changes))
+
+    def _own(self) -> None:
+        self._hear("c")
+        self.leading.step()
+        self.assertTrue(self.leading.is_owner)
+
+    def test_who_hears_all_claims_at_once(self):
+        self._hear("c")
+        self.leading.step()
+        self.assertEqual(len(self.claimed), 1)
+
+    def test_who_is_alone_waits_for_others_to_come(self):
+        self.leading.step()
+        self.assertEqual(self.claimed, [])
+        self.now += leadership.BOOT_GRACE_S
+        self.leading.step()
+        self.assertEqual(len(self.claimed), 1)
+
+    def test_a_store_away_for_all_moves_nothing(self):
+        self._own()
+        self.store_lost_at = self.now
+        for _ in range(40):
+            self.now += leadership.BEAT_S
+            lost_s = self.now - self.store_lost_at
+            self._hear("c", reads_store=lost_s < leadership.PATIENCE_S)
+            self.leading.step()
+        self.assertEqual(self.resigned, 0)
+
+    def test_a_store_away_for_the_owner_alone_moves_the_workers(self):
+        self._own()
+        self.store_lost_at = self.now
+        self.now += leadership.OWNER_PATIENCE_S
+        self._hear("c")
+        self.leading.step()
+        self.assertEqual(self.resigned, 1)
+        self.assertTrue(self.leading.build_beat().is_yielding)
+
+    def test_a_worker_with_a_higher_epoch_is_outbid(self):
+        self._own()
+        self.now += ownership.YIELD_S
+        self.leading.take_fenced("w1")
+        first, second = self.claimed
+        leap = leadership.EPOCH_LEAP_MS * leadership.EPOCH_DAEMONS
+        self.assertGreaterEqual(second, first + leap)
+
+    def test_who_hears_too_few_gives_up_when_fenced(self):
+        self._own()
+        for name in ("d", "e", "f"):
+            member = rosters.Member(name, "10.0.0.1", 1, "norte", 1)
+            self.roster.learn(member, self.now)
+        self.roster.record_linked("c", False, self.now)
+        self.now += ownership.YIELD_S
+        self.leading.take_fenced("w1")
+        self.assertEqual(self.resigned, 1)
+
+    def test_epochs_of_two_daemons_differ(self):
+        self._own()
+        daemons = leadership.EPOCH_DAEMONS
+        self._hear("c", is_owner=True, epoch=self.claimed[0] + 5 * daemons)
+        self.leading.step()
+        self.assertGreater(self.claimed[-1], self.claimed[0] + 5 * daemons)
