Take no caller for gone whose connection we have ended reading ourselves

A daemon that stops shuts its idle connections for reading; a request that had just come is still served, and to the watch for callers that leave, its connection looked ended. Change: such a request is served without that watch. Test: tests.gateway.test_listeners fails without it.

--- a/pollenladder/gateway/listeners.py
+++ b/pollenladder/gateway/listeners.py
@@ -29,7 +29,8 @@
 # Beyond this, connections over the bound are closed without an answer.
 MAX_TURNING_AWAY = 256
 POLL_S = 0.02
-# Where an application finds the connection, to notice its end.
+# Where an application finds the connection, to notice its end; None once we
+# have ended reading ourselves, as it then looks ended whatever the caller does.
 SOCKET_VARIABLE = "pollenladder.socket"
 # How long an idle connection may still bring a request during a drain.
 QUIET_S = 0.5
@@ -138,7 +139,13 @@
 
 
 class _Handler(pywsgi.WSGIHandler):
-    """One connection."""
+    """One connection.
+
+    Attributes:
+        has_end: Whether we read no more than what has come.
+    """
+
+    has_end = False
 
     def handle(self) -> None:
         self.socket.settimeout(self.server.bounds.send_s)
@@ -180,7 +187,7 @@
             plain.rfile, plain.content_length, plain.socket, plain.chunked_input
         )
         environ["wsgi.input"] = self.wsgi_input
-        environ[SOCKET_VARIABLE] = self.socket
+        environ[SOCKET_VARIABLE] = None if self.has_end else self.socket
         return environ
 
     def start_response(self, status: str, headers: list, exc_info=None) -> Any:
@@ -321,6 +328,7 @@
     def _close_idle(self) -> None:
         """Read no more from idle connections; what has come is served."""
         for handler in list(self._listener.idle):
+            handler.has_end = True
             _end_reading(handler.socket)
 
 
--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -168,11 +168,13 @@
 
 
 def _wait(
-    gateway: gateways.Gateway, job: gateways.OpenJob, sock: socket.socket
+    gateway: gateways.Gateway,
+    job: gateways.OpenJob,
+    sock: socket.socket | None,
 ) -> None:
     """Wait for the answer, or until the caller closes its connection."""
     watcher = None
-    if not job.answered.is_set():
+    if sock is not None and not job.answered.is_set():
         watcher = gevent.spawn(_watch_end, gateway, job, sock)
     job.answered.wait()
     if watcher is not None:
--- /dev/null
+++ b/tests/gateway/test_listeners.py
@@ -0,0 +1,59 @@
+"""What an application learns of its callers' connections."""
+
+import socket
+import unittest
+
+import gevent
+
+from pollenladder.gateway import limits
+from pollenladder.gateway import listeners
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class _Meter:
+    def set(self, value: float) -> None:
+        """Count nothing."""
+
+    def inc(self) -> None:
+        """Count nothing."""
+
+
+class _Meters:
+    http_connections = _Meter()
+    turned_away = _Meter()
+
+
+class ConnectionTest(unittest.TestCase):
+    """A caller that still waits must not look as if it had left."""
+
+    def setUp(self):
+        self.seen = []
+
+        def serve(environ, start_response):
+            self.seen.append(environ[listeners.SOCKET_VARIABLE])
+            start_response("200 OK", [("Content-Length", "0")])
+            return [b""]
+
+        self.server = listeners.listen(
+            "127.0.0.1", 0, serve, _Meters(), limits.Limits()
+        )
+        self.addCleanup(self.server.stop_accepting)
+        self.caller = socket.create_connection(
+            ("127.0.0.1", self.server.port), 5
+        )
+        self.addCleanup(self.caller.close)
+        gevent.sleep(0.05)
+
+    def test_an_application_finds_the_connection(self):
+        self.caller.send(REQUEST)
+        gevent.sleep(0.05)
+        self.assertEqual(len(self.seen), 1)
+        self.assertIsNotNone(self.seen[0])
+
+    def test_not_when_reading_was_ended_with_a_request_under_way(self):
+        self.caller.send(REQUEST)
+        self.server._close_idle()
+        gevent.sleep(0.05)
+        self.assertEqual(self.seen, [None])
+        self.assertTrue(self.caller.recv(100).startswith(b"HTTP/1.1 200"))
