--- a/pollenladder/logs/stories.py
+++ b/pollenladder/logs/stories.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import datetime
 import json
 from typing import Any
 
@@ -9,7 +10,8 @@
 from pollenladder.logs import exceptions
 
 BASE_FIELDS = ("time", "level", "daemon", "event")
-# How long before a request's first line other events may explain it.
+# Changes so long before a request's first line may explain its end.
+CONTEXT_S = 3.0
 CONTEXT_KINDS = (events.Kind.OWNERSHIP, events.Kind.DEPENDENCY)
 
 
@@ -78,7 +80,8 @@
     own = tuple(line for line in ordered if _touches(line, job))
     if not own:
         return None
-    first, last = own[0].time, own[-1].time
+    first = _shift(own[0].time, -CONTEXT_S)
+    last = own[-1].time
     context = tuple(
         line
         for line in ordered
@@ -99,6 +102,14 @@
     return "no line tells how it ended: its daemons' logs end before"
 
 
+def _shift(time: str, seconds: float) -> str:
+    """Return a time of a line, moved."""
+    at = datetime.datetime.fromisoformat(time)
+    moved = at + datetime.timedelta(seconds=seconds)
+    text = moved.astimezone(datetime.UTC).isoformat(timespec="milliseconds")
+    return text.replace("+00:00", "Z")
+
+
 def _touches(line: Line, job: str) -> bool:
     task = str(line.fields.get("task", ""))
     return line.fields.get("job") == job or task.split(".", 1)[0] == job
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -124,7 +124,7 @@
         outcome=outcome.value,
         reason=reason.value,
         took_s=round(now - job.submitted_at, 4),
-        in_time=now <= job.objective_at,
+        in_time=(outcome is jobs.Outcome.COMPLETED and now <= job.objective_at),
     )
     for task in job.tasks:
         if task.state is tables.TaskState.PLACED:
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -18,6 +18,8 @@
 RUN_NUMBERS_PER_OWNER = 32
 SWEEP_S = 0.03
 RETRY_AFTER_WITHOUT_OWNER_S = 1.0
+# Part of the time in which a job should be answered.
+OWNERLESS_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True)
@@ -241,9 +243,13 @@
 
 
 def _measure_patience_s(submission: jobs.Submission) -> float:
-    """Return how long a job can wait and still be in time, in seconds."""
-    slack_s = (submission.stretch - 1) * submission.estimate_s
-    return max(0.0, slack_s + submission.slack_s)
+    """Return how long a job may wait for an owner, in seconds.
+
+    An owner that was killed is replaced well within it; one that went silent
+    is not, and then a late refusal is of no use to the caller.
+    """
+    allowed_s = submission.stretch * submission.estimate_s + submission.slack_s
+    return OWNERLESS_SHARE * allowed_s
 
 
 def format_retry_after(retry_after_s: float) -> str:
