Let an owner that wakes hear of its successor before it bids

Change: a fenced owner waits 0.3 s for beats before it bids or gives up. Test: test_an_owner_that_wakes_yields_to_the_one_it_hears_of fails without it.

--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -133,7 +133,7 @@
         "fenced",
         Kind.OWNERSHIP,
         "a worker has seen a higher epoch than ours",
-        ("worker", "epoch", "rival", "hears_most"),
+        ("worker", "epoch"),
     ),
     Event("worker_listed", Kind.WORKER, "it is new in the list", ("worker",)),
     Event("worker_unlisted", Kind.WORKER, "it is not listed", ("worker",)),
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -22,6 +22,8 @@
 # A store that fails for a moment is not taken for lost.
 PATIENCE_S = 1.0
 OWNER_PATIENCE_S = 1.8
+# A fenced owner waits so long to hear of another one.
+FENCED_S = 0.3
 LAG_DECAY = 0.8
 # Epochs count milliseconds since 2020 and leave room for a daemon's number, so
 # that no two daemons make the same one.
@@ -89,6 +91,7 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._epoch = 0
+        self._fenced_at: float | None = None
         self._highest_epoch = 0
         self._lag_s = 0.0
         self._yields_until = clock() + BOOT_GRACE_S
@@ -112,29 +115,31 @@
             self.wake()
 
     def take_fenced(self, worker_id: str) -> None:
-        """Note that a worker has seen a higher epoch than ours."""
+        """Note that a worker has seen a higher epoch than ours.
+
+        Whoever has been frozen knows no better than before: beats that tell of
+        the new owner are about to come.
+        """
+        if self.is_owner and self._fenced_at is None:
+            self._fenced_at = self._clock()
+            logs.log(
+                LOGGER,
+                "fenced",
+                logging.WARNING,
+                worker=worker_id,
+                epoch=self._epoch,
+            )
+
+    def _settle_fenced(self) -> None:
+        """Outbid an owner that is not heard, or give up, after a while."""
         now = self._clock()
-        if not self.is_owner or now < self._yields_until:
+        if self._fenced_at is None or now < self._fenced_at + FENCED_S:
             return
-        self._yields_until = now + ownership.YIELD_S
-        self._is_booting = False
+        self._fenced_at = None
         heard = self._roster.list_heard()
-        rival = ownership.find_owner(heard)
-        hears_most = ownership.hears_most(self._roster.list_known(), heard)
-        logs.log(
-            LOGGER,
-            "fenced",
-            logging.WARNING,
-            worker=worker_id,
-            epoch=self._epoch,
-            rival=rival,
-            hears_most=hears_most,
-        )
-        if hears_most and not rival:
-            self._highest_epoch = max(
-                self._highest_epoch,
-                self._epoch + EPOCH_LEAP_MS * EPOCH_DAEMONS,
-            )
+        if ownership.hears_most(self._roster.list_known(), heard):
+            leap = EPOCH_LEAP_MS * EPOCH_DAEMONS
+            self._highest_epoch = max(self._highest_epoch, self._epoch + leap)
             self._claim("fenced by an owner that is not heard")
         else:
             self._resign("fenced")
@@ -153,6 +158,7 @@
 
     def step(self) -> None:
         """Decide once."""
+        self._settle_fenced()
         now = self._clock()
         for daemon_id in self._roster.forget_lost(now):
             logs.log(LOGGER, "daemon_forgotten", peer=daemon_id)
@@ -242,6 +248,7 @@
             owner=owner_id,
         )
         self._epoch = 0
+        self._fenced_at = None
         self._yields_until = self._clock() + ownership.YIELD_S
         self._is_booting = False
         self._outlets.resign()
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -3,7 +3,6 @@
 import unittest
 
 from pollenladder.cluster import messages
-from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
 from pollenladder.service import leadership
 
@@ -106,8 +105,11 @@
 
     def test_a_worker_with_a_higher_epoch_is_outbid(self):
         self._own()
-        self.now += ownership.YIELD_S
         self.leading.take_fenced("w1")
+        self.leading.step()
+        self.assertEqual(len(self.claimed), 1)
+        self.now += leadership.FENCED_S
+        self.leading.step()
         first, second = self.claimed
         leap = leadership.EPOCH_LEAP_MS * leadership.EPOCH_DAEMONS
         self.assertGreaterEqual(second, first + leap)
@@ -118,10 +120,20 @@
             member = rosters.Member(name, "10.0.0.1", 1, "norte", 1)
             self.roster.learn(member, self.now)
         self.roster.record_linked("c", False, self.now)
-        self.now += ownership.YIELD_S
         self.leading.take_fenced("w1")
+        self.now += leadership.FENCED_S
+        self.leading.step()
         self.assertEqual(self.resigned, 1)
 
+    def test_an_owner_that_wakes_yields_to_the_one_it_hears_of(self):
+        self._own()
+        self.leading.take_fenced("w1")
+        self._hear(
+            "c", is_owner=True, epoch=self.claimed[0] + 1, workers_reached=5
+        )
+        self.leading.step()
+        self.assertEqual((len(self.claimed), self.resigned), (1, 1))
+
     def test_epochs_of_two_daemons_differ(self):
         self._own()
         daemons = leadership.EPOCH_DAEMONS
