Let a lone survivor claim the workers once the store shows no owner

Change: the owner's row in the store changes each half second; who hears too few claims once it has stood still for 2.5 s.

--- a/bench/emulator/worlds.py
+++ b/bench/emulator/worlds.py
@@ -93,6 +93,7 @@
         now: Simulated time in seconds.
         region: The owner's tables.
         outcomes: By job id.
+        begun: Jobs of which a task was ever started.
     """
 
     def __init__(self, workers: int, faults: Iterable[Faults] = ()):
@@ -100,6 +101,7 @@
         self.region = tables.Region(1, 0.0, 1.0)
         self.region.is_list_fresh = True
         self.outcomes: dict[str, Outcome] = {}
+        self.begun: set[str] = set()
         self._faults = tuple(faults)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
@@ -184,6 +186,7 @@
 
     def _start(self, order: tables.StartRun) -> None:
         job_id, _, _, index = order.task.split(".")
+        self.begun.add(job_id)
         run_s = self.outcomes[job_id].arrival.runs_s[int(index)]
         fault = self._find_fault(order.worker_id)
         run = _Run(
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -12,8 +12,11 @@
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 WORKERS_TABLE = "servers"
-# Our own table.
+# Our own; one row a daemon.
 DAEMONS_TABLE = "daemons"
+# Our own; its one row changes as long as there is an owner.
+OWNERSHIP_TABLE = "ownership"
+OWNERSHIP_KEY = "region"
 
 READY = "ready"
 DRAINING = "draining"
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -93,6 +93,7 @@
                 on_workers=self._engine.list_workers,
                 on_member=self._take_member,
                 is_owner=lambda: self._leadership.is_owner,
+                get_owner=lambda: self._leadership.owner_id,
             ),
             self._clock,
         )
@@ -115,6 +116,7 @@
                 get_version=self._get_version,
                 is_leaving=self._stopping.is_set,
                 is_cut_off_with_zone=self._reachability.is_cut_off_with_zone,
+                is_owner_silent=self._feeds.is_owner_silent,
             ),
             self._clock,
             clocks.read_wall_s,
@@ -131,6 +133,7 @@
             self._feeds.run_configuration,
             self._feeds.run_daemons,
             self._feeds.run_workers,
+            self._feeds.run_ownership,
             self._mesh.run,
             self._engine.run,
             self._leadership.run,
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -27,6 +27,9 @@
 DAEMONS_BOOT_PAUSE_S = 0.25
 RETRY_S = 0.15
 MAX_RETRY_S = 0.6
+OWNERSHIP_PAUSE_S = 0.5
+# An owner's row that has not changed for so long has no owner.
+OWNER_SILENT_S = 2.5
 # The workers' entries may be missing so long after the store was away.
 RETURN_GRACE_S = 2.5
 
@@ -41,12 +44,14 @@
             last lapsed without a farewell, and whether all have just been read.
         on_member: Called with each daemon found.
         is_owner: Returns whether this daemon owns the workers.
+        get_owner: Returns the owner that is followed, or "".
     """
 
     on_configuration: Callable[[jobs.Configuration], None]
     on_workers: Callable[[tuple[fleet.Listing, ...], float, bool], None]
     on_member: Callable[[rosters.Member], None]
     is_owner: Callable[[], bool]
+    get_owner: Callable[[], str]
 
 
 class Feeds:
@@ -77,6 +82,9 @@
         self._store_back_at = 0.0
         self._lapsed_at = float("-inf")
         self._workers_wanted = event.Event()
+        self._owner_row = 0
+        self._owner_row_since = float("inf")
+        self._owner_row_read_at = float("-inf")
         self._rejected: dict[str, int] = {}
 
     def run_configuration(self) -> None:
@@ -112,6 +120,43 @@
                 DAEMONS_BOOT_PAUSE_S if boot_reads > 0 else DAEMONS_PAUSE_S
             )
 
+    def run_ownership(self) -> None:
+        """Keep the owner's row changing, or watch it without one, for ever."""
+        while True:
+            gevent.sleep(OWNERSHIP_PAUSE_S)
+            try:
+                self._keep_ownership()
+            except exceptions.StoreError as error:
+                self._record_failure(rows.OWNERSHIP_TABLE, error)
+
+    def _keep_ownership(self) -> None:
+        if self._outlets.is_owner():
+            self._store.put(
+                rows.OWNERSHIP_TABLE,
+                rows.OWNERSHIP_KEY,
+                self._own.daemon_id.encode(),
+            )
+        if self._outlets.get_owner():
+            self._owner_row_since = float("inf")
+            return
+        found = self._store.read_table(rows.OWNERSHIP_TABLE).rows
+        self.take_owner_row(found[0].version if found else 0)
+
+    def take_owner_row(self, version: int) -> None:
+        """Note the version of the owner's row, as it has just been read."""
+        now = self._clock()
+        is_first = self._owner_row_since == float("inf")
+        if is_first or version != self._owner_row:
+            self._owner_row_since = now
+        self._owner_row = version
+        self._owner_row_read_at = now
+
+    def is_owner_silent(self) -> bool:
+        """Return whether the store shows that no owner reaches it any more."""
+        now = self._clock()
+        is_recent = now < self._owner_row_read_at + 2 * OWNERSHIP_PAUSE_S
+        return is_recent and now > self._owner_row_since + OWNER_SILENT_S
+
     def drop_daemon(self, daemon_id: str) -> None:
         """Drop the row of a daemon that is gone."""
         try:
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -53,6 +53,7 @@
         is_leaving: Returns whether this daemon is shutting down.
         is_cut_off_with_zone: Returns whether workers are reached in this data
             centre alone.
+        is_owner_silent: Returns whether the store shows that no owner lives.
     """
 
     broadcast: Callable[[object], None]
@@ -67,6 +68,7 @@
     get_version: Callable[[], int]
     is_leaving: Callable[[], bool]
     is_cut_off_with_zone: Callable[[], bool]
+    is_owner_silent: Callable[[], bool]
 
 
 class Leadership:
@@ -176,7 +178,7 @@
             is_cut_off_with_zone=(
                 is_cut_off and self._outlets.is_cut_off_with_zone()
             ),
-            may_claim_alone=False,
+            may_claim_alone=self._outlets.is_owner_silent(),
         )
         decision, owner_id = ownership.decide(situation)
         if decision is ownership.Decision.CLAIM:
--- /dev/null
+++ b/tests/bench/test_emulator.py
@@ -0,0 +1,88 @@
+"""Loads replayed over the owner's decisions; each gain has its load here."""
+
+import pathlib
+import tempfile
+import unittest
+
+from bench.emulator import loads
+from bench.emulator import tallies
+from bench.emulator import worlds
+from pollenladder.jobs import entities as jobs
+
+WORKERS = 24
+LENGTH_S = 6.0
+
+
+def _play(load: float, *faults: worlds.Faults) -> list[worlds.Outcome]:
+    world = worlds.World(WORKERS, faults)
+    return world.play(loads.draw(load, LENGTH_S, seed=3))
+
+
+class LoadTest(unittest.TestCase):
+    """What must hold of any load, and how loads bear on each other."""
+
+    def test_every_job_is_answered(self):
+        for load in (0.5, 2.0):
+            with self.subTest(load=load):
+                outcomes = _play(load)
+                self.assertTrue(all(o.outcome for o in outcomes))
+
+    def test_at_half_load_nothing_is_refused(self):
+        tally = tallies.count(_play(0.5))
+        self.assertEqual(tally.refused, 0.0)
+
+    def test_under_twice_the_load_every_kind_is_still_served(self):
+        tally = tallies.count(_play(2.0))
+        for kind, share in tally.by_kind.items():
+            with self.subTest(kind=kind):
+                self.assertGreater(share, 0.0)
+
+    def test_a_refused_job_has_never_begun(self):
+        world = worlds.World(WORKERS)
+        outcomes = world.play(loads.draw(2.0, LENGTH_S, seed=3))
+        refused = {
+            job_id
+            for job_id, outcome in world.outcomes.items()
+            if outcome.outcome is jobs.Outcome.REFUSED
+        }
+        self.assertTrue(refused)
+        self.assertFalse(refused & world.begun)
+        self.assertEqual(len(outcomes), len(world.outcomes))
+
+
+class FaultTest(unittest.TestCase):
+    """Workers that go wrong cost little more than their own part."""
+
+    def _lose(self, fault: worlds.Faults) -> float:
+        sound = tallies.count(_play(0.6)).worth
+        return sound - tallies.count(_play(0.6, fault)).worth
+
+    def test_hanging_workers(self):
+        fault = worlds.Faults(1.0, 5.0, workers=3, hangs=True)
+        self.assertLess(self._lose(fault), 3 / WORKERS)
+
+    def test_failing_workers(self):
+        fault = worlds.Faults(1.0, 5.0, workers=3, fails=True)
+        self.assertLess(self._lose(fault), 3 / WORKERS)
+
+    def test_slow_workers(self):
+        fault = worlds.Faults(1.0, 5.0, workers=3, slow_factor=6.5)
+        self.assertLess(self._lose(fault), 3 / WORKERS)
+
+
+class RecordTest(unittest.TestCase):
+    """A load is replayed as it was recorded."""
+
+    def test_a_recorded_load(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "load.jsonl"
+            drawn = list(loads.draw(1.0, 2.0, seed=1))
+            loads.write(path, drawn)
+            self.assertEqual(list(loads.read(path)), drawn)
+
+    def test_a_torn_record(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "load.jsonl"
+            path.write_text('{"at_s": 1')
+            with self.assertRaisesRegex(ValueError, ":1: no arrival"):
+                list(loads.read(path))
--- a/tests/service/test_daemons.py
+++ b/tests/service/test_daemons.py
@@ -104,6 +104,15 @@
         self.assertEqual(process.wait(timeout=8), 0)
         self.assertEqual(self.site.find_overlaps(), [])
 
+    def test_a_lone_survivor_serves(self):
+        survivor, *others = self._list_others(self._find_owner())
+        for name in (self._find_owner(), *others):
+            self.cluster.signal(name, signal.SIGSTOP)
+        gevent.sleep(5.0)
+        self.cluster.wait_until_ready(survivor)
+        (reply,) = self._collect(self._submit_some([survivor]))
+        self.assertEqual(reply.state, "completed")
+
     def test_all_killed_come_back_and_serve(self):
         for name in self.cluster.daemons:
             self.cluster.signal(name, signal.SIGKILL)
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -29,6 +29,7 @@
         self.now = 100.0
         self.store_lost_at = None
         self.knows_all = True
+        self.owner_is_silent = False
         self.roster = rosters.Roster("b")
         self.sent: list[messages.Beat] = []
         self.claimed: list[int] = []
@@ -49,6 +50,7 @@
                 get_version=lambda: 1,
                 is_leaving=lambda: False,
                 is_cut_off_with_zone=lambda: False,
+                is_owner_silent=lambda: self.owner_is_silent,
             ),
             lambda: self.now,
             lambda: 1_800_000_000.0,
@@ -134,6 +136,17 @@
         self.leading.step()
         self.assertEqual((len(self.claimed), self.resigned), (1, 1))
 
+    def test_a_survivor_claims_once_the_store_shows_no_owner(self):
+        for name in ("d", "e", "f"):
+            member = rosters.Member(name, "10.0.0.1", 1, "norte", 1)
+            self.roster.learn(member, self.now)
+        self.now += leadership.BOOT_GRACE_S
+        self.leading.step()
+        self.assertFalse(self.leading.is_owner)
+        self.owner_is_silent = True
+        self.leading.step()
+        self.assertTrue(self.leading.is_owner)
+
     def test_epochs_of_two_daemons_differ(self):
         self._own()
         daemons = leadership.EPOCH_DAEMONS
