--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -20,9 +20,7 @@
 # A job wider than this part of all room is given more time.
 WAVE_SHARE = 0.25
 # Expectations are off by about this part; a job on the edge is tried.
-TOLERANCE_SHARE = 0.25
-# A job admitted before is clearly too late if it is so by this part.
-HARM_SHARE = 0.5
+TOLERANCE_SHARE = 0.5
 # Answers given lately are repeated to whoever asks again.
 ANSWERS_KEPT_S = 5.0
 MIN_RETRY_AFTER_S = 0.1
@@ -203,19 +201,11 @@
 def _weigh(
     region: tables.Region, job: tables.Job, now: float
 ) -> tuple[float, bool]:
-    """Return how long a new job would wait, and whether it is refused.
-
-    It is refused if it would miss its objective, or would make one miss that
-    was admitted before: what has been taken in is not given up for it.
-    """
+    """Return how long a new job would wait, and whether it is refused."""
     found = forecast.foretell(region, job, now)
     own = next(f for f in found if f.job is job)
-    if job.submission.may_have_begun:
-        return own.wait_s, False
-    harms_others = any(
-        f.excess > HARM_SHARE and not f.job.has_begun for f in found
-    )
-    return own.wait_s, own.excess > TOLERANCE_SHARE or harms_others
+    is_late = own.excess > TOLERANCE_SHARE
+    return own.wait_s, is_late and not job.submission.may_have_begun
 
 
 def _refuse(
