Wait for all daemons to come when the whole system starts for the first time

Cause: tests.service.test_daemons saw two daemons claim the workers at the first start: the store did not list all others yet, so each heard all that it knew. Ruled out: claims after restarts (the rows are there). It did no harm, as epochs settle it, but it need not happen.

--- a/pollenladder/platform/settings.py
+++ b/pollenladder/platform/settings.py
@@ -29,6 +29,8 @@
         max_lease_s: The longest lease that workers grant.
         resubmission_s: A caller whose connection broke comes back after this.
         max_descriptors: File descriptors that the process may have.
+        is_first_start: Whether the whole system starts for the first time, so
+            that the store does not list the other daemons yet.
     """
 
     daemon_id: str
@@ -44,6 +46,7 @@
     max_lease_s: float
     resubmission_s: float
     max_descriptors: int
+    is_first_start: bool = False
 
 
 def find_path() -> str:
@@ -94,6 +97,7 @@
         max_lease_s=_get_number(values, "Bounds.MaxHoldMs") / 1000,
         resubmission_s=_get_number(values, "Bounds.ResendMs") / 1000,
         max_descriptors=int(_get_number(values, "Limits.MaxFds")),
+        is_first_start=values.get("Bootstrap") == "true",
     )
 
 
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -112,7 +112,9 @@
                 count_reached=self._engine.count_reached,
                 count_pending=self._engine.count_pending,
                 reads_store=self._feeds.reads_store,
-                knows_all=lambda: self._feeds.knows_daemons,
+                knows_all=lambda: (
+                    self._feeds.knows_daemons and not own.is_first_start
+                ),
                 get_version=self._get_version,
                 is_leaving=self._stopping.is_set,
                 is_cut_off_with_zone=self._reachability.is_cut_off_with_zone,
--- a/standins/site.py
+++ b/standins/site.py
@@ -97,6 +97,7 @@
         daemon_id: str,
         ports: list[int],
         data_centre: str = "norte",
+        is_first_start: bool = True,
     ) -> None:
         """Write the settings file of a daemon.
 
@@ -105,6 +106,7 @@
             daemon_id: The daemon.
             ports: For callers, readiness and peers.
             data_centre: Where it runs.
+            is_first_start: Whether the whole system starts anew.
         """
         callers, readiness, peers = ports
         lines = {
@@ -114,6 +116,7 @@
             "Listen.Front": f"{HOST}:{callers}",
             "Listen.Ready": f"{HOST}:{readiness}",
             "PortRange": f"{peers},{peers}",
+            "Bootstrap": str(is_first_start).lower(),
             "Limits.MaxFds": 4100,
             "Bounds.GraceS": 6,
             "Bounds.MaxHoldMs": 1000,
--- a/tests/service/clusters.py
+++ b/tests/service/clusters.py
@@ -85,6 +85,10 @@
     def start(self, name: str) -> None:
         """Start a daemon, again or for the first time."""
         daemon = self.daemons[name]
+        if daemon.process is not None:
+            self.site.write_settings(
+                daemon.settings, name, daemon.ports, is_first_start=False
+            )
         # Its end is tied to ours: it reads nothing, and is ended by id.
         with daemon.log.open("ab") as log:
             daemon.process = gevent_subprocess.Popen(
