Take ports for daemons under test that nothing else is given

Cause: one whole run of tests.service.test_daemons in five, beside load, failed at its start: a daemon's port, from the range of outgoing connections, was in use by the time it listened (OSError 98 in its log). An earlier failure of these tests, of which only the count was kept, may have been this or not. Change: the ports of bench.ports, below that range, as other process tests use; the second copy of the search goes.

--- a/tests/service/clusters.py
+++ b/tests/service/clusters.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,7 @@
 import gevent
 from gevent import subprocess as gevent_subprocess
 
+from bench import ports
 from pollenladder.http import connections
 from pollenladder.http import exceptions as http_exceptions
 from pollenladder.http import exchanges
@@ -77,10 +77,10 @@
             self.start(name)
 
     def _prepare(self, name: str) -> Daemon:
-        ports = _find_free_ports(3)
+        found = ports.find_free_ports(3)
         path = self._folder / f"{name}.conf"
-        self.site.write_settings(path, name, ports)
-        return Daemon(name, ports, path, self._folder / f"{name}.log")
+        self.site.write_settings(path, name, found)
+        return Daemon(name, found, path, self._folder / f"{name}.log")
 
     def start(self, name: str) -> None:
         """Start a daemon, again or for the first time."""
@@ -199,13 +199,3 @@
             pool.close_idle()
         found = json.loads(response.body or b"{}")
         return Reply(response.status, found.get("State", ""))
-
-
-def _find_free_ports(count: int) -> list[int]:
-    held = [socket.socket() for _ in range(count)]
-    for sock in held:
-        sock.bind((sites.HOST, 0))
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
