End stand-ins and daemons of tests with whoever started them

Cause: a test runner that was ended by SIGTERM left its daemons and stand-ins. Change: the kernel tells them when their parent ends. Test: tests.standins.test_parents fails without it.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,6 +9,8 @@
 import subprocess
 import time
 
+from standins import parents
+
 STOP_TIMEOUT_S = 5.0
 
 
@@ -111,6 +113,7 @@
                 stdout=output,
                 stderr=output,
                 start_new_session=True,
+                preexec_fn=parents.end_with_parent,
             )
 
 
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -7,6 +7,8 @@
 import sys
 from typing import Any
 
+from standins import parents
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 STOP_TIMEOUT_S = 30
 
@@ -31,6 +33,7 @@
             stdout=subprocess.PIPE,
             text=True,
             env=os.environ | {"PYTHONPATH": os.pathsep.join(paths)},
+            preexec_fn=parents.end_with_parent,
         )
         line = self._process.stdout.readline()
         if not line:
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -10,6 +10,8 @@
 import subprocess
 import sys
 
+from standins import parents
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 BIN = pathlib.Path(sys.executable).parent
@@ -55,6 +57,7 @@
         text=True,
         check=False,
         env=os.environ | {"PYTHONHASHSEED": "0"},
+        preexec_fn=parents.end_with_parent,
     )
     print(done.stdout, end="")
     print(done.stderr, end="")
