Let a caller that comes again by another gateway keep its job

Cause, read in the code: a caller whose connection broke comes again by another gateway 1.3 s later. The first gateway's give-up, noticed late, would have cancelled the job that the second one has; a give-up noticed at once left an answer 'cancelled' that was repeated to the caller; and a run still being stopped could have met the next run of its task. Change: only the gateway that has a job can give it up; only lasting answers are repeated; a job that still has runs adopts them, as after a takeover. Tests: four in tests.scheduling.test_runs, each fails without its part.

--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -280,6 +280,12 @@
         "it came again after its end",
         ("job", "gateway"),
     ),
+    Event(
+        "cancel_ignored",
+        Kind.JOB,
+        "a gateway gave up what another one has by now",
+        ("job", "gateway"),
+    ),
     Event(
         "answer_not_sent",
         Kind.JOB,
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -68,18 +68,30 @@
         latest_start_s=round(job.latest_start_at - now, 4),
         jobs=len(region.jobs),
     )
-    if submission.may_have_begun:
+    if submission.may_have_begun or runs.has_runs(region, job_id):
         _adopt(region, job, now)
     placement.place(region, now)
 
 
 def cancel(
-    region: tables.Region, job_id: str, reason: jobs.Reason, now: float
+    region: tables.Region,
+    job_id: str,
+    reason: jobs.Reason,
+    gateway_id: str,
+    now: float,
 ) -> bool:
-    """Stop a job that nobody wants any more; return whether it was known."""
+    """Stop a job that nobody wants any more; return whether it was known.
+
+    That nobody waits counts only from the gateway that has the job now: a caller
+    whose connection broke may have come again by another one.
+    """
     job = region.jobs.get(job_id)
     if job is None:
         return False
+    is_request = reason is jobs.Reason.CALLER_CANCELLED
+    if not is_request and job.gateway_id != gateway_id:
+        region.note("cancel_ignored", job=job_id, gateway=gateway_id)
+        return True
     end_job(region, job, jobs.Outcome.CANCELLED, reason, now)
     return True
 
@@ -112,8 +124,9 @@
     region.jobs.pop(job_id, None)
     region.waiting.discard(job_id)
     answer = jobs.Answer(job_id, outcome, reason, retry_after_s)
-    if reason is not jobs.Reason.GATEWAY_LOST:
+    if _is_lasting(answer):
         region.answered[job_id] = (answer, now)
+    if reason is not jobs.Reason.GATEWAY_LOST:
         region.effects.append(tables.AnswerJob(job.gateway_id, answer))
     region.note(
         "job_ended",
@@ -129,6 +142,16 @@
             runs.abandon(region, job, task, now)
 
 
+def _is_lasting(answer: jobs.Answer) -> bool:
+    """Return whether an answer holds for a caller that comes again.
+
+    One whose connection broke has not cancelled its job: it begins anew.
+    """
+    if answer.reason is jobs.Reason.CALLER_CANCELLED:
+        return True
+    return answer.outcome in (jobs.Outcome.COMPLETED, jobs.Outcome.FAILED)
+
+
 def settle(region: tables.Region, job: tables.Job, now: float) -> None:
     """Answer a job whose tasks are all done, and note whether any waits."""
     if job.is_complete():
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -62,6 +62,15 @@
     return now + lease_s
 
 
+def has_runs(region: tables.Region, job_id: str) -> bool:
+    """Return whether a worker has a run of a job, wanted or not."""
+    return any(
+        jobs.read_job_id(task) == job_id
+        for worker in region.workers.values()
+        for task in worker.runs
+    )
+
+
 def adopt_orphan(
     region: tables.Region, job: tables.Job, task: tables.Task
 ) -> bool:
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -215,7 +215,7 @@
 
     def _cancel(self, daemon_id: str, job_id: str, reason: jobs.Reason) -> None:
         if daemon_id == self._settings.daemon_id:
-            self._engine.cancel(job_id, reason)
+            self._engine.cancel(job_id, reason, daemon_id)
         else:
             self._mesh.send(daemon_id, messages.Cancel(job_id, reason))
 
@@ -224,7 +224,7 @@
         owner_id = self._leadership.owner_id
         reason = jobs.Reason.CALLER_CANCELLED
         if owner_id == self._settings.daemon_id:
-            return self._engine.cancel(job_id, reason)
+            return self._engine.cancel(job_id, reason, owner_id)
         if owner_id:
             self._mesh.send(owner_id, messages.Cancel(job_id, reason))
         return False
@@ -259,7 +259,7 @@
         elif isinstance(message, messages.Answered):
             self._gateway.take_answer(message.answer, sender)
         elif isinstance(message, messages.Cancel):
-            self._engine.cancel(message.job_id, message.reason)
+            self._engine.cancel(message.job_id, message.reason, sender)
         elif isinstance(message, messages.NotOwner):
             self._gateway.take_back(message.job_id)
         elif isinstance(message, messages.AskConfiguration):
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -101,11 +101,13 @@
         self._carry_out()
         return True
 
-    def cancel(self, job_id: str, reason: jobs.Reason) -> bool:
-        """Stop a job; return whether it was known."""
+    def cancel(self, job_id: str, reason: jobs.Reason, gateway_id: str) -> bool:
+        """Stop a job for a gateway; return whether it was known."""
         if self.region is None:
             return False
-        known = intake.cancel(self.region, job_id, reason, self._clock())
+        known = intake.cancel(
+            self.region, job_id, reason, gateway_id, self._clock()
+        )
         self._carry_out()
         return known
 
--- a/tests/scheduling/test_runs.py
+++ b/tests/scheduling/test_runs.py
@@ -176,17 +176,54 @@
 
     def test_a_cancelled_job_is_stopped_and_answered(self):
         reason = jobs.Reason.CALLER_LEFT
-        self.assertTrue(
-            intake.cancel(self.world.region, "a1", reason, self.world.now)
-        )
+        self.assertTrue(self._cancel("a1", reason))
         self.world.step()
         self.assertEqual(len(self.world.take_stops()), 2)
         self.assertEqual(len(self.world.take_answers()), 1)
 
     def test_an_unknown_job_is_not_cancelled(self):
         reason = jobs.Reason.CALLER_LEFT
-        known = intake.cancel(self.world.region, "zz", reason, self.world.now)
-        self.assertFalse(known)
+        self.assertFalse(self._cancel("zz", reason))
+
+    def _cancel(
+        self, job_id: str, reason: jobs.Reason, gateway_id: str = "g1"
+    ) -> bool:
+        known = intake.cancel(
+            self.world.region, job_id, reason, gateway_id, self.world.now
+        )
+        self.world.step()
+        return known
+
+    def test_a_gateway_that_has_lost_the_job_cannot_give_it_up(self):
+        self.world.submit("a1", gateway_id="g2")
+        self._cancel("a1", jobs.Reason.CALLER_LEFT)
+        self.assertIn("a1", self.world.region.jobs)
+        self._cancel("a1", jobs.Reason.CALLER_CANCELLED)
+        self.assertNotIn("a1", self.world.region.jobs)
+
+    def test_who_left_and_comes_again_begins_anew(self):
+        self._cancel("a1", jobs.Reason.CALLER_LEFT)
+        self.world.take_answers()
+        self.world.submit("a1", gateway_id="g2")
+        self.assertEqual(self.world.take_answers(), [])
+        self.assertIn("a1", self.world.region.jobs)
+
+    def test_what_is_being_stopped_does_not_run_beside_its_next_run(self):
+        self._cancel("a1", jobs.Reason.CALLER_LEFT)
+        self.world.take_stops()
+        self.world.submit("a1", gateway_id="g2")
+        self.assertEqual(self.world.take_starts(), [])
+        for order in self.orders:
+            self.world.end(order, fleet.RunEnd.STOPPED)
+        started = [order.task for order in self.world.take_starts()]
+        self.assertEqual(sorted(started), ["a1.0.0.0", "a1.0.0.1"])
+
+    def test_who_cancelled_gets_the_same_answer_again(self):
+        self._cancel("a1", jobs.Reason.CALLER_CANCELLED)
+        self.world.take_answers()
+        self.world.submit("a1", gateway_id="g2")
+        (answer,) = self.world.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.CANCELLED)
 
     def test_a_begun_job_out_of_time_may_have_run(self):
         self.world.step(1.01)
