Start nothing that another owner may have begun before it could be heard

Ruled out: an unseen worker (both had answered); equal epochs (they hold the daemon's number). Change: for 0.25 s after a claim a task that may have begun waits, as if a worker were unseen. Test: test_nothing_starts_before_an_earlier_owner_could_be_heard.

--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -17,6 +17,8 @@
 NO_ROOM_PAUSE_S = 0.03
 # A run number that a worker calls old is left this far behind.
 RUN_NUMBER_STEP = 16
+# Two owners hear of each other well within this time.
+SETTLING_S = 0.25
 # An earlier owner's runs get so long to be claimed with their jobs.
 ORPHAN_GRACE_S = 0.3
 
@@ -47,6 +49,9 @@
 
 def sees_all(region: tables.Region, now: float) -> bool:
     """Return whether no worker can hold a run that this owner does not see."""
+    if now < region.owned_since + SETTLING_S:
+        # The owner before may yet outbid this one, and has the same jobs.
+        return False
     if not region.is_list_fresh or now <= region.unseen_until:
         return False
     return all(
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -5,6 +5,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import replies
+from pollenladder.scheduling import runs
 from tests.scheduling import worlds
 
 
@@ -59,6 +60,13 @@
         self.world.submit("a1", may_have_begun=True, budget_s=5.0)
         self.assertEqual(self.world.take_starts(), [])
 
+    def test_nothing_starts_before_an_earlier_owner_could_be_heard(self):
+        self.world.region.owned_since = self.world.now
+        self.world.submit("a1", may_have_begun=True, budget_s=5.0)
+        self.assertEqual(self.world.take_starts(), [])
+        self.world.step(runs.SETTLING_S)
+        self.assertEqual(len(self.world.take_starts()), 2)
+
     def test_a_worker_whose_entry_lapsed_counts_as_unseen(self):
         self.world.list_workers(["w0"], lapsed_at=self.world.now)
         self.world.step(5.0)
--- a/tests/scheduling/worlds.py
+++ b/tests/scheduling/worlds.py
@@ -6,6 +6,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import replies
+from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 from pollenladder.scheduling import upkeep
 
@@ -63,6 +64,7 @@
         self.now = 100.0
         self.region = tables.Region(epoch, self.now, LEASE_S)
         self.region.is_list_fresh = True
+        self.now += runs.SETTLING_S
         self.effects: list[tables.Effect] = []
         self.notes: list[tables.Note] = []
         self.ends: dict[str, list[fleet.ObservedEnd]] = {}
