Let daemons beat the more seldom the more they are

Cause: every daemon sent each other one a beat each 0.1 s.

Ruled out: fewer links (each gateway needs one to whoever becomes the owner, and a cut is told from how many are heard); a longer interval for all (the owner's loss stops all work, so its silence has to be noticed within 0.45 s in any region).

Change: `cluster.cadence` decides. An owner, and every daemon while there is no owner, beats each 0.1 s as before; others write at most 100 beats a second each. What has to be heard at once (ownership, epoch, store, version, leaving) is sent at once, and a daemon just linked is greeted. A link's silence is bounded by who is at its other end. A broadcast is encoded once. Regions of up to ten daemons beat as before.

--- a/bench/commands/emulate.py
+++ b/bench/commands/emulate.py
@@ -22,6 +22,7 @@
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the command's options."""
     parser.add_argument("--load", type=float, nargs="+", default=[1.0])
+    parser.add_argument("--workers", type=int, default=WORKERS)
     parser.add_argument("--seeds", type=int, default=2)
     parser.add_argument("--faults", choices=FAULTS, default="none")
     parser.add_argument("--record", type=pathlib.Path, metavar="FILE")
@@ -52,7 +53,7 @@
             arrivals = list(loads.read(options.replay))
         if options.record:
             loads.write(options.record, arrivals)
-        world = worlds.World(WORKERS, FAULTS[options.faults])
+        world = worlds.World(options.workers, FAULTS[options.faults])
         outcomes += world.play(arrivals)
     return outcomes
 
--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -2,8 +2,8 @@
 
 Of two daemons the one with the smaller id connects; the other one does so only
 if it has waited for `PATIENCE_S`, as it may know more. A link that was silent
-for `SILENCE_S` is closed and made anew at once, as channels may go silent for
-good while new ones work.
+for too long, see `cadence`, is closed and made anew at once, as channels may go
+silent for good while new ones work.
 """
 
 from collections.abc import Callable
@@ -13,6 +13,7 @@
 import gevent
 from gevent import event
 
+from pollenladder.cluster import cadence
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
@@ -24,7 +25,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
-SILENCE_S = 0.45
+# Beats keep links from being idle.
+LINK_HEARTBEAT_S = 5.0
 CONNECT_TIMEOUT_S = 0.3
 RETRY_S = 0.15
 PATIENCE_S = 0.8
@@ -78,8 +80,8 @@
             on_close=self._take_close,
             limits=links.Limits(
                 max_frame_bytes=MAX_FRAME_BYTES,
-                heartbeat_s=SILENCE_S,
-                peer_timeout_s=SILENCE_S,
+                heartbeat_s=LINK_HEARTBEAT_S,
+                peer_timeout_s=cadence.OWNER_SILENCE_S,
             ),
             handshake_timeout_s=CONNECT_TIMEOUT_S,
             connect_timeout_s=CONNECT_TIMEOUT_S,
@@ -110,8 +112,9 @@
 
     def broadcast(self, message: object) -> None:
         """Send a message to all linked daemons."""
+        packed = self._settings.messages.encode(message)
         for link in list(self._links.values()):
-            link.send(message)
+            link.send_packed(packed)
 
     def _connect_missing(self) -> None:
         for daemon_id, peer in list(self._roster.peers.items()):
@@ -151,8 +154,13 @@
         self._handlers.on_change(hello.daemon_id, True)
 
     def _take_message(self, link: links.Link, message: object) -> None:
-        if self._links.get(link.peer.daemon_id) is link:
-            self._handlers.on_message(link.peer.daemon_id, message)
+        if self._links.get(link.peer.daemon_id) is not link:
+            return
+        if isinstance(message, messages.Beat):
+            peers = len(self._roster.peers)
+            silence_s = cadence.choose_silence_s(peers, message.is_owner)
+            link.limit_silence(silence_s)
+        self._handlers.on_message(link.peer.daemon_id, message)
 
     def _take_close(self, link: links.Link, reason: links.CloseReason) -> None:
         daemon_id = link.peer.daemon_id
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -324,9 +324,11 @@
         else:
             logs.log(LOGGER, "link_ended", peer=daemon_id)
         self._engine.note_gateway(daemon_id, is_linked)
-        if not is_linked:
+        if is_linked:
+            self._leadership.greet()
+        else:
             self._gateway.lose_daemon(daemon_id)
-        self._leadership.wake()
+            self._leadership.wake()
 
     def _claim(self, epoch: int) -> None:
         self._engine.claim(epoch)
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent import event
 
+from pollenladder.cluster import cadence
 from pollenladder.cluster import messages
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
@@ -16,7 +17,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
-BEAT_S = 0.1
+# Between two decisions.
+STEP_S = 0.1
 # A daemon that has just started first hears whether there is an owner.
 BOOT_GRACE_S = 0.8
 # A store that fails for a moment is not taken for lost.
@@ -96,6 +98,9 @@
         self._fenced_at: float | None = None
         self._highest_epoch = 0
         self._lag_s = 0.0
+        self._beat_at = float("-inf")
+        self._told: tuple = ()
+        self._is_greeting = False
         self._yields_until = clock() + BOOT_GRACE_S
         self._is_booting = True
         self._wake = event.Event()
@@ -150,12 +155,12 @@
         """Decide and beat, for ever."""
         while True:
             self.step()
-            self._outlets.broadcast(self.build_beat())
+            self.beat()
             before = self._clock()
-            woken = self._wake.wait(BEAT_S)
+            woken = self._wake.wait(STEP_S)
             self._wake.clear()
             if not woken:
-                late_s = max(0.0, self._clock() - before - BEAT_S)
+                late_s = max(0.0, self._clock() - before - STEP_S)
                 self._lag_s += (1 - LAG_DECAY) * (late_s - self._lag_s)
 
     def step(self) -> None:
@@ -218,6 +223,26 @@
         hears_all = known <= self._roster.list_heard().keys()
         return not (known and hears_all and self._outlets.knows_all())
 
+    def beat(self) -> None:
+        """Tell all what this daemon is, if it is time or that has changed."""
+        now = self._clock()
+        beat = self.build_beat()
+        interval_s = cadence.choose_beat_s(
+            len(self._roster.peers), self.is_owner, bool(self.owner_id)
+        )
+        is_due = now >= self._beat_at + interval_s - STEP_S / 2
+        is_news = _get_standing(beat) != self._told
+        if is_due or is_news or self._is_greeting:
+            self._is_greeting = False
+            self._beat_at = now
+            self._told = _get_standing(beat)
+            self._outlets.broadcast(beat)
+
+    def greet(self) -> None:
+        """Beat at once, as a daemon has just been linked."""
+        self._is_greeting = True
+        self.wake()
+
     def build_beat(self) -> messages.Beat:
         """Return what this daemon says of itself."""
         own = self._view_self()
@@ -255,7 +280,7 @@
         self._is_booting = False
         self._outlets.resign()
         self._follow(owner_id)
-        self._outlets.broadcast(self.build_beat())
+        self.beat()
 
     def _follow(self, owner_id: str) -> None:
         if owner_id == self.owner_id:
@@ -272,6 +297,18 @@
         return max(wall_ms, highest_ms, 1) * EPOCH_DAEMONS + number
 
 
+def _get_standing(beat: messages.Beat) -> tuple:
+    """Return the part of a beat that others have to hear of at once."""
+    return (
+        beat.is_owner,
+        beat.epoch,
+        beat.reads_store,
+        beat.config_version,
+        beat.is_leaving,
+        beat.is_yielding,
+    )
+
+
 def run_in_background(*loops: Callable[[], None]) -> None:
     """Run loops that never end, each in a greenlet of its own."""
     for loop in loops:
--- a/pollenladder/wire/links.py
+++ b/pollenladder/wire/links.py
@@ -138,7 +138,16 @@
         """
         if self.closed:
             return False
-        packed = self._codec.encode(message)
+        return self.send_packed(self._codec.encode(message))
+
+    def send_packed(self, packed: bytes) -> bool:
+        """Queue a message that the codec of this link has encoded; see `send`.
+
+        Raises:
+            exceptions.EncodingError: It is too long.
+        """
+        if self.closed:
+            return False
         size = len(packed)
         room = self._limits.max_frame_bytes - framing.MAX_ARRAY_HEADER_BYTES
         if size > room:
@@ -151,6 +160,11 @@
         self._wake.set()
         return True
 
+    def limit_silence(self, peer_timeout_s: float) -> None:
+        """Change `Limits.peer_timeout_s`, from the next frame on."""
+        if not self.closed:
+            self._sock.settimeout(peer_timeout_s)
+
     def join(self) -> None:
         """Wait until the link has ended."""
         self._ended.wait()
--- /dev/null
+++ b/tests/cluster/samples.py
@@ -0,0 +1,39 @@
+"""Beats for tests, and a wait for something to come true."""
+
+from collections.abc import Callable
+import time
+
+import gevent
+
+from pollenladder.cluster import messages
+
+POLL_S = 0.01
+
+
+def build_beat(**changes: object) -> messages.Beat:
+    """Return a beat of a sound daemon that owns nothing."""
+    plain = {
+        "is_owner": False,
+        "epoch": 0,
+        "workers_reached": 0,
+        "reads_store": True,
+        "config_version": 1,
+        "lag_s": 0.0,
+        "is_leaving": False,
+        "is_yielding": False,
+        "pending": {},
+    }
+    return messages.Beat(**(plain | changes))
+
+
+def wait_until(condition: Callable[[], object], timeout_s: float) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        TimeoutError: It did not come to hold.
+    """
+    until_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > until_s:
+            raise TimeoutError(f"not within {timeout_s} s")
+        gevent.sleep(POLL_S)
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -5,21 +5,7 @@
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 from pollenladder.service import leadership
-
-
-def _build_beat(**changes: object) -> messages.Beat:
-    plain = {
-        "is_owner": False,
-        "epoch": 0,
-        "workers_reached": 0,
-        "reads_store": True,
-        "config_version": 1,
-        "lag_s": 0.0,
-        "is_leaving": False,
-        "is_yielding": False,
-        "pending": {},
-    }
-    return messages.Beat(**(plain | changes))
+from tests.cluster import samples
 
 
 class LeadershipTest(unittest.TestCase):
@@ -67,7 +53,7 @@
         member = rosters.Member(daemon_id, "10.0.0.1", 1, "norte", 1)
         self.roster.learn(member, self.now)
         self.roster.record_linked(daemon_id, True, self.now)
-        self.leading.take_beat(daemon_id, _build_beat(**changes))
+        self.leading.take_beat(daemon_id, samples.build_beat(**changes))
 
     def _own(self) -> None:
         self._hear("c")
@@ -90,7 +76,7 @@
         self._own()
         self.store_lost_at = self.now
         for _ in range(40):
-            self.now += leadership.BEAT_S
+            self.now += leadership.STEP_S
             lost_s = self.now - self.store_lost_at
             self._hear("c", reads_store=lost_s < leadership.PATIENCE_S)
             self.leading.step()
@@ -153,3 +139,31 @@
         self._hear("c", is_owner=True, epoch=self.claimed[0] + 5 * daemons)
         self.leading.step()
         self.assertGreater(self.claimed[-1], self.claimed[0] + 5 * daemons)
+
+    def test_in_a_large_region_it_beats_seldom_while_it_follows_one(self):
+        for number in range(100):
+            self._hear(f"x{number}", is_owner=number == 0, workers_reached=9)
+        for _ in range(50):
+            self.leading.step()
+            self.leading.beat()
+            self.now += leadership.STEP_S
+        self.assertLess(len(self.sent), 8)
+
+    def test_news_is_told_at_once(self):
+        for number in range(100):
+            self._hear(f"x{number}", is_owner=number == 0, workers_reached=9)
+        self.leading.step()
+        self.leading.beat()
+        self.now += leadership.STEP_S
+        self._hear("x0")
+        self.leading.step()
+        self.leading.beat()
+        self.assertEqual(len(self.sent), 2)
+
+    def test_a_daemon_just_linked_is_greeted_at_once(self):
+        self._hear("c", is_owner=True, workers_reached=9)
+        self.leading.step()
+        self.leading.beat()
+        self.leading.greet()
+        self.leading.beat()
+        self.assertEqual(len(self.sent), 2)
