Search only the workers that have room

Cause: each arrival listed the places of all workers, and each task weighed all workers.

Ruled out: several owners, which would divide the same cost and lose what one queue gains; a cached forecast that is served stale, as short jobs that jump the queue would be refused by it.

Change: - `scheduling.rooms` keeps the workers of a service in order of free processor; a task looks from its own size upwards and ends at the first that is best. - A job that waits alone and has room at once needs no list of places. - Where each worker's runs are expected to end is worked out once until one of them changes. - Runs are also kept by job, so nobody searches all workers for those of one. - In a pass over the queue, a job as large as one that found no place is passed over. Jobs refused after waiting share one forecast. - The forecast lets tasks of one job follow each other on a place, as they do.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -192,7 +192,7 @@
         clock_ahead_s: The worker's clock less the local one.
         lease_until_s: The longest lease granted, by the worker's clock.
         busy_until: It had no room for a start that should have fitted.
-        used: What its runs take.
+        free: What its runs leave; parts of it may be negative.
         runs: Runs by task name.
         health: How sound it is.
     """
@@ -208,21 +208,26 @@
     clock_ahead_s: float = 0.0
     lease_until_s: float = 0.0
     busy_until: float = 0.0
-    used: jobs.Resources = jobs.Resources()
+    free: jobs.Resources = jobs.Resources()
     runs: dict[str, Run] = dataclasses.field(default_factory=dict)
     health: Health = dataclasses.field(default_factory=Health)
 
+    def __post_init__(self):
+        self.free = self.listing.capacity
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take how the worker describes itself now."""
+        gained = listing.capacity.minus(self.listing.capacity)
+        self.listing = listing
+        self.free = self.free.plus(gained)
+
     def add_run(self, run: Run) -> None:
         """Take room for a run."""
         self.runs[run.task] = run
-        self.used = self.used.plus(run.resources)
+        self.free = self.free.minus(run.resources)
 
     def remove_run(self, run: Run) -> None:
         """Give back the room of a run."""
         if self.runs.get(run.task) is run:
             del self.runs[run.task]
-            self.used = self.used.minus(run.resources)
-
-    def get_free(self) -> jobs.Resources:
-        """Return what is left for further runs."""
-        return self.listing.capacity.minus(self.used)
+            self.free = self.free.plus(run.resources)
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+# A task that takes nothing fits in so many times.
+MANY = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resources:
@@ -27,14 +30,15 @@
         )
 
     def count(self, other: "Resources") -> int:
-        """Return how many times another fits into this."""
-        pairs = (
-            (self.cpu_milli, other.cpu_milli),
-            (self.memory_mb, other.memory_mb),
-            (self.gpus, other.gpus),
-        )
-        counts = [have // need for have, need in pairs if need]
-        return max(0, min(counts, default=1))
+        """Return how many times another fits into this, at most `MANY`."""
+        count = MANY
+        if other.cpu_milli:
+            count = self.cpu_milli // other.cpu_milli
+        if other.memory_mb:
+            count = min(count, self.memory_mb // other.memory_mb)
+        if other.gpus:
+            count = min(count, self.gpus // other.gpus)
+        return max(0, count)
 
     def plus(self, other: "Resources") -> "Resources":
         """Return the sum."""
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -54,35 +54,47 @@
     ]
     if not waiting:
         return []
+    if waiting == [model] and _has_room_now(region, model, now):
+        excess = (now - model.latest_start_at) / _bound_run_s(model)
+        return [Forecast(model, 0.0, excess)]
     places = _list_places(region, model, now)
     heapq.heapify(places)
     found = []
     for job in waiting:
-        wait_s, times = _try(places, job)
+        wait_s = _put(places, job)
         late_s = now + wait_s - job.latest_start_at
-        excess = late_s / max(job.expected_s, MIN_RUN_S)
+        excess = late_s / _bound_run_s(job)
         found.append(Forecast(job, wait_s, excess))
-        for _ in times:
-            heapq.heapreplace(places, places[0] + job.expected_s)
     return found
 
 
-def _try(places: list[float], job: tables.Job) -> tuple[float, list[float]]:
-    """Return when the last waiting task of a job could start, and all starts.
+def _bound_run_s(job: tables.Job) -> float:
+    return max(job.expected_s, MIN_RUN_S)
+
+
+def _has_room_now(region: tables.Region, job: tables.Job, now: float) -> bool:
+    """Return whether all tasks of a job that wait have room at once."""
+    missing = len(job.list_waiting())
+    for worker in placement.list_with_room(region, job, now):
+        missing -= worker.free.count(job.resources)
+        if missing <= 0:
+            return True
+    return False
+
+
+def _put(places: list[float], job: tables.Job) -> float:
+    """Put the waiting tasks of a job on places; return when the last starts.
 
     Args:
         places: A heap of when each place is free.
         job: The job.
     """
     if not places:
-        return NEVER_S, []
-    count = len(job.list_waiting())
-    if count == 1:
-        return places[0], places[:1]
-    times = heapq.nsmallest(count, places)
-    while len(times) < count:
-        times.append(times[len(times) - len(places)] + job.expected_s)
-    return times[-1], times
+        return NEVER_S
+    at = 0.0
+    for _ in job.list_waiting():
+        at = heapq.heapreplace(places, places[0] + job.expected_s)
+    return at
 
 
 def can_ever_fit(
@@ -98,14 +110,23 @@
 
 
 def count_room(
-    region: tables.Region, service: str, needed: jobs.Resources
+    region: tables.Region, service: str, needed: jobs.Resources, enough: int
 ) -> int:
-    """Return how many tasks of one size all listed workers hold together."""
-    return sum(
-        worker.listing.capacity.count(needed)
-        for worker in region.workers.values()
-        if worker.is_listed and worker.listing.service == service
-    )
+    """Return how many tasks of one size all listed workers hold together.
+
+    Args:
+        region: The tables.
+        service: Whose workers.
+        needed: What a task takes.
+        enough: No more are counted once there are so many.
+    """
+    count = 0
+    for worker in region.workers.values():
+        if worker.is_listed and worker.listing.service == service:
+            count += worker.listing.capacity.count(needed)
+        if count >= enough:
+            break
+    return count
 
 
 def _list_places(
@@ -117,25 +138,38 @@
         if worker.listing.service != job.submission.service:
             continue
         if placement.is_usable(worker, now):
-            places += _list_worker_places(worker, job.resources, now)
+            places += _list_worker_places(region, worker, job.resources, now)
     return places
 
 
 def _list_worker_places(
-    worker: fleet.Worker, needed: jobs.Resources, now: float
+    region: tables.Region,
+    worker: fleet.Worker,
+    needed: jobs.Resources,
+    now: float,
 ) -> list[float]:
     """Return after how long each place of one worker is free."""
-    free = worker.get_free()
-    places = []
-    while needed.fits(free):
-        places.append(0.0)
-        free = free.minus(needed)
-    runs = sorted(
-        worker.runs.values(), key=lambda run: progress.get_remaining_s(run, now)
-    )
-    for run in runs:
-        free = free.plus(run.resources)
-        while needed.fits(free):
-            places.append(progress.get_remaining_s(run, now))
-            free = free.minus(needed)
+    free = worker.free
+    places = [0.0] * free.count(needed)
+    for end in _predict_ends(region, worker):
+        free = free.plus(end.resources)
+        gained = free.count(needed) - len(places)
+        if gained:
+            places += [max(end.at - now, end.least_s)] * gained
     return places
+
+
+def _predict_ends(
+    region: tables.Region, worker: fleet.Worker
+) -> list[tables.PredictedEnd]:
+    """Return when the runs of a worker are expected to end, in order."""
+    worker_id = worker.listing.worker_id
+    found = region.predicted_ends.get(worker_id)
+    if found is None:
+        found = [
+            tables.PredictedEnd(*progress.predict_end(run), run.resources)
+            for run in worker.runs.values()
+        ]
+        found.sort(key=lambda end: end.at)
+        region.predicted_ends[worker_id] = found
+    return found
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -200,7 +200,10 @@
 def _count_waves(region: tables.Region, submission: jobs.Submission) -> int:
     """Return in how many rounds a wide job may run and still be in time."""
     room = forecast.count_room(
-        region, submission.service, _get_resources(submission)
+        region,
+        submission.service,
+        _get_resources(submission),
+        enough=math.ceil(submission.tasks / WAVE_SHARE),
     )
     width = max(1.0, room * WAVE_SHARE)
     return max(1, math.ceil(submission.tasks / width))
@@ -260,12 +263,22 @@
 
 def _refuse_hopeless(region: tables.Region, now: float) -> None:
     """Refuse the jobs that have waited until they could no more be in time."""
-    for job_id in list(region.waiting):
-        job = region.jobs[job_id]
-        if not job.has_begun and now > job.latest_start_at:
-            found = forecast.foretell(region, job, now)
-            wait_s = next(f.wait_s for f in found if f.job is job)
-            _give_up_waiting(region, job, wait_s, now)
+    hopeless = [
+        region.jobs[job_id]
+        for job_id in region.waiting
+        if _is_hopeless(region.jobs[job_id], now)
+    ]
+    if not hopeless:
+        return
+    found = forecast.foretell(region, hopeless[0], now)
+    waits_s = {f.job.submission.job_id: f.wait_s for f in found}
+    for job in hopeless:
+        wait_s = waits_s.get(job.submission.job_id, MAX_RETRY_AFTER_S)
+        _give_up_waiting(region, job, wait_s, now)
+
+
+def _is_hopeless(job: tables.Job, now: float) -> bool:
+    return not job.has_begun and now > job.latest_start_at
 
 
 def _give_up_waiting(
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -6,6 +6,10 @@
 still find some.
 """
 
+from collections.abc import Callable
+from collections.abc import Iterator
+import functools
+
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
@@ -20,10 +24,15 @@
     """Start as many waiting tasks as there is room for."""
     if not region.waiting:
         return
-    usable = list_usable(region, now)
-    sees_all = runs.sees_all(region, now)
+    sees_all = functools.cache(lambda: runs.sees_all(region, now))
+    full: dict[str, list[jobs.Resources]] = {}
     for job in sort_waiting(region):
-        _place_job(region, job, usable, sees_all, now)
+        # What is as large as a task without a place needs no search.
+        without_place = full.setdefault(job.submission.service, [])
+        if any(other.fits(job.resources) for other in without_place):
+            continue
+        if not _place_job(region, job, sees_all, now):
+            without_place.append(job.resources)
 
 
 def sort_waiting(region: tables.Region) -> list[tables.Job]:
@@ -38,9 +47,16 @@
     return (not job.has_begun, job.latest_start_at)
 
 
-def list_usable(region: tables.Region, now: float) -> list[fleet.Worker]:
-    """Return the workers that may be given work."""
-    return [w for w in region.workers.values() if is_usable(w, now)]
+def list_with_room(
+    region: tables.Region, job: tables.Job, now: float
+) -> Iterator[fleet.Worker]:
+    """Yield the workers that may be given a task, the fullest first."""
+    needed = job.resources
+    service = job.submission.service
+    for worker_id in region.rooms.list_with_room(service, needed.cpu_milli):
+        worker = region.workers[worker_id]
+        if needed.fits(worker.free) and is_usable(worker, now):
+            yield worker
 
 
 def is_usable(worker: fleet.Worker, now: float) -> bool:
@@ -58,52 +74,49 @@
 def _place_job(
     region: tables.Region,
     job: tables.Job,
-    usable: list[fleet.Worker],
-    sees_all: bool,
+    sees_all: Callable[[], bool],
     now: float,
-) -> None:
+) -> bool:
+    """Start what can be started of a job; return whether there was room."""
     waiting = job.list_waiting()
     for task in waiting:
-        if now < task.not_before and not sees_all:
+        if now < task.not_before and not sees_all():
             continue
-        worker = _choose_worker(job, task, usable, now)
+        worker = _choose_worker(region, job, task, now)
         if worker is None:
-            return
+            return False
         _start(region, job, task, worker, now)
     if not job.list_waiting():
         region.waiting.discard(job.submission.job_id)
+    return True
 
 
 def _choose_worker(
+    region: tables.Region,
     job: tables.Job,
     task: tables.Task,
-    usable: list[fleet.Worker],
     now: float,
 ) -> fleet.Worker | None:
     """Return the worker that a task fits best, or None."""
     best = None
-    best_score = 0.0
-    for worker in usable:
-        if worker.listing.service != job.submission.service:
-            continue
-        free = worker.get_free()
-        if not job.resources.fits(free):
-            continue
-        if not health.may_take_work(worker, now):
-            continue
-        score = _score(worker, free, job.resources)
-        if worker.listing.worker_id in task.avoided:
-            score += worker.listing.capacity.cpu_milli
-        if best is None or score < best_score:
-            best, best_score = worker, score
+    best_cost = float("inf")
+    for worker in list_with_room(region, job, now):
+        if worker.free.cpu_milli >= best_cost:
+            # All others leave even more.
+            break
+        cost = _weigh(worker, task)
+        if cost < best_cost:
+            best, best_cost = worker, cost
     return best
 
 
-def _score(
-    worker: fleet.Worker, free: jobs.Resources, needed: jobs.Resources
-) -> float:
-    left = free.cpu_milli - needed.cpu_milli
-    return left + SLOWNESS_COST_MILLI * max(0.0, worker.health.slowness - 1.0)
+def _weigh(worker: fleet.Worker, task: tables.Task) -> float:
+    """Return what speaks against a worker, in thousandths of a core."""
+    slowness = max(0.0, worker.health.slowness - 1.0)
+    cost = worker.free.cpu_milli + SLOWNESS_COST_MILLI * slowness
+    if worker.listing.worker_id in task.avoided:
+        cost += worker.listing.capacity.cpu_milli
+    return cost
 
 
 def _start(
@@ -122,7 +135,7 @@
         sent_at=now,
         expected_s=job.expected_s,
     )
-    worker.add_run(run)
+    region.add_run(worker, run)
     task.state = tables.TaskState.PLACED
     task.worker_id = run.worker_id
     task.next_run += 1
--- a/pollenladder/scheduling/progress.py
+++ b/pollenladder/scheduling/progress.py
@@ -58,11 +58,16 @@
     return worker.runs.get(name)
 
 
-def get_remaining_s(run: fleet.Run, now: float) -> float:
-    """Return how long a run is expected to go on, in seconds."""
-    elapsed_s = now - (run.confirmed_at or run.sent_at)
+def predict_end(run: fleet.Run) -> tuple[float, float]:
+    """Return when a run is expected to end, and its least remaining time.
+
+    Returns:
+        Monotonic time in seconds. Once that has passed, the run is expected to
+        go on for the least remaining time from any moment, in seconds.
+    """
+    began_at = run.confirmed_at or run.sent_at
     total_s = predict_total_s(run)
     if total_s is not None:
-        return max(total_s - elapsed_s, 0.0)
+        return began_at + total_s, 0.0
     # One that is overdue is expected to go on for a part of its time.
-    return max(run.expected_s - elapsed_s, OVERDUE_SHARE * run.expected_s)
+    return began_at + run.expected_s, OVERDUE_SHARE * run.expected_s
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -31,6 +31,7 @@
         run.confirmed_at = now
         if run.state in (fleet.RunState.STARTING, fleet.RunState.UNCERTAIN):
             run.state = fleet.RunState.RUNNING
+        region.note_change(worker)
         return
     region.note(
         "start_not_confirmed",
@@ -155,6 +156,7 @@
         seen[observed.task] = observed.number
         _take_running(region, worker, observed, now)
     _find_lost(region, worker, seen, sent_at, now)
+    region.note_change(worker)
     stalls.move_stalled(region, worker, now)
     placement.place(region, now)
 
@@ -232,7 +234,7 @@
     region: tables.Region, worker: fleet.Worker, run: fleet.Run, now: float
 ) -> None:
     job, task = runs.find_task(region, run)
-    worker.remove_run(run)
+    region.remove_run(worker, run)
     if job is None or task is None:
         if run.is_orphan:
             region.orphan_ends[run.task] = now
@@ -328,7 +330,7 @@
         seen_at=now,
         is_orphan=True,
     )
-    worker.add_run(run)
+    region.add_run(worker, run)
     index = runs.read_index(observed.task)
     if job is None or not 0 <= index < len(job.tasks):
         return
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -69,11 +69,7 @@
 
 def has_runs(region: tables.Region, job_id: str) -> bool:
     """Return whether a worker has a run of a job, wanted or not."""
-    return any(
-        jobs.read_job_id(task) == job_id
-        for worker in region.workers.values()
-        for task in worker.runs
-    )
+    return job_id in region.runs
 
 
 def adopt_orphan(
@@ -81,25 +77,24 @@
 ) -> bool:
     """Give a task the run that a worker already has of it, if any."""
     name = jobs.format_task_name(job.submission.job_id, task.index)
-    for worker in region.workers.values():
-        run = worker.runs.get(name)
-        if run is None:
-            continue
-        task.next_run = max(task.next_run, run.number + 1)
-        run.is_orphan = False
-        run.expected_s = job.expected_s
-        task.state = tables.TaskState.PLACED
-        task.worker_id = worker.listing.worker_id
-        job.has_begun = True
-        region.note(
-            "run_adopted",
-            job=job.submission.job_id,
-            task=name,
-            run=run.number,
-            worker=task.worker_id,
-        )
-        return True
-    return False
+    own = region.runs.get(job.submission.job_id, ())
+    run = next((run for run in own if run.task == name), None)
+    if run is None:
+        return False
+    task.next_run = max(task.next_run, run.number + 1)
+    run.is_orphan = False
+    run.expected_s = job.expected_s
+    task.state = tables.TaskState.PLACED
+    task.worker_id = run.worker_id
+    job.has_begun = True
+    region.note(
+        "run_adopted",
+        job=job.submission.job_id,
+        task=name,
+        run=run.number,
+        worker=task.worker_id,
+    )
+    return True
 
 
 def abandon(
@@ -127,7 +122,7 @@
 ) -> None:
     """Forget a run that is over; its task waits again if it is wanted."""
     job, task = find_task(region, run)
-    worker.remove_run(run)
+    region.remove_run(worker, run)
     if job is None or task is None:
         return
     task.state = tables.TaskState.WAITING
--- a/pollenladder/scheduling/stalls.py
+++ b/pollenladder/scheduling/stalls.py
@@ -60,10 +60,12 @@
     if run.state is not fleet.RunState.RUNNING:
         return 0.0
     elapsed_s = now - run.confirmed_at
+    if elapsed_s < MIN_JUDGED_S:
+        return 0.0
     usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
     limit = SIBLING_FACTOR if usual_s else DECLARED_FACTOR
     usual_s = usual_s or job.expected_s
-    if elapsed_s < max(MIN_JUDGED_S, 0.5 * usual_s):
+    if elapsed_s < 0.5 * usual_s:
         return 0.0
     total_s = progress.predict_total_s(run)
     if total_s is None:
@@ -80,7 +82,5 @@
 ) -> bool:
     return any(
         other is not worker
-        and other.listing.service == job.submission.service
-        and job.resources.fits(other.get_free())
-        for other in placement.list_usable(region, now)
+        for other in placement.list_with_room(region, job, now)
     )
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -6,6 +6,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
+from pollenladder.scheduling import rooms as worker_rooms
 
 
 class TaskState(enum.Enum):
@@ -129,6 +130,21 @@
 Effect = StartRun | StopRun | LookNow | AnswerJob | Note
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PredictedEnd:
+    """When a run is expected to give its room back.
+
+    Attributes:
+        at: Monotonic time in seconds.
+        least_s: Its least remaining time from any moment, in seconds.
+        resources: What it gives back.
+    """
+
+    at: float
+    least_s: float
+    resources: job_entities.Resources
+
+
 @dataclasses.dataclass(slots=True)
 class Region:
     """All tables of one owner.
@@ -138,6 +154,10 @@
         owned_since: When the ownership began.
         max_lease_s: The longest lease that workers grant.
         workers: Workers by id.
+        rooms: The workers by the room that they have.
+        runs: The runs on all workers, wanted or not, by job id.
+        predicted_ends: What `forecast` has worked out of each worker's runs;
+            dropped whenever one of them changes.
         jobs: Jobs that have not been answered, by id.
         waiting: Ids of the jobs with a task that waits.
         orphan_ends: When a run without a job here ended well, by task name.
@@ -155,6 +175,13 @@
     owned_since: float
     max_lease_s: float
     workers: dict[str, fleet.Worker] = dataclasses.field(default_factory=dict)
+    rooms: worker_rooms.Rooms = dataclasses.field(
+        default_factory=worker_rooms.Rooms
+    )
+    runs: dict[str, list[fleet.Run]] = dataclasses.field(default_factory=dict)
+    predicted_ends: dict[str, list[PredictedEnd]] = dataclasses.field(
+        default_factory=dict
+    )
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     waiting: set[str] = dataclasses.field(default_factory=set)
     orphan_ends: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -169,6 +196,41 @@
     )
     effects: list[Effect] = dataclasses.field(default_factory=list)
 
+    def add_worker(self, worker: fleet.Worker) -> None:
+        """Take a worker in."""
+        self.workers[worker.listing.worker_id] = worker
+        self.rooms.record(worker)
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Forget a worker, on which nothing runs."""
+        del self.workers[worker_id]
+        self.rooms.forget(worker_id)
+
+    def add_run(self, worker: fleet.Worker, run: fleet.Run) -> None:
+        """Note a run on a worker, which takes its room."""
+        worker.add_run(run)
+        self.note_change(worker)
+        job_id = job_entities.read_job_id(run.task)
+        self.runs.setdefault(job_id, []).append(run)
+
+    def remove_run(self, worker: fleet.Worker, run: fleet.Run) -> None:
+        """Forget a run that is over."""
+        worker.remove_run(run)
+        self.note_change(worker)
+        job_id = job_entities.read_job_id(run.task)
+        left = [
+            other for other in self.runs.get(job_id, ()) if other is not run
+        ]
+        if left:
+            self.runs[job_id] = left
+        else:
+            self.runs.pop(job_id, None)
+
+    def note_change(self, worker: fleet.Worker) -> None:
+        """Note that a worker's room or its runs' progress has changed."""
+        self.rooms.record(worker)
+        self.predicted_ends.pop(worker.listing.worker_id, None)
+
     def note(self, event: str, **fields: object) -> None:
         """Decide on a line of the log."""
         self.effects.append(Note(event, fields))
--- a/pollenladder/scheduling/upkeep.py
+++ b/pollenladder/scheduling/upkeep.py
@@ -24,7 +24,7 @@
     for worker in list(region.workers.values()):
         _settle(region, worker, now)
         if not worker.is_listed and not worker.runs:
-            del region.workers[worker.listing.worker_id]
+            region.remove_worker(worker.listing.worker_id)
     _forget_orphan_ends(region, now)
     placement.place(region, now)
 
@@ -74,7 +74,7 @@
     for worker_id, listing in listed.items():
         worker = region.workers.get(worker_id)
         if worker is None:
-            region.workers[worker_id] = fleet.Worker(listing)
+            region.add_worker(fleet.Worker(listing))
             region.note("worker_listed", worker=worker_id)
         else:
             _update(region, worker, listing)
@@ -90,8 +90,9 @@
 ) -> None:
     if listing.is_draining and not worker.listing.is_draining:
         region.note("worker_draining", worker=listing.worker_id)
-    worker.listing = listing
+    worker.take_listing(listing)
     worker.is_listed = True
+    region.note_change(worker)
 
 
 def _settle(region: tables.Region, worker: fleet.Worker, now: float) -> None:
--- a/tests/scheduling/test_admission.py
+++ b/tests/scheduling/test_admission.py
@@ -80,3 +80,32 @@
         self.world.end(starts[1])
         (second,) = self.world.take_starts()
         self.assertTrue(second.task.startswith("late"))
+
+    def test_short_tasks_of_a_job_may_follow_each_other_on_one_place(self):
+        self._fill()
+        self.world.list_workers(["w0", "w1", "w2", "w3"])
+        self.world.submit("f4", tasks=1, estimate_s=0.9, slack_s=5.0)
+        self.world.take_starts()
+        self.world.submit("a1", estimate_s=0.06, slack_s=0.1)
+        self.assertEqual(self.world.take_answers(), [])
+        self.assertEqual(len(self.world.take_starts()), 1)
+
+    def test_progress_that_a_worker_tells_counts_at_once(self):
+        starts = self._fill()
+        for order in starts:
+            self.world.confirm(order)
+        self.world.submit("a1")
+        (answer,) = self.world.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.REFUSED)
+        self.world.now += 0.1
+        for worker_id in ("w0", "w1", "w2"):
+            self.world.look(
+                worker_id,
+                running=tuple(
+                    (order.task, order.number, 90.0)
+                    for order in starts
+                    if order.worker_id == worker_id
+                ),
+            )
+        self.world.submit("a2")
+        self.assertEqual(self.world.take_answers(), [])
