Let the machine with the most processor own the workers

Cause: the owner was the first daemon by name. On the grown sites machines have 0.516 to 2.15 cores, and the owner has most of the work: a small one could not keep up, its event loop ran late, its peers took it for silent, and the ownership went round.

Change: the settings' processor goes into beats, and of the daemons that may claim the largest one comes first. An owner that falls behind hands over sooner to a machine that is twice as large, and to a smaller one only when stuck. Regions of equal machines decide as before.

--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -20,6 +20,7 @@
         is_leaving: Whether it is shutting down.
         is_yielding: Whether it claims no workers for a while.
         pending: As the owner, jobs not begun, by queue.
+        processor_cores: The processor that it has.
     """
 
     is_owner: bool
@@ -31,6 +32,7 @@
     is_leaving: bool
     is_yielding: bool
     pending: dict[str, int]
+    processor_cores: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pollenladder/cluster/ownership.py
+++ b/pollenladder/cluster/ownership.py
@@ -8,6 +8,8 @@
 - Without one, the best daemon that hears most of the others claims the workers.
 - A daemon cut off with its data centre claims the workers that it still reaches,
   if it reaches none elsewhere: nobody else can reach its own then.
+- Where machines are unequal, a larger one is preferred: the owner has the most
+  to do. A smaller one that falls behind hands over to a larger one.
 - Of two owners that hear each other, the one with more workers stays.
 """
 
@@ -18,6 +20,10 @@
 # An owner whose event loop is so late hands over to one that is not.
 SLOW_LAG_S = 0.06
 QUICK_LAG_S = 0.02
+# One that is so late also hands over to a smaller machine.
+STUCK_LAG_S = 0.3
+# A machine with so many times the processor is clearly larger.
+LARGER_FACTOR = 2.0
 # A daemon that has just lost the workers to another one does not claim at once.
 YIELD_S = 2.0
 
@@ -34,6 +40,7 @@
         lag_s: How late its event loop runs.
         is_leaving: Whether it is shutting down.
         is_yielding: Whether it claims nothing for a while.
+        processor_cores: The processor that it has.
     """
 
     is_owner: bool = False
@@ -43,6 +50,7 @@
     lag_s: float = 0.0
     is_leaving: bool = False
     is_yielding: bool = False
+    processor_cores: float = 1.0
 
 
 class Decision(enum.Enum):
@@ -129,12 +137,23 @@
         return bool(others)
     if not own.reads_store and any(v.reads_store for v in others):
         return True
-    return own.lag_s > SLOW_LAG_S and any(
-        v.lag_s < QUICK_LAG_S and v.reads_store >= own.reads_store
+    return any(
+        v.lag_s < QUICK_LAG_S
+        and v.reads_store >= own.reads_store
+        and own.lag_s > _get_bearable_lag_s(own, v)
         for v in others
     )
 
 
+def _get_bearable_lag_s(own: View, other: View) -> float:
+    """Return how late an owner may run before another one would do better."""
+    if other.processor_cores >= LARGER_FACTOR * own.processor_cores:
+        return QUICK_LAG_S
+    if other.processor_cores >= own.processor_cores:
+        return SLOW_LAG_S
+    return STUCK_LAG_S
+
+
 def _may_claim(situation: Situation) -> bool:
     if situation.own.is_leaving and situation.heard:
         return False
@@ -152,7 +171,9 @@
     )
 
 
-def _get_rank(name: str, view: View) -> tuple[bool, bool, bool, bool, str]:
+def _get_rank(
+    name: str, view: View
+) -> tuple[bool, bool, bool, bool, float, str]:
     """Return the key by which the next owner is chosen, the smallest first."""
     is_slow = view.lag_s > SLOW_LAG_S
     return (
@@ -160,5 +181,6 @@
         view.is_leaving,
         not view.reads_store,
         is_slow,
+        -view.processor_cores,
         name,
     )
--- a/pollenladder/cluster/roster.py
+++ b/pollenladder/cluster/roster.py
@@ -134,4 +134,5 @@
         lag_s=beat.lag_s,
         is_leaving=beat.is_leaving,
         is_yielding=beat.is_yielding,
+        processor_cores=beat.processor_cores,
     )
--- a/pollenladder/platform/settings.py
+++ b/pollenladder/platform/settings.py
@@ -28,6 +28,7 @@
         stop_grace_s: Time from the request to stop until the process is killed.
         max_lease_s: The longest lease that workers grant.
         resubmission_s: A caller whose connection broke comes back after this.
+        processor_cores: The processor that the process has, in cores.
         max_descriptors: File descriptors that the process may have.
         is_first_start: Whether the whole system starts for the first time, so
             that the store does not list the other daemons yet.
@@ -45,6 +46,7 @@
     stop_grace_s: float
     max_lease_s: float
     resubmission_s: float
+    processor_cores: float
     max_descriptors: int
     is_first_start: bool = False
 
@@ -96,6 +98,9 @@
         stop_grace_s=_get_number(values, "Bounds.GraceS"),
         max_lease_s=_get_number(values, "Bounds.MaxHoldMs") / 1000,
         resubmission_s=_get_number(values, "Bounds.ResendMs") / 1000,
+        # A share of one core, which is so many times as fast as a plain one.
+        processor_cores=_get_number(values, "Limits.CpuShare")
+        * _get_number(values, "Limits.Cores"),
         max_descriptors=int(_get_number(values, "Limits.MaxFds")),
         is_first_start=values.get("Bootstrap") == "true",
     )
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -102,6 +102,7 @@
         )
         self._leadership = leadership.Leadership(
             own.daemon_id,
+            own.processor_cores,
             self._roster,
             leadership.Outlets(
                 broadcast=self._mesh.broadcast,
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -83,6 +83,7 @@
     def __init__(
         self,
         own_id: str,
+        processor_cores: float,
         roster: rosters.Roster,
         outlets: Outlets,
         clock: clocks.Clock,
@@ -90,6 +91,7 @@
     ):
         self.owner_id = ""
         self._own_id = own_id
+        self._processor_cores = processor_cores
         self._roster = roster
         self._outlets = outlets
         self._clock = clock
@@ -202,6 +204,7 @@
             lag_s=self._lag_s,
             is_leaving=self._outlets.is_leaving(),
             is_yielding=self._is_yielding(),
+            processor_cores=self._processor_cores,
         )
 
     def _reads_store(self) -> bool:
@@ -257,6 +260,7 @@
             # One that boots is waited for, so that not two claim at once.
             is_yielding=own.is_yielding and not self._is_booting,
             pending=self._outlets.count_pending(),
+            processor_cores=own.processor_cores,
         )
 
     def _claim(self, reason: str) -> None:
--- a/standins/site.py
+++ b/standins/site.py
@@ -117,6 +117,8 @@
             "Listen.Ready": f"{HOST}:{readiness}",
             "PortRange": f"{peers},{peers}",
             "Bootstrap": str(is_first_start).lower(),
+            "Limits.CpuShare": 0.5,
+            "Limits.Cores": 2,
             "Limits.MaxFds": 4100,
             "Bounds.GraceS": 6,
             "Bounds.MaxHoldMs": 1000,
--- a/tests/cluster/samples.py
+++ b/tests/cluster/samples.py
@@ -22,6 +22,7 @@
         "is_leaving": False,
         "is_yielding": False,
         "pending": {},
+        "processor_cores": 1.0,
     }
     return messages.Beat(**(plain | changes))
 
--- a/tests/cluster/test_ownership.py
+++ b/tests/cluster/test_ownership.py
@@ -47,6 +47,7 @@
             {"is_leaving": True},
             {"reads_store": False},
             {"lag_s": ownership.SLOW_LAG_S + 0.01},
+            {"processor_cores": 0.5},
         )
         for changes in cases:
             with self.subTest(changes=changes):
@@ -136,6 +137,30 @@
         decision = _decide(own=blind, heard=none)
         self.assertEqual(decision[0], ownership.Decision.KEEP)
 
+    def test_a_smaller_one_that_falls_behind_hands_over_to_a_larger_one(self):
+        larger = {"a": _change(PEER, processor_cores=2.0)}
+        late = _change(OWNER, lag_s=ownership.QUICK_LAG_S + 0.01)
+        cases = (
+            (OWNER, ownership.Decision.KEEP),
+            (late, ownership.Decision.RESIGN),
+        )
+        for own, expected in cases:
+            with self.subTest(lag_s=own.lag_s):
+                decision = _decide(own=own, heard=larger)
+                self.assertEqual(decision[0], expected)
+
+    def test_a_larger_one_hands_over_to_a_smaller_one_only_if_stuck(self):
+        smaller = {"a": _change(PEER, processor_cores=0.5)}
+        cases = (
+            (ownership.SLOW_LAG_S, ownership.Decision.KEEP),
+            (ownership.STUCK_LAG_S, ownership.Decision.RESIGN),
+        )
+        for lag_s, expected in cases:
+            with self.subTest(lag_s=lag_s):
+                late = _change(OWNER, lag_s=lag_s + 0.01)
+                decision = _decide(own=late, heard=smaller)
+                self.assertEqual(decision[0], expected)
+
     def test_it_hands_over_if_it_alone_is_slow(self):
         slow = _change(OWNER, lag_s=ownership.SLOW_LAG_S + 0.01)
         self.assertEqual(_decide(own=slow)[0], ownership.Decision.RESIGN)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -28,6 +28,7 @@
         self.assertEqual(found.caller_address, ("127.0.0.1", 7001))
         self.assertEqual(found.peer_port, 7003)
         self.assertEqual(found.max_lease_s, 1.0)
+        self.assertEqual(found.processor_cores, 1.0)
 
     def test_bad_files_name_the_field(self):
         cases = (
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -22,6 +22,7 @@
         self.resigned = 0
         self.leading = leadership.Leadership(
             "b",
+            1.0,
             self.roster,
             leadership.Outlets(
                 broadcast=self.sent.append,
