Read the store's tables the more seldom the more daemons there are

Cause: each daemon that owns nothing read the changes of the workers' table each 2 s.

Ruled out: not following the table at all, as a daemon that claims while the store is away needs a list; telling workers to peers by the owner, which costs links of 12.5 Mbit/s what it saves at the store.

Change: all daemons together read each table at most three times a second, each at most every 2 s. Up to six daemons read as before.

--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -22,8 +22,10 @@
 # hears nothing: it is asked anew this often.
 CONFIGURATION_WAIT_S = 1.2
 OWNER_WORKERS_PAUSE_S = 0.4
-WORKERS_PAUSE_S = 2.0
-DAEMONS_PAUSE_S = 2.0
+# Pause of each of the other daemons, at least, between two reads of a table.
+PAUSE_S = 2.0
+# All of them together read each table so many times a second, at most.
+MAX_READS_PER_S = 3.0
 DAEMONS_BOOT_PAUSE_S = 0.25
 RETRY_S = 0.15
 MAX_RETRY_S = 0.6
@@ -77,6 +79,7 @@
         self._own = own
         self._outlets = outlets
         self._clock = clock
+        self._daemons = 1
         self._workers: dict[str, fleet.Listing] = {}
         self._missing_since: dict[str, float] = {}
         self._store_back_at = 0.0
@@ -117,7 +120,9 @@
                 continue
             boot_reads -= 1
             gevent.sleep(
-                DAEMONS_BOOT_PAUSE_S if boot_reads > 0 else DAEMONS_PAUSE_S
+                DAEMONS_BOOT_PAUSE_S
+                if boot_reads > 0
+                else choose_pause_s(self._daemons)
             )
 
     def run_ownership(self) -> None:
@@ -293,9 +298,10 @@
     def _choose_pause_s(self) -> float:
         if self._outlets.is_owner():
             return OWNER_WORKERS_PAUSE_S
-        return WORKERS_PAUSE_S
+        return choose_pause_s(self._daemons)
 
     def _take_members(self, found: tuple[stores.Row, ...]) -> None:
+        self._daemons = max(1, len(found))
         is_entered = False
         for row in found:
             try:
@@ -324,3 +330,11 @@
             version=row.version,
             error=str(error)[:200],
         )
+
+
+def choose_pause_s(daemons: int) -> float:
+    """Return how long a daemon that owns nothing pauses between two reads.
+
+    Workers renew their rows each second, so each read carries most of them.
+    """
+    return max(PAUSE_S, daemons / MAX_READS_PER_S)
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -42,3 +42,15 @@
         self._watch(2 * feeds.OWNER_SILENT_S, changes=False)
         self.now += 3 * feeds.OWNERSHIP_PAUSE_S
         self.assertFalse(self.feeds.is_owner_silent())
+
+
+class PauseTest(unittest.TestCase):
+    """What all daemons together read of the store is bounded."""
+
+    def test_few_daemons_keep_to_the_least_pause(self):
+        self.assertEqual(feeds.choose_pause_s(6), feeds.PAUSE_S)
+
+    def test_many_share_the_bound(self):
+        for daemons in (36, 100, 300):
+            reads_per_s = daemons / feeds.choose_pause_s(daemons)
+            self.assertLessEqual(reads_per_s, feeds.MAX_READS_PER_S + 1e-9)
