Count the room of runs that are adopted

Cause: a new owner meets runs on the workers before the gateways hand it their jobs. It does not know their size then, took it for nothing, and kept it so when the job came: workers looked emptier than they were, and starts were turned away.

Ruled out: reading the size from the worker, whose list of runs does not have it on all sites.

Change: a run takes its job's size when it is adopted. The test fails without it (64000 free instead of 37000).

--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -84,6 +84,7 @@
     task.next_run = max(task.next_run, run.number + 1)
     run.is_orphan = False
     run.expected_s = job.expected_s
+    _take_room(region, job, run)
     task.state = tables.TaskState.PLACED
     task.worker_id = run.worker_id
     job.has_begun = True
@@ -97,6 +98,14 @@
     return True
 
 
+def _take_room(region: tables.Region, job: tables.Job, run: fleet.Run) -> None:
+    """Let a run that came before its job take the room that it needs."""
+    worker = region.workers[run.worker_id]
+    region.remove_run(worker, run)
+    run.resources = job.resources
+    region.add_run(worker, run)
+
+
 def abandon(
     region: tables.Region, job: tables.Job, task: tables.Task, now: float
 ) -> None:
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -21,6 +21,18 @@
         started = [order.task for order in self.world.take_starts()]
         self.assertEqual(started, ["a1.0.0.1"])
 
+    def test_a_run_that_is_adopted_takes_its_room(self):
+        self.world.look("w0", running=(("a1.0.0.0", 1, 40.0),))
+        self.world.submit("a1", may_have_begun=True, tasks=1)
+        worker = self.world.region.workers["w0"]
+        self.assertEqual(
+            worker.free.cpu_milli,
+            worlds.CORES_64.cpu_milli - worlds.build_submission("a1").cpu_milli,
+        )
+        (run,) = worker.runs.values()
+        self.world.region.remove_run(worker, run)
+        self.assertEqual(worker.free, worlds.CORES_64)
+
     def test_an_end_that_was_seen_counts(self):
         end = fleet.ObservedEnd(1, "a1.0.0.0", 1, fleet.RunEnd.DONE)
         self.world.ends["w0"] = [end]
