Refuse nothing before a new owner's first look at its workers

Cause: a daemon that has just claimed has seen no worker yet, so its forecast had no places, and every job that came before the first looks returned was refused with "no room in time", wait 99 s.

Ruled out: the boot itself (first claim 0.43 s after the first start); callers' patience.

Change: a listed worker whose first look is on its way counts in the forecast, with all its room after 0.03 s; a missed look ends that. A job that comes before the list of workers waits for it, as long as it can still be in time.

--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -15,6 +15,8 @@
 
 NEVER_S = 1e9
 MIN_RUN_S = 0.001
+# A worker that a new owner has just begun to look at is seen within this time.
+FIRST_LOOK_S = 0.03
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,9 +141,22 @@
             continue
         if placement.is_usable(worker, now):
             places += _list_worker_places(region, worker, job.resources, now)
+        elif _is_about_to_be_seen(worker):
+            count = worker.listing.capacity.count(job.resources)
+            places += [FIRST_LOOK_S] * count
     return places
 
 
+def _is_about_to_be_seen(worker: fleet.Worker) -> bool:
+    """Return whether the first look at a worker is on its way."""
+    return (
+        worker.is_listed
+        and not worker.listing.is_draining
+        and not worker.is_synced
+        and not worker.missed_looks
+    )
+
+
 def _list_worker_places(
     region: tables.Region,
     worker: fleet.Worker,
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -214,6 +214,8 @@
 ) -> jobs.Reason | None:
     """Return why no worker could run a job at any time, or None."""
     service = job.submission.service
+    if _awaits_workers(region):
+        return None
     if not any(
         w.is_listed and w.listing.service == service
         for w in region.workers.values()
@@ -224,10 +226,17 @@
     return None
 
 
+def _awaits_workers(region: tables.Region) -> bool:
+    """Return whether a new owner has not been told of any worker yet."""
+    return not region.is_list_fresh and not region.workers
+
+
 def _weigh(
     region: tables.Region, job: tables.Job, now: float
 ) -> tuple[float, bool]:
     """Return how long a new job would wait, and whether it is refused."""
+    if _awaits_workers(region):
+        return forecast.FIRST_LOOK_S, False
     found = forecast.foretell(region, job, now)
     own = next(f for f in found if f.job is job)
     is_late = own.excess > TOLERANCE_SHARE
--- /dev/null
+++ b/tests/scheduling/test_fresh_owner.py
@@ -0,0 +1,53 @@
+"""Jobs that come while a new owner has not yet seen its workers."""
+
+import unittest
+
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import replies
+from pollenladder.scheduling import tables
+from tests.scheduling import worlds
+
+
+class FreshOwnerTest(unittest.TestCase):
+    """Nothing is refused for want of room that a first look will show."""
+
+    def setUp(self):
+        self.world = worlds.World(workers=0)
+        self.world.list_workers(["w0", "w1", "w2"], synced=False)
+
+    def test_a_job_waits_for_the_first_look(self):
+        self.world.submit("a1")
+        self.assertEqual(self.world.take_answers(), [])
+        self.world.look("w0")
+        self.assertEqual(len(self.world.take_starts()), 2)
+
+    def test_what_would_not_fit_all_workers_together_is_refused(self):
+        urgent = {"estimate_s": 0.9, "stretch": 1.0, "slack_s": 0.1}
+        for number in range(6):
+            self.world.submit(f"a{number}", tasks=1, **urgent)
+        self.world.submit("late", tasks=1)
+        (answer,) = self.world.take_answers()
+        self.assertEqual(answer.job_id, "late")
+
+    def test_silent_workers_are_not_waited_for(self):
+        for worker_id in ("w0", "w1", "w2"):
+            replies.take_missed_look(
+                self.world.region, worker_id, self.world.now
+            )
+        self.world.submit("a1")
+        (answer,) = self.world.take_answers()
+        self.assertIs(answer.reason, jobs.Reason.NO_ROOM_IN_TIME)
+
+    def test_without_a_list_of_workers_a_job_waits_for_it(self):
+        self.world.region = tables.Region(2, self.world.now, worlds.LEASE_S)
+        self.world.submit("a1")
+        self.assertEqual(self.world.take_answers(), [])
+        self.world.list_workers(["w0"])
+        self.assertEqual(len(self.world.take_starts()), 2)
+
+    def test_it_does_not_wait_for_a_list_beyond_its_time(self):
+        self.world.region = tables.Region(2, self.world.now, worlds.LEASE_S)
+        self.world.submit("a1")
+        self.world.step(0.5)
+        (answer,) = self.world.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.REFUSED)
