End the watch of a caller's connection before it is read or closed again

Cause: while a job waits, a greenlet watches the caller's connection for its end, by its descriptor's number. Once there was an answer the watch was only asked to end; the connection could be closed, and its number be given to another one, while the event loop still watched it.

Ruled out: memory, descriptors (821 of 4,100), signals.

Change: the watch reads the connection object, whose closing ends the wait, and it is over before the answer is written. The connection's timeout, which is for what is sent, does not end it.

--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -178,17 +178,25 @@
         watcher = gevent.spawn(_watch_end, gateway, job, sock)
     job.answered.wait()
     if watcher is not None:
-        watcher.kill(block=False)
+        # It must be gone before the connection is read again or closed.
+        watcher.kill()
 
 
 def _watch_end(
     gateway: gateways.Gateway, job: gateways.OpenJob, sock: socket.socket
 ) -> None:
     """Cancel a job when its caller closes the connection."""
-    try:
-        socket.wait_read(sock.fileno())
-        has_ended = not sock.recv(1, socket.MSG_PEEK)
-    except OSError:
-        has_ended = True
-    if has_ended:
+    if _has_ended(sock):
         gateway.leave(job)
+
+
+def _has_ended(sock: socket.socket) -> bool:
+    """Wait for bytes or the end of a connection; return which it was."""
+    while True:
+        try:
+            return not sock.recv(1, socket.MSG_PEEK)
+        except TimeoutError:
+            # The connection's timeout is for what is sent to the caller.
+            continue
+        except OSError:
+            return True
