Begin anew after another owner, and add a soak that found why

A link between two daemons was cut one way; d2 did not hear the owner d1, heard the two others, and claimed. d1 was fenced, heard most others too, and outbid d2 after 0.3 s, with the tables of before: it did not know what d2 had begun since, and started a task of which d2 had a run at work.

Ruled out: a longer wait before the first start after a claim (it is there, but only a daemon that had no tables used it).

Change: - An owner that claims again builds its tables anew, as one that takes over does: its jobs may have begun elsewhere, workers count as unseen, what is done stays done (`scheduling.renewal`). - Beats tell which owner is followed. Who does not hear an owner that most others follow waits, and does not outbid it when fenced. - `soak/`, `scripts/soak`, `docs/howto/soak.md`: four daemons, six workers, callers, 22 kinds of fault by signals, a loopback proxy, store and workers; promises are checked while they go on. Its cluster of processes is the one of the tests, moved there.

--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -21,6 +21,7 @@
         is_yielding: Whether it claims no workers for a while.
         pending: As the owner, jobs not begun, by queue.
         processor_cores: The processor that it has.
+        follows: The owner that it follows, which may be itself, or "".
     """
 
     is_owner: bool
@@ -33,6 +34,7 @@
     is_yielding: bool
     pending: dict[str, int]
     processor_cores: float
+    follows: str
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pollenladder/cluster/ownership.py
+++ b/pollenladder/cluster/ownership.py
@@ -6,6 +6,7 @@
 
 - An owner that is heard stays; nobody replaces it for its rank.
 - Without one, the best daemon that hears most of the others claims the workers.
+- One that is cut off from the owner alone waits: the others still follow it.
 - A daemon cut off with its data centre claims the workers that it still reaches,
   if it reaches none elsewhere: nobody else can reach its own then.
 - Where machines are unequal, a larger one is preferred: the owner has the most
@@ -41,6 +42,7 @@
         is_leaving: Whether it is shutting down.
         is_yielding: Whether it claims nothing for a while.
         processor_cores: The processor that it has.
+        follows: The owner that it follows, or "".
     """
 
     is_owner: bool = False
@@ -51,6 +53,7 @@
     is_leaving: bool = False
     is_yielding: bool = False
     processor_cores: float = 1.0
+    follows: str = ""
 
 
 class Decision(enum.Enum):
@@ -92,6 +95,8 @@
         return _decide_as_owner(situation, rival)
     if rival:
         return Decision.FOLLOW, rival
+    if is_apart(situation.own_id, situation.heard):
+        return Decision.WAIT, ""
     if _may_claim(situation) and _is_best(situation):
         return Decision.CLAIM, situation.own_id
     return Decision.WAIT, ""
@@ -108,6 +113,13 @@
     return 2 * (len(known & heard.keys()) + 1) >= len(known)
 
 
+def is_apart(own_id: str, heard: Mapping[str, View]) -> bool:
+    """Return whether most who are heard follow an owner that is not heard."""
+    others = heard.keys() | {own_id, ""}
+    unheard = sum(view.follows not in others for view in heard.values())
+    return unheard > 0 and 2 * unheard >= len(heard)
+
+
 def _get_strength(name: str, view: View) -> tuple[int, int, str]:
     return (view.workers_reached, view.epoch, name)
 
--- a/pollenladder/cluster/roster.py
+++ b/pollenladder/cluster/roster.py
@@ -135,4 +135,5 @@
         is_leaving=beat.is_leaving,
         is_yielding=beat.is_yielding,
         processor_cores=beat.processor_cores,
+        follows=beat.follows,
     )
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -12,6 +12,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import renewal
 from pollenladder.scheduling import tables
 from pollenladder.scheduling import upkeep
 from pollenladder.service import sessions
@@ -55,18 +56,18 @@
 
     def claim(self, epoch: int) -> None:
         """Become the owner, or stay it under a higher epoch."""
-        if self.region is not None:
-            self.region.epoch = epoch
-            return
-        self.region = tables.Region(epoch, self._clock(), self._max_lease_s)
+        now = self._clock()
+        if self.region is None:
+            self.region = tables.Region(epoch, now, self._max_lease_s)
+        else:
+            self._close_all_sessions()
+            self.region = renewal.renew(self.region, epoch, now)
         self.list_workers(self._listings, self._lapsed_at, False)
 
     def resign(self) -> None:
         """Stop being the owner; runs go on until the next one takes them."""
         self.region = None
-        for session in self._sessions.values():
-            session.close()
-        self._sessions.clear()
+        self._close_all_sessions()
 
     def list_workers(
         self,
@@ -161,6 +162,11 @@
             self._sessions[worker_id] = session
             session.begin()
 
+    def _close_all_sessions(self) -> None:
+        for session in self._sessions.values():
+            session.close()
+        self._sessions.clear()
+
     def _close_sessions(self, region: tables.Region) -> None:
         for worker_id in list(self._sessions):
             if worker_id not in region.workers:
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -146,7 +146,8 @@
             return
         self._fenced_at = None
         heard = self._roster.list_heard()
-        if ownership.hears_most(self._roster.list_known(), heard):
+        hears_most = ownership.hears_most(self._roster.list_known(), heard)
+        if hears_most and not ownership.is_apart(self._own_id, heard):
             leap = EPOCH_LEAP_MS * EPOCH_DAEMONS
             self._highest_epoch = max(self._highest_epoch, self._epoch + leap)
             self._claim("fenced by an owner that is not heard")
@@ -261,6 +262,7 @@
             is_yielding=own.is_yielding and not self._is_booting,
             pending=self._outlets.count_pending(),
             processor_cores=own.processor_cores,
+            follows=self.owner_id,
         )
 
     def _claim(self, reason: str) -> None:
@@ -310,6 +312,7 @@
         beat.config_version,
         beat.is_leaving,
         beat.is_yielding,
+        beat.follows,
     )
 
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real daemons as processes, faults from outside, promises."""
--- a/tests/service/clusters.py
+++ b/soak/clusters.py
@@ -1,5 +1,6 @@
 """Daemons as processes of their own, on a stand-in of the users' platform."""
 
+from collections.abc import Callable
 import dataclasses
 import json
 import os
@@ -10,7 +11,6 @@
 import tempfile
 import time
 from typing import Any
-import unittest
 
 import gevent
 from gevent import subprocess as gevent_subprocess
@@ -21,12 +21,15 @@
 from pollenladder.http import exchanges
 from standins import site as sites
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
 CALL_TIMEOUT_S = 8.0
 
 
+AddCleanup = Callable[[Callable[[], object]], object]
+
+
 @dataclasses.dataclass
 class Daemon:
     """One daemon.
@@ -55,20 +58,37 @@
 
 
 class Cluster:
-    """A site and a few daemons, ended with the test.
+    """A site and a few daemons, ended with whoever started them.
 
     Attributes:
         site: The platform.
         daemons: By id.
     """
 
-    def __init__(self, test: unittest.TestCase, names: list[str], workers: int):
+    def __init__(
+        self,
+        add_cleanup: AddCleanup,
+        names: list[str],
+        workers: int,
+        defect: str = "",
+        rewrite: Callable[[str, str, bytes], bytes] | None = None,
+    ):
+        """Start the daemons.
+
+        Args:
+            add_cleanup: Has a function called when the cluster is to end.
+            names: The daemons' ids.
+            workers: How many workers there are.
+            defect: A guard that the daemons lack; see `soak.defects`.
+            rewrite: See `site_store.SiteStore`.
+        """
+        self._arguments = [defect] if defect else []
         folder = tempfile.TemporaryDirectory()
-        test.addCleanup(folder.cleanup)
+        add_cleanup(folder.cleanup)
         self._folder = pathlib.Path(folder.name)
-        self.site = sites.Site()
-        test.addCleanup(self.site.close)
-        test.addCleanup(self.stop_all)
+        self.site = sites.Site(rewrite)
+        add_cleanup(self.site.close)
+        add_cleanup(self.stop_all)
         self.site.configure(1)
         for index in range(workers):
             self.site.add_worker(f"w{index}")
@@ -92,7 +112,7 @@
         # Its end is tied to ours: it reads nothing, and is ended by id.
         with daemon.log.open("ab") as log:
             daemon.process = gevent_subprocess.Popen(
-                [sys.executable, "-m", "tests.service.daemon"],
+                [sys.executable, "-m", "soak.daemon", *self._arguments],
                 cwd=ROOT,
                 stdin=subprocess.PIPE,
                 stdout=log,
--- a/tests/service/daemon.py
+++ b/soak/daemon.py
@@ -1,4 +1,7 @@
-"""Run the daemon, and end with the process that started it."""
+"""Run the daemon, and end with the process that started it.
+
+An argument names a guard that is taken out of it; see `soak.defects`.
+"""
 
 import os
 import sys
@@ -12,6 +15,7 @@
 
 from pollenladder.service import dispatcher  # noqa: E402
 from pollenladder.service import meters  # noqa: E402
+from soak import defects  # noqa: E402
 
 
 def _end_with_parent() -> None:
@@ -24,4 +28,6 @@
     # Several daemons share this machine; each takes a free port.
     meters.PORT = 0
     gevent.spawn(_end_with_parent)
+    for name in sys.argv[1:]:
+        defects.DEFECTS[name]()
     sys.exit(dispatcher.main())
--- a/standins/site.py
+++ b/standins/site.py
@@ -4,6 +4,7 @@
 their own.
 """
 
+from collections.abc import Callable
 import json
 import pathlib
 from typing import Any
@@ -28,8 +29,10 @@
         workers: Workers by id.
     """
 
-    def __init__(self):
-        self.store = site_store.SiteStore()
+    def __init__(
+        self, rewrite: Callable[[str, str, bytes], bytes] | None = None
+    ):
+        self.store = site_store.SiteStore(rewrite)
         self.workers: dict[str, site_worker.SiteWorker] = {}
         self._servers: dict[str, pywsgi.WSGIServer] = {}
         self._store_server = wsgi.serve(self.store.serve)
@@ -54,10 +57,11 @@
         worker_id: str,
         data_centre: str = "norte",
         state: str = "ready",
+        port: int = 0,
     ) -> None:
-        """Write a worker's entry."""
+        """Write a worker's entry, by default with its own port."""
         worker = self.workers[worker_id]
-        port = self._servers[worker_id].server_port
+        port = port or self.get_worker_port(worker_id)
         entry = {
             "Service": SERVICE,
             "Addr": f"{HOST}:{port}",
@@ -70,6 +74,10 @@
         }
         self.store.put("servers", worker_id, json.dumps(entry).encode())
 
+    def get_worker_port(self, worker_id: str) -> int:
+        """Return where a worker listens."""
+        return self._servers[worker_id].server_port
+
     def stop_worker(self, worker_id: str) -> None:
         """Close a worker's port; it stays listed."""
         self._servers[worker_id].stop(timeout=0)
--- a/standins/site_store.py
+++ b/standins/site_store.py
@@ -73,7 +73,15 @@
         calls: Calls by path.
     """
 
-    def __init__(self):
+    def __init__(
+        self, rewrite: Callable[[str, str, bytes], bytes] | None = None
+    ):
+        """Make an empty store.
+
+        Args:
+            rewrite: Changes the values that daemons write, by table and key.
+        """
+        self._rewrite = rewrite or (lambda table, key, value: value)
         self.version = 0
         self.faults = Faults()
         self.calls: dict[str, int] = {}
@@ -151,7 +159,11 @@
         self.version += 1
         for entry in body["SetKeys"]:
             place = _get_place(entry)
-            self._keep(_Row(*place, entry["Value"], self.version))
+            table, _, key = place
+            written = base64.b64decode(entry["Value"])
+            value = self._rewrite(table, key, written)
+            text = base64.b64encode(value).decode()
+            self._keep(_Row(*place, text, self.version))
         for entry in body["Delete"]:
             place = _get_place(entry)
             self._keep(_Row(*place, "", self.version, is_removed=True))
--- a/tests/cluster/samples.py
+++ b/tests/cluster/samples.py
@@ -23,6 +23,7 @@
         "is_yielding": False,
         "pending": {},
         "processor_cores": 1.0,
+        "follows": "",
     }
     return messages.Beat(**(plain | changes))
 
--- a/tests/cluster/test_ownership.py
+++ b/tests/cluster/test_ownership.py
@@ -55,6 +55,19 @@
                 decision = _decide(heard={"a": worse, "c": PEER})
                 self.assertEqual(decision[0], ownership.Decision.CLAIM)
 
+    def test_who_alone_does_not_hear_the_owner_waits(self):
+        known = frozenset("abcd")
+        following = _change(PEER, follows="a")
+        heard = {"c": following, "d": following}
+        decision = _decide(heard=heard, known=known)
+        self.assertEqual(decision, (ownership.Decision.WAIT, ""))
+
+    def test_once_the_others_have_lost_it_too_the_first_one_claims(self):
+        known = frozenset("abcd")
+        heard = {"c": PEER, "d": _change(PEER, follows="a"), "e": PEER}
+        decision = _decide(heard=heard, known=known)
+        self.assertEqual(decision[0], ownership.Decision.CLAIM)
+
     def test_who_hears_too_few_waits(self):
         known = frozenset("abcdef")
         decision = _decide(heard={"c": PEER}, known=known)
--- a/tests/cluster/test_roster.py
+++ b/tests/cluster/test_roster.py
@@ -5,7 +5,7 @@
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 
-BEAT = messages.Beat(False, 0, 0, True, 1, 0.0, False, False, {}, 1.0)
+BEAT = messages.Beat(False, 0, 0, True, 1, 0.0, False, False, {}, 1.0, "")
 
 
 def _build_member(daemon_id: str, incarnation: int = 1) -> rosters.Member:
--- a/tests/service/test_daemons.py
+++ b/tests/service/test_daemons.py
@@ -5,16 +5,18 @@
 
 import gevent
 
+from soak import clusters
 from standins import site as sites
 from standins import site_store
-from tests.service import clusters
 
 
 class DaemonsTest(unittest.TestCase):
     """Jobs are answered, and no task runs twice, whatever goes wrong."""
 
     def setUp(self):
-        self.cluster = clusters.Cluster(self, ["d1", "d2", "d3"], workers=4)
+        self.cluster = clusters.Cluster(
+            self.addCleanup, ["d1", "d2", "d3"], workers=4
+        )
         self.cluster.wait_until_ready()
         self.site = self.cluster.site
         self._next = 0
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -103,6 +103,14 @@
         leap = leadership.EPOCH_LEAP_MS * leadership.EPOCH_DAEMONS
         self.assertGreaterEqual(second, first + leap)
 
+    def test_whom_the_others_have_left_gives_up_when_fenced(self):
+        self._own()
+        self.leading.take_fenced("w1")
+        self._hear("c", follows="x")
+        self.now += leadership.FENCED_S
+        self.leading.step()
+        self.assertEqual((len(self.claimed), self.resigned), (1, 1))
+
     def test_who_hears_too_few_gives_up_when_fenced(self):
         self._own()
         for name in ("d", "e", "f"):
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak itself, and a short round of it."""
