Wake up and beat only when there is something to do

As a silent daemon is then noticed later than a silent owner, who has lost the owner in such a region first hears, for up to 0.25 s, who is left, and goes by those alone.

--- a/pollenladder/cluster/cadence.py
+++ b/pollenladder/cluster/cadence.py
@@ -10,9 +10,11 @@
 FULL_BEAT_S = 0.1
 OWNER_SILENCE_S = 0.45
 # Beats that a daemon writes, and reads, in a second, if an owner is followed.
-MAX_BEATS_PER_S = 100.0
+MAX_BEATS_PER_S = 60.0
 # A daemon that is not the owner may miss so many beats, with some delay.
 SILENT_BEATS = 2.5
+# Who has lost its owner waits so long to hear which of the others are left.
+FRESH_S = 0.25
 
 
 def choose_beat_s(peers: int, is_owner: bool, has_owner: bool) -> float:
@@ -28,6 +30,11 @@
     return max(FULL_BEAT_S, peers / MAX_BEATS_PER_S)
 
 
+def beats_seldom(peers: int) -> bool:
+    """Return whether a silent daemon is noticed later than a silent owner."""
+    return choose_silence_s(peers, False) > OWNER_SILENCE_S
+
+
 def choose_silence_s(peers: int, is_owner: bool) -> float:
     """Return after what silence a peer is taken for lost, in seconds.
 
--- a/pollenladder/cluster/roster.py
+++ b/pollenladder/cluster/roster.py
@@ -37,12 +37,14 @@
         beat: What it last said; None before.
         is_linked: Whether there is a link to it.
         unlinked_since: When the last link ended, or when it was first known.
+        heard_at: When it last said something.
     """
 
     member: Member
     unlinked_since: float
     beat: messages.Beat | None = None
     is_linked: bool = False
+    heard_at: float = float("-inf")
 
 
 class Roster:
@@ -93,11 +95,14 @@
             peer.beat = None
             peer.unlinked_since = now
 
-    def record_beat(self, daemon_id: str, beat: messages.Beat) -> None:
+    def record_beat(
+        self, daemon_id: str, beat: messages.Beat, now: float
+    ) -> None:
         """Note what a daemon says."""
         peer = self.peers.get(daemon_id)
         if peer is not None and peer.is_linked:
             peer.beat = beat
+            peer.heard_at = now
 
     def forget_lost(self, now: float) -> list[str]:
         """Forget the daemons that have long been away; return their ids."""
@@ -112,12 +117,18 @@
             self._forgotten[daemon_id] = member.incarnation
         return lost
 
-    def list_heard(self) -> dict[str, ownership.View]:
-        """Return the daemons that are heard, as decisions see them."""
+    def list_heard(
+        self, since: float = float("-inf")
+    ) -> dict[str, ownership.View]:
+        """Return the daemons that are heard, as decisions see them.
+
+        Args:
+            since: Who has said nothing since this time is left out.
+        """
         return {
             daemon_id: _view(peer.beat)
             for daemon_id, peer in self.peers.items()
-            if peer.beat is not None
+            if peer.beat is not None and peer.heard_at >= since
         }
 
     def list_known(self) -> frozenset[str]:
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -6,6 +6,7 @@
 import logging
 
 import gevent
+from gevent import event
 
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
@@ -53,12 +54,14 @@
         self._listings: tuple[fleet.Listing, ...] = ()
         self._lapsed_at = float("-inf")
         self._is_carrying_out = False
+        self._owned = event.Event()
 
     def claim(self, epoch: int) -> None:
         """Become the owner, or stay it under a higher epoch."""
         now = self._clock()
         if self.region is None:
             self.region = tables.Region(epoch, now, self._max_lease_s)
+            self._owned.set()
         else:
             self._close_all_sessions()
             self.region = renewal.renew(self.region, epoch, now)
@@ -67,6 +70,7 @@
     def resign(self) -> None:
         """Stop being the owner; runs go on until the next one takes them."""
         self.region = None
+        self._owned.clear()
         self._close_all_sessions()
 
     def list_workers(
@@ -142,6 +146,7 @@
     def run(self) -> None:
         """Do what time brings, for ever."""
         while True:
+            self._owned.wait()
             gevent.sleep(TICK_S)
             if self.region is not None:
                 upkeep.step(self.region, self._clock())
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -80,6 +80,7 @@
         self.open: dict[str, OpenJob] = {}
         self._outlets = outlets
         self._clock = clock
+        self._has_open = event.Event()
 
     def submit(self, submission: jobs.Submission) -> OpenJob:
         """Take a job in; one that is known gets another waiter."""
@@ -93,6 +94,7 @@
                 patience_s=_measure_patience_s(submission),
             )
             self.open[submission.job_id] = job
+            self._has_open.set()
             self._hand_on(job)
         job.waiters += 1
         return job
@@ -159,9 +161,12 @@
     def run(self) -> None:
         """Answer the jobs that no owner has taken in time, for ever."""
         while True:
+            self._has_open.wait()
             gevent.sleep(SWEEP_S)
             self.hand_on_again()
             self.expire(self._clock())
+            if not self.open:
+                self._has_open.clear()
 
     def _hand_on(self, job: OpenJob) -> None:
         owner_id = self._outlets.find_owner()
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -103,6 +103,7 @@
         self._beat_at = float("-inf")
         self._told: tuple = ()
         self._is_greeting = False
+        self._ownerless_since = clock()
         self._yields_until = clock() + BOOT_GRACE_S
         self._is_booting = True
         self._wake = event.Event()
@@ -118,7 +119,7 @@
 
     def take_beat(self, daemon_id: str, beat: messages.Beat) -> None:
         """Note what another daemon says."""
-        self._roster.record_beat(daemon_id, beat)
+        self._roster.record_beat(daemon_id, beat, self._clock())
         self._highest_epoch = max(self._highest_epoch, beat.epoch)
         if beat.is_owner != (daemon_id == self.owner_id):
             self.wake()
@@ -173,7 +174,8 @@
         for daemon_id in self._roster.forget_lost(now):
             logs.log(LOGGER, "daemon_forgotten", peer=daemon_id)
             self._outlets.on_forgotten(daemon_id)
-        heard = self._roster.list_heard()
+        self._notice_lost_owner()
+        heard = self._list_heard(now)
         known = self._roster.list_known()
         is_cut_off = (
             not self.owner_id or self.owner_id not in heard
@@ -189,13 +191,42 @@
             may_claim_alone=self._outlets.is_owner_silent(),
         )
         decision, owner_id = ownership.decide(situation)
-        if decision is ownership.Decision.CLAIM:
+        if decision is ownership.Decision.CLAIM and self._is_hearing(now):
+            # It comes to know who is left.
+            self._follow("")
+        elif decision is ownership.Decision.CLAIM:
             self._claim(f"hears {len(heard)} of {len(known) - 1}")
         elif decision is ownership.Decision.RESIGN:
             self._resign("hands over", owner_id)
         else:
             self._follow(owner_id)
 
+    def _notice_lost_owner(self) -> None:
+        """Follow nobody once the owner is not heard any more."""
+        if self.owner_id in ("", self._own_id):
+            return
+        if self.owner_id not in self._roster.list_heard():
+            self._follow("")
+
+    def _list_heard(self, now: float) -> dict[str, ownership.View]:
+        """Return who is heard; without an owner, only who is left."""
+        if self.owner_id or self._is_hearing(now):
+            return self._roster.list_heard()
+        if not cadence.beats_seldom(len(self._roster.peers)):
+            return self._roster.list_heard()
+        return self._roster.list_heard(now - cadence.OWNER_SILENCE_S)
+
+    def _is_hearing(self, now: float) -> bool:
+        """Return whether some have not yet spoken since the owner was lost."""
+        if self.owner_id or not cadence.beats_seldom(len(self._roster.peers)):
+            return False
+        since = self._ownerless_since
+        fresh = self._roster.list_heard(since)
+        return (
+            now < since + cadence.FRESH_S
+            and fresh.keys() != self._roster.list_heard().keys()
+        )
+
     def _view_self(self) -> ownership.View:
         return ownership.View(
             is_owner=self.is_owner,
@@ -293,6 +324,7 @@
             return
         logs.log(LOGGER, "owner_changed", owner=owner_id, before=self.owner_id)
         self.owner_id = owner_id
+        self._ownerless_since = self._clock()
         self._outlets.on_owner(owner_id)
 
     def _make_epoch(self) -> int:
--- a/tests/cluster/test_roster.py
+++ b/tests/cluster/test_roster.py
@@ -20,10 +20,10 @@
         self.roster.learn(_build_member("a"), 0.0)
 
     def test_only_who_is_linked_and_speaks_is_heard(self):
-        self.roster.record_beat("a", BEAT)
+        self.roster.record_beat("a", BEAT, 1.0)
         self.assertEqual(self.roster.list_heard(), {})
         self.roster.record_linked("a", True, 1.0)
-        self.roster.record_beat("a", BEAT)
+        self.roster.record_beat("a", BEAT, 1.0)
         self.assertEqual(list(self.roster.list_heard()), ["a"])
         self.roster.record_linked("a", False, 2.0)
         self.assertEqual(self.roster.list_heard(), {})
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pollenladder.cluster import cadence
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 from pollenladder.service import leadership
@@ -176,3 +177,40 @@
         self.leading.greet()
         self.leading.beat()
         self.assertEqual(len(self.sent), 2)
+
+    def _follow_one_of_many(self) -> None:
+        for number in range(40):
+            self._hear(f"x{number}")
+        self._hear("a")
+        self._hear("y", is_owner=True, workers_reached=9)
+        self.leading.step()
+        self.assertEqual(self.leading.owner_id, "y")
+        self.now += 1.0
+        self.roster.record_linked("y", False, self.now)
+        self.leading.step()
+
+    def test_in_a_large_region_the_dead_are_not_waited_for(self):
+        self._follow_one_of_many()
+        self.assertEqual(self.claimed, [])
+        self.now += cadence.FRESH_S
+        # "a" would come first, and has said nothing since.
+        for number in range(40):
+            self._hear(f"x{number}")
+        self.leading.step()
+        self.assertEqual(len(self.claimed), 1)
+
+    def test_in_a_large_region_who_speaks_up_comes_first(self):
+        self._follow_one_of_many()
+        self.now += cadence.FRESH_S
+        for name in ("a", *(f"x{number}" for number in range(40))):
+            self._hear(name)
+        self.leading.step()
+        self.assertEqual(self.claimed, [])
+
+    def test_once_all_have_spoken_nobody_waits(self):
+        self._follow_one_of_many()
+        for number in range(40):
+            self._hear(f"x{number}")
+        self.roster.record_linked("a", False, self.now)
+        self.leading.step()
+        self.assertEqual(len(self.claimed), 1)
