Believe no refusal of a job that was handed on more than once

Run numbers from 65 belong to a job that was handed on for the third time. While the ownership goes to and fro, an owner's refusal of the first time can arrive when the same owner, or none, has the job again, and was believed; and an owner that got a job back, which another one had in between, went on taking it for not begun.

Ruled out: the gateway's own refusals, which come only if no owner ever had the job; the renewal of tables, which never refuses.

Change: a refusal counts only if the job was handed on once; later owners are told that it may have begun and never say that it has not. A job that comes back counts as possibly begun. The event `refusal_ignored` says how often it was handed on.

--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -301,8 +301,8 @@
     Event(
         "refusal_ignored",
         Kind.JOB,
-        "an earlier owner refused what another one has now",
-        ("job", "sender", "owner"),
+        "an owner refused what it has not, or not alone, any more",
+        ("job", "sender", "owner", "times_handed_on"),
     ),
 )
 
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -5,6 +5,7 @@
 that may have begun under an earlier owner is never refused as not run.
 """
 
+import dataclasses
 import math
 
 from pollenladder.jobs import entities as jobs
@@ -38,6 +39,10 @@
     known = region.jobs.get(job_id)
     if known is not None:
         known.gateway_id = gateway_id
+        if submission.may_have_begun:
+            known.submission = dataclasses.replace(
+                known.submission, may_have_begun=True
+            )
         region.note("job_rejoined", job=job_id, gateway=gateway_id)
         return
     answered = region.answered.get(job_id)
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -52,6 +52,7 @@
         owner_id: The owner that it was handed to; "" if none has it.
         has_been_sent: Whether any owner may have begun it.
         first_run: See `jobs.Submission`.
+        times_handed_on: To owners, each time counted.
         waiters: Requests that wait for the answer.
         answered: Set once there is an answer.
         answer: The answer.
@@ -64,6 +65,7 @@
     owner_id: str = ""
     has_been_sent: bool = False
     first_run: int = 1
+    times_handed_on: int = 0
     waiters: int = 0
     answered: event.Event = dataclasses.field(default_factory=event.Event)
     answer: jobs.Answer | None = None
@@ -117,8 +119,9 @@
     def take_answer(self, answer: jobs.Answer, sender: str) -> None:
         """Pass an owner's answer on to whoever waits.
 
-        That a job has not begun counts only from the owner that has it now:
-        another one may have begun it since.
+        That a job has not begun counts only as long as it was handed on once,
+        from the owner that has it: another one may have begun it since, or the
+        same one when it came again.
         """
         job = self.open.get(answer.job_id)
         if job is None:
@@ -130,13 +133,15 @@
             )
             return
         is_refusal = answer.outcome is jobs.Outcome.REFUSED
-        if is_refusal and job.owner_id and sender != job.owner_id:
+        is_from_another = bool(job.owner_id) and sender != job.owner_id
+        if is_refusal and (is_from_another or job.times_handed_on > 1):
             logs.log(
                 LOGGER,
                 "refusal_ignored",
                 job=answer.job_id,
                 sender=sender,
                 owner=job.owner_id,
+                times_handed_on=job.times_handed_on,
             )
             return
         self._finish(job, answer)
@@ -189,6 +194,7 @@
             job.has_been_sent = was_sent
             return
         job.first_run += RUN_NUMBERS_PER_OWNER
+        job.times_handed_on += 1
         if was_sent:
             logs.log(
                 LOGGER,
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -111,6 +111,18 @@
         (order,) = self.world.take_stops()
         self.assertEqual((order.task, order.number), ("gone.0.0.0", 1))
 
+    def test_a_job_that_comes_back_from_another_owner_may_have_begun(self):
+        self.world.submit("f1", tasks=4, estimate_s=0.9, budget_s=9.0)
+        self.world.submit("a1", slack_s=1.2, budget_s=2.0)
+        self.world.submit("a1", may_have_begun=True, first_run=65)
+        self.assertEqual(self.world.take_answers(), [])
+        # Past the time in which it should have begun, within its budget.
+        self.world.step(1.7)
+        self.assertEqual(self.world.take_answers(), [])
+        self.world.step(0.4)
+        (answer,) = self.world.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.GIVEN_UP)
+
     def test_a_job_that_may_have_begun_is_never_refused_as_not_run(self):
         self.world.list_workers([])
         self.world.submit("a1", may_have_begun=True)
