Spare an owner that falls behind, and wait for one that is only slow

The logs show five owners in 4 s: each is taken for lost after .45 s of silence while it is busy with its claim, or hands over to a daemon that is only quicker because it owns nothing; and each takeover costs more than the jobs. Replies that are read late count as lost, and their starts are done again. Change: the owner tells a share of new jobs that its gateways refuse at once; the share grows with the lateness of its event loop and decays. Time in which a job waited to be read counts in its age, and lateness in the timeouts of orders. An owner that is linked again at once and runs late was a false alarm, and owners are then waited for longer, 1.8 s at the most. After three owners in 10 s a late one stays.

--- a/pollenladder/cluster/cadence.py
+++ b/pollenladder/cluster/cadence.py
@@ -9,6 +9,8 @@
 
 FULL_BEAT_S = 0.1
 OWNER_SILENCE_S = 0.45
+# The silence allowed to an owner is doubled so many times at the most.
+MAX_DOUBLINGS = 2
 # Beats that a daemon writes, and reads, in a second, if an owner is followed.
 MAX_BEATS_PER_S = 60.0
 # A daemon that is not the owner may miss so many beats, with some delay.
@@ -35,13 +37,15 @@
     return choose_silence_s(peers, False) > OWNER_SILENCE_S
 
 
-def choose_silence_s(peers: int, is_owner: bool) -> float:
+def choose_silence_s(peers: int, is_owner: bool, alarms: int = 0) -> float:
     """Return after what silence a peer is taken for lost, in seconds.
 
     Args:
         peers: The other daemons of whoever listens.
         is_owner: Whether the peer owns the workers.
+        alarms: How many owners were lately taken for lost and were only slow.
     """
+    owner_s = OWNER_SILENCE_S * 2 ** min(alarms, MAX_DOUBLINGS)
     if is_owner:
-        return OWNER_SILENCE_S
-    return max(OWNER_SILENCE_S, SILENT_BEATS * peers / MAX_BEATS_PER_S)
+        return owner_s
+    return max(owner_s, SILENT_BEATS * peers / MAX_BEATS_PER_S)
--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -16,6 +16,7 @@
 from pollenladder.cluster import cadence
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
+from pollenladder.cluster import suspicion
 from pollenladder.core import clocks
 from pollenladder.logs import lines as logs
 from pollenladder.wire import exceptions
@@ -64,6 +65,7 @@
         self._clock = clock
         self._links: dict[str, links.Link] = {}
         self._connecting: set[str] = set()
+        self._suspicions = suspicion.Suspicions()
         self._wake = event.Event()
         self._settings = server.Settings(
             hello=handshake.Hello(
@@ -150,6 +152,7 @@
         self._links[hello.daemon_id] = link
         if old is not None:
             old.close()
+        self._limit_silence(link, True)
         self._roster.record_linked(hello.daemon_id, True, now)
         self._handlers.on_change(hello.daemon_id, True)
 
@@ -157,17 +160,41 @@
         if self._links.get(link.peer.daemon_id) is not link:
             return
         if isinstance(message, messages.Beat):
-            peers = len(self._roster.peers)
-            silence_s = cadence.choose_silence_s(peers, message.is_owner)
-            link.limit_silence(silence_s)
+            self._take_beat(link, message)
         self._handlers.on_message(link.peer.daemon_id, message)
 
+    def _take_beat(self, link: links.Link, beat: messages.Beat) -> None:
+        hello = link.peer
+        now = self._clock()
+        if self._suspicions.record_lag(
+            hello.daemon_id, hello.incarnation, beat.lag_s, now
+        ):
+            logs.log(
+                LOGGER,
+                "owner_suspected_falsely",
+                peer=hello.daemon_id,
+                lag_s=round(beat.lag_s, 3),
+                alarms=self._suspicions.count_alarms(now),
+            )
+        self._limit_silence(link, beat.is_owner)
+
+    def _limit_silence(self, link: links.Link, is_owner: bool) -> None:
+        peers = len(self._roster.peers)
+        alarms = self._suspicions.count_alarms(self._clock())
+        link.limit_silence(cadence.choose_silence_s(peers, is_owner, alarms))
+
     def _take_close(self, link: links.Link, reason: links.CloseReason) -> None:
         daemon_id = link.peer.daemon_id
         if self._links.get(daemon_id) is not link:
             return
         del self._links[daemon_id]
-        self._roster.record_linked(daemon_id, False, self._clock())
+        now = self._clock()
+        peer = self._roster.peers.get(daemon_id)
+        was_owner = bool(peer and peer.beat and peer.beat.is_owner)
+        if was_owner and reason is links.CloseReason.SILENT:
+            incarnation = link.peer.incarnation
+            self._suspicions.record_lost(daemon_id, incarnation, now)
+        self._roster.record_linked(daemon_id, False, now)
         logs.log(LOGGER, "link_lost", peer=daemon_id, reason=reason.value)
         self._handlers.on_change(daemon_id, False)
         self._wake.set()
--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -22,6 +22,7 @@
         pending: As the owner, jobs not begun, by queue.
         processor_cores: The processor that it has.
         follows: The owner that it follows, which may be itself, or "".
+        shed_share: As the owner, the share of new jobs that is to be refused.
     """
 
     is_owner: bool
@@ -35,6 +36,7 @@
     pending: dict[str, int]
     processor_cores: float
     follows: str
+    shed_share: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pollenladder/cluster/ownership.py
+++ b/pollenladder/cluster/ownership.py
@@ -25,6 +25,9 @@
 STUCK_LAG_S = 0.3
 # A machine with so many times the processor is clearly larger.
 LARGER_FACTOR = 2.0
+# An owner that is late stays if there have been so many owners in this time.
+RESTLESS_OWNERS = 3
+RESTLESS_S = 10.0
 # A daemon that has just lost the workers to another one does not claim at once.
 YIELD_S = 2.0
 
@@ -78,6 +81,7 @@
         is_cut_off_with_zone: Whether no worker of another data centre is
             reached, and at least one here is.
         may_claim_alone: Whether the store shows that no other owner lives.
+        recent_owners: How many owners there have been in `RESTLESS_S`.
     """
 
     own_id: str
@@ -86,6 +90,7 @@
     known: frozenset[str]
     is_cut_off_with_zone: bool
     may_claim_alone: bool
+    recent_owners: int = 0
 
 
 def decide(situation: Situation) -> tuple[Decision, str]:
@@ -149,6 +154,9 @@
         return bool(others)
     if not own.reads_store and any(v.reads_store for v in others):
         return True
+    if situation.recent_owners >= RESTLESS_OWNERS:
+        # All are slow: who owns nothing is only less busy.
+        return False
     return any(
         v.lag_s < QUICK_LAG_S
         and v.reads_store >= own.reads_store
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -172,6 +172,7 @@
     TOO_LARGE = "too_large"
     NO_WORKERS = "no_workers"
     NO_OWNER = "no_owner"
+    OWNER_BUSY = "owner_busy"
     OWNER_LOST = "owner_lost"
     GATEWAY_LOST = "gateway_lost"
     DEADLINE = "deadline"
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -129,6 +129,18 @@
         "it orders no worker any more",
         ("epoch", "reason", "owner"),
     ),
+    Event(
+        "owner_suspected_falsely",
+        Kind.OWNERSHIP,
+        "an owner that was taken for lost was only slow",
+        ("peer", "lag_s", "alarms"),
+    ),
+    Event(
+        "shedding_changed",
+        Kind.OWNERSHIP,
+        "the owner falls behind, or no more, and a share of new jobs is refused",
+        ("share", "late_s", "lag_s"),
+    ),
     Event(
         "fenced",
         Kind.OWNERSHIP,
--- a/pollenladder/platform/workers.py
+++ b/pollenladder/platform/workers.py
@@ -18,6 +18,8 @@
 ORDER_TIMEOUT_S = 0.12
 # How much later than its own longest wait a look may be answered.
 LOOK_SLACK_S = 0.15
+# An exchange takes some turns of the event loop, each of which may run late.
+TURNS_PER_EXCHANGE = 3
 
 _LOOK = msgspec.json.Decoder(messages.Hold)
 _STARTED = msgspec.json.Decoder(messages.Started)
@@ -59,7 +61,18 @@
         worker_id: str,
         address: tuple[str, int],
         clock: Callable[[], float],
+        get_lag_s: Callable[[], float] = lambda: 0.0,
     ):
+        """Prepare the client; nothing is opened yet.
+
+        Args:
+            worker_id: The worker.
+            address: IP number and port.
+            clock: Monotonic time in seconds.
+            get_lag_s: Returns how late the event loop runs, in seconds: a
+                reply that is read late has not come late.
+        """
+        self._get_lag_s = get_lag_s
         self._pool = connections.Connections(
             address, MAX_CONNECTIONS, CONNECT_TIMEOUT_S, IDLE_LIMIT_S, clock
         )
@@ -160,6 +173,7 @@
     ) -> responses.Response:
         encoded = msgspec.json.encode(body)
         request = exchanges.build_request(head, encoded, self._fields)
+        timeout_s += TURNS_PER_EXCHANGE * self._get_lag_s()
         return exchanges.exchange(self._pool, request, timeout_s)
 
 
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -62,12 +62,17 @@
         own = self._settings
         self._engine = engines.Engine(
             own.max_lease_s,
-            engines.Outlets(answer=self._answer, on_fenced=self._take_fenced),
+            engines.Outlets(
+                answer=self._answer,
+                on_fenced=self._take_fenced,
+                get_lag_s=lambda: self._leadership.lag_s,
+            ),
             self._clock,
         )
         self._gateway = gateways.Gateway(
             gateways.Outlets(
                 find_owner=lambda: self._leadership.owner_id,
+                get_shed_share=lambda: self._leadership.get_shed_share(),
                 submit=self._submit,
                 cancel=self._cancel,
                 on_answered=self._count_answered,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -21,6 +21,8 @@
 LOGGER = logging.getLogger(__name__)
 
 TICK_S = 0.02
+# An event loop that runs less late is in time.
+MIN_COUNTED_LAG_S = 0.005
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,10 +32,12 @@
     Attributes:
         answer: Called with a gateway's id and a job's final answer.
         on_fenced: Called when a worker turns out to have another owner.
+        get_lag_s: Returns how late the event loop runs, in seconds.
     """
 
     answer: Callable[[str, jobs.Answer], None]
     on_fenced: Callable[[str], None]
+    get_lag_s: Callable[[], float]
 
 
 class Engine:
@@ -102,6 +106,7 @@
         """Admit or refuse a job; return False if this is not the owner."""
         if self.region is None:
             return False
+        submission = _add_age(submission, self._outlets.get_lag_s())
         intake.submit(self.region, submission, gateway_id, self._clock())
         self._carry_out()
         return True
@@ -161,7 +166,9 @@
             if session:
                 session.close()
             outlets = sessions.Outlets(
-                on_event=self._carry_out, on_fenced=self._outlets.on_fenced
+                on_event=self._carry_out,
+                on_fenced=self._outlets.on_fenced,
+                get_lag_s=self._outlets.get_lag_s,
             )
             session = sessions.Session(region, worker, outlets, self._clock)
             self._sessions[worker_id] = session
@@ -216,3 +223,14 @@
             session.stop(effect)
         else:
             session.look_now()
+
+
+def _add_age(submission: jobs.Submission, lag_s: float) -> jobs.Submission:
+    """Count the time for which a job has waited to be read here."""
+    if lag_s < MIN_COUNTED_LAG_S:
+        return submission
+    return dataclasses.replace(
+        submission,
+        age_s=submission.age_s + lag_s,
+        budget_s=submission.budget_s - lag_s,
+    )
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent import event
 
+from pollenladder.cluster import shedding
 from pollenladder.core import clocks
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
@@ -18,6 +19,7 @@
 RUN_NUMBERS_PER_OWNER = 32
 SWEEP_S = 0.03
 RETRY_AFTER_WITHOUT_OWNER_S = 1.0
+RETRY_AFTER_SHED_S = 1.0
 # Part of the time in which a job should be answered.
 OWNERLESS_SHARE = 0.25
 
@@ -28,6 +30,7 @@
 
     Attributes:
         find_owner: Returns the id of the daemon that schedules, or "".
+        get_shed_share: Returns the share of new jobs that it does not take.
         submit: Hands a job to a daemon; returns whether it may arrive.
         cancel: Tells a daemon that a job is not wanted.
         on_answered: Called with a job's queue, its answer, and how long it
@@ -35,6 +38,7 @@
     """
 
     find_owner: Callable[[], str]
+    get_shed_share: Callable[[], float]
     submit: Callable[[str, jobs.Submission], bool]
     cancel: Callable[[str, str, jobs.Reason], None]
     on_answered: Callable[[str, jobs.Answer, float], None]
@@ -86,7 +90,8 @@
 
     def submit(self, submission: jobs.Submission) -> OpenJob:
         """Take a job in; one that is known gets another waiter."""
-        job = self.open.get(submission.job_id)
+        job_id = submission.job_id
+        job = self.open.get(job_id)
         if job is None:
             now = self._clock()
             job = OpenJob(
@@ -95,8 +100,12 @@
                 gives_up_at=now + submission.budget_s,
                 patience_s=_measure_patience_s(submission),
             )
-            self.open[submission.job_id] = job
+            self.open[job_id] = job
             self._has_open.set()
+            if shedding.is_shed(job_id, self._outlets.get_shed_share()):
+                reason = jobs.Reason.OWNER_BUSY
+                self._refuse(job, reason, RETRY_AFTER_SHED_S)
+                return job
             self._hand_on(job)
         job.waiters += 1
         return job
@@ -211,16 +220,16 @@
             if now >= job.gives_up_at:
                 self._give_up(job, jobs.Reason.DEADLINE)
             elif not job.has_been_sent and waited_s > job.patience_s:
-                self._refuse(job)
-
-    def _refuse(self, job: OpenJob) -> None:
-        answer = jobs.Answer(
-            job.submission.job_id,
-            jobs.Outcome.REFUSED,
-            jobs.Reason.NO_OWNER,
-            RETRY_AFTER_WITHOUT_OWNER_S,
-        )
-        self._finish(job, answer)
+                reason = jobs.Reason.NO_OWNER
+                self._refuse(job, reason, RETRY_AFTER_WITHOUT_OWNER_S)
+
+    def _refuse(
+        self, job: OpenJob, reason: jobs.Reason, retry_after_s: float
+    ) -> None:
+        """Answer that a job has not run; no owner has been given it."""
+        job_id = job.submission.job_id
+        outcome = jobs.Outcome.REFUSED
+        self._finish(job, jobs.Answer(job_id, outcome, reason, retry_after_s))
 
     def _give_up(self, job: OpenJob, reason: jobs.Reason) -> None:
         outcome = jobs.Outcome.GIVEN_UP
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -12,6 +12,7 @@
 from pollenladder.cluster import messages
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
+from pollenladder.cluster import shedding
 from pollenladder.core import clocks
 from pollenladder.logs import lines as logs
 
@@ -78,6 +79,7 @@
 
     Attributes:
         owner_id: The owner that is followed, which may be this one, or "".
+        lag_s: How late the event loop runs, in seconds.
     """
 
     def __init__(
@@ -99,11 +101,13 @@
         self._epoch = 0
         self._fenced_at: float | None = None
         self._highest_epoch = 0
-        self._lag_s = 0.0
+        self.lag_s = 0.0
+        self._shed_share = 0.0
         self._beat_at = float("-inf")
         self._told: tuple = ()
         self._is_greeting = False
         self._ownerless_since = clock()
+        self._owners_at: list[float] = []
         self._yields_until = clock() + BOOT_GRACE_S
         self._is_booting = True
         self._wake = event.Event()
@@ -164,8 +168,29 @@
             woken = self._wake.wait(STEP_S)
             self._wake.clear()
             if not woken:
-                late_s = max(0.0, self._clock() - before - STEP_S)
-                self._lag_s += (1 - LAG_DECAY) * (late_s - self._lag_s)
+                self.record_late(max(0.0, self._clock() - before - STEP_S))
+
+    def record_late(self, late_s: float) -> None:
+        """Note how late the event loop has just run, in seconds."""
+        self.lag_s += (1 - LAG_DECAY) * (late_s - self.lag_s)
+        before = self._shed_share
+        share = shedding.adjust_share(before, late_s) if self.is_owner else 0.0
+        self._shed_share = share
+        if bool(share) != bool(before):
+            logs.log(
+                LOGGER,
+                "shedding_changed",
+                share=round(share, 3),
+                late_s=round(late_s, 3),
+                lag_s=round(self.lag_s, 3),
+            )
+
+    def get_shed_share(self) -> float:
+        """Return the share of new jobs that the owner does not take."""
+        if self.is_owner:
+            return self._shed_share
+        peer = self._roster.peers.get(self.owner_id)
+        return peer.beat.shed_share if peer and peer.beat else 0.0
 
     def step(self) -> None:
         """Decide once."""
@@ -189,6 +214,7 @@
                 is_cut_off and self._outlets.is_cut_off_with_zone()
             ),
             may_claim_alone=self._outlets.is_owner_silent(),
+            recent_owners=self._count_recent_owners(now),
         )
         decision, owner_id = ownership.decide(situation)
         if decision is ownership.Decision.CLAIM and self._is_hearing(now):
@@ -233,7 +259,7 @@
             epoch=self._epoch,
             workers_reached=self._outlets.count_reached(),
             reads_store=self._reads_store(),
-            lag_s=self._lag_s,
+            lag_s=self.lag_s,
             is_leaving=self._outlets.is_leaving(),
             is_yielding=self._is_yielding(),
             processor_cores=self._processor_cores,
@@ -294,6 +320,7 @@
             pending=self._outlets.count_pending(),
             processor_cores=own.processor_cores,
             follows=self.owner_id,
+            shed_share=self._shed_share,
         )
 
     def _claim(self, reason: str) -> None:
@@ -324,9 +351,17 @@
             return
         logs.log(LOGGER, "owner_changed", owner=owner_id, before=self.owner_id)
         self.owner_id = owner_id
-        self._ownerless_since = self._clock()
+        now = self._clock()
+        self._ownerless_since = now
+        if owner_id:
+            self._owners_at.append(now)
         self._outlets.on_owner(owner_id)
 
+    def _count_recent_owners(self, now: float) -> int:
+        since = now - ownership.RESTLESS_S
+        self._owners_at = [at for at in self._owners_at if at > since]
+        return len(self._owners_at)
+
     def _make_epoch(self) -> int:
         """Return an epoch above all that are known here, of this daemon."""
         wall_ms = int((self._wall_clock() - EPOCH_ORIGIN_S) * 1000)
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -30,10 +30,12 @@
     Attributes:
         on_event: Called after the tables have changed.
         on_fenced: Called when the worker has another owner.
+        get_lag_s: Returns how late the event loop runs, in seconds.
     """
 
     on_event: Callable[[], None]
     on_fenced: Callable[[str], None]
+    get_lag_s: Callable[[], float]
 
 
 class Session:
@@ -52,7 +54,7 @@
         self._outlets = outlets
         self._clock = clock
         self._client = workers.WorkerClient(
-            self._worker_id, worker.listing.address, clock
+            self._worker_id, worker.listing.address, clock, outlets.get_lag_s
         )
         self._closed = False
         self._extra_wanted = False
--- a/standins/site_worker.py
+++ b/standins/site_worker.py
@@ -29,6 +29,7 @@
         late_starts: So many starts are not answered, and carried out later.
         late_s: How much later.
         is_unhealthy: Starts are turned away.
+        late_replies_s: Starts are carried out at once and answered later.
     """
 
     fails_all: bool = False
@@ -39,6 +40,7 @@
     late_starts: int = 0
     late_s: float = 2.0
     is_unhealthy: bool = False
+    late_replies_s: float = 0.0
 
 
 @dataclasses.dataclass
@@ -126,7 +128,10 @@
             "/run-stop": self._stop,
             "/hold": self._hold,
         }
-        return self._reply(start_response, *handlers[path](body))
+        reply = handlers[path](body)
+        if path == "/run-start" and self.faults.late_replies_s:
+            gevent.sleep(self.faults.late_replies_s)
+        return self._reply(start_response, *reply)
 
     def _loses_start(self, body: dict[str, Any]) -> bool:
         """Return whether a start gets no answer; it may be carried out."""
--- a/tests/cluster/samples.py
+++ b/tests/cluster/samples.py
@@ -24,6 +24,7 @@
         "pending": {},
         "processor_cores": 1.0,
         "follows": "",
+        "shed_share": 0.0,
     }
     return messages.Beat(**(plain | changes))
 
--- a/tests/cluster/test_mesh.py
+++ b/tests/cluster/test_mesh.py
@@ -93,3 +93,15 @@
         self._beat(is_owner=False)
         gevent.sleep(2 * cadence.OWNER_SILENCE_S)
         self.assertEqual(self.near.ended, [])
+
+    def test_an_owner_that_was_only_slow_is_waited_for_longer(self):
+        self._beat(is_owner=True)
+        samples.wait_until(lambda: self.near.ended, WAIT_S)
+        samples.wait_until(lambda: len(self.near.linked) == 2, WAIT_S)
+        self.near.heard.clear()
+        late = samples.build_beat(is_owner=True, lag_s=0.2)
+        self.far.mesh.broadcast(late)
+        samples.wait_until(lambda: self.near.heard, WAIT_S)
+        gevent.sleep(1.5 * cadence.OWNER_SILENCE_S)
+        self.assertEqual(self.near.ended, ["b"])
+        samples.wait_until(lambda: len(self.near.ended) == 2, WAIT_S)
--- a/tests/cluster/test_ownership.py
+++ b/tests/cluster/test_ownership.py
@@ -174,6 +174,18 @@
                 decision = _decide(own=late, heard=smaller)
                 self.assertEqual(decision[0], expected)
 
+    def test_it_stays_if_one_after_the_other_was_slow(self):
+        slow = _change(OWNER, lag_s=ownership.STUCK_LAG_S + 0.01)
+        owners = ownership.RESTLESS_OWNERS
+        cases = (
+            (owners - 1, ownership.Decision.RESIGN),
+            (owners, ownership.Decision.KEEP),
+        )
+        for recent, expected in cases:
+            with self.subTest(recent=recent):
+                decision = _decide(own=slow, recent_owners=recent)
+                self.assertEqual(decision[0], expected)
+
     def test_it_hands_over_if_it_alone_is_slow(self):
         slow = _change(OWNER, lag_s=ownership.SLOW_LAG_S + 0.01)
         self.assertEqual(_decide(own=slow)[0], ownership.Decision.RESIGN)
--- a/tests/cluster/test_roster.py
+++ b/tests/cluster/test_roster.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
+from tests.cluster import samples
 
-BEAT = messages.Beat(False, 0, 0, True, 1, 0.0, False, False, {}, 1.0, "")
+BEAT = samples.build_beat()
 
 
 def _build_member(daemon_id: str, incarnation: int = 1) -> rosters.Member:
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -88,6 +88,20 @@
         self.assertIs(self._start(), fleet.StartReply.NO_REPLY)
         self.assertEqual(len(self.worker.history), 1)
 
+    def test_a_reply_that_is_read_late_is_not_lost(self):
+        self._look()
+        self.worker.faults.late_replies_s = 1.5 * workers.ORDER_TIMEOUT_S
+        self.assertIs(self._start(), fleet.StartReply.NO_REPLY)
+        busy = workers.WorkerClient(
+            "w1",
+            self.address,
+            time.monotonic,
+            get_lag_s=lambda: workers.ORDER_TIMEOUT_S,
+        )
+        until_s = self._look().clock_s + 1.0
+        reply = busy.start("k.0.0.0", 1, SPEC, until_s, 5)
+        self.assertIs(reply, fleet.StartReply.STARTED)
+
     def test_a_stop_bars_a_start_that_comes_late(self):
         self._look()
         self.worker.faults.late_starts = 1
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -22,6 +22,7 @@
         self.gateway = gateways.Gateway(
             gateways.Outlets(
                 find_owner=lambda: "a",
+                get_shed_share=lambda: 0.0,
                 submit=lambda owner_id, submission: True,
                 cancel=lambda owner_id, job_id, reason: None,
                 on_answered=lambda queue, answer, took_s: None,
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -16,9 +16,11 @@
         self.sent: list[tuple[str, jobs.Submission]] = []
         self.cancelled: list[tuple[str, str]] = []
         self.arrives = True
+        self.shed_share = 0.0
         self.gateway = gateways.Gateway(
             gateways.Outlets(
                 find_owner=lambda: self.owner_id,
+                get_shed_share=lambda: self.shed_share,
                 submit=self._submit,
                 cancel=lambda owner, job, _: self.cancelled.append(
                     (owner, job)
@@ -42,6 +44,21 @@
         )
         self.gateway.take_answer(answer, sender)
 
+    def test_an_owner_that_falls_behind_is_spared(self):
+        self.shed_share = 1.0
+        job = self._take()
+        self.assertEqual(self.sent, [])
+        self.assertIs(job.answer.outcome, jobs.Outcome.REFUSED)
+        self.assertIs(job.answer.reason, jobs.Reason.OWNER_BUSY)
+        self.assertGreater(job.answer.retry_after_s, 0.0)
+        self.assertEqual(self.gateway.open, {})
+
+    def test_a_job_that_is_under_way_is_not_refused_then(self):
+        job = self._take()
+        self.shed_share = 1.0
+        self.assertIs(self._take(), job)
+        self.assertIsNone(job.answer)
+
     def test_a_refusal_of_an_earlier_owner_is_not_believed(self):
         job = self._take()
         self.owner_id = "b"
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -4,6 +4,7 @@
 
 from pollenladder.cluster import cadence
 from pollenladder.cluster import messages
+from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
 from pollenladder.service import leadership
 from tests.cluster import samples
@@ -214,3 +215,39 @@
         self.roster.record_linked("a", False, self.now)
         self.leading.step()
         self.assertEqual(len(self.claimed), 1)
+
+    def test_an_owner_that_runs_late_tells_what_to_refuse(self):
+        self._own()
+        for _ in range(5):
+            self.leading.record_late(0.5)
+        share = self.leading.get_shed_share()
+        self.assertGreater(share, 0.0)
+        self.assertEqual(self.leading.build_beat().shed_share, share)
+
+    def test_a_follower_refuses_what_its_owner_tells(self):
+        self.leading.record_late(5.0)
+        self.assertEqual(self.leading.get_shed_share(), 0.0)
+        self._hear("a", is_owner=True, epoch=3, shed_share=0.4)
+        self.leading.step()
+        self.assertEqual(self.leading.get_shed_share(), 0.4)
+
+    def test_the_last_of_several_late_owners_stays(self):
+        before = ""
+        for owner in ("a", "c"):
+            self._hear(owner, is_owner=True, epoch=3)
+            if before:
+                self._hear(before, is_yielding=True)
+            self.leading.step()
+            self.assertEqual(self.leading.owner_id, owner)
+            before = owner
+        self._hear(before, is_yielding=True)
+        self.leading.step()
+        self.assertTrue(self.leading.is_owner)
+        for _ in range(20):
+            self.leading.record_late(1.0)
+        self.leading.step()
+        self.assertEqual(self.resigned, 0)
+        self.now += ownership.RESTLESS_S
+        self._hear("a")
+        self.leading.step()
+        self.assertEqual(self.resigned, 1)
