--- a/tests/cluster/test_mesh.py
+++ b/tests/cluster/test_mesh.py
@@ -29,13 +29,18 @@
             self.member,
             self.roster,
             meshes.Handlers(
-                on_message=lambda sender, message: self.heard.append(message),
+                on_message=self._take_message,
                 on_change=self._note_change,
             ),
             clocks.read_monotonic_s,
         )
         self.mesh.start()
 
+    def _take_message(self, sender: str, message: object) -> None:
+        self.heard.append(message)
+        now = clocks.read_monotonic_s()
+        self.roster.record_beat(sender, message, now)
+
     def _note_change(self, daemon_id: str, is_linked: bool) -> None:
         if is_linked:
             self.linked.append(daemon_id)
@@ -94,8 +99,14 @@
         gevent.sleep(2 * cadence.OWNER_SILENCE_S)
         self.assertEqual(self.near.ended, [])
 
+    def _keep_beating(self) -> None:
+        while True:
+            self.near.mesh.broadcast(samples.build_beat())
+            gevent.sleep(cadence.FULL_BEAT_S)
+
     def test_an_owner_that_was_only_slow_is_waited_for_longer(self):
         self._beat(is_owner=True)
+        self.loops.append(gevent.spawn(self._keep_beating))
         samples.wait_until(lambda: self.near.ended, WAIT_S)
         samples.wait_until(lambda: len(self.near.linked) == 2, WAIT_S)
         self.near.heard.clear()
