Start nothing on a new owner's old list of workers

The logs show an owner that claimed at 31.31 s and started a task 50 ms later on a worker that had told the store at 27.71 s that it leaves: a daemon that owns nothing reads the workers each 11 s among 34 daemons, and each 2 s on the first sites, where the bound is 2 s as well. Ruled out: a list read and not heeded; the new owner had read none since. Change: after a claim nothing is started until the list has been read whole, for 0.3 s at the most, and not at all if the store is known to be away.

--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -23,6 +23,8 @@
 
 def place(region: tables.Region, now: float) -> None:
     """Start as many waiting tasks as there is room for."""
+    if region.is_awaiting_list(now):
+        return
     waiting = _list_with_chance(region)
     if not waiting:
         return
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -167,6 +167,9 @@
         orphan_ends: When a run without a job here ended well, by task name.
         is_list_fresh: Whether all workers have been read since this daemon
             became the owner.
+        awaits_list_until: Nothing is started before, unless all workers have
+            been read: some may have said that they leave since they were last
+            read here.
         unseen_until: Until then workers may be at work that are not listed, as
             their entries lapsed without a farewell.
         lost_gateways: When the link to a gateway ended, by its id.
@@ -196,6 +199,7 @@
     waiting: set[str] = dataclasses.field(default_factory=set)
     orphan_ends: dict[str, float] = dataclasses.field(default_factory=dict)
     is_list_fresh: bool = False
+    awaits_list_until: float = 0.0
     unseen_until: float = 0.0
     lost_gateways: dict[str, float] = dataclasses.field(default_factory=dict)
     answered: dict[str, tuple[job_entities.Answer, float]] = dataclasses.field(
@@ -206,6 +210,10 @@
     )
     effects: list[Effect] = dataclasses.field(default_factory=list)
 
+    def is_awaiting_list(self, now: float) -> bool:
+        """Return whether the workers are about to be read."""
+        return not self.is_list_fresh and now < self.awaits_list_until
+
     def add_worker(self, worker: fleet.Worker) -> None:
         """Take a worker in."""
         self.workers[worker.listing.worker_id] = worker
--- a/pollenladder/scheduling/upkeep.py
+++ b/pollenladder/scheduling/upkeep.py
@@ -60,15 +60,18 @@
     listings: Iterable[fleet.Listing],
     lapsed_at: float,
     now: float,
+    is_whole: bool = False,
 ) -> None:
-    """Take the newest list of workers, whole.
+    """Take the newest list of workers.
 
     Args:
         region: The tables.
         listings: The workers.
         lapsed_at: When an entry last lapsed without a farewell.
         now: Monotonic time in seconds.
+        is_whole: Whether all have just been read.
     """
+    region.is_list_fresh |= is_whole
     region.unseen_until = lapsed_at + LAPSED_WORKER_S
     listed = {listing.worker_id: listing for listing in listings}
     for worker_id, listing in listed.items():
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -21,6 +21,8 @@
 LOGGER = logging.getLogger(__name__)
 
 TICK_S = 0.02
+# A new owner waits so long to read which workers leave.
+LIST_PATIENCE_S = 0.3
 # An event loop that runs less late is in time.
 MIN_COUNTED_LAG_S = 0.005
 
@@ -60,8 +62,13 @@
         self._is_carrying_out = False
         self._owned = event.Event()
 
-    def claim(self, epoch: int) -> None:
-        """Become the owner, or stay it under a higher epoch."""
+    def claim(self, epoch: int, reads_store: bool) -> None:
+        """Become the owner, or stay it under a higher epoch.
+
+        Args:
+            epoch: The ownership's.
+            reads_store: Whether the list of workers can be read now.
+        """
         now = self._clock()
         if self.region is None:
             self.region = tables.Region(epoch, now, self._max_lease_s)
@@ -69,6 +76,8 @@
         else:
             self._close_all_sessions()
             self.region = renewal.renew(self.region, epoch, now)
+        if reads_store:
+            self.region.awaits_list_until = now + LIST_PATIENCE_S
         self.list_workers(self._listings, self._lapsed_at, False)
 
     def resign(self) -> None:
@@ -96,9 +105,8 @@
         if region is None:
             return
         upkeep.list_workers(
-            region, self._listings, self._lapsed_at, self._clock()
+            region, self._listings, self._lapsed_at, self._clock(), is_whole
         )
-        region.is_list_fresh |= is_whole
         self._open_sessions(region)
         self._carry_out()
 
--- a/tests/scheduling/test_fresh_owner.py
+++ b/tests/scheduling/test_fresh_owner.py
@@ -1,10 +1,12 @@
 """Jobs that come while a new owner has not yet seen its workers."""
 
+import dataclasses
 import unittest
 
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import upkeep
 from tests.scheduling import worlds
 
 
@@ -51,3 +53,37 @@
         self.world.step(0.5)
         (answer,) = self.world.take_answers()
         self.assertIs(answer.outcome, jobs.Outcome.REFUSED)
+
+
+class StaleListTest(unittest.TestCase):
+    """A new owner read the workers long ago, and one has begun to leave since."""
+
+    def setUp(self):
+        self.world = worlds.World(workers=0)
+        region = self.world.region
+        region.is_list_fresh = False
+        region.awaits_list_until = self.world.now + 0.3
+        self.world.list_workers(["w0", "w1"])
+        self.world.submit("a1")
+
+    def test_nothing_is_started_before_the_list_is_read(self):
+        self.assertEqual(self.world.take_starts(), [])
+        leaving = dataclasses.replace(
+            worlds.build_listing("w0"), is_draining=True
+        )
+        upkeep.list_workers(
+            self.world.region,
+            [leaving, worlds.build_listing("w1")],
+            float("-inf"),
+            self.world.now,
+            is_whole=True,
+        )
+        self.world.step()
+        started = {order.worker_id for order in self.world.take_starts()}
+        self.assertEqual(started, {"w1"})
+
+    def test_a_list_that_cannot_be_read_is_not_waited_for_long(self):
+        self.world.step(0.2)
+        self.assertEqual(self.world.take_starts(), [])
+        self.world.step(0.1)
+        self.assertEqual(len(self.world.take_starts()), 2)
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -30,7 +30,7 @@
         self.assertFalse(self._submit())
 
     def test_a_job_that_was_read_late_is_that_much_older(self):
-        self.engine.claim(1)
+        self.engine.claim(1, reads_store=True)
         self.lag_s = 0.25
         self.assertTrue(self._submit())
         job = self.engine.region.jobs["a1"]
