--- a/pollenladder/scheduling/admission.py
+++ b/pollenladder/scheduling/admission.py
@@ -25,11 +25,11 @@
 ALL_LEARNING_RATE = 0.03
 LARGE_LEARNING_RATE = 0.09
 # A job with so many times the usual work is a large one.
-LARGE_FACTOR = 2.0
+LARGE_FACTOR = 1.5
 # Large jobs are admitted this often at least, compared with all; see
 # `_weigh_size`.
-LARGE_SHARE = 0.75
-MAX_FAVOUR = 2.0
+LARGE_SHARE = 0.9
+MAX_FAVOUR = 3.0
 MIN_WORK = 1e-9
 
 
