Look again soon after a lost reply

An end that is told in a lost reply was told again only by the next look, up to .35 s later, and after two such looks in a row the worker got no work and its room was not counted, so jobs were refused with workers free. Ruled out: starts without a reply, which are looked after at once. Change: for 3 s after a look without a reply, looks at that worker wait 40 ms and are given up 60 ms after that; a worker is lost after three of them, .55 s for one that falls silent (.7 s before).

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -186,6 +186,7 @@
         is_synced: Whether this owner has seen its runs.
         is_reachable: Whether the last look came back.
         missed_looks: Looks without a reply, in a row.
+        missed_at: When a look last got no reply.
         born_ms: The incarnation that was last seen.
         looked_at_s: When it was last seen, by its own clock.
         cursor: The last end that has been taken note of.
@@ -202,6 +203,7 @@
     is_synced: bool = False
     is_reachable: bool = False
     missed_looks: int = 0
+    missed_at: float = float("-inf")
     born_ms: int = 0
     looked_at_s: float = 0.0
     cursor: int = 0
--- a/pollenladder/platform/workers.py
+++ b/pollenladder/platform/workers.py
@@ -16,8 +16,6 @@
 CONNECT_TIMEOUT_S = 0.15
 IDLE_LIMIT_S = 20.0
 ORDER_TIMEOUT_S = 0.12
-# How much later than its own longest wait a look may be answered.
-LOOK_SLACK_S = 0.15
 # An exchange takes some turns of the event loop, each of which may run late.
 TURNS_PER_EXCHANGE = 3
 
@@ -143,6 +141,7 @@
         cursor: int,
         wait_s: float,
         lease_until_s: float | None,
+        slack_s: float,
     ) -> fleet.Look:
         """Return what runs and what has ended, after an end or a wait.
 
@@ -151,6 +150,7 @@
             cursor: Ends up to here have been taken note of.
             wait_s: The longest wait for an end.
             lease_until_s: Renews the leases of all runs; None leaves them.
+            slack_s: How much later than after its wait it may be answered.
 
         Raises:
             FencedError: Another owner has the worker.
@@ -163,7 +163,7 @@
         if lease_until_s is not None:
             body["UntilMs"] = int(lease_until_s * 1000)
         try:
-            response = self._send(self._look, body, wait_s + LOOK_SLACK_S)
+            response = self._send(self._look, body, wait_s + slack_s)
         except http_exceptions.ExchangeError as error:
             raise LookError(str(error)) from error
         return _read_look(response)
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -12,7 +12,7 @@
 from pollenladder.scheduling import tables
 
 # Looks without a reply after which a worker gets no new work.
-MAX_MISSED_LOOKS = 2
+MAX_MISSED_LOOKS = 3
 OTHER_INCARNATION_PAUSE_S = 0.2
 
 
@@ -107,6 +107,7 @@
     if worker is None:
         return
     worker.missed_looks += 1
+    worker.missed_at = now
     if worker.is_reachable and worker.missed_looks >= MAX_MISSED_LOOKS:
         worker.is_reachable = False
         region.note(
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -10,14 +10,12 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.logs import lines as logs
 from pollenladder.platform import workers
+from pollenladder.scheduling import looks
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import tables
 
 LOGGER = logging.getLogger(__name__)
 
-# A look waits so long for an end; each look also renews the leases.
-BUSY_WAIT_S = 0.2
-IDLE_WAIT_S = 0.4
 # Pause before the next look at a worker that does not reply.
 UNREACHABLE_PAUSE_S = 0.15
 FENCED_PAUSE_S = 0.3
@@ -92,7 +90,8 @@
 
     def _run(self) -> None:
         while not self._closed:
-            pause_s = self._look(self._choose_wait_s())
+            wait_s = looks.choose_wait_s(self._worker, self._clock())
+            pause_s = self._look(wait_s)
             if pause_s:
                 gevent.sleep(pause_s)
 
@@ -102,20 +101,21 @@
             self._look(0.0)
         self._extra_running = False
 
-    def _choose_wait_s(self) -> float:
-        worker = self._worker
-        if not worker.is_synced or not worker.is_reachable:
-            return 0.0
-        return BUSY_WAIT_S if worker.runs else IDLE_WAIT_S
-
     def _look(self, wait_s: float) -> float:
-        """Look once and return how long to pause, in seconds."""
+        """Look once and return how long to pause, in seconds.
+
+        Each look also renews the leases.
+        """
         sent_at = self._clock()
         worker = self._worker
         lease_until_s = self._extend_lease() if worker.is_synced else None
         try:
             look = self._client.look(
-                self._region.epoch, worker.cursor, wait_s, lease_until_s
+                self._region.epoch,
+                worker.cursor,
+                wait_s,
+                lease_until_s,
+                looks.choose_slack_s(worker, sent_at),
             )
         except workers.FencedError:
             self._take_fenced()
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -11,6 +11,7 @@
 from standins import site_worker
 from tests.platform import served
 
+SLACK_S = 0.15
 SPEC = json.dumps({"run_ms": 40, "cpu": 27_000})
 
 
@@ -26,7 +27,7 @@
         return workers.WorkerClient(worker_id, self.address, time.monotonic)
 
     def _look(self, cursor: int = 0, wait_s: float = 0.0) -> fleet.Look:
-        return self.client.look(5, cursor, wait_s, None)
+        return self.client.look(5, cursor, wait_s, None, SLACK_S)
 
     def _start(self, number: int = 1, epoch: int = 5) -> fleet.StartReply:
         until_s = self._look().clock_s + 1.0 if epoch >= 5 else 2000.0
@@ -52,7 +53,7 @@
         reply = self.client.start("k.0.0.0", 1, SPEC, 2000.0, 4)
         self.assertIs(reply, fleet.StartReply.FENCED)
         with self.assertRaises(workers.FencedError):
-            self.client.look(4, 0, 0.0, None)
+            self.client.look(4, 0, 0.0, None, SLACK_S)
         self.assertIs(self.client.stop("j.0.0.0", 1, 4), fleet.StopReply.FENCED)
 
     def test_a_stopped_run_never_begins(self):
@@ -80,7 +81,7 @@
         reply = other.start("a.0.0.0", 1, SPEC, 2000.0, 5)
         self.assertIs(reply, fleet.StartReply.OTHER_INCARNATION)
         with self.assertRaises(workers.OtherIncarnationError):
-            other.look(5, 0, 0.0, None)
+            other.look(5, 0, 0.0, None, SLACK_S)
 
     def test_a_start_without_reply_may_have_begun(self):
         self._look()
