--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -65,7 +65,7 @@
             engines.Outlets(
                 answer=self._answer,
                 on_fenced=self._take_fenced,
-                get_lag_s=lambda: self._leadership.lag_s,
+                get_lag_s=lambda: self._leadership.lateness.lag_s,
             ),
             self._clock,
         )
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -3,18 +3,19 @@
 from collections.abc import Callable
 import dataclasses
 import logging
-import zlib
 
 import gevent
 from gevent import event
 
 from pollenladder.cluster import cadence
+from pollenladder.cluster import epochs
+from pollenladder.cluster import hearing
 from pollenladder.cluster import messages
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
-from pollenladder.cluster import shedding
 from pollenladder.core import clocks
 from pollenladder.logs import lines as logs
+from pollenladder.service import lateness
 
 LOGGER = logging.getLogger(__name__)
 
@@ -27,13 +28,6 @@
 OWNER_PATIENCE_S = 1.8
 # A fenced owner waits so long to hear of another one.
 FENCED_S = 0.3
-LAG_DECAY = 0.8
-# Epochs count milliseconds since 2020 and leave room for a daemon's number, so
-# that no two daemons make the same one.
-EPOCH_ORIGIN_S = 1_577_836_800
-EPOCH_DAEMONS = 1024
-# Above an epoch of unknown height, by so many milliseconds.
-EPOCH_LEAP_MS = 10_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -79,7 +73,7 @@
 
     Attributes:
         owner_id: The owner that is followed, which may be this one, or "".
-        lag_s: How late the event loop runs, in seconds.
+        lateness: How late the event loop runs.
     """
 
     def __init__(
@@ -92,6 +86,7 @@
         wall_clock: clocks.Clock,
     ):
         self.owner_id = ""
+        self.lateness = lateness.Lateness()
         self._own_id = own_id
         self._processor_cores = processor_cores
         self._roster = roster
@@ -101,12 +96,10 @@
         self._epoch = 0
         self._fenced_at: float | None = None
         self._highest_epoch = 0
-        self.lag_s = 0.0
-        self._shed_share = 0.0
         self._beat_at = float("-inf")
         self._told: tuple = ()
         self._is_greeting = False
-        self._ownerless_since = clock()
+        self._hearing = hearing.Hearing(roster, clock())
         self._owners_at: list[float] = []
         self._yields_until = clock() + BOOT_GRACE_S
         self._is_booting = True
@@ -153,8 +146,8 @@
         heard = self._roster.list_heard()
         hears_most = ownership.hears_most(self._roster.list_known(), heard)
         if hears_most and not ownership.is_apart(self._own_id, heard):
-            leap = EPOCH_LEAP_MS * EPOCH_DAEMONS
-            self._highest_epoch = max(self._highest_epoch, self._epoch + leap)
+            height = epochs.leap(self._epoch)
+            self._highest_epoch = max(self._highest_epoch, height)
             self._claim("fenced by an owner that is not heard")
         else:
             self._resign("fenced")
@@ -168,27 +161,13 @@
             woken = self._wake.wait(STEP_S)
             self._wake.clear()
             if not woken:
-                self.record_late(max(0.0, self._clock() - before - STEP_S))
-
-    def record_late(self, late_s: float) -> None:
-        """Note how late the event loop has just run, in seconds."""
-        self.lag_s += (1 - LAG_DECAY) * (late_s - self.lag_s)
-        before = self._shed_share
-        share = shedding.adjust_share(before, late_s) if self.is_owner else 0.0
-        self._shed_share = share
-        if bool(share) != bool(before):
-            logs.log(
-                LOGGER,
-                "shedding_changed",
-                share=round(share, 3),
-                late_s=round(late_s, 3),
-                lag_s=round(self.lag_s, 3),
-            )
+                late_s = max(0.0, self._clock() - before - STEP_S)
+                self.lateness.record(late_s, self.is_owner)
 
     def get_shed_share(self) -> float:
         """Return the share of new jobs that the owner does not take."""
         if self.is_owner:
-            return self._shed_share
+            return self.lateness.shed_share
         peer = self._roster.peers.get(self.owner_id)
         return peer.beat.shed_share if peer and peer.beat else 0.0
 
@@ -200,7 +179,8 @@
             logs.log(LOGGER, "daemon_forgotten", peer=daemon_id)
             self._outlets.on_forgotten(daemon_id)
         self._notice_lost_owner()
-        heard = self._list_heard(now)
+        has_owner = bool(self.owner_id)
+        heard = self._hearing.list_heard(has_owner, now)
         known = self._roster.list_known()
         is_cut_off = (
             not self.owner_id or self.owner_id not in heard
@@ -217,10 +197,11 @@
             recent_owners=self._count_recent_owners(now),
         )
         decision, owner_id = ownership.decide(situation)
-        if decision is ownership.Decision.CLAIM and self._is_hearing(now):
+        is_claim = decision is ownership.Decision.CLAIM
+        if is_claim and self._hearing.is_going_on(has_owner, now):
             # It comes to know who is left.
             self._follow("")
-        elif decision is ownership.Decision.CLAIM:
+        elif is_claim:
             self._claim(f"hears {len(heard)} of {len(known) - 1}")
         elif decision is ownership.Decision.RESIGN:
             self._resign("hands over", owner_id)
@@ -234,32 +215,13 @@
         if self.owner_id not in self._roster.list_heard():
             self._follow("")
 
-    def _list_heard(self, now: float) -> dict[str, ownership.View]:
-        """Return who is heard; without an owner, only who is left."""
-        if self.owner_id or self._is_hearing(now):
-            return self._roster.list_heard()
-        if not cadence.beats_seldom(len(self._roster.peers)):
-            return self._roster.list_heard()
-        return self._roster.list_heard(now - cadence.OWNER_SILENCE_S)
-
-    def _is_hearing(self, now: float) -> bool:
-        """Return whether some have not yet spoken since the owner was lost."""
-        if self.owner_id or not cadence.beats_seldom(len(self._roster.peers)):
-            return False
-        since = self._ownerless_since
-        fresh = self._roster.list_heard(since)
-        return (
-            now < since + cadence.FRESH_S
-            and fresh.keys() != self._roster.list_heard().keys()
-        )
-
     def _view_self(self) -> ownership.View:
         return ownership.View(
             is_owner=self.is_owner,
             epoch=self._epoch,
             workers_reached=self._outlets.count_reached(),
             reads_store=self._reads_store(),
-            lag_s=self.lag_s,
+            lag_s=self.lateness.lag_s,
             is_leaving=self._outlets.is_leaving(),
             is_yielding=self._is_yielding(),
             processor_cores=self._processor_cores,
@@ -320,11 +282,13 @@
             pending=self._outlets.count_pending(),
             processor_cores=own.processor_cores,
             follows=self.owner_id,
-            shed_share=self._shed_share,
+            shed_share=self.lateness.shed_share,
         )
 
     def _claim(self, reason: str) -> None:
-        self._epoch = self._make_epoch()
+        self._epoch = epochs.make_epoch(
+            self._own_id, self._wall_clock(), self._highest_epoch
+        )
         self._highest_epoch = self._epoch
         logs.log(LOGGER, "ownership_claimed", epoch=self._epoch, reason=reason)
         self._outlets.claim(self._epoch)
@@ -352,7 +316,7 @@
         logs.log(LOGGER, "owner_changed", owner=owner_id, before=self.owner_id)
         self.owner_id = owner_id
         now = self._clock()
-        self._ownerless_since = now
+        self._hearing.ownerless_since = now
         if owner_id:
             self._owners_at.append(now)
         self._outlets.on_owner(owner_id)
@@ -362,13 +326,6 @@
         self._owners_at = [at for at in self._owners_at if at > since]
         return len(self._owners_at)
 
-    def _make_epoch(self) -> int:
-        """Return an epoch above all that are known here, of this daemon."""
-        wall_ms = int((self._wall_clock() - EPOCH_ORIGIN_S) * 1000)
-        highest_ms = self._highest_epoch // EPOCH_DAEMONS + 1
-        number = zlib.crc32(self._own_id.encode()) % EPOCH_DAEMONS
-        return max(wall_ms, highest_ms, 1) * EPOCH_DAEMONS + number
-
 
 def _get_standing(beat: messages.Beat) -> tuple:
     """Return the part of a beat that others have to hear of at once."""
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -3,6 +3,7 @@
 import unittest
 
 from pollenladder.cluster import cadence
+from pollenladder.cluster import epochs
 from pollenladder.cluster import messages
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
@@ -58,6 +59,9 @@
         self.roster.record_linked(daemon_id, True, self.now)
         self.leading.take_beat(daemon_id, samples.build_beat(**changes))
 
+    def _record_late(self, late_s: float) -> None:
+        self.leading.lateness.record(late_s, self.leading.is_owner)
+
     def _own(self) -> None:
         self._hear("c")
         self.leading.step()
@@ -102,8 +106,8 @@
         self.now += leadership.FENCED_S
         self.leading.step()
         first, second = self.claimed
-        leap = leadership.EPOCH_LEAP_MS * leadership.EPOCH_DAEMONS
-        self.assertGreaterEqual(second, first + leap)
+        height = epochs.leap(first)
+        self.assertGreaterEqual(second, height)
 
     def test_whom_the_others_have_left_gives_up_when_fenced(self):
         self._own()
@@ -146,7 +150,7 @@
 
     def test_epochs_of_two_daemons_differ(self):
         self._own()
-        daemons = leadership.EPOCH_DAEMONS
+        daemons = epochs.DAEMONS
         self._hear("c", is_owner=True, epoch=self.claimed[0] + 5 * daemons)
         self.leading.step()
         self.assertGreater(self.claimed[-1], self.claimed[0] + 5 * daemons)
@@ -219,13 +223,13 @@
     def test_an_owner_that_runs_late_tells_what_to_refuse(self):
         self._own()
         for _ in range(5):
-            self.leading.record_late(0.5)
+            self._record_late(0.5)
         share = self.leading.get_shed_share()
         self.assertGreater(share, 0.0)
         self.assertEqual(self.leading.build_beat().shed_share, share)
 
     def test_a_follower_refuses_what_its_owner_tells(self):
-        self.leading.record_late(5.0)
+        self._record_late(5.0)
         self.assertEqual(self.leading.get_shed_share(), 0.0)
         self._hear("a", is_owner=True, epoch=3, shed_share=0.4)
         self.leading.step()
@@ -244,7 +248,7 @@
         self.leading.step()
         self.assertTrue(self.leading.is_owner)
         for _ in range(20):
-            self.leading.record_late(1.0)
+            self._record_late(1.0)
         self.leading.step()
         self.assertEqual(self.resigned, 0)
         self.now += ownership.RESTLESS_S
