Wait for what another owner may still renew across a cut

The new owner on the gateway's side waited for one lease only. Ruled out: a lease longer than the bound, as the run ended by its lapse; a start that was carried out late, as both began when they were sent. CutTest fails with the old wait.

--- a/pollenladder/scheduling/renewal.py
+++ b/pollenladder/scheduling/renewal.py
@@ -24,6 +24,7 @@
         epoch,
         now,
         region.max_lease_s,
+        notice_s=region.notice_s,
         unseen_until=region.unseen_until,
         lost_gateways=dict(region.lost_gateways),
         answered=dict(region.answered),
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -62,9 +62,9 @@
 
 
 def find_lapse_time(region: tables.Region, now: float) -> float:
-    """Return when no run of another owner, gone by now, can be at work."""
+    """Return when no run of another owner of a job handed on now is at work."""
     lease_s = region.max_lease_s * (1 + MAX_CLOCK_DRIFT) + LAPSE_MARGIN_S
-    return now + lease_s
+    return now + region.notice_s + lease_s
 
 
 def has_runs(region: tables.Region, job_id: str) -> bool:
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -170,6 +170,8 @@
         orphan_ends: When a run without a job here ended well, by task name.
         is_list_fresh: Whether all workers have been read since this daemon
             became the owner.
+        notice_s: How long another owner may go on renewing the leases of a job
+            that its gateway has handed on, as it does not know of that yet.
         awaits_list_until: Nothing is started before, unless all workers have
             been read: some may have said that they leave since they were last
             read here.
@@ -203,6 +205,7 @@
     waiting: set[str] = dataclasses.field(default_factory=set)
     orphan_ends: dict[str, float] = dataclasses.field(default_factory=dict)
     is_list_fresh: bool = False
+    notice_s: float = 0.0
     awaits_list_until: float = 0.0
     unseen_until: float = 0.0
     lost_gateways: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -337,7 +337,8 @@
             self._leadership.wake()
 
     def _claim(self, epoch: int) -> None:
-        self._engine.claim(epoch, self._feeds.is_store_up)
+        peers = len(self._roster.peers)
+        self._engine.claim(epoch, self._feeds.is_store_up, peers)
         self._feeds.refresh_workers()
 
     def _take_owner(self, owner_id: str) -> None:
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -8,12 +8,14 @@
 import gevent
 from gevent import event
 
+from pollenladder.cluster import cadence
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import renewal
+from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 from pollenladder.scheduling import upkeep
 from pollenladder.service import sessions
@@ -23,6 +25,8 @@
 TICK_S = 0.02
 # A new owner waits so long to read which workers leave.
 LIST_PATIENCE_S = 0.3
+# What a cut-off owner's stops and clocks may take beyond its own times.
+NOTICE_MARGIN_S = 0.2
 # An event loop that runs less late is in time.
 MIN_COUNTED_LAG_S = 0.005
 
@@ -62,16 +66,19 @@
         self._is_carrying_out = False
         self._owned = event.Event()
 
-    def claim(self, epoch: int, reads_store: bool) -> None:
+    def claim(self, epoch: int, reads_store: bool, peers: int) -> None:
         """Become the owner, or stay it under a higher epoch.
 
         Args:
             epoch: The ownership's.
             reads_store: Whether the list of workers can be read now.
+            peers: The other daemons that are known.
         """
         now = self._clock()
         if self.region is None:
-            self.region = tables.Region(epoch, now, self._max_lease_s)
+            self.region = tables.Region(
+                epoch, now, self._max_lease_s, notice_s=bound_notice_s(peers)
+            )
             self._owned.set()
         else:
             self._close_all_sessions()
@@ -233,6 +240,23 @@
             session.look_now()
 
 
+def bound_notice_s(peers: int) -> float:
+    """Return how long another owner may renew leases of a job handed on here.
+
+    Both sides of a cut begin at the same time. A gateway misses its owner after
+    the least silence and hands its jobs on. The owner misses the gateway after the
+    longest silence, waits for it to come back, and may hand over just then: whoever
+    follows it takes the runs for orphans, and waits once more.
+
+    Args:
+        peers: The other daemons that are known.
+    """
+    doublings = cadence.MAX_DOUBLINGS
+    silence_s = cadence.choose_silence_s(peers, False, doublings)
+    patience_s = upkeep.GATEWAY_GRACE_S + runs.ORPHAN_GRACE_S
+    return silence_s - cadence.OWNER_SILENCE_S + patience_s + NOTICE_MARGIN_S
+
+
 def _add_age(submission: jobs.Submission, lag_s: float) -> jobs.Submission:
     """Count the time for which a job has waited to be read here."""
     if lag_s < MIN_COUNTED_LAG_S:
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -85,6 +85,15 @@
         self.world.submit("a1", may_have_begun=True, budget_s=5.0)
         self.assertEqual(self.world.take_starts(), [])
 
+    def test_what_another_owner_may_still_renew_waits_longer(self):
+        self.world.region.notice_s = 2.0
+        self.world.list_workers(["w0", "w1", "w2", "w3"], synced=False)
+        self.world.submit("a1", may_have_begun=True, budget_s=9.0)
+        self.world.step(worlds.LEASE_S + 1.9)
+        self.assertEqual(self.world.take_starts(), [])
+        self.world.step(0.3)
+        self.assertEqual(len(self.world.take_starts()), 2)
+
     def test_a_list_from_before_the_takeover_is_not_trusted(self):
         self.world.region.is_list_fresh = False
         self.world.submit("a1", may_have_begun=True, budget_s=5.0)
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -2,6 +2,10 @@
 
 import unittest
 
+from pollenladder.cluster import cadence
+from pollenladder.scheduling import runs
+from pollenladder.scheduling import tables
+from pollenladder.scheduling import upkeep
 from pollenladder.service import engine as engines
 from tests.scheduling import worlds
 
@@ -30,9 +34,36 @@
         self.assertFalse(self._submit())
 
     def test_a_job_that_was_read_late_is_that_much_older(self):
-        self.engine.claim(1, reads_store=True)
+        self.engine.claim(1, reads_store=True, peers=5)
         self.lag_s = 0.25
         self.assertTrue(self._submit())
         job = self.engine.region.jobs["a1"]
         self.assertEqual(job.submitted_at, 99.75)
         self.assertEqual(job.gives_up_at, 100.0 + 2.0 - 0.25)
+
+
+class CutTest(unittest.TestCase):
+    """Two owners on the two sides of a cut, which begins at 0."""
+
+    def _find_last_renewal_s(self, peers: int, alarms: int) -> float:
+        """Return when the old side stops renewing a run at the latest."""
+        silence_s = cadence.choose_silence_s(peers, False, alarms)
+        missed_s = silence_s + upkeep.GATEWAY_GRACE_S + engines.TICK_S
+        return missed_s + runs.ORPHAN_GRACE_S + engines.TICK_S
+
+    def _find_first_start_s(self, peers: int) -> float:
+        """Return when the new side starts the task anew at the earliest."""
+        region = tables.Region(
+            1, 0.0, LEASE_S, notice_s=engines.bound_notice_s(peers)
+        )
+        return runs.find_lapse_time(region, cadence.OWNER_SILENCE_S)
+
+    def test_a_run_has_lapsed_before_the_task_starts_anew(self):
+        for peers in (1, 5, 33, 299):
+            for alarms in range(cadence.MAX_DOUBLINGS + 1):
+                last_s = self._find_last_renewal_s(peers, alarms)
+                lapsed_s = last_s + LEASE_S * (1 + runs.MAX_CLOCK_DRIFT)
+                with self.subTest(peers=peers, alarms=alarms):
+                    self.assertGreater(
+                        self._find_first_start_s(peers), lapsed_s
+                    )
