Let the soak change configurations, clocks and workers, and stop daemons

The soak had no change of the configuration, no clock that jumps and no worker that leaves, and forgave a daemon that was told to stop whatever it broke off. Change: faults config_change, clock_jump and worker_leaves; promises that no run begins on a worker two seconds after it has told that it leaves, that a change is in force in each process after two seconds and never reverts, and that a daemon that was told to stop breaks off none of the requests of the two seconds after that. Rounds that once failed keep their faults, as what a seed draws changes with the kinds there are. Defects heed_no_leaving, miss_configurations and drop_callers_at_stop show the new promises.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,12 +5,14 @@
 import pathlib
 import sys
 import time
+from typing import Any
 
 from pollenladder.conf import loops
 
 loops.pin_loop()
 
 from soak import defects  # noqa: E402
+from soak import faults  # noqa: E402
 from soak import rounds  # noqa: E402
 
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.json")
@@ -31,23 +33,30 @@
     return parser.parse_args(arguments)
 
 
-def list_seeds(options: argparse.Namespace) -> list[int]:
-    """Return the seeds to play."""
+def list_rounds(
+    options: argparse.Namespace,
+) -> list[tuple[int, list[faults.Fault] | None]]:
+    """Return the seeds to play, and their faults unless they are to be drawn."""
     if options.regressions:
-        return [case["seed"] for case in json.loads(REGRESSIONS.read_text())]
+        return [read_case(case) for case in json.loads(REGRESSIONS.read_text())]
     first = options.first
     if first is None:
         first = int(time.time())
-    return list(range(first, first + options.seeds))
+    return [(seed, None) for seed in range(first, first + options.seeds)]
+
+
+def read_case(case: dict[str, Any]) -> tuple[int, list[faults.Fault]]:
+    """Return the seed and the faults of a round that once failed."""
+    return case["seed"], [faults.Fault(**row) for row in case["faults"]]
 
 
 def main(arguments: list[str]) -> int:
     """Play rounds; one line each, and a last one with the verdict."""
     options = parse_arguments(arguments)
     failed = []
-    seeds = list_seeds(options)
-    for seed in seeds:
-        report = rounds.play(seed, options.out, options.defect)
+    played = list_rounds(options)
+    for seed, drawn in played:
+        report = rounds.play(seed, options.out, options.defect, drawn)
         if report.broken:
             failed.append(seed)
         kinds = [f"{f.kind}@{f.at_s}+{f.for_s}" for f in report.faults]
@@ -60,7 +69,7 @@
         print(json.dumps(row), flush=True)
         if failed and options.defect:
             break
-    verdict = {"rounds": len(seeds), "failed": failed}
+    verdict = {"rounds": len(played), "failed": failed}
     print(json.dumps(verdict))
     return 1 if failed else 0
 
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -160,6 +160,10 @@
         path = sites.PREFIX + job_id
         return self._call(name, 0, "POST", path, body, timeout_s)
 
+    def get(self, name: str, path: str, timeout_s: float) -> Reply:
+        """Ask a daemon as a caller does."""
+        return self._call(name, 0, "GET", path, b"", timeout_s)
+
     def read_log(self, name: str) -> list[dict[str, Any]]:
         """Return the lines that a daemon has written."""
         whole, _, _ = self.daemons[name].log.read_text().rpartition("\n")
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -4,11 +4,13 @@
 import dataclasses
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.platform import rows
 from pollenladder.platform import workers
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import upkeep
+from pollenladder.service import dispatcher
 from pollenladder.service import gateway
 
 
@@ -77,6 +79,32 @@
     gateway.Gateway.hand_on_again = lambda own: None
 
 
+def _heed_no_leaving() -> None:
+    """Take workers that leave for others."""
+    decode = rows.decode_worker
+
+    def read(worker_id, value):
+        return dataclasses.replace(decode(worker_id, value), is_draining=False)
+
+    rows.decode_worker = read
+
+
+def _miss_configurations() -> None:
+    """Put only the first configuration in force."""
+    take = dispatcher.Dispatcher._take_configuration
+
+    def take_first(own, found):
+        if own._routes is None:
+            take(own, found)
+
+    dispatcher.Dispatcher._take_configuration = take_first
+
+
+def _drop_callers_at_stop() -> None:
+    """End at once when told to stop."""
+    dispatcher.Dispatcher._leave = lambda own, server: None
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "forget_other_owners": _forget_other_owners,
     "retry_without_reply": _retry_without_reply,
@@ -85,4 +113,7 @@
     "lapse_too_early": _lapse_too_early,
     "complete_too_early": _complete_too_early,
     "keep_jobs_of_lost_owners": _keep_jobs_of_lost_owners,
+    "heed_no_leaving": _heed_no_leaving,
+    "miss_configurations": _miss_configurations,
+    "drop_callers_at_stop": _drop_callers_at_stop,
 }
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -11,6 +11,8 @@
 GIVEN_UP = 504
 # A daemon that was disturbed so lately may break a connection off.
 DISTURBED_S = 1.0
+# A worker that leaves gets no new work after this time.
+LEAVING_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,6 +30,47 @@
     end_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Leave:
+    """A worker that has told the store that it leaves.
+
+    Attributes:
+        worker_id: The worker.
+        begin_s: When, by the monotonic clock.
+        end_s: When it said that it stays after all.
+    """
+
+    worker_id: str
+    begin_s: float
+    end_s: float
+
+
+def find_late_starts(
+    site: sites.Site,
+    leaves: Iterable[Leave],
+    store_troubles: Iterable[Span],
+) -> list[str]:
+    """Return a line for each run begun on a worker that had long been leaving.
+
+    Args:
+        site: The workers, with the story of each run.
+        leaves: The workers that left, and when.
+        store_troubles: When the store could not tell.
+    """
+    troubles = list(store_troubles)
+    return [
+        f"task {run.task} began on {leave.worker_id}"
+        f" {run.began_s - leave.begin_s:.1f} s after it told that it leaves"
+        for leave in leaves
+        for run in site.workers[leave.worker_id].history
+        if leave.begin_s + LEAVING_S < run.began_s < leave.end_s
+        and not any(
+            t.begin_s < run.began_s and leave.begin_s < t.end_s + DISTURBED_S
+            for t in troubles
+        )
+    ]
+
+
 def find_broken(
     site: sites.Site,
     calls: Iterable[callers.Call],
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -14,6 +14,7 @@
 
 from soak import callers
 from soak import clusters
+from soak import configurations
 from soak import faults
 from soak import promises
 from soak import proxies
@@ -28,6 +29,8 @@
 # After the last fault all daemons are ready, and serve, within this time.
 RECOVERY_S = 8.0
 STOP_S = 7.0
+# A daemon that was told to end still takes new connections for so long.
+LAST_CALLERS_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,6 +56,10 @@
     def __init__(self, seed: int, defect: str, stack: contextlib.ExitStack):
         self._source = random.Random(seed)
         self._spans: list[promises.Span] = []
+        self._pauses: list[promises.Span] = []
+        self._store_spans: list[promises.Span] = []
+        self._leaves: list[promises.Leave] = []
+        self._leaving: dict[str, float] = {}
         self._links: dict[str, proxies.Proxy] = {}
         # Daemons that were told to end, until they are started again.
         self._ending: dict[str, Any] = {}
@@ -68,6 +75,7 @@
             port = self._orders[worker_id].port
             self.cluster.site.list_worker(worker_id, port=port)
         self.callers = callers.Callers(self.cluster, self._source)
+        self.configurations = configurations.Configurations(self.cluster)
 
     def _guard(self, port: int) -> proxies.Proxy:
         proxy = proxies.Proxy(port)
@@ -89,6 +97,11 @@
             "kill": faults.Kind(self._kill, self._restart),
             "stop": faults.Kind(self._stop, self._restart),
             "pause": faults.Kind(self._pause, self._resume),
+            "clock_jump": faults.Kind(self._jump_clock, self._jump_clock),
+            "config_change": faults.Kind(
+                lambda target: self.configurations.change(has_added=True),
+                lambda target: self.configurations.change(has_added=False),
+            ),
             "link_reset": faults.Kind(self._reset_link, _do_nothing),
             "link_silent": self._make_link_trouble(proxies.Mode.SILENT),
             "link_one_way": self._make_link_trouble(proxies.Mode.ONE_WAY),
@@ -104,6 +117,7 @@
                 site_store.Trouble.GARBAGE
             ),
             "history_lost": faults.Kind(self._forget_history, _do_nothing),
+            "worker_leaves": faults.Kind(self._leave, self._stay),
             "worker_restart": faults.Kind(self._restart_worker, _do_nothing),
             "starts_lost": faults.Kind(self._lose_starts, _do_nothing),
             "starts_late": faults.Kind(self._delay_starts, _do_nothing),
@@ -116,6 +130,11 @@
         """Let faults come, and return the broken promises."""
         self.cluster.wait_until_ready()
         self.callers.start(CALLERS_EACH)
+        probes = [
+            gevent.spawn(self.configurations.probe_forever, name)
+            for name in NAMES
+        ]
+        self._add_cleanup(lambda: gevent.killall(probes))
         began_s = time.monotonic()
         events = [gevent.spawn(self._carry_out, fault) for fault in drawn]
         end_s = began_s + ROUND_S
@@ -144,7 +163,25 @@
 
     def _find_broken(self) -> list[str]:
         ended = [call for call in self.callers.calls if call.ended_s]
-        return promises.find_broken(self.cluster.site, ended, self._spans)
+        site = self.cluster.site
+        broken = promises.find_broken(site, ended, self._spans)
+        broken += promises.find_late_starts(
+            site, self._leaves, self._store_spans + self._pauses
+        )
+        changes, probes = (
+            self.configurations.changes,
+            self.configurations.probes,
+        )
+        broken += configurations.find_reverted(changes, probes)
+        broken += configurations.find_late(changes, probes, self._was_disturbed)
+        return broken
+
+    def _was_disturbed(self, name: str, begin_s: float, end_s: float) -> bool:
+        own = [span for span in self._spans if span.daemon_id == name]
+        return any(
+            span.begin_s < end_s and begin_s < span.end_s + promises.DISTURBED_S
+            for span in own + self._store_spans
+        )
 
     def _carry_out(self, fault: faults.Fault) -> None:
         gevent.sleep(fault.at_s)
@@ -170,7 +207,9 @@
     def _stop(self, target: int) -> None:
         name = self._choose(target)
         # New connections are turned away once it has stopped.
-        self._disturb(name, ROUND_S)
+        end_s = time.monotonic() + ROUND_S
+        begin_s = time.monotonic() + LAST_CALLERS_S
+        self._spans.append(promises.Span(name, begin_s, end_s))
         if self._is_running(name):
             self._ending[name] = self.cluster.daemons[name].process
             self.cluster.signal(name, signal.SIGTERM)
@@ -189,6 +228,7 @@
     def _pause(self, target: int) -> None:
         name = self._choose(target)
         self._disturb(name, ROUND_S)
+        self._pauses.append(self._spans[-1])
         if self._is_running(name):
             self.cluster.signal(name, signal.SIGSTOP)
 
@@ -197,6 +237,29 @@
         if self._is_running(name):
             self.cluster.signal(name, signal.SIGCONT)
 
+    def _jump_clock(self, target: int) -> None:
+        name = self._choose(target)
+        if self._is_running(name):
+            self.cluster.signal(name, signal.SIGUSR1)
+
+    def _leave(self, target: int) -> None:
+        worker_id = f"w{target % WORKERS}"
+        if worker_id in self._leaving:
+            return
+        port = self._orders[worker_id].port
+        self.cluster.site.list_worker(worker_id, state="draining", port=port)
+        self._leaving[worker_id] = time.monotonic()
+
+    def _stay(self, target: int) -> None:
+        worker_id = f"w{target % WORKERS}"
+        begin_s = self._leaving.pop(worker_id, None)
+        if begin_s is None:
+            return
+        end_s = time.monotonic()
+        self._leaves.append(promises.Leave(worker_id, begin_s, end_s))
+        port = self._orders[worker_id].port
+        self.cluster.site.list_worker(worker_id, port=port)
+
     def _is_running(self, name: str) -> bool:
         return self.cluster.daemons[name].process.poll() is None
 
@@ -243,9 +306,17 @@
     def _make_store_trouble(self, trouble: site_store.Trouble) -> faults.Kind:
         def begin(target: int) -> None:
             self.cluster.site.store.faults.trouble = trouble
+            now = time.monotonic()
+            self._store_spans.append(promises.Span("", now, now + ROUND_S))
 
         def end(target: int) -> None:
+            # Also of another trouble that began meanwhile.
             self.cluster.site.store.faults.trouble = site_store.Trouble.NONE
+            now = time.monotonic()
+            self._store_spans = [
+                dataclasses.replace(span, end_s=min(span.end_s, now))
+                for span in self._store_spans
+            ]
 
         return faults.Kind(begin, end)
 
@@ -286,11 +357,25 @@
     """A fault that is over at once has no end."""
 
 
-def play(seed: int, folder: pathlib.Path, defect: str = "") -> Report:
-    """Play the round of a seed; keep logs only if a promise is broken."""
+def play(
+    seed: int,
+    folder: pathlib.Path,
+    defect: str = "",
+    drawn: list[faults.Fault] | None = None,
+) -> Report:
+    """Play the round of a seed; keep logs only if a promise is broken.
+
+    Args:
+        seed: What the round is drawn from.
+        folder: Where logs are kept.
+        defect: A guard that the daemons lack.
+        drawn: The faults, if they are not to be drawn: which ones a seed gives
+            changes with the kinds there are.
+    """
     with contextlib.ExitStack() as stack:
         played = Round(seed, defect, stack)
-        drawn = faults.draw(seed, sorted(played.list_kinds()))
+        if drawn is None:
+            drawn = faults.draw(seed, sorted(played.list_kinds()))
         broken = played.play(drawn)
         if broken:
             played.keep_logs(folder / f"seed-{seed}{defect and '-' + defect}")
--- a/standins/site.py
+++ b/standins/site.py
@@ -82,8 +82,10 @@
         """Close a worker's port; it stays listed."""
         self._servers[worker_id].stop(timeout=0)
 
-    def configure(self, version: int, **changes: Any) -> None:
-        """Write a configuration with one queue."""
+    def configure(
+        self, version: int, added: tuple[str, ...] = (), **changes: Any
+    ) -> None:
+        """Write a configuration with one queue, and one a further prefix."""
         route = {
             "Name": "lookups",
             "Host": QUEUE_HOST,
@@ -96,7 +98,12 @@
             "Attempts": 3,
             "Stretch": 1.6,
         }
-        config = {"Version": version, "Routes": [route | changes]}
+        routes = [route | changes]
+        routes += [
+            route | {"Name": f"added-{index}", "Prefix": prefix}
+            for index, prefix in enumerate(added)
+        ]
+        config = {"Version": version, "Routes": routes}
         self.store.put("op", "config", json.dumps(config).encode())
 
     def write_settings(
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -68,3 +68,23 @@
 
     def test_a_caller_that_left_is_owed_nothing(self):
         self.assertEqual(self._find(_build_call(0, has_left=True)), [])
+
+    def _find_late_starts(self, *troubles: promises.Span) -> list[str]:
+        leave = promises.Leave("w0", 10.0, 20.0)
+        return promises.find_late_starts(self.site, [leave], troubles)
+
+    def test_a_worker_that_leaves_gets_no_new_work(self):
+        for began_s in (9.0, 10.0 + promises.LEAVING_S, 20.5):
+            run = _build_run(f"at{began_s}.0.0.0", 1, began_s=began_s)
+            self.worker.history.append(run)
+        self.assertEqual(self._find_late_starts(), [])
+        late = _build_run("late.0.0.0", 1, began_s=12.5)
+        self.worker.history.append(late)
+        self.assertIn("late.0.0.0", self._find_late_starts()[0])
+
+    def test_unless_the_store_could_not_tell(self):
+        self.worker.history.append(_build_run("a1.0.0.0", 1, began_s=12.5))
+        trouble = promises.Span("", 9.0, 11.0)
+        self.assertEqual(self._find_late_starts(trouble), [])
+        earlier = promises.Span("", 3.0, 5.0)
+        self.assertEqual(len(self._find_late_starts(earlier)), 1)
--- a/tests/soak/test_rounds.py
+++ b/tests/soak/test_rounds.py
@@ -36,7 +36,8 @@
     def test_seeds_that_ever_failed(self):
         for case in json.loads(command.REGRESSIONS.read_text()):
             with self.subTest(seed=case["seed"], cause=case["cause"]):
-                report = rounds.play(case["seed"], self.folder)
+                seed, drawn = command.read_case(case)
+                report = rounds.play(seed, self.folder, drawn=drawn)
                 self.assertEqual(report.broken, [])
 
     def test_a_guard_that_is_missing_is_noticed(self):
