Forget what was foretold and who was suspected once it is of no use

Outlooks that are no longer fresh were kept for each size of tasks ever seen, and each admitted job was put into all of them; owners that never came back stayed in the list of suspects. Neither had a bound.

--- a/pollenladder/cluster/suspicion.py
+++ b/pollenladder/cluster/suspicion.py
@@ -24,6 +24,8 @@
 
     def record_lost(self, daemon_id: str, incarnation: int, now: float) -> None:
         """Note an owner that was taken for lost, as it was silent."""
+        since = now - RETURN_S
+        self._lost = {key: at for key, at in self._lost.items() if at > since}
         self._lost[daemon_id, incarnation] = now
 
     def record_lag(
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -69,14 +69,25 @@
     service = job.submission.service
     sizes = region.capacities.get(service, ())
     key = (service, tuple(size.count(job.resources) for size in sizes))
+    _forget_old_outlooks(region, now)
     outlook = region.outlooks.get(key)
-    fresh_s = min(MAX_FRESH_S, FRESH_S_PER_WORKER * len(region.workers))
-    if outlook is None or not 0 <= now - outlook.made_at <= fresh_s:
+    if outlook is None:
         outlook = _build_outlook(region, job, now)
         region.outlooks[key] = outlook
     return outlook
 
 
+def _forget_old_outlooks(region: tables.Region, now: float) -> None:
+    fresh_s = min(MAX_FRESH_S, FRESH_S_PER_WORKER * len(region.workers))
+    old = [
+        key
+        for key, outlook in region.outlooks.items()
+        if not 0.0 <= now - outlook.made_at <= fresh_s
+    ]
+    for key in old:
+        del region.outlooks[key]
+
+
 def _build_outlook(
     region: tables.Region, job: tables.Job, now: float
 ) -> outlooks.Outlook:
--- a/tests/bench/test_emulator.py
+++ b/tests/bench/test_emulator.py
@@ -120,6 +120,8 @@
         refused = [o for o in outcomes if o.outcome is jobs.Outcome.REFUSED]
         self.assertTrue(refused)
         self.assertLess(listed.call_count, self.MAX_LISTED_PER_S * world.now)
+        # Of each size of tasks one is kept, and only while it is fresh.
+        self.assertLessEqual(len(world.region.outlooks), 4)
 
 
 class FaultTest(unittest.TestCase):
