Let tasks that may not start yet take no room in what is foretold

The new owner has jobs that may have begun on the other side, whose tasks it holds back for up to 3.4 s; what is foretold put them on all places first, as they are the most urgent. Change: tasks that are held back take no place in what is foretold. The new test fails without the change (a job refused) and passes with it.

--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -11,6 +11,7 @@
 from pollenladder.scheduling import outlooks
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
+from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
 NEVER_S = 1e9
@@ -29,8 +30,8 @@
 ) -> float:
     """Return when the last waiting task of a job could start, from now.
 
-    All that waits is put on the places of the usable workers in the order in
-    which it is served. The job need not be among it.
+    All that waits and may start is put on the places of the usable workers in
+    the order in which it is served. The job need not be among it.
 
     Returns:
         Seconds; `NEVER_S` if there is no place.
@@ -55,11 +56,11 @@
     return (now + wait_s - job.latest_start_at) / run_s
 
 
-def record_admitted(region: tables.Region, job: tables.Job) -> None:
+def record_admitted(region: tables.Region, job: tables.Job, now: float) -> None:
     """Let a job that was just admitted count in what is foretold."""
     for (service, _), outlook in region.outlooks.items():
         if service == job.submission.service:
-            _add_job(outlook, job)
+            _add_job(region, outlook, job, now)
 
 
 def _find_outlook(
@@ -97,13 +98,25 @@
     outlook = outlooks.Outlook(now, [], [0], [], places)
     for waiting in placement.sort_waiting(region):
         if waiting.submission.service == job.submission.service:
-            _add_job(outlook, waiting)
+            _add_job(region, outlook, waiting, now)
     return outlook
 
 
-def _add_job(outlook: outlooks.Outlook, job: tables.Job) -> None:
-    urgency = placement.get_urgency(job)
-    outlook.add_job(urgency, len(job.list_waiting()), job.expected_s)
+def _add_job(
+    region: tables.Region,
+    outlook: outlooks.Outlook,
+    job: tables.Job,
+    now: float,
+) -> None:
+    """Put in the tasks of a job that may start; the others take no place yet."""
+    waiting = job.list_waiting()
+    tasks = len(waiting)
+    held_back = sum(now < task.not_before for task in waiting)
+    if held_back and not runs.sees_all(region, now):
+        tasks -= held_back
+    if tasks:
+        urgency = placement.get_urgency(job)
+        outlook.add_job(urgency, tasks, job.expected_s)
 
 
 def _has_room_now(
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -60,7 +60,6 @@
         return
     region.jobs[job_id] = job
     region.waiting.add(job_id)
-    forecast.record_admitted(region, job)
     region.note(
         "job_admitted",
         job=job_id,
@@ -73,6 +72,7 @@
     )
     if submission.may_have_begun or runs.has_runs(region, job_id):
         _adopt(region, job, now)
+    forecast.record_admitted(region, job, now)
     placement.place(region, now)
 
 
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -94,6 +94,21 @@
         self.world.step(0.3)
         self.assertEqual(len(self.world.take_starts()), 2)
 
+    def test_tasks_that_may_not_start_yet_take_no_room_from_others(self):
+        self.world.list_workers(["w0", "w1", "w2", "w3"], synced=False)
+        self.world.submit(
+            "old",
+            tasks=6,
+            estimate_s=0.9,
+            age_s=0.6,
+            may_have_begun=True,
+            budget_s=9.0,
+        )
+        self.world.submit("new", tasks=6)
+        self.assertEqual(self.world.take_answers(), [])
+        started = {order.task[:3] for order in self.world.take_starts()}
+        self.assertEqual(started, {"new"})
+
     def test_a_list_from_before_the_takeover_is_not_trusted(self):
         self.world.region.is_list_fresh = False
         self.world.submit("a1", may_have_begun=True, budget_s=5.0)
