--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -96,15 +96,15 @@
 
     def test_tasks_that_may_not_start_yet_take_no_room_from_others(self):
         self.world.list_workers(["w0", "w1", "w2", "w3"], synced=False)
-        self.world.submit(
-            "old",
-            tasks=6,
-            estimate_s=0.9,
-            age_s=0.6,
-            may_have_begun=True,
-            budget_s=9.0,
-        )
-        self.world.submit("new", tasks=6)
+        for number in range(4):
+            self.world.submit(
+                f"old{number}",
+                estimate_s=0.9,
+                age_s=0.6,
+                may_have_begun=True,
+                budget_s=9.0,
+            )
+        self.world.submit("new")
         self.assertEqual(self.world.take_answers(), [])
         started = {order.task[:3] for order in self.world.take_starts()}
         self.assertEqual(started, {"new"})
