--- a/pollenladder/cluster/epochs.py
+++ b/pollenladder/cluster/epochs.py
@@ -14,6 +14,7 @@
 DAEMON_NUMBERS = 1024
 # Margin above an epoch whose exact value is unknown.
 SKIP_AHEAD_MS = 10_000
+MAX_SKIP_DOUBLINGS = 12
 
 
 def make_epoch(own_id: str, wall_s: float, highest: int) -> int:
@@ -30,10 +31,15 @@
     return max(wall_ms, highest_ms, 1) * DAEMON_NUMBERS + number
 
 
-def skip_ahead(epoch: int) -> int:
+def skip_ahead(epoch: int, attempts: int = 0) -> int:
     """Return a lower bound above an unknown epoch that is near a known one.
 
+    Each further attempt skips twice as far, so that a daemon that restarted
+    without any earlier epoch passes a distant one within a few attempts.
+
     Args:
         epoch: The known epoch.
+        attempts: The number of earlier attempts in a row that were too low.
     """
-    return epoch + SKIP_AHEAD_MS * DAEMON_NUMBERS
+    skipped_ms = SKIP_AHEAD_MS * 2 ** min(attempts, MAX_SKIP_DOUBLINGS)
+    return epoch + skipped_ms * DAEMON_NUMBERS
--- a/pollenladder/cluster/heartbeats.py
+++ b/pollenladder/cluster/heartbeats.py
@@ -13,6 +13,10 @@
 OWNER_TIMEOUT_S = 0.45
 # Each false alarm doubles the owner timeout, up to this many times.
 MAX_TIMEOUT_DOUBLINGS = 2
+# The timeout is extended by this multiple of the event loop lag that the owner
+# reports, as its heartbeats are delayed by about the lag.
+LAG_FACTOR = 4.0
+MAX_OWNER_TIMEOUT_S = 1.8
 # Limit on the heartbeats that a daemon sends, and on those that it receives,
 # while it follows an owner.
 MAX_HEARTBEATS_PER_S = 60.0
@@ -47,7 +51,7 @@
 
 
 def choose_timeout_s(
-    peers: int, is_owner: bool, false_alarms: int = 0
+    peers: int, is_owner: bool, false_alarms: int = 0, lag_s: float = 0.0
 ) -> float:
     """Return the silence after which a peer counts as lost, in seconds.
 
@@ -57,10 +61,10 @@
         false_alarms: The number of owners that were recently declared lost but
             were only slow; each one doubles the timeout, up to
             `MAX_TIMEOUT_DOUBLINGS`.
+        lag_s: The event loop lag that the owner has reported.
     """
-    owner_timeout_s = OWNER_TIMEOUT_S * 2 ** min(
-        false_alarms, MAX_TIMEOUT_DOUBLINGS
-    )
+    doubled_s = OWNER_TIMEOUT_S * 2 ** min(false_alarms, MAX_TIMEOUT_DOUBLINGS)
+    owner_timeout_s = min(MAX_OWNER_TIMEOUT_S, doubled_s + LAG_FACTOR * lag_s)
     if is_owner:
         return owner_timeout_s
     return max(
--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -185,13 +185,16 @@
                 lag_s=round(heartbeat.lag_s, 3),
                 alarms=self._suspicions.count_false_alarms(now),
             )
-        self._update_link_timeout(link, heartbeat.is_owner)
+        lag_s = heartbeat.lag_s if heartbeat.is_owner else 0.0
+        self._update_link_timeout(link, heartbeat.is_owner, lag_s)
 
-    def _update_link_timeout(self, link: links.Link, is_owner: bool) -> None:
+    def _update_link_timeout(
+        self, link: links.Link, is_owner: bool, lag_s: float = 0.0
+    ) -> None:
         peers = len(self._roster.peers)
         false_alarms = self._suspicions.count_false_alarms(self._clock())
         link.set_peer_timeout(
-            heartbeats.choose_timeout_s(peers, is_owner, false_alarms)
+            heartbeats.choose_timeout_s(peers, is_owner, false_alarms, lag_s)
         )
 
     def _handle_close(
--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -32,6 +32,9 @@
             itself, or "" if there is none.
         shed_share: As the owner, the share of new jobs that gateways refuse,
             0 to 1.
+        is_settled: As the owner, whether it has been for
+            `ownership.SETTLING_S`.
+        successor: The daemon to which the sender has just handed over, or "".
     """
 
     is_owner: bool
@@ -46,6 +49,8 @@
     processor_cores: float
     follows: str
     shed_share: float
+    is_settled: bool
+    successor: str
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pollenladder/cluster/ownership.py
+++ b/pollenladder/cluster/ownership.py
@@ -9,7 +9,8 @@
   the store, event loop lag and machine size, but a better rank alone does not
   replace an owner.
 - If no owner is reachable, the daemon of best rank that reaches at least half
-  of the daemons claims the workers.
+  of the daemons claims the workers. An owner that hands over names its
+  successor, and no other daemon claims while that one is about to.
 - If only this daemon has lost the connection to the owner, it waits, because
   the other daemons still follow that owner.
 - A daemon that is isolated together with its data centre, and so reaches
@@ -19,7 +20,10 @@
   and an owner whose event loop lags hands over to a larger machine.
 - An owner also hands over when it shuts down, or when it cannot read the store
   and another daemon can.
-- Of two owners that reach each other, the one that reaches more workers stays.
+- Of two owners that reach each other, the one with the higher epoch stays, so
+  that each claim ends at most one ownership and causes no other claim. The
+  number of workers that an owner reaches changes with every poll, so it counts
+  only if both have been owners for a while, as after a network partition.
 """
 
 from collections.abc import Mapping
@@ -44,6 +48,11 @@
 RECENT_OWNERS_WINDOW_S = 10.0
 # A daemon that has resigned does not claim ownership again for this long.
 CLAIM_BACKOFF_S = 2.0
+# An owner is settled after this time. By then it has polled its workers, and
+# all other daemons have received its heartbeats.
+SETTLING_S = 1.0
+# Other daemons leave the claim to a named successor for this long.
+SUCCESSOR_WAIT_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +70,7 @@
             recently resigned or started.
         processor_cores: The processor capacity of the daemon, in cores.
         follows: The owner that the daemon follows, or "".
+        is_settled: As the owner, whether it has been for `SETTLING_S`.
     """
 
     is_owner: bool = False
@@ -72,6 +82,7 @@
     is_backing_off: bool = False
     processor_cores: float = 1.0
     follows: str = ""
+    is_settled: bool = False
 
 
 class Decision(enum.Enum):
@@ -106,6 +117,10 @@
         may_claim_alone: Whether the store shows that there is no live owner,
             so that this daemon may claim without reaching half of the daemons.
         recent_owners: The number of owners within `RECENT_OWNERS_WINDOW_S`.
+        announced: The state of this daemon in its latest heartbeat, by which
+            the other daemons rank it; None before the first one.
+        successor: The daemon to which the last owner has just handed over, or
+            "". It may not be reachable from here yet.
     """
 
     own_id: str
@@ -115,6 +130,8 @@
     is_data_centre_isolated: bool
     may_claim_alone: bool
     recent_owners: int = 0
+    announced: DaemonView | None = None
+    successor: str = ""
 
 
 def decide(situation: Situation) -> tuple[Decision, str]:
@@ -139,10 +156,17 @@
 def find_owner(reachable: Mapping[str, DaemonView]) -> str:
     """Return the id of the reachable owner that prevails, or "".
 
-    This is the owner that reaches the most workers.
+    This is the owner with the highest epoch, or, if all have settled, the one
+    that reaches the most workers.
     """
-    owners = [name for name, view in reachable.items() if view.is_owner]
-    return max(owners, key=lambda n: _get_strength(n, reachable[n]), default="")
+    owners = {name: view for name, view in reachable.items() if view.is_owner}
+    have_settled = all(view.is_settled for view in owners.values())
+
+    def get_strength(name: str) -> tuple[int, int, str]:
+        view = owners[name]
+        return (view.workers_reached * have_settled, view.epoch, name)
+
+    return max(owners, key=get_strength, default="")
 
 
 def reaches_half(
@@ -171,47 +195,41 @@
     return followers_of_lost > 0 and 2 * followers_of_lost >= len(reachable)
 
 
-def _get_strength(name: str, view: DaemonView) -> tuple[int, int, str]:
-    """Return the sort key for choosing between two owners; the largest wins."""
-    return (view.workers_reached, view.epoch, name)
-
-
 def _decide_as_owner(situation: Situation, rival: str) -> tuple[Decision, str]:
     own = situation.own
     if rival:
         other = situation.reachable[rival]
-        stronger = _get_strength(rival, other) > _get_strength(
-            situation.own_id, own
-        )
-        if stronger:
+        winner = find_owner({situation.own_id: own, rival: other})
+        if winner == rival:
             return Decision.RESIGN, rival
         if other.epoch > own.epoch:
             # Workers that have seen the rival's epoch reject lower ones, so
             # claim again with a higher epoch.
             return Decision.CLAIM, situation.own_id
-    if _should_hand_over(situation):
+    if find_handover_reason(situation):
         return Decision.RESIGN, ""
     return Decision.KEEP, situation.own_id
 
 
-def _should_hand_over(situation: Situation) -> bool:
-    """Return whether another daemon is clearly a better owner."""
+def find_handover_reason(situation: Situation) -> str:
+    """Return why another daemon is clearly a better owner, or ""."""
     own = situation.own
     others = [v for v in situation.reachable.values() if not v.is_leaving]
     if own.is_leaving:
-        return bool(others)
+        return "leaving" if others else ""
     if not own.reads_store and any(v.reads_store for v in others):
-        return True
+        return "lacks the store"
     if situation.recent_owners >= MAX_RECENT_OWNERS:
         # The other machines seem to be as slow. They lag less only because
         # they do not have the load of the owner.
-        return False
-    return any(
+        return ""
+    is_slow = any(
         v.lag_s < LOW_LAG_S
         and v.reads_store >= own.reads_store
         and own.lag_s > _get_max_lag_s(own, v)
         for v in others
     )
+    return f"slow, lag {own.lag_s:.3f} s" if is_slow else ""
 
 
 def _get_max_lag_s(own: DaemonView, other: DaemonView) -> float:
@@ -238,14 +256,35 @@
 
 
 def _is_best(situation: Situation) -> bool:
-    """Return whether this daemon ranks better than all reachable ones."""
-    own = _get_rank(situation.own_id, situation.own)
+    """Return whether this daemon is to be the next owner.
+
+    This is the successor that the last owner has named, or else the daemon that
+    ranks better than all reachable ones.
+    """
+    if situation.successor:
+        return situation.successor == situation.own_id
+    own_view = situation.announced or situation.own
+    own = _get_rank(situation.own_id, own_view)
     return all(
         own < _get_rank(name, view)
         for name, view in situation.reachable.items()
     )
 
 
+def choose_successor(reachable: Mapping[str, DaemonView]) -> str:
+    """Return the daemon to which an owner hands over, or "" if none can claim.
+
+    Args:
+        reachable: The states of the reachable daemons, by id.
+    """
+    able = [
+        name
+        for name, view in reachable.items()
+        if not (view.is_owner or view.is_leaving or view.is_backing_off)
+    ]
+    return min(able, key=lambda n: _get_rank(n, reachable[n]), default="")
+
+
 def _get_rank(
     name: str, view: DaemonView
 ) -> tuple[bool, bool, bool, bool, float, str]:
--- a/pollenladder/cluster/roster.py
+++ b/pollenladder/cluster/roster.py
@@ -127,7 +127,7 @@
             since: Peers without a heartbeat since this time are left out.
         """
         return {
-            daemon_id: _build_view(peer.heartbeat)
+            daemon_id: build_view(peer.heartbeat)
             for daemon_id, peer in self.peers.items()
             if peer.heartbeat is not None and peer.last_heartbeat_at >= since
         }
@@ -137,7 +137,8 @@
         return frozenset(self.peers) | {self._own_id}
 
 
-def _build_view(heartbeat: messages.Heartbeat) -> ownership.DaemonView:
+def build_view(heartbeat: messages.Heartbeat) -> ownership.DaemonView:
+    """Return the state of a daemon from its heartbeat."""
     return ownership.DaemonView(
         is_owner=heartbeat.is_owner,
         epoch=heartbeat.epoch,
@@ -148,4 +149,5 @@
         is_backing_off=heartbeat.is_backing_off,
         processor_cores=heartbeat.processor_cores,
         follows=heartbeat.follows,
+        is_settled=heartbeat.is_settled,
     )
--- a/pollenladder/fleet/health.py
+++ b/pollenladder/fleet/health.py
@@ -12,6 +12,8 @@
 # Quarantine after the first failure.
 FIRST_QUARANTINE_S = 0.4
 MAX_QUARANTINE_S = 4.0
+# Enough to reach `MAX_QUARANTINE_S` from any first quarantine.
+MAX_QUARANTINE_DOUBLINGS = 10
 # Quarantine after the first stall.
 STALL_QUARANTINE_S = 1.5
 # A job that failed on at least this many workers within `JOB_FAILURE_WINDOW_S`
@@ -60,11 +62,10 @@
         job_id: The job that the run belongs to.
         now: Monotonic time in seconds.
     """
-    worker_health.failures += 1
+    _delete_old_failures(worker_health, now)
+    worker_health.failed_jobs.pop(job_id, None)
     worker_health.failed_jobs[job_id] = now
-    worker_health.on_probation = True
-    quarantine_s = FIRST_QUARANTINE_S * 2 ** (worker_health.failures - 1)
-    worker_health.quarantined_until = now + min(quarantine_s, MAX_QUARANTINE_S)
+    _quarantine(worker_health, FIRST_QUARANTINE_S, now)
 
 
 def record_stall(
@@ -82,10 +83,26 @@
     worker_health.slowness = max(
         worker_health.slowness, min(slowness, MAX_SLOWNESS)
     )
+    _quarantine(worker_health, STALL_QUARANTINE_S, now)
+
+
+def _quarantine(
+    worker_health: entities.Health, first_s: float, now: float
+) -> None:
+    """Quarantine a worker, for `first_s` after its first failure in a row."""
+    doublings = min(worker_health.failures, MAX_QUARANTINE_DOUBLINGS)
     worker_health.failures += 1
     worker_health.on_probation = True
-    quarantine_s = STALL_QUARANTINE_S * 2 ** (worker_health.failures - 1)
-    worker_health.quarantined_until = now + min(quarantine_s, MAX_QUARANTINE_S)
+    quarantine_s = min(first_s * 2**doublings, MAX_QUARANTINE_S)
+    worker_health.quarantined_until = now + quarantine_s
+
+
+def _delete_old_failures(worker_health: entities.Health, now: float) -> None:
+    # Entries are stored in order of insertion, the oldest first.
+    for job_id, at in list(worker_health.failed_jobs.items()):
+        if at > now - JOB_FAILURE_WINDOW_S:
+            break
+        del worker_health.failed_jobs[job_id]
 
 
 def discount_job_failure(worker_health: entities.Health, job_id: str) -> None:
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -176,7 +176,7 @@
         "ownership_resigned",
         Kind.OWNERSHIP,
         "the daemon is no longer the owner",
-        ("epoch", "reason", "owner"),
+        ("epoch", "reason", "owner", "successor"),
     ),
     Event(
         "owner_suspected_falsely",
--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -154,6 +154,13 @@
     has_more: bool = False
 
 
+class Ownership(msgspec.Struct, frozen=True):
+    """The value of the owner's row, which only daemons write and read."""
+
+    daemon_id: str
+    epoch: int
+
+
 class Written(_Wire, frozen=True):
     """The response to a transaction."""
 
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -23,6 +23,7 @@
 
 _CONFIG_DECODER = msgspec.json.Decoder(messages.Config)
 _WORKER_DECODER = msgspec.json.Decoder(messages.ServerEntry)
+_OWNERSHIP_DECODER = msgspec.json.Decoder(messages.Ownership)
 _MEMBER_DECODER = msgspec.json.Decoder(roster.Member)
 
 
@@ -100,3 +101,20 @@
         return _MEMBER_DECODER.decode(source)
     except msgspec.MsgspecError as error:
         raise exceptions.BadDocumentError(str(error)) from error
+
+
+def encode_ownership(daemon_id: str, epoch: int) -> bytes:
+    """Return the value of the owner's row."""
+    return msgspec.json.encode(messages.Ownership(daemon_id, epoch))
+
+
+def decode_ownership(source: bytes) -> int:
+    """Return the epoch in the owner's row.
+
+    Raises:
+        exceptions.BadDocumentError: The value does not describe an ownership.
+    """
+    try:
+        return _OWNERSHIP_DECODER.decode(source).epoch
+    except msgspec.MsgspecError as error:
+        raise exceptions.BadDocumentError(str(error)) from error
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -101,6 +101,8 @@
                 on_member=self._handle_member,
                 is_owner=lambda: self._leadership.is_owner,
                 get_owner=lambda: self._leadership.owner_id,
+                get_epoch=lambda: self._leadership.epoch,
+                on_epoch=lambda epoch: self._leadership.record_epoch(epoch),
             ),
             self._clock,
         )
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -50,6 +50,8 @@
         on_member: Called with each other daemon that was found.
         is_owner: Returns whether this daemon owns the workers.
         get_owner: Returns the id of the owner that this daemon follows, or "".
+        get_epoch: Returns the epoch of this daemon's ownership.
+        on_epoch: Called with the epoch in the owner's row.
     """
 
     on_configuration: Callable[[jobs.Configuration], None]
@@ -57,6 +59,8 @@
     on_member: Callable[[rosters.Member], None]
     is_owner: Callable[[], bool]
     get_owner: Callable[[], str]
+    get_epoch: Callable[[], int]
+    on_epoch: Callable[[int], None]
 
 
 class Feeds:
@@ -145,13 +149,25 @@
             self._store.put(
                 rows.OWNERSHIP_TABLE,
                 rows.OWNERSHIP_KEY,
-                self._own.daemon_id.encode(),
+                rows.encode_ownership(
+                    self._own.daemon_id, self._callbacks.get_epoch()
+                ),
             )
         if self._callbacks.get_owner():
             self._owner_row_since = float("inf")
             return
         found = self._store.read_table(rows.OWNERSHIP_TABLE).rows
         self.record_owner_row(found[0].version if found else 0)
+        for row in found:
+            self._handle_owner_row(row)
+
+    def _handle_owner_row(self, row: stores.Row) -> None:
+        try:
+            epoch = rows.decode_ownership(row.value)
+        except exceptions.BadDocumentError as error:
+            self._log_rejected_row(row, error)
+            return
+        self._callbacks.on_epoch(epoch)
 
     def record_owner_row(self, version: int) -> None:
         """Record the version of the owner's row that was just read."""
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -23,11 +23,11 @@
 STEP_S = 0.1
 # A daemon that has just started first waits for heartbeats from an owner.
 BOOT_GRACE_S = 0.8
-# A store that has failed for less than this still counts as reachable. An owner
-# waits longer: during an outage for all daemons, it then knows that its peers
-# have lost the store too.
+# A store that has failed for less than this still counts as reachable.
 STORE_GRACE_S = 1.0
-OWNER_STORE_GRACE_S = 1.8
+# An owner hands over once it alone has lacked the store for this long. At the
+# begin and the end of an outage for all daemons, they notice it within less.
+ALONE_WITHOUT_STORE_S = 0.8
 # A fenced owner waits this long for a heartbeat from the new owner.
 FENCED_WAIT_S = 0.3
 
@@ -100,7 +100,14 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._epoch = 0
+        self._claimed_at = float("-inf")
         self._fenced_at: float | None = None
+        self._fenced_claims = 0
+        self._alone_without_store_since: float | None = None
+        self._successor = ""
+        self._successor_until = float("-inf")
+        self._unannounced_successor = ""
+        self._announced: ownership.DaemonView | None = None
         self._highest_epoch = 0
         self._last_sent_at = float("-inf")
         self._last_urgent_fields: tuple = ()
@@ -116,6 +123,11 @@
         """Whether this daemon is the owner."""
         return self._epoch > 0
 
+    @property
+    def epoch(self) -> int:
+        """The epoch of this daemon's ownership, 0 if it is not the owner."""
+        return self._epoch
+
     def wake(self) -> None:
         """Make the next decision now."""
         self._wake.set()
@@ -126,6 +138,8 @@
         """Record the heartbeat of another daemon."""
         self._roster.record_heartbeat(daemon_id, heartbeat, self._clock())
         self._highest_epoch = max(self._highest_epoch, heartbeat.epoch)
+        if heartbeat.successor:
+            self._record_successor(heartbeat.successor)
         if heartbeat.is_owner != (daemon_id == self.owner_id):
             self.wake()
 
@@ -154,7 +168,8 @@
         now = self._clock()
         if self._fenced_at is None or now < self._fenced_at + FENCED_WAIT_S:
             return
-        self._fenced_at = None
+        if self._is_settled(now):
+            self._fenced_claims = 0
         reachable = self._roster.list_reachable()
         reaches_half = ownership.reaches_half(
             self._roster.list_known(), reachable
@@ -162,12 +177,20 @@
         if reaches_half and not ownership.is_cut_off_from_owner(
             self._own_id, reachable
         ):
-            epoch_floor = epochs.skip_ahead(self._epoch)
+            epoch_floor = epochs.skip_ahead(self._epoch, self._fenced_claims)
+            self._fenced_claims += 1
             self._highest_epoch = max(self._highest_epoch, epoch_floor)
             self._claim("fenced by an unreachable owner")
         else:
             self._resign("fenced")
 
+    def record_epoch(self, epoch: int) -> None:
+        """Record an epoch that an owner has used, so that claims exceed it."""
+        self._highest_epoch = max(self._highest_epoch, epoch)
+
+    def _is_settled(self, now: float) -> bool:
+        return self.is_owner and now >= self._claimed_at + ownership.SETTLING_S
+
     def run(self) -> None:
         """Make decisions and send heartbeats, forever."""
         while True:
@@ -211,19 +234,45 @@
             ),
             may_claim_alone=self._callbacks.is_owner_row_stale(),
             recent_owners=self._count_recent_owners(now),
+            announced=self._announced,
+            successor=self._successor if now < self._successor_until else "",
         )
+        situation = self._limit_store_handover(situation, now)
         decision, owner_id = ownership.decide(situation)
         is_claim = decision is ownership.Decision.CLAIM
-        if is_claim and self._liveness.is_awaiting_heartbeats(has_owner, now):
+        is_successor = situation.successor == self._own_id
+        is_awaiting = self._liveness.is_awaiting_heartbeats(has_owner, now)
+        if is_claim and is_awaiting and not is_successor:
             # Wait for the heartbeats that show which peers are alive.
             self._follow("")
         elif is_claim:
             self._claim(f"reaches {len(reachable)} of {len(known) - 1}")
         elif decision is ownership.Decision.RESIGN:
-            self._resign("handing over", owner_id)
+            reason = ownership.find_handover_reason(situation)
+            self._resign(reason or "another owner prevails", owner_id)
         else:
             self._follow(owner_id)
 
+    def _limit_store_handover(
+        self, situation: ownership.Situation, now: float
+    ) -> ownership.Situation:
+        """Let an owner lack the store for `ALONE_WITHOUT_STORE_S`.
+
+        The daemons notice the begin and the end of an outage one after another.
+        """
+        is_alone = not situation.own.reads_store and any(
+            view.reads_store for view in situation.reachable.values()
+        )
+        if not is_alone:
+            self._alone_without_store_since = None
+            return situation
+        if self._alone_without_store_since is None:
+            self._alone_without_store_since = now
+        if now >= self._alone_without_store_since + ALONE_WITHOUT_STORE_S:
+            return situation
+        own = dataclasses.replace(situation.own, reads_store=True)
+        return dataclasses.replace(situation, own=own)
+
     def _unfollow_lost_owner(self) -> None:
         """Stop following an owner that is no longer reachable."""
         if self.owner_id in ("", self._own_id):
@@ -236,23 +285,14 @@
             is_owner=self.is_owner,
             epoch=self._epoch,
             workers_reached=self._callbacks.count_reachable_workers(),
-            reads_store=self._reads_store(),
+            reads_store=self._callbacks.reads_store(STORE_GRACE_S),
             lag_s=self.loop_lag.lag_s,
             is_leaving=self._callbacks.is_leaving(),
             is_backing_off=self._is_backing_off(),
             processor_cores=self._processor_cores,
+            is_settled=self._is_settled(self._clock()),
         )
 
-    def _reads_store(self) -> bool:
-        """Return whether the store counts as reachable from this daemon.
-
-        An owner waits longer than its peers before it counts the store as lost.
-        So during an outage for all daemons, their heartbeats already report it
-        and the owner does not hand over to one of them.
-        """
-        grace_s = OWNER_STORE_GRACE_S if self.is_owner else STORE_GRACE_S
-        return self._callbacks.reads_store(grace_s)
-
     def _is_backing_off(self) -> bool:
         """Return whether this daemon claims no ownership for now."""
         if self._clock() >= self._backs_off_until:
@@ -279,6 +319,8 @@
             self._is_heartbeat_requested = False
             self._last_sent_at = now
             self._last_urgent_fields = _get_urgent_fields(heartbeat)
+            self._announced = rosters.build_view(heartbeat)
+            self._unannounced_successor = ""
             self._callbacks.broadcast(heartbeat)
 
     def request_heartbeat(self) -> None:
@@ -304,6 +346,8 @@
             processor_cores=own.processor_cores,
             follows=self.owner_id,
             shed_share=self.loop_lag.shed_share,
+            is_settled=own.is_settled,
+            successor=self._unannounced_successor,
         )
 
     def _claim(self, reason: str) -> None:
@@ -311,17 +355,24 @@
             self._own_id, self._wall_clock(), self._highest_epoch
         )
         self._highest_epoch = self._epoch
+        self._claimed_at = self._clock()
+        self._fenced_at = None
         logs.log(LOGGER, "ownership_claimed", epoch=self._epoch, reason=reason)
         self._callbacks.claim(self._epoch)
         self._follow(self._own_id)
 
     def _resign(self, reason: str, owner_id: str = "") -> None:
+        reachable = self._roster.list_reachable()
+        successor = owner_id or ownership.choose_successor(reachable)
+        self._record_successor(successor)
+        self._unannounced_successor = successor
         logs.log(
             LOGGER,
             "ownership_resigned",
             epoch=self._epoch,
             reason=reason,
             owner=owner_id,
+            successor=successor,
         )
         self._epoch = 0
         self._fenced_at = None
@@ -331,6 +382,10 @@
         self._follow(owner_id)
         self.send_heartbeat_if_needed()
 
+    def _record_successor(self, daemon_id: str) -> None:
+        self._successor = daemon_id
+        self._successor_until = self._clock() + ownership.SUCCESSOR_WAIT_S
+
     def _follow(self, owner_id: str) -> None:
         if owner_id == self.owner_id:
             return
--- a/pollenladder/wire/links.py
+++ b/pollenladder/wire/links.py
@@ -287,7 +287,7 @@
     def _read_frames(self) -> None:
         frames = framing.FrameBuffer(self._limits.max_frame_bytes)
         while not self.closed:
-            data = self._sock.recv(RECEIVE_BYTES)
+            data = self._receive()
             if not data:
                 frames.finish()
                 self.close(CloseReason.PEER_CLOSED)
@@ -299,6 +299,30 @@
                 # The next recv may not block either: let other greenlets run.
                 gevent.sleep(0)
 
+    def _receive(self) -> bytes:
+        """Return the next bytes, or b"" at the end of the connection.
+
+        Raises:
+            TimeoutError: Nothing has arrived for `Limits.peer_timeout_s`.
+        """
+        try:
+            return self._sock.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            # A process that was delayed or suspended may notice the timeout
+            # before the bytes that arrived in time.
+            return self._receive_pending()
+
+    def _receive_pending(self) -> bytes:
+        timeout_s = self._sock.gettimeout()
+        self._sock.settimeout(0.0)
+        try:
+            return self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError as error:
+            raise TimeoutError("nothing received") from error
+        finally:
+            if not self.closed:
+                self._sock.settimeout(timeout_s)
+
     def _handle_frame(self, body: bytes) -> None:
         """Decode all messages of a frame, then deliver them.
 
--- a/tests/cluster/samples.py
+++ b/tests/cluster/samples.py
@@ -29,6 +29,8 @@
         "processor_cores": 1.0,
         "follows": "",
         "shed_share": 0.0,
+        "is_settled": False,
+        "successor": "",
     }
     return messages.Heartbeat(**(plain | changes))
 
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -16,6 +16,8 @@
             on_workers=lambda *arguments: None,
             on_member=lambda member: None,
             is_owner=lambda: False,
+            get_epoch=lambda: 0,
+            on_epoch=lambda epoch: None,
             get_owner=lambda: "",
         )
         own = rosters.Member("d", "10.0.0.1", 1, "norte", 1)
