--- a/pollenladder/cluster/liveness.py
+++ b/pollenladder/cluster/liveness.py
@@ -12,15 +12,16 @@
 
 
 class Liveness:
-    """The daemons that are reachable from this one.
+    """The daemons of one group that are reachable from this one.
 
     Attributes:
         owner_changed_at: When this daemon last began to follow another owner,
             or none.
     """
 
-    def __init__(self, roster: rosters.Roster, now: float):
+    def __init__(self, group: str, roster: rosters.Roster, now: float):
         self.owner_changed_at = now
+        self._group = group
         self._roster = roster
 
     def list_reachable(
@@ -36,10 +37,12 @@
             now: The current time.
         """
         if has_owner or self.is_awaiting_heartbeats(has_owner, now):
-            return self._roster.list_reachable()
+            return self._roster.list_reachable(self._group)
         if not heartbeats.is_peer_timeout_longer(len(self._roster.peers)):
-            return self._roster.list_reachable()
-        return self._roster.list_reachable(now - heartbeats.OWNER_TIMEOUT_S)
+            return self._roster.list_reachable(self._group)
+        return self._roster.list_reachable(
+            self._group, now - heartbeats.OWNER_TIMEOUT_S
+        )
 
     def is_awaiting_heartbeats(self, has_owner: bool, now: float) -> bool:
         """Return whether to wait for peers to send a heartbeat.
@@ -52,10 +55,10 @@
         ):
             return False
         received_since_change = self._roster.list_reachable(
-            self.owner_changed_at
+            self._group, self.owner_changed_at
         )
         return (
             now < self.owner_changed_at + heartbeats.OWNER_LOSS_WAIT_S
             and received_since_change.keys()
-            != self._roster.list_reachable().keys()
+            != self._roster.list_reachable(self._group).keys()
         )
--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -185,8 +185,9 @@
                 lag_s=round(heartbeat.lag_s, 3),
                 alarms=self._suspicions.count_false_alarms(now),
             )
-        lag_s = heartbeat.lag_s if heartbeat.is_owner else 0.0
-        self._update_link_timeout(link, heartbeat.is_owner, lag_s)
+        is_owner = heartbeat.count_owned() > 0
+        lag_s = heartbeat.lag_s if is_owner else 0.0
+        self._update_link_timeout(link, is_owner, lag_s)
 
     def _update_link_timeout(
         self, link: links.Link, is_owner: bool, lag_s: float = 0.0
@@ -206,7 +207,9 @@
         del self._links[daemon_id]
         now = self._clock()
         peer = self._roster.peers.get(daemon_id)
-        was_owner = bool(peer and peer.heartbeat and peer.heartbeat.is_owner)
+        was_owner = bool(
+            peer and peer.heartbeat and peer.heartbeat.count_owned()
+        )
         if was_owner and reason is links.CloseReason.SILENT:
             incarnation = link.peer.incarnation
             self._suspicions.record_timeout(daemon_id, incarnation, now)
--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -5,58 +5,82 @@
 
 import dataclasses
 
+from pollenladder.cluster import groups
+from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.wire import codec
 
 
 @dataclasses.dataclass(frozen=True)
-class Heartbeat:
-    """A heartbeat with the sender's state.
+class GroupState:
+    """What a daemon tells about the ownership of one group of workers.
 
     Attributes:
-        is_owner: Whether the sender owns the workers.
+        group: The group's name.
+        is_owner: Whether the sender owns the workers of the group.
         epoch: The epoch of the sender's ownership. If the sender is not the
             owner, this is the highest epoch that it has seen, or 0.
         workers_reached: The number of workers that the sender reaches as the
             owner.
-        reads_store: Whether the platform's store has answered the sender
-            recently.
-        config_version: The version of the sender's configuration.
-        lag_s: The mean lag of the sender's event loop.
-        is_leaving: Whether the sender is shutting down.
+        is_settled: As the owner, whether it has been for
+            `ownership.SETTLING_S`.
         is_backing_off: Whether the sender has resigned recently and claims no
             ownership for `ownership.CLAIM_BACKOFF_S`.
-        pending: As the owner, the number of jobs not begun, by queue.
-        processor_cores: The processor capacity of the sender, in cores.
         follows: The owner that the sender follows, which may be the sender
             itself, or "" if there is none.
-        shed_share: As the owner, the share of new jobs that gateways refuse,
-            0 to 1.
-        is_settled: As the owner, whether it has been for
-            `ownership.SETTLING_S`.
         successor: The daemon to which the sender has just handed over, or "".
+        pending: As the owner, the number of jobs not begun, by queue.
+        loads: As the owner, the load of the group, by service.
     """
 
+    group: str
     is_owner: bool
     epoch: int
     workers_reached: int
+    is_settled: bool
+    is_backing_off: bool
+    follows: str
+    successor: str
+    pending: dict[str, int]
+    loads: dict[str, fleet.ServiceLoad]
+
+
+@dataclasses.dataclass(frozen=True)
+class Heartbeat:
+    """A heartbeat with the sender's state.
+
+    Attributes:
+        reads_store: Whether the platform's store has answered the sender
+            recently.
+        config_version: The version of the sender's configuration.
+        layout_version: The version of the sender's layout of groups.
+        lag_s: The mean lag of the sender's event loop.
+        is_leaving: Whether the sender is shutting down.
+        processor_cores: The processor capacity of the sender, in cores.
+        shed_share: As an owner, the share of new jobs that gateways refuse,
+            0 to 1.
+        groups: The groups that the sender owns or may own.
+    """
+
     reads_store: bool
     config_version: int
+    layout_version: int
     lag_s: float
     is_leaving: bool
-    is_backing_off: bool
-    pending: dict[str, int]
     processor_cores: float
-    follows: str
     shed_share: float
-    is_settled: bool
-    successor: str
+    groups: tuple[GroupState, ...]
+
+    def count_owned(self) -> int:
+        """Return the number of groups that the sender owns."""
+        return sum(state.is_owner for state in self.groups)
 
 
 @dataclasses.dataclass(frozen=True)
 class Submit:
-    """A gateway forwards a job to the owner."""
+    """A gateway forwards a job to the owner of a group."""
 
+    group: str
     submission: jobs.Submission
 
 
@@ -77,7 +101,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotOwner:
-    """A daemon rejects a job because it is not the owner.
+    """A daemon rejects a job because it does not own the group.
 
     The job has not begun there.
     """
@@ -104,15 +128,35 @@
     source: bytes
 
 
-# Wire tags. Never reuse a tag for another message.
+@dataclasses.dataclass(frozen=True)
+class RequestLayout:
+    """A request for the layout of a peer that has a newer one.
+
+    Attributes:
+        version: The version that the sender has.
+    """
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class PushLayout:
+    """A layout of the workers' groups."""
+
+    layout: groups.Layout
+
+
+# Wire tags. Never reuse a tag for another message; 1 and 2 are retired.
 TAGS = (
-    (1, Heartbeat),
-    (2, Submit),
     (3, Cancel),
     (4, Answered),
     (5, NotOwner),
     (6, RequestConfiguration),
     (7, PushConfiguration),
+    (8, Heartbeat),
+    (9, Submit),
+    (10, RequestLayout),
+    (11, PushLayout),
 )
 
 
--- a/pollenladder/cluster/ownership.py
+++ b/pollenladder/cluster/ownership.py
@@ -1,4 +1,4 @@
-"""Decide which daemon owns the workers.
+"""Decide which daemon owns the workers of a group.
 
 Workers enforce exclusive ownership: each worker keeps the highest epoch that it
 has seen and rejects requests with a lower one. So a new owner fences an old
@@ -71,6 +71,7 @@
         processor_cores: The processor capacity of the daemon, in cores.
         follows: The owner that the daemon follows, or "".
         is_settled: As the owner, whether it has been for `SETTLING_S`.
+        groups_owned: The number of groups that the daemon owns.
     """
 
     is_owner: bool = False
@@ -83,6 +84,7 @@
     processor_cores: float = 1.0
     follows: str = ""
     is_settled: bool = False
+    groups_owned: int = 0
 
 
 class Decision(enum.Enum):
@@ -287,7 +289,7 @@
 
 def _get_rank(
     name: str, view: DaemonView
-) -> tuple[bool, bool, bool, bool, float, str]:
+) -> tuple[bool, bool, bool, bool, int, float, str]:
     """Return the sort key for choosing the next owner; the smallest wins."""
     is_slow = view.lag_s > SLOW_LAG_S
     return (
@@ -295,6 +297,7 @@
         view.is_leaving,
         not view.reads_store,
         is_slow,
+        view.groups_owned - view.is_owner,
         -view.processor_cores,
         name,
     )
--- a/pollenladder/cluster/roster.py
+++ b/pollenladder/cluster/roster.py
@@ -39,6 +39,8 @@
         heartbeat: The latest heartbeat over the current link, or None.
         is_linked: Whether there is a link to the peer.
         last_heartbeat_at: When the latest heartbeat arrived.
+        views: The state of the peer in each group that it owns or may own,
+            from its latest heartbeat.
     """
 
     member: Member
@@ -46,6 +48,9 @@
     heartbeat: messages.Heartbeat | None = None
     is_linked: bool = False
     last_heartbeat_at: float = float("-inf")
+    views: dict[str, ownership.DaemonView] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Roster:
@@ -95,6 +100,7 @@
         peer.is_linked = is_linked
         if not is_linked:
             peer.heartbeat = None
+            peer.views = {}
             peer.unlinked_since = now
 
     def record_heartbeat(
@@ -104,6 +110,7 @@
         peer = self.peers.get(daemon_id)
         if peer is not None and peer.is_linked:
             peer.heartbeat = heartbeat
+            peer.views = build_views(heartbeat)
             peer.last_heartbeat_at = now
 
     def forget_lost(self, now: float) -> list[str]:
@@ -119,35 +126,70 @@
         return lost
 
     def list_reachable(
-        self, since: float = float("-inf")
+        self, group: str, since: float = float("-inf")
     ) -> dict[str, ownership.DaemonView]:
-        """Return the views of the peers with a link and a heartbeat, by id.
+        """Return the views of the linked peers that belong to a group, by id.
 
         Args:
+            group: The group of workers.
             since: Peers without a heartbeat since this time are left out.
         """
+        return {
+            daemon_id: peer.views[group]
+            for daemon_id, peer in self.peers.items()
+            if group in peer.views and peer.last_heartbeat_at >= since
+        }
+
+    def list_linked(self) -> dict[str, ownership.DaemonView]:
+        """Return the views of all linked peers, without any group, by id."""
         return {
             daemon_id: build_view(peer.heartbeat)
             for daemon_id, peer in self.peers.items()
-            if peer.heartbeat is not None and peer.last_heartbeat_at >= since
+            if peer.heartbeat is not None
         }
 
-    def list_known(self) -> frozenset[str]:
-        """Return the ids of all known daemons, including this one."""
-        return frozenset(self.peers) | {self._own_id}
+    def list_known(self, data_centre: str = "") -> frozenset[str]:
+        """Return the ids of all known daemons, including this one.
+
+        Args:
+            data_centre: Peers in other data centres are left out, unless it is
+                empty.
+        """
+        return frozenset(
+            daemon_id
+            for daemon_id, peer in self.peers.items()
+            if data_centre in ("", peer.member.data_centre)
+        ) | {self._own_id}
 
 
-def build_view(heartbeat: messages.Heartbeat) -> ownership.DaemonView:
-    """Return the state of a daemon from its heartbeat."""
-    return ownership.DaemonView(
-        is_owner=heartbeat.is_owner,
-        epoch=heartbeat.epoch,
-        workers_reached=heartbeat.workers_reached,
+def build_views(
+    heartbeat: messages.Heartbeat,
+) -> dict[str, ownership.DaemonView]:
+    """Return the state of a daemon in each of its groups."""
+    return {
+        state.group: build_view(heartbeat, state) for state in heartbeat.groups
+    }
+
+
+def build_view(
+    heartbeat: messages.Heartbeat, state: messages.GroupState | None = None
+) -> ownership.DaemonView:
+    """Return the state of a daemon in one group, or without any group."""
+    view = ownership.DaemonView(
         reads_store=heartbeat.reads_store,
         lag_s=heartbeat.lag_s,
         is_leaving=heartbeat.is_leaving,
-        is_backing_off=heartbeat.is_backing_off,
         processor_cores=heartbeat.processor_cores,
-        follows=heartbeat.follows,
-        is_settled=heartbeat.is_settled,
+        groups_owned=heartbeat.count_owned(),
+    )
+    if state is None:
+        return view
+    return dataclasses.replace(
+        view,
+        is_owner=state.is_owner,
+        epoch=state.epoch,
+        workers_reached=state.workers_reached,
+        is_backing_off=state.is_backing_off,
+        follows=state.follows,
+        is_settled=state.is_settled,
     )
--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -284,3 +284,20 @@
         if self.runs.get(run.task) is run:
             del self.runs[run.task]
             self.free = self.free.add(run.resources)
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceLoad:
+    """The load of the workers of one service in a group.
+
+    Attributes:
+        capacity_milli: The capacity of the available workers, in thousandths of
+            a core.
+        free_milli: The part of it that is free.
+        waiting_milli_s: The expected work of the waiting tasks, in thousandths
+            of a core times seconds.
+    """
+
+    capacity_milli: int
+    free_milli: int
+    waiting_milli_s: float
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -134,6 +134,8 @@
         may_have_begun: Whether another owner may have started tasks of the job.
         first_run: The lowest run number that its tasks may use, above the
             numbers that earlier owners may have used.
+        may_run_elsewhere: Whether workers of another group may still run tasks
+            of the job.
     """
 
     job_id: str
@@ -153,6 +155,7 @@
     estimate_s: float
     may_have_begun: bool
     first_run: int
+    may_run_elsewhere: bool = False
 
 
 class Outcome(enum.Enum):
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -163,20 +163,20 @@
     Event(
         "owner_changed",
         Kind.OWNERSHIP,
-        "the daemon follows another owner, or none",
-        ("owner", "before"),
+        "the daemon follows another owner of a group, or none",
+        ("group", "owner", "before"),
     ),
     Event(
         "ownership_claimed",
         Kind.OWNERSHIP,
-        "the daemon becomes the owner",
-        ("epoch", "reason"),
+        "the daemon becomes the owner of a group",
+        ("group", "epoch", "reason"),
     ),
     Event(
         "ownership_resigned",
         Kind.OWNERSHIP,
-        "the daemon is no longer the owner",
-        ("epoch", "reason", "owner", "successor"),
+        "the daemon is no longer the owner of a group",
+        ("group", "epoch", "reason", "owner", "successor"),
     ),
     Event(
         "owner_suspected_falsely",
@@ -194,7 +194,19 @@
         "fenced",
         Kind.OWNERSHIP,
         "a worker has seen a higher epoch than this owner's",
-        ("worker", "epoch"),
+        ("group", "worker", "epoch"),
+    ),
+    Event(
+        "layout_changed",
+        Kind.OWNERSHIP,
+        "the daemon applies another layout of groups",
+        ("version", "before", "groups"),
+    ),
+    Event(
+        "layout_not_written",
+        Kind.OWNERSHIP,
+        "another daemon has stored a layout meanwhile",
+        ("version",),
     ),
     Event(
         "worker_listed",
@@ -339,6 +351,12 @@
         "the gateway forwards the job again",
         ("job", "owner", "age_s"),
     ),
+    Event(
+        "job_sent_to_another_group",
+        Kind.JOB,
+        "a group has refused the job, and another one has room",
+        ("job", "group", "before", "reason"),
+    ),
     Event(
         "job_ended",
         Kind.JOB,
@@ -354,6 +372,7 @@
             "queue",
             "outcome",
             "reason",
+            "group",
             "owner",
             "took_s",
             "retry_after_s",
--- a/pollenladder/platform/exceptions.py
+++ b/pollenladder/platform/exceptions.py
@@ -28,6 +28,10 @@
     """
 
 
+class RowChangedError(StoreError):
+    """A row no longer has the version that a write expects."""
+
+
 class HistoryLostError(StoreError):
     """The store no longer has the requested changes.
 
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from pollenladder.cluster import groups
 from pollenladder.cluster import roster
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
@@ -14,9 +15,10 @@
 WORKERS_TABLE = "servers"
 # Written by the daemons, one row each.
 DAEMONS_TABLE = "daemons"
-# Has one row, which the owner keeps changing while it is alive.
+# Key of the row with the layout of groups in the table of daemons.
+LAYOUT_KEY = "layout"
+# Has a row for each group, which the owner keeps changing while it is alive.
 OWNERSHIP_TABLE = "ownership"
-OWNERSHIP_KEY = "region"
 
 READY = "ready"
 DRAINING = "draining"
@@ -24,6 +26,7 @@
 _CONFIG_DECODER = msgspec.json.Decoder(messages.Config)
 _WORKER_DECODER = msgspec.json.Decoder(messages.ServerEntry)
 _OWNERSHIP_DECODER = msgspec.json.Decoder(messages.Ownership)
+_LAYOUT_DECODER = msgspec.json.Decoder(groups.Layout)
 _MEMBER_DECODER = msgspec.json.Decoder(roster.Member)
 
 
@@ -118,3 +121,23 @@
         return _OWNERSHIP_DECODER.decode(source).epoch
     except msgspec.MsgspecError as error:
         raise exceptions.BadDocumentError(str(error)) from error
+
+
+def encode_layout(layout: groups.Layout) -> bytes:
+    """Return the value of the row with the layout of groups."""
+    return msgspec.json.encode(layout)
+
+
+def decode_layout(source: bytes) -> groups.Layout:
+    """Return the layout from its row's value.
+
+    Raises:
+        exceptions.BadDocumentError: The value does not describe a layout.
+    """
+    try:
+        layout = _LAYOUT_DECODER.decode(source)
+    except msgspec.MsgspecError as error:
+        raise exceptions.BadDocumentError(str(error)) from error
+    if layout.version < 1 or any(n < 1 for n in layout.parts.values()):
+        raise exceptions.BadDocumentError("a number below 1")
+    return layout
--- a/pollenladder/platform/store.py
+++ b/pollenladder/platform/store.py
@@ -133,6 +133,29 @@
         row["Value"] = base64.b64encode(value).decode()
         self._write({"ExpectRev": [], "SetKeys": [row], "Delete": []})
 
+    def replace(self, table: str, key: str, value: bytes, version: int) -> None:
+        """Write a row if it still has the version that was read.
+
+        Args:
+            table: The table.
+            key: The row's key.
+            value: The new value.
+            version: The row's version; 0 if the row did not exist.
+
+        Raises:
+            exceptions.RowChangedError: The row has changed since.
+            exceptions.StoreError: The store gave no usable response.
+        """
+        address = {"Table": table, "part": "", "Key": key}
+        text = base64.b64encode(value).decode()
+        self._write(
+            {
+                "ExpectRev": [address | {"Ver": version}],
+                "SetKeys": [address | {"Value": text}],
+                "Delete": [],
+            }
+        )
+
     def delete(self, table: str, key: str) -> None:
         """Delete a row; the deletion is idempotent.
 
@@ -174,8 +197,11 @@
     if response.status == 200:
         return response.body
     text = f"{target}: {response.status}"
+    # 412: a condition of a transaction does not hold.
     # 410: the feed no longer has the requested changes. 429 and 503: the store
     # is overloaded or limits the rate of this daemon's requests.
+    if response.status == 412:
+        raise exceptions.RowChangedError(text)
     if response.status == 410:
         raise exceptions.HistoryLostError(text)
     if response.status in (429, 503):
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -126,7 +126,9 @@
     waiting = job.list_waiting_tasks()
     tasks = len(waiting)
     held_back = sum(now < task.not_before for task in waiting)
-    if held_back and not runs.knows_all_runs(region, now):
+    if held_back and (
+        job.submission.may_run_elsewhere or not runs.knows_all_runs(region, now)
+    ):
         tasks -= held_back
     if tasks:
         urgency = placement.get_urgency(job)
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -233,14 +233,18 @@
 
 
 def _count_waves(region: tables.Region, submission: jobs.Submission) -> int:
-    """Return in how many waves a job's tasks may run and still be in time."""
+    """Return in how many waves a job's tasks may run and still be in time.
+
+    The number follows the slots of all groups, as callers know no groups.
+    """
+    share = region.service_shares.get(submission.service, 1.0)
     slots = forecast.count_slots(
         region,
         submission.service,
         _get_resources(submission),
-        enough=math.ceil(submission.tasks / WAVE_SHARE),
+        enough=math.ceil(share * submission.tasks / WAVE_SHARE),
     )
-    width = max(1.0, slots * WAVE_SHARE)
+    width = max(1.0, slots / share * WAVE_SHARE)
     return max(1, math.ceil(submission.tasks / width))
 
 
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -115,7 +115,9 @@
     """
     waiting = job.list_waiting_tasks()
     for task in waiting:
-        if now < task.not_before and not knows_all_runs():
+        if now < task.not_before and (
+            job.submission.may_run_elsewhere or not knows_all_runs()
+        ):
             continue
         worker = _choose_worker(region, job, task, now)
         if worker is None:
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -31,6 +31,7 @@
         region.max_lease_s,
         handover_delay_s=region.handover_delay_s,
         unlisted_workers_until=region.unlisted_workers_until,
+        service_shares=region.service_shares,
         lost_gateways=dict(region.lost_gateways),
         answered=dict(region.answered),
         estimates=region.estimates,
--- /dev/null
+++ b/pollenladder/scheduling/sharing.py
@@ -0,0 +1,111 @@
+"""Share jobs between the groups of workers.
+
+Each group has an owner with a queue of its own. The owners report their load,
+and gateways choose a group for each job: the one of their own data centre as
+long as it has room, then another one with room, and only if none has any, the
+one that is expected to have room first. A group that refuses a job has not
+begun it, so the job may go to another one.
+"""
+
+from collections.abc import Mapping
+import math
+import zlib
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import placement
+from pollenladder.scheduling import tables
+
+# Share of a group's capacity that a gateway of the same data centre leaves free
+# for jobs that are on their way from other gateways.
+RESERVED_SHARE = 0.05
+# A job is sent to another group at most this often after refusals.
+MAX_GROUP_RETRIES = 2
+_BUCKETS = 1 << 32
+
+
+def measure_loads(
+    region: tables.Region, now: float
+) -> dict[str, fleet.ServiceLoad]:
+    """Return the load of an owner's workers, by service."""
+    capacity: dict[str, int] = {}
+    free: dict[str, int] = {}
+    for worker in region.workers.values():
+        if not placement.is_available(worker, now):
+            continue
+        service = worker.listing.service
+        capacity[service] = (
+            capacity.get(service, 0) + worker.listing.capacity.cpu_milli
+        )
+        free[service] = free.get(service, 0) + max(0, worker.free.cpu_milli)
+    waiting: dict[str, float] = {}
+    for job_id in region.waiting:
+        job = region.jobs[job_id]
+        tasks = len(job.list_waiting_tasks())
+        work = tasks * job.resources.cpu_milli * job.expected_s
+        service = job.submission.service
+        waiting[service] = waiting.get(service, 0.0) + work
+    return {
+        service: fleet.ServiceLoad(
+            total, free[service], waiting.get(service, 0.0)
+        )
+        for service, total in capacity.items()
+    }
+
+
+def choose_group(
+    submission: jobs.Submission,
+    loads: Mapping[str, fleet.ServiceLoad],
+    local: frozenset[str],
+    needs_room: bool = False,
+) -> str:
+    """Return the group for a job, or "" if none is suitable.
+
+    Args:
+        submission: The job.
+        loads: The load of the job's service in the groups to choose from.
+        local: The groups of the gateway's own data centre.
+        needs_room: Whether to choose only a group with room for the whole job.
+    """
+    needed = submission.tasks * submission.cpu_milli
+    roomy = {
+        name: load.free_milli
+        for name, load in loads.items()
+        if not load.waiting_milli_s
+        and load.free_milli >= needed + RESERVED_SHARE * load.capacity_milli
+    }
+    nearby = {name: free for name, free in roomy.items() if name in local}
+    if nearby or roomy:
+        return _draw(submission.job_id, nearby or roomy)
+    if needs_room or not loads:
+        return ""
+    return min(
+        loads,
+        key=lambda name: (
+            _estimate_wait_s(loads[name], needed),
+            name not in local,
+            name,
+        ),
+    )
+
+
+def _estimate_wait_s(load: fleet.ServiceLoad, needed_milli: int) -> float:
+    """Return the time until all waiting work has started, roughly.
+
+    A group without waiting jobs is preferred by its free share.
+    """
+    if not load.capacity_milli:
+        return math.inf
+    missing = max(0, needed_milli - load.free_milli) / load.capacity_milli
+    return load.waiting_milli_s / load.capacity_milli + missing
+
+
+def _draw(job_id: str, weights: Mapping[str, int]) -> str:
+    """Draw a group by the job's id, with probabilities in proportion."""
+    names = sorted(weights)
+    position = zlib.crc32(job_id.encode()) / _BUCKETS * sum(weights.values())
+    for name in names:
+        position -= weights[name]
+        if position < 0:
+            return name
+    return names[-1]
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -191,6 +191,8 @@
         unlisted_workers_until: Until then, unlisted workers may still execute
             runs, because entries expired without the workers having announced
             that they leave.
+        service_shares: Share of each service's workers that belongs to this
+            owner's group, 0 to 1.
         lost_gateways: When the link to a gateway ended, by gateway id.
         answered: Recent answers and when they were given, by job id.
         estimates: Bias of declared run times.
@@ -222,6 +224,7 @@
     handover_delay_s: float = 0.0
     worker_list_deadline: float = 0.0
     unlisted_workers_until: float = 0.0
+    service_shares: dict[str, float] = dataclasses.field(default_factory=dict)
     lost_gateways: dict[str, float] = dataclasses.field(default_factory=dict)
     answered: dict[str, tuple[job_entities.Answer, float]] = dataclasses.field(
         default_factory=dict
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -1,5 +1,6 @@
 """The composition root of the daemon on the users' platform."""
 
+from collections.abc import Callable
 import logging
 import signal
 import time
@@ -8,10 +9,12 @@
 from gevent import event
 from gevent import pywsgi
 
+from pollenladder.cluster import groups as layouts
 from pollenladder.cluster import mesh as meshes
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
+from pollenladder.fleet import entities as fleet
 from pollenladder.gateway import limits
 from pollenladder.gateway import listeners
 from pollenladder.jobs import entities as jobs
@@ -21,11 +24,15 @@
 from pollenladder.platform import rows
 from pollenladder.platform import settings as conf
 from pollenladder.platform import store as stores
+from pollenladder.scheduling import sharing
 from pollenladder.service import application
 from pollenladder.service import engine as engines
 from pollenladder.service import feeds
 from pollenladder.service import gateway as gateways
+from pollenladder.service import groups
+from pollenladder.service import layout_keeper
 from pollenladder.service import leadership
+from pollenladder.service import membership
 from pollenladder.service import meters as metering
 from pollenladder.service import reachability
 
@@ -56,24 +63,26 @@
             incarnation=time.time_ns() // 1_000_000,
         )
         self._roster = rosters.Roster(settings.daemon_id)
-        self._build_scheduling()
+        self._store = stores.Store(settings.store)
+        self._groups = groups.Groups(
+            groups.Callbacks(
+                build_group=self._build_group,
+                on_change=lambda: self._handle_groups_change(),
+            )
+        )
+        self._build_gateway()
         self._build_cluster()
+        self._build_feeds()
 
-    def _build_scheduling(self) -> None:
-        settings = self._settings
-        self._engine = engines.Engine(
-            settings.max_lease_s,
-            engines.Callbacks(
-                answer=self._answer,
-                on_fenced=self._handle_fenced,
-                get_lag_s=lambda: self._leadership.loop_lag.lag_s,
-            ),
-            self._clock,
-        )
+    def _build_gateway(self) -> None:
         self._gateway = gateways.Gateway(
             gateways.Callbacks(
-                find_owner=lambda: self._leadership.owner_id,
-                get_shed_share=lambda: self._leadership.get_shed_share(),
+                find_owner=lambda group: self._membership.find_owner(group),
+                has_group=lambda group: group in self._groups.groups,
+                choose_group=self._choose_group,
+                get_shed_share=lambda group: self._membership.get_shed_share(
+                    group
+                ),
                 submit=self._submit,
                 cancel=self._cancel,
                 on_answered=self._count_answered,
@@ -82,7 +91,6 @@
         )
 
     def _build_cluster(self) -> None:
-        settings = self._settings
         self._mesh = meshes.Mesh(
             self._own,
             self._roster,
@@ -92,49 +100,94 @@
             ),
             self._clock,
         )
+        self._membership = membership.Membership(
+            self._settings.processor_cores,
+            self._roster,
+            membership.Callbacks(
+                broadcast=self._mesh.broadcast,
+                on_forgotten=self._handle_forgotten,
+                reads_store=lambda within_s: self._feeds.reads_store(within_s),
+                get_version=self._get_version,
+                get_layout_version=lambda: self._groups.layout.version,
+                is_leaving=self._stopping.is_set,
+            ),
+            self._clock,
+        )
+
+    def _build_feeds(self) -> None:
         self._feeds = feeds.Feeds(
-            stores.Store(settings.store),
+            self._store,
             self._own,
             feeds.Callbacks(
                 on_configuration=self._apply_configuration,
-                on_workers=self._engine.update_workers,
+                on_workers=self._groups.update_workers,
                 on_member=self._handle_member,
-                is_owner=lambda: self._leadership.is_owner,
-                get_owner=lambda: self._leadership.owner_id,
-                get_epoch=lambda: self._leadership.epoch,
-                on_epoch=lambda epoch: self._leadership.record_epoch(epoch),
+                on_layout=lambda layout, version: self._layout_keeper.update(
+                    layout, version
+                ),
+                on_epoch=self._record_epoch,
+                get_epochs=self._get_epochs,
+                list_ownerless=self._list_ownerless,
+            ),
+            self._clock,
+        )
+        self._layout_keeper = layout_keeper.LayoutKeeper(
+            self._own.daemon_id,
+            self._settings.processor_cores,
+            self._roster,
+            layout_keeper.Callbacks(
+                get_layout=lambda: self._groups.layout,
+                apply_layout=self._apply_layout,
+                write_layout=self._feeds.write_layout,
+                list_workers=self._feeds.list_workers,
+                is_keeper=self._is_layout_keeper,
+            ),
+        )
+
+    def _build_group(self, name: str) -> groups.Group:
+        """Build the engine and the leadership of one group of workers."""
+        engine = engines.Engine(
+            self._settings.max_lease_s,
+            engines.Callbacks(
+                answer=self._answer,
+                on_fenced=lambda worker_id: self._handle_fenced(
+                    name, worker_id
+                ),
+                get_lag_s=lambda: self._membership.loop_lag.lag_s,
             ),
             self._clock,
         )
-        self._reachability = reachability.Reachability(
-            settings.data_centre, self._feeds.list_workers, self._clock
+        reach = reachability.Reachability(
+            self._settings.data_centre,
+            lambda: self._groups.list_workers(name),
+            self._clock,
         )
-        self._leadership = leadership.Leadership(
-            settings.daemon_id,
-            settings.processor_cores,
+        leading = leadership.Leadership(
+            name,
+            self._own,
             self._roster,
             leadership.Callbacks(
-                broadcast=self._mesh.broadcast,
-                claim=self._claim,
-                resign=self._engine.resign,
-                on_owner=self._handle_owner_change,
-                on_forgotten=self._handle_forgotten,
-                count_reachable_workers=self._engine.count_reachable_workers,
-                count_pending=self._engine.count_pending,
-                reads_store=self._feeds.reads_store,
+                claim=lambda epoch: self._claim(engine, epoch),
+                resign=engine.resign,
+                on_owner=lambda owner_id: self._gateway.forward_open_jobs(),
+                on_change=self._membership.wake,
+                get_own_view=self._membership.build_own_view,
+                count_reachable_workers=engine.count_reachable_workers,
+                count_pending=engine.count_pending,
+                measure_loads=engine.measure_loads,
                 knows_all_daemons=lambda: (
-                    self._feeds.has_read_daemons and not settings.is_first_start
-                ),
-                get_version=self._get_version,
-                is_leaving=self._stopping.is_set,
-                is_data_centre_isolated=(
-                    self._reachability.is_data_centre_isolated
+                    self._feeds.has_read_daemons
+                    and not self._settings.is_first_start
                 ),
-                is_owner_row_stale=self._feeds.is_owner_row_stale,
+                is_isolated=reach.is_data_centre_isolated,
+                reaches_workers=reach.reaches_workers,
+                is_owner_row_stale=lambda: self._feeds.is_owner_row_stale(name),
             ),
             self._clock,
             clocks.read_wall_s,
         )
+        gevent.spawn(engine.run)
+        return groups.Group(engine, leading)
 
     def run(self) -> int:
         """Serve until a stop signal arrives; return the exit code."""
@@ -143,14 +196,13 @@
             gevent.signal_handler(number, self._stopping.set)
         gevent.signal_handler(signal.SIGHUP, self._reload)
         self._mesh.start()
-        leadership.run_in_background(
+        run_in_background(
             self._feeds.run_configuration,
             self._feeds.run_daemons,
             self._feeds.run_workers,
             self._feeds.run_ownership,
             self._mesh.run,
-            self._engine.run,
-            self._leadership.run,
+            self._membership.run,
             self._gateway.run,
         )
         server = self._serve_callers()
@@ -188,7 +240,7 @@
         """Hand over the ownership, accept last callers, and answer all jobs."""
         began_at = self._clock()
         logs.log(LOGGER, "stopping", open_jobs=len(self._gateway.open_jobs))
-        self._leadership.wake()
+        self._membership.wake()
         gevent.sleep(LAST_CALLERS_WAIT_S)
         left_s = self._settings.stop_grace_s - STOP_MARGIN_S
         left_s -= self._clock() - began_at
@@ -204,7 +256,7 @@
     def _show_readiness(self, environ: dict, start_response) -> list[bytes]:
         is_ready = (
             self._routes is not None
-            and bool(self._leadership.owner_id)
+            and self._membership.has_owner
             and not self._stopping.is_set()
         )
         status = "200 OK" if is_ready else "503 Service Unavailable"
@@ -220,30 +272,69 @@
             return
         logs.log(LOGGER, "reloaded", changed=found != self._settings)
 
-    def _submit(self, daemon_id: str, submission: jobs.Submission) -> bool:
+    def _choose_group(
+        self,
+        submission: jobs.Submission,
+        excluded: frozenset[str],
+        needs_room: bool,
+    ) -> str:
+        """Return the group for a job, or "" if none is suitable."""
+        loads = {}
+        for name in self._groups.groups.keys() - excluded:
+            state = self._membership.get_group_state(name)
+            if state is not None:
+                loads[name] = state.loads.get(
+                    submission.service, fleet.ServiceLoad(0, 0, 0.0)
+                )
+        local = frozenset(
+            name
+            for name in loads
+            if layouts.get_data_centre(name) == self._settings.data_centre
+        )
+        return sharing.choose_group(submission, loads, local, needs_room)
+
+    def _submit(
+        self, daemon_id: str, group: str, submission: jobs.Submission
+    ) -> bool:
         if daemon_id == self._settings.daemon_id:
-            return self._engine.submit(submission, daemon_id)
-        return self._mesh.send(daemon_id, messages.Submit(submission))
+            return self._submit_here(group, submission, daemon_id)
+        return self._mesh.send(daemon_id, messages.Submit(group, submission))
+
+    def _submit_here(
+        self, group: str, submission: jobs.Submission, gateway_id: str
+    ) -> bool:
+        """Submit a job to a group's engine; return False if it is not owned."""
+        found = self._groups.groups.get(group)
+        return found is not None and found.engine.submit(submission, gateway_id)
 
     def _cancel(self, daemon_id: str, job_id: str, reason: jobs.Reason) -> None:
         if daemon_id == self._settings.daemon_id:
-            self._engine.cancel(job_id, reason, daemon_id)
+            self._cancel_here(job_id, reason, daemon_id)
         else:
             self._mesh.send(daemon_id, messages.Cancel(job_id, reason))
 
+    def _cancel_here(
+        self, job_id: str, reason: jobs.Reason, gateway_id: str
+    ) -> bool:
+        """Cancel a job of any group owned here; return whether it was known."""
+        known = [
+            group.engine.cancel(job_id, reason, gateway_id)
+            for group in self._groups.groups.values()
+        ]
+        return any(known)
+
     def _cancel_remote(self, job_id: str) -> bool:
         """Cancel a job from another daemon; return whether it was known.
 
-        A daemon that is not the owner forwards the request to the owner and
-        returns False.
+        The request is forwarded to all other owners, which do not answer it.
         """
-        owner_id = self._leadership.owner_id
         reason = jobs.Reason.CALLER_CANCELLED
-        if owner_id == self._settings.daemon_id:
-            return self._engine.cancel(job_id, reason, owner_id)
-        if owner_id:
+        owners = {
+            group.leadership.owner_id for group in self._groups.groups.values()
+        }
+        for owner_id in owners - {"", self._settings.daemon_id}:
             self._mesh.send(owner_id, messages.Cancel(job_id, reason))
-        return False
+        return self._cancel_here(job_id, reason, self._settings.daemon_id)
 
     def _answer(self, gateway_id: str, answer: jobs.Answer) -> None:
         if gateway_id == self._settings.daemon_id:
@@ -259,38 +350,40 @@
         self._meters.count_job(answer, took_s)
 
     def _count_pending(self, queue: str) -> int:
-        owner_id = self._leadership.owner_id
-        if owner_id == self._settings.daemon_id:
-            return self._engine.count_pending().get(queue, 0)
-        peer = self._roster.peers.get(owner_id)
-        return (
-            peer.heartbeat.pending.get(queue, 0)
-            if peer and peer.heartbeat
-            else 0
-        )
+        states = map(self._membership.get_group_state, self._groups.groups)
+        return sum(state.pending.get(queue, 0) for state in states if state)
 
     def _handle_message(self, sender: str, message: object) -> None:
         if isinstance(message, messages.Heartbeat):
             self._handle_heartbeat(sender, message)
         elif isinstance(message, messages.Submit):
-            if not self._engine.submit(message.submission, sender):
+            if not self._submit_here(message.group, message.submission, sender):
                 job_id = message.submission.job_id
                 self._mesh.send(sender, messages.NotOwner(job_id))
         elif isinstance(message, messages.Answered):
             self._gateway.handle_answer(message.answer, sender)
         elif isinstance(message, messages.Cancel):
-            self._engine.cancel(message.job_id, message.reason, sender)
+            self._cancel_here(message.job_id, message.reason, sender)
         elif isinstance(message, messages.NotOwner):
             self._gateway.handle_not_owner(message.job_id)
         elif isinstance(message, messages.RequestConfiguration):
             self._push_configuration(sender, message.version)
         elif isinstance(message, messages.PushConfiguration):
             self._apply_pushed_configuration(message)
+        elif isinstance(message, messages.RequestLayout):
+            if message.version < self._groups.layout.version:
+                layout = messages.PushLayout(self._groups.layout)
+                self._mesh.send(sender, layout)
+        elif isinstance(message, messages.PushLayout):
+            self._groups.apply_layout(message.layout)
 
     def _handle_heartbeat(
         self, sender: str, heartbeat: messages.Heartbeat
     ) -> None:
-        self._leadership.record_heartbeat(sender, heartbeat)
+        self._membership.record_heartbeat(sender, heartbeat)
+        if heartbeat.layout_version > self._groups.layout.version:
+            version = self._groups.layout.version
+            self._mesh.send(sender, messages.RequestLayout(version))
         if heartbeat.config_version > self._get_version():
             version = self._get_version()
             self._mesh.send(sender, messages.RequestConfiguration(version))
@@ -347,32 +440,78 @@
             logs.log(LOGGER, "link_made", peer=daemon_id)
         else:
             logs.log(LOGGER, "link_ended", peer=daemon_id)
-        self._engine.record_gateway_link(daemon_id, is_linked)
+        for group in self._groups.groups.values():
+            group.engine.record_gateway_link(daemon_id, is_linked)
         if is_linked:
-            self._leadership.request_heartbeat()
+            self._membership.request_heartbeat()
         else:
             self._gateway.handle_link_lost(daemon_id)
-            self._leadership.wake()
+            self._membership.wake()
 
-    def _claim(self, epoch: int) -> None:
+    def _claim(self, engine: engines.Engine, epoch: int) -> None:
         peers = len(self._roster.peers)
-        self._engine.claim(epoch, self._feeds.is_store_up, peers)
+        engine.claim(epoch, self._feeds.is_store_up, peers)
         self._feeds.refresh_workers()
 
-    def _handle_owner_change(self, owner_id: str) -> None:
-        self._gateway.forward_open_jobs()
+    def _apply_layout(self, layout: layouts.Layout) -> None:
+        """Apply a layout that this daemon has read or chosen."""
+        if self._groups.apply_layout(layout):
+            self._mesh.broadcast(messages.PushLayout(layout))
+
+    def _handle_groups_change(self) -> None:
+        self._membership.leaderships = {
+            name: group.leadership
+            for name, group in self._groups.groups.items()
+        }
+        self._membership.wake()
+
+    def _is_layout_keeper(self) -> bool:
+        """Return whether this daemon adapts the layout to the workers.
+
+        This is the owner of the first group, as there is one such daemon.
+        """
+        first = min(self._groups.groups, default="")
+        owner_id = self._membership.find_owner(first)
+        return owner_id == self._settings.daemon_id
+
+    def _get_epochs(self) -> dict[str, int]:
+        return {
+            name: group.leadership.epoch
+            for name, group in self._groups.groups.items()
+            if group.leadership.is_owner
+        }
+
+    def _list_ownerless(self) -> list[str]:
+        return [
+            name
+            for name, group in self._groups.groups.items()
+            if not group.leadership.owner_id
+        ]
+
+    def _record_epoch(self, group: str, epoch: int) -> None:
+        found = self._groups.groups.get(group)
+        if found is not None:
+            found.leadership.record_epoch(epoch)
 
     def _handle_forgotten(self, daemon_id: str) -> None:
-        if self._leadership.is_owner:
+        if self._membership.is_owner:
             gevent.spawn(self._feeds.delete_daemon_row, daemon_id)
 
-    def _handle_fenced(self, worker_id: str) -> None:
-        self._leadership.record_fenced(worker_id)
+    def _handle_fenced(self, group: str, worker_id: str) -> None:
+        found = self._groups.groups.get(group)
+        if found is not None:
+            found.leadership.record_fenced(worker_id)
 
     def _get_version(self) -> int:
         return self._routes.configuration.version if self._routes else 0
 
 
+def run_in_background(*loops: Callable[[], None]) -> None:
+    """Run endless loops, each in its own greenlet."""
+    for loop in loops:
+        gevent.spawn(loop)
+
+
 def main() -> int:
     """Run the daemon with the settings file of the platform."""
     try:
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -17,6 +17,7 @@
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import recovery
 from pollenladder.scheduling import runs
+from pollenladder.scheduling import sharing
 from pollenladder.scheduling import tables
 from pollenladder.service import sessions
 
@@ -64,8 +65,10 @@
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
         self._last_expired_at = float("-inf")
+        self._service_shares: dict[str, float] = {}
         self._is_applying_effects = False
         self._owns_workers = event.Event()
+        self._is_retired = False
 
     def claim(self, epoch: int, reads_store: bool, peers: int) -> None:
         """Become the owner, or continue as the owner with a higher epoch.
@@ -89,7 +92,9 @@
             self.region = recovery.rebuild_region(self.region, epoch, now)
         if reads_store:
             self.region.worker_list_deadline = now + LIST_WAIT_LIMIT_S
-        self.update_workers(self._listings, self._last_expired_at, False)
+        self.update_workers(
+            self._listings, self._last_expired_at, False, self._service_shares
+        )
 
     def resign(self) -> None:
         """Stop being the owner; its runs continue for the next owner."""
@@ -97,11 +102,17 @@
         self._owns_workers.clear()
         self._close_all_sessions()
 
+    def retire(self) -> None:
+        """End `run`, as the group no longer exists."""
+        self._is_retired = True
+        self._owns_workers.set()
+
     def update_workers(
         self,
         listings: Iterable[fleet.Listing],
         last_expired_at: float,
         is_full_list: bool,
+        service_shares: dict[str, float],
     ) -> None:
         """Update the list of workers; see `maintenance.update_workers`.
 
@@ -110,12 +121,16 @@
             last_expired_at: When an entry last expired without being marked as
                 draining first.
             is_full_list: Whether the whole list has just been read.
+            service_shares: The share of each service's workers that belongs to
+                the group, 0 to 1.
         """
         self._listings = tuple(listings)
+        self._service_shares = service_shares
         self._last_expired_at = last_expired_at
         region = self.region
         if region is None:
             return
+        region.service_shares = service_shares
         maintenance.update_workers(
             region,
             self._listings,
@@ -174,9 +189,15 @@
                 counts[queue] = counts.get(queue, 0) + 1
         return counts
 
+    def measure_loads(self) -> dict[str, fleet.ServiceLoad]:
+        """Return the load of the group's workers, by service."""
+        if self.region is None:
+            return {}
+        return sharing.measure_loads(self.region, self._clock())
+
     def run(self) -> None:
         """Run the periodic maintenance of the tables, forever."""
-        while True:
+        while not self._is_retired:
             self._owns_workers.wait()
             gevent.sleep(TICK_S)
             if self.region is not None:
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent import event
 
+from pollenladder.cluster import groups
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
@@ -48,19 +49,37 @@
             entry last expired without being marked as draining first, and
             whether the whole table has just been read.
         on_member: Called with each other daemon that was found.
-        is_owner: Returns whether this daemon owns the workers.
-        get_owner: Returns the id of the owner that this daemon follows, or "".
-        get_epoch: Returns the epoch of this daemon's ownership.
-        on_epoch: Called with the epoch in the owner's row.
+        on_layout: Called with the stored layout of groups and its version in
+            the store.
+        on_epoch: Called with a group and the epoch in its owner's row.
+        get_epochs: Returns the epoch of this daemon's ownership of each group
+            that it owns.
+        list_ownerless: Returns the groups of which this daemon follows no
+            owner.
     """
 
     on_configuration: Callable[[jobs.Configuration], None]
     on_workers: Callable[[tuple[fleet.Listing, ...], float, bool], None]
     on_member: Callable[[rosters.Member], None]
-    is_owner: Callable[[], bool]
-    get_owner: Callable[[], str]
-    get_epoch: Callable[[], int]
-    on_epoch: Callable[[int], None]
+    on_layout: Callable[[groups.Layout, int], None]
+    on_epoch: Callable[[str, int], None]
+    get_epochs: Callable[[], dict[str, int]]
+    list_ownerless: Callable[[], list[str]]
+
+
+@dataclasses.dataclass(slots=True)
+class OwnerRow:
+    """The row of a group's owner, as it was last read.
+
+    Attributes:
+        version: The row's version in the store; 0 if there is no row.
+        unchanged_since: When the row was first read with this version.
+        read_at: When the row was last read.
+    """
+
+    version: int
+    unchanged_since: float
+    read_at: float
 
 
 class Feeds:
@@ -87,14 +106,13 @@
         self._callbacks = callbacks
         self._clock = clock
         self._daemon_count = 1
+        self._has_read_layout = False
         self._workers: dict[str, fleet.Listing] = {}
         self._missing_since: dict[str, float] = {}
         self._store_returned_at = 0.0
         self._last_expired_at = float("-inf")
         self._workers_refresh = event.Event()
-        self._owner_row_version = 0
-        self._owner_row_since = float("inf")
-        self._owner_row_read_at = float("-inf")
+        self._owner_rows: dict[str, OwnerRow] = {}
         self._rejected_versions: dict[str, int] = {}
 
     def run_configuration(self) -> None:
@@ -126,16 +144,19 @@
                 gevent.sleep(MAX_RETRY_S)
                 continue
             boot_reads -= 1
-            gevent.sleep(
-                DAEMONS_BOOT_PAUSE_S
-                if boot_reads > 0
-                else choose_pause_s(self._daemon_count)
-            )
+            gevent.sleep(self._choose_daemons_pause_s(boot_reads > 0))
+
+    def _choose_daemons_pause_s(self, is_booting: bool) -> float:
+        if is_booting or not self._has_read_layout:
+            return DAEMONS_BOOT_PAUSE_S
+        # An owner may have to adapt the layout to the workers.
+        is_owner = bool(self._callbacks.get_epochs())
+        return MIN_PAUSE_S if is_owner else choose_pause_s(self._daemon_count)
 
     def run_ownership(self) -> None:
-        """Refresh the owner's row as the owner, or watch it, forever.
+        """Refresh the rows of the owned groups, and watch others, forever.
 
-        A daemon watches the row while it follows no owner.
+        A daemon watches the rows of the groups of which it follows no owner.
         """
         while True:
             gevent.sleep(OWNERSHIP_INTERVAL_S)
@@ -145,21 +166,23 @@
                 self._record_failure(rows.OWNERSHIP_TABLE, error)
 
     def _refresh_ownership(self) -> None:
-        if self._callbacks.is_owner():
-            self._store.put(
-                rows.OWNERSHIP_TABLE,
-                rows.OWNERSHIP_KEY,
-                rows.encode_ownership(
-                    self._own.daemon_id, self._callbacks.get_epoch()
-                ),
-            )
-        if self._callbacks.get_owner():
-            self._owner_row_since = float("inf")
+        for group, epoch in self._callbacks.get_epochs().items():
+            value = rows.encode_ownership(self._own.daemon_id, epoch)
+            self._store.put(rows.OWNERSHIP_TABLE, group, value)
+        ownerless = self._callbacks.list_ownerless()
+        for group in self._owner_rows.keys() - set(ownerless):
+            del self._owner_rows[group]
+        if not ownerless:
             return
-        found = self._store.read_table(rows.OWNERSHIP_TABLE).rows
-        self.record_owner_row(found[0].version if found else 0)
-        for row in found:
-            self._handle_owner_row(row)
+        found = {
+            row.key: row
+            for row in self._store.read_table(rows.OWNERSHIP_TABLE).rows
+        }
+        for group in ownerless:
+            row = found.get(group)
+            self.record_owner_row(group, row.version if row else 0)
+            if row is not None:
+                self._handle_owner_row(row)
 
     def _handle_owner_row(self, row: stores.Row) -> None:
         try:
@@ -167,25 +190,48 @@
         except exceptions.BadDocumentError as error:
             self._log_rejected_row(row, error)
             return
-        self._callbacks.on_epoch(epoch)
+        self._callbacks.on_epoch(row.key, epoch)
 
-    def record_owner_row(self, version: int) -> None:
-        """Record the version of the owner's row that was just read."""
+    def record_owner_row(self, group: str, version: int) -> None:
+        """Record the version of a group's owner row that was just read."""
         now = self._clock()
-        is_first = self._owner_row_since == float("inf")
-        if is_first or version != self._owner_row_version:
-            self._owner_row_since = now
-        self._owner_row_version = version
-        self._owner_row_read_at = now
+        before = self._owner_rows.get(group)
+        if before is None or before.version != version:
+            self._owner_rows[group] = OwnerRow(version, now, now)
+        else:
+            before.read_at = now
 
-    def is_owner_row_stale(self) -> bool:
+    def is_owner_row_stale(self, group: str) -> bool:
         """Return whether no owner has written its row for `OWNER_ROW_STALE_S`.
 
         The result is False if the row has not been read recently.
         """
+        row = self._owner_rows.get(group)
+        if row is None:
+            return False
         now = self._clock()
-        is_recent = now < self._owner_row_read_at + 2 * OWNERSHIP_INTERVAL_S
-        return is_recent and now > self._owner_row_since + OWNER_ROW_STALE_S
+        is_recent = now < row.read_at + 2 * OWNERSHIP_INTERVAL_S
+        return is_recent and now > row.unchanged_since + OWNER_ROW_STALE_S
+
+    def write_layout(self, layout: groups.Layout, row_version: int) -> None:
+        """Store a layout, unless another one has been stored meanwhile.
+
+        Args:
+            layout: The new layout.
+            row_version: The version of the row that it replaces; 0 if there was
+                none.
+        """
+        try:
+            self._store.replace(
+                rows.DAEMONS_TABLE,
+                rows.LAYOUT_KEY,
+                rows.encode_layout(layout),
+                row_version,
+            )
+        except exceptions.RowChangedError:
+            logs.log(LOGGER, "layout_not_written", version=layout.version)
+        except exceptions.StoreError as error:
+            self._record_failure(rows.LAYOUT_KEY, error)
 
     def delete_daemon_row(self, daemon_id: str) -> None:
         """Delete the row of a daemon that is gone."""
@@ -338,14 +384,18 @@
         self._missing_since.clear()
 
     def _choose_pause_s(self) -> float:
-        if self._callbacks.is_owner():
+        if self._callbacks.get_epochs():
             return OWNER_WORKERS_PAUSE_S
         return choose_pause_s(self._daemon_count)
 
     def _handle_members(self, found: tuple[stores.Row, ...]) -> None:
         self._daemon_count = max(1, len(found))
         is_registered = False
+        layout_row = None
         for row in found:
+            if row.key == rows.LAYOUT_KEY:
+                layout_row = row
+                continue
             try:
                 member = rows.decode_member(row.value)
             except exceptions.BadDocumentError as error:
@@ -358,6 +408,20 @@
         if not is_registered:
             entry = rows.encode_member(self._own)
             self._store.put(rows.DAEMONS_TABLE, self._own.daemon_id, entry)
+        self._handle_layout(layout_row)
+
+    def _handle_layout(self, row: stores.Row | None) -> None:
+        if row is None:
+            self._callbacks.on_layout(groups.Layout(), 0)
+            return
+        try:
+            layout = rows.decode_layout(row.value)
+        except exceptions.BadDocumentError as error:
+            self._log_rejected_row(row, error)
+            # Whoever is to choose the layout replaces this row.
+            layout = groups.Layout()
+        self._has_read_layout = layout.version > 0
+        self._callbacks.on_layout(layout, row.version)
 
     def _log_rejected_row(self, row: stores.Row, error: Exception) -> None:
         """Log an invalid row, once for each of its versions."""
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -12,6 +12,7 @@
 from pollenladder.core import clocks
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
+from pollenladder.scheduling import sharing
 
 LOGGER = logging.getLogger(__name__)
 
@@ -20,6 +21,15 @@
 SWEEP_INTERVAL_S = 0.03
 RETRY_AFTER_WITHOUT_OWNER_S = 1.0
 RETRY_AFTER_SHED_S = 1.0
+# Most jobs that a gateway forwards again in one sweep, so that a new owner does
+# not get the jobs of all gateways at once.
+MAX_REPEATS_PER_SWEEP = 8
+# A refusal for one of these reasons may not apply to another group.
+REASONS_TO_TRY_ANOTHER_GROUP = (
+    jobs.Reason.NO_ROOM_IN_TIME,
+    jobs.Reason.TOO_LARGE,
+    jobs.Reason.NO_WORKERS,
+)
 # Share of a job's response time objective for which it waits for an owner.
 OWNER_WAIT_SHARE = 0.25
 
@@ -29,17 +39,25 @@
     """The functions that the gateway calls.
 
     Attributes:
-        find_owner: Returns the id of the current owner, or "".
-        get_shed_share: Returns the share of new jobs to refuse, 0 to 1.
-        submit: Sends a job to a daemon; returns False if it cannot arrive.
+        find_owner: Returns the id of the current owner of a group, or "".
+        has_group: Returns whether there is a group of that name.
+        choose_group: Returns the group for a job, or "". It is given the groups
+            that have refused the job, and whether to choose only a group that
+            has room for the job now.
+        get_shed_share: Returns the share of new jobs to refuse, 0 to 1, for a
+            group.
+        submit: Sends a job to a daemon, for a group; returns False if it cannot
+            arrive.
         cancel: Sends a daemon the cancellation of a job, with the reason.
         on_answered: Called with a job's queue, its answer, and the time from
             its arrival to the answer, in seconds.
     """
 
-    find_owner: Callable[[], str]
-    get_shed_share: Callable[[], float]
-    submit: Callable[[str, jobs.Submission], bool]
+    find_owner: Callable[[str], str]
+    has_group: Callable[[str], bool]
+    choose_group: Callable[[jobs.Submission, frozenset[str], bool], str]
+    get_shed_share: Callable[[str], float]
+    submit: Callable[[str, str, jobs.Submission], bool]
     cancel: Callable[[str, str, jobs.Reason], None]
     on_answered: Callable[[str, jobs.Answer, float], None]
 
@@ -54,12 +72,16 @@
         deadline_at: When the caller stops waiting.
         owner_wait_limit_s: The job is refused if it could not be sent to an
             owner within this time.
+        group: The group of workers that the job is for; "" if there is none.
+        refused_by: The groups that have refused the job.
+        may_run_elsewhere: Whether workers of another group may run the job.
         owner_id: The owner that the job was forwarded to; "" if there is none.
         has_been_sent: Whether the job was sent to an owner, which may have
             begun it.
         first_run: The first run number for the next forward; see
             `jobs.Submission`.
-        times_forwarded: How often the job was forwarded, to any owner.
+        times_forwarded: How often the job was forwarded, to any owner of its
+            group.
         waiters: The number of requests that wait for the answer.
         answered: Set once there is an answer.
         answer: The answer, or None.
@@ -69,6 +91,9 @@
     arrived_at: float
     deadline_at: float
     owner_wait_limit_s: float
+    group: str = ""
+    refused_by: frozenset[str] = frozenset()
+    may_run_elsewhere: bool = False
     owner_id: str = ""
     has_been_sent: bool = False
     first_run: int = 1
@@ -108,7 +133,10 @@
             )
             self.open_jobs[job_id] = job
             self._has_open_jobs.set()
-            if shedding.is_shed(job_id, self._callbacks.get_shed_share()):
+            self._assign_group(job)
+            if shedding.is_shed(
+                job_id, self._callbacks.get_shed_share(job.group)
+            ):
                 reason = jobs.Reason.OWNER_BUSY
                 self._refuse(job, reason, RETRY_AFTER_SHED_S)
                 return job
@@ -164,7 +192,8 @@
                 times_handed_on=job.times_forwarded,
             )
             return
-        self._finish(job, answer)
+        if not (is_refusal and self._try_another_group(job, answer)):
+            self._finish(job, answer)
 
     def handle_not_owner(self, job_id: str) -> None:
         """Clear the owner of a job that a daemon rejected as not the owner."""
@@ -173,9 +202,18 @@
             job.owner_id = ""
 
     def forward_open_jobs(self) -> None:
-        """Forward all open jobs that the current owner does not have yet."""
+        """Forward open jobs that the current owner does not have yet.
+
+        Of those that were sent to an earlier owner, only some are forwarded
+        now, and the others in the next sweeps.
+        """
+        repeats_left = MAX_REPEATS_PER_SWEEP
         for job in list(self.open_jobs.values()):
-            self._forward(job)
+            is_repeat = job.has_been_sent
+            if is_repeat and not repeats_left:
+                continue
+            was_forwarded = self._forward(job)
+            repeats_left -= is_repeat and was_forwarded
 
     def handle_link_lost(self, daemon_id: str) -> None:
         """Clear the owner of the jobs forwarded to a daemon whose link ended.
@@ -196,10 +234,59 @@
             if not self.open_jobs:
                 self._has_open_jobs.clear()
 
-    def _forward(self, job: OpenJob) -> None:
-        owner_id = self._callbacks.find_owner()
-        if not owner_id or job.owner_id == owner_id or job.answer is not None:
-            return
+    def _assign_group(self, job: OpenJob) -> None:
+        """Choose the group of a job that no owner of another one has."""
+        job.group = self._callbacks.choose_group(
+            job.submission, job.refused_by, False
+        )
+
+    def _try_another_group(self, job: OpenJob, refusal: jobs.Answer) -> bool:
+        """Forward a refused job to a group with room; return whether there is.
+
+        Every group that the job was sent to has refused it, so it has not begun.
+        """
+        is_final = refusal.reason not in REASONS_TO_TRY_ANOTHER_GROUP
+        refused_by = job.refused_by | {job.group}
+        if is_final or len(refused_by) > sharing.MAX_GROUP_RETRIES:
+            return False
+        group = self._callbacks.choose_group(job.submission, refused_by, True)
+        if not group:
+            return False
+        logs.log(
+            LOGGER,
+            "job_sent_to_another_group",
+            job=refusal.job_id,
+            group=group,
+            before=job.group,
+            reason=refusal.reason.value,
+        )
+        job.group = group
+        job.refused_by = refused_by
+        job.owner_id = ""
+        job.has_been_sent = False
+        job.times_forwarded = 0
+        self._forward(job)
+        return True
+
+    def _update_group(self, job: OpenJob) -> None:
+        """Choose another group if a job's group has no owner or is gone."""
+        if not self._callbacks.has_group(job.group):
+            job.may_run_elsewhere |= job.has_been_sent
+            job.owner_id = ""
+            self._assign_group(job)
+        elif not job.has_been_sent and not self._callbacks.find_owner(
+            job.group
+        ):
+            self._assign_group(job)
+
+    def _forward(self, job: OpenJob) -> bool:
+        """Send a job to its owner unless that has it; return whether it did."""
+        if job.answer is not None:
+            return False
+        self._update_group(job)
+        owner_id = self._callbacks.find_owner(job.group)
+        if not owner_id or job.owner_id == owner_id:
+            return False
         now = self._clock()
         submission = dataclasses.replace(
             job.submission,
@@ -207,15 +294,16 @@
             budget_s=job.deadline_at - now,
             may_have_begun=job.has_been_sent,
             first_run=job.first_run,
+            may_run_elsewhere=job.may_run_elsewhere,
         )
         # Set before the call, as it may answer the job at once.
         was_sent = job.has_been_sent
         job.owner_id = owner_id
         job.has_been_sent = True
-        if not self._callbacks.submit(owner_id, submission):
+        if not self._callbacks.submit(owner_id, job.group, submission):
             job.owner_id = ""
             job.has_been_sent = was_sent
-            return
+            return False
         job.first_run += RUN_NUMBERS_PER_FORWARD
         job.times_forwarded += 1
         if was_sent:
@@ -226,6 +314,7 @@
                 owner=owner_id,
                 age_s=round(submission.age_s, 3),
             )
+        return True
 
     def expire(self, now: float) -> None:
         """Answer jobs past their deadline and jobs without an owner in time."""
@@ -270,6 +359,7 @@
             queue=job.submission.queue,
             outcome=answer.outcome.value,
             reason=answer.reason.value,
+            group=job.group,
             owner=job.owner_id,
             took_s=round(took_s, 4),
             retry_after_s=round(answer.retry_after_s, 3),
--- /dev/null
+++ b/pollenladder/service/groups.py
@@ -0,0 +1,147 @@
+"""The groups of workers, each with its engine and its leadership."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import logging
+
+from pollenladder.cluster import groups as layouts
+from pollenladder.fleet import entities as fleet
+from pollenladder.logs import lines as logs
+from pollenladder.service import engine as engines
+from pollenladder.service import leadership as leaderships
+
+LOGGER = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class Group:
+    """One group of workers, as this daemon takes part in it.
+
+    Attributes:
+        engine: Schedules the group's jobs while this daemon is the owner.
+        leadership: The ownership of the group.
+    """
+
+    engine: engines.Engine
+    leadership: leaderships.Leadership
+
+
+@dataclasses.dataclass(frozen=True)
+class Callbacks:
+    """The functions that the groups call.
+
+    Attributes:
+        build_group: Builds a group with a name. No owner is followed yet.
+        on_change: Called after groups were added or removed.
+    """
+
+    build_group: Callable[[str], Group]
+    on_change: Callable[[], None]
+
+
+class Groups:
+    """All groups of the current layout.
+
+    Attributes:
+        layout: The current layout; version 0 if none is known yet.
+        groups: The groups by name.
+    """
+
+    def __init__(self, callbacks: Callbacks):
+        self.layout = layouts.Layout()
+        self.groups: dict[str, Group] = {}
+        self._callbacks = callbacks
+        self._listings: tuple[fleet.Listing, ...] = ()
+        self._last_expired_at = float("-inf")
+
+    def apply_layout(self, layout: layouts.Layout) -> bool:
+        """Apply a layout unless it is older; return whether it is new."""
+        if layout.version <= self.layout.version:
+            return False
+        logs.log(
+            LOGGER,
+            "layout_changed",
+            version=layout.version,
+            before=self.layout.version,
+            groups=layouts.list_groups(layout),
+        )
+        self.layout = layout
+        self._update_groups()
+        self._update_engines(False)
+        return True
+
+    def update_workers(
+        self,
+        listings: Iterable[fleet.Listing],
+        last_expired_at: float,
+        is_full_list: bool,
+    ) -> None:
+        """Pass the list of workers to the engines of their groups.
+
+        Args:
+            listings: The listed workers.
+            last_expired_at: When an entry last expired without being marked as
+                draining first.
+            is_full_list: Whether the whole list has just been read.
+        """
+        self._listings = tuple(listings)
+        self._last_expired_at = last_expired_at
+        self._update_engines(is_full_list)
+
+    def list_workers(self, group: str) -> list[fleet.Listing]:
+        """Return the listed workers of a group."""
+        return [
+            listing
+            for listing in self._listings
+            if layouts.find_group(
+                self.layout, listing.data_centre, listing.worker_id
+            )
+            == group
+        ]
+
+    def _update_groups(self) -> None:
+        names = layouts.list_groups(self.layout)
+        # A new owner's epoch exceeds those of the groups that no longer exist.
+        epoch = max(
+            (g.leadership.highest_epoch for g in self.groups.values()),
+            default=0,
+        )
+        for name in self.groups.keys() - set(names):
+            group = self.groups.pop(name)
+            group.leadership.retire()
+            group.engine.retire()
+        for name in names:
+            if name not in self.groups:
+                self.groups[name] = self._callbacks.build_group(name)
+                self.groups[name].leadership.record_epoch(epoch)
+        self._callbacks.on_change()
+
+    def _update_engines(self, is_full_list: bool) -> None:
+        if not self.layout.version:
+            return
+        members: dict[str, list[fleet.Listing]] = {n: [] for n in self.groups}
+        for listing in self._listings:
+            name = layouts.find_group(
+                self.layout, listing.data_centre, listing.worker_id
+            )
+            # The layout does not have a new data centre before it has workers.
+            members.get(name, []).append(listing)
+        capacities = _sum_capacities(self._listings)
+        for name, listings in members.items():
+            shares = {
+                service: capacity / capacities[service]
+                for service, capacity in _sum_capacities(listings).items()
+            }
+            self.groups[name].engine.update_workers(
+                listings, self._last_expired_at, is_full_list, shares
+            )
+
+
+def _sum_capacities(listings: Iterable[fleet.Listing]) -> dict[str, int]:
+    """Return the CPU of all workers, in thousandths of a core, by service."""
+    sums: dict[str, int] = {}
+    for listing in listings:
+        before = sums.get(listing.service, 0)
+        sums[listing.service] = before + listing.capacity.cpu_milli
+    return sums
--- a/pollenladder/service/reachability.py
+++ b/pollenladder/service/reachability.py
@@ -1,4 +1,4 @@
-"""Detect whether this daemon's data centre is isolated from the others."""
+"""Detect which workers this daemon reaches."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -33,6 +33,7 @@
         self._clock = clock
         self._probed_at = float("-inf")
         self._is_isolated = False
+        self._reaches_workers = False
         self._is_probing = False
 
     def is_data_centre_isolated(self) -> bool:
@@ -43,9 +44,15 @@
         the background and returns False, so that no daemon claims the workers
         without a result.
         """
-        now = self._clock()
-        if now - self._probed_at <= RESULT_TTL_S:
-            return self._is_isolated
+        return self._is_result_valid() and self._is_isolated
+
+    def reaches_workers(self) -> bool:
+        """Return whether any worker is reachable; it never blocks either."""
+        return self._is_result_valid() and self._reaches_workers
+
+    def _is_result_valid(self) -> bool:
+        if self._clock() - self._probed_at <= RESULT_TTL_S:
+            return True
         if not self._is_probing:
             self._is_probing = True
             gevent.spawn(self._probe)
@@ -61,6 +68,7 @@
         self._is_isolated = (
             reached_here and bool(elsewhere) and not reached_elsewhere
         )
+        self._reaches_workers = reached_here or reached_elsewhere
         self._probed_at = self._clock()
         self._is_probing = False
         logs.log(
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from pollenladder.platform import rows
 from soak import callers
 from soak import clusters
 from soak import configurations
@@ -94,7 +95,7 @@
         Daemons read the peer ports of each other from the store, so all peer
         links lead through proxies.
         """
-        if table != "daemons":
+        if table != rows.DAEMONS_TABLE or key == rows.LAYOUT_KEY:
             return value
         row = json.loads(value)
         if key not in self._peer_proxies:
--- a/tests/cluster/samples.py
+++ b/tests/cluster/samples.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from pollenladder.cluster import groups
 from pollenladder.cluster import messages
 
 POLL_S = 0.01
@@ -14,23 +15,31 @@
     """Return the heartbeat of a healthy daemon that is not the owner.
 
     Args:
-        changes: Fields with other values, by name.
+        changes: Fields with other values, by name; those of `GroupState` apply
+            to the only group.
     """
-    plain = {
+    state = {
+        "group": groups.REGION_GROUP,
         "is_owner": False,
         "epoch": 0,
         "workers_reached": 0,
+        "is_settled": False,
+        "is_backing_off": False,
+        "follows": "",
+        "successor": "",
+        "pending": {},
+        "loads": {},
+    }
+    state |= {name: changes.pop(name) for name in state.keys() & changes.keys()}
+    plain = {
         "reads_store": True,
         "config_version": 1,
+        "layout_version": 1,
         "lag_s": 0.0,
         "is_leaving": False,
-        "is_backing_off": False,
-        "pending": {},
         "processor_cores": 1.0,
-        "follows": "",
         "shed_share": 0.0,
-        "is_settled": False,
-        "successor": "",
+        "groups": (messages.GroupState(**state),),
     }
     return messages.Heartbeat(**(plain | changes))
 
--- a/tests/cluster/test_liveness.py
+++ b/tests/cluster/test_liveness.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pollenladder.cluster import groups
 from pollenladder.cluster import heartbeats
 from pollenladder.cluster import liveness
 from pollenladder.cluster import roster as rosters
@@ -24,7 +25,9 @@
             self.roster.record_member(member, 0.0)
             self.roster.record_link_state(name, True, 0.0)
             self._receive(name, LOST_AT - 1.0)
-        self.liveness = liveness.Liveness(self.roster, LOST_AT)
+        self.liveness = liveness.Liveness(
+            groups.REGION_GROUP, self.roster, LOST_AT
+        )
 
     def _receive(self, name: str, now: float) -> None:
         self.roster.record_heartbeat(name, samples.build_heartbeat(), now)
--- a/tests/cluster/test_roster.py
+++ b/tests/cluster/test_roster.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+from pollenladder.cluster import groups
 from pollenladder.cluster import roster as rosters
 from tests.cluster import samples
 
+GROUP = groups.REGION_GROUP
 HEARTBEAT = samples.build_heartbeat()
 
 
@@ -21,12 +23,12 @@
 
     def test_reachable_needs_a_link_and_a_heartbeat(self):
         self.roster.record_heartbeat("a", HEARTBEAT, 1.0)
-        self.assertEqual(self.roster.list_reachable(), {})
+        self.assertEqual(self.roster.list_reachable(GROUP), {})
         self.roster.record_link_state("a", True, 1.0)
         self.roster.record_heartbeat("a", HEARTBEAT, 1.0)
-        self.assertEqual(list(self.roster.list_reachable()), ["a"])
+        self.assertEqual(list(self.roster.list_reachable(GROUP)), ["a"])
         self.roster.record_link_state("a", False, 2.0)
-        self.assertEqual(self.roster.list_reachable(), {})
+        self.assertEqual(self.roster.list_reachable(GROUP), {})
 
     def test_own_daemon_is_no_peer(self):
         self.assertFalse(self.roster.record_member(_build_member("own"), 0.0))
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -21,9 +21,11 @@
         self.addCleanup(self.far.close)
         self.gateway = gateways.Gateway(
             gateways.Callbacks(
-                find_owner=lambda: "a",
-                get_shed_share=lambda: 0.0,
-                submit=lambda owner_id, submission: True,
+                find_owner=lambda group: "a",
+                has_group=lambda group: True,
+                choose_group=lambda submission, excluded, needs_room: "g",
+                get_shed_share=lambda group: 0.0,
+                submit=lambda owner_id, group, submission: True,
                 cancel=lambda owner_id, job_id, reason: None,
                 on_answered=lambda queue, answer, took_s: None,
             ),
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -2,10 +2,13 @@
 
 import unittest
 
+from pollenladder.cluster import groups
 from pollenladder.jobs import entities as jobs
 from pollenladder.service import gateway as gateways
 from tests.scheduling import simulations
 
+GROUP = groups.REGION_GROUP
+
 
 class GatewayTest(unittest.TestCase):
     """Which jobs a gateway forwards, and which answers it accepts."""
@@ -17,10 +20,13 @@
         self.cancelled: list[tuple[str, str]] = []
         self.arrives = True
         self.shed_share = 0.0
+        self.groups = [GROUP]
         self.gateway = gateways.Gateway(
             gateways.Callbacks(
-                find_owner=lambda: self.owner_id,
-                get_shed_share=lambda: self.shed_share,
+                find_owner=lambda group: self.owner_id if group else "",
+                has_group=lambda group: group in self.groups,
+                choose_group=self._choose_group,
+                get_shed_share=lambda group: self.shed_share,
                 submit=self._submit,
                 cancel=lambda owner, job, _: self.cancelled.append(
                     (owner, job)
@@ -30,7 +36,18 @@
             lambda: self.now,
         )
 
-    def _submit(self, owner_id: str, submission: jobs.Submission) -> bool:
+    def _choose_group(
+        self,
+        submission: jobs.Submission,
+        excluded: frozenset[str],
+        needs_room: bool,
+    ) -> str:
+        found = [name for name in self.groups if name not in excluded]
+        return found[0] if found and self.owner_id else ""
+
+    def _submit(
+        self, owner_id: str, group: str, submission: jobs.Submission
+    ) -> bool:
         if self.arrives:
             self.sent.append((owner_id, submission))
         return self.arrives
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -3,13 +3,17 @@
 import unittest
 
 from pollenladder.cluster import epochs
+from pollenladder.cluster import groups
 from pollenladder.cluster import heartbeats
 from pollenladder.cluster import messages
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
 from pollenladder.service import leadership
+from pollenladder.service import membership
 from tests.cluster import samples
 
+GROUP = groups.REGION_GROUP
+
 
 class LeadershipTest(unittest.TestCase):
     """One daemon, "b", and the heartbeats that it receives and sends."""
@@ -20,27 +24,44 @@
         self.is_leaving = False
         self.knows_all_daemons = True
         self.is_owner_row_stale = False
+        self.reaches_workers = False
         self.roster = rosters.Roster("b")
         self.sent: list[messages.Heartbeat] = []
         self.claimed: list[int] = []
         self.resigned = 0
-        self.leading = leadership.Leadership(
-            "b",
+        self.membership = membership.Membership(
             1.0,
             self.roster,
-            leadership.Callbacks(
+            membership.Callbacks(
                 broadcast=self.sent.append,
+                on_forgotten=lambda daemon_id: None,
+                reads_store=self._reads_store,
+                get_version=lambda: 1,
+                get_layout_version=lambda: 1,
+                is_leaving=lambda: self.is_leaving,
+            ),
+            lambda: self.now,
+        )
+        self.leading = self._build_leadership(GROUP)
+        self.membership.leaderships[GROUP] = self.leading
+
+    def _build_leadership(self, group: str) -> leadership.Leadership:
+        return leadership.Leadership(
+            group,
+            rosters.Member("b", "10.0.0.1", 1, "sur", 1),
+            self.roster,
+            leadership.Callbacks(
                 claim=self.claimed.append,
                 resign=self._count_resigned,
                 on_owner=lambda owner_id: None,
-                on_forgotten=lambda daemon_id: None,
+                on_change=lambda: None,
+                get_own_view=self.membership.build_own_view,
                 count_reachable_workers=lambda: 5,
                 count_pending=dict,
-                reads_store=self._reads_store,
+                measure_loads=dict,
                 knows_all_daemons=lambda: self.knows_all_daemons,
-                get_version=lambda: 1,
-                is_leaving=lambda: self.is_leaving,
-                is_data_centre_isolated=lambda: False,
+                is_isolated=lambda: False,
+                reaches_workers=lambda: self.reaches_workers,
                 is_owner_row_stale=lambda: self.is_owner_row_stale,
             ),
             lambda: self.now,
@@ -58,95 +79,95 @@
         member = rosters.Member(daemon_id, "10.0.0.1", 1, "norte", 1)
         self.roster.record_member(member, self.now)
         self.roster.record_link_state(daemon_id, True, self.now)
-        self.leading.record_heartbeat(
+        self.membership.record_heartbeat(
             daemon_id, samples.build_heartbeat(**changes)
         )
 
     def _record_late(self, late_s: float) -> None:
-        self.leading.loop_lag.record(late_s, self.leading.is_owner)
+        self.membership.loop_lag.record(late_s, self.leading.is_owner)
 
     def _become_owner(self) -> None:
         self._receive("c")
-        self.leading.step()
+        self.membership.step()
         self.assertTrue(self.leading.is_owner)
 
     def test_daemon_that_reaches_all_others_claims_at_once(self):
         self._receive("c")
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(len(self.claimed), 1)
 
     def test_lone_daemon_waits_for_others_before_it_claims(self):
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(self.claimed, [])
         self.now += leadership.BOOT_GRACE_S
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(len(self.claimed), 1)
 
     def test_owner_stays_if_all_daemons_lose_the_store(self):
         self._become_owner()
         self.store_lost_at = self.now
         for _ in range(40):
-            self.now += leadership.STEP_S
+            self.now += membership.STEP_S
             lost_s = self.now - self.store_lost_at
-            self._receive("c", reads_store=lost_s < leadership.STORE_GRACE_S)
-            self.leading.step()
+            self._receive("c", reads_store=lost_s < membership.STORE_GRACE_S)
+            self.membership.step()
         self.assertEqual(self.resigned, 0)
 
     def test_owner_resigns_if_it_alone_loses_the_store(self):
         self._become_owner()
         self.store_lost_at = self.now
-        grace_s = leadership.STORE_GRACE_S + leadership.ALONE_WITHOUT_STORE_S
+        grace_s = membership.STORE_GRACE_S + leadership.ALONE_WITHOUT_STORE_S
         resigned = []
-        while self.now < self.store_lost_at + grace_s + leadership.STEP_S:
-            self.now += leadership.STEP_S
+        while self.now < self.store_lost_at + grace_s + membership.STEP_S:
+            self.now += membership.STEP_S
             self._receive("c")
-            self.leading.step()
+            self.membership.step()
             resigned.append(self.resigned)
         self.assertEqual(resigned[-2:], [0, 1])
-        self.assertTrue(self.leading.build_heartbeat().is_backing_off)
+        self.assertTrue(self.leading.build_state().is_backing_off)
 
     def test_owner_stays_if_the_others_regain_the_store_first(self):
         self._become_owner()
         self.store_lost_at = self.now - 10.0
         self._receive("c", reads_store=False)
-        self.leading.step()
+        self.membership.step()
         # A retry comes at most `feeds.MAX_RETRY_S` later than another daemon's.
         for _ in range(6):
-            self.now += leadership.STEP_S
+            self.now += membership.STEP_S
             self._receive("c")
-            self.leading.step()
+            self.membership.step()
         self.store_lost_at = None
         self.now += 1.0
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(self.resigned, 0)
 
     def test_resigning_owner_names_its_successor_once(self):
         self._become_owner()
         self._receive("a", processor_cores=0.5)
         self.is_leaving = True
-        self.leading.step()
-        self.leading.send_heartbeat_if_needed()
+        self.membership.step()
+        self.membership.send_heartbeat_if_needed()
         self.now += 1.0
-        self.leading.send_heartbeat_if_needed()
-        successors = [heartbeat.successor for heartbeat in self.sent]
+        self.membership.send_heartbeat_if_needed()
+        successors = [sent.groups[0].successor for sent in self.sent]
         self.assertEqual([name for name in successors if name], ["c"])
 
     def test_named_successor_claims_though_another_ranks_better(self):
         self._receive("a", is_owner=True, epoch=3)
-        self.leading.step()
+        self.membership.step()
         self._receive("a", successor="b")
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(len(self.claimed), 1)
 
     def test_claim_is_left_to_the_named_successor_for_a_while(self):
         self._receive("c", is_owner=True, epoch=3)
-        self.leading.step()
+        self.membership.step()
         self._receive("c", is_backing_off=True, successor="d")
         self._receive("d")
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(self.claimed, [])
         self.now += ownership.SUCCESSOR_WAIT_S
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(len(self.claimed), 1)
 
     def test_restarted_owner_passes_a_distant_epoch_in_few_claims(self):
@@ -156,7 +177,7 @@
         while self.claimed[-1] < distant:
             self.leading.record_fenced("w1")
             self.now += leadership.FENCED_WAIT_S
-            self.leading.step()
+            self.membership.step()
         self.assertLess(len(self.claimed), 12)
 
     def test_claim_exceeds_the_epoch_in_the_owner_row(self):
@@ -170,19 +191,19 @@
         self.leading.record_fenced("w1")
         rival = {"epoch": self.claimed[0] + 1, "is_settled": True}
         self._receive("c", is_owner=True, **rival)
-        self.leading.step()
+        self.membership.step()
         self._receive("c", follows="b")
         self.now += leadership.FENCED_WAIT_S
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(len(self.claimed), 2)
 
     def test_fenced_owner_claims_a_higher_epoch(self):
         self._become_owner()
         self.leading.record_fenced("w1")
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(len(self.claimed), 1)
         self.now += leadership.FENCED_WAIT_S
-        self.leading.step()
+        self.membership.step()
         first, second = self.claimed
         epoch_floor = epochs.skip_ahead(first)
         self.assertGreaterEqual(second, epoch_floor)
@@ -192,7 +213,7 @@
         self.leading.record_fenced("w1")
         self._receive("c", follows="x")
         self.now += leadership.FENCED_WAIT_S
-        self.leading.step()
+        self.membership.step()
         self.assertEqual((len(self.claimed), self.resigned), (1, 1))
 
     def test_fenced_owner_resigns_if_it_reaches_less_than_half(self):
@@ -203,7 +224,7 @@
         self.roster.record_link_state("c", False, self.now)
         self.leading.record_fenced("w1")
         self.now += leadership.FENCED_WAIT_S
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(self.resigned, 1)
 
     def test_resumed_owner_resigns_to_the_new_owner(self):
@@ -212,7 +233,7 @@
         self._receive(
             "c", is_owner=True, epoch=self.claimed[0] + 1, workers_reached=5
         )
-        self.leading.step()
+        self.membership.step()
         self.assertEqual((len(self.claimed), self.resigned), (1, 1))
 
     def test_survivor_claims_once_the_owner_row_is_stale(self):
@@ -220,10 +241,10 @@
             member = rosters.Member(name, "10.0.0.1", 1, "norte", 1)
             self.roster.record_member(member, self.now)
         self.now += leadership.BOOT_GRACE_S
-        self.leading.step()
+        self.membership.step()
         self.assertFalse(self.leading.is_owner)
         self.is_owner_row_stale = True
-        self.leading.step()
+        self.membership.step()
         self.assertTrue(self.leading.is_owner)
 
     def test_claim_exceeds_the_epoch_of_another_owner(self):
@@ -236,35 +257,35 @@
             epoch=self.claimed[0] + 5 * daemons,
             is_settled=True,
         )
-        self.leading.step()
+        self.membership.step()
         self.assertGreater(self.claimed[-1], self.claimed[0] + 5 * daemons)
 
     def test_follower_in_a_large_region_sends_few_heartbeats(self):
         for number in range(100):
             self._receive(f"x{number}", is_owner=number == 0, workers_reached=9)
         for _ in range(50):
-            self.leading.step()
-            self.leading.send_heartbeat_if_needed()
-            self.now += leadership.STEP_S
+            self.membership.step()
+            self.membership.send_heartbeat_if_needed()
+            self.now += membership.STEP_S
         self.assertLess(len(self.sent), 8)
 
     def test_urgent_change_is_sent_at_once(self):
         for number in range(100):
             self._receive(f"x{number}", is_owner=number == 0, workers_reached=9)
-        self.leading.step()
-        self.leading.send_heartbeat_if_needed()
-        self.now += leadership.STEP_S
+        self.membership.step()
+        self.membership.send_heartbeat_if_needed()
+        self.now += membership.STEP_S
         self._receive("x0")
-        self.leading.step()
-        self.leading.send_heartbeat_if_needed()
+        self.membership.step()
+        self.membership.send_heartbeat_if_needed()
         self.assertEqual(len(self.sent), 2)
 
     def test_newly_linked_daemon_gets_a_heartbeat_at_once(self):
         self._receive("c", is_owner=True, workers_reached=9)
-        self.leading.step()
-        self.leading.send_heartbeat_if_needed()
-        self.leading.request_heartbeat()
-        self.leading.send_heartbeat_if_needed()
+        self.membership.step()
+        self.membership.send_heartbeat_if_needed()
+        self.membership.request_heartbeat()
+        self.membership.send_heartbeat_if_needed()
         self.assertEqual(len(self.sent), 2)
 
     def _follow_one_of_many(self) -> None:
@@ -272,11 +293,11 @@
             self._receive(f"x{number}")
         self._receive("a")
         self._receive("y", is_owner=True, workers_reached=9)
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(self.leading.owner_id, "y")
         self.now += 1.0
         self.roster.record_link_state("y", False, self.now)
-        self.leading.step()
+        self.membership.step()
 
     def test_large_region_does_not_wait_for_a_silent_peer(self):
         self._follow_one_of_many()
@@ -285,7 +306,7 @@
         # "a" has the best rank but has sent no heartbeat since.
         for number in range(40):
             self._receive(f"x{number}")
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(len(self.claimed), 1)
 
     def test_large_region_waits_for_a_live_peer_of_better_rank(self):
@@ -293,7 +314,7 @@
         self.now += heartbeats.OWNER_LOSS_WAIT_S
         for name in ("a", *(f"x{number}" for number in range(40))):
             self._receive(name)
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(self.claimed, [])
 
     def test_wait_ends_once_all_linked_peers_have_sent_a_heartbeat(self):
@@ -301,23 +322,23 @@
         for number in range(40):
             self._receive(f"x{number}")
         self.roster.record_link_state("a", False, self.now)
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(len(self.claimed), 1)
 
     def test_slow_owner_announces_the_share_to_refuse(self):
         self._become_owner()
         for _ in range(5):
             self._record_late(0.5)
-        share = self.leading.get_shed_share()
+        share = self.membership.get_shed_share(GROUP)
         self.assertGreater(share, 0.0)
-        self.assertEqual(self.leading.build_heartbeat().shed_share, share)
+        self.assertEqual(self.membership.build_heartbeat().shed_share, share)
 
     def test_follower_uses_the_share_of_its_owner(self):
         self._record_late(5.0)
-        self.assertEqual(self.leading.get_shed_share(), 0.0)
+        self.assertEqual(self.membership.get_shed_share(GROUP), 0.0)
         self._receive("a", is_owner=True, epoch=3, shed_share=0.4)
-        self.leading.step()
-        self.assertEqual(self.leading.get_shed_share(), 0.4)
+        self.membership.step()
+        self.assertEqual(self.membership.get_shed_share(GROUP), 0.4)
 
     def test_owner_stays_after_several_slow_owners(self):
         before = ""
@@ -325,17 +346,17 @@
             self._receive(owner, is_owner=True, epoch=3)
             if before:
                 self._receive(before, is_backing_off=True)
-            self.leading.step()
+            self.membership.step()
             self.assertEqual(self.leading.owner_id, owner)
             before = owner
         self._receive(before, is_backing_off=True)
-        self.leading.step()
+        self.membership.step()
         self.assertTrue(self.leading.is_owner)
         for _ in range(20):
             self._record_late(1.0)
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(self.resigned, 0)
         self.now += ownership.RECENT_OWNERS_WINDOW_S
         self._receive("a")
-        self.leading.step()
+        self.membership.step()
         self.assertEqual(self.resigned, 1)
--- a/tests/service/test_rivals.py
+++ b/tests/service/test_rivals.py
@@ -5,9 +5,11 @@
 import random
 import unittest
 
+from pollenladder.cluster import groups
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 from pollenladder.service import leadership
+from pollenladder.service import membership as memberships
 
 NAMES = ("a", "b", "c", "d", "e", "f")
 WORKERS = 24
@@ -47,6 +49,7 @@
         self.claims = dict.fromkeys(NAMES, 0)
         self._claimed_at = dict.fromkeys(NAMES, 0.0)
         self.members: dict[str, leadership.Leadership] = {}
+        self._memberships: dict[str, memberships.Membership] = {}
         self.readers = set(NAMES)
         self._random = random.Random(seed)
         self._workers = Workers()
@@ -62,28 +65,43 @@
             member = rosters.Member(other, "10.0.0.1", 1, "norte", 1)
             self._rosters[name].record_member(member, self.now)
             self._rosters[name].record_link_state(other, True, self.now)
-        self.members[name] = leadership.Leadership(
-            name,
+        membership = memberships.Membership(
             1.0,
             self._rosters[name],
-            leadership.Callbacks(
+            memberships.Callbacks(
                 broadcast=lambda heartbeat: self._broadcast(name, heartbeat),
+                on_forgotten=lambda daemon_id: None,
+                reads_store=lambda within_s: name in self.readers,
+                get_version=lambda: 1,
+                get_layout_version=lambda: 1,
+                is_leaving=lambda: False,
+            ),
+            lambda: self.now,
+        )
+        self._memberships[name] = membership
+        self.members[name] = leadership.Leadership(
+            groups.REGION_GROUP,
+            rosters.Member(name, "10.0.0.1", 1, "norte", 1),
+            self._rosters[name],
+            leadership.Callbacks(
                 claim=lambda epoch: self._claim(name, epoch),
                 resign=lambda: None,
                 on_owner=lambda owner_id: None,
-                on_forgotten=lambda daemon_id: None,
+                on_change=lambda: self._schedule(0.0, self._act, name),
+                get_own_view=membership.build_own_view,
                 count_reachable_workers=lambda: self._count_workers(name),
                 count_pending=dict,
-                reads_store=lambda within_s: name in self.readers,
+                measure_loads=dict,
                 knows_all_daemons=lambda: True,
-                get_version=lambda: 1,
-                is_leaving=lambda: False,
-                is_data_centre_isolated=lambda: False,
+                is_isolated=lambda: False,
+                reaches_workers=lambda: False,
                 is_owner_row_stale=lambda: False,
             ),
             lambda: self.now,
             lambda: 1_800_000_000.0 + self.now,
         )
+        leaderships = membership.leaderships
+        leaderships[groups.REGION_GROUP] = self.members[name]
 
     def run(self, seconds: float) -> None:
         """Simulate some seconds."""
@@ -107,9 +125,12 @@
         heapq.heappush(self._events, entry)
 
     def _step(self, name: str) -> None:
-        self.members[name].step()
-        self.members[name].send_heartbeat_if_needed()
-        self._schedule(leadership.STEP_S, self._step, name)
+        self._act(name)
+        self._schedule(memberships.STEP_S, self._step, name)
+
+    def _act(self, name: str) -> None:
+        self._memberships[name].step()
+        self._memberships[name].send_heartbeat_if_needed()
 
     def _broadcast(self, name: str, heartbeat: messages.Heartbeat) -> None:
         for other in NAMES:
@@ -122,12 +143,7 @@
     def _receive(
         self, name: str, sender: str, heartbeat: messages.Heartbeat
     ) -> None:
-        member = self.members[name]
-        before = member.owner_id
-        member.record_heartbeat(sender, heartbeat)
-        if heartbeat.is_owner != (sender == before):
-            member.step()
-            member.send_heartbeat_if_needed()
+        self._memberships[name].record_heartbeat(sender, heartbeat)
 
     def _claim(self, name: str, epoch: int) -> None:
         self.claims[name] += 1
