--- a/pollenladder/cluster/liveness.py
+++ b/pollenladder/cluster/liveness.py
@@ -38,7 +38,7 @@
         """
         if has_owner or self.is_awaiting_heartbeats(has_owner, now):
             return self._roster.list_reachable(self._group)
-        if not heartbeats.is_peer_timeout_longer(len(self._roster.peers)):
+        if not heartbeats.is_peer_timeout_longer(self._roster.count_near()):
             return self._roster.list_reachable(self._group)
         return self._roster.list_reachable(
             self._group, now - heartbeats.OWNER_TIMEOUT_S
@@ -51,7 +51,7 @@
         the owner, until all linked peers have sent one.
         """
         if has_owner or not heartbeats.is_peer_timeout_longer(
-            len(self._roster.peers)
+            self._roster.count_near()
         ):
             return False
         received_since_change = self._roster.list_reachable(
--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import logging
 
@@ -45,10 +46,12 @@
         on_message: Called with the sender's id and each message.
         on_link_change: Called with a peer's id and whether it is linked, when
             a link was established or has ended.
+        is_owner: Returns whether this daemon owns any workers.
     """
 
     on_message: Callable[[str, object], None]
     on_link_change: Callable[[str, bool], None]
+    is_owner: Callable[[], bool]
 
 
 class Mesh:
@@ -114,11 +117,22 @@
         link = self._links.get(daemon_id)
         return link is not None and link.send(message)
 
-    def broadcast(self, message: object) -> None:
-        """Send a message to all linked peers."""
+    def broadcast(
+        self, message: object, daemon_ids: Iterable[str] | None = None
+    ) -> None:
+        """Send a message to linked peers.
+
+        Args:
+            message: The message.
+            daemon_ids: The peers; None for all.
+        """
         packed = self._settings.messages.encode(message)
-        for link in list(self._links.values()):
-            link.send_packed(packed)
+        for daemon_id in list(
+            self._links if daemon_ids is None else daemon_ids
+        ):
+            link = self._links.get(daemon_id)
+            if link is not None:
+                link.send_packed(packed)
 
     def _connect_missing(self) -> None:
         for daemon_id, peer in list(self._roster.peers.items()):
@@ -192,11 +206,16 @@
     def _update_link_timeout(
         self, link: links.Link, is_owner: bool, lag_s: float = 0.0
     ) -> None:
-        peers = len(self._roster.peers)
         false_alarms = self._suspicions.count_false_alarms(self._clock())
-        link.set_peer_timeout(
-            heartbeats.choose_timeout_s(peers, is_owner, false_alarms, lag_s)
-        )
+        if self._roster.is_near(link.peer.daemon_id):
+            timeout_s = heartbeats.choose_timeout_s(
+                self._roster.count_near(), is_owner, false_alarms, lag_s
+            )
+        else:
+            timeout_s = heartbeats.choose_distant_timeout_s(
+                self._callbacks.is_owner(), is_owner, false_alarms, lag_s
+            )
+        link.set_peer_timeout(timeout_s)
 
     def _handle_close(
         self, link: links.Link, reason: links.CloseReason
--- a/pollenladder/cluster/ownership.py
+++ b/pollenladder/cluster/ownership.py
@@ -55,9 +55,10 @@
 SUCCESSOR_WAIT_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+# Not frozen, as one is built for each heartbeat and this takes half the time.
+@dataclasses.dataclass(slots=True)
 class DaemonView:
-    """The state of a daemon, as in its latest heartbeat.
+    """The state of a daemon, as in its latest heartbeat. It is not changed.
 
     Attributes:
         is_owner: Whether the daemon considers itself the owner.
--- a/pollenladder/cluster/roster.py
+++ b/pollenladder/cluster/roster.py
@@ -62,6 +62,8 @@
 
     def __init__(self, own_id: str):
         self.peers: dict[str, Peer] = {}
+        self._near_data_centre = ""
+        self._near: set[str] = set()
         self._own_id = own_id
         self._forgotten_incarnations: dict[str, int] = {}
 
@@ -82,6 +84,7 @@
         peer = self.peers.get(member.daemon_id)
         if peer is None:
             self.peers[member.daemon_id] = Peer(member, now)
+            self._update_near()
             return True
         if member.incarnation <= peer.member.incarnation:
             return False
@@ -123,6 +126,8 @@
         for daemon_id in lost:
             member = self.peers.pop(daemon_id).member
             self._forgotten_incarnations[daemon_id] = member.incarnation
+        if lost:
+            self._update_near()
         return lost
 
     def list_reachable(
@@ -140,6 +145,26 @@
             if group in peer.views and peer.last_heartbeat_at >= since
         }
 
+    def is_near(self, daemon_id: str) -> bool:
+        """Return whether a peer may own the same groups as this daemon."""
+        return daemon_id in self._near
+
+    def count_near(self) -> int:
+        """Return the number of near peers."""
+        return len(self._near)
+
+    def limit_near(self, data_centre: str) -> None:
+        """Count only the peers of one data centre as near."""
+        self._near_data_centre = data_centre
+        self._update_near()
+
+    def _update_near(self) -> None:
+        self._near = {
+            daemon_id
+            for daemon_id, peer in self.peers.items()
+            if self._near_data_centre in ("", peer.member.data_centre)
+        }
+
     def list_linked(self) -> dict[str, ownership.DaemonView]:
         """Return the views of all linked peers, without any group, by id."""
         return {
@@ -175,21 +200,16 @@
     heartbeat: messages.Heartbeat, state: messages.GroupState | None = None
 ) -> ownership.DaemonView:
     """Return the state of a daemon in one group, or without any group."""
-    view = ownership.DaemonView(
+    return ownership.DaemonView(
         reads_store=heartbeat.reads_store,
         lag_s=heartbeat.lag_s,
         is_leaving=heartbeat.is_leaving,
         processor_cores=heartbeat.processor_cores,
         groups_owned=heartbeat.count_owned(),
-    )
-    if state is None:
-        return view
-    return dataclasses.replace(
-        view,
-        is_owner=state.is_owner,
-        epoch=state.epoch,
-        workers_reached=state.workers_reached,
-        is_backing_off=state.is_backing_off,
-        follows=state.follows,
-        is_settled=state.is_settled,
+        is_owner=state is not None and state.is_owner,
+        epoch=state.epoch if state else 0,
+        workers_reached=state.workers_reached if state else 0,
+        is_backing_off=state is not None and state.is_backing_off,
+        follows=state.follows if state else "",
+        is_settled=state is not None and state.is_settled,
     )
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -97,6 +97,7 @@
             meshes.Callbacks(
                 on_message=self._handle_message,
                 on_link_change=self._handle_link_change,
+                is_owner=lambda: self._membership.is_owner,
             ),
             self._clock,
         )
@@ -449,7 +450,7 @@
             self._membership.wake()
 
     def _claim(self, engine: engines.Engine, epoch: int) -> None:
-        peers = len(self._roster.peers)
+        peers = self._roster.count_near()
         engine.claim(epoch, self._feeds.is_store_up, peers)
         self._feeds.refresh_workers()
 
@@ -463,6 +464,8 @@
             name: group.leadership
             for name, group in self._groups.groups.items()
         }
+        if self._groups.layout.parts:
+            self._roster.limit_near(self._settings.data_centre)
         self._membership.wake()
 
     def _is_layout_keeper(self) -> bool:
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -76,7 +76,7 @@
         Args:
             epoch: The epoch of the ownership.
             reads_store: Whether the list of workers can be read now.
-            peers: The number of other known daemons.
+            peers: The number of near peers; see `cluster.heartbeats`.
         """
         now = self._clock()
         if self.region is None:
@@ -284,10 +284,13 @@
     more.
 
     Args:
-        peers: The number of other known daemons.
+        peers: The number of near peers; see `cluster.heartbeats`.
     """
     doublings = heartbeats.MAX_TIMEOUT_DOUBLINGS
-    timeout_s = heartbeats.choose_timeout_s(peers, False, doublings)
+    timeout_s = max(
+        heartbeats.choose_timeout_s(peers, False, doublings),
+        heartbeats.choose_distant_timeout_s(True, False, doublings, 0.0),
+    )
     grace_s = maintenance.GATEWAY_GRACE_S + runs.ORPHAN_GRACE_S
     return (
         timeout_s
--- a/pollenladder/service/membership.py
+++ b/pollenladder/service/membership.py
@@ -28,7 +28,7 @@
     """The functions that the membership calls.
 
     Attributes:
-        broadcast: Sends a message to all linked daemons.
+        broadcast: Sends a message to some daemons, if they are linked.
         on_forgotten: Called with the id of a daemon that was forgotten.
         reads_store: Returns whether the platform's store has answered
             within some seconds.
@@ -37,7 +37,7 @@
         is_leaving: Returns whether this daemon is shutting down.
     """
 
-    broadcast: Callable[[object], None]
+    broadcast: Callable[[object, list[str]], None]
     on_forgotten: Callable[[str], None]
     reads_store: Callable[[float], bool]
     get_version: Callable[[], int]
@@ -66,8 +66,9 @@
         self._roster = roster
         self._callbacks = callbacks
         self._clock = clock
-        self._last_sent_at = float("-inf")
+        self._last_sent_at: dict[str, float] = {}
         self._last_urgent_fields: tuple = ()
+        self._last_distant_urgent_fields: tuple = ()
         self._is_heartbeat_requested = False
         self._wake = event.Event()
 
@@ -147,29 +148,69 @@
     def step(self) -> None:
         """Make one decision on each group."""
         for daemon_id in self._roster.forget_lost(self._clock()):
+            self._last_sent_at.pop(daemon_id, None)
             logs.log(LOGGER, "daemon_forgotten", peer=daemon_id)
             self._callbacks.on_forgotten(daemon_id)
         for found in list(self.leaderships.values()):
             found.step()
 
     def send_heartbeat_if_needed(self) -> None:
-        """Broadcast a heartbeat if it is due, requested or urgently changed."""
+        """Send a heartbeat to all peers for which it is due.
+
+        It is due at once if it was requested, or if an urgent field changed.
+        """
         now = self._clock()
         heartbeat = self.build_heartbeat()
-        interval_s = heartbeats.choose_interval_s(
-            len(self._roster.peers),
-            self.is_owner,
-            all(state.follows for state in heartbeat.groups),
+        urgent = _get_urgent_fields(heartbeat)
+        distant_urgent = _get_distant_urgent_fields(heartbeat)
+        is_news = (
+            self._is_heartbeat_requested or urgent != self._last_urgent_fields
+        )
+        is_distant_news = (
+            self._is_heartbeat_requested
+            or distant_urgent != self._last_distant_urgent_fields
         )
-        is_due = now >= self._last_sent_at + interval_s - STEP_S / 2
-        is_news = _get_urgent_fields(heartbeat) != self._last_urgent_fields
-        if is_due or is_news or self._is_heartbeat_requested:
-            self._is_heartbeat_requested = False
-            self._last_sent_at = now
-            self._last_urgent_fields = _get_urgent_fields(heartbeat)
+        due = self._list_due(heartbeat, now, is_news, is_distant_news)
+        self._is_heartbeat_requested = False
+        self._last_urgent_fields = urgent
+        self._last_distant_urgent_fields = distant_urgent
+        if is_news:
             for group, view in rosters.build_views(heartbeat).items():
                 self.leaderships[group].record_sent(view)
-            self._callbacks.broadcast(heartbeat)
+        if due:
+            self._last_sent_at.update(dict.fromkeys(due, now))
+            self._callbacks.broadcast(heartbeat, due)
+
+    def _list_due(
+        self,
+        heartbeat: messages.Heartbeat,
+        now: float,
+        is_news: bool,
+        is_distant_news: bool,
+    ) -> list[str]:
+        """Return the peers to which a heartbeat is to be sent now."""
+        is_owner = heartbeat.count_owned() > 0
+        near_interval_s = heartbeats.choose_interval_s(
+            self._roster.count_near(),
+            is_owner,
+            all(state.follows for state in heartbeat.groups),
+        )
+        due = []
+        for daemon_id, peer in self._roster.peers.items():
+            if self._roster.is_near(daemon_id):
+                is_urgent, interval_s = is_news, near_interval_s
+            else:
+                is_urgent = is_distant_news
+                is_peer_owner = bool(
+                    peer.heartbeat and peer.heartbeat.count_owned()
+                )
+                interval_s = heartbeats.choose_distant_interval_s(
+                    is_owner, is_peer_owner
+                )
+            sent_at = self._last_sent_at.get(daemon_id, float("-inf"))
+            if is_urgent or now >= sent_at + interval_s - STEP_S / 2:
+                due.append(daemon_id)
+        return due
 
     def request_heartbeat(self) -> None:
         """Send a heartbeat at once, for a daemon that has just been linked."""
@@ -219,3 +260,16 @@
             for state in heartbeat.groups
         ),
     )
+
+
+def _get_distant_urgent_fields(heartbeat: messages.Heartbeat) -> tuple:
+    """Return the fields whose changes are sent to distant peers at once."""
+    return (
+        heartbeat.layout_version,
+        heartbeat.is_leaving,
+        *(
+            (state.group, state.epoch, state.successor)
+            for state in heartbeat.groups
+            if state.is_owner or state.successor
+        ),
+    )
--- a/pollenladder/wire/links.py
+++ b/pollenladder/wire/links.py
@@ -9,6 +9,8 @@
 import dataclasses
 import enum
 import logging
+import select
+import time
 from typing import Any
 
 import gevent
@@ -132,14 +134,20 @@
         self._queue_written = event.Event()
         self._queue_written.set()
         self._closed_event = event.Event()
+        self._peer_timeout_s = limits.peer_timeout_s
+        self._timeout_changed = event.Event()
+        self._received_at = time.monotonic()
+        self._write_began_at: float | None = None
+        self._written_at = self._received_at
 
     def start(self) -> None:
         """Start the greenlets that read from and write to the connection."""
         if self.closed:
             return
-        self._sock.settimeout(self._limits.peer_timeout_s)
+        self._sock.settimeout(None)
         gevent.spawn(self._read)
         gevent.spawn(self._write)
+        gevent.spawn(self._watch_peer)
 
     def send(self, message: Any) -> bool:
         """Queue a message; it is sent in one frame with other queued messages.
@@ -185,9 +193,11 @@
         return True
 
     def set_peer_timeout(self, peer_timeout_s: float) -> None:
-        """Replace `Limits.peer_timeout_s` for further reads and writes."""
-        if not self.closed:
-            self._sock.settimeout(peer_timeout_s)
+        """Replace `Limits.peer_timeout_s`."""
+        is_shorter = peer_timeout_s < self._peer_timeout_s
+        self._peer_timeout_s = peer_timeout_s
+        if is_shorter:
+            self._timeout_changed.set()
 
     def join(self) -> None:
         """Wait until the link is closed."""
@@ -213,6 +223,7 @@
         self._queue.clear()
         self._queued_bytes = 0
         self._data_queued.set()
+        self._timeout_changed.set()
         self._queue_written.set()
         self._sock.close()
         self._closed_event.set()
@@ -243,18 +254,58 @@
     def _write(self) -> None:
         try:
             while not self.closed:
-                has_messages = self._data_queued.wait(self._limits.heartbeat_s)
+                self._data_queued.wait()
                 self._data_queued.clear()
-                if has_messages:
+                if self._queue:
                     self._write_queued()
-                else:
+                elif not self.closed:
                     # A frame without messages is a heartbeat.
                     self._write_frame([])
-        except TimeoutError:
-            self.close(CloseReason.STALLED)
         except OSError:
             self.close(CloseReason.BROKEN)
 
+    def _watch_peer(self) -> None:
+        """Send heartbeats, and close the link if the peer falls silent.
+
+        The peer counts as silent if it sends nothing or reads nothing. One
+        greenlet watches for both, as a timer for each call costs too much.
+        """
+        while not self.closed:
+            now = time.monotonic()
+            idle_s = now - self._written_at
+            if idle_s >= self._limits.heartbeat_s:
+                self._written_at = now
+                self._data_queued.set()
+                idle_s = 0.0
+            since = self._received_at
+            if self._write_began_at is not None:
+                since = min(since, self._write_began_at)
+            left_s = since + self._peer_timeout_s - now
+            if left_s > 0:
+                self._timeout_changed.wait(
+                    min(left_s, self._limits.heartbeat_s - idle_s)
+                )
+                self._timeout_changed.clear()
+            elif since == self._write_began_at:
+                self.close(CloseReason.STALLED)
+            elif self._has_received_since_check():
+                gevent.sleep(0)
+            else:
+                self.close(CloseReason.SILENT)
+
+    def _has_received_since_check(self) -> bool:
+        """Return whether bytes have arrived that were not read yet.
+
+        A process that was delayed or suspended may notice the timeout before
+        the bytes that arrived in time.
+        """
+        poll = select.poll()
+        poll.register(self._sock, select.POLLIN)
+        if not poll.poll(0):
+            return False
+        self._received_at = time.monotonic()
+        return True
+
     def _write_queued(self) -> None:
         while self._queue:
             self._write_frame(self._dequeue_batch())
@@ -262,7 +313,10 @@
 
     def _write_frame(self, batch: list[bytes]) -> None:
         frame = framing.pack_batch(batch)
+        self._write_began_at = time.monotonic()
         self._sock.sendall(frame)
+        self._write_began_at = None
+        self._written_at = time.monotonic()
         self.counts.frames_out += 1
         self.counts.messages_out += len(batch)
         self.counts.heartbeats_out += not batch
@@ -271,8 +325,6 @@
     def _read(self) -> None:
         try:
             self._read_frames()
-        except TimeoutError:
-            self.close(CloseReason.SILENT)
         except OSError:
             self.close(CloseReason.BROKEN)
         except exceptions.WireError as error:
@@ -287,7 +339,8 @@
     def _read_frames(self) -> None:
         frames = framing.FrameBuffer(self._limits.max_frame_bytes)
         while not self.closed:
-            data = self._receive()
+            data = self._sock.recv(RECEIVE_BYTES)
+            self._received_at = time.monotonic()
             if not data:
                 frames.finish()
                 self.close(CloseReason.PEER_CLOSED)
@@ -299,30 +352,6 @@
                 # The next recv may not block either: let other greenlets run.
                 gevent.sleep(0)
 
-    def _receive(self) -> bytes:
-        """Return the next bytes, or b"" at the end of the connection.
-
-        Raises:
-            TimeoutError: Nothing has arrived for `Limits.peer_timeout_s`.
-        """
-        try:
-            return self._sock.recv(RECEIVE_BYTES)
-        except TimeoutError:
-            # A process that was delayed or suspended may notice the timeout
-            # before the bytes that arrived in time.
-            return self._receive_pending()
-
-    def _receive_pending(self) -> bytes:
-        timeout_s = self._sock.gettimeout()
-        self._sock.settimeout(0.0)
-        try:
-            return self._sock.recv(RECEIVE_BYTES)
-        except BlockingIOError as error:
-            raise TimeoutError("nothing received") from error
-        finally:
-            if not self.closed:
-                self._sock.settimeout(timeout_s)
-
     def _handle_frame(self, body: bytes) -> None:
         """Decode all messages of a frame, then deliver them.
 
--- a/tests/cluster/test_mesh.py
+++ b/tests/cluster/test_mesh.py
@@ -31,6 +31,7 @@
             meshes.Callbacks(
                 on_message=self._handle_message,
                 on_link_change=self._record_link_change,
+                is_owner=lambda: False,
             ),
             clocks.read_monotonic_s,
         )
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -33,7 +33,7 @@
             1.0,
             self.roster,
             membership.Callbacks(
-                broadcast=self.sent.append,
+                broadcast=lambda heartbeat, _: self.sent.append(heartbeat),
                 on_forgotten=lambda daemon_id: None,
                 reads_store=self._reads_store,
                 get_version=lambda: 1,
--- a/tests/service/test_rivals.py
+++ b/tests/service/test_rivals.py
@@ -69,7 +69,9 @@
             1.0,
             self._rosters[name],
             memberships.Callbacks(
-                broadcast=lambda heartbeat: self._broadcast(name, heartbeat),
+                broadcast=lambda heartbeat, names: self._broadcast(
+                    name, heartbeat, names
+                ),
                 on_forgotten=lambda daemon_id: None,
                 reads_store=lambda within_s: name in self.readers,
                 get_version=lambda: 1,
@@ -132,13 +134,14 @@
         self._memberships[name].step()
         self._memberships[name].send_heartbeat_if_needed()
 
-    def _broadcast(self, name: str, heartbeat: messages.Heartbeat) -> None:
-        for other in NAMES:
-            if other != name:
-                # Later heartbeats do not overtake earlier ones by much, as in
-                # the queue of a link.
-                delay_s = self._random.uniform(MIN_DELAY_S, MAX_DELAY_S)
-                self._schedule(delay_s, self._receive, other, name, heartbeat)
+    def _broadcast(
+        self, name: str, heartbeat: messages.Heartbeat, names: list[str]
+    ) -> None:
+        for other in names:
+            # Later heartbeats do not overtake earlier ones by much, as in the
+            # queue of a link.
+            delay_s = self._random.uniform(MIN_DELAY_S, MAX_DELAY_S)
+            self._schedule(delay_s, self._receive, other, name, heartbeat)
 
     def _receive(
         self, name: str, sender: str, heartbeat: messages.Heartbeat
