--- a/tests/cluster/test_roster.py
+++ b/tests/cluster/test_roster.py
@@ -30,6 +30,17 @@
         self.roster.record_link_state("a", False, 2.0)
         self.assertEqual(self.roster.list_reachable(GROUP), {})
 
+    def test_near_peers_are_those_of_one_data_centre(self):
+        far = rosters.Member("z", "10.0.0.2", 7720, "sur", 1)
+        self.roster.record_member(far, 0.0)
+        self.assertEqual(self.roster.count_near(), 2)
+        self.roster.limit_near("sur")
+        self.assertEqual(self.roster.count_near(), 1)
+        self.assertTrue(self.roster.is_near("z"))
+        self.assertEqual(self.roster.list_known("sur"), {"own", "z"})
+        self.roster.forget_lost(rosters.FORGET_AFTER_S + 1)
+        self.assertEqual(self.roster.count_near(), 0)
+
     def test_own_daemon_is_no_peer(self):
         self.assertFalse(self.roster.record_member(_build_member("own"), 0.0))
         self.assertEqual(self.roster.list_known(), {"own", "a"})
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -297,6 +297,20 @@
             self.now += membership.STEP_S
         self.assertLess(len(self.sent), 8)
 
+    def test_distant_peers_get_few_heartbeats(self):
+        self.roster.limit_near("sur")
+        self._receive("x", is_owner=True, workers_reached=9)
+        self._receive("y")
+        due: list[str] = []
+        for _ in range(100):
+            self.now += membership.STEP_S
+            heartbeat = self.membership.build_heartbeat()
+            found = self.membership._list_due(heartbeat, self.now, False, False)
+            self.membership._last_sent_at.update(dict.fromkeys(found, self.now))
+            due += found
+        self.assertLessEqual(due.count("y"), 3)
+        self.assertGreaterEqual(due.count("x"), 12)
+
     def test_urgent_change_is_sent_at_once(self):
         for number in range(100):
             self._receive(f"x{number}", is_owner=number == 0, workers_reached=9)
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -1,6 +1,7 @@
 """Tests of handshakes, links and their server, over loopback sockets."""
 
 import dataclasses
+import time
 import unittest
 
 import gevent
@@ -151,6 +152,17 @@
         samples.wait_until(lambda: self.far.closed)
         self.assertEqual(self.far.closed, [Reason.SILENT])
 
+    def test_bytes_that_were_not_read_yet_show_a_live_peer(self):
+        limits = build_limits(peer_timeout_s=0.2, heartbeat_s=5.0)
+        self.far = samples.RecordingDaemon("far", limits=limits)
+        sock = self.connect_raw(self.listen(self.far))
+        samples.wait_until(lambda: self.far.links)
+        # A process that is suspended past the timeout, while bytes arrive.
+        sock.sendall(HEARTBEAT)
+        time.sleep(0.5)
+        gevent.sleep(0.05)
+        self.assertEqual(self.far.closed, [])
+
     def test_a_peer_that_does_not_read_is_closed(self):
         limits = build_limits(peer_timeout_s=0.2, heartbeat_s=0.05)
         self.far = samples.RecordingDaemon("far", limits=limits)
