--- a/models/ownership.pml
+++ b/models/ownership.pml
@@ -12,8 +12,10 @@
  *
  * Twins:
  * - NAIVE_FENCE: a worker rejects orders with a lower epoch than it has seen.
- * - NAIVE_POLL: a new owner starts the task only once it has polled all workers,
- *   and adopts the run that it finds.
+ * - NAIVE_POLL: a new owner starts the task only once it has polled all workers.
+ * - NAIVE_ADOPT: it adopts the run that a poll shows.
+ * - NAIVE_SEEN: a worker remembers the epoch of a poll.
+ * - NAIVE_CLAIM: a claim has a higher epoch than all before.
  * - NAIVE_REBUILD: a daemon that claims again polls all workers again, as the
  *   other one may have started the task meanwhile.
  */
@@ -29,6 +31,7 @@
 #define KNOWS_ALL_RUNS (synced[0] && synced[1])
 #endif
 
+byte claims = 0;
 byte highest_epoch = 0;
 byte seen_epoch[WORKERS];
 bool running[WORKERS];
@@ -65,8 +68,13 @@
   do
   /* Claim the group, for the first time or again. */
   :: atomic {
-       highest_epoch < CLAIMS ->
+       claims < CLAIMS ->
+       claims++;
+#ifdef NAIVE_CLAIM
+       highest_epoch = 1;
+#else
        highest_epoch++;
+#endif
 #ifdef NAIVE_REBUILD
        if
        :: epoch == 0 -> synced[0] = false; synced[1] = false; has_run = false
@@ -87,9 +95,13 @@
        if
        :: epoch < seen_epoch[w] -> epoch = 0   /* fenced: resign */
        :: else ->
+#ifndef NAIVE_SEEN
           seen_epoch[w] = epoch;
+#endif
           synced[w] = true;
+#ifndef NAIVE_ADOPT
           has_run = has_run || running[w]
+#endif
        fi
      }
   /* Start the task unless some worker runs it. */
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -121,7 +121,7 @@
             self._own,
             feeds.Callbacks(
                 on_configuration=self._apply_configuration,
-                on_workers=self._groups.update_workers,
+                on_workers=self._update_workers,
                 on_member=self._handle_member,
                 on_layout=lambda layout, version: self._layout_keeper.update(
                     layout, version
@@ -186,6 +186,8 @@
             ),
             self._clock,
             clocks.read_wall_s,
+            # If another layout was in force here, no owner is to be waited for.
+            0.0 if self._groups.groups else leadership.BOOT_GRACE_S,
         )
         gevent.spawn(engine.run)
         return groups.Group(engine, leading)
@@ -454,6 +456,16 @@
         engine.claim(epoch, self._feeds.is_store_up, peers)
         self._feeds.refresh_workers()
 
+    def _update_workers(
+        self,
+        listings: tuple[fleet.Listing, ...],
+        last_expired_at: float,
+        is_full_list: bool,
+    ) -> None:
+        self._groups.update_workers(listings, last_expired_at, is_full_list)
+        if self._layout_keeper.needs_change():
+            self._feeds.refresh_daemons()
+
     def _apply_layout(self, layout: layouts.Layout) -> None:
         """Apply a layout that this daemon has read or chosen."""
         if self._groups.apply_layout(layout):
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -112,6 +112,7 @@
         self._store_returned_at = 0.0
         self._last_expired_at = float("-inf")
         self._workers_refresh = event.Event()
+        self._daemons_refresh = event.Event()
         self._owner_rows: dict[str, OwnerRow] = {}
         self._rejected_versions: dict[str, int] = {}
 
@@ -144,14 +145,14 @@
                 gevent.sleep(MAX_RETRY_S)
                 continue
             boot_reads -= 1
-            gevent.sleep(self._choose_daemons_pause_s(boot_reads > 0))
+            pause_s = self._choose_daemons_pause_s(boot_reads > 0)
+            self._daemons_refresh.wait(pause_s)
+            self._daemons_refresh.clear()
 
     def _choose_daemons_pause_s(self, is_booting: bool) -> float:
         if is_booting or not self._has_read_layout:
             return DAEMONS_BOOT_PAUSE_S
-        # An owner may have to adapt the layout to the workers.
-        is_owner = bool(self._callbacks.get_epochs())
-        return MIN_PAUSE_S if is_owner else choose_pause_s(self._daemon_count)
+        return choose_pause_s(self._daemon_count)
 
     def run_ownership(self) -> None:
         """Refresh the rows of the owned groups, and watch others, forever.
@@ -228,7 +229,9 @@
                 rows.encode_layout(layout),
                 row_version,
             )
+            self.refresh_daemons()
         except exceptions.RowChangedError:
+            self.refresh_daemons()
             logs.log(LOGGER, "layout_not_written", version=layout.version)
         except exceptions.StoreError as error:
             self._record_failure(rows.LAYOUT_KEY, error)
@@ -253,6 +256,10 @@
         """Read the whole table of workers now."""
         self._workers_refresh.set()
 
+    def refresh_daemons(self) -> None:
+        """Read the table of daemons, with the layout, now."""
+        self._daemons_refresh.set()
+
     def list_workers(self) -> tuple[fleet.Listing, ...]:
         """Return the listed workers."""
         return tuple(self._workers.values())
--- a/pollenladder/service/groups.py
+++ b/pollenladder/service/groups.py
@@ -107,14 +107,18 @@
             (g.leadership.highest_epoch for g in self.groups.values()),
             default=0,
         )
+        added = {
+            name: self._callbacks.build_group(name)
+            for name in names
+            if name not in self.groups
+        }
         for name in self.groups.keys() - set(names):
             group = self.groups.pop(name)
             group.leadership.retire()
             group.engine.retire()
-        for name in names:
-            if name not in self.groups:
-                self.groups[name] = self._callbacks.build_group(name)
-                self.groups[name].leadership.record_epoch(epoch)
+        for name, group in added.items():
+            self.groups[name] = group
+            group.leadership.record_epoch(epoch)
         self._callbacks.on_change()
 
     def _update_engines(self, is_full_list: bool) -> None:
--- a/pollenladder/service/layout_keeper.py
+++ b/pollenladder/service/layout_keeper.py
@@ -58,15 +58,26 @@
             self._callbacks.apply_layout(stored)
         if not self._may_choose(stored):
             return
+        chosen = self._choose(stored)
+        if chosen != stored:
+            self._callbacks.write_layout(chosen, row_version)
+
+    def needs_change(self) -> bool:
+        """Return whether this daemon is to replace the current layout."""
+        layout = self._callbacks.get_layout()
+        if not layout.version or not self._callbacks.is_keeper():
+            return False
+        return self._choose(layout) != layout
+
+    def _choose(self, layout: groups.Layout) -> groups.Layout:
+        """Return the layout that the workers need, or the given one."""
         counts: dict[str, int] = {}
         for listing in self._callbacks.list_workers():
             before = counts.get(listing.data_centre, 0)
             counts[listing.data_centre] = before + 1
         if not counts:
-            return
-        chosen = groups.choose_layout(stored, counts, self._find_owner_cores())
-        if chosen != stored:
-            self._callbacks.write_layout(chosen, row_version)
+            return layout
+        return groups.choose_layout(layout, counts, self._find_owner_cores())
 
     def _may_choose(self, stored: groups.Layout) -> bool:
         """Return whether this daemon chooses the layout.
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -83,6 +83,7 @@
         callbacks: Callbacks,
         clock: clocks.Clock,
         wall_clock: clocks.Clock,
+        boot_grace_s: float = BOOT_GRACE_S,
     ):
         now = clock()
         self.group = group
@@ -107,7 +108,7 @@
         self._highest_epoch = 0
         self._liveness = liveness.Liveness(group, roster, now)
         self._owner_changes_at: list[float] = []
-        self._backs_off_until = now + BOOT_GRACE_S
+        self._backs_off_until = now + boot_grace_s
         self._is_booting = True
 
     @property
--- a/tests/service/test_layout_keeper.py
+++ b/tests/service/test_layout_keeper.py
@@ -83,7 +83,9 @@
         self.workers = int(3 * groups.WORKERS_PER_CORE)
         self.keeper.update(ONE, ROW)
         self.assertEqual(self.written, [])
+        self.assertFalse(self.keeper.needs_change())
         self.is_keeper = True
+        self.assertTrue(self.keeper.needs_change())
         self.keeper.update(ONE, ROW)
         ((layout, version),) = self.written
         self.assertEqual((layout.version, version), (2, ROW))
