--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -24,16 +24,17 @@
 from pollenladder.platform import rows
 from pollenladder.platform import settings as conf
 from pollenladder.platform import store as stores
-from pollenladder.scheduling import sharing
 from pollenladder.service import application
 from pollenladder.service import engine as engines
 from pollenladder.service import feeds
 from pollenladder.service import gateway as gateways
 from pollenladder.service import groups
+from pollenladder.service import job_exchange
 from pollenladder.service import layout_keeper
 from pollenladder.service import leadership
 from pollenladder.service import membership
 from pollenladder.service import meters as metering
+from pollenladder.service import owner_rows
 from pollenladder.service import reachability
 
 LOGGER = logging.getLogger(__name__)
@@ -73,18 +74,25 @@
         self._build_gateway()
         self._build_cluster()
         self._build_feeds()
+        self._exchange = job_exchange.JobExchange(
+            self._own,
+            self._groups,
+            self._membership,
+            self._mesh,
+            self._gateway.handle_answer,
+        )
 
     def _build_gateway(self) -> None:
         self._gateway = gateways.Gateway(
             gateways.Callbacks(
                 find_owner=lambda group: self._membership.find_owner(group),
                 has_group=lambda group: group in self._groups.groups,
-                choose_group=self._choose_group,
+                choose_group=lambda *job: self._exchange.choose_group(*job),
                 get_shed_share=lambda group: self._membership.get_shed_share(
                     group
                 ),
-                submit=self._submit,
-                cancel=self._cancel,
+                submit=lambda *job: self._exchange.submit(*job),
+                cancel=lambda *job: self._exchange.cancel(*job),
                 on_answered=self._count_answered,
             ),
             self._clock,
@@ -126,7 +134,16 @@
                 on_layout=lambda layout, version: self._layout_keeper.update(
                     layout, version
                 ),
+                get_epochs=self._get_epochs,
+            ),
+            self._clock,
+        )
+        self._owner_rows = owner_rows.OwnerRows(
+            self._store,
+            self._own.daemon_id,
+            owner_rows.Callbacks(
                 on_epoch=self._record_epoch,
+                on_failure=self._feeds.record_failure,
                 get_epochs=self._get_epochs,
                 list_ownerless=self._list_ownerless,
             ),
@@ -150,7 +167,7 @@
         engine = engines.Engine(
             self._settings.max_lease_s,
             engines.Callbacks(
-                answer=self._answer,
+                answer=self._exchange.answer,
                 on_fenced=lambda worker_id: self._handle_fenced(
                     name, worker_id
                 ),
@@ -182,7 +199,7 @@
                 ),
                 is_isolated=reach.is_data_centre_isolated,
                 reaches_workers=reach.reaches_workers,
-                is_owner_row_stale=lambda: self._feeds.is_owner_row_stale(name),
+                is_owner_row_stale=lambda: self._owner_rows.is_stale(name),
             ),
             self._clock,
             clocks.read_wall_s,
@@ -203,7 +220,7 @@
             self._feeds.run_configuration,
             self._feeds.run_daemons,
             self._feeds.run_workers,
-            self._feeds.run_ownership,
+            self._owner_rows.run,
             self._mesh.run,
             self._membership.run,
             self._gateway.run,
@@ -227,8 +244,8 @@
         dependencies = application.Dependencies(
             gateway=self._gateway,
             get_routes=lambda: self._routes,
-            cancel_remote=self._cancel_remote,
-            count_pending=self._count_pending,
+            cancel_remote=self._exchange.cancel_remote,
+            count_pending=self._exchange.count_pending,
         )
         address, port = self._settings.caller_address
         return listeners.listen(
@@ -275,98 +292,24 @@
             return
         logs.log(LOGGER, "reloaded", changed=found != self._settings)
 
-    def _choose_group(
-        self,
-        submission: jobs.Submission,
-        excluded: frozenset[str],
-        needs_room: bool,
-    ) -> str:
-        """Return the group for a job, or "" if none is suitable."""
-        loads = {}
-        for name in self._groups.groups.keys() - excluded:
-            state = self._membership.get_group_state(name)
-            if state is not None:
-                loads[name] = state.loads.get(
-                    submission.service, fleet.ServiceLoad(0, 0, 0.0)
-                )
-        local = frozenset(
-            name
-            for name in loads
-            if layouts.get_data_centre(name) == self._settings.data_centre
-        )
-        return sharing.choose_group(submission, loads, local, needs_room)
-
-    def _submit(
-        self, daemon_id: str, group: str, submission: jobs.Submission
-    ) -> bool:
-        if daemon_id == self._settings.daemon_id:
-            return self._submit_here(group, submission, daemon_id)
-        return self._mesh.send(daemon_id, messages.Submit(group, submission))
-
-    def _submit_here(
-        self, group: str, submission: jobs.Submission, gateway_id: str
-    ) -> bool:
-        """Submit a job to a group's engine; return False if it is not owned."""
-        found = self._groups.groups.get(group)
-        return found is not None and found.engine.submit(submission, gateway_id)
-
-    def _cancel(self, daemon_id: str, job_id: str, reason: jobs.Reason) -> None:
-        if daemon_id == self._settings.daemon_id:
-            self._cancel_here(job_id, reason, daemon_id)
-        else:
-            self._mesh.send(daemon_id, messages.Cancel(job_id, reason))
-
-    def _cancel_here(
-        self, job_id: str, reason: jobs.Reason, gateway_id: str
-    ) -> bool:
-        """Cancel a job of any group owned here; return whether it was known."""
-        known = [
-            group.engine.cancel(job_id, reason, gateway_id)
-            for group in self._groups.groups.values()
-        ]
-        return any(known)
-
-    def _cancel_remote(self, job_id: str) -> bool:
-        """Cancel a job from another daemon; return whether it was known.
-
-        The request is forwarded to all other owners, which do not answer it.
-        """
-        reason = jobs.Reason.CALLER_CANCELLED
-        owners = {
-            group.leadership.owner_id for group in self._groups.groups.values()
-        }
-        for owner_id in owners - {"", self._settings.daemon_id}:
-            self._mesh.send(owner_id, messages.Cancel(job_id, reason))
-        return self._cancel_here(job_id, reason, self._settings.daemon_id)
-
-    def _answer(self, gateway_id: str, answer: jobs.Answer) -> None:
-        if gateway_id == self._settings.daemon_id:
-            self._gateway.handle_answer(answer, gateway_id)
-        elif not self._mesh.send(gateway_id, messages.Answered(answer)):
-            logs.log(
-                LOGGER, "answer_not_sent", job=answer.job_id, peer=gateway_id
-            )
-
     def _count_answered(
         self, queue: str, answer: jobs.Answer, took_s: float
     ) -> None:
         self._meters.count_job(answer, took_s)
 
-    def _count_pending(self, queue: str) -> int:
-        states = map(self._membership.get_group_state, self._groups.groups)
-        return sum(state.pending.get(queue, 0) for state in states if state)
-
     def _handle_message(self, sender: str, message: object) -> None:
         if isinstance(message, messages.Heartbeat):
             self._handle_heartbeat(sender, message)
         elif isinstance(message, messages.Submit):
-            if not self._submit_here(message.group, message.submission, sender):
+            if not self._exchange.submit_here(
+                message.group, message.submission, sender
+            ):
                 job_id = message.submission.job_id
                 self._mesh.send(sender, messages.NotOwner(job_id))
         elif isinstance(message, messages.Answered):
             self._gateway.handle_answer(message.answer, sender)
         elif isinstance(message, messages.Cancel):
-            self._cancel_here(message.job_id, message.reason, sender)
+            self._exchange.cancel_here(message.job_id, message.reason, sender)
         elif isinstance(message, messages.NotOwner):
             self._gateway.handle_not_owner(message.job_id)
         elif isinstance(message, messages.RequestConfiguration):
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -32,9 +32,6 @@
 DAEMONS_BOOT_PAUSE_S = 0.25
 RETRY_S = 0.15
 MAX_RETRY_S = 0.6
-OWNERSHIP_INTERVAL_S = 0.5
-# If the owner's row has not changed for this long, there is no live owner.
-OWNER_ROW_STALE_S = 2.5
 # After an outage of the store, missing entries of workers are kept this long.
 STORE_RETURN_GRACE_S = 2.5
 
@@ -51,35 +48,15 @@
         on_member: Called with each other daemon that was found.
         on_layout: Called with the stored layout of groups and its version in
             the store.
-        on_epoch: Called with a group and the epoch in its owner's row.
         get_epochs: Returns the epoch of this daemon's ownership of each group
             that it owns.
-        list_ownerless: Returns the groups of which this daemon follows no
-            owner.
     """
 
     on_configuration: Callable[[jobs.Configuration], None]
     on_workers: Callable[[tuple[fleet.Listing, ...], float, bool], None]
     on_member: Callable[[rosters.Member], None]
     on_layout: Callable[[groups.Layout, int], None]
-    on_epoch: Callable[[str, int], None]
     get_epochs: Callable[[], dict[str, int]]
-    list_ownerless: Callable[[], list[str]]
-
-
-@dataclasses.dataclass(slots=True)
-class OwnerRow:
-    """The row of a group's owner, as it was last read.
-
-    Attributes:
-        version: The row's version in the store; 0 if there is no row.
-        unchanged_since: When the row was first read with this version.
-        read_at: When the row was last read.
-    """
-
-    version: int
-    unchanged_since: float
-    read_at: float
 
 
 class Feeds:
@@ -113,7 +90,6 @@
         self._last_expired_at = float("-inf")
         self._workers_refresh = event.Event()
         self._daemons_refresh = event.Event()
-        self._owner_rows: dict[str, OwnerRow] = {}
         self._rejected_versions: dict[str, int] = {}
 
     def run_configuration(self) -> None:
@@ -141,7 +117,7 @@
                 self._handle_members(found.rows)
                 self.has_read_daemons = True
             except exceptions.StoreError as error:
-                self._record_failure("daemons", error)
+                self.record_failure("daemons", error)
                 gevent.sleep(MAX_RETRY_S)
                 continue
             boot_reads -= 1
@@ -154,66 +130,6 @@
             return DAEMONS_BOOT_PAUSE_S
         return choose_pause_s(self._daemon_count)
 
-    def run_ownership(self) -> None:
-        """Refresh the rows of the owned groups, and watch others, forever.
-
-        A daemon watches the rows of the groups of which it follows no owner.
-        """
-        while True:
-            gevent.sleep(OWNERSHIP_INTERVAL_S)
-            try:
-                self._refresh_ownership()
-            except exceptions.StoreError as error:
-                self._record_failure(rows.OWNERSHIP_TABLE, error)
-
-    def _refresh_ownership(self) -> None:
-        for group, epoch in self._callbacks.get_epochs().items():
-            value = rows.encode_ownership(self._own.daemon_id, epoch)
-            self._store.put(rows.OWNERSHIP_TABLE, group, value)
-        ownerless = self._callbacks.list_ownerless()
-        for group in self._owner_rows.keys() - set(ownerless):
-            del self._owner_rows[group]
-        if not ownerless:
-            return
-        found = {
-            row.key: row
-            for row in self._store.read_table(rows.OWNERSHIP_TABLE).rows
-        }
-        for group in ownerless:
-            row = found.get(group)
-            self.record_owner_row(group, row.version if row else 0)
-            if row is not None:
-                self._handle_owner_row(row)
-
-    def _handle_owner_row(self, row: stores.Row) -> None:
-        try:
-            epoch = rows.decode_ownership(row.value)
-        except exceptions.BadDocumentError as error:
-            self._log_rejected_row(row, error)
-            return
-        self._callbacks.on_epoch(row.key, epoch)
-
-    def record_owner_row(self, group: str, version: int) -> None:
-        """Record the version of a group's owner row that was just read."""
-        now = self._clock()
-        before = self._owner_rows.get(group)
-        if before is None or before.version != version:
-            self._owner_rows[group] = OwnerRow(version, now, now)
-        else:
-            before.read_at = now
-
-    def is_owner_row_stale(self, group: str) -> bool:
-        """Return whether no owner has written its row for `OWNER_ROW_STALE_S`.
-
-        The result is False if the row has not been read recently.
-        """
-        row = self._owner_rows.get(group)
-        if row is None:
-            return False
-        now = self._clock()
-        is_recent = now < row.read_at + 2 * OWNERSHIP_INTERVAL_S
-        return is_recent and now > row.unchanged_since + OWNER_ROW_STALE_S
-
     def write_layout(self, layout: groups.Layout, row_version: int) -> None:
         """Store a layout, unless another one has been stored meanwhile.
 
@@ -234,14 +150,14 @@
             self.refresh_daemons()
             logs.log(LOGGER, "layout_not_written", version=layout.version)
         except exceptions.StoreError as error:
-            self._record_failure(rows.LAYOUT_KEY, error)
+            self.record_failure(rows.LAYOUT_KEY, error)
 
     def delete_daemon_row(self, daemon_id: str) -> None:
         """Delete the row of a daemon that is gone."""
         try:
             self._store.delete(rows.DAEMONS_TABLE, daemon_id)
         except exceptions.StoreError as error:
-            self._record_failure("daemons", error)
+            self.record_failure("daemons", error)
 
     def reads_store(self, within_s: float) -> bool:
         """Return whether the store has answered within some seconds.
@@ -293,7 +209,7 @@
                 version = None
                 continue
             except exceptions.StoreError as error:
-                self._record_failure(table, error)
+                self.record_failure(table, error)
                 # Only a full read shows the changes missed meanwhile.
                 version = None
                 gevent.sleep(retry_s)
@@ -334,7 +250,8 @@
         else:
             self.store_lost_at = self._clock()
 
-    def _record_failure(self, what: str, error: Exception) -> None:
+    def record_failure(self, what: str, error: Exception) -> None:
+        """Record that a call to the store failed."""
         if self.is_store_up:
             logs.log(LOGGER, "store_failed", what=what, error=str(error))
         self._record_up(False)
--- /dev/null
+++ b/pollenladder/service/job_exchange.py
@@ -0,0 +1,125 @@
+"""Pass jobs, cancellations and answers between this daemon and the owners."""
+
+from collections.abc import Callable
+import logging
+
+from pollenladder.cluster import groups as layouts
+from pollenladder.cluster import mesh as meshes
+from pollenladder.cluster import messages
+from pollenladder.cluster import roster as rosters
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.logs import lines as logs
+from pollenladder.scheduling import sharing
+from pollenladder.service import groups
+from pollenladder.service import membership as memberships
+
+LOGGER = logging.getLogger(__name__)
+
+
+class JobExchange:
+    """The way of a job from its gateway to a group's owner, and back."""
+
+    def __init__(
+        self,
+        own: rosters.Member,
+        all_groups: groups.Groups,
+        membership: memberships.Membership,
+        mesh: meshes.Mesh,
+        handle_answer: Callable[[jobs.Answer, str], None],
+    ):
+        """Use the daemon's components.
+
+        Args:
+            own: This daemon.
+            all_groups: The groups of workers.
+            membership: The owners of the groups.
+            mesh: The links to other daemons.
+            handle_answer: Called with an answer for a caller of this daemon,
+                and the daemon that gives it.
+        """
+        self._own = own
+        self._groups = all_groups
+        self._membership = membership
+        self._mesh = mesh
+        self._handle_answer = handle_answer
+
+    def choose_group(
+        self,
+        submission: jobs.Submission,
+        excluded: frozenset[str],
+        needs_room: bool,
+    ) -> str:
+        """Return the group for a job, or "" if none is suitable."""
+        loads = {}
+        for name in self._groups.groups.keys() - excluded:
+            state = self._membership.get_group_state(name)
+            if state is not None:
+                loads[name] = state.loads.get(
+                    submission.service, fleet.ServiceLoad(0, 0, 0.0)
+                )
+        local = frozenset(
+            name
+            for name in loads
+            if layouts.get_data_centre(name) == self._own.data_centre
+        )
+        return sharing.choose_group(submission, loads, local, needs_room)
+
+    def submit(
+        self, daemon_id: str, group: str, submission: jobs.Submission
+    ) -> bool:
+        """Send a job to an owner; return False if it cannot arrive."""
+        if daemon_id == self._own.daemon_id:
+            return self.submit_here(group, submission, daemon_id)
+        return self._mesh.send(daemon_id, messages.Submit(group, submission))
+
+    def submit_here(
+        self, group: str, submission: jobs.Submission, gateway_id: str
+    ) -> bool:
+        """Submit a job to a group's engine; return False if it is not owned."""
+        found = self._groups.groups.get(group)
+        return found is not None and found.engine.submit(submission, gateway_id)
+
+    def cancel(self, daemon_id: str, job_id: str, reason: jobs.Reason) -> None:
+        """Send an owner the cancellation of a job."""
+        if daemon_id == self._own.daemon_id:
+            self.cancel_here(job_id, reason, daemon_id)
+        else:
+            self._mesh.send(daemon_id, messages.Cancel(job_id, reason))
+
+    def cancel_here(
+        self, job_id: str, reason: jobs.Reason, gateway_id: str
+    ) -> bool:
+        """Cancel a job of any group owned here; return whether it was known."""
+        known = [
+            group.engine.cancel(job_id, reason, gateway_id)
+            for group in self._groups.groups.values()
+        ]
+        return any(known)
+
+    def cancel_remote(self, job_id: str) -> bool:
+        """Cancel a job from another daemon; return whether it was known.
+
+        The request is forwarded to all other owners, which do not answer it.
+        """
+        reason = jobs.Reason.CALLER_CANCELLED
+        owners = {
+            group.leadership.owner_id for group in self._groups.groups.values()
+        }
+        for owner_id in owners - {"", self._own.daemon_id}:
+            self._mesh.send(owner_id, messages.Cancel(job_id, reason))
+        return self.cancel_here(job_id, reason, self._own.daemon_id)
+
+    def answer(self, gateway_id: str, answer: jobs.Answer) -> None:
+        """Send the final answer of a job to its gateway."""
+        if gateway_id == self._own.daemon_id:
+            self._handle_answer(answer, gateway_id)
+        elif not self._mesh.send(gateway_id, messages.Answered(answer)):
+            logs.log(
+                LOGGER, "answer_not_sent", job=answer.job_id, peer=gateway_id
+            )
+
+    def count_pending(self, queue: str) -> int:
+        """Return the number of a queue's jobs that have not begun."""
+        states = map(self._membership.get_group_state, self._groups.groups)
+        return sum(state.pending.get(queue, 0) for state in states if state)
