--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -36,6 +36,7 @@
 
     Attributes:
         daemon_id: The id of the daemon.
+        data_centre: The data centre of the daemon.
         ports: The ports for callers, readiness checks and peers.
         settings: The path of the settings file.
         log: The path of the log file.
@@ -43,6 +44,7 @@
     """
 
     daemon_id: str
+    data_centre: str
     ports: list[int]
     settings: pathlib.Path
     log: pathlib.Path
@@ -77,6 +79,8 @@
         workers: int,
         defect: str = "",
         rewrite: Callable[[str, str, bytes], bytes] | None = None,
+        data_centres: tuple[str, ...] = ("norte",),
+        cpu_share: float = 0.5,
     ):
         """Start the site and the daemons.
 
@@ -86,7 +90,11 @@
             workers: The number of workers.
             defect: The name of a defect to inject; see `soak.defects`.
             rewrite: Passed to `site_store.SiteStore`.
+            data_centres: Daemons and workers are dealt to these in turn.
+            cpu_share: Each daemon's share of a core, by which daemons choose
+                the number of groups.
         """
+        self._cpu_share = cpu_share
         self._arguments = [defect] if defect else []
         folder = tempfile.TemporaryDirectory()
         add_cleanup(folder.cleanup)
@@ -96,23 +104,35 @@
         add_cleanup(self.stop_all)
         self.site.configure(1)
         for index in range(workers):
-            self.site.add_worker(f"w{index}")
-        self.daemons = {name: self._prepare(name) for name in names}
+            data_centre = data_centres[index % len(data_centres)]
+            self.site.add_worker(f"w{index}", data_centre)
+        self.daemons = {
+            name: self._prepare(name, data_centres[index % len(data_centres)])
+            for index, name in enumerate(names)
+        }
         for name in names:
             self.start(name)
 
-    def _prepare(self, name: str) -> Daemon:
+    def _prepare(self, name: str, data_centre: str) -> Daemon:
         found = ports.find_free_ports(3)
         path = self._folder / f"{name}.conf"
-        self.site.write_settings(path, name, found)
-        return Daemon(name, found, path, self._folder / f"{name}.log")
+        self.site.write_settings(
+            path, name, found, data_centre, cpu_share=self._cpu_share
+        )
+        log = self._folder / f"{name}.log"
+        return Daemon(name, data_centre, found, path, log)
 
     def start(self, name: str) -> None:
         """Start or restart a daemon."""
         daemon = self.daemons[name]
         if daemon.process is not None:
             self.site.write_settings(
-                daemon.settings, name, daemon.ports, is_first_start=False
+                daemon.settings,
+                name,
+                daemon.ports,
+                daemon.data_centre,
+                is_first_start=False,
+                cpu_share=self._cpu_share,
             )
         # The daemon exits when this pipe closes, even if this process is
         # killed.
--- a/standins/site.py
+++ b/standins/site.py
@@ -138,6 +138,7 @@
         ports: list[int],
         data_centre: str = "norte",
         is_first_start: bool = True,
+        cpu_share: float = 0.5,
     ) -> None:
         """Write the settings file of a daemon.
 
@@ -147,6 +148,7 @@
             ports: The ports for callers, readiness checks and peers.
             data_centre: The data centre of the daemon.
             is_first_start: Whether the daemon bootstraps a new system.
+            cpu_share: The daemon's share of a core.
         """
         callers, readiness, peers = ports
         lines = {
@@ -157,7 +159,7 @@
             "Listen.Ready": f"{HOST}:{readiness}",
             "PortRange": f"{peers},{peers}",
             "Bootstrap": str(is_first_start).lower(),
-            "Limits.CpuShare": 0.5,
+            "Limits.CpuShare": cpu_share,
             "Limits.Cores": 2,
             "Limits.MaxFds": 4100,
             "Bounds.GraceS": 6,
