--- a/tests/service/test_several_groups.py
+++ b/tests/service/test_several_groups.py
@@ -5,9 +5,11 @@
 
 import gevent
 
+from pollenladder.cluster import heartbeats
 from soak import clusters
 from standins import site as sites
 
+WORKERS = 8
 DATA_CENTRES = ("norte", "sur")
 # So small that one owner could carry two of the eight workers.
 CPU_SHARE = 0.015
@@ -22,12 +24,13 @@
         self.cluster = clusters.Cluster(
             self.addCleanup,
             ["d1", "d2", "d3", "d4"],
-            workers=8,
+            workers=WORKERS,
             data_centres=DATA_CENTRES,
             cpu_share=CPU_SHARE,
         )
         self.cluster.wait_until_ready()
         self._wait_for_owners(set())
+        self._wait_for_workers()
         self._next = 0
 
     def tearDown(self):
@@ -71,6 +74,20 @@
         states = {greenlet.value.state for greenlet in pending}
         self.assertEqual(states, {"completed"})
 
+    def _wait_for_workers(self) -> None:
+        """Wait until the owners have polled all workers and told their load."""
+        with gevent.Timeout(10.0, AssertionError("workers not reached")):
+            while self._count_reached() < WORKERS:
+                gevent.sleep(0.05)
+        gevent.sleep(2 * heartbeats.DISTANT_OWNER_INTERVAL_S)
+
+    def _count_reached(self) -> int:
+        return sum(
+            line["event"] == "worker_reached"
+            for name in self.cluster.daemons
+            for line in self.cluster.read_log(name)
+        )
+
     def test_each_group_is_owned_in_its_data_centre(self):
         daemons = self.cluster.daemons
         for group, owner in self._list_owners().items():
