--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -9,7 +9,6 @@
 import dataclasses
 import heapq
 import itertools
-import zlib
 
 from bench.emulator import loads
 from pollenladder.fleet import entities as fleet
@@ -228,11 +227,12 @@
             for group, reported in self._loads.items()
             if group not in refused_by and SERVICE in reported
         }
-        # Each group gets the same share of the jobs from nearby.
-        nearby = f"g{zlib.crc32(job_id.encode()) % len(self.regions)}"
-        group = sharing.choose_group(
-            submission, loads_by_group, frozenset([nearby]), needs_room
-        )
+        if refused_by:
+            group = sharing.choose_group(
+                submission, loads_by_group, frozenset(), needs_room
+            )
+        else:
+            group = sharing.choose_first_group(job_id, self.regions)
         if group:
             intake.submit(self.regions[group], submission, "g", self.now)
         return bool(group)
--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -109,6 +109,14 @@
     job_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Release:
+    """A job that a group has refused does not run in any other group either."""
+
+    group: str
+    job_id: str
+
+
 @dataclasses.dataclass(frozen=True)
 class RequestConfiguration:
     """A request for the configuration of a peer that has a newer one.
@@ -157,6 +165,7 @@
     (9, Submit),
     (10, RequestLayout),
     (11, PushLayout),
+    (12, Release),
 )
 
 
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -351,6 +351,12 @@
         "the gateway forwards the job again",
         ("job", "owner", "age_s"),
     ),
+    Event(
+        "job_runs_elsewhere",
+        Kind.JOB,
+        "a job that another group may run was submitted again",
+        ("job", "gateway"),
+    ),
     Event(
         "job_sent_to_another_group",
         Kind.JOB,
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -56,6 +56,14 @@
         region.log_event("answer_repeated", job=job_id, gateway=gateway_id)
         return
     job = _build_job(region, submission, gateway_id, now)
+    if now < region.refused_until.get(job_id, 0.0):
+        # Submitted again while another group may run it.
+        answer = jobs.Answer(
+            job_id, jobs.Outcome.GIVEN_UP, jobs.Reason.OWNER_LOST
+        )
+        region.effects.append(tables.AnswerJob(gateway_id, answer))
+        region.log_event("job_runs_elsewhere", job=job_id, gateway=gateway_id)
+        return
     reason = _find_permanent_obstacle(region, job)
     if reason is not None:
         _refuse(region, job, reason, MAX_RETRY_AFTER_S)
@@ -117,6 +125,9 @@
             end_job(region, job, outcome, jobs.Reason.DEADLINE, now)
     if region.waiting:
         _refuse_overdue_jobs(region, now)
+    for job_id, until in list(region.refused_until.items()):
+        if now >= until:
+            del region.refused_until[job_id]
     oldest = now - ANSWER_RETENTION_S
     for job_id, (_, at) in list(region.answered.items()):
         if at > oldest:
@@ -315,6 +326,9 @@
         submission.job_id, outcome, reason, _bound_retry_after(wait_s)
     )
     region.effects.append(tables.AnswerJob(job.gateway_id, answer))
+    if outcome is jobs.Outcome.REFUSED and _has_other_groups(region, job):
+        lease_s = region.max_lease_s * (1 + runs.MAX_CLOCK_DRIFT)
+        region.refused_until[submission.job_id] = job.deadline_at + lease_s
     region.log_event(
         "job_refused",
         job=submission.job_id,
@@ -329,6 +343,11 @@
     )
 
 
+def _has_other_groups(region: tables.Region, job: tables.Job) -> bool:
+    """Return whether a job that is refused here may go to another group."""
+    return region.service_shares.get(job.submission.service, 1.0) < 1.0
+
+
 def _refuse_overdue_jobs(region: tables.Region, now: float) -> None:
     """Refuse the waiting jobs that can no longer be in time."""
     overdue = [
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -32,6 +32,7 @@
         handover_delay_s=region.handover_delay_s,
         unlisted_workers_until=region.unlisted_workers_until,
         service_shares=region.service_shares,
+        refused_until=region.refused_until,
         lost_gateways=dict(region.lost_gateways),
         answered=dict(region.answered),
         estimates=region.estimates,
--- a/pollenladder/scheduling/sharing.py
+++ b/pollenladder/scheduling/sharing.py
@@ -1,12 +1,15 @@
 """Share jobs between the groups of workers.
 
-Each group has an owner with a queue of its own. The owners report their load,
-and gateways choose a group for each job: the one of their own data centre as
-long as it has room, then another one with room, and only if none has any, the
-one that is expected to have room first. A group that refuses a job has not
-begun it, so the job may go to another one.
+Each group has an owner with a queue of its own. A job first goes to the group
+that its id hashes to, so that a job that is submitted again, through any
+gateway, meets the first submission. A group that refuses a job has not begun
+it, so the gateway may send the job to another one, by the loads that the owners
+report: a group of its own data centre with room, then another one with room,
+and only if none has any, the one that is expected to have room first. Until the
+gateway has an answer, the first group remembers that the job may run elsewhere.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import math
 import zlib
@@ -53,13 +56,25 @@
     }
 
 
+def choose_first_group(job_id: str, groups: Iterable[str]) -> str:
+    """Return the group that a job first goes to, or "" if there is none.
+
+    Without some group, only the jobs of that group go to other ones.
+    """
+    return max(
+        groups,
+        key=lambda name: (zlib.crc32(f"{name} {job_id}".encode()), name),
+        default="",
+    )
+
+
 def choose_group(
     submission: jobs.Submission,
     loads: Mapping[str, fleet.ServiceLoad],
     local: frozenset[str],
     needs_room: bool = False,
 ) -> str:
-    """Return the group for a job, or "" if none is suitable.
+    """Return the group for a job that others refused, or "" if none suits.
 
     Args:
         submission: The job.
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -195,6 +195,8 @@
             owner's group, 0 to 1.
         lost_gateways: When the link to a gateway ended, by gateway id.
         answered: Recent answers and when they were given, by job id.
+        refused_until: Until when a refused job may run in another group, by
+            job id.
         estimates: Bias of declared run times.
         admission: State of admission control.
         effects: Effects that have not been carried out yet.
@@ -229,6 +231,7 @@
     answered: dict[str, tuple[job_entities.Answer, float]] = dataclasses.field(
         default_factory=dict
     )
+    refused_until: dict[str, float] = dataclasses.field(default_factory=dict)
     estimates: run_estimates.Estimates = dataclasses.field(
         default_factory=run_estimates.Estimates
     )
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -93,6 +93,7 @@
                 ),
                 submit=lambda *job: self._exchange.submit(*job),
                 cancel=lambda *job: self._exchange.cancel(*job),
+                release=lambda *job: self._exchange.release(*job),
                 on_answered=self._count_answered,
             ),
             self._clock,
@@ -310,6 +311,8 @@
             self._gateway.handle_answer(message.answer, sender)
         elif isinstance(message, messages.Cancel):
             self._exchange.cancel_here(message.job_id, message.reason, sender)
+        elif isinstance(message, messages.Release):
+            self._exchange.release_here(message.group, message.job_id)
         elif isinstance(message, messages.NotOwner):
             self._gateway.handle_not_owner(message.job_id)
         elif isinstance(message, messages.RequestConfiguration):
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -160,6 +160,11 @@
         self._apply_effects()
         return known
 
+    def release(self, job_id: str) -> None:
+        """Forget that a refused job may run in another group."""
+        if self.region is not None:
+            self.region.refused_until.pop(job_id, None)
+
     def record_gateway_link(self, gateway_id: str, is_linked: bool) -> None:
         """Record that the link to a gateway was established or has ended."""
         if self.region is None:
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -49,6 +49,7 @@
         submit: Sends a job to a daemon, for a group; returns False if it cannot
             arrive.
         cancel: Sends a daemon the cancellation of a job, with the reason.
+        release: Tells a group that refused a job that the job has an answer.
         on_answered: Called with a job's queue, its answer, and the time from
             its arrival to the answer, in seconds.
     """
@@ -59,6 +60,7 @@
     get_shed_share: Callable[[str], float]
     submit: Callable[[str, str, jobs.Submission], bool]
     cancel: Callable[[str, str, jobs.Reason], None]
+    release: Callable[[str, str], None]
     on_answered: Callable[[str, jobs.Answer, float], None]
 
 
@@ -192,8 +194,11 @@
                 times_handed_on=job.times_forwarded,
             )
             return
-        if not (is_refusal and self._try_another_group(job, answer)):
-            self._finish(job, answer)
+        if is_refusal:
+            job.refused_by |= {job.group}
+            if self._try_another_group(job, answer):
+                return
+        self._finish(job, answer)
 
     def handle_not_owner(self, job_id: str) -> None:
         """Clear the owner of a job that a daemon rejected as not the owner."""
@@ -248,12 +253,11 @@
         be free sooner; after another refusal, only a group with room is tried.
         """
         is_final = refusal.reason not in REASONS_TO_TRY_ANOTHER_GROUP
-        if is_final or len(job.refused_by) >= sharing.MAX_GROUP_RETRIES:
+        if is_final or len(job.refused_by) > sharing.MAX_GROUP_RETRIES:
             return False
-        needs_room = bool(job.refused_by)
-        refused_by = job.refused_by | {job.group}
+        needs_room = len(job.refused_by) > 1
         group = self._callbacks.choose_group(
-            job.submission, refused_by, needs_room
+            job.submission, job.refused_by, needs_room
         )
         if not group:
             return False
@@ -266,7 +270,6 @@
             reason=refusal.reason.value,
         )
         job.group = group
-        job.refused_by = refused_by
         job.owner_id = ""
         job.has_been_sent = False
         job.times_forwarded = 0
@@ -354,6 +357,8 @@
     def _finish(self, job: OpenJob, answer: jobs.Answer) -> None:
         self.open_jobs.pop(answer.job_id, None)
         job.answer = answer
+        for group in job.refused_by:
+            self._callbacks.release(group, answer.job_id)
         job.answered.set()
         took_s = self._clock() - job.arrived_at
         self._callbacks.on_answered(job.submission.queue, answer, took_s)
--- a/pollenladder/service/job_exchange.py
+++ b/pollenladder/service/job_exchange.py
@@ -50,7 +50,20 @@
         excluded: frozenset[str],
         needs_room: bool,
     ) -> str:
-        """Return the group for a job, or "" if none is suitable."""
+        """Return the group for a job, or "" if none is suitable.
+
+        Args:
+            submission: The job.
+            excluded: The groups that have refused the job.
+            needs_room: Whether to choose only a group with room for the job.
+        """
+        if not excluded:
+            owned = [
+                name
+                for name in self._groups.groups
+                if self._membership.find_owner(name)
+            ]
+            return sharing.choose_first_group(submission.job_id, owned)
         loads = {}
         for name in self._groups.groups.keys() - excluded:
             state = self._membership.get_group_state(name)
@@ -110,6 +123,20 @@
             self._mesh.send(owner_id, messages.Cancel(job_id, reason))
         return self.cancel_here(job_id, reason, self._own.daemon_id)
 
+    def release(self, group: str, job_id: str) -> None:
+        """Tell a group that refused a job that it runs in no other group."""
+        owner_id = self._membership.find_owner(group)
+        if owner_id == self._own.daemon_id:
+            self.release_here(group, job_id)
+        elif owner_id:
+            self._mesh.send(owner_id, messages.Release(group, job_id))
+
+    def release_here(self, group: str, job_id: str) -> None:
+        """Forget, as the owner of a group, that a job may run elsewhere."""
+        found = self._groups.groups.get(group)
+        if found is not None:
+            found.engine.release(job_id)
+
     def answer(self, gateway_id: str, answer: jobs.Answer) -> None:
         """Send the final answer of a job to its gateway."""
         if gateway_id == self._own.daemon_id:
--- a/tests/scheduling/test_sharing.py
+++ b/tests/scheduling/test_sharing.py
@@ -4,7 +4,9 @@
 import unittest
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import sharing
+from pollenladder.scheduling import tables
 from tests.scheduling import simulations
 
 CAPACITY = 100_000
@@ -66,6 +68,63 @@
         self.assertEqual(self._choose(), "")
 
 
+class FirstGroupTest(unittest.TestCase):
+    """The group that a job first goes to."""
+
+    def test_all_gateways_choose_the_same_group(self):
+        first = sharing.choose_first_group("a1", ["a", "b", "c"])
+        second = sharing.choose_first_group("a1", ["c", "b", "a"])
+        self.assertEqual(first, second)
+
+    def test_a_group_without_an_owner_moves_only_its_own_jobs(self):
+        for number in range(100):
+            job_id = f"{number:016x}"
+            before = sharing.choose_first_group(job_id, ["a", "b", "c"])
+            after = sharing.choose_first_group(job_id, ["a", "b"])
+            if before != "c":
+                self.assertEqual(after, before)
+
+    def test_no_group(self):
+        self.assertEqual(sharing.choose_first_group("a1", []), "")
+
+
+class SubmittedAgainTest(unittest.TestCase):
+    """A job that one of several groups has refused."""
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=1)
+        self.region = self.simulation.region
+        self.region.service_shares = {
+            worker.listing.service: 0.5
+            for worker in self.region.workers.values()
+        }
+        self.simulation.submit("a1", cpu_milli=10**9)
+
+    def _take_outcomes(self) -> list[jobs.Outcome]:
+        outcomes = [
+            effect.answer.outcome
+            for effect in self.simulation.effects
+            if isinstance(effect, tables.AnswerJob)
+        ]
+        self.simulation.effects.clear()
+        return outcomes
+
+    def test_it_is_not_run_here_while_another_group_may_run_it(self):
+        self.assertEqual(self._take_outcomes(), [jobs.Outcome.REFUSED])
+        self.simulation.submit("a1", "g2", tasks=1)
+        self.assertEqual(self._take_outcomes(), [jobs.Outcome.GIVEN_UP])
+        self.assertNotIn("a1", self.region.jobs)
+
+    def test_it_is_run_once_its_gateway_has_released_it(self):
+        self.region.refused_until.pop("a1")
+        self.simulation.submit("a1", "g2", tasks=1)
+        self.assertIn("a1", self.region.jobs)
+
+    def test_it_is_forgotten_after_its_deadline(self):
+        self.simulation.step(60.0)
+        self.assertEqual(self.region.refused_until, {})
+
+
 class MeasureLoadsTest(unittest.TestCase):
     """The load that an owner reports."""
 
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -26,6 +26,7 @@
                 choose_group=lambda submission, excluded, needs_room: "g",
                 get_shed_share=lambda group: 0.0,
                 submit=lambda owner_id, group, submission: True,
+                release=lambda group, job_id: None,
                 cancel=lambda owner_id, job_id, reason: None,
                 on_answered=lambda queue, answer, took_s: None,
             ),
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -17,6 +17,7 @@
         self.now = 100.0
         self.owner_id = "a"
         self.sent: list[tuple[str, jobs.Submission]] = []
+        self.released: list[str] = []
         self.cancelled: list[tuple[str, str]] = []
         self.arrives = True
         self.shed_share = 0.0
@@ -31,6 +32,7 @@
                 cancel=lambda owner, job, _: self.cancelled.append(
                     (owner, job)
                 ),
+                release=lambda group, job: self.released.append(group),
                 on_answered=lambda queue, answer, took_s: None,
             ),
             lambda: self.now,
@@ -70,7 +72,9 @@
         first, second = (submission for _, submission in self.sent)
         self.assertFalse(second.may_have_begun)
         self.assertGreater(second.first_run, first.first_run)
+        self.assertEqual(self.released, [])
         self._refuse("a")
+        self.assertEqual(set(self.released), {GROUP, "norte/0"})
         self.assertIs(job.answer.outcome, jobs.Outcome.REFUSED)
 
     def test_job_that_may_have_begun_stays_in_its_group(self):
