Let a deployment switch optional decisions of the owner off

Change: scheduling.features names them; POLLENLADDER_DISABLED_FEATURES lists those that are off. No decision uses them yet.

--- a/pollenladder/platform/settings.py
+++ b/pollenladder/platform/settings.py
@@ -4,8 +4,11 @@
 import os
 
 from pollenladder.platform import exceptions
+from pollenladder.scheduling import features as optional_features
 
 SETTINGS_VARIABLE = "POLLENLADDER_SETTINGS"
+# Lists the features that are switched off, separated by commas.
+DISABLED_FEATURES_VARIABLE = "POLLENLADDER_DISABLED_FEATURES"
 DEFAULT_PATH = "/etc/pollenladder/settings.conf"
 
 Address = tuple[str, int]
@@ -38,6 +41,7 @@
         max_descriptors: Limit of the process's open file descriptors.
         is_first_start: Whether the whole system starts for the first time, so
             that the store does not list the other daemons yet.
+        features: The optional decisions that are switched on.
     """
 
     daemon_id: str
@@ -55,6 +59,7 @@
     processor_cores: float
     max_descriptors: int
     is_first_start: bool = False
+    features: optional_features.Features = optional_features.ALL
 
 
 def find_path() -> str:
@@ -74,7 +79,25 @@
             text = file.read()
     except (OSError, UnicodeDecodeError) as error:
         raise exceptions.SettingsError(f"{path}: {error}") from error
-    return parse(text)
+    disabled = os.environ.get(DISABLED_FEATURES_VARIABLE, "")
+    return dataclasses.replace(
+        parse(text), features=parse_disabled_features(disabled)
+    )
+
+
+def parse_disabled_features(text: str) -> optional_features.Features:
+    """Return the features that a list of disabled ones leaves switched on.
+
+    Raises:
+        exceptions.SettingsError: The list contains an unknown name.
+    """
+    names = [name.strip() for name in text.split(",") if name.strip()]
+    try:
+        return optional_features.switch_off(names)
+    except ValueError as error:
+        raise exceptions.SettingsError(
+            f"{DISABLED_FEATURES_VARIABLE}: {error}"
+        ) from error
 
 
 def parse(text: str) -> Settings:
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -29,6 +29,7 @@
         epoch,
         now,
         region.max_lease_s,
+        region.features,
         handover_delay_s=region.handover_delay_s,
         unlisted_workers_until=region.unlisted_workers_until,
         service_shares=region.service_shares,
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -7,6 +7,7 @@
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
 from pollenladder.scheduling import admission as job_admission
+from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import free_capacity as worker_capacity
 from pollenladder.scheduling import start_forecasts as service_forecasts
 
@@ -169,6 +170,7 @@
         epoch: The owner's epoch, which fences out earlier owners.
         owned_since: When this daemon became the owner.
         max_lease_s: The longest lease that workers grant, in seconds.
+        features: The optional decisions that are switched on.
         workers: Workers by id.
         free_capacity: Index of the workers by free CPU.
         runs: Runs on all workers, including orphans, by job id.
@@ -205,6 +207,7 @@
     epoch: int
     owned_since: float
     max_lease_s: float
+    features: optional_features.Features = optional_features.ALL
     workers: dict[str, fleet.Worker] = dataclasses.field(default_factory=dict)
     free_capacity: worker_capacity.FreeCapacityIndex = dataclasses.field(
         default_factory=worker_capacity.FreeCapacityIndex
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -175,6 +175,7 @@
                 get_lag_s=lambda: self._membership.loop_lag.lag_s,
             ),
             self._clock,
+            self._settings.features,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -13,6 +13,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
+from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import recovery
@@ -56,10 +57,15 @@
     """
 
     def __init__(
-        self, max_lease_s: float, callbacks: Callbacks, clock: clocks.Clock
+        self,
+        max_lease_s: float,
+        callbacks: Callbacks,
+        clock: clocks.Clock,
+        features: optional_features.Features = optional_features.ALL,
     ):
         self.region: tables.Region | None = None
         self._max_lease_s = max_lease_s
+        self._features = features
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
@@ -84,6 +90,7 @@
                 epoch,
                 now,
                 self._max_lease_s,
+                self._features,
                 handover_delay_s=bound_handover_delay_s(peers),
             )
             self._owns_workers.set()
