Count the list of workers as complete only if nothing can be missing

Cause: an owner that had polled all listed workers took a worker that was not listed to run nothing. Rows of workers that are cut off from the store expire, and a process that was restarted meanwhile never saw them, so it started tasks again that were still active there.

Change: fleet.worker_lists decides whether an unlisted worker may execute a run: the store is or was just unreachable, a row expired within 30 s, or the list is not known for 30 s. Heartbeats state how long the sender has known the list and how long ago a row last expired, and a restarted process inherits both from a peer whose reads overlap with its own. The heartbeat has a new tag.

Also mended in service.feeds: the first read of the workers after an outage dropped missing workers at once, because the return of the store was recorded only after it; a removed row of a worker that was never listed here did not count as expired; a read of the whole table after a failure hid rows that had come and gone meanwhile.

Result: tests.service.test_unlisted_workers replays the hand-over to a restarted daemon.

--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -153,9 +153,7 @@
         for group, region in self.regions.items():
             region.is_worker_list_current = True
             region.service_shares = {SERVICE: len(listings[group]) / count}
-            maintenance.update_workers(
-                region, listings[group], float("-inf"), 0.0
-            )
+            maintenance.update_workers(region, listings[group], 0.0)
         for worker_id in self._groups_by_worker:
             self._poll(worker_id)
             self._poll_periodically(worker_id)
--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -7,6 +7,7 @@
 
 from pollenladder.cluster import groups
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as jobs
 from pollenladder.wire import codec
 
@@ -60,6 +61,7 @@
         shed_share: As an owner, the share of new jobs that gateways refuse,
             0 to 1.
         groups: The groups that the sender owns or may own.
+        worker_list: How long the sender has known the list of workers.
     """
 
     reads_store: bool
@@ -70,6 +72,7 @@
     processor_cores: float
     shed_share: float
     groups: tuple[GroupState, ...]
+    worker_list: worker_lists.ListReport
 
     def count_owned(self) -> int:
         """Return the number of groups that the sender owns."""
@@ -154,18 +157,18 @@
     layout: groups.Layout
 
 
-# Wire tags. Never reuse a tag for another message; 1 and 2 are retired.
+# Wire tags. Never reuse a tag for another message; 1, 2 and 8 are retired.
 TAGS = (
     (3, Cancel),
     (4, Answered),
     (5, NotOwner),
     (6, RequestConfiguration),
     (7, PushConfiguration),
-    (8, Heartbeat),
     (9, Submit),
     (10, RequestLayout),
     (11, PushLayout),
     (12, Release),
+    (13, Heartbeat),
 )
 
 
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -106,6 +106,18 @@
         "the store no longer has the changes; the whole table is read again",
         ("table", "version"),
     ),
+    Event(
+        "worker_list_gap",
+        Kind.DEPENDENCY,
+        "workers may have come and gone unseen since the last read of the list",
+        ("gap_s",),
+    ),
+    Event(
+        "worker_list_inherited",
+        Kind.DEPENDENCY,
+        "a peer that has known the list of workers for longer told its age",
+        ("peer", "known_s", "expired_ago_s"),
+    ),
     Event(
         "row_rejected",
         Kind.DEPENDENCY,
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -10,10 +10,6 @@
 from pollenladder.scheduling import tables
 
 ORPHAN_END_RETENTION_S = 3.0
-# Time after the expiry of an entry during which its worker may still hold runs.
-# The worker may only be partitioned from the store, and may follow another
-# owner on its side of the partition.
-EXPIRED_WORKER_S = 30.0
 # A gateway behind a network partition forwards its jobs to another owner, which
 # starts them again once a lease has expired. Their runs here must be over by
 # then.
@@ -67,7 +63,6 @@
 def update_workers(
     region: tables.Region,
     listings: Iterable[fleet.Listing],
-    last_expired_at: float,
     now: float,
     is_full_list: bool = False,
 ) -> None:
@@ -76,13 +71,10 @@
     Args:
         region: The region.
         listings: The workers' entries.
-        last_expired_at: When an entry last expired without the worker having
-            announced that it leaves; monotonic, in seconds.
         now: Monotonic time in seconds.
         is_full_list: Whether all entries have just been read from the store.
     """
     region.is_worker_list_current |= is_full_list
-    region.unlisted_workers_until = last_expired_at + EXPIRED_WORKER_S
     listed = {listing.worker_id: listing for listing in listings}
     for worker_id, listing in listed.items():
         worker = region.workers.get(worker_id)
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -31,7 +31,7 @@
         region.max_lease_s,
         region.features,
         handover_delay_s=region.handover_delay_s,
-        unlisted_workers_until=region.unlisted_workers_until,
+        list_history=region.list_history,
         service_shares=region.service_shares,
         refused_until=region.refused_until,
         lost_gateways=dict(region.lost_gateways),
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -56,10 +56,9 @@
         # The previous owner, which has the same jobs, may still become the
         # owner again with a higher epoch.
         return False
-    if (
-        not region.is_worker_list_current
-        or now <= region.unlisted_workers_until
-    ):
+    if not region.is_worker_list_current:
+        return False
+    if region.list_history.find_doubt(now):
         return False
     return all(
         worker.is_synced and worker.is_reachable
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -4,6 +4,7 @@
 import enum
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
 from pollenladder.scheduling import admission as job_admission
@@ -190,9 +191,8 @@
         worker_list_deadline: Until then, nothing starts before all worker
             entries have been read. Workers may have announced that they leave
             since the entries were last read here.
-        unlisted_workers_until: Until then, unlisted workers may still execute
-            runs, because entries expired without the workers having announced
-            that they leave.
+        list_history: Tells whether unlisted workers may still execute runs. It
+            is shared by all groups, and changes as the list is read.
         service_shares: Share of each service's workers that belongs to this
             owner's group, 0 to 1.
         lost_gateways: When the link to a gateway ended, by gateway id.
@@ -228,7 +228,9 @@
     is_worker_list_current: bool = False
     handover_delay_s: float = 0.0
     worker_list_deadline: float = 0.0
-    unlisted_workers_until: float = 0.0
+    list_history: worker_lists.ListHistory = dataclasses.field(
+        default_factory=worker_lists.ListHistory
+    )
     service_shares: dict[str, float] = dataclasses.field(default_factory=dict)
     lost_gateways: dict[str, float] = dataclasses.field(default_factory=dict)
     answered: dict[str, tuple[job_entities.Answer, float]] = dataclasses.field(
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -15,6 +15,7 @@
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import worker_lists
 from pollenladder.gateway import limits
 from pollenladder.gateway import listeners
 from pollenladder.jobs import entities as jobs
@@ -65,6 +66,7 @@
         )
         self._roster = rosters.Roster(settings.daemon_id)
         self._store = stores.Store(settings.store)
+        self._list_history = worker_lists.ListHistory(settings.is_first_start)
         self._groups = groups.Groups(
             groups.Callbacks(
                 build_group=self._build_group,
@@ -122,6 +124,7 @@
                 is_leaving=self._stopping.is_set,
             ),
             self._clock,
+            self._list_history,
         )
 
     def _build_feeds(self) -> None:
@@ -138,6 +141,7 @@
                 get_epochs=self._get_epochs,
             ),
             self._clock,
+            self._list_history,
         )
         self._owner_rows = owner_rows.OwnerRows(
             self._store,
@@ -176,6 +180,7 @@
             ),
             self._clock,
             self._settings.features,
+            self._list_history,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
@@ -406,10 +411,9 @@
     def _update_workers(
         self,
         listings: tuple[fleet.Listing, ...],
-        last_expired_at: float,
         is_full_list: bool,
     ) -> None:
-        self._groups.update_workers(listings, last_expired_at, is_full_list)
+        self._groups.update_workers(listings, is_full_list)
         if self._layout_keeper.needs_change():
             self._feeds.refresh_daemons()
 
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -11,6 +11,7 @@
 from pollenladder.cluster import heartbeats
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import features as optional_features
@@ -62,15 +63,16 @@
         callbacks: Callbacks,
         clock: clocks.Clock,
         features: optional_features.Features = optional_features.ALL,
+        list_history: worker_lists.ListHistory | None = None,
     ):
         self.region: tables.Region | None = None
         self._max_lease_s = max_lease_s
         self._features = features
+        self._list_history = list_history or worker_lists.ListHistory()
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
-        self._last_expired_at = float("-inf")
         self._service_shares: dict[str, float] = {}
         self._is_applying_effects = False
         self._owns_workers = event.Event()
@@ -92,6 +94,7 @@
                 self._max_lease_s,
                 self._features,
                 handover_delay_s=bound_handover_delay_s(peers),
+                list_history=self._list_history,
             )
             self._owns_workers.set()
         else:
@@ -99,9 +102,7 @@
             self.region = recovery.rebuild_region(self.region, epoch, now)
         if reads_store:
             self.region.worker_list_deadline = now + LIST_WAIT_LIMIT_S
-        self.update_workers(
-            self._listings, self._last_expired_at, False, self._service_shares
-        )
+        self.update_workers(self._listings, False, self._service_shares)
 
     def resign(self) -> None:
         """Stop being the owner; its runs continue for the next owner."""
@@ -117,7 +118,6 @@
     def update_workers(
         self,
         listings: Iterable[fleet.Listing],
-        last_expired_at: float,
         is_full_list: bool,
         service_shares: dict[str, float],
     ) -> None:
@@ -125,25 +125,18 @@
 
         Args:
             listings: The listed workers.
-            last_expired_at: When an entry last expired without being marked as
-                draining first.
             is_full_list: Whether the whole list has just been read.
             service_shares: The share of each service's workers that belongs to
                 the group, 0 to 1.
         """
         self._listings = tuple(listings)
         self._service_shares = service_shares
-        self._last_expired_at = last_expired_at
         region = self.region
         if region is None:
             return
         region.service_shares = service_shares
         maintenance.update_workers(
-            region,
-            self._listings,
-            self._last_expired_at,
-            self._clock(),
-            is_full_list,
+            region, self._listings, self._clock(), is_full_list
         )
         self._open_sessions(region)
         self._apply_effects()
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -11,6 +11,8 @@
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import worker_lists
+from pollenladder.fleet import worker_tables
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
 from pollenladder.platform import exceptions
@@ -32,8 +34,6 @@
 DAEMONS_BOOT_PAUSE_S = 0.25
 RETRY_S = 0.15
 MAX_RETRY_S = 0.6
-# After an outage of the store, missing entries of workers are kept this long.
-STORE_RETURN_GRACE_S = 2.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -42,9 +42,8 @@
 
     Attributes:
         on_configuration: Called with each configuration that was read.
-        on_workers: Called with the complete list of workers, the time when an
-            entry last expired without being marked as draining first, and
-            whether the whole table has just been read.
+        on_workers: Called with the complete list of workers, and whether the
+            whole table has just been read.
         on_member: Called with each other daemon that was found.
         on_layout: Called with the stored layout of groups and its version in
             the store.
@@ -53,7 +52,7 @@
     """
 
     on_configuration: Callable[[jobs.Configuration], None]
-    on_workers: Callable[[tuple[fleet.Listing, ...], float, bool], None]
+    on_workers: Callable[[tuple[fleet.Listing, ...], bool], None]
     on_member: Callable[[rosters.Member], None]
     on_layout: Callable[[groups.Layout, int], None]
     get_epochs: Callable[[], dict[str, int]]
@@ -63,7 +62,7 @@
     """The loops that follow the tables of the store.
 
     Attributes:
-        is_store_up: Whether the last call to the store succeeded.
+        list_history: How long the list of workers has been known.
         store_lost_at: When a call last failed after a successful one.
         has_read_daemons: Whether the table of daemons has been read.
     """
@@ -74,8 +73,9 @@
         own: rosters.Member,
         callbacks: Callbacks,
         clock: clocks.Clock,
+        list_history: worker_lists.ListHistory,
     ):
-        self.is_store_up = False
+        self.list_history = list_history
         self.store_lost_at = clock()
         self.has_read_daemons = False
         self._store = store
@@ -84,14 +84,16 @@
         self._clock = clock
         self._daemon_count = 1
         self._has_read_layout = False
-        self._workers: dict[str, fleet.Listing] = {}
-        self._missing_since: dict[str, float] = {}
-        self._store_returned_at = 0.0
-        self._last_expired_at = float("-inf")
+        self._workers = worker_tables.WorkerTable(list_history)
         self._workers_refresh = event.Event()
         self._daemons_refresh = event.Event()
         self._rejected_versions: dict[str, int] = {}
 
+    @property
+    def is_store_up(self) -> bool:
+        """Whether the last call to the store succeeded."""
+        return self.list_history.is_store_up
+
     def run_configuration(self) -> None:
         """Follow the configuration, forever."""
         self._follow_table(
@@ -178,7 +180,7 @@
 
     def list_workers(self) -> tuple[fleet.Listing, ...]:
         """Return the listed workers."""
-        return tuple(self._workers.values())
+        return self._workers.list_workers()
 
     def _follow_table(
         self,
@@ -187,7 +189,7 @@
         choose_pause_s: Callable[[], float] | None,
         wait_s: float,
     ) -> None:
-        """Read a whole table, then its changes; start over after each failure.
+        """Read a whole table, then its changes; read it whole after failures.
 
         Args:
             table: The table.
@@ -198,20 +200,30 @@
             wait_s: How long one call waits for changes.
         """
         version = None
+        # A whole read does not show rows that appeared and expired since the
+        # last one, so the changes of the workers' table are read before it.
+        reads_changes_first = table == rows.WORKERS_TABLE
+        is_full_wanted = False
         retry_s = RETRY_S
         while True:
             try:
+                if is_full_wanted and version is not None:
+                    if reads_changes_first:
+                        self._read_once(table, handle, version, 0.0)
+                    version = None
                 version = self._read_once(table, handle, version, wait_s)
+                is_full_wanted = False
                 retry_s = RETRY_S
-                self._record_up(True)
             except exceptions.HistoryLostError:
                 logs.log(LOGGER, "history_lost", table=table, version=version)
+                if table == rows.WORKERS_TABLE:
+                    self.list_history.record_history_lost(self._clock())
                 version = None
                 continue
             except exceptions.StoreError as error:
                 self.record_failure(table, error)
                 # Only a full read shows the changes missed meanwhile.
-                version = None
+                is_full_wanted = True
                 gevent.sleep(retry_s)
                 retry_s = min(MAX_RETRY_S, 2 * retry_s)
                 continue
@@ -219,7 +231,7 @@
                 choose_pause_s()
             ):
                 self._workers_refresh.clear()
-                version = None
+                is_full_wanted = True
 
     def _read_once(
         self,
@@ -228,27 +240,39 @@
         version: int | None,
         wait_s: float,
     ) -> int:
-        if version is None:
+        is_full_read = version is None
+        began_at = self._clock()
+        if is_full_read:
             snapshot = self._store.read_table(table)
-            handle(snapshot, True)
         else:
             snapshot = self._store.wait_for_changes(table, version, wait_s)
-            handle(snapshot, False)
+        # Recorded first, because missing rows are kept after an outage.
+        self._record_up(True)
+        if table == rows.WORKERS_TABLE:
+            self._record_read(snapshot.version, began_at, is_full_read)
+        handle(snapshot, is_full_read)
         return max(snapshot.version, version or 0)
 
+    def _record_read(
+        self, version: int, began_at: float, is_full_read: bool
+    ) -> None:
+        read_at = self.list_history.read_at
+        if self.list_history.record_read(version, began_at, is_full_read):
+            gap_s = round(began_at - read_at, 3)
+            logs.log(LOGGER, "worker_list_gap", gap_s=gap_s)
+
     def _record_up(self, is_up: bool) -> None:
         if is_up == self.is_store_up:
             return
-        self.is_store_up = is_up
+        now = self._clock()
+        self.list_history.record_store_state(is_up, now)
         calls = dict(self._store.calls)
         if is_up:
             logs.log(LOGGER, "store_regained", calls=calls)
         else:
             logs.log(LOGGER, "store_lost", calls=calls)
-        if is_up:
-            self._store_returned_at = self._clock()
-        else:
-            self.store_lost_at = self._clock()
+        if not is_up:
+            self.store_lost_at = now
 
     def record_failure(self, what: str, error: Exception) -> None:
         """Record that a call to the store failed."""
@@ -273,39 +297,21 @@
         self, snapshot: stores.Snapshot, is_full_read: bool
     ) -> None:
         listed = {}
+        removed = []
         for row in snapshot.rows:
             if row.is_removed:
-                self._mark_missing(row.key)
+                removed.append(row.key)
                 continue
             try:
                 listed[row.key] = rows.decode_worker(row.key, row.value)
             except exceptions.BadDocumentError as error:
                 self._log_rejected_row(row, error)
-        if is_full_read:
-            for worker_id in self._workers.keys() - listed.keys():
-                self._mark_missing(worker_id)
-        for worker_id in listed:
-            self._missing_since.pop(worker_id, None)
-        self._workers.update(listed)
-        self._drop_missing()
-        self._callbacks.on_workers(
-            self.list_workers(), self._last_expired_at, is_full_read
+        lapsed = self._workers.update(
+            listed, removed, is_full_read, self._clock()
         )
-
-    def _mark_missing(self, worker_id: str) -> None:
-        self._missing_since.setdefault(worker_id, self._clock())
-
-    def _drop_missing(self) -> None:
-        """Drop missing workers, unless the store has returned only recently."""
-        now = self._clock()
-        if now < self._store_returned_at + STORE_RETURN_GRACE_S:
-            return
-        for worker_id in self._missing_since:
-            listing = self._workers.pop(worker_id, None)
-            if listing is not None and not listing.is_draining:
-                self._last_expired_at = now
-                logs.log(LOGGER, "worker_lapsed", worker=worker_id)
-        self._missing_since.clear()
+        for worker_id in lapsed:
+            logs.log(LOGGER, "worker_lapsed", worker=worker_id)
+        self._callbacks.on_workers(self.list_workers(), is_full_read)
 
     def _choose_pause_s(self) -> float:
         if self._callbacks.get_epochs():
--- a/pollenladder/service/groups.py
+++ b/pollenladder/service/groups.py
@@ -53,7 +53,6 @@
         self.groups: dict[str, Group] = {}
         self._callbacks = callbacks
         self._listings: tuple[fleet.Listing, ...] = ()
-        self._last_expired_at = float("-inf")
 
     def apply_layout(self, layout: layouts.Layout) -> bool:
         """Apply a layout unless it is older; return whether it is new."""
@@ -74,19 +73,15 @@
     def update_workers(
         self,
         listings: Iterable[fleet.Listing],
-        last_expired_at: float,
         is_full_list: bool,
     ) -> None:
         """Pass the list of workers to the engines of their groups.
 
         Args:
             listings: The listed workers.
-            last_expired_at: When an entry last expired without being marked as
-                draining first.
             is_full_list: Whether the whole list has just been read.
         """
         self._listings = tuple(listings)
-        self._last_expired_at = last_expired_at
         self._update_engines(is_full_list)
 
     def list_workers(self, group: str) -> list[fleet.Listing]:
@@ -138,7 +133,7 @@
                 for service, capacity in _sum_capacities(listings).items()
             }
             self.groups[name].engine.update_workers(
-                listings, self._last_expired_at, is_full_list, shares
+                listings, is_full_list, shares
             )
 
 
--- a/pollenladder/service/membership.py
+++ b/pollenladder/service/membership.py
@@ -11,6 +11,7 @@
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
+from pollenladder.fleet import worker_lists
 from pollenladder.logs import lines as logs
 from pollenladder.service import leadership
 from pollenladder.service import loop_lag
@@ -59,6 +60,7 @@
         roster: rosters.Roster,
         callbacks: Callbacks,
         clock: clocks.Clock,
+        list_history: worker_lists.ListHistory,
     ):
         self.leaderships: dict[str, leadership.Leadership] = {}
         self.loop_lag = loop_lag.LoopLag()
@@ -66,6 +68,7 @@
         self._roster = roster
         self._callbacks = callbacks
         self._clock = clock
+        self._list_history = list_history
         self._last_sent_at: dict[str, float] = {}
         self._last_urgent_fields: tuple = ()
         self._last_distant_urgent_fields: tuple = ()
@@ -127,7 +130,17 @@
         self, daemon_id: str, heartbeat: messages.Heartbeat
     ) -> None:
         """Record the heartbeat of another daemon."""
-        self._roster.record_heartbeat(daemon_id, heartbeat, self._clock())
+        now = self._clock()
+        self._roster.record_heartbeat(daemon_id, heartbeat, now)
+        report = heartbeat.worker_list
+        if self._list_history.inherit(report, now):
+            logs.log(
+                LOGGER,
+                "worker_list_inherited",
+                peer=daemon_id,
+                known_s=report.known_ms / 1000,
+                expired_ago_s=report.expired_ago_ms / 1000,
+            )
         for state in heartbeat.groups:
             found = self.leaderships.get(state.group)
             if found is not None:
@@ -234,6 +247,7 @@
                 for found in self.leaderships.values()
                 if found.is_candidate(now)
             ),
+            worker_list=self._list_history.build_report(now),
         )
 
     def _get_heartbeat(self, daemon_id: str) -> messages.Heartbeat | None:
--- a/tests/scheduling/simulations.py
+++ b/tests/scheduling/simulations.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
@@ -49,6 +50,14 @@
     return dataclasses.replace(default, **changes)
 
 
+def build_list_history(now: float) -> worker_lists.ListHistory:
+    """Return the knowledge of a daemon that saw all rows since the start."""
+    history = worker_lists.ListHistory(is_first_start=True)
+    history.record_store_state(True, now)
+    history.record_read(1, now, is_full=True)
+    return history
+
+
 class RegionSimulation:
     """A region, its clock, and the effects that it has decided on.
 
@@ -62,7 +71,12 @@
 
     def __init__(self, workers: int = 3, epoch: int = 1):
         self.now = 100.0
-        self.region = tables.Region(epoch, self.now, LEASE_S)
+        self.region = tables.Region(
+            epoch,
+            self.now,
+            LEASE_S,
+            list_history=build_list_history(self.now),
+        )
         self.region.is_worker_list_current = True
         self.now += runs.OWNER_SETTLING_S
         self.effects: list[tables.Effect] = []
@@ -78,9 +92,9 @@
     ) -> None:
         """Replace the list of workers, and poll each worker if `synced`."""
         listings = [build_listing(worker_id) for worker_id in worker_ids]
-        maintenance.update_workers(
-            self.region, listings, last_expired_at, self.now
-        )
+        if last_expired_at > float("-inf"):
+            self.region.list_history.record_expired(last_expired_at)
+        maintenance.update_workers(self.region, listings, self.now)
         if synced:
             for worker_id in worker_ids:
                 self.poll(worker_id)
@@ -97,6 +111,7 @@
     def step(self, seconds: float = 0.0) -> None:
         """Advance the clock and run maintenance."""
         self.now += seconds
+        self.region.list_history.record_read(1, self.now, is_full=False)
         maintenance.step(self.region, self.now)
         self._collect()
 
--- a/tests/scheduling/test_fresh_owner.py
+++ b/tests/scheduling/test_fresh_owner.py
@@ -81,7 +81,6 @@
         maintenance.update_workers(
             self.simulation.region,
             [leaving, simulations.build_listing("w1")],
-            float("-inf"),
             self.simulation.now,
             is_full_list=True,
         )
--- a/tests/service/test_groups.py
+++ b/tests/service/test_groups.py
@@ -47,12 +47,12 @@
         return [w.worker_id for w in engine.update_workers.call_args.args[0]]
 
     def test_workers_are_passed_to_the_engines_of_their_groups(self):
-        self.groups.update_workers(self.listings, 0.0, True)
+        self.groups.update_workers(self.listings, True)
         self.groups.apply_layout(SPLIT)
         self.assertEqual(self._get_workers("norte/0"), ["w1", "w2"])
         self.assertEqual(self._get_workers("sur/0"), ["w3"])
         engine = self.groups.groups["sur/0"].engine
-        shares = engine.update_workers.call_args.args[3]
+        shares = engine.update_workers.call_args.args[2]
         self.assertAlmostEqual(shares["s"], 1 / 3)
 
     def test_older_layout_is_not_applied(self):
@@ -77,5 +77,5 @@
     def test_worker_of_an_unknown_data_centre_has_no_engine_yet(self):
         self.groups.apply_layout(SPLIT)
         listings = [*self.listings, _build_listing("w4", "este")]
-        self.groups.update_workers(listings, 0.0, True)
+        self.groups.update_workers(listings, True)
         self.assertEqual(self._get_workers("sur/0"), ["w3"])
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -8,6 +8,7 @@
 from pollenladder.cluster import messages
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
+from pollenladder.fleet import worker_lists
 from pollenladder.service import leadership
 from pollenladder.service import membership
 from tests.cluster import samples
@@ -41,6 +42,7 @@
                 is_leaving=lambda: self.is_leaving,
             ),
             lambda: self.now,
+            worker_lists.ListHistory(),
         )
         self.leading = self._build_leadership(GROUP)
         self.membership.leaderships[GROUP] = self.leading
--- a/tests/service/test_rivals.py
+++ b/tests/service/test_rivals.py
@@ -8,6 +8,7 @@
 from pollenladder.cluster import groups
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
+from pollenladder.fleet import worker_lists
 from pollenladder.service import leadership
 from pollenladder.service import membership as memberships
 
@@ -79,6 +80,7 @@
                 is_leaving=lambda: False,
             ),
             lambda: self.now,
+            worker_lists.ListHistory(),
         )
         self._memberships[name] = membership
         self.members[name] = leadership.Leadership(
--- /dev/null
+++ b/tests/service/test_unlisted_workers.py
@@ -0,0 +1,73 @@
+"""Hand-over to a restarted daemon while a worker's row has expired."""
+
+import signal
+import unittest
+
+import gevent
+
+from soak import clusters
+from standins import site as sites
+
+JOB = "a" * 16
+LATER_JOB = "b" * 16
+RUN_MS = 2_500
+# Time for a new owner to see the end of a run and to start the next one.
+START_DELAY_S = 0.5
+
+
+class UnlistedWorkersTest(unittest.TestCase):
+    """The owner hands over to a daemon that was restarted a second ago."""
+
+    def test_task_on_an_unlisted_worker_is_not_started_again(self):
+        """Replays a partition of a worker from the store.
+
+        Guards against a second run of a task that is still active on a worker
+        which the new owner has never seen listed.
+        """
+        cluster = clusters.Cluster(self.addCleanup, ["d1", "d2"], workers=4)
+        cluster.wait_until_ready()
+        owner = cluster.wait_for_owner()
+        (other,) = cluster.daemons.keys() - {owner}
+        cluster.signal(other, signal.SIGKILL)
+        body = sites.build_job(tasks=4, run_ms=RUN_MS)
+        pending = gevent.spawn(cluster.submit, owner, JOB, body)
+        gevent.sleep(0.2)
+        used = [w for w, found in cluster.site.workers.items() if found.history]
+        cluster.site.store.remove_row("servers", used[0])
+        cluster.start(other)
+        cluster.wait_until_ready(other)
+        cluster.signal(owner, signal.SIGTERM)
+        pending.join()
+        self.assertEqual(cluster.list_claimants(), [owner, other])
+        adopted = [
+            line["task"]
+            for line in cluster.read_log(other)
+            if line["event"] == "run_adopted"
+        ]
+        self.assertEqual(len(adopted), 2, "no runs were adopted")
+        self.assertEqual(cluster.site.find_overlaps(), [])
+
+    def test_waiting_job_starts_at_once_if_no_row_expired(self):
+        """Guards against waiting for leases in a planned rolling restart."""
+        cluster = clusters.Cluster(self.addCleanup, ["d1", "d2"], workers=1)
+        cluster.site.configure(2, SloMs=5_000, TimeoutMs=9_000)
+        cluster.wait_until_ready()
+        owner = cluster.wait_for_owner()
+        (other,) = cluster.daemons.keys() - {owner}
+        cluster.signal(other, signal.SIGKILL)
+        # Its two tasks leave no room for another one on the worker.
+        body = sites.build_job(run_ms=RUN_MS)
+        pending = [gevent.spawn(cluster.submit, owner, JOB, body)]
+        gevent.sleep(0.2)
+        body = sites.build_job(tasks=1)
+        pending += [gevent.spawn(cluster.submit, owner, LATER_JOB, body)]
+        cluster.start(other)
+        cluster.wait_until_ready(other)
+        cluster.signal(owner, signal.SIGTERM)
+        gevent.joinall(pending)
+        self.assertEqual(cluster.list_claimants(), [owner, other])
+        states = [greenlet.value.state for greenlet in pending]
+        self.assertEqual(states, ["completed", "completed"])
+        first, second, later = cluster.site.workers["w0"].history
+        ended_s = min(first.ended_s, second.ended_s)
+        self.assertLess(later.began_s, ended_s + START_DELAY_S)
