Count a forwarded job before its owner can refuse it

Cause: an owner in the gateway's own process refuses a job within the call that forwards it. The gateway then forwarded the job to another group and only afterwards counted the first forward. The refusal of the second group looked like that of a repeated forward and was ignored, so the caller waited until its deadline and got 504 instead of 429. Change: the gateway counts the forward and raises the run number before the call, and takes both back if the job could not be sent.

--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -304,16 +304,19 @@
             first_run=job.first_run,
             may_run_elsewhere=job.may_run_elsewhere,
         )
-        # Set before the call, as it may answer the job at once.
+        # Set before the call, as an owner in this process answers the job at
+        # once, and a refusal is then forwarded to another group.
         was_sent = job.has_been_sent
         job.owner_id = owner_id
         job.has_been_sent = True
+        job.first_run += RUN_NUMBERS_PER_FORWARD
+        job.times_forwarded += 1
         if not self._callbacks.submit(owner_id, job.group, submission):
             job.owner_id = ""
             job.has_been_sent = was_sent
+            job.first_run -= RUN_NUMBERS_PER_FORWARD
+            job.times_forwarded -= 1
             return False
-        job.first_run += RUN_NUMBERS_PER_FORWARD
-        job.times_forwarded += 1
         if was_sent:
             logs.log(
                 LOGGER,
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -20,6 +20,7 @@
         self.released: list[str] = []
         self.cancelled: list[tuple[str, str]] = []
         self.arrives = True
+        self.answers_at_once = False
         self.shed_share = 0.0
         self.groups = [GROUP]
         self.gateway = gateways.Gateway(
@@ -52,6 +53,9 @@
     ) -> bool:
         if self.arrives:
             self.sent.append((owner_id, submission))
+        if self.answers_at_once:
+            self.answers_at_once = False
+            self._refuse(owner_id)
         return self.arrives
 
     def _submit_job(self) -> gateways.OpenJob:
@@ -77,6 +81,17 @@
         self.assertEqual(set(self.released), {GROUP, "norte/0"})
         self.assertIs(job.answer.outcome, jobs.Outcome.REFUSED)
 
+    def test_refusal_by_an_owner_in_the_same_process(self):
+        # The owner answers within the call that forwards the job. The refusal
+        # of the second group must not count as that of a repeated forward, or
+        # the caller waits until its deadline.
+        self.groups = [GROUP, "norte/0"]
+        self.answers_at_once = True
+        job = self._submit_job()
+        self.assertEqual(len(self.sent), 2)
+        self._refuse("a")
+        self.assertIs(job.answer.outcome, jobs.Outcome.REFUSED)
+
     def test_job_that_may_have_begun_stays_in_its_group(self):
         self.groups = [GROUP, "norte/0"]
         job = self._submit_job()
