Take data centres out of use at the operators' request

Cause: nothing read the rows with which operators take a data centre out of use, so its workers kept getting new runs. Change: each daemon follows the rows `evacuate/ZONE` with the configuration feed and tells the set of evacuated data centres, with the store's version, in its heartbeats. An owner places nothing new on the workers concerned and leaves them out of forecasts and reported loads. A job that has not begun is refused if its group has no other workers, so that its gateway tries another group; a job that has begun may be finished there for a quarter of the deadline. After a pause of more than half the deadline, an owner starts nothing until the set is confirmed.

--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -7,6 +7,7 @@
 
 from pollenladder.cluster import groups
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import evacuations
 from pollenladder.jobs import entities as jobs
 from pollenladder.wire import codec
 
@@ -60,6 +61,9 @@
         shed_share: As an owner, the share of new jobs that gateways refuse,
             0 to 1.
         groups: The groups that the sender owns or may own.
+        evacuated: The evacuated data centres that the sender knows.
+        is_evacuated_current: Whether the sender has confirmed that set since it
+            was last paused for long.
     """
 
     reads_store: bool
@@ -70,6 +74,8 @@
     processor_cores: float
     shed_share: float
     groups: tuple[GroupState, ...]
+    evacuated: evacuations.EvacuatedSet
+    is_evacuated_current: bool
 
     def count_owned(self) -> int:
         """Return the number of groups that the sender owns."""
--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -247,6 +247,7 @@
             negative.
         runs: Runs by task name.
         health: Health derived from the results of the runs.
+        is_evacuated: Whether the worker's data centre is taken out of use.
     """
 
     listing: Listing
@@ -264,6 +265,7 @@
     free: jobs.Resources = jobs.Resources()
     runs: dict[str, Run] = dataclasses.field(default_factory=dict)
     health: Health = dataclasses.field(default_factory=Health)
+    is_evacuated: bool = False
 
     def __post_init__(self):
         self.free = self.listing.capacity
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -154,6 +154,12 @@
         "a newer configuration is in force",
         ("version", "before", "queues"),
     ),
+    Event(
+        "evacuation_changed",
+        Kind.CONFIGURATION,
+        "other data centres are taken out of use than before",
+        ("data_centres", "version", "source"),
+    ),
     Event(
         "configuration_rejected",
         Kind.CONFIGURATION,
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -12,6 +12,10 @@
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# Followed by the name of a data centre that is taken out of use.
+_EVACUATION_PREFIX = "evacuate/"
+# Bounds the heartbeats, which contain the names of evacuated data centres.
+MAX_DATA_CENTRE_CHARS = 200
 WORKERS_TABLE = "servers"
 # Written by the daemons, one row each.
 DAEMONS_TABLE = "daemons"
@@ -63,6 +67,25 @@
     )
 
 
+def decode_evacuation(key: str) -> str | None:
+    """Return the data centre that a row takes out of use.
+
+    The row's value has no meaning.
+
+    Returns:
+        The name; None if the row is not a request for an evacuation.
+
+    Raises:
+        exceptions.BadDocumentError: The key contains no valid name.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    name = key.removeprefix(_EVACUATION_PREFIX)
+    if not 0 < len(name) <= MAX_DATA_CENTRE_CHARS:
+        raise exceptions.BadDocumentError("not the name of a data centre")
+    return name
+
+
 def decode_worker(worker_id: str, source: bytes) -> fleet.Listing:
     """Return a worker from its row's value.
 
--- a/pollenladder/platform/settings.py
+++ b/pollenladder/platform/settings.py
@@ -42,6 +42,9 @@
         is_first_start: Whether the whole system starts for the first time, so
             that the store does not list the other daemons yet.
         features: The optional decisions that are switched on.
+        evacuation_deadline_s: Time from the request to take a data centre out
+            of use until no start may reach it, in seconds; None if there is no
+            deadline.
     """
 
     daemon_id: str
@@ -60,6 +63,7 @@
     max_descriptors: int
     is_first_start: bool = False
     features: optional_features.Features = optional_features.ALL
+    evacuation_deadline_s: float | None = None
 
 
 def find_path() -> str:
@@ -134,6 +138,7 @@
         * _get_number(values, "Limits.Cores"),
         max_descriptors=int(_get_number(values, "Limits.MaxFds")),
         is_first_start=values.get("Bootstrap") == "true",
+        evacuation_deadline_s=_get_optional_s(values, "Bounds.EvacuateMs"),
     )
 
 
@@ -155,6 +160,13 @@
     return number
 
 
+def _get_optional_s(values: dict[str, str], name: str) -> float | None:
+    """Return a time given in milliseconds; None if it is missing or 0."""
+    if values.get(name, "0") in ("", "0"):
+        return None
+    return _get_number(values, name) / 1000
+
+
 def _get_address(values: dict[str, str], name: str) -> Address:
     text = _get_text(values, name)
     try:
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -150,12 +150,15 @@
 def can_ever_fit(
     region: tables.Region, service: str, needed: jobs.Resources
 ) -> bool:
-    """Return whether the capacity of any listed worker suffices for a task."""
+    """Return whether the capacity of any listed worker suffices for a task.
+
+    Evacuated workers do not count.
+    """
     return any(
         worker.listing.service == service
         and needed.fits_in(worker.listing.capacity)
         for worker in region.workers.values()
-        if worker.is_listed
+        if worker.is_listed and not worker.is_evacuated
     )
 
 
@@ -164,6 +167,8 @@
 ) -> int:
     """Return how many tasks of one size fit on all listed workers when idle.
 
+    Evacuated workers do not count.
+
     Args:
         region: The region.
         service: The service whose workers are counted.
@@ -172,7 +177,11 @@
     """
     count = 0
     for worker in region.workers.values():
-        if worker.is_listed and worker.listing.service == service:
+        if (
+            worker.is_listed
+            and not worker.is_evacuated
+            and worker.listing.service == service
+        ):
             count += worker.listing.capacity.count_fitting(needed)
         if count >= enough:
             break
@@ -200,6 +209,7 @@
     return (
         worker.is_listed
         and not worker.listing.is_draining
+        and not worker.is_evacuated
         and not worker.is_synced
         and not worker.missed_polls
     )
--- a/pollenladder/scheduling/free_capacity.py
+++ b/pollenladder/scheduling/free_capacity.py
@@ -18,9 +18,16 @@
         self._entries: dict[str, tuple[str, int]] = {}
 
     def update(self, worker: fleet.Worker) -> None:
-        """Update a worker's entry; unlisted and draining workers have none."""
+        """Update a worker's entry.
+
+        Unlisted, draining and evacuated workers have none.
+        """
         worker_id = worker.listing.worker_id
-        if not worker.is_listed or worker.listing.is_draining:
+        if (
+            not worker.is_listed
+            or worker.listing.is_draining
+            or worker.is_evacuated
+        ):
             self.remove(worker_id)
             return
         entry = (worker.listing.service, worker.free.cpu_milli)
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -266,11 +266,17 @@
     service = job.submission.service
     if _awaits_first_worker_list(region):
         return None
+    may_have_begun = job.submission.may_have_begun
+    if service in region.evacuated_services and not may_have_begun:
+        return jobs.Reason.NO_WORKERS
     if not any(
         w.is_listed and w.listing.service == service
         for w in region.workers.values()
     ):
         return jobs.Reason.NO_WORKERS
+    if may_have_begun and region.evacuations.known.data_centres:
+        # Its runs may be active on evacuated workers, which do not count below.
+        return None
     if not forecast.can_ever_fit(region, service, job.resources):
         return jobs.Reason.TOO_LARGE
     return None
@@ -326,9 +332,8 @@
         submission.job_id, outcome, reason, _bound_retry_after(wait_s)
     )
     region.effects.append(tables.AnswerJob(job.gateway_id, answer))
-    if outcome is jobs.Outcome.REFUSED and _has_other_groups(region, job):
-        lease_s = region.max_lease_s * (1 + runs.MAX_CLOCK_DRIFT)
-        region.refused_until[submission.job_id] = job.deadline_at + lease_s
+    if outcome is jobs.Outcome.REFUSED:
+        record_refusal(region, job)
     region.log_event(
         "job_refused",
         job=submission.job_id,
@@ -343,6 +348,14 @@
     )
 
 
+def record_refusal(region: tables.Region, job: tables.Job) -> None:
+    """Remember that a refused job may run in another group from now on."""
+    if _has_other_groups(region, job):
+        lease_s = region.max_lease_s * (1 + runs.MAX_CLOCK_DRIFT)
+        job_id = job.submission.job_id
+        region.refused_until[job_id] = job.deadline_at + lease_s
+
+
 def _has_other_groups(region: tables.Region, job: tables.Job) -> bool:
     """Return whether a job that is refused here may go to another group."""
     return region.service_shares.get(job.submission.service, 1.0) < 1.0
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -4,6 +4,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
@@ -27,6 +28,7 @@
     unconfirmed stop orders, and places waiting tasks.
     """
     intake.expire(region, now)
+    evacuation.end_unservable_jobs(region, now)
     _cancel_jobs_of_lost_gateways(region, now)
     for worker in list(region.workers.values()):
         _check_runs(region, worker, now)
@@ -97,6 +99,8 @@
             region.record_worker_change(worker)
             region.log_event("worker_unlisted", worker=worker_id)
     _update_capacities(region)
+    evacuation.mark_workers(region)
+    evacuation.end_unservable_jobs(region, now)
     placement.place(region, now)
 
 
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -27,7 +27,9 @@
 
 def place(region: tables.Region, now: float) -> None:
     """Start all waiting tasks that workers have capacity for."""
-    if region.is_awaiting_worker_list(now):
+    if region.is_awaiting_worker_list(now) or not region.evacuations.is_current(
+        now
+    ):
         return
     waiting = _list_placeable(region)
     if not waiting:
@@ -59,7 +61,9 @@
     for job_id in region.waiting:
         job = region.jobs[job_id]
         submission = job.submission
-        if submission.cpu_milli <= largest.get(submission.service, 0):
+        if submission.cpu_milli <= largest.get(
+            submission.service, 0
+        ) or _may_use_evacuated(region, job):
             waiting.append(job)
     waiting.sort(key=get_urgency)
     return waiting
@@ -89,10 +93,49 @@
         worker = region.workers[worker_id]
         if needed.fits_in(worker.free) and is_available(worker, now):
             yield worker
+    if _may_use_evacuated(region, job):
+        yield from _list_finishing(region, job, now)
+
+
+def _may_use_evacuated(region: tables.Region, job: tables.Job) -> bool:
+    """Return whether a job may be finished on evacuated workers for a time."""
+    return job.has_begun and job.submission.service in region.evacuated_services
+
+
+def _list_finishing(
+    region: tables.Region, job: tables.Job, now: float
+) -> list[fleet.Worker]:
+    """Return the evacuated workers on which a job's tasks may still start.
+
+    These are the ones that fit a task, sorted by their free CPU.
+    """
+    finish_until = region.evacuations.finish_until
+    found = [
+        worker
+        for worker in region.workers.values()
+        if worker.is_evacuated
+        and now < finish_until.get(worker.listing.data_centre, 0.0)
+        and worker.listing.service == job.submission.service
+        and job.resources.fits_in(worker.free)
+        and _can_run(worker, now)
+    ]
+    found.sort(key=lambda worker: worker.free.cpu_milli)
+    return found
+
+
+def may_finish(region: tables.Region, now: float) -> bool:
+    """Return whether begun jobs may still start tasks on evacuated workers."""
+    finish_until = region.evacuations.finish_until
+    return any(now < until for until in finish_until.values())
 
 
 def is_available(worker: fleet.Worker, now: float) -> bool:
     """Return whether a worker may be given a run now."""
+    return not worker.is_evacuated and _can_run(worker, now)
+
+
+def _can_run(worker: fleet.Worker, now: float) -> bool:
+    """Return whether a worker may run a task, evacuated or not."""
     return (
         worker.is_listed
         and worker.is_synced
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -38,6 +38,8 @@
         answered=dict(region.answered),
         estimates=region.estimates,
         admission=region.admission,
+        evacuations=region.evacuations,
+        evacuated_services=region.evacuated_services,
     )
     rebuilt.effects = region.take_effects()
     for job in region.jobs.values():
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -4,6 +4,7 @@
 import enum
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import evacuations as fleet_evacuations
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
 from pollenladder.scheduling import admission as job_admission
@@ -202,6 +203,9 @@
         estimates: Bias of declared run times.
         admission: State of admission control.
         effects: Effects that have not been carried out yet.
+        evacuations: The data centres that are taken out of use.
+        evacuated_services: The services whose listed workers are all in
+            evacuated data centres.
     """
 
     epoch: int
@@ -242,6 +246,10 @@
         default_factory=job_admission.AdmissionState
     )
     effects: list[Effect] = dataclasses.field(default_factory=list)
+    evacuations: fleet_evacuations.Evacuations = dataclasses.field(
+        default_factory=fleet_evacuations.Evacuations
+    )
+    evacuated_services: frozenset[str] = frozenset()
 
     def is_awaiting_worker_list(self, now: float) -> bool:
         """Return whether a current list of workers is still awaited."""
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -15,6 +15,7 @@
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import evacuations
 from pollenladder.gateway import limits
 from pollenladder.gateway import listeners
 from pollenladder.jobs import entities as jobs
@@ -26,6 +27,7 @@
 from pollenladder.platform import store as stores
 from pollenladder.service import application
 from pollenladder.service import engine as engines
+from pollenladder.service import evacuations as evacuation_followers
 from pollenladder.service import feeds
 from pollenladder.service import gateway as gateways
 from pollenladder.service import groups
@@ -65,6 +67,21 @@
         )
         self._roster = rosters.Roster(settings.daemon_id)
         self._store = stores.Store(settings.store)
+        self._evacuations = evacuations.Evacuations(
+            evacuations.build_limits(
+                settings.evacuation_deadline_s, settings.max_lease_s
+            ),
+            self._clock(),
+            is_confirmed=False,
+        )
+        self._evacuation_follower = evacuation_followers.Follower(
+            self._evacuations,
+            evacuation_followers.Callbacks(
+                on_change=self._handle_evacuation_change,
+                set_gauge=self._meters.evacuated_data_centres.set,
+            ),
+            self._clock,
+        )
         self._groups = groups.Groups(
             groups.Callbacks(
                 build_group=self._build_group,
@@ -122,6 +139,7 @@
                 is_leaving=self._stopping.is_set,
             ),
             self._clock,
+            self._evacuations,
         )
 
     def _build_feeds(self) -> None:
@@ -136,6 +154,7 @@
                     layout, version
                 ),
                 get_epochs=self._get_epochs,
+                on_evacuated=self._evacuation_follower.handle_read,
             ),
             self._clock,
         )
@@ -176,6 +195,7 @@
             ),
             self._clock,
             self._settings.features,
+            self._evacuations,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
@@ -331,6 +351,7 @@
         self, sender: str, heartbeat: messages.Heartbeat
     ) -> None:
         self._membership.record_heartbeat(sender, heartbeat)
+        self._evacuation_follower.handle_heartbeat(sender, heartbeat)
         if heartbeat.layout_version > self._groups.layout.version:
             version = self._groups.layout.version
             self._mesh.send(sender, messages.RequestLayout(version))
@@ -375,6 +396,11 @@
             queues=len(found.queues),
         )
 
+    def _handle_evacuation_change(self) -> None:
+        self._groups.update_evacuations()
+        # Heartbeats tell the peers that do not reach the store.
+        self._membership.wake()
+
     def _handle_member(self, member: rosters.Member) -> None:
         if self._roster.record_member(member, self._clock()):
             logs.log(
@@ -390,6 +416,7 @@
             logs.log(LOGGER, "link_made", peer=daemon_id)
         else:
             logs.log(LOGGER, "link_ended", peer=daemon_id)
+        self._evacuation_follower.handle_link_change(daemon_id, is_linked)
         for group in self._groups.groups.values():
             group.engine.record_gateway_link(daemon_id, is_linked)
         if is_linked:
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -11,8 +11,10 @@
 from pollenladder.cluster import heartbeats
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import evacuations as fleet_evacuations
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
+from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
@@ -62,10 +64,12 @@
         callbacks: Callbacks,
         clock: clocks.Clock,
         features: optional_features.Features = optional_features.ALL,
+        evacuations: fleet_evacuations.Evacuations | None = None,
     ):
         self.region: tables.Region | None = None
         self._max_lease_s = max_lease_s
         self._features = features
+        self._evacuations = evacuations or fleet_evacuations.Evacuations()
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
@@ -92,6 +96,7 @@
                 self._max_lease_s,
                 self._features,
                 handover_delay_s=bound_handover_delay_s(peers),
+                evacuations=self._evacuations,
             )
             self._owns_workers.set()
         else:
@@ -148,6 +153,12 @@
         self._open_sessions(region)
         self._apply_effects()
 
+    def update_evacuations(self) -> None:
+        """Apply a change of the set of evacuated data centres."""
+        if self.region is not None:
+            evacuation.apply(self.region, self._clock())
+            self._apply_effects()
+
     def submit(self, submission: jobs.Submission, gateway_id: str) -> bool:
         """Admit or refuse a job; return False if this is not the owner."""
         if self.region is None:
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -11,11 +11,13 @@
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import evacuations
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
 from pollenladder.platform import exceptions
 from pollenladder.platform import rows
 from pollenladder.platform import store as stores
+from pollenladder.service import evacuations as evacuation_rows
 
 LOGGER = logging.getLogger(__name__)
 
@@ -50,6 +52,8 @@
             the store.
         get_epochs: Returns the epoch of this daemon's ownership of each group
             that it owns.
+        on_evacuated: Called with the evacuated data centres after each read of
+            the operators' rows, and with the time when the read began.
     """
 
     on_configuration: Callable[[jobs.Configuration], None]
@@ -57,6 +61,7 @@
     on_member: Callable[[rosters.Member], None]
     on_layout: Callable[[groups.Layout, int], None]
     get_epochs: Callable[[], dict[str, int]]
+    on_evacuated: Callable[[evacuations.EvacuatedSet, float], None]
 
 
 class Feeds:
@@ -91,12 +96,16 @@
         self._workers_refresh = event.Event()
         self._daemons_refresh = event.Event()
         self._rejected_versions: dict[str, int] = {}
+        self._read_began_at: dict[str, float] = {}
+        self._evacuation_rows = evacuation_rows.EvacuationRows(
+            self._log_rejected_row
+        )
 
     def run_configuration(self) -> None:
-        """Follow the configuration, forever."""
+        """Follow the configuration and the evacuations, forever."""
         self._follow_table(
             rows.OPERATOR_TABLE,
-            self._handle_configuration,
+            self._handle_operator_rows,
             None,
             CONFIGURATION_WAIT_S,
         )
@@ -228,6 +237,7 @@
         version: int | None,
         wait_s: float,
     ) -> int:
+        self._read_began_at[table] = self._clock()
         if version is None:
             snapshot = self._store.read_table(table)
             handle(snapshot, True)
@@ -256,9 +266,13 @@
             logs.log(LOGGER, "store_failed", what=what, error=str(error))
         self._record_up(False)
 
-    def _handle_configuration(
+    def _handle_operator_rows(
         self, snapshot: stores.Snapshot, is_full_read: bool
     ) -> None:
+        self._callbacks.on_evacuated(
+            self._evacuation_rows.apply(snapshot, is_full_read),
+            self._read_began_at[rows.OPERATOR_TABLE],
+        )
         for row in snapshot.rows:
             if row.key != rows.CONFIGURATION_KEY or row.is_removed:
                 continue
--- a/pollenladder/service/groups.py
+++ b/pollenladder/service/groups.py
@@ -89,6 +89,11 @@
         self._last_expired_at = last_expired_at
         self._update_engines(is_full_list)
 
+    def update_evacuations(self) -> None:
+        """Apply a change of the set of evacuated data centres."""
+        for group in list(self.groups.values()):
+            group.engine.update_evacuations()
+
     def list_workers(self, group: str) -> list[fleet.Listing]:
         """Return the listed workers of a group."""
         return [
--- a/pollenladder/service/membership.py
+++ b/pollenladder/service/membership.py
@@ -11,6 +11,7 @@
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
+from pollenladder.fleet import evacuations as fleet_evacuations
 from pollenladder.logs import lines as logs
 from pollenladder.service import leadership
 from pollenladder.service import loop_lag
@@ -59,6 +60,7 @@
         roster: rosters.Roster,
         callbacks: Callbacks,
         clock: clocks.Clock,
+        evacuations: fleet_evacuations.Evacuations | None = None,
     ):
         self.leaderships: dict[str, leadership.Leadership] = {}
         self.loop_lag = loop_lag.LoopLag()
@@ -66,6 +68,7 @@
         self._roster = roster
         self._callbacks = callbacks
         self._clock = clock
+        self._evacuations = evacuations or fleet_evacuations.Evacuations()
         self._last_sent_at: dict[str, float] = {}
         self._last_urgent_fields: tuple = ()
         self._last_distant_urgent_fields: tuple = ()
@@ -234,6 +237,8 @@
                 for found in self.leaderships.values()
                 if found.is_candidate(now)
             ),
+            evacuated=self._evacuations.known,
+            is_evacuated_current=self._evacuations.is_current(now),
         )
 
     def _get_heartbeat(self, daemon_id: str) -> messages.Heartbeat | None:
@@ -248,6 +253,7 @@
         heartbeat.config_version,
         heartbeat.layout_version,
         heartbeat.is_leaving,
+        heartbeat.evacuated.data_centres,
         *(
             (
                 state.group,
@@ -267,6 +273,7 @@
     return (
         heartbeat.layout_version,
         heartbeat.is_leaving,
+        heartbeat.evacuated.data_centres,
         *(
             (state.group, state.epoch, state.successor)
             for state in heartbeat.groups
--- a/pollenladder/service/meters.py
+++ b/pollenladder/service/meters.py
@@ -25,6 +25,7 @@
         registry: The registry of all metrics.
         http_connections: The number of open connections of callers.
         connections_refused: Connections of callers beyond the limit.
+        evacuated_data_centres: The number of data centres out of use.
     """
 
     def __init__(self):
@@ -39,6 +40,11 @@
             "Connections of callers beyond the bound.",
             registry=self.registry,
         )
+        self.evacuated_data_centres = prometheus_client.Gauge(
+            "pollenladder_evacuated_data_centres",
+            "Data centres that operators have taken out of use.",
+            registry=self.registry,
+        )
         self._jobs = prometheus_client.Counter(
             "pollenladder_jobs",
             "Jobs answered.",
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -171,13 +171,18 @@
         return until_s
 
     def _start_run(self, order: tables.StartRun) -> None:
-        reply = self._client.start(
-            order.task,
-            order.number,
-            order.spec,
-            self._extend_lease(),
-            self._region.epoch,
-        )
+        # The process may have been paused since the order was decided on. The
+        # lease is computed only here, so it would not bound the delay.
+        if self._region.evacuations.is_current(self._clock()):
+            reply = self._client.start(
+                order.task,
+                order.number,
+                order.spec,
+                self._extend_lease(),
+                self._region.epoch,
+            )
+        else:
+            reply = fleet.StartReply.NOT_SENT
         if self._closed:
             return
         if reply is fleet.StartReply.FENCED:
--- a/standins/site.py
+++ b/standins/site.py
@@ -165,6 +165,7 @@
             "Bounds.GraceS": 6,
             "Bounds.MaxHoldMs": 1000,
             "Bounds.ResendMs": 1300,
+            "Bounds.EvacuateMs": 5000,
             "platform.Addr": f"{HOST}:{self.store_port}",
             "platform.WritesPerS": 600,
             "platform.ReadsPerS": 2000,
--- a/tests/cluster/samples.py
+++ b/tests/cluster/samples.py
@@ -7,6 +7,7 @@
 
 from pollenladder.cluster import groups
 from pollenladder.cluster import messages
+from pollenladder.fleet import evacuations
 
 POLL_S = 0.01
 
@@ -40,6 +41,8 @@
         "processor_cores": 1.0,
         "shed_share": 0.0,
         "groups": (messages.GroupState(**state),),
+        "evacuated": evacuations.EvacuatedSet(),
+        "is_evacuated_current": True,
     }
     return messages.Heartbeat(**(plain | changes))
 
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -20,6 +20,8 @@
     "Preemptible",
     "WaitMs",
     "MaxHoldMs",
+    "EvacuateMs",
+    "evacuate/",
     "PortRange",
     "run-start",
     "run-stop",
