Limit the use of workers that have just been started

Cause: workers that are started with a data centre's return to use are slow for some time, and being idle they drew jobs as if they were warm. Change: rows of workers have ColdLeftMs and services in the configuration have ColdStartS. While a worker is cold, its runs take at most a share of its capacity, which grows linearly from a quarter to all of it. Forecasts count on the rest once the worker is warm. The limit is off where either value is 0 or missing.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -17,6 +17,8 @@
         service: The service whose tasks the worker runs.
         capacity: The worker's total resources.
         is_draining: Whether the worker is about to shut down.
+        cold_left_s: For how much longer the worker is slow after its start, in
+            seconds, when it published the entry.
     """
 
     worker_id: str
@@ -25,6 +27,7 @@
     service: str
     capacity: jobs.Resources
     is_draining: bool
+    cold_left_s: float = 0.0
 
 
 class RunEnd(enum.Enum):
@@ -248,6 +251,9 @@
         runs: Runs by task name.
         health: Health derived from the results of the runs.
         is_evacuated: Whether the worker's data centre is taken out of use.
+        warm_at: Monotonic time until which the worker is cold; see `warmup`.
+        cold_start_s: For how long the workers of the service are cold after
+            their start, in seconds; 0 if there is no limit.
     """
 
     listing: Listing
@@ -266,6 +272,8 @@
     runs: dict[str, Run] = dataclasses.field(default_factory=dict)
     health: Health = dataclasses.field(default_factory=Health)
     is_evacuated: bool = False
+    warm_at: float = float("-inf")
+    cold_start_s: float = 0.0
 
     def __post_init__(self):
         self.free = self.listing.capacity
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -101,12 +101,15 @@
         max_body_bytes: The largest body that a caller may send.
         source: The document that the configuration was read from. It is sent
             to other daemons.
+        cold_starts: For how long workers are slow after their start, in
+            seconds, by service; services without such a time are left out.
     """
 
     version: int
     queues: tuple[Queue, ...]
     max_body_bytes: int
     source: bytes
+    cold_starts: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -79,12 +79,23 @@
     max_body_bytes: int = 262_144
 
 
+class Service(_Wire, frozen=True):
+    """A service that workers provide."""
+
+    name: str
+    # For how long a worker is slow after its start; 0 if it is not.
+    cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0
+
+
 class Config(_Wire, frozen=True):
     """The operator's configuration."""
 
     version: Positive
     routes: tuple[Route, ...] = ()
     limits: Limits = Limits()
+    # A list of `Service`. Kept raw, because an unexpected form must not reject
+    # the whole configuration.
+    services: msgspec.Raw = msgspec.Raw(b"[]")
 
 
 class Capacity(_Wire, frozen=True):
@@ -103,6 +114,8 @@
     zone: str
     state: str
     capacity: Capacity
+    # For how much longer the worker is slow after its start.
+    cold_left_ms: float = 0
 
 
 class Started(_Wire, frozen=True):
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -28,6 +28,7 @@
 DRAINING = "draining"
 
 _CONFIG_DECODER = msgspec.json.Decoder(messages.Config)
+_SERVICES_DECODER = msgspec.json.Decoder(tuple[messages.Service, ...])
 _WORKER_DECODER = msgspec.json.Decoder(messages.ServerEntry)
 _OWNERSHIP_DECODER = msgspec.json.Decoder(messages.Ownership)
 _LAYOUT_DECODER = msgspec.json.Decoder(groups.Layout)
@@ -49,9 +50,26 @@
         queues=tuple(_decode_queue(route) for route in config.routes),
         max_body_bytes=config.limits.max_body_bytes,
         source=source,
+        cold_starts=_decode_cold_starts(config.services),
     )
 
 
+def _decode_cold_starts(source: msgspec.Raw) -> dict[str, float]:
+    """Return for how long workers are cold, by service.
+
+    An entry of an unexpected form only switches this limit off.
+    """
+    try:
+        services = _SERVICES_DECODER.decode(source)
+    except msgspec.MsgspecError:
+        return {}
+    return {
+        service.name: service.cold_start_s
+        for service in services
+        if service.cold_start_s
+    }
+
+
 def _decode_queue(route: messages.Route) -> jobs.Queue:
     return jobs.Queue(
         name=route.name,
@@ -109,6 +127,7 @@
             entry.capacity.cpu, entry.capacity.mem_mb, entry.capacity.gpu
         ),
         is_draining=entry.state == DRAINING,
+        cold_left_s=max(0.0, entry.cold_left_ms / 1000),
     )
 
 
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -7,6 +7,7 @@
 import heapq
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
@@ -141,7 +142,8 @@
     """Return whether `tasks` tasks of a job can start at once."""
     missing = tasks
     for worker in placement.iterate_candidates(region, job, now):
-        missing -= worker.free.count_fitting(job.resources)
+        free = warmup.compute_free(worker, now)
+        missing -= free.count_fitting(job.resources)
         if missing <= 0:
             return True
     return False
@@ -223,15 +225,21 @@
 ) -> list[float]:
     """Return the time until each slot of one worker is free, in seconds.
 
-    Some slots are free now; others become free when the worker's runs end.
+    Some slots are free now; others become free when the worker's runs end. A
+    cold worker offers the rest once it is warm.
     """
-    free = worker.free
+    free = warmup.compute_free(worker, now)
     slots = [0.0] * free.count_fitting(needed)
     for end in _predict_ends(region, worker):
         free = free.add(end.resources)
         gained = free.count_fitting(needed) - len(slots)
         if gained:
             slots += [max(end.at - now, end.min_remaining_s)] * gained
+    if now < worker.warm_at:
+        capacity = worker.listing.capacity
+        held_back = capacity.count_fitting(needed) - len(slots)
+        warm_s = max([worker.warm_at - now, *slots[-1:]])
+        slots += [warm_s] * held_back
     return slots
 
 
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import intake
@@ -89,9 +90,14 @@
     for worker_id, listing in listed.items():
         worker = region.workers.get(worker_id)
         if worker is None:
-            region.add_worker(fleet.Worker(listing))
+            worker = fleet.Worker(listing)
+            _update_warmup(region, worker, listing, now)
+            region.add_worker(worker)
             region.log_event("worker_listed", worker=worker_id)
         else:
+            if listing.cold_left_s != worker.listing.cold_left_s:
+                # An entry that has not changed was published some time ago.
+                _update_warmup(region, worker, listing, now)
             _update_worker(region, worker, listing)
     for worker_id, worker in region.workers.items():
         if worker.is_listed and worker_id not in listed:
@@ -123,6 +129,26 @@
     region.record_worker_change(worker)
 
 
+def update_cold_starts(
+    region: tables.Region, cold_starts: dict[str, float]
+) -> None:
+    """Apply the times for which workers are cold, in seconds, by service."""
+    region.cold_starts = cold_starts
+    for worker in region.workers.values():
+        service = worker.listing.service
+        worker.cold_start_s = cold_starts.get(service, 0.0)
+
+
+def _update_warmup(
+    region: tables.Region,
+    worker: fleet.Worker,
+    listing: fleet.Listing,
+    now: float,
+) -> None:
+    cold_start_s = region.cold_starts.get(listing.service, 0.0)
+    warmup.update(worker, listing.cold_left_s, cold_start_s, now)
+
+
 def _check_runs(
     region: tables.Region, worker: fleet.Worker, now: float
 ) -> None:
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -15,6 +15,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
+from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
@@ -91,7 +92,9 @@
         service, needed.cpu_milli
     ):
         worker = region.workers[worker_id]
-        if needed.fits_in(worker.free) and is_available(worker, now):
+        if needed.fits_in(warmup.compute_free(worker, now)) and is_available(
+            worker, now
+        ):
             yield worker
     if _may_use_evacuated(region, job):
         yield from _list_finishing(region, job, now)
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -40,6 +40,7 @@
         admission=region.admission,
         evacuations=region.evacuations,
         evacuated_services=region.evacuated_services,
+        cold_starts=region.cold_starts,
     )
     rebuilt.effects = region.take_effects()
     for job in region.jobs.values():
--- a/pollenladder/scheduling/sharing.py
+++ b/pollenladder/scheduling/sharing.py
@@ -15,6 +15,7 @@
 import zlib
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import tables
@@ -40,7 +41,8 @@
         capacity[service] = (
             capacity.get(service, 0) + worker.listing.capacity.cpu_milli
         )
-        free[service] = free.get(service, 0) + max(0, worker.free.cpu_milli)
+        usable = warmup.compute_free(worker, now)
+        free[service] = free.get(service, 0) + max(0, usable.cpu_milli)
     waiting: dict[str, float] = {}
     for job_id in region.waiting:
         job = region.jobs[job_id]
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -206,6 +206,8 @@
         evacuations: The data centres that are taken out of use.
         evacuated_services: The services whose listed workers are all in
             evacuated data centres.
+        cold_starts: For how long workers are cold after their start, in
+            seconds, by service.
     """
 
     epoch: int
@@ -250,6 +252,7 @@
         default_factory=fleet_evacuations.Evacuations
     )
     evacuated_services: frozenset[str] = frozenset()
+    cold_starts: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def is_awaiting_worker_list(self, now: float) -> bool:
         """Return whether a current list of workers is still awaited."""
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -388,6 +388,7 @@
         if found.version <= version:
             return
         self._routes = routing.RoutingTable(found)
+        self._groups.update_cold_starts(found.cold_starts)
         logs.log(
             LOGGER,
             "configuration_changed",
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -70,6 +70,7 @@
         self._max_lease_s = max_lease_s
         self._features = features
         self._evacuations = evacuations or fleet_evacuations.Evacuations()
+        self._cold_starts: dict[str, float] = {}
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
@@ -97,6 +98,7 @@
                 self._features,
                 handover_delay_s=bound_handover_delay_s(peers),
                 evacuations=self._evacuations,
+                cold_starts=self._cold_starts,
             )
             self._owns_workers.set()
         else:
@@ -159,6 +161,12 @@
             evacuation.apply(self.region, self._clock())
             self._apply_effects()
 
+    def update_cold_starts(self, cold_starts: dict[str, float]) -> None:
+        """Apply the times for which workers are cold, by service."""
+        self._cold_starts = cold_starts
+        if self.region is not None:
+            maintenance.update_cold_starts(self.region, cold_starts)
+
     def submit(self, submission: jobs.Submission, gateway_id: str) -> bool:
         """Admit or refuse a job; return False if this is not the owner."""
         if self.region is None:
--- a/pollenladder/service/groups.py
+++ b/pollenladder/service/groups.py
@@ -54,6 +54,7 @@
         self._callbacks = callbacks
         self._listings: tuple[fleet.Listing, ...] = ()
         self._last_expired_at = float("-inf")
+        self._cold_starts: dict[str, float] = {}
 
     def apply_layout(self, layout: layouts.Layout) -> bool:
         """Apply a layout unless it is older; return whether it is new."""
@@ -94,6 +95,12 @@
         for group in list(self.groups.values()):
             group.engine.update_evacuations()
 
+    def update_cold_starts(self, cold_starts: dict[str, float]) -> None:
+        """Apply the times for which workers are cold, by service."""
+        self._cold_starts = cold_starts
+        for group in list(self.groups.values()):
+            group.engine.update_cold_starts(cold_starts)
+
     def list_workers(self, group: str) -> list[fleet.Listing]:
         """Return the listed workers of a group."""
         return [
@@ -124,6 +131,7 @@
         for name, group in added.items():
             self.groups[name] = group
             group.leadership.record_epoch(epoch)
+            group.engine.update_cold_starts(self._cold_starts)
         self._callbacks.on_change()
 
     def _update_engines(self, is_full_list: bool) -> None:
--- a/standins/site.py
+++ b/standins/site.py
@@ -69,6 +69,7 @@
         data_centre: str = "norte",
         state: str = "ready",
         port: int = 0,
+        cold_left_ms: int = 0,
     ) -> None:
         """Write the store entry of a worker.
 
@@ -77,6 +78,7 @@
             data_centre: The data centre of the worker.
             state: The state, for example "ready" or "draining".
             port: The port in the entry; 0 selects the port of the worker.
+            cold_left_ms: For how much longer the worker claims to be slow.
         """
         worker = self.workers[worker_id]
         port = port or self.get_worker_port(worker_id)
@@ -85,6 +87,7 @@
             "Addr": f"{HOST}:{port}",
             "Zone": data_centre,
             "State": state,
+            "ColdLeftMs": cold_left_ms,
             "Slots": 8,
             "Capacity": {"Cpu": worker.cpu, "MemMb": 131_072, "Gpu": 0},
             "Labels": ["a", "r1"],
@@ -101,7 +104,11 @@
         self._servers[worker_id].stop(timeout=0)
 
     def configure(
-        self, version: int, added: tuple[str, ...] = (), **changes: Any
+        self,
+        version: int,
+        added: tuple[str, ...] = (),
+        cold_start_s: float = 0,
+        **changes: Any,
     ) -> None:
         """Write a configuration to the store.
 
@@ -109,6 +116,7 @@
             version: The version of the configuration.
             added: URL prefixes; each one gets a queue of its own besides the
                 default queue.
+            cold_start_s: For how long the workers are slow after their start.
             **changes: Fields that replace those of the default queue.
         """
         route = {
@@ -128,7 +136,8 @@
             route | {"Name": f"added-{index}", "Prefix": prefix}
             for index, prefix in enumerate(added)
         ]
-        config = {"Version": version, "Routes": routes}
+        services = [{"Name": SERVICE, "ColdStartS": cold_start_s}]
+        config = {"Version": version, "Routes": routes, "Services": services}
         self.store.put("op", "config", json.dumps(config).encode())
 
     def write_settings(
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -46,6 +46,15 @@
         entry = json.dumps(ENTRY | {"State": "draining"}).encode()
         self.assertTrue(rows.decode_worker("w1", entry).is_draining)
 
+    def test_cold_worker(self):
+        entry = json.dumps(ENTRY | {"ColdLeftMs": 2500}).encode()
+        self.assertEqual(rows.decode_worker("w1", entry).cold_left_s, 2.5)
+        without = {k: ENTRY[k] for k in ENTRY if k != "ColdLeftMs"}
+        for left in (without, ENTRY | {"ColdLeftMs": -1}):
+            # A worker must not be lost because of a detail.
+            entry = json.dumps(left).encode()
+            self.assertEqual(rows.decode_worker("w1", entry).cold_left_s, 0.0)
+
     def test_invalid_rows(self):
         cases = (
             b"",
@@ -84,6 +93,16 @@
         (queue,) = rows.decode_configuration(source).queues
         self.assertTrue(queue.needs_advice)
 
+    def test_times_for_which_workers_are_cold(self):
+        services = [{"Name": "a", "ColdStartS": 8}, {"Name": "b"}]
+        cases = ((services, {"a": 8.0}), ([], {}), ({"a": 8}, {}), (None, {}))
+        for value, expected in cases:
+            with self.subTest(value=value):
+                config = {"Version": 7, "Services": value}
+                source = json.dumps(config).encode()
+                found = rows.decode_configuration(source)
+                self.assertEqual(found.cold_starts, expected)
+
     def test_invalid_documents(self):
         for source in (b"", b"{}", b'{"Version":0}', b'{"Version":"7"}'):
             with (
--- a/tests/service/test_evacuated_sites.py
+++ b/tests/service/test_evacuated_sites.py
@@ -180,6 +180,25 @@
             )
         )
 
+    def test_cold_workers_take_a_share_of_their_capacity(self):
+        # A quarter of a worker has room for one of these tasks.
+        cold_ms = 60_000
+        self.cluster.site.configure(2, cold_start_s=cold_ms / 1000)
+        for worker_id in self.cluster.site.workers:
+            data_centre = DATA_CENTRES[int(worker_id[1:]) % 2]
+            self.cluster.site.list_worker(
+                worker_id, data_centre, cold_left_ms=cold_ms
+            )
+        gevent.sleep(NOTICE_S)
+        began_at = time.monotonic()
+        names = list(self.cluster.daemons) * 2
+        self._submit(names, run_ms=200, cpu=15_000)
+        self.assertTrue(self._list_used(began_at))
+        for worker in self.cluster.site.workers.values():
+            runs = sorted(run.began_s for run in worker.history)
+            pauses = [b - a for a, b in zip(runs, runs[1:], strict=False)]
+            self.assertGreaterEqual(min(pauses, default=1.0), 0.2)
+
     def test_owner_paused_over_the_request_starts_nothing_there(self):
         claims = [
             (line["time"], name)
