--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -7,6 +7,7 @@
 
 from pollenladder.cluster import groups
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import evacuations
 from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as jobs
 from pollenladder.wire import codec
@@ -62,6 +63,9 @@
             0 to 1.
         groups: The groups that the sender owns or may own.
         worker_list: How long the sender has known the list of workers.
+        evacuated: The evacuated data centres that the sender knows.
+        is_evacuated_current: Whether the sender has confirmed that set since it
+            was last paused for long.
     """
 
     reads_store: bool
@@ -73,6 +77,8 @@
     shed_share: float
     groups: tuple[GroupState, ...]
     worker_list: worker_lists.ListReport
+    evacuated: evacuations.EvacuatedSet
+    is_evacuated_current: bool
 
     def count_owned(self) -> int:
         """Return the number of groups that the sender owns."""
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -12,6 +12,10 @@
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# Followed by the name of a data centre that is taken out of use.
+_EVACUATION_PREFIX = "evacuate/"
+# Bounds the heartbeats, which contain the names of evacuated data centres.
+MAX_DATA_CENTRE_CHARS = 200
 WORKERS_TABLE = "servers"
 # Written by the daemons, one row each.
 DAEMONS_TABLE = "daemons"
@@ -24,6 +28,7 @@
 DRAINING = "draining"
 
 _CONFIG_DECODER = msgspec.json.Decoder(messages.Config)
+_SERVICES_DECODER = msgspec.json.Decoder(tuple[messages.Service, ...])
 _WORKER_DECODER = msgspec.json.Decoder(messages.ServerEntry)
 _OWNERSHIP_DECODER = msgspec.json.Decoder(messages.Ownership)
 _LAYOUT_DECODER = msgspec.json.Decoder(groups.Layout)
@@ -45,9 +50,26 @@
         queues=tuple(_decode_queue(route) for route in config.routes),
         max_body_bytes=config.limits.max_body_bytes,
         source=source,
+        cold_starts=_decode_cold_starts(config.services),
     )
 
 
+def _decode_cold_starts(source: msgspec.Raw) -> dict[str, float]:
+    """Return for how long workers are cold, by service.
+
+    An entry of an unexpected form only switches this limit off.
+    """
+    try:
+        services = _SERVICES_DECODER.decode(source)
+    except msgspec.MsgspecError:
+        return {}
+    return {
+        service.name: service.cold_start_s
+        for service in services
+        if service.cold_start_s
+    }
+
+
 def _decode_queue(route: messages.Route) -> jobs.Queue:
     return jobs.Queue(
         name=route.name,
@@ -63,6 +85,25 @@
     )
 
 
+def decode_evacuation(key: str) -> str | None:
+    """Return the data centre that a row takes out of use.
+
+    The row's value has no meaning.
+
+    Returns:
+        The name; None if the row is not a request for an evacuation.
+
+    Raises:
+        exceptions.BadDocumentError: The key contains no valid name.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    name = key.removeprefix(_EVACUATION_PREFIX)
+    if not 0 < len(name) <= MAX_DATA_CENTRE_CHARS:
+        raise exceptions.BadDocumentError("not the name of a data centre")
+    return name
+
+
 def decode_worker(worker_id: str, source: bytes) -> fleet.Listing:
     """Return a worker from its row's value.
 
@@ -86,6 +127,7 @@
             entry.capacity.cpu, entry.capacity.mem_mb, entry.capacity.gpu
         ),
         is_draining=entry.state == DRAINING,
+        cold_left_s=max(0.0, entry.cold_left_ms / 1000),
     )
 
 
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -38,6 +38,9 @@
         answered=dict(region.answered),
         estimates=region.estimates,
         admission=region.admission,
+        evacuations=region.evacuations,
+        evacuated_services=region.evacuated_services,
+        cold_starts=region.cold_starts,
     )
     rebuilt.effects = region.take_effects()
     for job in region.jobs.values():
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -4,6 +4,7 @@
 import enum
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import evacuations as fleet_evacuations
 from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
@@ -202,6 +203,11 @@
         estimates: Bias of declared run times.
         admission: State of admission control.
         effects: Effects that have not been carried out yet.
+        evacuations: The data centres that are taken out of use.
+        evacuated_services: The services whose listed workers are all in
+            evacuated data centres.
+        cold_starts: For how long workers are cold after their start, in
+            seconds, by service.
     """
 
     epoch: int
@@ -244,6 +250,11 @@
         default_factory=job_admission.AdmissionState
     )
     effects: list[Effect] = dataclasses.field(default_factory=list)
+    evacuations: fleet_evacuations.Evacuations = dataclasses.field(
+        default_factory=fleet_evacuations.Evacuations
+    )
+    evacuated_services: frozenset[str] = frozenset()
+    cold_starts: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def is_awaiting_worker_list(self, now: float) -> bool:
         """Return whether a current list of workers is still awaited."""
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -11,9 +11,11 @@
 from pollenladder.cluster import heartbeats
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import evacuations as fleet_evacuations
 from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
+from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
@@ -64,11 +66,14 @@
         clock: clocks.Clock,
         features: optional_features.Features = optional_features.ALL,
         list_history: worker_lists.ListHistory | None = None,
+        evacuations: fleet_evacuations.Evacuations | None = None,
     ):
         self.region: tables.Region | None = None
         self._max_lease_s = max_lease_s
         self._features = features
         self._list_history = list_history or worker_lists.ListHistory()
+        self._evacuations = evacuations or fleet_evacuations.Evacuations()
+        self._cold_starts: dict[str, float] = {}
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
@@ -95,6 +100,8 @@
                 self._features,
                 handover_delay_s=bound_handover_delay_s(peers),
                 list_history=self._list_history,
+                evacuations=self._evacuations,
+                cold_starts=self._cold_starts,
             )
             self._owns_workers.set()
         else:
@@ -141,6 +148,18 @@
         self._open_sessions(region)
         self._apply_effects()
 
+    def update_evacuations(self) -> None:
+        """Apply a change of the set of evacuated data centres."""
+        if self.region is not None:
+            evacuation.apply(self.region, self._clock())
+            self._apply_effects()
+
+    def update_cold_starts(self, cold_starts: dict[str, float]) -> None:
+        """Apply the times for which workers are cold, by service."""
+        self._cold_starts = cold_starts
+        if self.region is not None:
+            maintenance.update_cold_starts(self.region, cold_starts)
+
     def submit(self, submission: jobs.Submission, gateway_id: str) -> bool:
         """Admit or refuse a job; return False if this is not the owner."""
         if self.region is None:
--- a/pollenladder/service/membership.py
+++ b/pollenladder/service/membership.py
@@ -11,6 +11,7 @@
 from pollenladder.cluster import ownership
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
+from pollenladder.fleet import evacuations as fleet_evacuations
 from pollenladder.fleet import worker_lists
 from pollenladder.logs import lines as logs
 from pollenladder.service import leadership
@@ -61,6 +62,7 @@
         callbacks: Callbacks,
         clock: clocks.Clock,
         list_history: worker_lists.ListHistory,
+        evacuations: fleet_evacuations.Evacuations | None = None,
     ):
         self.leaderships: dict[str, leadership.Leadership] = {}
         self.loop_lag = loop_lag.LoopLag()
@@ -69,6 +71,7 @@
         self._callbacks = callbacks
         self._clock = clock
         self._list_history = list_history
+        self._evacuations = evacuations or fleet_evacuations.Evacuations()
         self._last_sent_at: dict[str, float] = {}
         self._last_urgent_fields: tuple = ()
         self._last_distant_urgent_fields: tuple = ()
@@ -248,6 +251,8 @@
                 if found.is_candidate(now)
             ),
             worker_list=self._list_history.build_report(now),
+            evacuated=self._evacuations.known,
+            is_evacuated_current=self._evacuations.is_current(now),
         )
 
     def _get_heartbeat(self, daemon_id: str) -> messages.Heartbeat | None:
@@ -262,6 +267,7 @@
         heartbeat.config_version,
         heartbeat.layout_version,
         heartbeat.is_leaving,
+        heartbeat.evacuated.data_centres,
         *(
             (
                 state.group,
@@ -281,6 +287,7 @@
     return (
         heartbeat.layout_version,
         heartbeat.is_leaving,
+        heartbeat.evacuated.data_centres,
         *(
             (state.group, state.epoch, state.successor)
             for state in heartbeat.groups
--- a/tests/cluster/samples.py
+++ b/tests/cluster/samples.py
@@ -7,6 +7,7 @@
 
 from pollenladder.cluster import groups
 from pollenladder.cluster import messages
+from pollenladder.fleet import evacuations
 from pollenladder.fleet import worker_lists
 
 POLL_S = 0.01
@@ -42,6 +43,8 @@
         "shed_share": 0.0,
         "groups": (messages.GroupState(**state),),
         "worker_list": worker_lists.ListReport(),
+        "evacuated": evacuations.EvacuatedSet(),
+        "is_evacuated_current": True,
     }
     return messages.Heartbeat(**(plain | changes))
 
