Wait for the list of workers also when two owners meet and groups are split

Cause: three more places took a worker that is not listed to run nothing. A job that came back from another owner joined its own waiting tasks, which could start at once although the other owner may have started them on a worker that was listed there first. A read of the list that was begun before a claim counted as current. When a data centre's groups are split further, a group that exists before and after loses workers that may still hold its runs.

Change: a job that its gateway has forwarded more than once since, or that arrives more than 2 s after the claim, waits for its leases unless the list has been read since and all workers were polled. Only reads that were begun after the claim make the list current. For 30 s after a change of the layout, the groups that lost workers wait too. The new event tasks_held_back names the reason. The first claim needs no rule of its own: it follows the list's history.

--- a/pollenladder/cluster/groups.py
+++ b/pollenladder/cluster/groups.py
@@ -55,6 +55,17 @@
     )
 
 
+def list_shrunk_groups(before: Layout, after: Layout) -> list[str]:
+    """Return the groups of both layouts that lose workers to other groups."""
+    return [
+        name
+        for name in list_groups(after)
+        if before.parts.get(get_data_centre(name), 1)
+        < after.parts.get(get_data_centre(name), 1)
+        and name in list_groups(before)
+    ]
+
+
 def get_data_centre(group: str) -> str:
     """Return the data centre of a group, or "" for the group of a region."""
     return group.rpartition("/")[0]
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -5,6 +5,8 @@
 
 # Number of tasks without any resource needs that are assumed to fit.
 UNLIMITED_COUNT = 64
+# Each time a job is forwarded, its runs get a new range of higher numbers.
+RUN_NUMBERS_PER_FORWARD = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -357,6 +357,12 @@
         "the job was submitted again while in progress",
         ("job", "gateway"),
     ),
+    Event(
+        "tasks_held_back",
+        Kind.JOB,
+        "tasks of an earlier owner wait, as unlisted workers may run them",
+        ("job", "tasks", "reason", "wait_s"),
+    ),
     Event(
         "job_handed_on_again",
         Kind.JOB,
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -127,7 +127,8 @@
     tasks = len(waiting)
     held_back = sum(now < task.not_before for task in waiting)
     if held_back and (
-        job.submission.may_run_elsewhere or not runs.knows_all_runs(region, now)
+        runs.may_have_unknown_runs(region, job)
+        or not runs.knows_all_runs(region, now)
     ):
         tasks -= held_back
     if tasks:
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -6,7 +6,6 @@
 owner is never refused as not run.
 """
 
-import dataclasses
 import math
 
 from pollenladder.jobs import entities as jobs
@@ -45,9 +44,7 @@
     if known is not None:
         known.gateway_id = gateway_id
         if submission.may_have_begun:
-            known.submission = dataclasses.replace(
-                known.submission, may_have_begun=True
-            )
+            runs.record_rejoined(region, known, submission, now)
         region.log_event("job_rejoined", job=job_id, gateway=gateway_id)
         return
     answered = region.answered.get(job_id)
@@ -396,6 +393,8 @@
 def _adopt_runs(region: tables.Region, job: tables.Job, now: float) -> None:
     """Assign to a job's tasks the runs and ends of an earlier owner."""
     safe_at = runs.get_lease_expiry(region, now)
+    if now > region.owned_since + runs.RECENT_CLAIM_S:
+        job.list_needed_at = now
     for task in job.tasks:
         name = jobs.format_task_name(job.submission.job_id, task.index)
         if region.orphan_ends.pop(name, None) is not None:
@@ -404,4 +403,5 @@
             continue
         task.not_before = safe_at
         runs.adopt_orphan(region, job, task)
+    runs.log_held_back(region, job, now)
     finish_if_complete(region, job, now)
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -74,7 +74,11 @@
         now: Monotonic time in seconds.
         is_full_list: Whether all entries have just been read from the store.
     """
-    region.is_worker_list_current |= is_full_list
+    # A read that was begun before the claim may lack workers that an earlier
+    # owner has used since.
+    region.is_worker_list_current |= (
+        is_full_list and region.list_history.read_at >= region.owned_since
+    )
     listed = {listing.worker_id: listing for listing in listings}
     for worker_id, listing in listed.items():
         worker = region.workers.get(worker_id)
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -116,7 +116,7 @@
     waiting = job.list_waiting_tasks()
     for task in waiting:
         if now < task.not_before and (
-            job.submission.may_run_elsewhere or not knows_all_runs()
+            runs.may_have_unknown_runs(region, job) or not knows_all_runs()
         ):
             continue
         worker = _choose_worker(region, job, task, now)
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -31,6 +31,7 @@
         region.max_lease_s,
         region.features,
         handover_delay_s=region.handover_delay_s,
+        moved_workers_until=region.moved_workers_until,
         list_history=region.list_history,
         service_shares=region.service_shares,
         refused_until=region.refused_until,
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -5,6 +5,8 @@
 clock.
 """
 
+import dataclasses
+
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
@@ -24,6 +26,10 @@
 OWNER_SETTLING_S = 0.25
 # Time for the jobs of an earlier owner's runs to arrive and claim them.
 ORPHAN_GRACE_S = 0.3
+# A job that is forwarded again to an owner that has been the owner for longer
+# comes from another owner that was active at the same time, or its gateway had
+# lost the link.
+RECENT_CLAIM_S = 2.0
 
 
 def find_task(
@@ -58,7 +64,7 @@
         return False
     if not region.is_worker_list_current:
         return False
-    if region.list_history.find_doubt(now):
+    if find_list_doubt(region, now):
         return False
     return all(
         worker.is_synced and worker.is_reachable
@@ -67,6 +73,63 @@
     )
 
 
+def find_list_doubt(region: tables.Region, now: float) -> str:
+    """Return why unlisted workers may execute runs, or "" if none may."""
+    if now < region.moved_workers_until:
+        return "workers_moved"
+    return region.list_history.find_doubt(now)
+
+
+def may_have_unknown_runs(region: tables.Region, job: tables.Job) -> bool:
+    """Return whether runs of a job may be active beyond all listed workers.
+
+    The list may lack a worker that another owner has used before it handed the
+    job over.
+    """
+    return (
+        job.submission.may_run_elsewhere
+        or region.list_history.read_at < job.list_needed_at
+    )
+
+
+def record_rejoined(
+    region: tables.Region,
+    job: tables.Job,
+    submission: jobs.Submission,
+    now: float,
+) -> None:
+    """Record that a job in progress was forwarded to this owner again.
+
+    If its gateway has forwarded it more than once since, another owner may have
+    started tasks that wait here.
+    """
+    before = job.submission.first_run
+    job.submission = dataclasses.replace(
+        job.submission, may_have_begun=True, first_run=submission.first_run
+    )
+    if submission.first_run == before + jobs.RUN_NUMBERS_PER_FORWARD:
+        return
+    job.list_needed_at = now
+    for task in job.tasks:
+        task.next_run = max(task.next_run, submission.first_run)
+        task.not_before = get_lease_expiry(region, now)
+
+
+def log_held_back(region: tables.Region, job: tables.Job, now: float) -> None:
+    """Log that waiting tasks may be active on workers that are not listed."""
+    doubt = find_list_doubt(region, now)
+    waiting = job.list_waiting_tasks()
+    if not doubt or not waiting:
+        return
+    region.log_event(
+        "tasks_held_back",
+        job=job.submission.job_id,
+        tasks=len(waiting),
+        reason=doubt,
+        wait_s=round(waiting[0].not_before - now, 3),
+    )
+
+
 def get_lease_expiry(region: tables.Region, now: float) -> float:
     """Return when all leases of another owner on a job must have expired.
 
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -71,6 +71,8 @@
         deadline_at: When the caller stops waiting.
         has_begun: Whether any task has been started.
         had_to_wait: Whether capacity for some task was lacking on arrival.
+        list_needed_at: A task starts before its `not_before` only if the list
+            of workers has been read since then.
     """
 
     submission: job_entities.Submission
@@ -84,6 +86,7 @@
     deadline_at: float
     has_begun: bool = False
     had_to_wait: bool = False
+    list_needed_at: float = float("-inf")
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
@@ -191,6 +194,8 @@
         worker_list_deadline: Until then, nothing starts before all worker
             entries have been read. Workers may have announced that they leave
             since the entries were last read here.
+        moved_workers_until: Until then, workers that have moved to another
+            group may still execute runs of this one.
         list_history: Tells whether unlisted workers may still execute runs. It
             is shared by all groups, and changes as the list is read.
         service_shares: Share of each service's workers that belongs to this
@@ -228,6 +233,7 @@
     is_worker_list_current: bool = False
     handover_delay_s: float = 0.0
     worker_list_deadline: float = 0.0
+    moved_workers_until: float = float("-inf")
     list_history: worker_lists.ListHistory = dataclasses.field(
         default_factory=worker_lists.ListHistory
     )
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -74,6 +74,7 @@
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
         self._service_shares: dict[str, float] = {}
+        self._moved_workers_until = float("-inf")
         self._is_applying_effects = False
         self._owns_workers = event.Event()
         self._is_retired = False
@@ -94,6 +95,7 @@
                 self._max_lease_s,
                 self._features,
                 handover_delay_s=bound_handover_delay_s(peers),
+                moved_workers_until=self._moved_workers_until,
                 list_history=self._list_history,
             )
             self._owns_workers.set()
@@ -141,6 +143,13 @@
         self._open_sessions(region)
         self._apply_effects()
 
+    def record_moved_workers(self) -> None:
+        """Record that workers of the group have moved to another group."""
+        until = self._clock() + worker_lists.EXPIRED_WORKER_S
+        self._moved_workers_until = until
+        if self.region is not None:
+            self.region.moved_workers_until = until
+
     def submit(self, submission: jobs.Submission, gateway_id: str) -> bool:
         """Admit or refuse a job; return False if this is not the owner."""
         if self.region is None:
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -16,8 +16,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-# Each time a job is forwarded, its runs get a new range of higher numbers.
-RUN_NUMBERS_PER_FORWARD = 32
 SWEEP_INTERVAL_S = 0.03
 RETRY_AFTER_WITHOUT_OWNER_S = 1.0
 RETRY_AFTER_SHED_S = 1.0
@@ -312,7 +310,7 @@
             job.owner_id = ""
             job.has_been_sent = was_sent
             return False
-        job.first_run += RUN_NUMBERS_PER_FORWARD
+        job.first_run += jobs.RUN_NUMBERS_PER_FORWARD
         job.times_forwarded += 1
         if was_sent:
             logs.log(
--- a/pollenladder/service/groups.py
+++ b/pollenladder/service/groups.py
@@ -65,8 +65,11 @@
             before=self.layout.version,
             groups=layouts.list_groups(layout),
         )
+        before = self.layout
         self.layout = layout
         self._update_groups()
+        for name in layouts.list_shrunk_groups(before, layout):
+            self.groups[name].engine.record_moved_workers()
         self._update_engines(False)
         return True
 
--- /dev/null
+++ b/tests/scheduling/test_partition.py
@@ -0,0 +1,128 @@
+"""Replays a task that ran twice as a partition healed.
+
+The times are those of the trace, in seconds. A data centre is partitioned from
+33.5 to 38.866. Its workers, except for 7, do not list themselves again before
+39.366. The owner inside resigns and names a daemon that was restarted during
+the partition. Tasks 1 and 2 of a job still run on workers that are not listed.
+"""
+
+import unittest
+from unittest import mock
+
+from pollenladder.fleet import worker_lists
+from pollenladder.fleet import worker_tables
+from pollenladder.scheduling import maintenance
+from pollenladder.scheduling import runs
+from pollenladder.scheduling import tables
+from tests.scheduling import simulations
+
+RESTARTED_AT = 36.0
+CLAIMED_AT = 39.065
+FORWARDED_AT = 39.3
+ADOPTED_AT = 39.366
+LISTED_AT = {"w0": 39.366, "w1": 39.768, "w2": 40.672}
+ENDED_AT = {"a1.0.0.1": 39.729, "a1.0.0.2": 39.470}
+LISTED_FIRST = [f"v{i}" for i in range(7)]
+STEP_S = 0.02
+# As `engine.bound_handover_delay_s` gives for up to 33 near peers, rounded down.
+HANDOVER_DELAY_S = 2.3
+
+
+class PartitionTest(unittest.TestCase):
+    """The successor's process, with its reads of the store."""
+
+    def setUp(self):
+        self.history = worker_lists.ListHistory()
+        self.table = worker_tables.WorkerTable(self.history)
+        self.version = 1_000
+        self._read(RESTARTED_AT, LISTED_FIRST, is_full=True)
+        self.simulation = simulations.RegionSimulation(workers=0)
+        self.simulation.now = CLAIMED_AT
+        self.simulation.region = tables.Region(
+            2,
+            CLAIMED_AT,
+            simulations.LEASE_S,
+            handover_delay_s=HANDOVER_DELAY_S,
+            list_history=self.history,
+        )
+
+    def _read(
+        self, now: float, worker_ids: list[str], is_full: bool = False
+    ) -> None:
+        self.version += 1
+        self.history.record_store_state(True, now)
+        self.history.record_read(self.version, now, is_full)
+        listed = {w: simulations.build_listing(w) for w in worker_ids}
+        self.table.update(listed, (), is_full, now)
+
+    def _list(self, is_full: bool = False) -> None:
+        """Read the store as the owner, and poll the workers found."""
+        simulation = self.simulation
+        now = simulation.now
+        found = [w for w, at in LISTED_AT.items() if at <= now]
+        # The changes since the last read, and at a claim also the whole table.
+        self._read(now, LISTED_FIRST + found)
+        if is_full:
+            self._read(now, LISTED_FIRST + found, is_full)
+        maintenance.update_workers(
+            simulation.region, self.table.list_workers(), now, is_full
+        )
+        for worker_id in simulation.region.workers:
+            running = ()
+            if worker_id == "w0":
+                running = (("a1.0.0.0", 1, 50.0), ("a1.0.0.4", 1, 50.0))
+            simulation.poll(worker_id, running=running)
+
+    def _replay(self) -> dict[str, float]:
+        """Return when the successor starts tasks, by task name."""
+        simulation = self.simulation
+        simulation.now += 0.01
+        self._list(is_full=True)
+        simulation.now = FORWARDED_AT
+        # The list is read, and all listed workers are polled.
+        self._list()
+        simulation.submit(
+            "a1", tasks=5, may_have_begun=True, first_run=33, budget_s=9.0
+        )
+        started: dict[str, float] = {}
+        while simulation.now < FORWARDED_AT + 5.0:
+            for order in simulation.take_starts():
+                started[order.task] = simulation.now
+            simulation.now += STEP_S
+            self._list()
+            simulation.step()
+        return started
+
+    def _inherit(self, expired_ago_s: float) -> None:
+        """Hear of a peer that followed the table during the partition."""
+        report = worker_lists.ListReport(
+            self.version, 60_000, int(expired_ago_s * 1000)
+        )
+        self.history.inherit(report, CLAIMED_AT)
+
+    def _check_none_twice(self, started: dict[str, float]) -> None:
+        for task, ended_at in ENDED_AT.items():
+            self.assertGreater(started[task], ended_at)
+        expiry_s = runs.get_lease_expiry(self.simulation.region, FORWARDED_AT)
+        self.assertGreaterEqual(min(started.values()), expiry_s)
+
+    def test_tasks_wait_for_their_leases_without_a_peer(self):
+        self._check_none_twice(self._replay())
+
+    def test_tasks_wait_for_their_leases_if_a_peer_saw_rows_expire(self):
+        self._inherit(expired_ago_s=3.0)
+        self._check_none_twice(self._replay())
+
+    def test_tasks_start_twice_if_unlisted_workers_are_ignored(self):
+        # The replay finds the fault if the rules on the list are left out.
+        with mock.patch.object(
+            worker_lists.ListHistory, "find_doubt", return_value=""
+        ):
+            started = self._replay()
+        for task, ended_at in ENDED_AT.items():
+            self.assertLess(started[task], ended_at)
+
+    def test_nothing_waits_if_a_peer_saw_no_row_expire(self):
+        self._inherit(expired_ago_s=60.0)
+        started = self._replay()
+        self.assertLess(max(started.values()), FORWARDED_AT + 2 * STEP_S)
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -4,6 +4,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import runs
 from tests.scheduling import simulations
@@ -157,3 +158,69 @@
         self.simulation.submit("a1", may_have_begun=True)
         (answer,) = self.simulation.take_answers()
         self.assertIs(answer.outcome, jobs.Outcome.GIVEN_UP)
+
+    def _submit_again(self, forwards: int) -> None:
+        """Submit a job that waits, and again after it was forwarded."""
+        self.simulation.submit("f1", tasks=4)
+        self.fillers = self.simulation.take_starts()
+        self.assertEqual(len(self.fillers), 4)
+        self.simulation.submit("a1", budget_s=9.0, slack_s=5.0)
+        self.simulation.submit(
+            "a1",
+            may_have_begun=True,
+            first_run=1 + forwards * jobs.RUN_NUMBERS_PER_FORWARD,
+            budget_s=9.0,
+        )
+
+    def _end_fillers(self) -> None:
+        for order in self.fillers:
+            self.simulation.confirm(order)
+            self.simulation.end(order)
+
+    def test_a_job_that_returns_from_another_owner_waits_for_the_list(self):
+        # Its tasks wait here, while the other owner may have started them on a
+        # worker that is not listed here yet.
+        self._submit_again(forwards=2)
+        self._end_fillers()
+        self.assertEqual(self.simulation.take_starts(), [])
+        self.simulation.list_workers(["w0", "w1", "w9"], synced=False)
+        self.simulation.step(0.02)
+        self.assertEqual(self.simulation.take_starts(), [])
+        self.simulation.poll("w9", running=(("a1.0.0.0", 33, 10.0),))
+        (start,) = self.simulation.take_starts()
+        self.assertEqual(start.task, "a1.0.0.1")
+        self.assertGreater(start.number, 2 * jobs.RUN_NUMBERS_PER_FORWARD)
+
+    def test_a_job_whose_link_broke_does_not_wait(self):
+        self._submit_again(forwards=1)
+        self._end_fillers()
+        self.assertEqual(len(self.simulation.take_starts()), 2)
+
+    def test_a_job_of_a_rival_waits_until_the_list_is_read_again(self):
+        self.simulation.step(runs.RECENT_CLAIM_S)
+        self.simulation.now += 0.01
+        self.simulation.submit("a1", may_have_begun=True, budget_s=5.0)
+        self.assertEqual(self.simulation.take_starts(), [])
+        self.simulation.step(0.02)
+        self.assertEqual(len(self.simulation.take_starts()), 2)
+
+    def test_a_list_that_was_read_before_the_claim_is_outdated(self):
+        region = self.simulation.region
+        region.is_worker_list_current = False
+        region.owned_since = region.list_history.read_at + 0.01
+        listings = [w.listing for w in region.workers.values()]
+        maintenance.update_workers(
+            region, listings, self.simulation.now, is_full_list=True
+        )
+        self.assertFalse(region.is_worker_list_current)
+
+    def test_workers_that_moved_to_another_group_may_hold_runs(self):
+        self.simulation.region.moved_workers_until = self.simulation.now + 30.0
+        self.simulation.submit("a1", may_have_begun=True, budget_s=5.0)
+        self.assertEqual(self.simulation.take_starts(), [])
+        (held,) = [
+            log.fields
+            for log in self.simulation.log_events
+            if log.event == "tasks_held_back"
+        ]
+        self.assertEqual((held["tasks"], held["reason"]), (2, "workers_moved"))
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -41,6 +41,13 @@
         self.assertEqual(job.submitted_at, 99.75)
         self.assertEqual(job.deadline_at, 100.0 + 2.0 - 0.25)
 
+    def test_later_owner_knows_that_workers_moved_to_another_group(self):
+        self.engine.record_moved_workers()
+        self.engine.claim(1, reads_store=True, peers=5)
+        self.assertEqual(
+            runs.find_list_doubt(self.engine.region, 100.0), "workers_moved"
+        )
+
 
 class PartitionTest(unittest.TestCase):
     """Two owners on the two sides of a network partition that begins at 0."""
--- a/tests/service/test_groups.py
+++ b/tests/service/test_groups.py
@@ -79,3 +79,12 @@
         listings = [*self.listings, _build_listing("w4", "este")]
         self.groups.update_workers(listings, True)
         self.assertEqual(self._get_workers("sur/0"), ["w3"])
+
+    def test_group_that_is_split_further_records_that_workers_moved(self):
+        # Guards against a second run of a task that is active on a worker of
+        # the group before the change.
+        self.groups.apply_layout(SPLIT)
+        self.groups.apply_layout(layouts.Layout(3, {"norte": 2, "sur": 1}))
+        for name, count in (("norte/0", 1), ("norte/1", 0), ("sur/0", 0)):
+            record = self.groups.groups[name].engine.record_moved_workers
+            self.assertEqual(record.call_count, count, name)
