--- a/tests/scheduling/test_partition.py
+++ b/tests/scheduling/test_partition.py
@@ -126,3 +126,81 @@
         self._inherit(expired_ago_s=60.0)
         started = self._replay()
         self.assertLess(max(started.values()), FORWARDED_AT + 2 * STEP_S)
+
+
+class HealedPartitionTest(unittest.TestCase):
+    """Replays a hunted day on which a task ran twice as a partition healed.
+
+    A data centre was partitioned from 33.5 to 38.6 while daemons were restarted
+    one after another. Its owner started a task at 38.168 on a worker of that
+    data centre, whose lease expired at 39.176 without being renewed, so that
+    the next owner did not poll the worker. That owner started the task on a
+    worker of another data centre at 38.879. There are two ways in which its
+    list can lack the first worker.
+    """
+
+    PARTITIONED_AT = 33.5
+    HEALED_AT = 38.6
+    CLAIMED_AT = 38.62
+    SECOND_START_AT = 38.879
+
+    def setUp(self):
+        self.history = worker_lists.ListHistory()
+        self.table = worker_tables.WorkerTable(self.history)
+
+    def _read(self, now: float, removed: tuple = ()) -> None:
+        self.history.record_store_state(True, now)
+        listed = {"far": simulations.build_listing("far")}
+        for is_full in (False, True):
+            self.history.record_read(1_000, now, is_full)
+            self.table.update(listed, removed, is_full, now)
+
+    def _follow_until(self, end: float) -> None:
+        for second in range(60, 0, -1):
+            self._read(end - second + 0.5)
+
+    def _count_starts(self) -> int:
+        """Return the number of tasks started by `SECOND_START_AT`."""
+        simulation = simulations.RegionSimulation(workers=0)
+        simulation.now = self.CLAIMED_AT
+        simulation.region = tables.Region(
+            2,
+            self.CLAIMED_AT,
+            simulations.LEASE_S,
+            handover_delay_s=HANDOVER_DELAY_S,
+            list_history=self.history,
+        )
+        maintenance.update_workers(
+            simulation.region,
+            self.table.list_workers(),
+            self.CLAIMED_AT,
+            is_full_list=True,
+        )
+        simulation.poll("far")
+        simulation.submit("a1", tasks=1, may_have_begun=True, first_run=33)
+        simulation.step(self.SECOND_START_AT - self.CLAIMED_AT)
+        return len(simulation.take_starts())
+
+    def _check(self) -> None:
+        with mock.patch.object(
+            worker_lists.ListHistory, "find_doubt", return_value=""
+        ):
+            self.assertEqual(self._count_starts(), 1)
+        self.assertEqual(self._count_starts(), 0)
+
+    def test_successor_was_restarted_during_the_partition(self):
+        self._read(self.CLAIMED_AT)
+        self._check()
+
+    def test_successor_had_not_read_the_worker_before_the_partition(self):
+        self._follow_until(self.PARTITIONED_AT)
+        self.history.record_store_state(False, self.PARTITIONED_AT + 1.0)
+        self._read(self.CLAIMED_AT, removed=("near",))
+        self._check()
+
+    def test_a_history_that_was_lost_too_hides_the_removed_row(self):
+        self._follow_until(self.PARTITIONED_AT)
+        self.history.record_store_state(False, self.PARTITIONED_AT + 1.0)
+        self.history.record_history_lost(self.HEALED_AT)
+        self._read(self.CLAIMED_AT)
+        self._check()
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -1,9 +1,127 @@
-"""The rate of reads from the store."""
+"""The rate of reads from the store, and their order."""
 
+import json
 import unittest
 
+from pollenladder.cluster import roster as rosters
+from pollenladder.fleet import worker_lists
+from pollenladder.platform import exceptions
+from pollenladder.platform import store as stores
 from pollenladder.service import feeds
 
+ENTRY = {
+    "Service": "s",
+    "Addr": "10.0.0.1:80",
+    "Zone": "norte",
+    "State": "ready",
+    "Slots": 8,
+    "Capacity": {"Cpu": 1000, "MemMb": 1000, "Gpu": 0},
+    "Labels": [],
+    "Seq": 1,
+}
+FULL = "full"
+CHANGES = "changes"
+
+
+class _EndOfScriptError(Exception):
+    """All scripted replies have been given."""
+
+
+class _ScriptedStore:
+    """Answers reads of the workers' table with scripted replies.
+
+    Attributes:
+        kinds: The reads so far, `FULL` or `CHANGES`.
+        calls: As in `stores.Store`.
+    """
+
+    def __init__(self, replies: list):
+        self.kinds: list[str] = []
+        self.calls: dict[str, int] = {}
+        self._replies = replies
+
+    def read_table(self, table: str) -> stores.Snapshot:
+        return self._reply(FULL)
+
+    def wait_for_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> stores.Snapshot:
+        return self._reply(CHANGES)
+
+    def _reply(self, kind: str) -> stores.Snapshot:
+        if not self._replies:
+            raise _EndOfScriptError
+        self.kinds.append(kind)
+        reply = self._replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        version = len(self.kinds)
+        return stores.Snapshot(
+            version,
+            tuple(
+                stores.Row(key, json.dumps(ENTRY).encode(), version)
+                for key in reply
+            ),
+        )
+
+
+class WorkersTest(unittest.TestCase):
+    """The reads of the workers' table, and what is listed in the end."""
+
+    def _follow(self, replies: list, claims: bool = False) -> list[str]:
+        """Follow a scripted table; return the kinds of reads.
+
+        Args:
+            replies: The keys of the rows of each reply, or an error.
+            claims: Whether the daemon claims ownership after the first read.
+        """
+        self.store = _ScriptedStore(replies)
+        self.listed: list[str] = []
+        self.history = worker_lists.ListHistory(is_first_start=True)
+
+        def record(listings, is_full_read):
+            self.listed = sorted(w.worker_id for w in listings)
+            if claims and len(self.store.kinds) == 1:
+                followed.refresh_workers()
+
+        followed = feeds.Feeds(
+            self.store,
+            rosters.Member("d", "10.0.0.1", 1, "norte", 1),
+            feeds.Callbacks(
+                on_configuration=lambda found: None,
+                on_workers=record,
+                on_member=lambda member: None,
+                on_layout=lambda layout, version: None,
+                get_epochs=lambda: {"region": 1},
+            ),
+            lambda: 100.0,
+            self.history,
+        )
+        with self.assertRaises(_EndOfScriptError):
+            followed.run_workers()
+        return self.store.kinds
+
+    def test_workers_are_kept_in_the_first_read_after_an_outage(self):
+        # Guards against dropping workers whose rows are about to come back.
+        lost = exceptions.StoreError("lost")
+        kinds = self._follow([["w0", "w1"], lost, [], ["w0"]])
+        self.assertEqual(kinds, [FULL, CHANGES, CHANGES, FULL])
+        self.assertEqual(self.listed, ["w0", "w1"])
+        self.assertEqual(self.history.find_doubt(100.0), "store_returned")
+
+    def test_changes_are_read_before_the_whole_table_at_a_claim(self):
+        # Guards against workers that came and went unseen before the claim.
+        kinds = self._follow([["w0"], [], ["w0"]], claims=True)
+        self.assertEqual(kinds, [FULL, CHANGES, FULL])
+
+    def test_workers_are_kept_if_the_store_lost_its_history(self):
+        # Guards against a store that came back without its rows.
+        gone = exceptions.HistoryLostError("gone")
+        kinds = self._follow([["w0", "w1"], gone, ["w0"]])
+        self.assertEqual(kinds, [FULL, CHANGES, FULL])
+        self.assertEqual(self.listed, ["w0", "w1"])
+        self.assertEqual(self.history.find_doubt(100.0), "store_returned")
+
 
 class PauseTest(unittest.TestCase):
     """The reads by all daemons together are bounded."""
