Merge the waits for the list of workers when owners meet and groups are split

The gateway counts a forward before the call that sends it, with the run numbers that jobs.RUN_NUMBERS_PER_FORWARD reserves.

--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -79,6 +79,7 @@
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
         self._service_shares: dict[str, float] = {}
+        self._moved_workers_until = float("-inf")
         self._is_applying_effects = False
         self._owns_workers = event.Event()
         self._is_retired = False
@@ -99,6 +100,7 @@
                 self._max_lease_s,
                 self._features,
                 handover_delay_s=bound_handover_delay_s(peers),
+                moved_workers_until=self._moved_workers_until,
                 list_history=self._list_history,
                 evacuations=self._evacuations,
                 cold_starts=self._cold_starts,
@@ -160,6 +162,13 @@
         if self.region is not None:
             maintenance.update_cold_starts(self.region, cold_starts)
 
+    def record_moved_workers(self) -> None:
+        """Record that workers of the group have moved to another group."""
+        until = self._clock() + worker_lists.EXPIRED_WORKER_S
+        self._moved_workers_until = until
+        if self.region is not None:
+            self.region.moved_workers_until = until
+
     def submit(self, submission: jobs.Submission, gateway_id: str) -> bool:
         """Admit or refuse a job; return False if this is not the owner."""
         if self.region is None:
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -16,8 +16,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-# Each time a job is forwarded, its runs get a new range of higher numbers.
-RUN_NUMBERS_PER_FORWARD = 32
 SWEEP_INTERVAL_S = 0.03
 RETRY_AFTER_WITHOUT_OWNER_S = 1.0
 RETRY_AFTER_SHED_S = 1.0
@@ -309,12 +307,12 @@
         was_sent = job.has_been_sent
         job.owner_id = owner_id
         job.has_been_sent = True
-        job.first_run += RUN_NUMBERS_PER_FORWARD
+        job.first_run += jobs.RUN_NUMBERS_PER_FORWARD
         job.times_forwarded += 1
         if not self._callbacks.submit(owner_id, job.group, submission):
             job.owner_id = ""
             job.has_been_sent = was_sent
-            job.first_run -= RUN_NUMBERS_PER_FORWARD
+            job.first_run -= jobs.RUN_NUMBERS_PER_FORWARD
             job.times_forwarded -= 1
             return False
         if was_sent:
