Place jobs only on workers of their queue's regions

Cause: a route may list the regions whose workers may run its jobs, but nothing read the list. Change: routes have AllowedRegions, and the settings name the regions of data centres. Jobs carry the regions to the owner, which uses only workers there for placement and forecasts and refuses the job with no_workers if there are none. After a refusal, gateways leave out groups in other regions. Without any region in the settings, the list has no effect. The message that forwards a job has one more field.

--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -77,6 +77,8 @@
         slack_s: See `stretch`; in seconds.
         needs_advice: Whether an external service must choose the workers that
             may run its tasks.
+        allowed_regions: The regions whose workers may run its tasks; empty for
+            all.
     """
 
     name: str
@@ -89,6 +91,7 @@
     stretch: float
     slack_s: float
     needs_advice: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,6 +142,7 @@
             numbers that earlier owners may have used.
         may_run_elsewhere: Whether workers of another group may still run tasks
             of the job.
+        allowed_regions: See `Queue`.
     """
 
     job_id: str
@@ -159,6 +163,7 @@
     may_have_begun: bool
     first_run: int
     may_run_elsewhere: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 class Outcome(enum.Enum):
--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -71,6 +71,8 @@
     priority: int = 0
     attempts: int = 1
     advice: Advice | None = None
+    # Regions whose workers may run the jobs; empty or null for all.
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class Limits(_Wire, frozen=True):
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -82,6 +82,7 @@
         stretch=route.stretch,
         slack_s=route.slo_ms / 1000,
         needs_advice=route.advice is not None,
+        allowed_regions=route.allowed_regions or (),
     )
 
 
--- a/pollenladder/platform/settings.py
+++ b/pollenladder/platform/settings.py
@@ -3,12 +3,15 @@
 import dataclasses
 import os
 
+from pollenladder.fleet import regions as fleet_regions
 from pollenladder.platform import exceptions
 from pollenladder.scheduling import features as optional_features
 
 SETTINGS_VARIABLE = "POLLENLADDER_SETTINGS"
 # Lists the features that are switched off, separated by commas.
 DISABLED_FEATURES_VARIABLE = "POLLENLADDER_DISABLED_FEATURES"
+# Prefix of the names that give the region of a data centre.
+_ZONES_PREFIX = "Zones."
 DEFAULT_PATH = "/etc/pollenladder/settings.conf"
 
 Address = tuple[str, int]
@@ -45,6 +48,7 @@
         evacuation_deadline_s: Time from the request to take a data centre out
             of use until no start may reach it, in seconds; None if there is no
             deadline.
+        regions: The regions of the data centres.
     """
 
     daemon_id: str
@@ -64,6 +68,7 @@
     is_first_start: bool = False
     features: optional_features.Features = optional_features.ALL
     evacuation_deadline_s: float | None = None
+    regions: fleet_regions.Regions = fleet_regions.NONE
 
 
 def find_path() -> str:
@@ -139,9 +144,19 @@
         max_descriptors=int(_get_number(values, "Limits.MaxFds")),
         is_first_start=values.get("Bootstrap") == "true",
         evacuation_deadline_s=_get_optional_s(values, "Bounds.EvacuateMs"),
+        regions=_build_regions(values),
     )
 
 
+def _build_regions(values: dict[str, str]) -> fleet_regions.Regions:
+    by_data_centre = {
+        name.removeprefix(_ZONES_PREFIX): region
+        for name, region in values.items()
+        if name.startswith(_ZONES_PREFIX) and region
+    }
+    return fleet_regions.Regions(values.get("Region", ""), by_data_centre)
+
+
 def _get_text(values: dict[str, str], name: str) -> str:
     value = values.get(name)
     if not value:
--- a/pollenladder/scheduling/evacuation.py
+++ b/pollenladder/scheduling/evacuation.py
@@ -8,7 +8,6 @@
 """
 
 from pollenladder.jobs import entities as jobs
-from pollenladder.scheduling import forecast
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import tables
@@ -18,7 +17,7 @@
     """Apply a changed set of evacuated data centres."""
     mark_workers(region)
     end_unservable_jobs(region, now)
-    _refuse_oversized_jobs(region, now)
+    _refuse_unplaceable_jobs(region, now)
     placement.place(region, now)
 
 
@@ -63,17 +62,17 @@
             _end(region, job, outcome, jobs.Reason.NO_WORKERS, now)
 
 
-def _refuse_oversized_jobs(region: tables.Region, now: float) -> None:
-    """Refuse waiting jobs that only evacuated workers were large enough for."""
+def _refuse_unplaceable_jobs(region: tables.Region, now: float) -> None:
+    """Refuse waiting jobs that only evacuated workers were suitable for."""
     if not region.evacuations.known.data_centres:
         return
     for job_id in list(region.waiting):
         job = region.jobs[job_id]
-        service = job.submission.service
         if job.has_begun or job.submission.may_have_begun:
             continue
-        if not forecast.can_ever_fit(region, service, job.resources):
-            _refuse(region, job, jobs.Reason.TOO_LARGE, now)
+        reason = intake.find_permanent_obstacle(region, job)
+        if reason is not None:
+            _refuse(region, job, reason, now)
 
 
 def _refuse(
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -63,7 +63,7 @@
     region: tables.Region, job: tables.Job, now: float
 ) -> None:
     """Add a newly admitted job to the current forecasts of its service."""
-    for (service, _), forecast in region.start_forecasts.items():
+    for (service, *_), forecast in region.start_forecasts.items():
         if service == job.submission.service:
             _add_job(region, forecast, job, now)
 
@@ -74,11 +74,14 @@
     """Return a current forecast for tasks of a job's size.
 
     Two task sizes share a forecast if equally many tasks of either size fit on
-    an idle worker, for each capacity that workers of the service have.
+    an idle worker, for each capacity that workers of the service have. Jobs with
+    other allowed regions have forecasts of their own, which contain all waiting
+    jobs and may thus be too late.
     """
     service = job.submission.service
     sizes = region.capacities.get(service, ())
-    key = (service, tuple(size.count_fitting(job.resources) for size in sizes))
+    counts = tuple(size.count_fitting(job.resources) for size in sizes)
+    key = (service, counts, job.submission.allowed_regions)
     _delete_old_forecasts(region, now)
     forecast = region.start_forecasts.get(key)
     if forecast is None:
@@ -150,22 +153,31 @@
 
 
 def can_ever_fit(
-    region: tables.Region, service: str, needed: jobs.Resources
+    region: tables.Region,
+    service: str,
+    needed: jobs.Resources,
+    allowed: tuple[str, ...] = (),
 ) -> bool:
     """Return whether the capacity of any listed worker suffices for a task.
 
-    Evacuated workers do not count.
+    Evacuated workers and those outside the allowed regions do not count.
     """
     return any(
         worker.listing.service == service
         and needed.fits_in(worker.listing.capacity)
         for worker in region.workers.values()
-        if worker.is_listed and not worker.is_evacuated
+        if worker.is_listed
+        and not worker.is_evacuated
+        and placement.is_allowed(region, allowed, worker)
     )
 
 
 def count_slots(
-    region: tables.Region, service: str, needed: jobs.Resources, enough: int
+    region: tables.Region,
+    service: str,
+    needed: jobs.Resources,
+    enough: int,
+    allowed: tuple[str, ...] = (),
 ) -> int:
     """Return how many tasks of one size fit on all listed workers when idle.
 
@@ -176,6 +188,7 @@
         service: The service whose workers are counted.
         needed: Resources that a task needs.
         enough: Counting stops at this number.
+        allowed: The regions whose workers count; empty for all.
     """
     count = 0
     for worker in region.workers.values():
@@ -183,6 +196,7 @@
             worker.is_listed
             and not worker.is_evacuated
             and worker.listing.service == service
+            and placement.is_allowed(region, allowed, worker)
         ):
             count += worker.listing.capacity.count_fitting(needed)
         if count >= enough:
@@ -198,6 +212,9 @@
     for worker in region.workers.values():
         if worker.listing.service != job.submission.service:
             continue
+        allowed = job.submission.allowed_regions
+        if not placement.is_allowed(region, allowed, worker):
+            continue
         if placement.is_available(worker, now):
             slots += _list_worker_slots(region, worker, job.resources, now)
         elif _is_awaiting_first_poll(worker):
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -64,7 +64,7 @@
         region.effects.append(tables.AnswerJob(gateway_id, answer))
         region.log_event("job_runs_elsewhere", job=job_id, gateway=gateway_id)
         return
-    reason = _find_permanent_obstacle(region, job)
+    reason = find_permanent_obstacle(region, job)
     if reason is not None:
         _refuse(region, job, reason, MAX_RETRY_AFTER_S)
         return
@@ -254,12 +254,13 @@
         submission.service,
         _get_resources(submission),
         enough=math.ceil(share * submission.tasks / WAVE_SHARE),
+        allowed=submission.allowed_regions,
     )
     width = max(1.0, slots / share * WAVE_SHARE)
     return max(1, math.ceil(submission.tasks / width))
 
 
-def _find_permanent_obstacle(
+def find_permanent_obstacle(
     region: tables.Region, job: tables.Job
 ) -> jobs.Reason | None:
     """Return why no worker could run a job at any time, or None."""
@@ -267,17 +268,19 @@
     if _awaits_first_worker_list(region):
         return None
     may_have_begun = job.submission.may_have_begun
-    if service in region.evacuated_services and not may_have_begun:
-        return jobs.Reason.NO_WORKERS
+    allowed = job.submission.allowed_regions
     if not any(
-        w.is_listed and w.listing.service == service
+        w.is_listed
+        and w.listing.service == service
+        and (may_have_begun or not w.is_evacuated)
+        and placement.is_allowed(region, allowed, w)
         for w in region.workers.values()
     ):
         return jobs.Reason.NO_WORKERS
     if may_have_begun and region.evacuations.known.data_centres:
         # Its runs may be active on evacuated workers, which do not count below.
         return None
-    if not forecast.can_ever_fit(region, service, job.resources):
+    if not forecast.can_ever_fit(region, service, job.resources, allowed):
         return jobs.Reason.TOO_LARGE
     return None
 
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -37,11 +37,13 @@
         return
     # Cached because the check visits all workers.
     knows_all_runs = functools.cache(lambda: runs.knows_all_runs(region, now))
-    unplaceable: dict[str, list[jobs.Resources]] = {}
+    unplaceable: dict[tuple[str, tuple[str, ...]], list[jobs.Resources]] = {}
     for job in waiting:
         # Skip a job whose tasks need at least as much as a task that has found
-        # no worker in this call.
-        unplaced = unplaceable.setdefault(job.submission.service, [])
+        # no worker of the allowed regions in this call.
+        submission = job.submission
+        key = (submission.service, submission.allowed_regions)
+        unplaced = unplaceable.setdefault(key, [])
         if _needs_as_much(job.resources, unplaced):
             continue
         if not _place_job(region, job, knows_all_runs, now):
@@ -88,12 +90,15 @@
     """Yield the available workers that fit a task, the least free CPU first."""
     needed = job.resources
     service = job.submission.service
+    allowed = job.submission.allowed_regions
     for worker_id in region.free_capacity.iterate_with_cpu(
         service, needed.cpu_milli
     ):
         worker = region.workers[worker_id]
-        if needed.fits_in(warmup.compute_free(worker, now)) and is_available(
-            worker, now
+        if (
+            needed.fits_in(warmup.compute_free(worker, now))
+            and is_available(worker, now)
+            and is_allowed(region, allowed, worker)
         ):
             yield worker
     if _may_use_evacuated(region, job):
@@ -120,6 +125,7 @@
         and now < finish_until.get(worker.listing.data_centre, 0.0)
         and worker.listing.service == job.submission.service
         and job.resources.fits_in(worker.free)
+        and is_allowed(region, job.submission.allowed_regions, worker)
         and _can_run(worker, now)
     ]
     found.sort(key=lambda worker: worker.free.cpu_milli)
@@ -132,6 +138,15 @@
     return any(now < until for until in finish_until.values())
 
 
+def is_allowed(
+    region: tables.Region, allowed: tuple[str, ...], worker: fleet.Worker
+) -> bool:
+    """Return whether a worker is in one of the allowed regions."""
+    return not allowed or region.regions.allow(
+        allowed, worker.listing.data_centre
+    )
+
+
 def is_available(worker: fleet.Worker, now: float) -> bool:
     """Return whether a worker may be given a run now."""
     return not worker.is_evacuated and _can_run(worker, now)
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -41,6 +41,7 @@
         evacuations=region.evacuations,
         evacuated_services=region.evacuated_services,
         cold_starts=region.cold_starts,
+        regions=region.regions,
     )
     rebuilt.effects = region.take_effects()
     for job in region.jobs.values():
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -5,6 +5,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import evacuations as fleet_evacuations
+from pollenladder.fleet import regions as fleet_regions
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
 from pollenladder.scheduling import admission as job_admission
@@ -177,8 +178,8 @@
         runs: Runs on all workers, including orphans, by job id.
         predicted_ends: Cached predictions of `forecast` for each worker's runs;
             removed when one of the runs changes.
-        start_forecasts: Cached start forecasts, by service and by the number of
-            tasks that fit into each of its capacities.
+        start_forecasts: Cached start forecasts, by service, by the number of
+            tasks that fit into each of its capacities, and by allowed regions.
         capacities: Distinct capacities of workers, by service.
         jobs: Unanswered jobs by id.
         waiting: Ids of the jobs with a waiting task.
@@ -208,6 +209,7 @@
             evacuated data centres.
         cold_starts: For how long workers are cold after their start, in
             seconds, by service.
+        regions: The regions of the data centres.
     """
 
     epoch: int
@@ -223,7 +225,8 @@
         default_factory=dict
     )
     start_forecasts: dict[
-        tuple[str, tuple[int, ...]], service_forecasts.StartForecast
+        tuple[str, tuple[int, ...], tuple[str, ...]],
+        service_forecasts.StartForecast,
     ] = dataclasses.field(default_factory=dict)
     capacities: dict[str, tuple[job_entities.Resources, ...]] = (
         dataclasses.field(default_factory=dict)
@@ -253,6 +256,7 @@
     )
     evacuated_services: frozenset[str] = frozenset()
     cold_starts: dict[str, float] = dataclasses.field(default_factory=dict)
+    regions: fleet_regions.Regions = fleet_regions.NONE
 
     def is_awaiting_worker_list(self, now: float) -> bool:
         """Return whether a current list of workers is still awaited."""
--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -174,6 +174,7 @@
         estimate_s=body.estimate_s,
         may_have_begun=False,
         first_run=1,
+        allowed_regions=queue.allowed_regions,
     )
 
 
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -97,6 +97,7 @@
             self._membership,
             self._mesh,
             self._gateway.handle_answer,
+            settings.regions,
         )
 
     def _build_gateway(self) -> None:
@@ -196,6 +197,7 @@
             self._clock,
             self._settings.features,
             self._evacuations,
+            self._settings.regions,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -12,6 +12,7 @@
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import evacuations as fleet_evacuations
+from pollenladder.fleet import regions as fleet_regions
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import evacuation
@@ -65,12 +66,14 @@
         clock: clocks.Clock,
         features: optional_features.Features = optional_features.ALL,
         evacuations: fleet_evacuations.Evacuations | None = None,
+        regions: fleet_regions.Regions = fleet_regions.NONE,
     ):
         self.region: tables.Region | None = None
         self._max_lease_s = max_lease_s
         self._features = features
         self._evacuations = evacuations or fleet_evacuations.Evacuations()
         self._cold_starts: dict[str, float] = {}
+        self._regions = regions
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
@@ -99,6 +102,7 @@
                 handover_delay_s=bound_handover_delay_s(peers),
                 evacuations=self._evacuations,
                 cold_starts=self._cold_starts,
+                regions=self._regions,
             )
             self._owns_workers.set()
         else:
--- a/pollenladder/service/job_exchange.py
+++ b/pollenladder/service/job_exchange.py
@@ -8,6 +8,7 @@
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import regions as fleet_regions
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import sharing
@@ -27,6 +28,7 @@
         membership: memberships.Membership,
         mesh: meshes.Mesh,
         handle_answer: Callable[[jobs.Answer, str], None],
+        regions: fleet_regions.Regions = fleet_regions.NONE,
     ):
         """Use the daemon's components.
 
@@ -37,7 +39,9 @@
             mesh: The links to other daemons.
             handle_answer: Called with an answer for a caller of this daemon,
                 and the daemon that gives it.
+            regions: The regions of the data centres.
         """
+        self._regions = regions
         self._own = own
         self._groups = all_groups
         self._membership = membership
@@ -67,6 +71,12 @@
         loads = {}
         for name in self._groups.groups.keys() - excluded:
             state = self._membership.get_group_state(name)
+            # The group of a whole region has no data centre. Its owner decides.
+            data_centre = layouts.get_data_centre(name)
+            if data_centre and not self._regions.allow(
+                submission.allowed_regions, data_centre
+            ):
+                continue
             if state is not None:
                 loads[name] = state.loads.get(
                     submission.service, fleet.ServiceLoad(0, 0, 0.0)
--- a/standins/site.py
+++ b/standins/site.py
@@ -175,6 +175,8 @@
             "Bounds.MaxHoldMs": 1000,
             "Bounds.ResendMs": 1300,
             "Bounds.EvacuateMs": 5000,
+            "Region": "andes",
+            "Zones.sur": "costa",
             "platform.Addr": f"{HOST}:{self.store_port}",
             "platform.WritesPerS": 600,
             "platform.ReadsPerS": 2000,
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -93,6 +93,20 @@
         (queue,) = rows.decode_configuration(source).queues
         self.assertTrue(queue.needs_advice)
 
+    def test_allowed_regions(self):
+        # Some writers send null for an empty list.
+        cases = (
+            ({}, ()),
+            ({"AllowedRegions": None}, ()),
+            ({"AllowedRegions": ["andes"]}, ("andes",)),
+        )
+        for fields, expected in cases:
+            with self.subTest(fields=fields):
+                config = {"Version": 7, "Routes": [ROUTE | fields]}
+                source = json.dumps(config).encode()
+                (queue,) = rows.decode_configuration(source).queues
+                self.assertEqual(queue.allowed_regions, expected)
+
     def test_times_for_which_workers_are_cold(self):
         services = [{"Name": "a", "ColdStartS": 8}, {"Name": "b"}]
         cases = ((services, {"a": 8.0}), ([], {}), ({"a": 8}, {}), (None, {}))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -30,6 +30,21 @@
         self.assertEqual(found.max_lease_s, 1.0)
         self.assertEqual(found.processor_cores, 1.0)
 
+    def test_regions_of_data_centres(self):
+        found = settings.load(str(self.path)).regions
+        self.assertEqual(found.own, "andes")
+        self.assertEqual(found.by_data_centre, {"sur": "costa"})
+        without = self.text.replace("Region=andes\n", "")
+        self.assertEqual(settings.parse(without).regions.own, "")
+
+    def test_deadline_for_evacuations_may_be_missing(self):
+        found = settings.load(str(self.path))
+        self.assertEqual(found.evacuation_deadline_s, 5.0)
+        line = "Bounds.EvacuateMs=5000\n"
+        for text in ("", "Bounds.EvacuateMs=0\n"):
+            found = settings.parse(self.text.replace(line, text))
+            self.assertIsNone(found.evacuation_deadline_s)
+
     def test_error_names_the_invalid_field(self):
         cases = (
             ("Node=front-1", "", "Node"),
--- a/tests/service/test_evacuated_sites.py
+++ b/tests/service/test_evacuated_sites.py
@@ -155,6 +155,15 @@
     def test_all_data_centres_evacuated(self):
         self._check_all_evacuated()
 
+    def test_queue_of_one_region_uses_only_its_data_centre(self):
+        # Jobs whose first group is in the other region must be sent on.
+        self.cluster.site.configure(2, AllowedRegions=["costa"])
+        gevent.sleep(NOTICE_S)
+        since = time.monotonic()
+        self._submit_until_served()
+        self._submit_to_all()
+        self.assertEqual(self._list_used(since), {"sur"})
+
 
 class RegionGroupTest(_SitesTest):
     """All data centres are one group, of which an evacuation takes a part."""
