Add the command that takes a data centre out of use

Cause: operators had to write and delete the store's rows with tools of their own. It calls the store directly, so it needs no daemon.

--- a/pollenladder/management/application.py
+++ b/pollenladder/management/application.py
@@ -16,6 +16,7 @@
 from pollenladder.management.commands import check
 from pollenladder.management.commands import diff
 from pollenladder.management.commands import drain
+from pollenladder.management.commands import evacuate
 from pollenladder.management.commands import explain
 from pollenladder.management.commands import history
 from pollenladder.management.commands import job
@@ -29,6 +30,7 @@
     history.HistoryCommand,
     status.StatusCommand,
     drain.DrainCommand,
+    evacuate.EvacuateCommand,
     job.JobCommand,
     explain.ExplainCommand,
 )
--- a/pollenladder/management/environment.py
+++ b/pollenladder/management/environment.py
@@ -12,6 +12,7 @@
 from pollenladder.core import clocks
 from pollenladder.management import configuration
 from pollenladder.management import connections
+from pollenladder.platform import store as stores
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,6 +27,8 @@
         read_monotonic_s: Returns the monotonic time, in seconds.
         sleep: Waits for a number of seconds.
         draw_id: Returns a new unique id.
+        open_store: Returns the client of the users' platform's store, at an IP
+            address and port.
     """
 
     variables: Mapping[str, str]
@@ -35,6 +38,7 @@
     read_monotonic_s: clocks.Clock
     sleep: Callable[[float], None]
     draw_id: Callable[[], str]
+    open_store: Callable[[tuple[str, int]], stores.Store] = stores.Store
 
 
 def build_environment() -> Environment:
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -14,6 +14,7 @@
 CONFIGURATION_KEY = "config"
 # Followed by the name of a data centre that is taken out of use.
 _EVACUATION_PREFIX = "evacuate/"
+EVACUATION_VALUE = b"{}"
 # Bounds the heartbeats, which contain the names of evacuated data centres.
 MAX_DATA_CENTRE_CHARS = 200
 WORKERS_TABLE = "servers"
@@ -105,6 +106,17 @@
     return name
 
 
+def encode_evacuation_key(data_centre: str) -> str:
+    """Return the key of the row that takes a data centre out of use.
+
+    Raises:
+        exceptions.BadDocumentError: The name is empty or too long.
+    """
+    key = _EVACUATION_PREFIX + data_centre
+    decode_evacuation(key)
+    return key
+
+
 def decode_worker(worker_id: str, source: bytes) -> fleet.Listing:
     """Return a worker from its row's value.
 
