Give up a job whose earlier run is still ending instead of refusing it

Cause: a job that was given up during an evacuation may be submitted again while its runs are being stopped. It was refused, and its gateway then sent it to another group, which could start a task beside the run that was still ending. The same held for any refusal of a job with known runs. Change: such a job is given up.

--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -329,7 +329,9 @@
     """Answer a job that is not admitted, with the time after which to retry."""
     submission = job.submission
     outcome = jobs.Outcome.REFUSED
-    if submission.may_have_begun:
+    # A run of an earlier submission may still be ending here. After a refusal,
+    # another group could start the task a second time beside it.
+    if submission.may_have_begun or runs.has_runs(region, submission.job_id):
         outcome = jobs.Outcome.GIVEN_UP
     answer = jobs.Answer(
         submission.job_id, outcome, reason, _bound_retry_after(wait_s)
--- a/pollenladder/service/evacuations.py
+++ b/pollenladder/service/evacuations.py
@@ -85,15 +85,20 @@
 
     def handle_read(
         self, found: evacuations.EvacuatedSet, began_at: float
-    ) -> None:
+    ) -> bool:
         """Handle a set that was read from the store.
 
         Args:
             found: The set.
             began_at: When the read began.
+
+        Returns:
+            Whether the set in force is confirmed.
         """
-        if self._known.record_read(found, began_at, self._clock()):
+        now = self._clock()
+        if self._known.record_read(found, began_at, now):
             self._report(STORE_SOURCE)
+        return self._known.is_current(now)
 
     def handle_heartbeat(
         self, sender: str, heartbeat: messages.Heartbeat
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -53,7 +53,8 @@
         get_epochs: Returns the epoch of this daemon's ownership of each group
             that it owns.
         on_evacuated: Called with the evacuated data centres after each read of
-            the operators' rows, and with the time when the read began.
+            the operators' rows, and with the time when the read began. Returns
+            whether the set is confirmed; if not, the next read does not wait.
     """
 
     on_configuration: Callable[[jobs.Configuration], None]
@@ -61,7 +62,7 @@
     on_member: Callable[[rosters.Member], None]
     on_layout: Callable[[groups.Layout, int], None]
     get_epochs: Callable[[], dict[str, int]]
-    on_evacuated: Callable[[evacuations.EvacuatedSet, float], None]
+    on_evacuated: Callable[[evacuations.EvacuatedSet, float], bool]
 
 
 class Feeds:
@@ -97,6 +98,7 @@
         self._daemons_refresh = event.Event()
         self._rejected_versions: dict[str, int] = {}
         self._read_began_at: dict[str, float] = {}
+        self._is_set_confirmed = True
         self._evacuation_rows = evacuation_rows.EvacuationRows(
             self._log_rejected_row
         )
@@ -107,13 +109,16 @@
             rows.OPERATOR_TABLE,
             self._handle_operator_rows,
             None,
-            CONFIGURATION_WAIT_S,
+            lambda: CONFIGURATION_WAIT_S if self._is_set_confirmed else 0.0,
         )
 
     def run_workers(self) -> None:
         """Follow the list of workers, forever."""
         self._follow_table(
-            rows.WORKERS_TABLE, self._handle_workers, self._choose_pause_s, 0.0
+            rows.WORKERS_TABLE,
+            self._handle_workers,
+            self._choose_pause_s,
+            lambda: 0.0,
         )
 
     def run_daemons(self) -> None:
@@ -194,7 +199,7 @@
         table: str,
         handle: Callable[[stores.Snapshot, bool], None],
         choose_pause_s: Callable[[], float] | None,
-        wait_s: float,
+        choose_wait_s: Callable[[], float],
     ) -> None:
         """Read a whole table, then its changes; start over after each failure.
 
@@ -204,13 +209,15 @@
                 the whole table.
             choose_pause_s: Returns the pause between two reads; None for no
                 pause.
-            wait_s: How long one call waits for changes.
+            choose_wait_s: Returns how long the next call waits for changes.
         """
         version = None
         retry_s = RETRY_S
         while True:
             try:
-                version = self._read_once(table, handle, version, wait_s)
+                version = self._read_once(
+                    table, handle, version, choose_wait_s()
+                )
                 retry_s = RETRY_S
                 self._record_up(True)
             except exceptions.HistoryLostError:
@@ -269,7 +276,7 @@
     def _handle_operator_rows(
         self, snapshot: stores.Snapshot, is_full_read: bool
     ) -> None:
-        self._callbacks.on_evacuated(
+        self._is_set_confirmed = self._callbacks.on_evacuated(
             self._evacuation_rows.apply(snapshot, is_full_read),
             self._read_began_at[rows.OPERATOR_TABLE],
         )
--- a/tests/scheduling/test_evacuation.py
+++ b/tests/scheduling/test_evacuation.py
@@ -192,6 +192,19 @@
         given_up = (jobs.Outcome.GIVEN_UP, jobs.Reason.NO_WORKERS)
         self.assertEqual(self._take_reasons(), [given_up])
 
+    def test_job_with_a_run_that_is_still_ending_is_not_refused(self):
+        # Its gateway would send it to another group, where the task could run
+        # beside the run that is being stopped here.
+        self.simulation.submit("a1", tasks=4, budget_s=9.0, **WHOLE_WORKER)
+        first = self.simulation.take_starts()
+        self._read(("norte", "sur"))
+        self.simulation.step(1.3)
+        self.simulation.end(first[0])
+        self.simulation.take_answers()
+        self.simulation.submit("a1", tasks=4, **WHOLE_WORKER)
+        given_up = (jobs.Outcome.GIVEN_UP, jobs.Reason.NO_WORKERS)
+        self.assertEqual(self._take_reasons(), [given_up])
+
     def test_begun_job_uses_other_workers_if_there_are_any(self):
         self.simulation.submit("a1", tasks=4, budget_s=9.0, **WHOLE_WORKER)
         first = {o.worker_id: o for o in self.simulation.take_starts()}
--- a/tests/service/test_evacuations.py
+++ b/tests/service/test_evacuations.py
@@ -25,10 +25,12 @@
 
     Attributes:
         calls: Calls made so far, by kind.
+        waits_s: How long each call for changes was to wait.
     """
 
     def __init__(self, *responses: stores.Snapshot | Exception):
         self.calls: dict[str, int] = {}
+        self.waits_s: list[float] = []
         self._responses = list(responses)
 
     def read_table(self, table: str) -> stores.Snapshot:
@@ -39,6 +41,7 @@
         self, table: str, after: int, wait_s: float
     ) -> stores.Snapshot:
         """Return the next response."""
+        self.waits_s.append(wait_s)
         return self._next()
 
     def _next(self) -> stores.Snapshot:
@@ -53,13 +56,23 @@
 class OperatorRowsTest(unittest.TestCase):
     """The set of evacuated data centres follows the rows of the store."""
 
+    def setUp(self):
+        self.is_confirmed = True
+        self.store = ScriptedStore()
+
     def _follow(
         self, *responses: stores.Snapshot | Exception
     ) -> list[evacuations.EvacuatedSet]:
         """Return the sets that a daemon reads from some responses."""
+        self.store = ScriptedStore(*responses)
         found: list[evacuations.EvacuatedSet] = []
+
+        def handle(known: evacuations.EvacuatedSet) -> bool:
+            found.append(known)
+            return self.is_confirmed
+
         follower = feeds.Feeds(
-            ScriptedStore(*responses),
+            self.store,
             rosters.Member("d1", "10.0.0.1", 1, "norte", 1),
             feeds.Callbacks(
                 on_configuration=lambda configuration: None,
@@ -67,7 +80,7 @@
                 on_member=lambda member: None,
                 on_layout=lambda *layout: None,
                 get_epochs=dict,
-                on_evacuated=lambda known, began_at: found.append(known),
+                on_evacuated=lambda known, began_at: handle(known),
             ),
             lambda: 100.0,
         )
@@ -95,6 +108,15 @@
         sets = [known.data_centres for known in found]
         self.assertEqual(sets, [("norte",), ()])
 
+    def test_unconfirmed_set_is_read_again_without_a_wait(self):
+        # A daemon that was paused starts nothing until then.
+        self.is_confirmed = False
+        self._follow(stores.Snapshot(4, ()), stores.Snapshot(5, ()))
+        self.assertEqual(self.store.waits_s, [0.0, 0.0])
+        self.is_confirmed = True
+        self._follow(stores.Snapshot(4, ()))
+        self.assertEqual(self.store.waits_s, [feeds.CONFIGURATION_WAIT_S])
+
     def test_row_added_during_an_outage_of_the_store(self):
         found = self._follow(
             stores.Snapshot(4, ()),
