Test evacuations in more of the cases that they guard against

Cause: with single conditions of the evacuation removed, five of the changes were noticed by no test: the time to finish of each data centre, the wait for leases of an earlier owner, an order sent after a pause, the set after a higher epoch, and groups outside the allowed regions. Change: a test for each.

--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -28,9 +28,10 @@
 
 def place(region: tables.Region, now: float) -> None:
     """Start all waiting tasks that workers have capacity for."""
-    if region.is_awaiting_worker_list(now) or not region.evacuations.is_current(
-        now
-    ):
+    if region.is_awaiting_worker_list(now):
+        return
+    if not region.evacuations.is_current(now):
+        # A data centre may have been taken out of use during a pause.
         return
     waiting = _list_placeable(region)
     if not waiting:
--- a/tests/scheduling/test_evacuation.py
+++ b/tests/scheduling/test_evacuation.py
@@ -205,6 +205,28 @@
         given_up = (jobs.Outcome.GIVEN_UP, jobs.Reason.NO_WORKERS)
         self.assertEqual(self._take_reasons(), [given_up])
 
+    def test_time_to_finish_counts_for_each_data_centre(self):
+        # The estimate keeps the workers from being quarantined as slow.
+        sizes = WHOLE_WORKER | {"estimate_s": 2.0}
+        self.simulation.submit("a1", tasks=4, budget_s=9.0, **sizes)
+        first = {o.worker_id: o for o in self.simulation.take_starts()}
+        self._read(("norte",))
+        self.simulation.step(1.3)
+        self._read(("norte", "sur"))
+        self.simulation.end(first["w0"])
+        self.assertEqual(self.simulation.take_starts(), [])
+        self.simulation.end(first["w2"])
+        self.assertEqual(self._list_started(), {"w2"})
+
+    def test_owner_with_a_higher_epoch_keeps_the_set(self):
+        self._read(("norte",))
+        self.simulation.region = recovery.rebuild_region(
+            self.region, 2, self.simulation.now
+        )
+        self._list({"w0": "norte", "w1": "norte", "w2": "sur"})
+        self.simulation.submit("a1", tasks=4)
+        self.assertEqual(self._list_started(), {"w2"})
+
     def test_begun_job_uses_other_workers_if_there_are_any(self):
         self.simulation.submit("a1", tasks=4, budget_s=9.0, **WHOLE_WORKER)
         first = {o.worker_id: o for o in self.simulation.take_starts()}
@@ -245,9 +267,15 @@
 
     def test_job_of_an_earlier_owner_is_admitted_when_evacuated(self):
         self._read(("norte", "sur"))
+        self.simulation.step(1.0)
         self.simulation.submit("a1", may_have_begun=True)
+        # Its runs may be active until the leases of the earlier owner expire.
+        self.simulation.step(0.5)
         self.assertIn("a1", self.region.jobs)
         self.assertEqual(self.simulation.take_answers(), [])
+        self.simulation.step(simulations.LEASE_S)
+        given_up = (jobs.Outcome.GIVEN_UP, jobs.Reason.NO_WORKERS)
+        self.assertEqual(self._take_reasons(), [given_up])
 
     def test_paused_owner_starts_nothing_before_it_hears_or_reads(self):
         self.simulation.now += LIMITS.max_pause_s + 0.1
--- a/tests/service/test_evacuations.py
+++ b/tests/service/test_evacuations.py
@@ -1,19 +1,28 @@
 """Evacuation requests on their way from the store to an owner's decisions."""
 
+import types
 import unittest
+from unittest import mock
 
 import msgpack
 
+from pollenladder.cluster import groups as layouts
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
+from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import evacuations
+from pollenladder.fleet import regions
 from pollenladder.platform import exceptions
 from pollenladder.platform import rows
 from pollenladder.platform import store as stores
+from pollenladder.scheduling import maintenance
+from pollenladder.scheduling import tables
 from pollenladder.service import engine as engines
 from pollenladder.service import evacuations as followers
 from pollenladder.service import feeds
+from pollenladder.service import job_exchange
 from pollenladder.service import membership as memberships
+from pollenladder.service import sessions
 from tests.cluster import samples
 from tests.scheduling import simulations
 
@@ -228,3 +237,61 @@
         self.assertTrue(engine.region.workers["w1"].is_evacuated)
         engine.submit(simulations.build_submission("a1"), "g1")
         self.assertEqual([a.reason.value for a in answers], ["no_workers"])
+
+
+class SessionTest(unittest.TestCase):
+    """An order that was decided on before a pause of the process."""
+
+    def test_order_is_not_sent_after_a_pause(self):
+        # Its lease would begin only now, so it would not bound the delay.
+        limits = evacuations.build_limits(5.0, simulations.LEASE_S)
+        known = evacuations.Evacuations(limits)
+        region = tables.Region(1, 0.0, simulations.LEASE_S, evacuations=known)
+        listing = simulations.build_listing("w1")
+        maintenance.update_workers(region, [listing], float("-inf"), 1.0)
+        callbacks = sessions.Callbacks(
+            on_event=lambda: None,
+            on_fenced=lambda worker_id: None,
+            get_lag_s=lambda: 0.0,
+        )
+        now = 1.0
+        worker = region.workers["w1"]
+        session = sessions.Session(region, worker, callbacks, lambda: now)
+        order = tables.StartRun("w1", "a1.0.0.0", 1, "(spec)")
+        with mock.patch.object(session, "_client") as client:
+            client.start.return_value = fleet.StartReply.STARTED
+            known.is_current(now)
+            session._start_run(order)
+            client.start.assert_called_once()
+            now += limits.max_pause_s + 0.1
+            session._start_run(order)
+            client.start.assert_called_once()
+
+
+class GroupChoiceTest(unittest.TestCase):
+    """The groups to which a gateway sends a refused job."""
+
+    def _choose_group(self, allowed: tuple[str, ...]) -> str:
+        load = fleet.ServiceLoad(64_000, 64_000, 0.0)
+        state = types.SimpleNamespace(loads={simulations.SERVICE: load})
+        exchange = job_exchange.JobExchange(
+            rosters.Member("d1", "10.0.0.1", 1, "norte", 1),
+            types.SimpleNamespace(
+                groups=dict.fromkeys(("norte/0", "sur/0", "este/0"))
+            ),
+            types.SimpleNamespace(get_group_state=lambda name: state),
+            None,
+            lambda answer, sender: None,
+            regions.Regions("andes", {"sur": "costa"}),
+        )
+        submission = simulations.build_submission("a1", allowed_regions=allowed)
+        return exchange.choose_group(submission, frozenset({"este/0"}), False)
+
+    def test_group_outside_the_allowed_regions_is_left_out(self):
+        # It would refuse, and a gateway tries only a few groups.
+        self.assertEqual(self._choose_group(()), "norte/0")
+        self.assertEqual(self._choose_group(("costa",)), "sur/0")
+        self.assertEqual(self._choose_group(("selva",)), "")
+
+    def test_group_of_a_region_has_no_data_centre(self):
+        self.assertEqual(layouts.get_data_centre(layouts.REGION_GROUP), "")
