--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -99,6 +99,7 @@
             self._membership,
             self._mesh,
             self._gateway.handle_answer,
+            settings.regions,
         )
 
     def _build_gateway(self) -> None:
@@ -201,6 +202,7 @@
             self._settings.features,
             self._list_history,
             self._evacuations,
+            self._settings.regions,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -12,6 +12,7 @@
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import evacuations as fleet_evacuations
+from pollenladder.fleet import regions as fleet_regions
 from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
@@ -67,6 +68,7 @@
         features: optional_features.Features = optional_features.ALL,
         list_history: worker_lists.ListHistory | None = None,
         evacuations: fleet_evacuations.Evacuations | None = None,
+        regions: fleet_regions.Regions = fleet_regions.NONE,
     ):
         self.region: tables.Region | None = None
         self._max_lease_s = max_lease_s
@@ -74,6 +76,7 @@
         self._list_history = list_history or worker_lists.ListHistory()
         self._evacuations = evacuations or fleet_evacuations.Evacuations()
         self._cold_starts: dict[str, float] = {}
+        self._regions = regions
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
@@ -104,6 +107,7 @@
                 list_history=self._list_history,
                 evacuations=self._evacuations,
                 cold_starts=self._cold_starts,
+                regions=self._regions,
             )
             self._owns_workers.set()
         else:
