--- a/bench/commands/emulate.py
+++ b/bench/commands/emulate.py
@@ -26,6 +26,21 @@
     parser.add_argument("--groups", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=2)
     parser.add_argument("--faults", choices=FAULTS, default="none")
+    parser.add_argument(
+        "--budget",
+        type=float,
+        default=simulations.BUDGET_S,
+        help="time until a caller stops waiting, in seconds",
+    )
+    parser.add_argument(
+        "--burst",
+        type=float,
+        nargs=3,
+        action="append",
+        default=[],
+        metavar=("BEGIN", "END", "FACTOR"),
+        help="a time span in seconds, and the factor on the load within it",
+    )
     parser.add_argument("--record", type=pathlib.Path, metavar="FILE")
     parser.add_argument("--replay", type=pathlib.Path, metavar="FILE")
 
@@ -51,13 +66,16 @@
     outcomes = []
     seeds = range(1) if options.replay else range(options.seeds)
     for seed in seeds:
-        arrivals = list(loads.draw(load, LENGTH_S, seed))
+        arrivals = list(loads.draw(load, LENGTH_S, seed, options.burst))
         if options.replay:
             arrivals = list(loads.read(options.replay))
         if options.record:
             loads.write(options.record, arrivals)
         simulation = simulations.Simulation(
-            options.workers, FAULTS[options.faults], options.groups
+            options.workers,
+            FAULTS[options.faults],
+            options.groups,
+            options.budget,
         )
         outcomes += simulation.run(arrivals)
     return outcomes
@@ -72,6 +90,8 @@
         "worth": round(tally.worth, 3),
         "by_kind": {k: round(v, 2) for k, v in tally.by_kind.items()},
         "widest": {k: round(v, 2) for k, v in tally.widest.items()},
+        "in_time": round(tally.in_time, 3),
+        "served": round(tally.served, 3),
         "refused": round(tally.refused, 3),
         "late": round(tally.late, 3),
         "refusal_p99_ms": round(1000 * tally.refusal_p99_s),
--- a/bench/emulator/loads.py
+++ b/bench/emulator/loads.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 import dataclasses
 import json
 import pathlib
@@ -70,7 +71,7 @@
     load: float,
     length_s: float,
     seed: int,
-    bursts: tuple[tuple[float, float, float], ...] = (),
+    bursts: Iterable[Sequence[float]] = (),
 ) -> Iterator[Arrival]:
     """Generate random arrivals in order of time.
 
--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -112,9 +112,14 @@
     """
 
     def __init__(
-        self, workers: int, faults: Iterable[Faults] = (), groups: int = 1
+        self,
+        workers: int,
+        faults: Iterable[Faults] = (),
+        groups: int = 1,
+        budget_s: float = BUDGET_S,
     ):
         self.now = 0.0
+        self._budget_s = budget_s
         self.regions = {
             f"g{index}": tables.Region(1, 0.0, 1.0) for index in range(groups)
         }
@@ -183,7 +188,7 @@
             )
             last_s = arrival.at_s
         self._maintain()
-        while self._events and self.now < last_s + 2 * BUDGET_S:
+        while self._events and self.now < last_s + 2 * self._budget_s:
             self.now, _, action = heapq.heappop(self._events)
             action()
             self._apply_effects()
@@ -219,7 +224,7 @@
         submission = dataclasses.replace(
             submission,
             age_s=submission.age_s + self.now - arrival.at_s,
-            budget_s=submission.budget_s - (self.now - arrival.at_s),
+            budget_s=self._budget_s - (self.now - arrival.at_s),
         )
         refused_by = self._refused_by.get(job_id, frozenset())
         loads_by_group = {
--- a/bench/emulator/tallies.py
+++ b/bench/emulator/tallies.py
@@ -1,5 +1,6 @@
 """Statistics of a simulated load, in total and by kind of request."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -20,6 +21,9 @@
     Attributes:
         worth: Earned share of the total value of all jobs.
         by_kind: Earned share of the total value, by kind.
+        in_time: Share of the jobs that were completed in time.
+        served: Share of the jobs that were completed before their deadline,
+            late ones included.
         refused: Share of the jobs that were refused.
         late: Share of the jobs that were completed late but still earned a
             part of their value.
@@ -30,6 +34,8 @@
 
     worth: float
     by_kind: dict[str, float]
+    in_time: float
+    served: float
     refused: float
     late: float
     refusal_p99_s: float
@@ -53,6 +59,10 @@
     return Tally(
         worth=sum(earned.values()) / max(sum(total.values()), 1e-9),
         by_kind={kind: earned[kind] / total[kind] for kind in total},
+        in_time=_measure_share(outcomes, lambda o: o.get_earned_share() == 1.0),
+        served=_measure_share(
+            outcomes, lambda o: o.outcome is jobs.Outcome.COMPLETED
+        ),
         refused=len(refused) / max(1, len(outcomes)),
         late=len(late) / max(1, len(outcomes)),
         refusal_p99_s=waits[int(0.99 * (len(waits) - 1))] if waits else 0.0,
@@ -60,6 +70,13 @@
     )
 
 
+def _measure_share(
+    outcomes: list[simulations.Outcome],
+    is_counted: Callable[[simulations.Outcome], bool],
+) -> float:
+    return sum(map(is_counted, outcomes)) / max(1, len(outcomes))
+
+
 def _measure_worth(arrival: loads.Arrival) -> float:
     kind = next(k for k in loads.REQUEST_KINDS if k.name == arrival.kind)
     work = sum(arrival.runs_s) * arrival.cpu_milli
