Refuse displaced jobs as soon as they are known to start too late

Cause: jobs that were admitted and then pushed back by more urgent ones stayed until their latest start had passed, when no other group could serve them in time, and were not sent to one at all. Change: each maintenance step compares the forecast of at most 64 waiting jobs, those with the least time left, with their latest start (scheduling.displacement). A job that would start too late and has no run is refused with waited_too_long; its gateway asks groups that report room. The owner remembers the refusal, so that a second submission does not run there meanwhile. Events job_displaced, counter pollenladder_overload_decisions_total{decision="displaced"}.

--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -263,7 +263,9 @@
             self.now - arrival.at_s,
         ):
             return False
-        return self._forward(job_id, group_retries.needs_room(len(asked)))
+        return self._forward(
+            job_id, group_retries.needs_room(len(asked), answer.reason)
+        )
 
     def _apply(self, group: str, effect: tables.Effect) -> None:
         arrival_s = self.now + WORKER_LATENCY_S
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -339,6 +339,12 @@
         "the gateway answers a refusal while a group reports room for the job",
         ("job", "queue", "reason", "group", "was_asked", "groups_asked"),
     ),
+    Event(
+        "job_displaced",
+        Kind.JOB,
+        "a waiting job can no longer start in time, and leaves the queue early",
+        ("job", "queue", "wait_s", "left_s"),
+    ),
     Event(
         "job_rejected",
         Kind.JOB,
--- /dev/null
+++ b/pollenladder/scheduling/displacement.py
@@ -0,0 +1,104 @@
+"""Remove waiting jobs that can no longer start in time.
+
+In a burst, jobs that arrive later and are more urgent push back jobs that were
+admitted before. On a day with twice the usual load, 440 of 502 refusals came only
+at the latest start of such a job, when no other group could serve it in time
+either. A job that has not begun is therefore refused as soon as the forecast shows
+that it was displaced, so that its gateway can ask a group that has room.
+"""
+
+import heapq
+
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import forecast
+from pollenladder.scheduling import intake
+from pollenladder.scheduling import placement
+from pollenladder.scheduling import runs
+from pollenladder.scheduling import tables
+
+# A job is displaced if it is forecast to start later than this, as a share of its
+# run time. A job within it but late would take capacity from jobs that can be in
+# time. The limit of admission is higher, as a forecast improves when runs end early.
+DISPLACED_LATENESS = 0.0
+# Most forecasts that are checked in one step, of the jobs with the least time left.
+MAX_CHECKS = 64
+
+
+def remove_late_jobs(region: tables.Region, now: float) -> None:
+    """Refuse the waiting jobs that cannot start in time."""
+    if not region.waiting:
+        return
+    waiting = [region.jobs[job_id] for job_id in region.waiting]
+    overdue = [job for job in waiting if _is_overdue(job, now)]
+    for job in overdue:
+        wait_s = forecast.forecast_wait_s(region, job, now)
+        _refuse(region, job, wait_s, now)
+    if region.is_awaiting_worker_list(now):
+        return
+    candidates = [job for job in waiting if _may_be_displaced(region, job)]
+    for job in heapq.nsmallest(
+        MAX_CHECKS, candidates, key=lambda job: job.latest_start_at
+    ):
+        if not _is_overdue(job, now):
+            _check_displacement(region, job, now)
+
+
+def _is_overdue(job: tables.Job, now: float) -> bool:
+    return not job.has_begun and now > job.latest_start_at
+
+
+def _may_be_displaced(region: tables.Region, job: tables.Job) -> bool:
+    """Return whether no task of a job has a run, here or under another owner."""
+    return not (
+        job.has_begun
+        or job.submission.may_have_begun
+        or runs.has_runs(region, job.submission.job_id)
+    )
+
+
+def _check_displacement(
+    region: tables.Region, job: tables.Job, now: float
+) -> None:
+    wait_s = forecast.forecast_wait_s(region, job, now)
+    lateness = forecast.compute_lateness(job, wait_s, now)
+    # Without any slot, the workers may be back before the latest start.
+    if wait_s >= forecast.NEVER_S or lateness <= DISPLACED_LATENESS:
+        return
+    region.log_event(
+        "job_displaced",
+        job=job.submission.job_id,
+        queue=job.submission.queue,
+        wait_s=round(wait_s, 4),
+        left_s=round(job.latest_start_at - now, 4),
+    )
+    region.count("displaced")
+    _refuse(region, job, wait_s, now)
+
+
+def _refuse(
+    region: tables.Region, job: tables.Job, wait_s: float, now: float
+) -> None:
+    """Refuse an admitted job that has not begun here.
+
+    A job that may have begun elsewhere waits longer, until less than its
+    expected run time is left before the deadline, and is then given up.
+    """
+    outcome = jobs.Outcome.REFUSED
+    if job.submission.may_have_begun:
+        if now < job.deadline_at - job.expected_s:
+            return
+        outcome = jobs.Outcome.GIVEN_UP
+    urgency = placement.get_urgency(job)
+    tasks = len(job.list_waiting_tasks())
+    for found in region.start_forecasts.values():
+        found.remove_job(urgency, tasks)
+    intake.end_job(
+        region,
+        job,
+        outcome,
+        jobs.Reason.WAITED_TOO_LONG,
+        now,
+        intake.bound_retry_after(wait_s),
+    )
+    if outcome is jobs.Outcome.REFUSED:
+        intake.remember_refusal(region, job)
--- a/pollenladder/scheduling/group_retries.py
+++ b/pollenladder/scheduling/group_retries.py
@@ -12,6 +12,7 @@
 # A refusal for one of these reasons may not apply to another group.
 REASONS = (
     jobs.Reason.NO_ROOM_IN_TIME,
+    jobs.Reason.WAITED_TOO_LONG,
     jobs.Reason.TOO_LARGE,
     jobs.Reason.NO_WORKERS,
 )
@@ -30,16 +31,18 @@
     return reason in REASONS and age_s <= _compute_latest_start_s(submission)
 
 
-def needs_room(groups_asked: int) -> bool:
+def needs_room(groups_asked: int, reason: jobs.Reason) -> bool:
     """Return whether only a group that reports room may be asked next.
 
     The second group may be one without room, as its next capacity may be free
-    sooner than that of the first one, which was chosen without any report.
+    sooner than that of the first one, which was chosen without any report. A job
+    that was displaced after a wait has no time for another one.
 
     Args:
         groups_asked: Number of groups that have refused the job.
+        reason: The reason of the last refusal.
     """
-    return groups_asked > 1
+    return groups_asked > 1 or reason is jobs.Reason.WAITED_TOO_LONG
 
 
 def _compute_latest_start_s(submission: jobs.Submission) -> float:
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -120,13 +120,11 @@
 
 
 def expire(region: tables.Region, now: float) -> None:
-    """End jobs that cannot be served in time, and delete old answers."""
+    """End jobs that are past their deadline, and delete old answers."""
     for job in list(region.jobs.values()):
         if now >= job.deadline_at:
             outcome = jobs.Outcome.GIVEN_UP
             end_job(region, job, outcome, jobs.Reason.DEADLINE, now)
-    if region.waiting:
-        _refuse_overdue_jobs(region, now)
     for job_id, until in list(region.refused_until.items()):
         if now >= until:
             del region.refused_until[job_id]
@@ -301,12 +299,11 @@
     if submission.may_have_begun:
         outcome = jobs.Outcome.GIVEN_UP
     answer = jobs.Answer(
-        submission.job_id, outcome, reason, _bound_retry_after(wait_s)
+        submission.job_id, outcome, reason, bound_retry_after(wait_s)
     )
     region.effects.append(tables.AnswerJob(job.gateway_id, answer))
-    if outcome is jobs.Outcome.REFUSED and _has_other_groups(region, job):
-        lease_s = region.max_lease_s * (1 + runs.MAX_CLOCK_DRIFT)
-        region.refused_until[submission.job_id] = job.deadline_at + lease_s
+    if outcome is jobs.Outcome.REFUSED:
+        remember_refusal(region, job)
     region.log_event(
         "job_refused",
         job=submission.job_id,
@@ -321,51 +318,16 @@
     )
 
 
-def _has_other_groups(region: tables.Region, job: tables.Job) -> bool:
-    """Return whether a job that is refused here may go to another group."""
-    return region.service_shares.get(job.submission.service, 1.0) < 1.0
-
-
-def _refuse_overdue_jobs(region: tables.Region, now: float) -> None:
-    """Refuse the waiting jobs that can no longer be in time."""
-    overdue = [
-        region.jobs[job_id]
-        for job_id in region.waiting
-        if _is_overdue(region.jobs[job_id], now)
-    ]
-    for job in overdue:
-        wait_s = forecast.forecast_wait_s(region, job, now)
-        _refuse_after_wait(region, job, wait_s, now)
-
-
-def _is_overdue(job: tables.Job, now: float) -> bool:
-    return not job.has_begun and now > job.latest_start_at
-
-
-def _refuse_after_wait(
-    region: tables.Region, job: tables.Job, wait_s: float, now: float
-) -> None:
-    """Refuse an admitted job that has not begun here.
-
-    A job that may have begun elsewhere waits longer, until less than its
-    expected run time is left before the deadline, and is then given up.
-    """
-    outcome = jobs.Outcome.REFUSED
-    if job.submission.may_have_begun:
-        if now < job.deadline_at - job.expected_s:
-            return
-        outcome = jobs.Outcome.GIVEN_UP
-    end_job(
-        region,
-        job,
-        outcome,
-        jobs.Reason.WAITED_TOO_LONG,
-        now,
-        _bound_retry_after(wait_s),
-    )
+def remember_refusal(region: tables.Region, job: tables.Job) -> None:
+    """Record that a job that is refused here may run in another group."""
+    if region.service_shares.get(job.submission.service, 1.0) < 1.0:
+        lease_s = region.max_lease_s * (1 + runs.MAX_CLOCK_DRIFT)
+        until = job.deadline_at + lease_s
+        region.refused_until[job.submission.job_id] = until
 
 
-def _bound_retry_after(wait_s: float) -> float:
+def bound_retry_after(wait_s: float) -> float:
+    """Return a forecast wait within the bounds of a Retry-After."""
     if not math.isfinite(wait_s):
         return MAX_RETRY_AFTER_S
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -4,6 +4,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import displacement
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
@@ -27,6 +28,7 @@
     unconfirmed stop orders, and places waiting tasks.
     """
     intake.expire(region, now)
+    displacement.remove_late_jobs(region, now)
     _cancel_jobs_of_lost_gateways(region, now)
     for worker in list(region.workers.values()):
         _check_runs(region, worker, now)
--- a/pollenladder/scheduling/start_forecasts.py
+++ b/pollenladder/scheduling/start_forecasts.py
@@ -73,6 +73,22 @@
             at = heapq.heapreplace(self.slot_times, self.slot_times[0] + run_s)
             self.start_times.append(at)
 
+    def remove_job(self, urgency: Urgency, tasks: int) -> None:
+        """Remove the tasks of a job, so that less urgent ones start earlier.
+
+        This is approximate like `add_job`, and `slot_times` stay as they are, so
+        that the starts of later jobs are forecast too late rather than too early.
+        """
+        index = bisect.bisect_left(self.urgencies, urgency)
+        if self.urgencies[index : index + 1] != [urgency]:
+            return
+        del self.urgencies[index]
+        before = self.tasks_before
+        del before[index]
+        for later in range(index, len(before)):
+            before[later] -= tasks
+        del self.start_times[max(0, len(self.start_times) - tasks) :]
+
     def _find_start_after_all(self, tasks: int, run_s: float) -> float:
         """Return when the last of `tasks` tasks behind all others starts."""
         slot_times = list(self.slot_times)
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -148,7 +148,14 @@
     fields: dict[str, object]
 
 
-Effect = StartRun | StopRun | LookNow | AnswerJob | LogEvent
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountDecision:
+    """Add one to the counter of a kind of decision."""
+
+    decision: str
+
+
+Effect = StartRun | StopRun | LookNow | AnswerJob | LogEvent | CountDecision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -293,6 +300,10 @@
         """Queue an event for the log."""
         self.effects.append(LogEvent(event, fields))
 
+    def count(self, decision: str) -> None:
+        """Queue the count of a kind of decision, for the metrics."""
+        self.effects.append(CountDecision(decision))
+
     def take_effects(self) -> list[Effect]:
         """Return and clear the effects decided on since the last call."""
         effects, self.effects = self.effects, []
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -175,6 +175,7 @@
                     name, worker_id
                 ),
                 get_lag_s=lambda: self._membership.loop_lag.lag_s,
+                count=self._meters.count_decision,
             ),
             self._clock,
             self._settings.features,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -42,11 +42,13 @@
         answer: Called with a gateway's id and a job's final answer.
         on_fenced: Called with the id of a worker that has seen a higher epoch.
         get_lag_s: Returns the mean lag of the event loop, in seconds.
+        count: Adds one to the counter of a kind of decision.
     """
 
     answer: Callable[[str, jobs.Answer], None]
     on_fenced: Callable[[str], None]
     get_lag_s: Callable[[], float]
+    count: Callable[[str], None]
 
 
 class Engine:
@@ -261,6 +263,8 @@
             logs.log(LOGGER, effect.event, **effect.fields)
         elif isinstance(effect, tables.AnswerJob):
             self._callbacks.answer(effect.gateway_id, effect.answer)
+        elif isinstance(effect, tables.CountDecision):
+            self._callbacks.count(effect.decision)
         else:
             self._send_order(effect)
 
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -223,7 +223,7 @@
         group = self._callbacks.choose_group(
             job.submission,
             job.refused_by,
-            group_retries.needs_room(len(job.refused_by)),
+            group_retries.needs_room(len(job.refused_by), refusal.reason),
         )
         if not group:
             return False
--- a/pollenladder/service/meters.py
+++ b/pollenladder/service/meters.py
@@ -45,6 +45,12 @@
             "Jobs refused while a group reported room for the whole job.",
             registry=self.registry,
         )
+        self._decisions = prometheus_client.Counter(
+            "pollenladder_overload_decisions",
+            "Jobs displaced or deferred by an owner for lack of capacity.",
+            ("decision",),
+            registry=self.registry,
+        )
         self._jobs = prometheus_client.Counter(
             "pollenladder_jobs",
             "Jobs answered.",
@@ -59,6 +65,10 @@
         )
         self._counters: dict[tuple[str, str], prometheus_client.Counter] = {}
 
+    def count_decision(self, decision: str) -> None:
+        """Count a decision of an owner under overload."""
+        self._decisions.labels(decision).inc()
+
     def count_job(self, answer: jobs.Answer, took_s: float) -> None:
         """Count an answered job and record its response time, in seconds."""
         labels = (answer.outcome.value, answer.reason.value)
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -23,6 +23,7 @@
                 answer=lambda gateway_id, answer: None,
                 on_fenced=lambda worker_id: None,
                 get_lag_s=lambda: self.lag_s,
+                count=lambda decision: None,
             ),
             lambda: 100.0,
         )
