Displace jobs by a limit that follows admission pressure

Under overload, a job without a margin takes capacity from others. Change: the limit falls from half a run time late at pressure 0 to a quarter early at pressure 0.5 and above.

--- a/pollenladder/scheduling/displacement.py
+++ b/pollenladder/scheduling/displacement.py
@@ -17,9 +17,13 @@
 from pollenladder.scheduling import tables
 
 # A job is displaced if it is forecast to start later than this, as a share of its
-# run time. A job within it but late would take capacity from jobs that can be in
-# time. The limit of admission is higher, as a forecast improves when runs end early.
-DISPLACED_LATENESS = 0.0
+# run time, at admission pressure 0 and 1. Without overload, a forecast improves
+# as often as not; under overload, a job without a margin takes capacity from jobs
+# that can be in time.
+RELAXED_LATENESS = 0.5
+STRICT_LATENESS = -0.25
+# Pressure from which the strict limit applies.
+FULL_PRESSURE = 0.5
 # Most forecasts that are checked in one step, of the jobs with the least time left.
 MAX_CHECKS = 64
 
@@ -56,13 +60,18 @@
     )
 
 
+def _choose_max_lateness(region: tables.Region) -> float:
+    strictness = min(1.0, region.admission.pressure / FULL_PRESSURE)
+    return RELAXED_LATENESS + strictness * (STRICT_LATENESS - RELAXED_LATENESS)
+
+
 def _check_displacement(
     region: tables.Region, job: tables.Job, now: float
 ) -> None:
     wait_s = forecast.forecast_wait_s(region, job, now)
     lateness = forecast.compute_lateness(job, wait_s, now)
     # Without any slot, the workers may be back before the latest start.
-    if wait_s >= forecast.NEVER_S or lateness <= DISPLACED_LATENESS:
+    if wait_s >= forecast.NEVER_S or lateness <= _choose_max_lateness(region):
         return
     region.log_event(
         "job_displaced",
