--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -13,6 +13,7 @@
 from bench.emulator import loads
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import group_retries
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import replies
@@ -112,9 +113,14 @@
     """
 
     def __init__(
-        self, workers: int, faults: Iterable[Faults] = (), groups: int = 1
+        self,
+        workers: int,
+        faults: Iterable[Faults] = (),
+        groups: int = 1,
+        budget_s: float = BUDGET_S,
     ):
         self.now = 0.0
+        self._budget_s = budget_s
         self.regions = {
             f"g{index}": tables.Region(1, 0.0, 1.0) for index in range(groups)
         }
@@ -181,7 +187,7 @@
             )
             last_s = arrival.at_s
         self._maintain()
-        while self._events and self.now < last_s + 2 * BUDGET_S:
+        while self._events and self.now < last_s + 2 * self._budget_s:
             self.now, _, action = heapq.heappop(self._events)
             action()
             self._apply_effects()
@@ -217,7 +223,7 @@
         submission = dataclasses.replace(
             submission,
             age_s=submission.age_s + self.now - arrival.at_s,
-            budget_s=submission.budget_s - (self.now - arrival.at_s),
+            budget_s=self._budget_s - (self.now - arrival.at_s),
         )
         refused_by = self._refused_by.get(job_id, frozenset())
         loads_by_group = {
@@ -244,13 +250,20 @@
     def _try_another_group(self, group: str, answer: jobs.Answer) -> bool:
         """Send a refused job to another group; return whether there is one."""
         job_id = answer.job_id
-        if answer.reason is not jobs.Reason.NO_ROOM_IN_TIME:
+        if answer.outcome is not jobs.Outcome.REFUSED:
             return False
-        before = self._refused_by.get(job_id, frozenset())
-        self._refused_by[job_id] = before | {group}
-        if len(before) >= sharing.MAX_GROUP_RETRIES:
+        asked = self._refused_by.get(job_id, frozenset()) | {group}
+        self._refused_by[job_id] = asked
+        arrival = self.outcomes[job_id].arrival
+        if not group_retries.may_ask_another(
+            _build_submission(job_id, arrival),
+            answer.reason,
+            self.now - arrival.at_s,
+        ):
             return False
-        return self._forward(job_id, needs_room=bool(before))
+        return self._forward(
+            job_id, group_retries.needs_room(len(asked), answer.reason)
+        )
 
     def _apply(self, group: str, effect: tables.Effect) -> None:
         arrival_s = self.now + WORKER_LATENCY_S
--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -163,18 +163,18 @@
     layout: groups.Layout
 
 
-# Wire tags. Never reuse a tag for another message; 1, 2 and 8 are retired.
+# Wire tags. Never reuse a tag for another message; 1, 2, 8 and 9 are retired.
 TAGS = (
     (3, Cancel),
     (4, Answered),
     (5, NotOwner),
     (6, RequestConfiguration),
     (7, PushConfiguration),
-    (9, Submit),
     (10, RequestLayout),
     (11, PushLayout),
     (12, Release),
     (13, Heartbeat),
+    (14, Submit),
 )
 
 
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -11,6 +11,8 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.jobs import estimates
 from pollenladder.scheduling import admission
+from pollenladder.scheduling import arrivals
+from pollenladder.scheduling import delays
 from pollenladder.scheduling import forecast
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
@@ -65,9 +67,9 @@
     if reason is not None:
         _refuse(region, job, reason, MAX_RETRY_AFTER_S)
         return
-    wait_s, is_refused = _decide_admission(region, job, now)
-    if is_refused:
-        _refuse(region, job, jobs.Reason.NO_ROOM_IN_TIME, wait_s)
+    decision = _decide(region, job, now)
+    if not decision.is_admitted:
+        _refuse(region, job, jobs.Reason.NO_ROOM_IN_TIME, decision.wait_s)
         return
     region.jobs[job_id] = job
     region.waiting.add(job_id)
@@ -77,7 +79,7 @@
         queue=submission.queue,
         tasks=submission.tasks,
         expected_s=round(job.expected_s, 4),
-        wait_s=round(wait_s, 4),
+        wait_s=round(decision.wait_s, 4),
         latest_start_s=round(job.latest_start_at - now, 4),
         jobs=len(region.jobs),
     )
@@ -115,13 +117,11 @@
 
 
 def expire(region: tables.Region, now: float) -> None:
-    """End jobs that cannot be served in time, and delete old answers."""
+    """End jobs that are past their deadline, and delete old answers."""
     for job in list(region.jobs.values()):
         if now >= job.deadline_at:
             outcome = jobs.Outcome.GIVEN_UP
             end_job(region, job, outcome, jobs.Reason.DEADLINE, now)
-    if region.waiting:
-        _refuse_overdue_jobs(region, now)
     for job_id, until in list(region.refused_until.items()):
         if now >= until:
             del region.refused_until[job_id]
@@ -146,7 +146,7 @@
     region.waiting.discard(job_id)
     answer = jobs.Answer(job_id, outcome, reason, retry_after_s)
     if job.had_to_wait:
-        _record_wait(region, job, outcome, now)
+        _record_wait(region, job, outcome)
     if _is_repeatable(answer):
         region.answered[job_id] = (answer, now)
     # A lost gateway receives the answer of the owner that it forwarded the job
@@ -168,18 +168,16 @@
 
 
 def _record_wait(
-    region: tables.Region,
-    job: tables.Job,
-    outcome: jobs.Outcome,
-    now: float,
+    region: tables.Region, job: tables.Job, outcome: jobs.Outcome
 ) -> None:
     """Update the admission state with the outcome of a job that had to wait."""
-    if outcome in (jobs.Outcome.CANCELLED, jobs.Outcome.FAILED):
+    was_delayed = delays.was_delayed(job, outcome)
+    if was_delayed is None:
         return
-    if outcome is jobs.Outcome.COMPLETED and now <= job.objective_at:
-        admission.record_in_time(region.admission)
-    else:
+    if was_delayed:
         admission.record_late(region.admission)
+    else:
+        admission.record_in_time(region.admission)
 
 
 def _is_repeatable(answer: jobs.Answer) -> bool:
@@ -287,34 +285,12 @@
     return not region.is_worker_list_current and not region.workers
 
 
-def _decide_admission(
+def _decide(
     region: tables.Region, job: tables.Job, now: float
-) -> tuple[float, bool]:
-    """Decide whether to refuse a job for lack of capacity.
-
-    Returns:
-        Forecast wait in seconds, and whether the job is refused.
-    """
+) -> arrivals.Decision:
     if _awaits_first_worker_list(region):
-        return forecast.FIRST_POLL_S, False
-    wait_s = forecast.forecast_wait_s(region, job, now)
-    lateness = forecast.compute_lateness(job, wait_s, now)
-    state = region.admission
-    job.had_to_wait = wait_s > 0.0
-    if not job.had_to_wait:
-        admission.record_in_time(state)
-    queue = job.submission.queue
-    work = _compute_work(job)
-    is_late = lateness > admission.choose_max_lateness(state, queue, work)
-    is_refused = is_late and not job.submission.may_have_begun
-    admission.record_decision(state, queue, work, not is_refused)
-    return wait_s, is_refused
-
-
-def _compute_work(job: tables.Job) -> float:
-    """Return the expected work of a job, in core-seconds."""
-    cores = job.resources.cpu_milli / 1000
-    return len(job.tasks) * job.expected_s * cores
+        return arrivals.Decision(forecast.FIRST_POLL_S, is_admitted=True)
+    return arrivals.decide(region, job, now)
 
 
 def _refuse(
@@ -331,7 +307,7 @@
     if submission.may_have_begun or runs.has_runs(region, submission.job_id):
         outcome = jobs.Outcome.GIVEN_UP
     answer = jobs.Answer(
-        submission.job_id, outcome, reason, _bound_retry_after(wait_s)
+        submission.job_id, outcome, reason, bound_retry_after(wait_s)
     )
     region.effects.append(tables.AnswerJob(job.gateway_id, answer))
     if outcome is jobs.Outcome.REFUSED:
@@ -351,58 +327,15 @@
 
 
 def record_refusal(region: tables.Region, job: tables.Job) -> None:
-    """Remember that a refused job may run in another group from now on."""
-    if _has_other_groups(region, job):
+    """Record that a job that is refused here may run in another group."""
+    if region.service_shares.get(job.submission.service, 1.0) < 1.0:
         lease_s = region.max_lease_s * (1 + runs.MAX_CLOCK_DRIFT)
-        job_id = job.submission.job_id
-        region.refused_until[job_id] = job.deadline_at + lease_s
-
-
-def _has_other_groups(region: tables.Region, job: tables.Job) -> bool:
-    """Return whether a job that is refused here may go to another group."""
-    return region.service_shares.get(job.submission.service, 1.0) < 1.0
-
-
-def _refuse_overdue_jobs(region: tables.Region, now: float) -> None:
-    """Refuse the waiting jobs that can no longer be in time."""
-    overdue = [
-        region.jobs[job_id]
-        for job_id in region.waiting
-        if _is_overdue(region.jobs[job_id], now)
-    ]
-    for job in overdue:
-        wait_s = forecast.forecast_wait_s(region, job, now)
-        _refuse_after_wait(region, job, wait_s, now)
-
-
-def _is_overdue(job: tables.Job, now: float) -> bool:
-    return not job.has_begun and now > job.latest_start_at
-
-
-def _refuse_after_wait(
-    region: tables.Region, job: tables.Job, wait_s: float, now: float
-) -> None:
-    """Refuse an admitted job that has not begun here.
-
-    A job that may have begun elsewhere waits longer, until less than its
-    expected run time is left before the deadline, and is then given up.
-    """
-    outcome = jobs.Outcome.REFUSED
-    if job.submission.may_have_begun:
-        if now < job.deadline_at - job.expected_s:
-            return
-        outcome = jobs.Outcome.GIVEN_UP
-    end_job(
-        region,
-        job,
-        outcome,
-        jobs.Reason.WAITED_TOO_LONG,
-        now,
-        _bound_retry_after(wait_s),
-    )
+        until = job.deadline_at + lease_s
+        region.refused_until[job.submission.job_id] = until
 
 
-def _bound_retry_after(wait_s: float) -> float:
+def bound_retry_after(wait_s: float) -> float:
+    """Return a forecast wait within the bounds of a Retry-After."""
     if not math.isfinite(wait_s):
         return MAX_RETRY_AFTER_S
     return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -5,6 +5,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import displacement
 from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import placement
@@ -26,6 +27,7 @@
     """
     intake.expire(region, now)
     evacuation.end_unservable_jobs(region, now)
+    displacement.remove_late_jobs(region, now)
     _cancel_jobs_of_lost_gateways(region, now)
     for worker in list(region.workers.values()):
         _check_runs(region, worker, now)
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -43,6 +43,7 @@
         not_before: Monotonic time before which the task starts only if the runs
             of all workers are known. Another owner's run of the task may still
             be in progress on a worker that has not been polled.
+        has_started: Whether this owner has started a run of the task.
     """
 
     index: int
@@ -53,6 +54,7 @@
     took_s: float = 0.0
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
     not_before: float = 0.0
+    has_started: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +77,8 @@
         had_to_wait: Whether capacity for some task was lacking on arrival.
         list_needed_at: A task starts before its `not_before` only if the list
             of workers has been read since then.
+        last_first_start_at: When this owner last started the first run of one
+            of the tasks.
     """
 
     submission: job_entities.Submission
@@ -89,6 +93,7 @@
     has_begun: bool = False
     had_to_wait: bool = False
     list_needed_at: float = float("-inf")
+    last_first_start_at: float = float("-inf")
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
@@ -149,7 +154,14 @@
     fields: dict[str, object]
 
 
-Effect = StartRun | StopRun | LookNow | AnswerJob | LogEvent
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountDecision:
+    """Add one to the counter of a kind of decision."""
+
+    decision: str
+
+
+Effect = StartRun | StopRun | LookNow | AnswerJob | LogEvent | CountDecision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -311,6 +323,10 @@
         """Queue an event for the log."""
         self.effects.append(LogEvent(event, fields))
 
+    def count(self, decision: str) -> None:
+        """Queue the count of a kind of decision, for the metrics."""
+        self.effects.append(CountDecision(decision))
+
     def take_effects(self) -> list[Effect]:
         """Return and clear the effects decided on since the last call."""
         effects, self.effects = self.effects, []
--- a/pollenladder/service/job_exchange.py
+++ b/pollenladder/service/job_exchange.py
@@ -68,25 +68,47 @@
                 if self._membership.find_owner(name)
             ]
             return sharing.choose_first_group(submission.job_id, owned)
+        loads = self._list_loads(submission, excluded)
+        local = frozenset(
+            name
+            for name in loads
+            if layouts.get_data_centre(name) == self._own.data_centre
+        )
+        return sharing.choose_group(submission, loads, local, needs_room)
+
+    def find_room(
+        self, submission: jobs.Submission, asked: frozenset[str]
+    ) -> str:
+        """Return a group that reports room for a whole job, or "".
+
+        Args:
+            submission: The job.
+            asked: Groups that are returned only if no other group has room.
+        """
+        loads = self._list_loads(submission, frozenset())
+        roomy = sharing.list_with_room(submission, loads)
+        return min(roomy, key=lambda name: (name in asked, name), default="")
+
+    def _list_loads(
+        self, submission: jobs.Submission, excluded: frozenset[str]
+    ) -> dict[str, fleet.ServiceLoad]:
+        """Return the reported load of each group that may run a job.
+
+        Groups without an owner are left out.
+        """
+        unknown = fleet.ServiceLoad(0, 0, 0.0)
         loads = {}
         for name in self._groups.groups.keys() - excluded:
-            state = self._membership.get_group_state(name)
             # The group of a whole region has no data centre. Its owner decides.
             data_centre = layouts.get_data_centre(name)
             if data_centre and not self._regions.allow(
                 submission.allowed_regions, data_centre
             ):
                 continue
+            state = self._membership.get_group_state(name)
             if state is not None:
-                loads[name] = state.loads.get(
-                    submission.service, fleet.ServiceLoad(0, 0, 0.0)
-                )
-        local = frozenset(
-            name
-            for name in loads
-            if layouts.get_data_centre(name) == self._own.data_centre
-        )
-        return sharing.choose_group(submission, loads, local, needs_room)
+                loads[name] = state.loads.get(submission.service, unknown)
+        return loads
 
     def submit(
         self, daemon_id: str, group: str, submission: jobs.Submission
--- a/pollenladder/service/meters.py
+++ b/pollenladder/service/meters.py
@@ -26,6 +26,7 @@
         http_connections: The number of open connections of callers.
         connections_refused: Connections of callers beyond the limit.
         evacuated_data_centres: The number of data centres out of use.
+        refused_with_room: Jobs refused while a group reported room for them.
     """
 
     def __init__(self):
@@ -45,6 +46,17 @@
             "Data centres that operators have taken out of use.",
             registry=self.registry,
         )
+        self.refused_with_room = prometheus_client.Counter(
+            "pollenladder_jobs_refused_with_room",
+            "Jobs refused while a group reported room for the whole job.",
+            registry=self.registry,
+        )
+        self._decisions = prometheus_client.Counter(
+            "pollenladder_overload_decisions",
+            "Jobs displaced or deferred by an owner for lack of capacity.",
+            ("decision",),
+            registry=self.registry,
+        )
         self._jobs = prometheus_client.Counter(
             "pollenladder_jobs",
             "Jobs answered.",
@@ -59,6 +71,10 @@
         )
         self._counters: dict[tuple[str, str], prometheus_client.Counter] = {}
 
+    def count_decision(self, decision: str) -> None:
+        """Count a decision of an owner under overload."""
+        self._decisions.labels(decision).inc()
+
     def count_job(self, answer: jobs.Answer, took_s: float) -> None:
         """Count an answered job and record its response time, in seconds."""
         labels = (answer.outcome.value, answer.reason.value)
--- a/tests/service/test_evacuations.py
+++ b/tests/service/test_evacuations.py
@@ -230,6 +230,7 @@
                 answer=lambda gateway_id, answer: answers.append(answer),
                 on_fenced=lambda worker_id: None,
                 get_lag_s=lambda: 0.0,
+                count=lambda decision: None,
             ),
             lambda: 100.0,
             evacuations=known,
