Emulate worker speeds, long tails and waves of load

Cause: workers of different speed, jobs that take many times as long as declared, and a load that rises and falls could not be emulated.

--- a/bench/commands/emulate.py
+++ b/bench/commands/emulate.py
@@ -8,9 +8,22 @@
 from bench.emulator import loads
 from bench.emulator import simulations
 from bench.emulator import tallies
+from pollenladder.scheduling import features
 
 LENGTH_S = 30.0
 WORKERS = 24
+LARGE_FAST = "large-fast"
+SPEEDS = {
+    "equal": (1.0, 1.0, 1.0),
+    "mixed": (0.7, 0.7, 1.7),
+    LARGE_FAST: (0.7, 0.7, 1.7),
+    "mild": (0.8, 1.0, 1.25),
+}
+TAILS = {
+    "none": None,
+    "jobs": loads.Tail(0.03, 7.0),
+    "tasks": loads.Tail(0.03, 7.0, is_by_task=True),
+}
 FAULTS = {
     "none": (),
     "hang": (simulations.Faults(8.0, 13.0, 3, hangs=True),),
@@ -26,6 +39,30 @@
     parser.add_argument("--groups", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=2)
     parser.add_argument("--faults", choices=FAULTS, default="none")
+    parser.add_argument(
+        "--speeds",
+        choices=SPEEDS,
+        default="equal",
+        help="mixed: speeds of 0.7, 0.7 and 1.7, independent of size; "
+        "large-fast: the large workers are the fast ones; "
+        "mild: speeds of 0.8, 1.0 and 1.25",
+    )
+    parser.add_argument(
+        "--tail",
+        choices=TAILS,
+        default="none",
+        help="3%% of the jobs, or of the tasks, take 7 times as long",
+    )
+    parser.add_argument(
+        "--wave",
+        type=float,
+        nargs=2,
+        metavar=("SWING", "PERIOD_S"),
+        help="let the load rise and fall by a share, with a period",
+    )
+    parser.add_argument(
+        "--disable", nargs="+", default=[], choices=features.NAMES
+    )
     parser.add_argument("--record", type=pathlib.Path, metavar="FILE")
     parser.add_argument("--replay", type=pathlib.Path, metavar="FILE")
 
@@ -35,8 +72,8 @@
     result = {}
     for load in options.load:
         began_s = time.process_time()
-        outcomes = _play(options, load)
-        result[str(load)] = _describe(outcomes, began_s)
+        simulated = _play(options, load)
+        result[str(load)] = _describe(simulated, began_s)
     report = reports.Report(options.out, "emulate", "Emulated loads", result)
     columns = ("load", *next(iter(result.values())))
     rows = [(load, *row.values()) for load, row in result.items()]
@@ -46,26 +83,44 @@
 
 def _play(
     options: argparse.Namespace, load: float
-) -> list[simulations.Outcome]:
+) -> list[simulations.Simulation]:
     """Play one load with each seed, or a recorded one once."""
-    outcomes = []
+    simulated = []
+    tail = TAILS[options.tail]
+    wave = loads.Wave(*options.wave) if options.wave else None
+    switched = features.switch_off(options.disable)
     seeds = range(1) if options.replay else range(options.seeds)
     for seed in seeds:
-        arrivals = list(loads.draw(load, LENGTH_S, seed))
+        arrivals = list(loads.draw(load, LENGTH_S, seed, (), wave, tail))
         if options.replay:
             arrivals = list(loads.read(options.replay))
         if options.record:
             loads.write(options.record, arrivals)
         simulation = simulations.Simulation(
-            options.workers, FAULTS[options.faults], options.groups
+            options.workers,
+            FAULTS[options.faults],
+            options.groups,
+            _list_speeds(options.speeds, options.workers),
         )
-        outcomes += simulation.run(arrivals)
-    return outcomes
+        for region in simulation.regions.values():
+            region.features = switched
+        simulation.run(arrivals)
+        simulated.append(simulation)
+    return simulated
+
+
+def _list_speeds(choice: str, workers: int) -> tuple[float, ...]:
+    """Return the speed of each worker; every third worker is a large one."""
+    speeds = SPEEDS[choice]
+    if choice == LARGE_FAST:
+        return tuple(speeds[index % 3] for index in range(workers))
+    return tuple(speeds[index // 3 % 3] for index in range(workers))
 
 
 def _describe(
-    outcomes: list[simulations.Outcome], began_s: float
+    simulated: list[simulations.Simulation], began_s: float
 ) -> dict[str, object]:
+    outcomes = [o for s in simulated for o in s.outcomes.values()]
     tally = tallies.count(outcomes)
     return {
         "jobs": len(outcomes),
@@ -75,5 +130,7 @@
         "refused": round(tally.refused, 3),
         "late": round(tally.late, 3),
         "refusal_p99_ms": round(1000 * tally.refusal_p99_s),
+        "moved": sum(s.moved_runs for s in simulated),
+        "disturbed": sum(s.disturbed_runs for s in simulated),
         "processor_s": round(time.process_time() - began_s, 2),
     }
--- a/bench/emulator/loads.py
+++ b/bench/emulator/loads.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 import dataclasses
 import json
+import math
 import pathlib
 import random
 
@@ -31,6 +32,38 @@
     priority: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Tail:
+    """Tasks that take many times as long as declared.
+
+    Attributes:
+        share: Share of the jobs, or of the tasks.
+        factor: Factor on the run time.
+        is_by_task: Whether single tasks are long, instead of whole jobs.
+    """
+
+    share: float
+    factor: float
+    is_by_task: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Wave:
+    """A load that rises and falls as a sine.
+
+    Attributes:
+        swing: Largest deviation from the mean, as a share of it.
+        period_s: Period in seconds.
+    """
+
+    swing: float
+    period_s: float
+
+    def get_factor(self, at_s: float) -> float:
+        """Return the factor on the mean load."""
+        return 1.0 + self.swing * math.sin(2 * math.pi * at_s / self.period_s)
+
+
 @dataclasses.dataclass(frozen=True)
 class Arrival:
     """A job and its submission time.
@@ -71,6 +104,8 @@
     length_s: float,
     seed: int,
     bursts: tuple[tuple[float, float, float], ...] = (),
+    wave: Wave | None = None,
+    tail: Tail | None = None,
 ) -> Iterator[Arrival]:
     """Generate random arrivals in order of time.
 
@@ -80,20 +115,41 @@
         seed: Seed of the random number generator.
         bursts: Begin and end of each burst, in seconds, and its factor on the
             rates.
+        wave: Variation of the rates over time.
+        tail: Tasks that take many times as long as declared.
     """
     generator = random.Random(seed)
     arrivals = []
     for kind in REQUEST_KINDS:
         at_s = 0.0
         while True:
-            factor = load
+            factor = load * (wave.get_factor(at_s) if wave else 1.0)
             for begin_s, end_s, burst_factor in bursts:
                 factor *= burst_factor if begin_s <= at_s < end_s else 1.0
             at_s += generator.expovariate(kind.per_s * factor)
             if at_s > length_s:
                 break
             arrivals.append(_draw_job(generator, kind, at_s))
-    yield from sorted(arrivals, key=lambda arrival: arrival.at_s)
+    arrivals.sort(key=lambda arrival: arrival.at_s)
+    if tail is not None:
+        # Drawn separately, so that all else equals the load without a tail.
+        generator = random.Random(f"tail {seed}")
+        arrivals = [_lengthen(generator, a, tail) for a in arrivals]
+    yield from arrivals
+
+
+def _lengthen(
+    generator: random.Random, arrival: Arrival, tail: Tail
+) -> Arrival:
+    """Return a job of which all or single tasks may be long."""
+    draws = [generator.random() for _ in arrival.runs_s]
+    if not tail.is_by_task:
+        draws = draws[:1] * len(draws)
+    runs_s = tuple(
+        run_s * (tail.factor if draw < tail.share else 1.0)
+        for run_s, draw in zip(arrival.runs_s, draws, strict=True)
+    )
+    return dataclasses.replace(arrival, runs_s=runs_s)
 
 
 def _draw_job(generator: random.Random, kind: Kind, at_s: float) -> Arrival:
--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import heapq
 import itertools
@@ -109,10 +110,16 @@
         region: The tables of the first group's owner.
         outcomes: Results by job id.
         started_job_ids: Ids of the jobs of which any task was started.
+        moved_runs: Number of runs that were stopped as stalled.
+        disturbed_runs: Number of runs that started on a faulty worker.
     """
 
     def __init__(
-        self, workers: int, faults: Iterable[Faults] = (), groups: int = 1
+        self,
+        workers: int,
+        faults: Iterable[Faults] = (),
+        groups: int = 1,
+        speeds: Sequence[float] = (),
     ):
         self.now = 0.0
         self.regions = {
@@ -124,6 +131,9 @@
         self._refused_by: dict[str, frozenset[str]] = {}
         self.outcomes: dict[str, Outcome] = {}
         self.started_job_ids: set[str] = set()
+        self.moved_runs = 0
+        self.disturbed_runs = 0
+        self._speeds = tuple(speeds) or (1.0,) * workers
         self._faults = tuple(faults)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
@@ -262,9 +272,9 @@
             self._schedule(arrival_s, lambda: self._stop(effect))
         elif isinstance(effect, tables.LookNow):
             self._schedule(arrival_s, lambda: self._poll(effect.worker_id))
-        elif isinstance(effect, tables.AnswerJob):
-            if self._try_another_group(group, effect.answer):
-                return
+        elif isinstance(effect, tables.LogEvent):
+            self.moved_runs += effect.event == "run_moved"
+        elif not self._try_another_group(group, effect.answer):
             outcome = self.outcomes[effect.answer.job_id]
             if outcome.outcome is None:
                 outcome.outcome = effect.answer.outcome
@@ -275,7 +285,9 @@
         job_id, _, _, index = order.task.split(".")
         self.started_job_ids.add(job_id)
         run_s = self.outcomes[job_id].arrival.runs_s[int(index)]
+        run_s /= self._speeds[int(order.worker_id[1:])]
         fault = self._find_fault(order.worker_id)
+        self.disturbed_runs += fault is not None
         run = _Run(
             order,
             self.now,
