Learn the speeds of workers and correct siblings by them

Cause: a run on a worker of speed 0.7 takes 2.4 times as long as its siblings on one of speed 1.7, which is above the limit for a stall (2.2). Healthy runs were stopped and their workers quarantined. Change: fleet.speeds estimates the speed of each worker from completed jobs. Stalls, health, expected run times and the bias of declared run times are corrected by it. Nothing changes with the feature `speeds` off.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -222,6 +222,19 @@
     failed_jobs: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class SpeedEstimate:
+    """The estimated speed of a worker; see `speeds`.
+
+    Attributes:
+        log_speed: Natural logarithm of the speed.
+        evidence: Amount of evidence, in comparisons with siblings.
+    """
+
+    log_speed: float = 0.0
+    evidence: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Worker:
     """A worker as its owner sees it.
@@ -247,6 +260,7 @@
             negative.
         runs: Runs by task name.
         health: Health derived from the results of the runs.
+        speed: Speed derived from the run times.
     """
 
     listing: Listing
@@ -264,6 +278,7 @@
     free: jobs.Resources = jobs.Resources()
     runs: dict[str, Run] = dataclasses.field(default_factory=dict)
     health: Health = dataclasses.field(default_factory=Health)
+    speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
 
     def __post_init__(self):
         self.free = self.listing.capacity
@@ -271,6 +286,9 @@
     def update_listing(self, listing: Listing) -> None:
         """Replace the worker's entry and adjust its free capacity."""
         gained = listing.capacity.subtract(self.listing.capacity)
+        if listing.capacity != self.listing.capacity:
+            # Another machine, or another share of one.
+            self.speed = SpeedEstimate()
         self.listing = listing
         self.free = self.free.add(gained)
 
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -175,7 +175,7 @@
         resources=job.resources,
         state=fleet.RunState.STARTING,
         sent_at=now,
-        expected_s=job.expected_s,
+        expected_s=job.expected_s / region.get_speed(worker.listing.worker_id),
     )
     region.add_run(worker, run)
     task.state = tables.TaskState.PLACED
--- a/pollenladder/scheduling/progress.py
+++ b/pollenladder/scheduling/progress.py
@@ -30,9 +30,10 @@
 def predict_by_siblings_s(
     region: tables.Region, job: tables.Job, worker_id: str = ""
 ) -> float | None:
-    """Return the median run time of a job's tasks, in seconds.
+    """Return the median run time of a job's tasks on an average worker.
 
-    Includes completed tasks and running tasks with enough progress.
+    Includes completed tasks and running tasks with enough progress, each
+    corrected by the speed of its worker.
 
     Args:
         region: The region.
@@ -46,13 +47,14 @@
     for task in job.tasks:
         if task.worker_id == worker_id and worker_id:
             continue
+        speed = region.get_speed(task.worker_id)
         if task.took_s:
-            totals.append(task.took_s)
+            totals.append(task.took_s * speed)
             continue
         run = find_run(region, job, task)
         total_s = predict_total_s(run) if run else None
         if total_s is not None:
-            totals.append(total_s)
+            totals.append(total_s * speed)
     return statistics.median(totals) if totals else None
 
 
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -8,6 +8,7 @@
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
+from pollenladder.scheduling import speed_learning
 from pollenladder.scheduling import stalls
 from pollenladder.scheduling import tables
 
@@ -257,10 +258,11 @@
             region.estimates,
             job.submission.queue,
             job.submission.estimate_s,
-            measured_s,
+            measured_s * region.get_speed(run.worker_id),
         )
     task.state = tables.TaskState.DONE
     task.took_s = measured_s
+    speed_learning.record_job(region, job)
     intake.finish_if_complete(region, job, now)
 
 
@@ -275,9 +277,11 @@
     """Update a worker's health with the run time of a completed run.
 
     The run is compared with runs of the same job on other workers, or with the
-    expected run time if there are none.
+    expected run time if there are none. Both are corrected by the speed of the
+    worker.
     """
     usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
+    usual_s = usual_s / region.get_speed(run.worker_id) if usual_s else None
     usual_s = usual_s or run.expected_s
     slowness = measured_s / usual_s if usual_s else 1.0
     health.record_success(worker.health, slowness, now)
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -99,7 +99,7 @@
         return False
     task.next_run = max(task.next_run, run.number + 1)
     run.is_orphan = False
-    run.expected_s = job.expected_s
+    run.expected_s = job.expected_s / region.get_speed(run.worker_id)
     _reserve_resources(region, job, run)
     task.state = tables.TaskState.PLACED
     task.worker_id = run.worker_id
--- a/pollenladder/scheduling/stalls.py
+++ b/pollenladder/scheduling/stalls.py
@@ -69,8 +69,9 @@
         return 0.0
     usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
     limit = SIBLING_FACTOR if usual_s else DECLARED_FACTOR
-    usual_s = usual_s or job.expected_s
-    if elapsed_s < 0.5 * usual_s:
+    new_run_s = usual_s or job.expected_s
+    usual_s = new_run_s / region.get_speed(run.worker_id)
+    if elapsed_s < 0.5 * new_run_s:
         return 0.0
     total_s = progress.predict_total_s(run)
     if total_s is None:
@@ -78,7 +79,7 @@
         # that it has just reached this percentage.
         total_s = 100.0 / progress.MIN_PERCENT * elapsed_s
     remaining_s = total_s - elapsed_s
-    if remaining_s < usual_s + MOVE_COST_S:
+    if remaining_s < new_run_s + MOVE_COST_S:
         return 0.0
     return total_s / usual_s / limit
 
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -4,6 +4,7 @@
 import enum
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import speeds
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
 from pollenladder.scheduling import admission as job_admission
@@ -201,6 +202,8 @@
             job id.
         estimates: Bias of declared run times.
         admission: State of admission control.
+        jobs_until_centred: Number of completed jobs after which the speeds of
+            workers are centred again.
         effects: Effects that have not been carried out yet.
     """
 
@@ -241,6 +244,7 @@
     admission: job_admission.AdmissionState = dataclasses.field(
         default_factory=job_admission.AdmissionState
     )
+    jobs_until_centred: int = 0
     effects: list[Effect] = dataclasses.field(default_factory=list)
 
     def is_awaiting_worker_list(self, now: float) -> bool:
@@ -249,6 +253,13 @@
             not self.is_worker_list_current and now < self.worker_list_deadline
         )
 
+    def get_speed(self, worker_id: str) -> float:
+        """Return the speed of a worker; 1.0 if it is not known."""
+        worker = self.workers.get(worker_id)
+        if worker is None or not self.features.speeds:
+            return 1.0
+        return speeds.get_speed(worker.speed)
+
     def add_worker(self, worker: fleet.Worker) -> None:
         """Add a worker."""
         self.workers[worker.listing.worker_id] = worker
