Place a task on a worker that is fast enough for it

Cause: with speeds of 0.7 and 1.7, a long job was placed by best fit on a slow worker, where it ended after its objective or its caller's deadline. Change: scheduling.speed_matching computes the speed that a task needs; a worker that lacks some of it costs more than any free capacity. Equal workers have no such cost.

--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -17,6 +17,7 @@
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import runs
+from pollenladder.scheduling import speed_matching
 from pollenladder.scheduling import tables
 
 # Cost of a worker's slowness, in thousandths of a core per unit of
@@ -137,11 +138,14 @@
     """Return the worker with the lowest cost for a task, or None."""
     best = None
     best_cost = float("inf")
+    needed_speed = speed_matching.compute_needed_speed(region, job, now)
     for worker in iterate_candidates(region, job, now):
         if worker.free.cpu_milli >= best_cost:
             # The cost is at least the free CPU, which only grows from here.
             break
+        speed = region.get_speed(worker.listing.worker_id)
         cost = _compute_cost(worker, task)
+        cost += speed_matching.compute_cost(needed_speed, speed)
         if cost < best_cost:
             best, best_cost = worker, cost
     return best
--- a/pollenladder/scheduling/speed_learning.py
+++ b/pollenladder/scheduling/speed_learning.py
@@ -76,3 +76,7 @@
         by_service.setdefault(worker.listing.service, []).append(worker.speed)
     for estimates in by_service.values():
         speeds.centre(estimates)
+    region.fastest_speed = max(
+        (region.get_speed(worker_id) for worker_id in region.workers),
+        default=1.0,
+    )
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -204,6 +204,8 @@
         admission: State of admission control.
         jobs_until_centred: Number of completed jobs after which the speeds of
             workers are centred again.
+        fastest_speed: Speed of the fastest worker when speeds were last
+            centred.
         effects: Effects that have not been carried out yet.
     """
 
@@ -245,6 +247,7 @@
         default_factory=job_admission.AdmissionState
     )
     jobs_until_centred: int = 0
+    fastest_speed: float = 1.0
     effects: list[Effect] = dataclasses.field(default_factory=list)
 
     def is_awaiting_worker_list(self, now: float) -> bool:
