--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -225,6 +225,19 @@
     failed_jobs: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(slots=True)
+class SpeedEstimate:
+    """The estimated speed of a worker; see `speeds`.
+
+    Attributes:
+        log_speed: Natural logarithm of the speed.
+        evidence: Amount of evidence, in comparisons with siblings.
+    """
+
+    log_speed: float = 0.0
+    evidence: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Worker:
     """A worker as its owner sees it.
@@ -254,6 +267,7 @@
         warm_at: Monotonic time until which the worker is cold; see `warmup`.
         cold_start_s: For how long the workers of the service are cold after
             their start, in seconds; 0 if there is no limit.
+        speed: Speed derived from the run times.
     """
 
     listing: Listing
@@ -274,6 +288,7 @@
     is_evacuated: bool = False
     warm_at: float = float("-inf")
     cold_start_s: float = 0.0
+    speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
 
     def __post_init__(self):
         self.free = self.listing.capacity
@@ -281,6 +296,9 @@
     def update_listing(self, listing: Listing) -> None:
         """Replace the worker's entry and adjust its free capacity."""
         gained = listing.capacity.subtract(self.listing.capacity)
+        if listing.capacity != self.listing.capacity:
+            # Another machine, or another share of one.
+            self.speed = SpeedEstimate()
         self.listing = listing
         self.free = self.free.add(gained)
 
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -6,6 +6,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import evacuations as fleet_evacuations
 from pollenladder.fleet import regions as fleet_regions
+from pollenladder.fleet import speeds
 from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
@@ -220,6 +221,10 @@
             job id.
         estimates: Bias of declared run times.
         admission: State of admission control.
+        jobs_until_centred: Number of completed jobs after which the speeds of
+            workers are centred again.
+        fastest_speed: Speed of the fastest worker when speeds were last
+            centred.
         effects: Effects that have not been carried out yet.
         evacuations: The data centres that are taken out of use.
         evacuated_services: The services whose listed workers are all in
@@ -270,6 +275,8 @@
     admission: job_admission.AdmissionState = dataclasses.field(
         default_factory=job_admission.AdmissionState
     )
+    jobs_until_centred: int = 0
+    fastest_speed: float = 1.0
     effects: list[Effect] = dataclasses.field(default_factory=list)
     evacuations: fleet_evacuations.Evacuations = dataclasses.field(
         default_factory=fleet_evacuations.Evacuations
@@ -284,6 +291,13 @@
             not self.is_worker_list_current and now < self.worker_list_deadline
         )
 
+    def get_speed(self, worker_id: str) -> float:
+        """Return the speed of a worker; 1.0 if it is not known."""
+        worker = self.workers.get(worker_id)
+        if worker is None or not self.features.speeds:
+            return 1.0
+        return speeds.get_speed(worker.speed)
+
     def add_worker(self, worker: fleet.Worker) -> None:
         """Add a worker."""
         self.workers[worker.listing.worker_id] = worker
