Serve jobs late where no group can serve them in time

Cause: a caller that is refused cannot come back within its deadline, as Retry-After is in whole seconds; a response that is late but before the deadline serves it better. Change: scheduling.deferral. Once no group reports room, the gateway asks one more group, with Submission.may_be_late set; it may defer the job: behind all jobs that can be in time, as a whole, with 15% of the capacity left free, tasks up to 0.3 s, and only if it should end before the deadline and three times its objective. Its wait is limited by pressure. A region of one group defers nothing. The tag of Submit is 15 now; 9 is retired. Event job_deferred, decision deferred of the counter.

--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -154,7 +154,7 @@
     layout: groups.Layout
 
 
-# Wire tags. Never reuse a tag for another message; 1 and 2 are retired.
+# Wire tags. Never reuse a tag for another message; 1, 2 and 9 are retired.
 TAGS = (
     (3, Cancel),
     (4, Answered),
@@ -162,10 +162,10 @@
     (6, RequestConfiguration),
     (7, PushConfiguration),
     (8, Heartbeat),
-    (9, Submit),
     (10, RequestLayout),
     (11, PushLayout),
     (12, Release),
+    (15, Submit),
 )
 
 
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -136,6 +136,8 @@
             numbers that earlier owners may have used.
         may_run_elsewhere: Whether workers of another group may still run tasks
             of the job.
+        may_be_late: Whether no other group can serve the job in time, so that it
+            may be served late.
     """
 
     job_id: str
@@ -156,6 +158,7 @@
     may_have_begun: bool
     first_run: int
     may_run_elsewhere: bool = False
+    may_be_late: bool = False
 
 
 class Outcome(enum.Enum):
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -345,6 +345,12 @@
         "a waiting job can no longer start in time, and leaves the queue early",
         ("job", "queue", "wait_s", "left_s"),
     ),
+    Event(
+        "job_deferred",
+        Kind.JOB,
+        "the job can't be in time and is served late, on capacity left over",
+        ("job", "queue", "wait_s", "latest_start_s"),
+    ),
     Event(
         "job_rejected",
         Kind.JOB,
--- a/pollenladder/scheduling/arrivals.py
+++ b/pollenladder/scheduling/arrivals.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from pollenladder.scheduling import admission
+from pollenladder.scheduling import deferral
 from pollenladder.scheduling import forecast
 from pollenladder.scheduling import tables
 
@@ -20,7 +21,7 @@
 
     Attributes:
         wait_s: Forecast time until its last task starts, in seconds.
-        is_admitted: Whether the job is admitted.
+        is_admitted: Whether the job is admitted, possibly as a deferred one.
     """
 
     wait_s: float
@@ -46,7 +47,28 @@
     # A job that may have begun is never refused as not run.
     is_admitted = lateness <= limit or job.submission.may_have_begun
     admission.record_decision(state, queue, work, is_admitted)
-    return Decision(wait_s, is_admitted)
+    if is_admitted or not deferral.may_be_deferred(job):
+        return Decision(wait_s, is_admitted)
+    return _decide_deferral(region, job, wait_s, now)
+
+
+def _decide_deferral(
+    region: tables.Region, job: tables.Job, wait_s: float, now: float
+) -> Decision:
+    """Decide on a job that cannot be in time.
+
+    Args:
+        region: The region.
+        job: The job. It is marked as deferred if it is admitted.
+        wait_s: Forecast wait if it were not deferred.
+        now: Monotonic time in seconds.
+    """
+    job.is_deferred = True
+    deferred_wait_s = forecast.forecast_wait_s(region, job, now)
+    if deferral.is_worthwhile(region, job, deferred_wait_s, now):
+        return Decision(deferred_wait_s, is_admitted=True)
+    job.is_deferred = False
+    return Decision(wait_s, is_admitted=False)
 
 
 def _compute_work(job: tables.Job) -> float:
--- a/pollenladder/scheduling/delays.py
+++ b/pollenladder/scheduling/delays.py
@@ -29,11 +29,15 @@
         outcome: How it ended.
 
     Returns:
-        None if the outcome does not tell: the job was cancelled or failed, or
+        None if the outcome does not tell: the job was deferred, which was
+        decided when it could not start in time, it was cancelled or failed, or
         some of its tasks were held back because an earlier owner may have
         started them.
     """
-    if outcome in (jobs.Outcome.CANCELLED, jobs.Outcome.FAILED):
+    if job.is_deferred or outcome in (
+        jobs.Outcome.CANCELLED,
+        jobs.Outcome.FAILED,
+    ):
         return None
     if not _have_all_started(job):
         return None if job.submission.may_have_begun else True
--- a/pollenladder/scheduling/displacement.py
+++ b/pollenladder/scheduling/displacement.py
@@ -10,9 +10,10 @@
 import heapq
 
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import admission
+from pollenladder.scheduling import deferral
 from pollenladder.scheduling import forecast
 from pollenladder.scheduling import intake
-from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
@@ -33,7 +34,7 @@
     if not region.waiting:
         return
     waiting = [region.jobs[job_id] for job_id in region.waiting]
-    overdue = [job for job in waiting if _is_overdue(job, now)]
+    overdue = [job for job in waiting if _is_overdue(region, job, now)]
     for job in overdue:
         wait_s = forecast.forecast_wait_s(region, job, now)
         _refuse(region, job, wait_s, now)
@@ -43,12 +44,19 @@
     for job in heapq.nsmallest(
         MAX_CHECKS, candidates, key=lambda job: job.latest_start_at
     ):
-        if not _is_overdue(job, now):
+        if _is_overdue(region, job, now):
+            continue
+        if job.is_deferred:
+            _check_deferred(region, job, now)
+        else:
             _check_displacement(region, job, now)
 
 
-def _is_overdue(job: tables.Job, now: float) -> bool:
-    return not job.has_begun and now > job.latest_start_at
+def _is_overdue(region: tables.Region, job: tables.Job, now: float) -> bool:
+    latest_start_at = job.latest_start_at
+    if job.is_deferred:
+        latest_start_at = deferral.get_latest_start(region, job)
+    return not job.has_begun and now > latest_start_at
 
 
 def _may_be_displaced(region: tables.Region, job: tables.Job) -> bool:
@@ -60,6 +68,13 @@
     )
 
 
+def _check_deferred(region: tables.Region, job: tables.Job, now: float) -> None:
+    """Refuse a deferred job once its result would come too late."""
+    wait_s = forecast.forecast_wait_s(region, job, now)
+    if forecast.NEVER_S > wait_s > deferral.get_latest_start(region, job) - now:
+        _refuse(region, job, wait_s, now)
+
+
 def _choose_max_lateness(region: tables.Region) -> float:
     strictness = min(1.0, region.admission.pressure / FULL_PRESSURE)
     return RELAXED_LATENESS + strictness * (STRICT_LATENESS - RELAXED_LATENESS)
@@ -81,7 +96,24 @@
         left_s=round(job.latest_start_at - now, 4),
     )
     region.count("displaced")
-    _refuse(region, job, wait_s, now)
+    if not _defer(region, job, now):
+        _refuse(region, job, wait_s, now)
+
+
+def _defer(region: tables.Region, job: tables.Job, now: float) -> bool:
+    """Defer a displaced job if that is worthwhile; return whether it was."""
+    if not deferral.may_be_deferred(job):
+        return False
+    forecast.remove_job(region, job)
+    job.is_deferred = True
+    wait_s = forecast.forecast_wait_s(region, job, now)
+    if not deferral.is_worthwhile(region, job, wait_s, now):
+        job.is_deferred = False
+        return False
+    forecast.add_admitted_job(region, job, now)
+    admission.record_late(region.admission)
+    deferral.record(region, job, wait_s, now)
+    return True
 
 
 def _refuse(
@@ -97,10 +129,7 @@
         if now < job.deadline_at - job.expected_s:
             return
         outcome = jobs.Outcome.GIVEN_UP
-    urgency = placement.get_urgency(job)
-    tasks = len(job.list_waiting_tasks())
-    for found in region.start_forecasts.values():
-        found.remove_job(urgency, tasks)
+    forecast.remove_job(region, job)
     intake.end_job(
         region,
         job,
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -80,6 +80,15 @@
             _add_job(region, forecast, job, now)
 
 
+def remove_job(region: tables.Region, job: tables.Job) -> None:
+    """Remove a job that leaves the queue from the current forecasts."""
+    urgency = placement.get_urgency(job)
+    tasks = len(job.list_waiting_tasks())
+    for (service, _), forecast in region.start_forecasts.items():
+        if service == job.submission.service:
+            forecast.remove_job(urgency, tasks)
+
+
 def _get_forecast(
     region: tables.Region, job: tables.Job, now: float
 ) -> start_forecasts.StartForecast:
--- a/pollenladder/scheduling/free_capacity.py
+++ b/pollenladder/scheduling/free_capacity.py
@@ -16,6 +16,9 @@
     def __init__(self):
         self._sorted: dict[str, list[tuple[int, str]]] = {}
         self._entries: dict[str, tuple[str, int]] = {}
+        self._capacities: dict[str, int] = {}
+        # Sums of free CPU and of CPU capacity, by service.
+        self._totals: dict[str, tuple[int, int]] = {}
 
     def update(self, worker: fleet.Worker) -> None:
         """Update a worker's entry; unlisted and draining workers have none."""
@@ -24,10 +27,16 @@
             self.remove(worker_id)
             return
         entry = (worker.listing.service, worker.free.cpu_milli)
-        if self._entries.get(worker_id) == entry:
+        capacity_milli = worker.listing.capacity.cpu_milli
+        if (
+            self._entries.get(worker_id) == entry
+            and self._capacities[worker_id] == capacity_milli
+        ):
             return
         self.remove(worker_id)
         self._entries[worker_id] = entry
+        self._capacities[worker_id] = capacity_milli
+        self._add(worker.listing.service, worker.free.cpu_milli, capacity_milli)
         service, cpu_milli = entry
         order = self._sorted.setdefault(service, [])
         bisect.insort(order, (cpu_milli, worker_id))
@@ -38,9 +47,18 @@
         if entry is None:
             return
         service, cpu_milli = entry
+        self._add(service, -cpu_milli, -self._capacities.pop(worker_id))
         order = self._sorted[service]
         del order[bisect.bisect_left(order, (cpu_milli, worker_id))]
 
+    def _add(self, service: str, free_milli: int, capacity_milli: int) -> None:
+        free, capacity = self._totals.get(service, (0, 0))
+        self._totals[service] = (free + free_milli, capacity + capacity_milli)
+
+    def get_totals(self, service: str) -> tuple[int, int]:
+        """Return a service's free CPU and CPU capacity on all workers."""
+        return self._totals.get(service, (0, 0))
+
     def get_largest(self) -> dict[str, int]:
         """Return the largest free CPU of any worker, by service."""
         return {
--- a/pollenladder/scheduling/group_retries.py
+++ b/pollenladder/scheduling/group_retries.py
@@ -4,10 +4,15 @@
 two more groups, the first of them without room, and answered refusals while a group
 that was never asked had idle workers. A gateway therefore continues as long as a
 report shows room for the whole job, asks each group at most once, and stops when
-the job can no longer be in time.
+the job can no longer be in time. The gateway knows neither the bias of declared run
+times nor the number of waves that a wide job may take, so the owner still decides.
 """
 
+from collections.abc import Callable
+import dataclasses
+
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import deferral
 
 # A refusal for one of these reasons may not apply to another group.
 REASONS = (
@@ -18,39 +23,50 @@
 )
 
 
-def may_ask_another(
-    submission: jobs.Submission, reason: jobs.Reason, age_s: float
-) -> bool:
-    """Return whether another group may still serve a job that was refused.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """The group that is asked next.
 
-    Args:
-        submission: The job.
-        reason: The reason of the last refusal.
-        age_s: Time since the job arrived, in seconds.
+    Attributes:
+        group: The group, or "" if the refusal is final.
+        may_be_late: Whether no group reports room, so that the job may be served
+            late there.
     """
-    return reason in REASONS and age_s <= _compute_latest_start_s(submission)
+
+    group: str
+    may_be_late: bool
 
 
-def needs_room(groups_asked: int, reason: jobs.Reason) -> bool:
-    """Return whether only a group that reports room may be asked next.
+def choose_next(
+    submission: jobs.Submission,
+    reason: jobs.Reason,
+    age_s: float,
+    choose_group: Callable[[bool], str],
+) -> Choice:
+    """Return the group to ask after a refusal.
 
-    The second group may be one without room, as its next capacity may be free
-    sooner than that of the first one, which was chosen without any report. A job
-    that was displaced after a wait has no time for another one.
+    Groups that report room come first. Once none does, one more group is asked,
+    the one that is expected to have room first, and may serve the job late.
 
     Args:
-        groups_asked: Number of groups that have refused the job.
+        submission: The job, as it was sent to the last group.
         reason: The reason of the last refusal.
+        age_s: Time since the job arrived, in seconds.
+        choose_group: Returns a group that was not asked yet, or "". It is given
+            whether only a group that has room may be chosen.
     """
-    return groups_asked > 1 or reason is jobs.Reason.WAITED_TOO_LONG
-
-
-def _compute_latest_start_s(submission: jobs.Submission) -> float:
-    """Return the age at which the job must start to be in time, in seconds.
-
-    The gateway knows neither the bias of declared run times nor the number of
-    waves that a wide job may take, so the owner still decides.
-    """
-    return (
-        submission.stretch - 1.0
-    ) * submission.estimate_s + submission.slack_s
+    may_be_late = submission.may_be_late
+    if reason not in REASONS:
+        return Choice("", may_be_late)
+    allowed_s = submission.stretch * submission.estimate_s + submission.slack_s
+    group = ""
+    if age_s <= allowed_s - submission.estimate_s:
+        group = choose_group(True)
+    if group or may_be_late:
+        return Choice(group, may_be_late)
+    late_s = min(
+        deferral.LATE_FACTOR * allowed_s, submission.age_s + submission.budget_s
+    )
+    if age_s <= late_s - deferral.RUN_MARGIN * submission.estimate_s:
+        group = choose_group(False)
+    return Choice(group, may_be_late=True)
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -13,15 +13,13 @@
 from pollenladder.jobs import estimates
 from pollenladder.scheduling import admission
 from pollenladder.scheduling import arrivals
+from pollenladder.scheduling import deferral
 from pollenladder.scheduling import delays
 from pollenladder.scheduling import forecast
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
-# Time from the decision to start a task to its first step, plus time from the
-# end of the last task to the caller's receipt of the answer.
-OVERHEAD_S = 0.015
 # A job whose tasks need more than this share of all slots gets time for several
 # waves of tasks.
 WAVE_SHARE = 0.25
@@ -50,6 +48,8 @@
             known.submission = dataclasses.replace(
                 known.submission, may_have_begun=True
             )
+            # It can no longer be refused as not run.
+            known.is_deferred = False
         region.log_event("job_rejoined", job=job_id, gateway=gateway_id)
         return
     answered = region.answered.get(job_id)
@@ -76,6 +76,8 @@
         return
     region.jobs[job_id] = job
     region.waiting.add(job_id)
+    if job.is_deferred:
+        deferral.record(region, job, decision.wait_s, now)
     region.log_event(
         "job_admitted",
         job=job_id,
@@ -230,7 +232,7 @@
         expected_s=expected_s,
         submitted_at=submitted_at,
         objective_at=objective_at,
-        latest_start_at=objective_at - expected_s - OVERHEAD_S,
+        latest_start_at=objective_at - expected_s - tables.OVERHEAD_S,
         deadline_at=now + submission.budget_s,
     )
 
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -16,8 +16,10 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import deferral
 from pollenladder.scheduling import delays
 from pollenladder.scheduling import runs
+from pollenladder.scheduling import start_forecasts
 from pollenladder.scheduling import tables
 
 # Cost of a worker's slowness, in thousandths of a core per unit of
@@ -30,8 +32,8 @@
     """Start all waiting tasks that workers have capacity for."""
     if region.is_awaiting_worker_list(now):
         return
-    waiting = _list_placeable(region)
-    if not waiting:
+    waiting, deferred = _list_placeable(region)
+    if not waiting and not deferred:
         return
     # Cached because the check visits all workers.
     knows_all_runs = functools.cache(lambda: runs.knows_all_runs(region, now))
@@ -44,6 +46,26 @@
             continue
         if not _place_job(region, job, knows_all_runs, now):
             unplaced.append(job.resources)
+    for job in deferred:
+        if _may_start_deferred(region, job, now):
+            _place_job(region, job, knows_all_runs, now)
+
+
+def _may_start_deferred(
+    region: tables.Region, job: tables.Job, now: float
+) -> bool:
+    """Return whether a deferred job leaves enough for jobs that can be in time.
+
+    It starts as a whole: once begun, its remaining tasks would come first.
+    """
+    if not deferral.has_spare_capacity(region, job):
+        return False
+    missing = len(job.list_waiting_tasks())
+    for worker in iterate_candidates(region, job, now):
+        missing -= worker.free.count_fitting(job.resources)
+        if missing <= 0:
+            return True
+    return False
 
 
 def sort_waiting(region: tables.Region) -> list[tables.Job]:
@@ -53,22 +75,41 @@
     return waiting
 
 
-def _list_placeable(region: tables.Region) -> list[tables.Job]:
-    """Return the waiting jobs that may fit a worker, the most urgent first."""
+def _list_placeable(
+    region: tables.Region,
+) -> tuple[list[tables.Job], list[tables.Job]]:
+    """Return the waiting jobs that may fit a worker, the most urgent first.
+
+    Deferred jobs are returned separately, and only those of services for which
+    no other job waits.
+    """
     largest = region.free_capacity.get_largest()
-    waiting = []
+    waiting: list[tables.Job] = []
+    deferred: list[tables.Job] = []
+    busy_services: set[str] = set()
     for job_id in region.waiting:
         job = region.jobs[job_id]
         submission = job.submission
+        is_deferred = job.is_deferred and not job.has_begun
+        if not is_deferred:
+            busy_services.add(submission.service)
         if submission.cpu_milli <= largest.get(submission.service, 0):
-            waiting.append(job)
+            (deferred if is_deferred else waiting).append(job)
     waiting.sort(key=get_urgency)
-    return waiting
+    deferred = [
+        job for job in deferred if job.submission.service not in busy_services
+    ]
+    deferred.sort(key=get_urgency)
+    return waiting, deferred
 
 
-def get_urgency(job: tables.Job) -> tuple[bool, float]:
+def get_urgency(job: tables.Job) -> start_forecasts.Urgency:
     """Return a job's sort key; smaller keys are more urgent."""
-    return (not job.has_begun, job.latest_start_at)
+    if job.has_begun:
+        return (start_forecasts.Rank.BEGUN, job.latest_start_at)
+    if job.is_deferred:
+        return (start_forecasts.Rank.DEFERRED, job.latest_start_at)
+    return (start_forecasts.Rank.IN_TIME, job.latest_start_at)
 
 
 def _needs_as_much(
--- a/pollenladder/scheduling/sharing.py
+++ b/pollenladder/scheduling/sharing.py
@@ -43,6 +43,9 @@
     waiting: dict[str, float] = {}
     for job_id in region.waiting:
         job = region.jobs[job_id]
+        if job.is_deferred:
+            # Jobs that can be in time do not wait for it.
+            continue
         tasks = len(job.list_waiting_tasks())
         work = tasks * job.resources.cpu_milli * job.expected_s
         service = job.submission.service
--- a/pollenladder/scheduling/start_forecasts.py
+++ b/pollenladder/scheduling/start_forecasts.py
@@ -7,9 +7,25 @@
 
 import bisect
 import dataclasses
+import enum
 import heapq
 
-Urgency = tuple[bool, float]
+
+class Rank(enum.IntEnum):
+    """Order of waiting jobs, the most urgent first.
+
+    Attributes:
+        BEGUN: The job has begun; what has run is worthless until the rest has.
+        IN_TIME: The job can be in time.
+        DEFERRED: The job cannot be in time.
+    """
+
+    BEGUN = 0
+    IN_TIME = 1
+    DEFERRED = 2
+
+
+Urgency = tuple[int, float]
 
 
 @dataclasses.dataclass(slots=True)
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -11,6 +11,10 @@
 from pollenladder.scheduling import free_capacity as worker_capacity
 from pollenladder.scheduling import start_forecasts as service_forecasts
 
+# Time from the decision to start a task to its first step, plus time from the
+# end of the last task to the caller's receipt of the answer.
+OVERHEAD_S = 0.015
+
 
 class TaskState(enum.Enum):
     """State of a task.
@@ -72,6 +76,8 @@
         deadline_at: When the caller stops waiting.
         has_begun: Whether any task has been started.
         had_to_wait: Whether capacity for some task was lacking on arrival.
+        is_deferred: Whether the job cannot be in time and is served late, on
+            capacity that other jobs leave.
         last_first_start_at: When this owner last started the first run of one
             of the tasks.
     """
@@ -87,6 +93,7 @@
     deadline_at: float
     has_begun: bool = False
     had_to_wait: bool = False
+    is_deferred: bool = False
     last_first_start_at: float = float("-inf")
 
     def list_waiting_tasks(self) -> list[Task]:
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -215,18 +215,20 @@
 
         Every group that the job was sent to has refused it, so it has not begun.
         """
-        age_s = self._clock() - job.arrived_at
-        if not group_retries.may_ask_another(
-            job.submission, refusal.reason, age_s
-        ):
-            return False
-        group = self._callbacks.choose_group(
+        choice = group_retries.choose_next(
             job.submission,
-            job.refused_by,
-            group_retries.needs_room(len(job.refused_by), refusal.reason),
+            refusal.reason,
+            self._clock() - job.arrived_at,
+            lambda needs_room: self._callbacks.choose_group(
+                job.submission, job.refused_by, needs_room
+            ),
         )
+        group = choice.group
         if not group:
             return False
+        job.submission = dataclasses.replace(
+            job.submission, may_be_late=choice.may_be_late
+        )
         logs.log(
             LOGGER,
             "job_sent_to_another_group",
