--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -163,7 +163,8 @@
     layout: groups.Layout
 
 
-# Wire tags. Never reuse a tag for another message; 1, 2, 8 and 9 are retired.
+# Wire tags. Never reuse a tag for another message; 1, 2, 8, 9 and 14 are
+# retired.
 TAGS = (
     (3, Cancel),
     (4, Answered),
@@ -174,7 +175,7 @@
     (11, PushLayout),
     (12, Release),
     (13, Heartbeat),
-    (14, Submit),
+    (15, Submit),
 )
 
 
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -145,6 +145,8 @@
         may_run_elsewhere: Whether workers of another group may still run tasks
             of the job.
         allowed_regions: See `Queue`.
+        may_be_late: Whether no other group can serve the job in time, so that it
+            may be served late.
     """
 
     job_id: str
@@ -166,6 +168,7 @@
     first_run: int
     may_run_elsewhere: bool = False
     allowed_regions: tuple[str, ...] = ()
+    may_be_late: bool = False
 
 
 class Outcome(enum.Enum):
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -15,6 +15,10 @@
 from pollenladder.scheduling import free_capacity as worker_capacity
 from pollenladder.scheduling import start_forecasts as service_forecasts
 
+# Time from the decision to start a task to its first step, plus time from the
+# end of the last task to the caller's receipt of the answer.
+OVERHEAD_S = 0.015
+
 
 class TaskState(enum.Enum):
     """State of a task.
@@ -78,6 +82,8 @@
         had_to_wait: Whether capacity for some task was lacking on arrival.
         list_needed_at: A task starts before its `not_before` only if the list
             of workers has been read since then.
+        is_deferred: Whether the job cannot be in time and is served late, on
+            capacity that other jobs leave.
         last_first_start_at: When this owner last started the first run of one
             of the tasks.
     """
@@ -94,6 +100,7 @@
     has_begun: bool = False
     had_to_wait: bool = False
     list_needed_at: float = float("-inf")
+    is_deferred: bool = False
     last_first_start_at: float = float("-inf")
 
     def list_waiting_tasks(self) -> list[Task]:
