--- a/bench/emulator/loads.py
+++ b/bench/emulator/loads.py
@@ -41,6 +41,7 @@
         cpu_milli: CPU that each task needs, in thousandths of a core.
         declared_s: Run time of a task as declared by the caller, in seconds.
         runs_s: Actual run time of each task on a healthy worker, in seconds.
+        queue: The job's queue; empty if it is named like its kind.
     """
 
     at_s: float
@@ -48,6 +49,11 @@
     cpu_milli: int
     declared_s: float
     runs_s: tuple[float, ...]
+    queue: str = ""
+
+    def get_queue(self) -> str:
+        """Return the name of the job's queue."""
+        return self.queue or self.kind
 
 
 # Request rates of the users' specification: load 1 for 24 workers.
@@ -116,6 +122,25 @@
     )
 
 
+def split_queues(
+    arrivals: Iterable[Arrival], queues: int, seed: int
+) -> Iterator[Arrival]:
+    """Assign the jobs of each kind to several queues at random."""
+    generator = random.Random(seed)
+    for arrival in arrivals:
+        queue = f"{arrival.kind}-{generator.randrange(queues)}"
+        yield dataclasses.replace(arrival, queue=queue)
+
+
+def list_queues(queues: int) -> list[str]:
+    """Return the names of the queues that `split_queues` assigns."""
+    return [
+        f"{kind.name}-{number}"
+        for kind in REQUEST_KINDS
+        for number in range(queues)
+    ]
+
+
 def write(path: pathlib.Path, arrivals: Iterable[Arrival]) -> None:
     """Write arrivals to a file as JSON lines."""
     lines = [json.dumps(dataclasses.asdict(a)) for a in arrivals]
