Keep tasks apart that slow each other down

Cause: placement took the worker with the least free CPU, also beside tasks that were known to slow the new one down. A disturbed run then looked like a run on a slow worker.

Change: the owner measures the mean neighbours of each completed run and learns from each complete job. Placement adds the slowdown that a task would suffer and cause to the cost of a worker, 64 cores for a factor of 2. Only workers that fit now are compared, at most 20 of them, so nothing waits or is refused for it. A kind whose tasks went to fewer than half of its fair share of the workers in use is placed as usual. Stalls, health and the expected end of a run take the expected slowdown into account. A pair that is found or dropped is logged (interference_changed).

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -186,6 +186,8 @@
         is_orphan: Whether no job of this owner needs the run. It is stopped
             unless such a job arrives within a grace period.
         next_stop_at: When the stop order is sent again.
+        kind: The kind of the task, by which interference is learned; empty if
+            the job is not known.
     """
 
     task: str
@@ -200,6 +202,7 @@
     percent_at: float = 0.0
     is_orphan: bool = False
     next_stop_at: float = 0.0
+    kind: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -286,6 +286,20 @@
         "the run made too little progress and is stopped",
         (*_RUN_FIELDS, "percent", "elapsed_s", "expected_s"),
     ),
+    Event(
+        "interference_changed",
+        Kind.RUN,
+        "tasks of a queue were found to run longer beside those of another "
+        "one, or no longer",
+        (
+            "queue",
+            "neighbour",
+            "change",
+            "slowdown",
+            "lower_bound",
+            "overlap",
+        ),
+    ),
     Event(
         "start_not_confirmed",
         Kind.RUN,
--- a/pollenladder/scheduling/free_capacity.py
+++ b/pollenladder/scheduling/free_capacity.py
@@ -49,6 +49,10 @@
             if order
         }
 
+    def list_most_free(self, service: str, count: int) -> list[str]:
+        """Return the ids of the workers with the most free CPU."""
+        return [name for _, name in self._sorted.get(service, [])[-count:]]
+
     def iterate_with_cpu(self, service: str, cpu_milli: int) -> Iterator[str]:
         """Yield the ids of workers with enough free CPU, the least free first.
 
--- /dev/null
+++ b/pollenladder/scheduling/neighbours.py
@@ -0,0 +1,203 @@
+"""Learn from the runs of a region, and use what was learned.
+
+Without a pair of kinds that slow each other down, and with the feature switched
+off, all costs are 0 and all slowdowns 1.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.scheduling import interference
+from pollenladder.scheduling import neighbourhood
+from pollenladder.scheduling import tables
+
+# Runs that are compared for each job. More add cost, but little evidence.
+MAX_SAMPLES = 12
+# Cost of a slowdown by a factor of 2, in thousandths of a core. A task beside a
+# neighbour with a factor of 1.5 in both directions is thus placed on an idle
+# worker of 64 cores instead.
+COST_MILLI = 64_000
+
+
+def has_pairs(region: tables.Region) -> bool:
+    """Return whether any known interference is to be taken into account."""
+    return region.features.interference and bool(
+        region.neighbourhood.model.pairs
+    )
+
+
+def record_end(
+    region: tables.Region,
+    worker: fleet.Worker,
+    job: tables.Job,
+    run: fleet.Run,
+    now: float,
+    get_speed: Callable[[str], float] = lambda worker_id: 1.0,
+) -> None:
+    """Learn from a completed run, once all tasks of its job are done.
+
+    Must be called after the run was removed from its worker, and before the job
+    is answered.
+
+    Args:
+        region: The region.
+        worker: The run's worker.
+        job: The run's job.
+        run: The completed run.
+        now: Monotonic time in seconds.
+        get_speed: Returns the speed of a worker, given its id.
+    """
+    if not region.features.interference:
+        return
+    state = region.neighbourhood
+    worker_id = worker.listing.worker_id
+    began_at = _get_begin(run)
+    overlaps, cpu_milli = neighbourhood.measure_overlaps(
+        _list_neighbours(region, worker, run, now), began_at, now
+    )
+    oldest = min(map(_get_begin, worker.runs.values()), default=float("inf"))
+    neighbourhood.record_ended(
+        state, worker_id, _build_neighbour(run, now), oldest
+    )
+    # The start of an adopted run is not known.
+    if run.confirmed_at > run.sent_at and len(job.samples) < MAX_SAMPLES:
+        job.samples.append(
+            interference.Sample(
+                worker_id,
+                (now - began_at) * get_speed(worker_id),
+                overlaps,
+                cpu_milli / max(1, worker.listing.capacity.cpu_milli),
+            )
+        )
+    changes = []
+    if job.is_complete():
+        kind = job.submission.queue
+        changes = interference.record_job(state.model, kind, job.samples, now)
+    changes += interference.fit_next(state.model, now)
+    for change in changes:
+        _log_change(region, change)
+
+
+def _log_change(region: tables.Region, change: interference.Change) -> None:
+    region.log_event(
+        "interference_changed",
+        queue=change.kind,
+        neighbour=change.neighbour,
+        change="found" if change.is_found else "dropped",
+        slowdown=round(change.pair.slowdown, 3),
+        lower_bound=round(change.pair.lower_bound, 3),
+        overlap=round(change.pair.overlap, 1),
+    )
+
+
+def _get_begin(run: fleet.Run) -> float:
+    return run.confirmed_at or run.sent_at
+
+
+def _build_neighbour(
+    run: fleet.Run, ended_at: float
+) -> neighbourhood.Neighbour:
+    return neighbourhood.Neighbour(
+        run.kind, run.resources.cpu_milli, _get_begin(run), ended_at
+    )
+
+
+def _list_neighbours(
+    region: tables.Region, worker: fleet.Worker, run: fleet.Run, now: float
+) -> Iterable[neighbourhood.Neighbour]:
+    """Return other runs of a worker, in progress or recently ended."""
+    yield from region.neighbourhood.ended.get(worker.listing.worker_id, ())
+    for other in worker.runs.values():
+        if other is not run:
+            yield _build_neighbour(other, now)
+
+
+def measure_slowdown(
+    region: tables.Region, worker: fleet.Worker, run: fleet.Run, now: float
+) -> float:
+    """Return the expected slowdown of a run by its neighbours until now."""
+    if not has_pairs(region):
+        return 1.0
+    overlaps, _ = neighbourhood.measure_overlaps(
+        _list_neighbours(region, worker, run, now), _get_begin(run), now
+    )
+    model = region.neighbourhood.model
+    return interference.get_mean_slowdown(model, run.kind, overlaps)
+
+
+def predict_slowdown(
+    region: tables.Region, worker: fleet.Worker, kind: str
+) -> float:
+    """Return the expected slowdown of a new task beside a worker's runs."""
+    if not has_pairs(region):
+        return 1.0
+    return interference.get_slowdown(
+        region.neighbourhood.model,
+        kind,
+        (run.kind for run in worker.runs.values()),
+    )
+
+
+def compute_cost(
+    region: tables.Region, worker: fleet.Worker, kind: str
+) -> float:
+    """Return the cost of the slowdowns that a new task suffers and causes.
+
+    To be called only if `must_separate`.
+
+    Returns:
+        The cost in thousandths of a core; 0 without interference.
+    """
+    pairs = region.neighbourhood.model.pairs
+    suffered = 1.0
+    caused = 0.0
+    for run in worker.runs.values():
+        pair = pairs.get((kind, run.kind))
+        if pair:
+            suffered *= pair.slowdown
+        pair = pairs.get((run.kind, kind))
+        if pair:
+            caused += pair.slowdown - 1.0
+    return COST_MILLI * (suffered - 1.0 + caused)
+
+
+def must_separate(region: tables.Region, kind: str) -> bool:
+    """Return whether tasks of a kind should be kept apart from others.
+
+    A kind whose tasks went to too few workers lately is placed as usual.
+    """
+    if not has_pairs(region):
+        return False
+    state = region.neighbourhood
+    is_concerned = any(kind in pair for pair in state.model.pairs)
+    return is_concerned and not neighbourhood.is_confined(state, kind)
+
+
+def record_placement(
+    region: tables.Region,
+    job: tables.Job,
+    worker: fleet.Worker,
+    is_changed: bool,
+    now: float,
+) -> None:
+    """Count a placement if any interference is known.
+
+    Args:
+        region: The region.
+        job: The task's job.
+        worker: The chosen worker.
+        is_changed: Whether another worker was chosen because of interference.
+        now: Monotonic time in seconds.
+    """
+    if not has_pairs(region):
+        return
+    state = region.neighbourhood
+    state.changed_placements += is_changed
+    neighbourhood.record_placement(
+        state,
+        job.submission.queue,
+        worker.listing.worker_id,
+        job.resources.cpu_milli * job.expected_s,
+        now,
+    )
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -12,10 +12,12 @@
 from collections.abc import Iterator
 from collections.abc import Sequence
 import functools
+import itertools
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import neighbours
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
@@ -23,6 +25,12 @@
 # `Health.slowness` above 1. Of two workers with equal free capacity, the faster
 # one is chosen.
 SLOWNESS_COST_MILLI = 20_000
+# Candidates that are examined for a task that interferes with others: those
+# with the least free CPU, and those with the most, which have few neighbours.
+# Bounds the cost of a placement, as the search can't end at the first worker
+# whose free CPU exceeds the best cost if all of them have neighbours.
+MAX_CANDIDATES = 16
+MOST_FREE_CANDIDATES = 4
 
 
 def place(region: tables.Region, now: float) -> None:
@@ -119,9 +127,13 @@
             job.submission.may_run_elsewhere or not knows_all_runs()
         ):
             continue
-        worker = _choose_worker(region, job, task, now)
+        if neighbours.must_separate(region, job.submission.queue):
+            worker, is_changed = _choose_separate_worker(region, job, task, now)
+        else:
+            worker, is_changed = _choose_worker(region, job, task, now), False
         if worker is None:
             return False
+        neighbours.record_placement(region, job, worker, is_changed, now)
         _start(region, job, task, worker, now)
     if not job.list_waiting_tasks():
         region.waiting.discard(job.submission.job_id)
@@ -147,6 +159,52 @@
     return best
 
 
+def _choose_separate_worker(
+    region: tables.Region,
+    job: tables.Job,
+    task: tables.Task,
+    now: float,
+) -> tuple[fleet.Worker | None, bool]:
+    """Return the worker with the lowest cost including interference.
+
+    Returns:
+        The worker, or None if no worker fits; and whether it was chosen because
+        of interference.
+    """
+    usual = best = _choose_worker(region, job, task, now)
+    if usual is None:
+        return None, False
+    kind = job.submission.queue
+    interference_cost = neighbours.compute_cost(region, usual, kind)
+    if not interference_cost:
+        return usual, False
+    best_cost = _compute_cost(usual, task) + interference_cost
+    for worker in _iterate_some_candidates(region, job, now):
+        if worker.free.cpu_milli >= best_cost:
+            continue
+        cost = _compute_cost(worker, task)
+        cost += neighbours.compute_cost(region, worker, kind)
+        if cost < best_cost:
+            best, best_cost = worker, cost
+    return best, best is not usual
+
+
+def _iterate_some_candidates(
+    region: tables.Region, job: tables.Job, now: float
+) -> Iterator[fleet.Worker]:
+    """Yield some of the candidates, with the least and the most free CPU."""
+    yield from itertools.islice(
+        iterate_candidates(region, job, now), MAX_CANDIDATES
+    )
+    most_free = region.free_capacity.list_most_free(
+        job.submission.service, MOST_FREE_CANDIDATES
+    )
+    for worker_id in most_free:
+        worker = region.workers[worker_id]
+        if job.resources.fits_in(worker.free) and is_available(worker, now):
+            yield worker
+
+
 def _compute_cost(worker: fleet.Worker, task: tables.Task) -> float:
     """Return the cost of a worker for a task, in thousandths of a core.
 
@@ -168,6 +226,8 @@
     worker: fleet.Worker,
     now: float,
 ) -> None:
+    kind = job.submission.queue
+    slowdown = neighbours.predict_slowdown(region, worker, kind)
     run = fleet.Run(
         task=jobs.format_task_name(job.submission.job_id, task.index),
         number=task.next_run,
@@ -175,7 +235,8 @@
         resources=job.resources,
         state=fleet.RunState.STARTING,
         sent_at=now,
-        expected_s=job.expected_s,
+        expected_s=job.expected_s * slowdown,
+        kind=kind,
     )
     region.add_run(worker, run)
     task.state = tables.TaskState.PLACED
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -10,6 +10,7 @@
 
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import neighbourhood
 from pollenladder.scheduling import tables
 
 
@@ -38,6 +39,7 @@
         answered=dict(region.answered),
         estimates=region.estimates,
         admission=region.admission,
+        neighbourhood=neighbourhood.Neighbourhood(region.neighbourhood.model),
     )
     rebuilt.effects = region.take_effects()
     for job in region.jobs.values():
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -5,6 +5,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.jobs import estimates
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import neighbours
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
@@ -261,6 +262,7 @@
         )
     task.state = tables.TaskState.DONE
     task.took_s = measured_s
+    neighbours.record_end(region, worker, job, run, now)
     intake.finish_if_complete(region, job, now)
 
 
@@ -278,6 +280,8 @@
     expected run time if there are none.
     """
     usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
+    if usual_s:
+        usual_s *= neighbours.measure_slowdown(region, worker, run, now)
     usual_s = usual_s or run.expected_s
     slowness = measured_s / usual_s if usual_s else 1.0
     health.record_success(worker.health, slowness, now)
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -100,6 +100,7 @@
     task.next_run = max(task.next_run, run.number + 1)
     run.is_orphan = False
     run.expected_s = job.expected_s
+    run.kind = job.submission.queue
     _reserve_resources(region, job, run)
     task.state = tables.TaskState.PLACED
     task.worker_id = run.worker_id
--- a/pollenladder/scheduling/stalls.py
+++ b/pollenladder/scheduling/stalls.py
@@ -7,6 +7,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
+from pollenladder.scheduling import neighbours
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
@@ -70,6 +71,8 @@
     usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
     limit = SIBLING_FACTOR if usual_s else DECLARED_FACTOR
     usual_s = usual_s or job.expected_s
+    worker = region.workers[run.worker_id]
+    usual_s *= neighbours.measure_slowdown(region, worker, run, now)
     if elapsed_s < 0.5 * usual_s:
         return 0.0
     total_s = progress.predict_total_s(run)
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -9,6 +9,8 @@
 from pollenladder.scheduling import admission as job_admission
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import free_capacity as worker_capacity
+from pollenladder.scheduling import interference
+from pollenladder.scheduling import neighbourhood as worker_neighbourhood
 from pollenladder.scheduling import start_forecasts as service_forecasts
 
 
@@ -70,6 +72,7 @@
         deadline_at: When the caller stops waiting.
         has_begun: Whether any task has been started.
         had_to_wait: Whether capacity for some task was lacking on arrival.
+        samples: Completed runs, from which interference is learned.
     """
 
     submission: job_entities.Submission
@@ -83,6 +86,7 @@
     deadline_at: float
     has_begun: bool = False
     had_to_wait: bool = False
+    samples: list[interference.Sample] = dataclasses.field(default_factory=list)
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
@@ -201,6 +205,7 @@
             job id.
         estimates: Bias of declared run times.
         admission: State of admission control.
+        neighbourhood: What is known about tasks that slow each other down.
         effects: Effects that have not been carried out yet.
     """
 
@@ -241,6 +246,9 @@
     admission: job_admission.AdmissionState = dataclasses.field(
         default_factory=job_admission.AdmissionState
     )
+    neighbourhood: worker_neighbourhood.Neighbourhood = dataclasses.field(
+        default_factory=worker_neighbourhood.Neighbourhood
+    )
     effects: list[Effect] = dataclasses.field(default_factory=list)
 
     def is_awaiting_worker_list(self, now: float) -> bool:
