--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -292,6 +292,7 @@
         "tasks of a queue were found to run longer beside those of another "
         "one, or no longer",
         (
+            "group",
             "queue",
             "neighbour",
             "change",
--- a/pollenladder/scheduling/interference.py
+++ b/pollenladder/scheduling/interference.py
@@ -290,7 +290,8 @@
         _drop_feature(evidence, name)
     interval_s = FIT_INTERVAL_S_PER_CUBE * (len(evidence.overlaps) + 1) ** 3
     model.next_fit_at = now + max(MIN_FIT_INTERVAL_S, interval_s)
-    return _update_pairs(model, kind, estimate(evidence))
+    found, _ = estimate(evidence)
+    return _update_pairs(model, kind, found)
 
 
 def _decay(evidence: Evidence, now: float) -> None:
@@ -303,10 +304,23 @@
             sums[key] *= factor
 
 
-def estimate(evidence: Evidence) -> dict[str, regression.Coefficient]:
+def fit_all(model: Model, now: float) -> None:
+    """Fit all kinds at once, as after a hand-over."""
+    for kind, evidence in model.evidence.items():
+        _decay(evidence, now)
+        found, _ = estimate(evidence)
+        _update_pairs(model, kind, found)
+
+
+def estimate(
+    evidence: Evidence,
+) -> tuple[dict[str, regression.Coefficient], float]:
     """Return the logarithm of the slowdown by each neighbouring kind.
 
     `LOAD` is included: the logarithm of the slowdown on a full worker.
+
+    Returns:
+        The coefficients by kind, and the variance of the response around them.
     """
     names = sorted({*evidence.overlaps, LOAD})
     products = [
@@ -326,7 +340,7 @@
     degrees = max(evidence.degrees - len(names), 1.0)
     variance = max((evidence.square - explained) / degrees, MIN_DEVIATION**2)
     found = regression.fit(products, responses, variance, PRIOR_DEVIATION)
-    return dict(zip(names, found, strict=True))
+    return dict(zip(names, found, strict=True)), variance
 
 
 def _update_pairs(
--- a/pollenladder/scheduling/neighbours.py
+++ b/pollenladder/scheduling/neighbours.py
@@ -9,6 +9,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.scheduling import interference
+from pollenladder.scheduling import interference_rows
 from pollenladder.scheduling import neighbourhood
 from pollenladder.scheduling import tables
 
@@ -76,18 +77,51 @@
         changes = interference.record_job(state.model, kind, job.samples, now)
     changes += interference.fit_next(state.model, now)
     for change in changes:
-        _log_change(region, change)
+        name = "found" if change.is_found else "dropped"
+        _log_change(region, change.kind, change.neighbour, name, change.pair)
 
 
-def _log_change(region: tables.Region, change: interference.Change) -> None:
+def restore(
+    region: tables.Region, row: object, now: float, age_s: float = 0.0
+) -> None:
+    """Continue with what an earlier owner learned.
+
+    Args:
+        region: The region.
+        row: What `interference_rows.encode` returned.
+        now: Monotonic time in seconds.
+        age_s: Time since the row was encoded, in seconds.
+
+    Raises:
+        ValueError: The row is invalid; nothing has changed.
+    """
+    if region.features.interference:
+        region.neighbourhood.model = interference_rows.decode(row, now, age_s)
+        log_restored(region)
+
+
+def log_restored(region: tables.Region) -> None:
+    """Log the pairs with which a new owner starts."""
+    for key, pair in region.neighbourhood.model.pairs.items():
+        _log_change(region, *key, "restored", pair)
+
+
+def _log_change(
+    region: tables.Region,
+    kind: str,
+    neighbour: str,
+    change: str,
+    pair: interference.Pair,
+) -> None:
     region.log_event(
         "interference_changed",
-        queue=change.kind,
-        neighbour=change.neighbour,
-        change="found" if change.is_found else "dropped",
-        slowdown=round(change.pair.slowdown, 3),
-        lower_bound=round(change.pair.lower_bound, 3),
-        overlap=round(change.pair.overlap, 1),
+        group=region.group,
+        queue=kind,
+        neighbour=neighbour,
+        change=change,
+        slowdown=round(pair.slowdown, 3),
+        lower_bound=round(pair.lower_bound, 3),
+        overlap=round(pair.overlap, 1),
     )
 
 
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -11,6 +11,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import neighbourhood
+from pollenladder.scheduling import neighbours
 from pollenladder.scheduling import tables
 
 
@@ -31,6 +32,7 @@
         now,
         region.max_lease_s,
         region.features,
+        region.group,
         handover_delay_s=region.handover_delay_s,
         unlisted_workers_until=region.unlisted_workers_until,
         service_shares=region.service_shares,
@@ -42,6 +44,7 @@
         neighbourhood=neighbourhood.Neighbourhood(region.neighbourhood.model),
     )
     rebuilt.effects = region.take_effects()
+    neighbours.log_restored(rebuilt)
     for job in region.jobs.values():
         _resubmit(rebuilt, job, now)
     return rebuilt
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -175,6 +175,7 @@
         owned_since: When this daemon became the owner.
         max_lease_s: The longest lease that workers grant, in seconds.
         features: The optional decisions that are switched on.
+        group: Name of the group of workers, for the log.
         workers: Workers by id.
         free_capacity: Index of the workers by free CPU.
         runs: Runs on all workers, including orphans, by job id.
@@ -213,6 +214,7 @@
     owned_since: float
     max_lease_s: float
     features: optional_features.Features = optional_features.ALL
+    group: str = ""
     workers: dict[str, fleet.Worker] = dataclasses.field(default_factory=dict)
     free_capacity: worker_capacity.FreeCapacityIndex = dataclasses.field(
         default_factory=worker_capacity.FreeCapacityIndex
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -176,6 +176,7 @@
             ),
             self._clock,
             self._settings.features,
+            name,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -62,10 +62,12 @@
         callbacks: Callbacks,
         clock: clocks.Clock,
         features: optional_features.Features = optional_features.ALL,
+        group: str = "",
     ):
         self.region: tables.Region | None = None
         self._max_lease_s = max_lease_s
         self._features = features
+        self._group = group
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
@@ -91,6 +93,7 @@
                 now,
                 self._max_lease_s,
                 self._features,
+                self._group,
                 handover_delay_s=bound_handover_delay_s(peers),
             )
             self._owns_workers.set()
--- a/tests/scheduling/test_interference.py
+++ b/tests/scheduling/test_interference.py
@@ -44,7 +44,7 @@
         yield interference.Sample(f"w{worker}", measured_s, overlaps, load)
 
 
-def _learn(
+def learn(
     seed: int,
     runs: int,
     slowdowns: dict[tuple[str, str], float] | None = None,
@@ -74,7 +74,7 @@
 
     def test_a_pair_among_twelve_kinds_is_found_in_time(self):
         for seed in range(5):
-            model, _, _ = _learn(seed, RUNS_TO_FIND, {("k1", "k2"): 1.5})
+            model, _, _ = learn(seed, RUNS_TO_FIND, {("k1", "k2"): 1.5})
             self.assertEqual(list(model.pairs), [("k1", "k2")], seed)
             pair = model.pairs["k1", "k2"]
             self.assertAlmostEqual(pair.slowdown, 1.5, delta=0.2)
@@ -82,7 +82,7 @@
 
     def test_a_small_slowdown_does_not_count(self):
         # A factor of 1.08 is below the limit however much evidence there is.
-        _, changes, _ = _learn(0, 40_000, {("k1", "k2"): 1.08}, kinds=("k1",))
+        _, changes, _ = learn(0, 40_000, {("k1", "k2"): 1.08}, kinds=("k1",))
         self.assertEqual(changes, [])
 
 
@@ -91,18 +91,18 @@
 
     def test_nothing_is_found_in_fifty_seeds_without_interference(self):
         for seed in range(50):
-            _, changes, _ = _learn(seed, 4_000)
+            _, changes, _ = learn(seed, 4_000)
             self.assertEqual(changes, [], seed)
 
     def test_the_load_of_workers_is_not_mistaken_for_a_pair(self):
         for seed in range(5):
-            _, changes, _ = _learn(seed, RUNS_TO_FIND, load_slowdown=0.6)
+            _, changes, _ = learn(seed, RUNS_TO_FIND, load_slowdown=0.6)
             self.assertEqual(changes, [], seed)
 
     def test_unknown_worker_speeds_are_not_mistaken_for_a_pair(self):
         for seed in range(5):
             speeds = (0.7, 0.7, 1.7)
-            _, changes, _ = _learn(seed, RUNS_TO_FIND, speeds=speeds)
+            _, changes, _ = learn(seed, RUNS_TO_FIND, speeds=speeds)
             self.assertEqual(changes, [], seed)
 
     def test_a_hard_job_is_not_mistaken_for_a_pair(self):
@@ -169,7 +169,7 @@
 
     def test_a_pair_without_new_evidence_is_dropped(self):
         # Otherwise a pair that is kept apart would count for ever.
-        model, _, now = _learn(0, 20_000, {("k1", "k2"): 1.5})
+        model, _, now = learn(0, 20_000, {("k1", "k2"): 1.5})
         self.assertIn(("k1", "k2"), model.pairs)
         changes = []
         for _ in range(50 * len(model.evidence)):
