Show which queues slow each other down

Cause: an operator could see neither the pairs nor how many placements they change.

Change: four metrics (pairs, largest slowdown, queues with evidence, changed placements) over the groups that a daemon owns, and the command pollenladder interference, which lists from logs the pairs that count at their end. Reading logs is shared with pollenladder explain.

--- a/pollenladder/management/application.py
+++ b/pollenladder/management/application.py
@@ -18,6 +18,7 @@
 from pollenladder.management.commands import drain
 from pollenladder.management.commands import explain
 from pollenladder.management.commands import history
+from pollenladder.management.commands import interference
 from pollenladder.management.commands import job
 from pollenladder.management.commands import status
 
@@ -31,6 +32,7 @@
     drain.DrainCommand,
     job.JobCommand,
     explain.ExplainCommand,
+    interference.InterferenceCommand,
 )
 
 
--- a/pollenladder/management/commands/explain.py
+++ b/pollenladder/management/commands/explain.py
@@ -4,10 +4,9 @@
 
 from cleo import helpers
 
-from pollenladder.logs import exceptions as log_exceptions
 from pollenladder.logs import explanations
-from pollenladder.management import exceptions
 from pollenladder.management import exit_codes
+from pollenladder.management import logs
 from pollenladder.management.commands import command
 
 
@@ -29,7 +28,7 @@
         """Print the lines about the job ordered by time, and the cause."""
         lines = []
         for name in self.argument("files"):
-            lines += self._read(pathlib.Path(name))
+            lines += logs.read_lines(pathlib.Path(name), self.write_error)
         explanation = explanations.explain_job(self.argument("job"), lines)
         if explanation is None:
             self.write_error(f"no line mentions job {self.argument('job')}")
@@ -40,23 +39,6 @@
             self._show(explanation)
         return exit_codes.ExitCode.OK
 
-    def _read(self, path: pathlib.Path) -> list[explanations.Line]:
-        """Return the lines of a log file.
-
-        Malformed lines are reported to standard error and skipped.
-        """
-        try:
-            texts = path.read_text(errors="replace").splitlines()
-        except OSError as error:
-            raise exceptions.UsageError(f"{path}: {error.strerror}") from error
-        lines = []
-        for number, text in enumerate(texts, 1):
-            try:
-                lines.append(explanations.parse_line(text, f"{path}:{number}"))
-            except log_exceptions.MalformedLineError as error:
-                self.write_error(str(error))
-        return lines
-
     def _show(self, explanation: explanations.Explanation) -> None:
         """Print an explanation; `~` marks the lines of its context."""
         marked = [(line, " ") for line in explanation.lines]
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -150,6 +150,11 @@
             ),
             self._clock,
         )
+        self._meters.registry.register(
+            metering.InterferenceCollector(
+                lambda: self._groups.list_neighbourhoods()
+            )
+        )
         self._layout_keeper = layout_keeper.LayoutKeeper(
             self._own.daemon_id,
             self._settings.processor_cores,
--- a/pollenladder/service/groups.py
+++ b/pollenladder/service/groups.py
@@ -8,6 +8,7 @@
 from pollenladder.cluster import groups as layouts
 from pollenladder.fleet import entities as fleet
 from pollenladder.logs import lines as logs
+from pollenladder.scheduling import neighbourhood
 from pollenladder.service import engine as engines
 from pollenladder.service import leadership as leaderships
 
@@ -100,6 +101,11 @@
             == group
         ]
 
+    def list_neighbourhoods(self) -> list[neighbourhood.Neighbourhood]:
+        """Return what is known about interference in the groups owned."""
+        regions = [group.engine.region for group in self.groups.values()]
+        return [region.neighbourhood for region in regions if region]
+
     def _update_groups(self) -> None:
         names = layouts.list_groups(self.layout)
         # A new owner's epoch exceeds those of the groups that no longer exist.
--- a/pollenladder/service/meters.py
+++ b/pollenladder/service/meters.py
@@ -1,9 +1,15 @@
 """The daemon's metrics, and the HTTP server that exposes them."""
 
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+
 from gevent import pywsgi
 import prometheus_client
+from prometheus_client import core
 
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import neighbourhood
 
 PORT = 9464
 RESPONSE_BUCKETS_S = (
@@ -63,6 +69,48 @@
         self._response.observe(took_s)
 
 
+class InterferenceCollector:
+    """Metrics of known interference, read when they are requested."""
+
+    def __init__(
+        self,
+        get_neighbourhoods: Callable[[], Iterable[neighbourhood.Neighbourhood]],
+    ):
+        """Initialize the collector.
+
+        Args:
+            get_neighbourhoods: Returns the state of each group that this daemon
+                owns.
+        """
+        self._get_neighbourhoods = get_neighbourhoods
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yield the metrics."""
+        states = list(self._get_neighbourhoods())
+        pairs = [p for state in states for p in state.model.pairs.values()]
+        yield core.GaugeMetricFamily(
+            "pollenladder_interference_pairs",
+            "Pairs of queues that slow each other down, in the groups owned.",
+            len(pairs),
+        )
+        yield core.GaugeMetricFamily(
+            "pollenladder_interference_max_slowdown",
+            "The largest slowdown of a pair; 1 without any.",
+            max((pair.slowdown for pair in pairs), default=1.0),
+        )
+        yield core.GaugeMetricFamily(
+            "pollenladder_interference_kinds",
+            "Queues about which there is evidence, in the groups owned.",
+            sum(len(state.model.evidence) for state in states),
+        )
+        # Starts at 0 again with each new ownership, as a counter may.
+        yield core.CounterMetricFamily(
+            "pollenladder_interference_placements",
+            "Tasks placed on another worker because of interference.",
+            sum(state.changed_placements for state in states),
+        )
+
+
 def serve(meters: Meters, address: str) -> None:
     """Start the HTTP server for the metrics.
 
--- /dev/null
+++ b/tests/service/test_meters.py
@@ -0,0 +1,35 @@
+"""Tests of the daemon's metrics."""
+
+import unittest
+
+from pollenladder.scheduling import interference
+from pollenladder.scheduling import neighbourhood
+from pollenladder.service import meters as metering
+
+
+class InterferenceTest(unittest.TestCase):
+    """An operator must see whether interference changes placements."""
+
+    def _read(self, states: list[neighbourhood.Neighbourhood]) -> list:
+        meters = metering.Meters()
+        meters.registry.register(metering.InterferenceCollector(lambda: states))
+        names = ("pairs", "max_slowdown", "kinds", "placements_total")
+        return [
+            meters.registry.get_sample_value(f"pollenladder_interference_{n}")
+            for n in names
+        ]
+
+    def test_a_daemon_that_owns_nothing(self):
+        self.assertEqual(self._read([]), [0, 1, 0, 0])
+
+    def test_several_groups_are_added_up(self):
+        states = []
+        for slowdown in (1.4, 1.7):
+            pair = interference.Pair(slowdown, 1.2, 20.0)
+            model = interference.Model(
+                evidence={"a": interference.Evidence()},
+                pairs={("a", "b"): pair},
+            )
+            states.append(neighbourhood.Neighbourhood(model))
+        states[1].changed_placements = 5
+        self.assertEqual(self._read(states), [2, 1.7, 2, 5])
