Bound the cost of learning about interference

Change: at most 50 jobs a second are learned from in each group; the other runs are kept as neighbours only. Confined kinds are searched twice a second. The expected slowdown is measured only for a run that would count as stalled. Ended runs are plain tuples in a bounded deque.

--- a/pollenladder/scheduling/neighbourhood.py
+++ b/pollenladder/scheduling/neighbourhood.py
@@ -1,7 +1,9 @@
 """What ran beside what on each worker, and where each kind was placed."""
 
+import collections
 from collections.abc import Iterable
 import dataclasses
+from typing import NamedTuple
 
 from pollenladder.scheduling import interference
 
@@ -15,10 +17,12 @@
 CONFINED_SHARE = 0.5
 # Placements of a kind below which it is not considered confined.
 MIN_PLACEMENTS = 8
+# Interval between two searches for confined kinds, as a search visits all
+# workers in use.
+CONFINED_CHECK_INTERVAL_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Neighbour:
+class Neighbour(NamedTuple):
     """A run beside another one. Times are monotonic, in seconds.
 
     Attributes:
@@ -52,8 +56,11 @@
         model: What was learned.
         ended: Recently ended runs by worker id, in order of their ends, while
             another run on the worker began before their end.
+        next_observed_at: When another job may be observed.
         changed_placements: Number of tasks that were placed on another worker
             than without the model.
+        confined: Kinds whose tasks went to too few workers lately.
+        confined_checked_at: When `confined` was determined.
         window: Placements since the window began.
         last_window: Placements in the window before.
     """
@@ -61,8 +68,13 @@
     model: interference.Model = dataclasses.field(
         default_factory=interference.Model
     )
-    ended: dict[str, list[Neighbour]] = dataclasses.field(default_factory=dict)
+    ended: dict[str, collections.deque[Neighbour]] = dataclasses.field(
+        default_factory=dict
+    )
+    next_observed_at: float = float("-inf")
     changed_placements: int = 0
+    confined: frozenset[str] = frozenset()
+    confined_checked_at: float = float("-inf")
     window: _Window = dataclasses.field(
         default_factory=lambda: _Window(float("-inf"))
     )
@@ -86,15 +98,15 @@
         oldest_began_at: When the oldest run in progress on the worker began;
             infinite if there is none.
     """
-    kept = [
-        neighbour
-        for neighbour in (*state.ended.get(worker_id, ()), ended)
-        if neighbour.ended_at > oldest_began_at
-    ]
-    if kept:
-        state.ended[worker_id] = kept[-MAX_ENDED_RUNS:]
-    else:
+    if oldest_began_at >= ended.ended_at:
         state.ended.pop(worker_id, None)
+        return
+    kept = state.ended.get(worker_id)
+    if kept is None:
+        kept = state.ended[worker_id] = collections.deque(maxlen=MAX_ENDED_RUNS)
+    while kept and kept[0].ended_at <= oldest_began_at:
+        kept.popleft()
+    kept.append(ended)
 
 
 def measure_overlaps(
@@ -111,16 +123,15 @@
     cpu_milli = 0.0
     if took_s <= 0:
         return overlaps, cpu_milli
-    for neighbour in neighbours:
-        common_s = min(ended_at, neighbour.ended_at) - max(
-            began_at, neighbour.began_at
-        )
-        if common_s <= 0:
+    # `min` and `max` would take most of the time of this loop.
+    for kind, neighbour_cpu_milli, begin, end in neighbours:
+        if end <= began_at or begin >= ended_at:
             continue
-        share = common_s / took_s
-        cpu_milli += share * neighbour.cpu_milli
-        if neighbour.kind:
-            kind = neighbour.kind
+        first = began_at if begin < began_at else begin
+        last = ended_at if end > ended_at else end
+        share = (last - first) / took_s
+        cpu_milli += share * neighbour_cpu_milli
+        if kind:
             overlaps[kind] = overlaps.get(kind, 0.0) + share
     return overlaps, cpu_milli
 
@@ -145,16 +156,29 @@
     window.work[kind] = window.work.get(kind, 0.0) + work
 
 
-def is_confined(state: Neighbourhood, kind: str) -> bool:
+def is_confined(state: Neighbourhood, kind: str, now: float) -> bool:
     """Return whether a kind's tasks went to too few workers lately.
 
     Its fair share of the workers in use is its share of the work.
     """
-    window = state.window
-    if window.placements.get(kind, 0) < MIN_PLACEMENTS:
-        window = state.last_window
-    if window.placements.get(kind, 0) < MIN_PLACEMENTS:
-        return False
+    if now >= state.confined_checked_at + CONFINED_CHECK_INTERVAL_S:
+        state.confined_checked_at = now
+        confined = _find_confined(state.last_window) - {
+            kind
+            for kind, placements in state.window.placements.items()
+            if placements >= MIN_PLACEMENTS
+        }
+        state.confined = frozenset(confined | _find_confined(state.window))
+    return kind in state.confined
+
+
+def _find_confined(window: _Window) -> set[str]:
     in_use = len(set().union(*window.workers.values()))
-    share = window.work[kind] / (sum(window.work.values()) or 1.0)
-    return len(window.workers[kind]) < CONFINED_SHARE * share * in_use
+    total = sum(window.work.values()) or 1.0
+    return {
+        kind
+        for kind, placements in window.placements.items()
+        if placements >= MIN_PLACEMENTS
+        and len(window.workers[kind])
+        < CONFINED_SHARE * in_use * window.work[kind] / total
+    }
--- a/pollenladder/scheduling/neighbours.py
+++ b/pollenladder/scheduling/neighbours.py
@@ -15,6 +15,9 @@
 
 # Runs that are compared for each job. More add cost, but little evidence.
 MAX_SAMPLES = 12
+# Interval between two jobs that are learned from. Bounds the cost to about 1% of
+# a core; at 50 jobs a second, a pair among 12 kinds is found within a minute.
+OBSERVATION_INTERVAL_S = 0.02
 # Cost of a slowdown by a factor of 2, in thousandths of a core. A task beside a
 # neighbour with a factor of 1.5 in both directions is thus placed on an idle
 # worker of 64 cores instead.
@@ -52,21 +55,41 @@
     if not region.features.interference:
         return
     state = region.neighbourhood
-    worker_id = worker.listing.worker_id
-    began_at = _get_begin(run)
-    overlaps, cpu_milli = neighbourhood.measure_overlaps(
-        _list_neighbours(region, worker, run, now), began_at, now
-    )
-    oldest = min(map(_get_begin, worker.runs.values()), default=float("inf"))
+    if job.is_observed is None:
+        job.is_observed = now >= state.next_observed_at
+        if job.is_observed:
+            state.next_observed_at = now + OBSERVATION_INTERVAL_S
+            job.samples = []
+    if job.is_observed:
+        _observe(region, worker, job, run, now, get_speed)
+    if worker.runs:
+        oldest = min([_get_begin(other) for other in worker.runs.values()])
+    else:
+        oldest = float("inf")
     neighbourhood.record_ended(
-        state, worker_id, _build_neighbour(run, now), oldest
+        state, run.worker_id, _build_neighbour(run, now), oldest
     )
+
+
+def _observe(
+    region: tables.Region,
+    worker: fleet.Worker,
+    job: tables.Job,
+    run: fleet.Run,
+    now: float,
+    get_speed: Callable[[str], float],
+) -> None:
+    """Take a sample of a completed run; learn if the job is complete."""
+    model = region.neighbourhood.model
     # The start of an adopted run is not known.
     if run.confirmed_at > run.sent_at and len(job.samples) < MAX_SAMPLES:
+        overlaps, cpu_milli = neighbourhood.measure_overlaps(
+            _list_neighbours(region, worker, run, now), run.confirmed_at, now
+        )
         job.samples.append(
             interference.Sample(
-                worker_id,
-                (now - began_at) * get_speed(worker_id),
+                run.worker_id,
+                (now - run.confirmed_at) * get_speed(run.worker_id),
                 overlaps,
                 cpu_milli / max(1, worker.listing.capacity.cpu_milli),
             )
@@ -74,8 +97,8 @@
     changes = []
     if job.is_complete():
         kind = job.submission.queue
-        changes = interference.record_job(state.model, kind, job.samples, now)
-    changes += interference.fit_next(state.model, now)
+        changes = interference.record_job(model, kind, job.samples, now)
+    changes += interference.fit_next(model, now)
     for change in changes:
         name = "found" if change.is_found else "dropped"
         _log_change(region, change.kind, change.neighbour, name, change.pair)
@@ -196,7 +219,7 @@
     return COST_MILLI * (suffered - 1.0 + caused)
 
 
-def must_separate(region: tables.Region, kind: str) -> bool:
+def must_separate(region: tables.Region, kind: str, now: float) -> bool:
     """Return whether tasks of a kind should be kept apart from others.
 
     A kind whose tasks went to too few workers lately is placed as usual.
@@ -205,7 +228,7 @@
         return False
     state = region.neighbourhood
     is_concerned = any(kind in pair for pair in state.model.pairs)
-    return is_concerned and not neighbourhood.is_confined(state, kind)
+    return is_concerned and not neighbourhood.is_confined(state, kind, now)
 
 
 def record_placement(
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -127,7 +127,7 @@
             job.submission.may_run_elsewhere or not knows_all_runs()
         ):
             continue
-        if neighbours.must_separate(region, job.submission.queue):
+        if neighbours.must_separate(region, job.submission.queue, now):
             worker, is_changed = _choose_separate_worker(region, job, task, now)
         else:
             worker, is_changed = _choose_worker(region, job, task, now), False
--- a/pollenladder/scheduling/stalls.py
+++ b/pollenladder/scheduling/stalls.py
@@ -71,8 +71,6 @@
     usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
     limit = SIBLING_FACTOR if usual_s else DECLARED_FACTOR
     usual_s = usual_s or job.expected_s
-    worker = region.workers[run.worker_id]
-    usual_s *= neighbours.measure_slowdown(region, worker, run, now)
     if elapsed_s < 0.5 * usual_s:
         return 0.0
     total_s = progress.predict_total_s(run)
@@ -83,7 +81,12 @@
     remaining_s = total_s - elapsed_s
     if remaining_s < usual_s + MOVE_COST_S:
         return 0.0
-    return total_s / usual_s / limit
+    slowness = total_s / usual_s / limit
+    if slowness >= 1.0:
+        # A disturbed run does not show that its worker is slow.
+        worker = region.workers[run.worker_id]
+        slowness /= neighbours.measure_slowdown(region, worker, run, now)
+    return slowness
 
 
 def _is_other_worker_available(
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -72,7 +72,10 @@
         deadline_at: When the caller stops waiting.
         has_begun: Whether any task has been started.
         had_to_wait: Whether capacity for some task was lacking on arrival.
-        samples: Completed runs, from which interference is learned.
+        samples: Completed runs, from which interference is learned. None before
+            the first one, and for a job that is not observed.
+        is_observed: Whether `samples` are collected; None before the first run
+            has completed.
     """
 
     submission: job_entities.Submission
@@ -86,7 +89,8 @@
     deadline_at: float
     has_begun: bool = False
     had_to_wait: bool = False
-    samples: list[interference.Sample] = dataclasses.field(default_factory=list)
+    samples: list[interference.Sample] | None = None
+    is_observed: bool | None = None
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -106,14 +106,14 @@
         state = neighbourhood.Neighbourhood()
         self._place(state, "wide", 40, 100)
         self._place(state, "narrow", 5, 100)
-        self.assertTrue(neighbourhood.is_confined(state, "narrow"))
-        self.assertFalse(neighbourhood.is_confined(state, "wide"))
+        self.assertTrue(neighbourhood.is_confined(state, "narrow", 0.0))
+        self.assertFalse(neighbourhood.is_confined(state, "wide", 0.0))
 
     def test_a_rare_kind_on_few_workers_is_not(self):
         state = neighbourhood.Neighbourhood()
         self._place(state, "wide", 40, 400)
         self._place(state, "rare", 5, 10)
-        self.assertFalse(neighbourhood.is_confined(state, "rare"))
+        self.assertFalse(neighbourhood.is_confined(state, "rare", 0.0))
 
     def test_a_confined_kind_is_placed_as_usual(self):
         simulation = simulations.RegionSimulation(workers=2)
@@ -201,6 +201,25 @@
         simulation.poll("w0", running=())
         self.assertEqual(found.samples, [])
 
+    def test_only_so_many_jobs_are_observed(self):
+        # Otherwise the cost of learning would grow with the load.
+        simulation = simulations.RegionSimulation(workers=9)
+        observed = []
+        for number in range(10):
+            _start(simulation, f"a{number}", "lookup")
+            job = simulation.region.jobs[f"a{number}"]
+            worker = next(
+                w for w in simulation.region.workers.values() if w.runs
+            )
+            run = next(iter(worker.runs.values()))
+            neighbours.record_end(
+                simulation.region, worker, job, run, simulation.now
+            )
+            simulation.now += 0.25 * neighbours.OBSERVATION_INTERVAL_S
+            observed.append(job.is_observed)
+        self.assertTrue(observed[0])
+        self.assertLessEqual(sum(observed), 4)
+
     def test_overlaps_are_shares_of_the_run(self):
         around = [
             neighbourhood.Neighbour("b", 10_000, 0.0, 1.25),
@@ -279,4 +298,4 @@
         neighbours.record_end(
             simulation.region, worker, job, run, simulation.now + 1.0
         )
-        self.assertEqual(job.samples, [])
+        self.assertIsNone(job.samples)
