Encode the last fit, and store the row rarely

Cause: encoding fitted all kinds at once, which took 0.66 s with 64 kinds and would have blocked the owner. As evidence always changes, the row would have been written every 5 s.

Change: the last fit of each kind is kept and encoded. A fit starts from the variance of the one before, which halves its time, and fits of many kinds are further apart. neighbours.get_row encodes again after 30 s or when a pair was found or dropped. A row has at most 128 entries, with rounded numbers; the test of the age of a row therefore compares overlaps to two decimals.

--- a/pollenladder/scheduling/interference.py
+++ b/pollenladder/scheduling/interference.py
@@ -48,7 +48,7 @@
 MIN_FIT_INTERVAL_S = 0.25
 # Time between two fits, by the cube of the number of features of the first one.
 # Keeps fits below about 1% of a core.
-FIT_INTERVAL_S_PER_CUBE = 1.5e-5
+FIT_INTERVAL_S_PER_CUBE = 2.5e-5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,6 +115,10 @@
         degrees: Number of degrees of freedom.
         overlaps: Sum of the overlaps with each kind, in runs.
         decayed_at: When the sums last decayed; monotonic, in seconds.
+        variance: Variance of the response around the model of the last fit; 0
+            before.
+        coefficients: Result of the last fit: the logarithm of the slowdown by
+            each neighbouring kind, and by `LOAD` on a full worker.
     """
 
     products: dict[tuple[str, str], float] = dataclasses.field(
@@ -125,6 +129,10 @@
     degrees: float = 0.0
     overlaps: dict[str, float] = dataclasses.field(default_factory=dict)
     decayed_at: float = 0.0
+    variance: float = 0.0
+    coefficients: dict[str, regression.Coefficient] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -268,6 +276,7 @@
         return
     del evidence.overlaps[name]
     evidence.responses.pop(name, None)
+    evidence.coefficients.pop(name, None)
     for key in [key for key in evidence.products if name in key]:
         del evidence.products[key]
 
@@ -290,8 +299,8 @@
         _drop_feature(evidence, name)
     interval_s = FIT_INTERVAL_S_PER_CUBE * (len(evidence.overlaps) + 1) ** 3
     model.next_fit_at = now + max(MIN_FIT_INTERVAL_S, interval_s)
-    found, _ = estimate(evidence)
-    return _update_pairs(model, kind, found)
+    _fit(evidence)
+    return _update_pairs(model, kind)
 
 
 def _decay(evidence: Evidence, now: float) -> None:
@@ -308,19 +317,15 @@
     """Fit all kinds at once, as after a hand-over."""
     for kind, evidence in model.evidence.items():
         _decay(evidence, now)
-        found, _ = estimate(evidence)
-        _update_pairs(model, kind, found)
-
+        _fit(evidence)
+        _update_pairs(model, kind)
 
-def estimate(
-    evidence: Evidence,
-) -> tuple[dict[str, regression.Coefficient], float]:
-    """Return the logarithm of the slowdown by each neighbouring kind.
 
-    `LOAD` is included: the logarithm of the slowdown on a full worker.
+def _fit(evidence: Evidence) -> None:
+    """Update the coefficients.
 
-    Returns:
-        The coefficients by kind, and the variance of the response around them.
+    The variance of the fit before is used, as it changes slowly and each fit
+    takes milliseconds with many kinds. The first fit is repeated.
     """
     names = sorted({*evidence.overlaps, LOAD})
     products = [
@@ -328,24 +333,28 @@
         for a in names
     ]
     responses = [evidence.responses.get(name, 0.0) for name in names]
-    variance = max(
-        evidence.square / max(evidence.degrees, 1.0), MIN_DEVIATION**2
-    )
-    # The variance without any feature is an upper bound. The second fit uses
-    # the variance that remains after the first one.
-    found = regression.fit(products, responses, variance, PRIOR_DEVIATION)
-    explained = sum(
-        c.value * response for c, response in zip(found, responses, strict=True)
-    )
-    degrees = max(evidence.degrees - len(names), 1.0)
-    variance = max((evidence.square - explained) / degrees, MIN_DEVIATION**2)
-    found = regression.fit(products, responses, variance, PRIOR_DEVIATION)
-    return dict(zip(names, found, strict=True)), variance
+    repetitions = 1 if evidence.variance else 2
+    if not evidence.variance:
+        evidence.variance = _bound_variance(evidence.square, evidence.degrees)
+    for _ in range(repetitions):
+        found = regression.fit(
+            products, responses, evidence.variance, PRIOR_DEVIATION
+        )
+        explained = sum(
+            c.value * response
+            for c, response in zip(found, responses, strict=True)
+        )
+        evidence.variance = _bound_variance(
+            evidence.square - explained, evidence.degrees - len(names)
+        )
+    evidence.coefficients = dict(zip(names, found, strict=True))
 
 
-def _update_pairs(
-    model: Model, kind: str, found: dict[str, regression.Coefficient]
-) -> list[Change]:
+def _bound_variance(square: float, degrees: float) -> float:
+    return max(square / max(degrees, 1.0), MIN_DEVIATION**2)
+
+
+def _update_pairs(model: Model, kind: str) -> list[Change]:
     """Replace the pairs of a kind by those that count now."""
     before = {
         neighbour: pair
@@ -354,7 +363,8 @@
     }
     changes = []
     overlaps = model.evidence[kind].overlaps
-    for neighbour, coefficient in found.items():
+    coefficients = model.evidence[kind].coefficients
+    for neighbour, coefficient in coefficients.items():
         if neighbour == LOAD:
             continue
         lower = coefficient.value - CONFIDENCE * coefficient.error
--- a/pollenladder/scheduling/interference_rows.py
+++ b/pollenladder/scheduling/interference_rows.py
@@ -15,8 +15,9 @@
 from pollenladder.scheduling import interference
 
 VERSION = 1
-# Neighbouring kinds in a row, over all kinds. An entry takes about 40 bytes.
-MAX_ENTRIES = 256
+# Neighbouring kinds in a row, over all kinds. An entry takes about 35 bytes as
+# JSON.
+MAX_ENTRIES = 128
 # Kinds with longer names are not stored.
 MAX_NAME_LENGTH = 200
 # Far above what the owner can observe; bounds the influence of a corrupt row.
@@ -84,7 +85,8 @@
 def encode(model: interference.Model) -> dict[str, Any]:
     """Return a model as plain values of bounded size.
 
-    The pairs that count come first, then those with the most overlap.
+    The pairs that count come first, then those with the most overlap. Kinds
+    that were not fitted yet are left out.
     """
     names = [n for n in model.seen_at if len(n) <= MAX_NAME_LENGTH]
     indexes = {name: index for index, name in enumerate(names)}
@@ -92,7 +94,9 @@
         ((kind, neighbour) in model.pairs, overlap, kind, neighbour)
         for kind, evidence in model.evidence.items()
         for neighbour, overlap in evidence.overlaps.items()
-        if kind in indexes and neighbour in indexes
+        if kind in indexes
+        and neighbour in indexes
+        and neighbour in evidence.coefficients
     ]
     kept = {
         (kind, neighbour)
@@ -113,10 +117,10 @@
     indexes: dict[str, int],
 ) -> _Kind:
     evidence = model.evidence[kind]
-    found, variance = interference.estimate(evidence)
+    variance = evidence.variance
     ridge = variance / interference.PRIOR_DEVIATION**2
     coefficients = []
-    for neighbour, coefficient in found.items():
+    for neighbour, coefficient in evidence.coefficients.items():
         is_load = neighbour == interference.LOAD
         if not is_load and (kind, neighbour) not in kept:
             continue
@@ -124,15 +128,20 @@
         coefficients.append(
             _Coefficient(
                 None if is_load else indexes[neighbour],
-                _bound(coefficient.value, MAX_LOG_SLOWDOWN),
-                max(0.0, min(information, MAX_EVIDENCE)),
-                min(evidence.overlaps.get(neighbour, 0.0), MAX_EVIDENCE),
+                round(_bound(coefficient.value, MAX_LOG_SLOWDOWN), 5),
+                round(max(0.0, min(information, MAX_EVIDENCE)), 3),
+                round(
+                    min(evidence.overlaps.get(neighbour, 0.0), MAX_EVIDENCE), 3
+                ),
                 (kind, neighbour) in model.pairs,
             )
         )
-    degrees = max(0.0, evidence.degrees - len(found))
+    degrees = max(0.0, evidence.degrees - len(evidence.coefficients))
     return _Kind(
-        indexes[kind], min(degrees, MAX_EVIDENCE), variance, coefficients
+        indexes[kind],
+        round(min(degrees, MAX_EVIDENCE), 3),
+        round(variance, 7),
+        coefficients,
     )
 
 
@@ -209,6 +218,7 @@
         evidence.products[name, name] = coefficient.information
         evidence.responses[name] = response
         explained += response * coefficient.value
+    evidence.variance = variance
     evidence.degrees = entry.degrees + len(evidence.overlaps) + 1
     evidence.square = explained + variance * max(entry.degrees, 1.0)
     return evidence
--- a/pollenladder/scheduling/neighbourhood.py
+++ b/pollenladder/scheduling/neighbourhood.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+from typing import Any
 from typing import NamedTuple
 
 from pollenladder.scheduling import interference
@@ -59,6 +60,9 @@
         next_observed_at: When another job may be observed.
         changed_placements: Number of tasks that were placed on another worker
             than without the model.
+        row: What was last encoded for the store.
+        row_encoded_at: When `row` was encoded.
+        row_pairs: The pairs in `row`.
         confined: Kinds whose tasks went to too few workers lately.
         confined_checked_at: When `confined` was determined.
         window: Placements since the window began.
@@ -73,6 +77,9 @@
     )
     next_observed_at: float = float("-inf")
     changed_placements: int = 0
+    row: dict[str, Any] | None = None
+    row_encoded_at: float = float("-inf")
+    row_pairs: frozenset[tuple[str, str]] = frozenset()
     confined: frozenset[str] = frozenset()
     confined_checked_at: float = float("-inf")
     window: _Window = dataclasses.field(
--- a/pollenladder/scheduling/neighbours.py
+++ b/pollenladder/scheduling/neighbours.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from typing import Any
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.scheduling import interference
@@ -18,6 +19,9 @@
 # Interval between two jobs that are learned from. Bounds the cost to about 1% of
 # a core; at 50 jobs a second, a pair among 12 kinds is found within a minute.
 OBSERVATION_INTERVAL_S = 0.02
+# Age at which the stored row is replaced even if the pairs are the same. Little
+# evidence is lost with it, as it decays with a half-life of minutes.
+ROW_INTERVAL_S = 30.0
 # Cost of a slowdown by a factor of 2, in thousandths of a core. A task beside a
 # neighbour with a factor of 1.5 in both directions is thus placed on an idle
 # worker of 64 cores instead.
@@ -123,6 +127,27 @@
         log_restored(region)
 
 
+def get_row(region: tables.Region, now: float) -> dict[str, Any] | None:
+    """Return what is to be stored for the next owner.
+
+    The row is encoded again only after `ROW_INTERVAL_S` or after a pair was
+    found or dropped, so that the row in the store rarely changes.
+
+    Returns:
+        Plain values for `restore`; None with the feature off.
+    """
+    if not region.features.interference:
+        return None
+    state = region.neighbourhood
+    pairs = frozenset(state.model.pairs)
+    is_old = now >= state.row_encoded_at + ROW_INTERVAL_S
+    if is_old or pairs != state.row_pairs:
+        state.row = interference_rows.encode(state.model)
+        state.row_encoded_at = now
+        state.row_pairs = pairs
+    return state.row
+
+
 def log_restored(region: tables.Region) -> None:
     """Log the pairs with which a new owner starts."""
     for key, pair in region.neighbourhood.model.pairs.items():
--- a/tests/scheduling/test_interference_rows.py
+++ b/tests/scheduling/test_interference_rows.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 
+from pollenladder.scheduling import features
 from pollenladder.scheduling import interference
 from pollenladder.scheduling import interference_rows
 from pollenladder.scheduling import neighbours
@@ -46,6 +47,7 @@
             self.assertAlmostEqual(
                 evidence.overlaps["k5"],
                 self.model.evidence[key].overlaps["k5"] / 2,
+                places=2,
             )
 
     def test_a_new_owner_keeps_the_pair_apart_at_once(self):
@@ -64,6 +66,28 @@
         ]
         self.assertEqual(sorted(restored), sorted(PAIRS))
 
+    def test_the_row_changes_at_once_only_with_the_pairs(self):
+        # Otherwise the owner would write to the store all the time.
+        region = simulations.RegionSimulation().region
+        region.neighbourhood.model, _ = _learn()
+        first = neighbours.get_row(region, 100.0)
+        model = region.neighbourhood.model
+        later = self.now + 100.0
+        interference.fit_all(model, later)
+        self.assertIs(neighbours.get_row(region, 105.0), first)
+        aged = neighbours.get_row(region, 100.0 + neighbours.ROW_INTERVAL_S)
+        self.assertNotEqual(aged, first)
+        del model.pairs["k1", "k2"]
+        after = neighbours.get_row(region, 101.0 + neighbours.ROW_INTERVAL_S)
+        found = interference_rows.decode(after, later)
+        self.assertNotEqual(after, aged)
+        self.assertIn(("k2", "k1"), found.pairs)
+
+    def test_no_row_is_stored_with_the_feature_off(self):
+        region = simulations.RegionSimulation().region
+        region.features = features.switch_off(["interference"])
+        self.assertIsNone(neighbours.get_row(region, 100.0))
+
     def test_an_invalid_row_leaves_the_owner_without_pairs(self):
         simulation = simulations.RegionSimulation(workers=2)
         with self.assertRaises(ValueError):
@@ -91,6 +115,7 @@
             overlaps = dict.fromkeys(names[:32], 1.0)
             beside = interference.Sample("w3", 1.2, overlaps, 0.5)
             interference.record_job(model, kind, [*samples, beside], 1.0)
+        interference.fit_all(model, 1.0)
         key = (names[0], names[1])
         model.pairs[key] = interference.Pair(1.5, 1.2, 9.0)
         row = interference_rows.encode(model)
@@ -100,6 +125,18 @@
         self.assertEqual(len(pairs), 1)
         interference_rows.decode(row, 1.0)
 
+    def test_a_kind_without_a_fit_is_left_out(self):
+        # Encoding must not fit all kinds at once, which would block the owner.
+        model = interference.Model()
+        samples = [
+            interference.Sample("w1", 1.0, {"b": 1.0}, 0.0),
+            interference.Sample("w2", 1.0, {}, 0.0),
+        ]
+        interference.record_job(model, "a", samples, 1.0)
+        self.assertEqual(interference_rows.encode(model)["kinds"], [])
+        interference.fit_all(model, 1.0)
+        self.assertEqual(len(interference_rows.encode(model)["kinds"]), 1)
+
     def test_a_kind_with_a_very_long_name_is_not_stored(self):
         model = interference.Model()
         samples = [
@@ -107,6 +144,7 @@
             interference.Sample("w2", 1.0, {"x" * 300: 1.0}, 0.0),
         ]
         interference.record_job(model, "a", samples, 1.0)
+        interference.fit_all(model, 1.0)
         row = interference_rows.encode(model)
         self.assertEqual(set(row["names"]), {"a", "b"})
 
