Delete the ended runs of a removed worker

Cause: workers that are replaced left their last runs behind in the owner's memory. Nothing tested that run times are corrected by the worker's speed.

Change: removing a worker deletes its ended runs; two tests.

Result: tests.scheduling.test_neighbours and tests.docs passed.

--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -272,6 +272,7 @@
         """Remove a worker that has no runs."""
         del self.workers[worker_id]
         self.free_capacity.remove(worker_id)
+        self.neighbourhood.ended.pop(worker_id, None)
 
     def add_run(self, worker: fleet.Worker, run: fleet.Run) -> None:
         """Add a run to a worker, reserving its resources."""
--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -220,6 +220,26 @@
         self.assertTrue(observed[0])
         self.assertLessEqual(sum(observed), 4)
 
+    def test_a_run_time_is_corrected_by_the_speed_of_its_worker(self):
+        # Otherwise the kinds that run on slow workers would seem disturbed.
+        simulation = simulations.RegionSimulation()
+        worker_id = _start(simulation, "a1", "lookup")
+        region = simulation.region
+        job, worker = region.jobs["a1"], region.workers[worker_id]
+        (run,) = worker.runs.values()
+        speeds = {worker_id: 0.7}
+        now = run.confirmed_at + 1.0
+        neighbours.record_end(region, worker, job, run, now, speeds.get)
+        self.assertAlmostEqual(job.samples[0].run_s, 0.7)
+
+    def test_ended_runs_of_a_removed_worker_are_deleted(self):
+        simulation = simulations.RegionSimulation(workers=1)
+        region = simulation.region
+        ended = neighbourhood.Neighbour("b", 1, 0.0, 1.0)
+        neighbourhood.record_ended(region.neighbourhood, "w0", ended, 0.0)
+        region.remove_worker("w0")
+        self.assertEqual(region.neighbourhood.ended, {})
+
     def test_overlaps_are_shares_of_the_run(self):
         around = [
             neighbourhood.Neighbour("b", 10_000, 0.0, 1.25),
