Merge the separation of tasks that slow each other down

Costs of slowness, missing speed and interference are added in one function; samples of interference are corrected by the learned speeds.

--- a/bench/commands/emulate.py
+++ b/bench/commands/emulate.py
@@ -5,6 +5,7 @@
 import time
 
 from bench import reports
+from bench.emulator import disturbances
 from bench.emulator import loads
 from bench.emulator import simulations
 from bench.emulator import tallies
@@ -78,6 +79,17 @@
     parser.add_argument(
         "--disable", nargs="+", default=[], choices=features.NAMES
     )
+    parser.add_argument("--length-s", type=float, default=LENGTH_S)
+    parser.add_argument(
+        "--queues", type=int, default=1, help="queues of each kind"
+    )
+    parser.add_argument(
+        "--disturbing-pairs",
+        type=int,
+        default=0,
+        help="pairs of queues whose tasks slow each other down",
+    )
+    parser.add_argument("--disturbance", type=float, default=1.6)
     parser.add_argument("--record", type=pathlib.Path, metavar="FILE")
     parser.add_argument("--replay", type=pathlib.Path, metavar="FILE")
 
@@ -107,8 +119,10 @@
     seeds = range(1) if options.replay else range(options.seeds)
     for seed in seeds:
         arrivals = list(
-            loads.draw(load, LENGTH_S, seed, options.burst, wave, tail)
+            loads.draw(load, options.length_s, seed, options.burst, wave, tail)
         )
+        if options.queues > 1:
+            arrivals = list(loads.split_queues(arrivals, options.queues, seed))
         if options.replay:
             arrivals = list(loads.read(options.replay))
         if options.record:
@@ -119,9 +133,9 @@
             options.groups,
             options.budget,
             _list_speeds(options.speeds, options.workers),
+            _draw_factors(options, seed),
+            switched,
         )
-        for region in simulation.regions.values():
-            region.features = switched
         simulation.run(arrivals)
         simulated.append(simulation)
     return simulated
@@ -135,6 +149,17 @@
     return tuple(speeds[index // 3 % 3] for index in range(workers))
 
 
+def _draw_factors(
+    options: argparse.Namespace, seed: int
+) -> disturbances.Factors:
+    queues = [kind.name for kind in loads.REQUEST_KINDS]
+    if options.queues > 1:
+        queues = loads.list_queues(options.queues)
+    return disturbances.draw(
+        queues, options.disturbing_pairs, options.disturbance, seed
+    )
+
+
 def _describe(
     simulated: list[simulations.Simulation], began_s: float
 ) -> dict[str, object]:
--- a/pollenladder/management/application.py
+++ b/pollenladder/management/application.py
@@ -19,6 +19,7 @@
 from pollenladder.management.commands import evacuate
 from pollenladder.management.commands import explain
 from pollenladder.management.commands import history
+from pollenladder.management.commands import interference
 from pollenladder.management.commands import job
 from pollenladder.management.commands import status
 
@@ -33,6 +34,7 @@
     evacuate.EvacuateCommand,
     job.JobCommand,
     explain.ExplainCommand,
+    interference.InterferenceCommand,
 )
 
 
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -10,6 +10,8 @@
 
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import neighbourhood
+from pollenladder.scheduling import neighbours
 from pollenladder.scheduling import tables
 
 
@@ -30,6 +32,7 @@
         now,
         region.max_lease_s,
         region.features,
+        region.group,
         handover_delay_s=region.handover_delay_s,
         moved_workers_until=region.moved_workers_until,
         list_history=region.list_history,
@@ -43,8 +46,10 @@
         evacuated_services=region.evacuated_services,
         cold_starts=region.cold_starts,
         regions=region.regions,
+        neighbourhood=neighbourhood.Neighbourhood(region.neighbourhood.model),
     )
     rebuilt.effects = region.take_effects()
+    neighbours.log_restored(rebuilt)
     for job in region.jobs.values():
         _resubmit(rebuilt, job, now)
     return rebuilt
--- a/pollenladder/scheduling/stalls.py
+++ b/pollenladder/scheduling/stalls.py
@@ -7,6 +7,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
+from pollenladder.scheduling import neighbours
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
@@ -81,7 +82,12 @@
     remaining_s = total_s - elapsed_s
     if remaining_s < new_run_s + MOVE_COST_S:
         return 0.0
-    return total_s / usual_s / limit
+    slowness = total_s / usual_s / limit
+    if slowness >= 1.0:
+        # A disturbed run does not show that its worker is slow.
+        worker = region.workers[run.worker_id]
+        slowness /= neighbours.measure_slowdown(region, worker, run, now)
+    return slowness
 
 
 def _is_other_worker_available(
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -13,6 +13,8 @@
 from pollenladder.scheduling import admission as job_admission
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import free_capacity as worker_capacity
+from pollenladder.scheduling import interference
+from pollenladder.scheduling import neighbourhood as worker_neighbourhood
 from pollenladder.scheduling import start_forecasts as service_forecasts
 
 # Time from the decision to start a task to its first step, plus time from the
@@ -86,6 +88,10 @@
             capacity that other jobs leave.
         last_first_start_at: When this owner last started the first run of one
             of the tasks.
+        samples: Completed runs, from which interference is learned. None before
+            the first one, and for a job that is not observed.
+        is_observed: Whether `samples` are collected; None before the first run
+            has completed.
     """
 
     submission: job_entities.Submission
@@ -102,6 +108,8 @@
     list_needed_at: float = float("-inf")
     is_deferred: bool = False
     last_first_start_at: float = float("-inf")
+    samples: list[interference.Sample] | None = None
+    is_observed: bool | None = None
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
@@ -197,6 +205,7 @@
         owned_since: When this daemon became the owner.
         max_lease_s: The longest lease that workers grant, in seconds.
         features: The optional decisions that are switched on.
+        group: Name of the group of workers, for the log.
         workers: Workers by id.
         free_capacity: Index of the workers by free CPU.
         runs: Runs on all workers, including orphans, by job id.
@@ -232,6 +241,7 @@
             workers are centred again.
         fastest_speed: Speed of the fastest worker when speeds were last
             centred.
+        neighbourhood: What is known about tasks that slow each other down.
         effects: Effects that have not been carried out yet.
         evacuations: The data centres that are taken out of use.
         evacuated_services: The services whose listed workers are all in
@@ -245,6 +255,7 @@
     owned_since: float
     max_lease_s: float
     features: optional_features.Features = optional_features.ALL
+    group: str = ""
     workers: dict[str, fleet.Worker] = dataclasses.field(default_factory=dict)
     free_capacity: worker_capacity.FreeCapacityIndex = dataclasses.field(
         default_factory=worker_capacity.FreeCapacityIndex
@@ -284,6 +295,9 @@
     )
     jobs_until_centred: int = 0
     fastest_speed: float = 1.0
+    neighbourhood: worker_neighbourhood.Neighbourhood = dataclasses.field(
+        default_factory=worker_neighbourhood.Neighbourhood
+    )
     effects: list[Effect] = dataclasses.field(default_factory=list)
     evacuations: fleet_evacuations.Evacuations = dataclasses.field(
         default_factory=fleet_evacuations.Evacuations
@@ -314,6 +328,7 @@
         """Remove a worker that has no runs."""
         del self.workers[worker_id]
         self.free_capacity.remove(worker_id)
+        self.neighbourhood.ended.pop(worker_id, None)
 
     def add_run(self, worker: fleet.Worker, run: fleet.Run) -> None:
         """Add a run to a worker, reserving its resources."""
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -176,6 +176,11 @@
             ),
             self._clock,
         )
+        self._meters.registry.register(
+            metering.InterferenceCollector(
+                lambda: self._groups.list_neighbourhoods()
+            )
+        )
         self._layout_keeper = layout_keeper.LayoutKeeper(
             self._own.daemon_id,
             self._settings.processor_cores,
@@ -206,6 +211,7 @@
             self._list_history,
             self._evacuations,
             self._settings.regions,
+            name,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -71,6 +71,7 @@
         list_history: worker_lists.ListHistory | None = None,
         evacuations: fleet_evacuations.Evacuations | None = None,
         regions: fleet_regions.Regions = fleet_regions.NONE,
+        group: str = "",
     ):
         self.region: tables.Region | None = None
         self._max_lease_s = max_lease_s
@@ -79,6 +80,7 @@
         self._evacuations = evacuations or fleet_evacuations.Evacuations()
         self._cold_starts: dict[str, float] = {}
         self._regions = regions
+        self._group = group
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
@@ -104,6 +106,7 @@
                 now,
                 self._max_lease_s,
                 self._features,
+                self._group,
                 handover_delay_s=bound_handover_delay_s(peers),
                 moved_workers_until=self._moved_workers_until,
                 list_history=self._list_history,
