Apply the changes of the workers' table in order, and read all pages

Cause: the history of the list relies on the feed. Of a row that was renewed and then removed within one read, the removal was dropped, so a daemon that reads seldom kept the worker listed. If the store answers a feed in pages, the client ignored that there are more, and went on from the version of the store.

Change: the last change of a row counts; a worker that announced between two reads that it leaves is not taken for an expired one. wait_for_changes reads all pages, each from the last change of the page before.

--- a/pollenladder/fleet/worker_tables.py
+++ b/pollenladder/fleet/worker_tables.py
@@ -1,6 +1,5 @@
 """The workers in the store's table, as read by one daemon."""
 
-from collections.abc import Iterable
 from collections.abc import Mapping
 
 from pollenladder.fleet import entities as fleet
@@ -28,15 +27,17 @@
     def update(
         self,
         listed: Mapping[str, fleet.Listing],
-        removed: Iterable[str],
+        removed: Mapping[str, bool],
         is_full_read: bool,
         now: float,
     ) -> list[str]:
         """Apply rows that were read.
 
         Args:
-            listed: The workers whose rows were read, by id.
-            removed: The ids of the workers whose rows were removed.
+            listed: The workers whose rows were read, by id. Some may have been
+                removed later.
+            removed: Whether the row is still missing, for each worker whose row
+                was removed.
             is_full_read: Whether the whole table was read.
             now: Monotonic time in seconds.
 
@@ -44,15 +45,14 @@
             The ids of the workers that were dropped without having announced
             that they leave.
         """
-        missing = set(removed)
+        self._workers.update(listed)
+        missing = {w for w, is_missing in removed.items() if is_missing}
         if is_full_read:
             missing |= self._workers.keys() - listed.keys()
-        for worker_id in missing:
-            if not self._is_drained(worker_id):
-                self._history.record_missing(now)
-        self._missing |= missing
+        if any(not self._is_drained(w) for w in missing | removed.keys()):
+            self._history.record_missing(now)
         self._missing -= listed.keys()
-        self._workers.update(listed)
+        self._missing |= missing
         if self._history.keeps_missing(now):
             return []
         return self._drop_missing(now)
--- a/pollenladder/platform/store.py
+++ b/pollenladder/platform/store.py
@@ -119,9 +119,18 @@
             exceptions.StoreError: The store gave no usable response.
         """
         self.calls["feed"] += 1
-        query = {"Table": table, "After": after, "WaitMs": int(wait_s * 1000)}
-        page = self._read("/rows-feed", query, wait_s + REQUEST_TIMEOUT_S)
-        return Snapshot(page.ver, tuple(_decode_row(r) for r in page.rows))
+        rows: list[Row] = []
+        while True:
+            wait_ms = int(wait_s * 1000)
+            query = {"Table": table, "After": after, "WaitMs": wait_ms}
+            page = self._read("/rows-feed", query, wait_s + REQUEST_TIMEOUT_S)
+            rows += [_decode_row(row) for row in page.rows]
+            last = max((row.ver for row in page.rows), default=after)
+            if not page.has_more or last <= after:
+                return Snapshot(page.ver, tuple(rows))
+            # The version of the page may be past the changes that it lacks.
+            after = last
+            wait_s = 0.0
 
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row unconditionally; the write is idempotent.
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -297,11 +297,14 @@
         self, snapshot: stores.Snapshot, is_full_read: bool
     ) -> None:
         listed = {}
-        removed = []
+        # Whether each row that was removed has stayed so.
+        removed = {}
         for row in snapshot.rows:
             if row.is_removed:
-                removed.append(row.key)
+                removed[row.key] = True
                 continue
+            if row.key in removed:
+                removed[row.key] = False
             try:
                 listed[row.key] = rows.decode_worker(row.key, row.value)
             except exceptions.BadDocumentError as error:
--- a/tests/fleet/test_worker_tables.py
+++ b/tests/fleet/test_worker_tables.py
@@ -27,7 +27,8 @@
         self, listed: dict, removed: tuple = (), is_full: bool = False
     ) -> list[str]:
         self.history.record_read(1, self.now, is_full)
-        return self.table.update(listed, removed, is_full, self.now)
+        missing = dict.fromkeys(removed, True)
+        return self.table.update(listed, missing, is_full, self.now)
 
     def _list(self) -> list[str]:
         return sorted(w.worker_id for w in self.table.list_workers())
@@ -58,6 +59,23 @@
         self.assertEqual(self._update({}, ("w9",)), ["w9"])
         self.assertTrue(self._has_expired())
 
+    def test_a_worker_that_drained_between_two_reads_has_not_expired(self):
+        draining = dataclasses.replace(self.both["w1"], is_draining=True)
+        self.assertEqual(self._update({"w1": draining}, ("w1",)), [])
+        self.assertEqual(self._list(), ["w0"])
+        self.assertFalse(self._has_expired())
+
+    def test_a_row_that_was_renewed_before_it_was_removed_has_expired(self):
+        self.assertEqual(self._update(self.both, ("w1",)), ["w1"])
+        self.assertEqual(self._list(), ["w0"])
+
+    def test_a_row_that_came_back_at_once_is_reported_to_peers(self):
+        lapsed = self.table.update(self.both, {"w1": False}, False, self.now)
+        self.assertEqual(lapsed, [])
+        self.assertEqual(self._list(), ["w0", "w1"])
+        report = self.history.build_report(self.now)
+        self.assertEqual(report.expired_ago_ms, 0)
+
     def test_missing_workers_are_kept_after_an_outage(self):
         self.history.record_store_state(False, self.now)
         self.now += 5.0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,8 +3,10 @@
 import base64
 import time
 import unittest
+from unittest import mock
 
 import gevent
+import msgspec
 
 from pollenladder.platform import exceptions
 from pollenladder.platform import store as stores
@@ -42,6 +44,24 @@
         reported = [(row.key, row.is_removed) for row in changes.rows]
         self.assertEqual(reported, [("a", False), ("a", True)])
 
+    def test_long_feed_is_read_in_pages(self):
+        # Guards against changes that are lost because a page with the version
+        # of the store lacks them.
+        self.site.put("mine", "a", b"1")
+        self.site.put("mine", "b", b"2")
+        read = self.store._read
+
+        def read_one(path, query, timeout_s):
+            page = read(path, query, timeout_s)
+            return msgspec.structs.replace(
+                page, rows=page.rows[:1], has_more=len(page.rows) > 1
+            )
+
+        with mock.patch.object(self.store, "_read", read_one):
+            changes = self.store.wait_for_changes("mine", 0, 1.0)
+        self.assertEqual([row.key for row in changes.rows], ["a", "b"])
+        self.assertEqual(changes.version, self.site.version)
+
     def test_feed_responds_as_soon_as_there_is_a_change(self):
         gevent.spawn_later(0.05, self.site.put, "mine", "a", b"1")
         changes = self.store.wait_for_changes("mine", 0, 5.0)
--- a/tests/scheduling/test_partition.py
+++ b/tests/scheduling/test_partition.py
@@ -53,7 +53,7 @@
         self.history.record_store_state(True, now)
         self.history.record_read(self.version, now, is_full)
         listed = {w: simulations.build_listing(w) for w in worker_ids}
-        self.table.update(listed, (), is_full, now)
+        self.table.update(listed, {}, is_full, now)
 
     def _list(self, is_full: bool = False) -> None:
         """Read the store as the owner, and poll the workers found."""
@@ -153,7 +153,8 @@
         listed = {"far": simulations.build_listing("far")}
         for is_full in (False, True):
             self.history.record_read(1_000, now, is_full)
-            self.table.update(listed, removed, is_full, now)
+            missing = dict.fromkeys(removed, True)
+            self.table.update(listed, missing, is_full, now)
 
     def _follow_until(self, end: float) -> None:
         for second in range(60, 0, -1):
