Make three tests of interference stricter

Cause: the tests of the bounded search, of the load of workers and of the decay still passed when the code that they guard was removed, as they used its own constants or too small a slowdown.

Change: the search is compared with the number of workers, a full worker takes three times as long, and the evidence must be gone after an hour.

--- a/tests/scheduling/test_interference.py
+++ b/tests/scheduling/test_interference.py
@@ -96,7 +96,7 @@
 
     def test_the_load_of_workers_is_not_mistaken_for_a_pair(self):
         for seed in range(5):
-            _, changes, _ = learn(seed, RUNS_TO_FIND, load_slowdown=0.6)
+            _, changes, _ = learn(seed, RUNS_TO_FIND, load_slowdown=2.0)
             self.assertEqual(changes, [], seed)
 
     def test_unknown_worker_speeds_are_not_mistaken_for_a_pair(self):
@@ -172,8 +172,9 @@
         model, _, now = learn(0, 20_000, {("k1", "k2"): 1.5})
         self.assertIn(("k1", "k2"), model.pairs)
         changes = []
-        for _ in range(50 * len(model.evidence)):
-            now += interference.HALF_LIFE_S / len(model.evidence)
+        end = now + 3600.0
+        while now < end:
+            now += 10.0
             changes += interference.fit_next(model, now)
         self.assertEqual(model.pairs, {})
         self.assertFalse(changes[-1].is_found)
--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -90,8 +90,7 @@
             placement, "is_available", wraps=placement.is_available
         ) as visit:
             simulation.submit("v", queue="victim", tasks=1)
-        bound = placement.MAX_CANDIDATES + placement.MOST_FREE_CANDIDATES
-        self.assertLess(visit.call_count, 4 * bound)
+        self.assertLess(visit.call_count, MANY_WORKERS / 4)
 
 
 class ConfinedTest(unittest.TestCase):
