Tell long tasks from slow workers

Cause: if 3% of the tasks take 7 times as long as declared, their runs look stalled. Each was moved from worker to worker until its deadline, and each of these healthy workers was quarantined. In a queue with a long tail, a single run within it is no evidence against a worker, and expected run times use the median. In all queues, a task that is slow on a second worker too stays there (scheduling.long_tails).

--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -3,8 +3,8 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
-from pollenladder.jobs import estimates
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import long_tails
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
@@ -254,12 +254,7 @@
     measured_s = now - (run.confirmed_at or run.sent_at)
     _record_success(region, worker, job, run, measured_s, now)
     if worker.health.slowness < health.SLOWNESS_THRESHOLD:
-        estimates.record_run(
-            region.estimates,
-            job.submission.queue,
-            job.submission.estimate_s,
-            measured_s * region.get_speed(run.worker_id),
-        )
+        speed_learning.record_duration(region, job, run, measured_s)
     task.state = tables.TaskState.DONE
     task.took_s = measured_s
     speed_learning.record_job(region, job)
@@ -284,6 +279,7 @@
     usual_s = usual_s / region.get_speed(run.worker_id) if usual_s else None
     usual_s = usual_s or run.expected_s
     slowness = measured_s / usual_s if usual_s else 1.0
+    slowness = long_tails.bound_slowness(region, job, slowness)
     health.record_success(worker.health, slowness, now)
 
 
--- a/pollenladder/scheduling/speed_learning.py
+++ b/pollenladder/scheduling/speed_learning.py
@@ -8,8 +8,10 @@
 import math
 import statistics
 
+from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.fleet import speeds
+from pollenladder.jobs import estimates
 from pollenladder.scheduling import tables
 
 # Number of recorded jobs after which speeds are centred again.
@@ -48,6 +50,23 @@
         _centre_services(region)
 
 
+def record_duration(
+    region: tables.Region,
+    job: tables.Job,
+    run: fleet.Run,
+    measured_s: float,
+) -> None:
+    """Update the expected run times of a queue with a completed run."""
+    submission = job.submission
+    work_s = measured_s * region.get_speed(run.worker_id)
+    declared_s = submission.estimate_s
+    estimates.record_run(region.estimates, submission.queue, declared_s, work_s)
+    if region.features.speeds:
+        estimates.record_duration(
+            region.estimates, submission.queue, declared_s, work_s
+        )
+
+
 def _get_log_speed(region: tables.Region, task: tables.Task) -> float:
     worker = region.workers.get(task.worker_id)
     return worker.speed.log_speed if worker else 0.0
@@ -74,8 +93,8 @@
     by_service: dict[str, list] = {}
     for worker in region.workers.values():
         by_service.setdefault(worker.listing.service, []).append(worker.speed)
-    for estimates in by_service.values():
-        speeds.centre(estimates)
+    for group in by_service.values():
+        speeds.centre(group)
     region.fastest_speed = max(
         (region.get_speed(worker_id) for worker_id in region.workers),
         default=1.0,
--- a/pollenladder/scheduling/stalls.py
+++ b/pollenladder/scheduling/stalls.py
@@ -7,6 +7,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
+from pollenladder.scheduling import long_tails
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
@@ -28,17 +29,28 @@
     region: tables.Region, worker: fleet.Worker, now: float
 ) -> None:
     """Stop a worker's stalled runs, so that their tasks restart elsewhere."""
-    for run in list(worker.runs.values()):
+    measured = {}
+    for run in worker.runs.values():
         job, task = runs.find_task(region, run)
-        if job is None or task is None:
+        if job is not None and task is not None:
+            measured[run.task] = measure_slowness(region, job, run, now)
+    for name, slowness in measured.items():
+        run = worker.runs[name]
+        job, task = runs.find_task(region, run)
+        if slowness < 1.0 or job is None or task is None:
+            continue
+        total_s = predict_total_s(run, now)
+        if long_tails.is_long_task(region, job, task, run):
             continue
-        slowness = measure_slowness(region, job, run, now)
-        if slowness < 1.0:
+        if long_tails.may_be_long(
+            region, job, run, total_s
+        ) and not long_tails.is_corroborated(run, measured):
             continue
         if not _is_other_worker_available(region, worker, job, now):
             continue
         health.record_stall(worker.health, SIBLING_FACTOR * slowness, now)
         task.avoided_workers.add(run.worker_id)
+        task.stalls += 1
         runs.stop(region, run, now)
         region.log_event(
             "run_moved",
@@ -73,17 +85,25 @@
     usual_s = new_run_s / region.get_speed(run.worker_id)
     if elapsed_s < 0.5 * new_run_s:
         return 0.0
-    total_s = progress.predict_total_s(run)
-    if total_s is None:
-        # Progress is below `MIN_PERCENT`: the run hangs or is very slow. Assume
-        # that it has just reached this percentage.
-        total_s = 100.0 / progress.MIN_PERCENT * elapsed_s
+    total_s = predict_total_s(run, now)
     remaining_s = total_s - elapsed_s
     if remaining_s < new_run_s + MOVE_COST_S:
         return 0.0
     return total_s / usual_s / limit
 
 
+def predict_total_s(run: fleet.Run, now: float) -> float:
+    """Return the total run time of a run in progress, in seconds.
+
+    If progress is below `MIN_PERCENT`, the run hangs or is very slow. It is
+    assumed to have just reached this percentage.
+    """
+    total_s = progress.predict_total_s(run)
+    if total_s is not None:
+        return total_s
+    return 100.0 / progress.MIN_PERCENT * (now - run.confirmed_at)
+
+
 def _is_other_worker_available(
     region: tables.Region, worker: fleet.Worker, job: tables.Job, now: float
 ) -> bool:
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -35,6 +35,7 @@
         state: State of the task.
         next_run: Number of the task's next run.
         failures: Number of failed runs.
+        stalls: Number of stalled runs.
         worker_id: Worker of the current or completed run; empty while waiting.
         took_s: Measured run time in seconds; 0 until the task is done.
         avoided_workers: Workers on which a run failed, stalled or was rejected.
@@ -47,6 +48,7 @@
     state: TaskState
     next_run: int
     failures: int = 0
+    stalls: int = 0
     worker_id: str = ""
     took_s: float = 0.0
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
