--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -229,10 +229,12 @@
     Attributes:
         log_speed: Natural logarithm of the speed.
         evidence: Amount of evidence, in comparisons with siblings.
+        reported: The speed that was last logged.
     """
 
     log_speed: float = 0.0
     evidence: float = 0.0
+    reported: float = 1.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -286,6 +286,18 @@
         "the run made too little progress and is stopped",
         (*_RUN_FIELDS, "percent", "elapsed_s", "expected_s"),
     ),
+    Event(
+        "long_task_kept",
+        Kind.RUN,
+        "the run is as slow as an earlier one elsewhere, so it is not moved",
+        (*_RUN_FIELDS, "percent"),
+    ),
+    Event(
+        "worker_speed_changed",
+        Kind.WORKER,
+        "the speed learned for the worker has changed by more than a tenth",
+        ("worker", "speed", "before"),
+    ),
     Event(
         "start_not_confirmed",
         Kind.RUN,
--- a/pollenladder/scheduling/long_tails.py
+++ b/pollenladder/scheduling/long_tails.py
@@ -73,6 +73,14 @@
             job.submission.estimate_s,
             total_s * region.get_speed(run.worker_id),
         )
+        region.log_event(
+            "long_task_kept",
+            job=job.submission.job_id,
+            task=run.task,
+            run=run.number,
+            worker=run.worker_id,
+            percent=run.percent,
+        )
     return True
 
 
--- a/pollenladder/scheduling/speed_learning.py
+++ b/pollenladder/scheduling/speed_learning.py
@@ -95,7 +95,23 @@
         by_service.setdefault(worker.listing.service, []).append(worker.speed)
     for group in by_service.values():
         speeds.centre(group)
+    _report_changes(region)
     region.fastest_speed = max(
         (region.get_speed(worker_id) for worker_id in region.workers),
         default=1.0,
     )
+
+
+def _report_changes(region: tables.Region) -> None:
+    """Log the speeds that differ by more than the dead band from before."""
+    for worker_id, worker in region.workers.items():
+        speed = region.get_speed(worker_id)
+        before = worker.speed.reported
+        if abs(math.log(speed / before)) > speeds.DEAD_BAND:
+            worker.speed.reported = speed
+            region.log_event(
+                "worker_speed_changed",
+                worker=worker_id,
+                speed=round(speed, 2),
+                before=round(before, 2),
+            )
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -231,6 +231,7 @@
         pywsgi.WSGIServer(
             settings.readiness_address, self._show_readiness, log=None
         ).start()
+        self._meters.registry.register(self._make_worker_collector())
         metering.serve(self._meters, settings.address)
         logs.log(
             LOGGER,
@@ -242,6 +243,19 @@
         self._shut_down(server)
         return 0
 
+    def _make_worker_collector(self) -> metering.WorkerCollector:
+        engines_by_group = self._groups.groups
+        return metering.WorkerCollector(
+            lambda: [
+                speed
+                for group in engines_by_group.values()
+                for speed in group.engine.list_speeds()
+            ],
+            lambda: sum(
+                group.engine.stalled_runs for group in engines_by_group.values()
+            ),
+        )
+
     def _serve_callers(self) -> listeners.Server:
         dependencies = application.Dependencies(
             gateway=self._gateway,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -54,6 +54,7 @@
 
     Attributes:
         region: The owner's tables; None unless this daemon is the owner.
+        stalled_runs: Number of runs that were stopped as stalled.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         features: optional_features.Features = optional_features.ALL,
     ):
         self.region: tables.Region | None = None
+        self.stalled_runs = 0
         self._max_lease_s = max_lease_s
         self._features = features
         self._callbacks = callbacks
@@ -207,6 +209,12 @@
             return {}
         return sharing.measure_loads(self.region, self._clock())
 
+    def list_speeds(self) -> list[float]:
+        """Return the learned speeds of the group's workers."""
+        if self.region is None:
+            return []
+        return [self.region.get_speed(w) for w in self.region.workers]
+
     def run(self) -> None:
         """Run the periodic maintenance of the tables, forever."""
         while not self._is_retired:
@@ -258,6 +266,7 @@
 
     def _apply_effect(self, effect: tables.Effect) -> None:
         if isinstance(effect, tables.LogEvent):
+            self.stalled_runs += effect.event == "run_moved"
             logs.log(LOGGER, effect.event, **effect.fields)
         elif isinstance(effect, tables.AnswerJob):
             self._callbacks.answer(effect.gateway_id, effect.answer)
--- a/pollenladder/service/meters.py
+++ b/pollenladder/service/meters.py
@@ -1,7 +1,11 @@
 """The daemon's metrics, and the HTTP server that exposes them."""
 
+from collections.abc import Callable
+from collections.abc import Iterator
+
 from gevent import pywsgi
 import prometheus_client
+from prometheus_client import core
 
 from pollenladder.jobs import entities as jobs
 
@@ -63,6 +67,40 @@
         self._response.observe(took_s)
 
 
+class WorkerCollector:
+    """Metrics of the workers that this daemon owns, read when asked for.
+
+    Args:
+        list_speeds: Returns the learned speeds of the workers.
+        count_stalled_runs: Returns the number of runs stopped as stalled.
+    """
+
+    def __init__(
+        self,
+        list_speeds: Callable[[], list[float]],
+        count_stalled_runs: Callable[[], int],
+    ):
+        self._list_speeds = list_speeds
+        self._count_stalled_runs = count_stalled_runs
+
+    def collect(self) -> Iterator[prometheus_client.Metric]:
+        """Yield the metrics."""
+        speeds = self._list_speeds() or [1.0]
+        gauge = core.GaugeMetricFamily(
+            "pollenladder_worker_speed",
+            "Learned speed of the slowest and the fastest worker owned.",
+            labels=("worker",),
+        )
+        gauge.add_metric(("slowest",), min(speeds))
+        gauge.add_metric(("fastest",), max(speeds))
+        yield gauge
+        yield core.CounterMetricFamily(
+            "pollenladder_stalled_runs",
+            "Runs stopped as stalled.",
+            value=self._count_stalled_runs(),
+        )
+
+
 def serve(meters: Meters, address: str) -> None:
     """Start the HTTP server for the metrics.
 
