--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -319,6 +319,18 @@
             "overlap",
         ),
     ),
+    Event(
+        "long_task_kept",
+        Kind.RUN,
+        "the run is as slow as an earlier one elsewhere, so it is not moved",
+        (*_RUN_FIELDS, "percent"),
+    ),
+    Event(
+        "worker_speed_changed",
+        Kind.WORKER,
+        "the speed learned for the worker has changed by more than a tenth",
+        ("worker", "speed", "before"),
+    ),
     Event(
         "start_not_confirmed",
         Kind.RUN,
