Hand over learned speeds and run times through the store

Cause: a new owner started with equal speeds and moved healthy runs on slow workers until it had learned them anew. Nothing waits for the store.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -237,6 +237,21 @@
     reported: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LearnedSpeed:
+    """The speed of one worker, as one owner passes it to the next.
+
+    Attributes:
+        started_ms: Start time of the worker's process.
+        log_speed: Natural logarithm of the speed.
+        evidence: Amount of evidence, in comparisons with siblings.
+    """
+
+    started_ms: int
+    log_speed: float
+    evidence: float
+
+
 @dataclasses.dataclass(slots=True)
 class Worker:
     """A worker as its owner sees it.
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -292,6 +292,13 @@
         "the run is as slow as an earlier one elsewhere, so it is not moved",
         (*_RUN_FIELDS, "percent"),
     ),
+    Event(
+        "learned_state_read",
+        Kind.OWNERSHIP,
+        "a new owner has read what the one before has learned; `rejected` says "
+        "why it starts anew",
+        ("group", "rejected"),
+    ),
     Event(
         "worker_speed_changed",
         Kind.WORKER,
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -9,6 +9,7 @@
 from pollenladder.platform import exceptions
 from pollenladder.platform import messages
 from pollenladder.platform import settings
+from pollenladder.scheduling import learned_state
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -20,6 +21,9 @@
 # Has a row for each group, which the owner keeps changing while it is alive.
 OWNERSHIP_TABLE = "ownership"
 
+# Has a row for each group with what its owners have learned.
+LEARNED_TABLE = "learned"
+
 READY = "ready"
 DRAINING = "draining"
 
@@ -27,6 +31,7 @@
 _WORKER_DECODER = msgspec.json.Decoder(messages.ServerEntry)
 _OWNERSHIP_DECODER = msgspec.json.Decoder(messages.Ownership)
 _LAYOUT_DECODER = msgspec.json.Decoder(groups.Layout)
+_LEARNED_DECODER = msgspec.json.Decoder(learned_state.LearnedState)
 _MEMBER_DECODER = msgspec.json.Decoder(roster.Member)
 
 
@@ -123,6 +128,23 @@
         raise exceptions.BadDocumentError(str(error)) from error
 
 
+def encode_learned(state: learned_state.LearnedState) -> bytes:
+    """Return the value of a group's row with what its owner has learned."""
+    return msgspec.json.encode(state)
+
+
+def decode_learned(source: bytes) -> learned_state.LearnedState:
+    """Return what an owner has learned from its group's row.
+
+    Raises:
+        exceptions.BadDocumentError: The value does not describe such a state.
+    """
+    try:
+        return _LEARNED_DECODER.decode(source)
+    except msgspec.MsgspecError as error:
+        raise exceptions.BadDocumentError(str(error)) from error
+
+
 def encode_layout(layout: groups.Layout) -> bytes:
     """Return the value of the row with the layout of groups."""
     return msgspec.json.encode(layout)
--- a/pollenladder/platform/store.py
+++ b/pollenladder/platform/store.py
@@ -101,6 +101,20 @@
             # The smallest key after the last one of this page.
             first = page.rows[-1].key + "\0"
 
+    def read_row(self, table: str, key: str) -> Row | None:
+        """Read one row, or None if there is none.
+
+        Raises:
+            exceptions.StoreError: The store gave no usable response.
+        """
+        self.calls["read"] += 1
+        query = {"Table": table, "part": "", "From": key, "Limit": 1}
+        page = self._read("/rows-get", query, REQUEST_TIMEOUT_S)
+        for row in page.rows:
+            if row.key == key:
+                return _decode_row(row)
+        return None
+
     def wait_for_changes(
         self, table: str, after: int, wait_s: float
     ) -> Snapshot:
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -4,6 +4,7 @@
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import learned_state
 from pollenladder.scheduling import long_tails
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
@@ -192,6 +193,7 @@
             runs=len(worker.runs),
         )
     worker.started_ms = reply.started_ms
+    learned_state.apply_inherited_speed(region, worker)
     worker.polled_clock_s = reply.clock_s
     worker.clock_ahead_s = reply.clock_s - now
     worker.missed_polls = 0
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -208,6 +208,8 @@
             workers are centred again.
         fastest_speed: Speed of the fastest worker when speeds were last
             centred.
+        inherited_speeds: Speeds that an earlier owner learned, by worker id,
+            until the worker is polled; see `learned_state`.
         effects: Effects that have not been carried out yet.
     """
 
@@ -250,6 +252,9 @@
     )
     jobs_until_centred: int = 0
     fastest_speed: float = 1.0
+    inherited_speeds: dict[str, fleet.LearnedSpeed] = dataclasses.field(
+        default_factory=dict
+    )
     effects: list[Effect] = dataclasses.field(default_factory=list)
 
     def is_awaiting_worker_list(self, now: float) -> bool:
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -24,6 +24,7 @@
 from pollenladder.platform import rows
 from pollenladder.platform import settings as conf
 from pollenladder.platform import store as stores
+from pollenladder.scheduling import tables
 from pollenladder.service import application
 from pollenladder.service import engine as engines
 from pollenladder.service import feeds
@@ -32,6 +33,7 @@
 from pollenladder.service import job_exchange
 from pollenladder.service import layout_keeper
 from pollenladder.service import leadership
+from pollenladder.service import learned_rows
 from pollenladder.service import membership
 from pollenladder.service import meters as metering
 from pollenladder.service import owner_rows
@@ -150,6 +152,15 @@
             ),
             self._clock,
         )
+        self._learned_rows = learned_rows.LearnedRows(
+            self._store,
+            learned_rows.Callbacks(
+                list_regions=self._list_regions,
+                on_failure=self._feeds.record_failure,
+            ),
+            self._clock,
+            clocks.read_wall_s,
+        )
         self._layout_keeper = layout_keeper.LayoutKeeper(
             self._own.daemon_id,
             self._settings.processor_cores,
@@ -223,6 +234,7 @@
             self._feeds.run_daemons,
             self._feeds.run_workers,
             self._owner_rows.run,
+            self._learned_rows.run,
             self._mesh.run,
             self._membership.run,
             self._gateway.run,
@@ -243,6 +255,14 @@
         self._shut_down(server)
         return 0
 
+    def _list_regions(self) -> dict[str, tables.Region]:
+        """Return the tables of the groups that this daemon owns."""
+        return {
+            name: group.engine.region
+            for name, group in self._groups.groups.items()
+            if group.engine.region is not None
+        }
+
     def _make_worker_collector(self) -> metering.WorkerCollector:
         engines_by_group = self._groups.groups
         return metering.WorkerCollector(
--- /dev/null
+++ b/pollenladder/service/learned_rows.py
@@ -0,0 +1,125 @@
+"""The rows in the platform's store that hold what owners have learned.
+
+Each owned group has one row. A new owner reads it once; no decision waits for
+that.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+
+import gevent
+
+from pollenladder.core import clocks
+from pollenladder.logs import lines as logs
+from pollenladder.platform import exceptions
+from pollenladder.platform import rows
+from pollenladder.platform import store as stores
+from pollenladder.scheduling import learned_state
+from pollenladder.scheduling import tables
+
+LOGGER = logging.getLogger(__name__)
+
+# How soon a new owner reads the row.
+CHECK_INTERVAL_S = 0.25
+WRITE_INTERVAL_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Callbacks:
+    """The functions that the rows call.
+
+    Attributes:
+        list_regions: Returns the tables of the groups that this daemon owns.
+        on_failure: Called with a table and an error when a call to the store
+            failed.
+    """
+
+    list_regions: Callable[[], dict[str, tables.Region]]
+    on_failure: Callable[[str, Exception], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Owned:
+    """One owned group.
+
+    Attributes:
+        region: The tables for which the row was read.
+        written: The state that was last written here; None before.
+        write_at: Monotonic time before which the row is not written.
+    """
+
+    region: tables.Region
+    written: learned_state.LearnedState | None
+    write_at: float
+
+
+class LearnedRows:
+    """Reads and writes the rows of the owned groups."""
+
+    def __init__(
+        self,
+        store: stores.Store,
+        callbacks: Callbacks,
+        clock: clocks.Clock,
+        wall_clock: clocks.Clock,
+    ):
+        self._store = store
+        self._callbacks = callbacks
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._owned: dict[str, _Owned] = {}
+
+    def run(self) -> None:
+        """Read the rows of newly owned groups and refresh all, forever."""
+        while True:
+            gevent.sleep(CHECK_INTERVAL_S)
+            self.step()
+
+    def step(self) -> None:
+        """Read and write the rows that are due."""
+        regions = {
+            group: region
+            for group, region in self._callbacks.list_regions().items()
+            if region.features.speeds
+        }
+        for group in self._owned.keys() - regions.keys():
+            del self._owned[group]
+        for group, region in regions.items():
+            owned = self._owned.get(group)
+            if owned is None or owned.region is not region:
+                self._read(group, region)
+            elif self._clock() >= owned.write_at:
+                self._write(group, owned)
+
+    def _read(self, group: str, region: tables.Region) -> None:
+        """Let a new owner start from the row; without one, it starts anew."""
+        write_at = self._clock() + WRITE_INTERVAL_S
+        self._owned[group] = _Owned(region, None, write_at)
+        reason = "no row"
+        try:
+            row = self._store.read_row(rows.LEARNED_TABLE, group)
+            if row is not None:
+                state = rows.decode_learned(row.value)
+                if learned_state.restore(region, state, self._wall_clock()):
+                    reason = ""
+                else:
+                    reason = "too old"
+        except exceptions.BadDocumentError as error:
+            reason = str(error)[:200]
+        except exceptions.StoreError as error:
+            reason = str(error)[:200]
+            self._callbacks.on_failure(rows.LEARNED_TABLE, error)
+        logs.log(LOGGER, "learned_state_read", group=group, rejected=reason)
+
+    def _write(self, group: str, owned: _Owned) -> None:
+        owned.write_at = self._clock() + WRITE_INTERVAL_S
+        state = learned_state.capture(owned.region, self._wall_clock())
+        if not learned_state.is_worth_writing(state, owned.written):
+            return
+        try:
+            value = rows.encode_learned(state)
+            self._store.put(rows.LEARNED_TABLE, group, value)
+            owned.written = state
+        except exceptions.StoreError as error:
+            self._callbacks.on_failure(rows.LEARNED_TABLE, error)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -27,6 +27,14 @@
         values = {row.key: row.value for row in snapshot.rows}
         self.assertEqual(values, {"a": b"one", "b": b"\x00\xff"})
 
+    def test_one_row_is_read_without_its_neighbours(self):
+        # A table with a row for each group grows with the workers.
+        self.store.put("mine", "a", b"one")
+        self.store.put("mine", "c", b"two")
+        self.assertEqual(self.store.read_row("mine", "a").value, b"one")
+        self.assertIsNone(self.store.read_row("mine", "b"))
+        self.assertIsNone(self.store.read_row("mine", "d"))
+
     def test_long_table_is_read_in_pages(self):
         for index in range(site_store.MAX_ROWS + 20):
             self.site.put("mine", f"k{index:05}", b"x")
