--- a/pollenladder/scheduling/neighbours.py
+++ b/pollenladder/scheduling/neighbours.py
@@ -134,11 +134,12 @@
     found or dropped, so that the row in the store rarely changes.
 
     Returns:
-        Plain values for `restore`; None with the feature off.
+        Plain values for `restore`; None with the feature off, and before
+        anything was learned.
     """
-    if not region.features.interference:
-        return None
     state = region.neighbourhood
+    if not region.features.interference or not state.model.evidence:
+        return None
     pairs = frozenset(state.model.pairs)
     is_old = now >= state.row_encoded_at + ROW_INTERVAL_S
     if is_old or pairs != state.row_pairs:
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -244,6 +244,8 @@
         fastest_speed: Speed of the fastest worker when speeds were last
             centred.
         neighbourhood: What is known about tasks that slow each other down.
+        inherited_speeds: Speeds that an earlier owner learned, by worker id,
+            until the worker is polled; see `learned_state`.
         effects: Effects that have not been carried out yet.
         evacuations: The data centres that are taken out of use.
         evacuated_services: The services whose listed workers are all in
@@ -300,6 +302,9 @@
     neighbourhood: worker_neighbourhood.Neighbourhood = dataclasses.field(
         default_factory=worker_neighbourhood.Neighbourhood
     )
+    inherited_speeds: dict[str, fleet.LearnedSpeed] = dataclasses.field(
+        default_factory=dict
+    )
     effects: list[Effect] = dataclasses.field(default_factory=list)
     evacuations: fleet_evacuations.Evacuations = dataclasses.field(
         default_factory=fleet_evacuations.Evacuations
