Split the wiring: the configuration in force, and queries of groups

Change: service.configurations puts configurations in force and exchanges them; queries of all groups are methods of service.groups. No behaviour changes.

--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -20,14 +20,12 @@
 from pollenladder.gateway import limits
 from pollenladder.gateway import listeners
 from pollenladder.jobs import entities as jobs
-from pollenladder.jobs import routing
 from pollenladder.logs import lines as logs
 from pollenladder.platform import exceptions
-from pollenladder.platform import rows
 from pollenladder.platform import settings as conf
 from pollenladder.platform import store as stores
-from pollenladder.scheduling import tables
 from pollenladder.service import application
+from pollenladder.service import configurations
 from pollenladder.service import engine as engines
 from pollenladder.service import evacuations as evacuation_followers
 from pollenladder.service import feeds
@@ -59,7 +57,6 @@
         self._settings = settings
         self._clock = clocks.read_monotonic_s
         self._stopping = event.Event()
-        self._routes: routing.RoutingTable | None = None
         self._meters = metering.Meters()
         self._own = rosters.Member(
             daemon_id=settings.daemon_id,
@@ -92,6 +89,14 @@
                 on_change=lambda: self._handle_groups_change(),
             )
         )
+        self._configurations = configurations.Configurations(
+            configurations.Callbacks(
+                send=lambda *message: self._mesh.send(*message),
+                on_change=lambda found: self._groups.update_cold_starts(
+                    found.cold_starts
+                ),
+            )
+        )
         self._build_gateway()
         self._build_cluster()
         self._build_feeds()
@@ -141,7 +146,7 @@
                 broadcast=self._mesh.broadcast,
                 on_forgotten=self._handle_forgotten,
                 reads_store=lambda within_s: self._feeds.reads_store(within_s),
-                get_version=self._get_version,
+                get_version=lambda: self._configurations.version,
                 get_layout_version=lambda: self._groups.layout.version,
                 is_leaving=self._stopping.is_set,
             ),
@@ -155,13 +160,13 @@
             self._store,
             self._own,
             feeds.Callbacks(
-                on_configuration=self._apply_configuration,
+                on_configuration=self._configurations.apply,
                 on_workers=self._update_workers,
                 on_member=self._handle_member,
                 on_layout=lambda layout, version: self._layout_keeper.update(
                     layout, version
                 ),
-                get_epochs=self._get_epochs,
+                get_epochs=self._groups.get_epochs,
                 on_evacuated=self._evacuation_follower.handle_read,
             ),
             self._clock,
@@ -171,10 +176,10 @@
             self._store,
             self._own.daemon_id,
             owner_rows.Callbacks(
-                on_epoch=self._record_epoch,
+                on_epoch=self._groups.record_epoch,
                 on_failure=self._feeds.record_failure,
-                get_epochs=self._get_epochs,
-                list_ownerless=self._list_ownerless,
+                get_epochs=self._groups.get_epochs,
+                list_ownerless=self._groups.list_ownerless,
             ),
             self._clock,
         )
@@ -186,7 +191,7 @@
         self._learned_rows = learned_rows.LearnedRows(
             self._store,
             learned_rows.Callbacks(
-                list_regions=self._list_regions,
+                list_regions=self._groups.list_regions,
                 on_failure=self._feeds.record_failure,
             ),
             self._clock,
@@ -211,7 +216,7 @@
             self._settings.max_lease_s,
             engines.Callbacks(
                 answer=self._exchange.answer,
-                on_fenced=lambda worker_id: self._handle_fenced(
+                on_fenced=lambda worker_id: self._groups.record_fenced(
                     name, worker_id
                 ),
                 get_lag_s=lambda: self._membership.loop_lag.lag_s,
@@ -279,7 +284,11 @@
         pywsgi.WSGIServer(
             settings.readiness_address, self._show_readiness, log=None
         ).start()
-        self._meters.registry.register(self._make_worker_collector())
+        self._meters.registry.register(
+            metering.WorkerCollector(
+                self._groups.list_speeds, self._groups.count_stalled_runs
+            )
+        )
         metering.serve(self._meters, settings.address)
         logs.log(
             LOGGER,
@@ -291,31 +300,10 @@
         self._shut_down(server)
         return 0
 
-    def _list_regions(self) -> dict[str, tables.Region]:
-        """Return the tables of the groups that this daemon owns."""
-        return {
-            name: group.engine.region
-            for name, group in self._groups.groups.items()
-            if group.engine.region is not None
-        }
-
-    def _make_worker_collector(self) -> metering.WorkerCollector:
-        engines_by_group = self._groups.groups
-        return metering.WorkerCollector(
-            lambda: [
-                speed
-                for group in engines_by_group.values()
-                for speed in group.engine.list_speeds()
-            ],
-            lambda: sum(
-                group.engine.stalled_runs for group in engines_by_group.values()
-            ),
-        )
-
     def _serve_callers(self) -> listeners.Server:
         dependencies = application.Dependencies(
             gateway=self._gateway,
-            get_routes=lambda: self._routes,
+            get_routes=lambda: self._configurations.routes,
             cancel_remote=self._exchange.cancel_remote,
             count_pending=self._exchange.count_pending,
         )
@@ -347,7 +335,7 @@
 
     def _show_readiness(self, environ: dict, start_response) -> list[bytes]:
         is_ready = (
-            self._routes is not None
+            self._configurations.routes is not None
             and self._membership.has_owner
             and not self._stopping.is_set()
         )
@@ -387,9 +375,9 @@
         elif isinstance(message, messages.NotOwner):
             self._gateway.handle_not_owner(message.job_id)
         elif isinstance(message, messages.RequestConfiguration):
-            self._push_configuration(sender, message.version)
+            self._configurations.push(sender, message.version)
         elif isinstance(message, messages.PushConfiguration):
-            self._apply_pushed_configuration(message)
+            self._configurations.apply_pushed(message)
         elif isinstance(message, messages.RequestLayout):
             if message.version < self._groups.layout.version:
                 layout = messages.PushLayout(self._groups.layout)
@@ -405,47 +393,7 @@
         if heartbeat.layout_version > self._groups.layout.version:
             version = self._groups.layout.version
             self._mesh.send(sender, messages.RequestLayout(version))
-        if heartbeat.config_version > self._get_version():
-            version = self._get_version()
-            self._mesh.send(sender, messages.RequestConfiguration(version))
-
-    def _push_configuration(self, sender: str, version: int) -> None:
-        if self._routes is None or version >= self._get_version():
-            return
-        found = self._routes.configuration
-        message = messages.PushConfiguration(found.version, found.source)
-        self._mesh.send(sender, message)
-
-    def _apply_pushed_configuration(
-        self, message: messages.PushConfiguration
-    ) -> None:
-        try:
-            found = rows.decode_configuration(message.source)
-        except exceptions.BadDocumentError as error:
-            logs.log(
-                LOGGER,
-                "configuration_rejected",
-                logging.WARNING,
-                version=message.version,
-                error=str(error)[:200],
-            )
-            return
-        self._apply_configuration(found)
-
-    def _apply_configuration(self, found: jobs.Configuration) -> None:
-        """Apply a configuration, unless a newer or the same one is in force."""
-        version = self._get_version()
-        if found.version <= version:
-            return
-        self._routes = routing.RoutingTable(found)
-        self._groups.update_cold_starts(found.cold_starts)
-        logs.log(
-            LOGGER,
-            "configuration_changed",
-            version=found.version,
-            before=version,
-            queues=len(found.queues),
-        )
+        self._configurations.request_newer(sender, heartbeat.config_version)
 
     def _handle_evacuation_change(self) -> None:
         self._groups.update_evacuations()
@@ -513,37 +461,10 @@
         owner_id = self._membership.find_owner(first)
         return owner_id == self._settings.daemon_id
 
-    def _get_epochs(self) -> dict[str, int]:
-        return {
-            name: group.leadership.epoch
-            for name, group in self._groups.groups.items()
-            if group.leadership.is_owner
-        }
-
-    def _list_ownerless(self) -> list[str]:
-        return [
-            name
-            for name, group in self._groups.groups.items()
-            if not group.leadership.owner_id
-        ]
-
-    def _record_epoch(self, group: str, epoch: int) -> None:
-        found = self._groups.groups.get(group)
-        if found is not None:
-            found.leadership.record_epoch(epoch)
-
     def _handle_forgotten(self, daemon_id: str) -> None:
         if self._membership.is_owner:
             gevent.spawn(self._feeds.delete_daemon_row, daemon_id)
 
-    def _handle_fenced(self, group: str, worker_id: str) -> None:
-        found = self._groups.groups.get(group)
-        if found is not None:
-            found.leadership.record_fenced(worker_id)
-
-    def _get_version(self) -> int:
-        return self._routes.configuration.version if self._routes else 0
-
 
 def run_in_background(*loops: Callable[[], None]) -> None:
     """Run endless loops, each in its own greenlet."""
--- a/pollenladder/service/groups.py
+++ b/pollenladder/service/groups.py
@@ -9,6 +9,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import neighbourhood
+from pollenladder.scheduling import tables
 from pollenladder.service import engine as engines
 from pollenladder.service import leadership as leaderships
 
@@ -116,6 +117,54 @@
         regions = [group.engine.region for group in self.groups.values()]
         return [region.neighbourhood for region in regions if region]
 
+    def list_regions(self) -> dict[str, tables.Region]:
+        """Return the tables of the groups that this daemon owns, by name."""
+        return {
+            name: group.engine.region
+            for name, group in self.groups.items()
+            if group.engine.region is not None
+        }
+
+    def list_speeds(self) -> list[float]:
+        """Return the learned speeds of the workers that this daemon owns."""
+        return [
+            speed
+            for group in self.groups.values()
+            for speed in group.engine.list_speeds()
+        ]
+
+    def count_stalled_runs(self) -> int:
+        """Return the number of runs that were stopped as stalled."""
+        return sum(group.engine.stalled_runs for group in self.groups.values())
+
+    def get_epochs(self) -> dict[str, int]:
+        """Return the epoch of this daemon's ownership of each owned group."""
+        return {
+            name: group.leadership.epoch
+            for name, group in self.groups.items()
+            if group.leadership.is_owner
+        }
+
+    def list_ownerless(self) -> list[str]:
+        """Return the groups of which this daemon follows no owner."""
+        return [
+            name
+            for name, group in self.groups.items()
+            if not group.leadership.owner_id
+        ]
+
+    def record_epoch(self, name: str, epoch: int) -> None:
+        """Record an epoch that an owner of a group has used."""
+        found = self.groups.get(name)
+        if found is not None:
+            found.leadership.record_epoch(epoch)
+
+    def record_fenced(self, name: str, worker_id: str) -> None:
+        """Record that a worker has seen a higher epoch than its group's."""
+        found = self.groups.get(name)
+        if found is not None:
+            found.leadership.record_fenced(worker_id)
+
     def _update_groups(self) -> None:
         names = layouts.list_groups(self.layout)
         # A new owner's epoch exceeds those of the groups that no longer exist.
