Forecast the starts of jobs behind a displaced one exactly

Cause: after a displacement, the forecast dropped the last start times, so that jobs at the end of the queue were forecast to start up to a run time too late until the next forecast, and of jobs with the same latest start the wrong one could be removed. Change: StartForecast.remove_job keeps the start times, which later jobs take, and removes the job with the right number of tasks. A property test compares the forecast with a simulation; it failed before. FreeCapacityIndex totals are tested as well.

--- a/pollenladder/scheduling/start_forecasts.py
+++ b/pollenladder/scheduling/start_forecasts.py
@@ -92,18 +92,20 @@
     def remove_job(self, urgency: Urgency, tasks: int) -> None:
         """Remove the tasks of a job, so that less urgent ones start earlier.
 
-        This is approximate like `add_job`, and `slot_times` stay as they are, so
-        that the starts of later jobs are forecast too late rather than too early.
+        `start_times` stay as they are: the tasks behind the removed ones take
+        their starts, and the last ones are left for jobs that arrive. This is
+        approximate like `add_job`.
         """
-        index = bisect.bisect_left(self.urgencies, urgency)
-        if self.urgencies[index : index + 1] != [urgency]:
-            return
-        del self.urgencies[index]
         before = self.tasks_before
-        del before[index]
-        for later in range(index, len(before)):
-            before[later] -= tasks
-        del self.start_times[max(0, len(self.start_times) - tasks) :]
+        first = bisect.bisect_left(self.urgencies, urgency)
+        end = bisect.bisect_right(self.urgencies, urgency)
+        for index in range(first, end):
+            if before[index + 1] - before[index] == tasks:
+                del self.urgencies[index]
+                del before[index + 1]
+                for later in range(index + 1, len(before)):
+                    before[later] -= tasks
+                return
 
     def _find_start_after_all(self, tasks: int, run_s: float) -> float:
         """Return when the last of `tasks` tasks behind all others starts."""
--- a/tests/scheduling/test_free_capacity.py
+++ b/tests/scheduling/test_free_capacity.py
@@ -40,6 +40,12 @@
                 if w.free.cpu_milli >= needed
             )
             self.assertEqual(listed, [name for _, name in expected])
+            # Deferred jobs start by these totals; a drift would defer forever.
+            totals = (
+                sum(w.free.cpu_milli for w in workers.values()),
+                sum(w.listing.capacity.cpu_milli for w in workers.values()),
+            )
+            self.assertEqual(index.get_totals(simulations.SERVICE), totals)
 
     def test_services_are_separate(self):
         index = free_capacity.FreeCapacityIndex()
--- a/tests/scheduling/test_start_forecasts.py
+++ b/tests/scheduling/test_start_forecasts.py
@@ -75,3 +75,26 @@
         ahead = sorted(j for j in waiting if j[0] < urgency)
         *_, expected = _simulate(slot_times, [*ahead, asked], run_s)
         self.assertAlmostEqual(found, expected)
+
+    @hypothesis.given(
+        slot_times=strategies.lists(strategies.floats(0.0, 2.0), min_size=1),
+        waiting=strategies.lists(JOB, min_size=1, max_size=20),
+        asked=JOB,
+        run_s=RUN_S,
+    )
+    def test_jobs_behind_a_removed_one_move_up(
+        self, slot_times, waiting, asked, run_s
+    ):
+        """Guards against jobs that are displaced for one that has left."""
+        forecast = _build(slot_times)
+        for urgency, tasks in waiting:
+            forecast.add_job((True, urgency), tasks, run_s)
+        removed = min(waiting)
+        forecast.remove_job((True, removed[0]), removed[1])
+        left = list(waiting)
+        left.remove(removed)
+        urgency, tasks = asked
+        found = forecast.find_last_start((True, urgency), tasks, run_s)
+        ahead = sorted(j for j in left if j[0] < urgency)
+        *_, expected = _simulate(slot_times, [*ahead, asked], run_s)
+        self.assertAlmostEqual(found, expected)
