Check a platform configuration before it is written

Cause: operators wrote a configuration to the store without any check. A daemon that rejects a document keeps the old one and only logs it, and a document that it accepts may contain queues that no request reaches. decode_configuration also raised RecursionError for a deeply nested document, which no caller expects.

Change: the command pollenladder check-config decodes the document with the daemon's own decoder and reports errors and warnings with path, value and remedy. Deep nesting raises BadDocumentError. The test of the reference pages accepts command names with a hyphen and also compares the new ids with their page.

--- a/pollenladder/management/application.py
+++ b/pollenladder/management/application.py
@@ -14,6 +14,7 @@
 from pollenladder.management import exit_codes
 from pollenladder.management.commands import apply
 from pollenladder.management.commands import check
+from pollenladder.management.commands import check_config
 from pollenladder.management.commands import diff
 from pollenladder.management.commands import drain
 from pollenladder.management.commands import evacuate
@@ -26,6 +27,7 @@
 VERSION = "0.1.0"
 COMMANDS = (
     check.CheckCommand,
+    check_config.CheckConfigCommand,
     diff.DiffCommand,
     apply.ApplyCommand,
     history.HistoryCommand,
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -44,7 +44,9 @@
     """
     try:
         config = _CONFIG_DECODER.decode(source)
-    except msgspec.MsgspecError as error:
+    # A value that is nested too deeply raises RecursionError, even in a field
+    # that is ignored.
+    except (msgspec.MsgspecError, RecursionError) as error:
         raise exceptions.BadDocumentError(str(error)) from error
     return jobs.Configuration(
         version=config.version,
@@ -62,7 +64,7 @@
     """
     try:
         services = _SERVICES_DECODER.decode(source)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return {}
     return {
         service.name: service.cold_start_s
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -20,7 +20,7 @@
 PAGES = sorted((ROOT / "docs").rglob("*.md")) + [ROOT / "README.md"]
 ROW = re.compile(r"^\| `([^`]+)` \| ([^|]*?) ?\|", re.MULTILINE)
 LINK = re.compile(r"\]\(([^)#:]+)\)")
-FINDING = re.compile(r"\b(?:conf|plans)\.[EW]\d{3}\b")
+FINDING = re.compile(r"\b(?:conf|plans|platform)\.[EW]\d{3}\b")
 
 
 def read_page(name: str) -> str:
@@ -70,12 +70,13 @@
         self.assertEqual(rows, codes)
 
     def test_commands(self):
-        named = set(re.findall(r"^\| `(\w+)", read_page("ref/cli.md"), re.M))
+        named = set(re.findall(r"^\| `([\w-]+)", read_page("ref/cli.md"), re.M))
         commands = {command.name for command in application.COMMANDS}
         self.assertEqual(named & commands, commands)
 
     def test_ids_of_findings(self):
-        pages = read_page("ref/settings.md") + read_page("ref/declarations.md")
+        names = ("settings", "declarations", "platform-configuration")
+        pages = "".join(read_page(f"ref/{name}.md") for name in names)
         sources = (ROOT / "pollenladder").rglob("*.py")
         code = "".join(path.read_text() for path in sources)
         used = set(FINDING.findall(code)) - {"conf.E100"}
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -118,9 +118,11 @@
                 self.assertEqual(found.cold_starts, expected)
 
     def test_invalid_documents(self):
-        for source in (b"", b"{}", b'{"Version":0}', b'{"Version":"7"}'):
+        # Deep nesting must not end the daemon's feed with a RecursionError.
+        deep = b'{"Version":7,"Services":' + b"[" * 100_000
+        for source in (b"", b"{}", b'{"Version":0}', b'{"Version":"7"}', deep):
             with (
-                self.subTest(source=source),
+                self.subTest(source=source[:80]),
                 self.assertRaises(exceptions.BadDocumentError),
             ):
                 rows.decode_configuration(source)
