Reject all rows that are nested too deeply, and tell where requests go

Cause: workers' rows and the rows of daemons raised RecursionError when nested too deeply, which the feeds do not handle. The description of a queue that ends said that its jobs go to the queue with a shorter prefix, which in fact rejects them if the rest of the path is no job id.

Change: all decoders of rows convert this error. Differences tell which response requests to an old address get: 404, 400, or that of another queue.

--- a/pollenladder/fleet/configuration_checks.py
+++ b/pollenladder/fleet/configuration_checks.py
@@ -165,7 +165,8 @@
             yield checks.Finding(
                 "platform.E006",
                 (*path, "timeout_s"),
-                f"is {queue.timeout_s * 1000:g} ms, so jobs end on arrival",
+                f"is {queue.timeout_s * 1000:g} ms, which leaves no time to jobs"
+                " without a deadline of their own",
                 "give the time that callers wait, in ms",
             )
         elif queue.timeout_s < queue.slack_s:
--- a/pollenladder/jobs/configuration_differences.py
+++ b/pollenladder/jobs/configuration_differences.py
@@ -83,39 +83,58 @@
     routes = routing.RoutingTable(after)
     for name, (index, queue) in old.items():
         if name not in new:
-            found = routes.find(queue.host, queue.prefix)
-            effect = "new jobs get the response 404"
-            if found is not None:
-                effect = f"new jobs go to {found.name}"
+            effect = f"new jobs {_describe_requests(routes, queue)}"
             path = ("queues", index)
             yield Difference(path, name, "the queue ends", effect)
     earlier = routing.RoutingTable(before)
     for name, (index, queue) in new.items():
         if name not in old:
+            address = queue.host + queue.prefix
+            effect = f"{address} is accepted"
             found = earlier.find(queue.host, queue.prefix)
-            effect = f"{queue.host}{queue.prefix} is accepted"
             if found is not None:
-                effect = (
-                    f"takes over {queue.host}{queue.prefix} from {found.name}"
-                )
+                effect = f"takes over {address} from {found.name}"
             path = ("queues", index)
             yield Difference(path, name, "the queue is new", effect)
 
 
+def _describe_requests(
+    routes: routing.RoutingTable, queue: entities.Queue
+) -> str:
+    """Return what becomes of requests to the address of an earlier queue."""
+    found = routes.find(queue.host, queue.prefix)
+    if found is None:
+        return "get the response 404"
+    # The rest of the path after the prefix is the job's id.
+    rest = queue.prefix[len(found.prefix) :]
+    if rest and not rest.isalnum():
+        return f"reach {found.name} and get the response 400"
+    return f"go to {found.name}"
+
+
 def _compare_queues(
     before: entities.Configuration, after: entities.Configuration
 ) -> Iterator[Difference]:
     old = _index(before)
+    routes = routing.RoutingTable(after)
     for name, (index, queue) in _index(after).items():
         if name not in old or old[name][1] == queue:
             continue
         earlier = old[name][1]
+        path = ("queues", index)
+        if (earlier.host, earlier.prefix) != (queue.host, queue.prefix):
+            change = (
+                f"the address changes from {earlier.host}{earlier.prefix} to"
+                f" {queue.host}{queue.prefix}"
+            )
+            requests = _describe_requests(routes, earlier)
+            effect = f"requests to the old address {requests}"
+            yield Difference(path, name, change, effect)
         for field, describe in _FIELDS.items():
             values = getattr(earlier, field), getattr(queue, field)
             if values[0] != values[1]:
                 change, effect = describe(*values)
-                path = ("queues", index, field)
-                yield Difference(path, name, change, effect)
+                yield Difference((*path, field), name, change, effect)
 
 
 def _compare_limits(
@@ -167,11 +186,6 @@
     return change, f"new jobs run only on workers of {after}"
 
 
-def _describe_address(before: str, after: str) -> tuple[str, str]:
-    change = f'the address changes from "{before}" to "{after}"'
-    return change, "requests to the old address no longer reach the queue"
-
-
 def _describe_stretch(before: float, after: float) -> tuple[str, str]:
     change = f"the stretch {_verb(before, after)} from {before:g} to {after:g}"
     return change, _describe_objective(before, after)
@@ -210,8 +224,6 @@
 
 
 _FIELDS: dict[str, Callable[..., tuple[str, str]]] = {
-    "host": _describe_address,
-    "prefix": _describe_address,
     "service": _describe_service,
     "timeout_s": _describe_timeout,
     "priority": _describe_priority,
--- a/pollenladder/platform/configuration_documents.py
+++ b/pollenladder/platform/configuration_documents.py
@@ -97,7 +97,7 @@
     """
     try:
         items = _LIST_DECODER.decode(source)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except rows.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
     workers = []
     findings = []
@@ -164,12 +164,7 @@
         value = msgspec.json.decode(source)
         for step in path:
             value = value[step]
-    except (
-        msgspec.MsgspecError,
-        RecursionError,
-        LookupError,
-        TypeError,
-    ):
+    except (*rows.DECODE_ERRORS, LookupError, TypeError):
         return ""
     if isinstance(value, dict | list):
         return ""
@@ -179,7 +174,7 @@
 def _read_services(source: msgspec.Raw) -> tuple[str, ...] | None:
     try:
         services = _SERVICES_DECODER.decode(source)
-    except (msgspec.MsgspecError, RecursionError):
+    except rows.DECODE_ERRORS:
         return None
     return tuple(service.name for service in services)
 
@@ -187,7 +182,7 @@
 def _read_worker(worker_id: str, source: bytes) -> fleet.Listing:
     try:
         row = _ROW_DECODER.decode(source)
-    except (msgspec.MsgspecError, RecursionError):
+    except rows.DECODE_ERRORS:
         return rows.decode_worker(worker_id, source)
     try:
         value = base64.b64decode(row.value, validate=True)
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -25,6 +25,10 @@
 # Has a row for each group, which the owner keeps changing while it is alive.
 OWNERSHIP_TABLE = "ownership"
 
+# A value that is nested too deeply raises RecursionError, even in a field that
+# is ignored.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+
 READY = "ready"
 DRAINING = "draining"
 
@@ -44,9 +48,7 @@
     """
     try:
         config = _CONFIG_DECODER.decode(source)
-    # A value that is nested too deeply raises RecursionError, even in a field
-    # that is ignored.
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
     return jobs.Configuration(
         version=config.version,
@@ -64,7 +66,7 @@
     """
     try:
         services = _SERVICES_DECODER.decode(source)
-    except (msgspec.MsgspecError, RecursionError):
+    except DECODE_ERRORS:
         return {}
     return {
         service.name: service.cold_start_s
@@ -129,7 +131,7 @@
     try:
         entry = _WORKER_DECODER.decode(source)
         address = settings.parse_address(entry.addr)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise exceptions.BadDocumentError(str(error)) from error
     if entry.state not in (READY, DRAINING):
         raise exceptions.BadDocumentError(f"unknown state {entry.state!r:.40}")
@@ -159,7 +161,7 @@
     """
     try:
         return _MEMBER_DECODER.decode(source)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
 
 
@@ -176,7 +178,7 @@
     """
     try:
         return _OWNERSHIP_DECODER.decode(source).epoch
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
 
 
@@ -193,7 +195,7 @@
     """
     try:
         layout = _LAYOUT_DECODER.decode(source)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
     if layout.version < 1 or any(n < 1 for n in layout.parts.values()):
         raise exceptions.BadDocumentError("a number below 1")
--- a/tests/management/test_check_config.py
+++ b/tests/management/test_check_config.py
@@ -213,6 +213,8 @@
             ({"Version": 8, "Routes": [ROUTE]}, "long: the queue ends; .* 404"),
             (change_route(Name="l"), "long: the queue ends; .* go to l"),
             (change_route(Name="l"), "l: the queue is new; takes over .* long"),
+            (change_route(Name="l", Prefix="/"), "long: .* l and .* 400"),
+            (change_route(Prefix="/l/"), "to h.example/l/; .* address get .*4"),
             (change_route(TimeoutMs=900), "shorter, 900 instead of 1531 ms"),
             (change_route(Service="b"), "from service quotes to b"),
             (change_route(Priority=0), "from 2 to 0; its jobs become more"),
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -60,6 +60,8 @@
             b"",
             b"\xff\xfe",
             b"[]",
+            # Deep nesting must not end the daemon's feed.
+            b'{"New":' + b"[" * 100_000,
             b'"ready"',
             json.dumps(ENTRY | {"State": "tired"}).encode(),
             json.dumps(ENTRY | {"Addr": "nowhere"}).encode(),
@@ -69,7 +71,7 @@
         )
         for source in cases:
             with (
-                self.subTest(source=source),
+                self.subTest(source=source[:80]),
                 self.assertRaises(exceptions.BadDocumentError),
             ):
                 rows.decode_worker("w1", source)
