--- a/tests/management/test_check_config.py
+++ b/tests/management/test_check_config.py
@@ -104,6 +104,10 @@
                 self.assertEqual(self.run_tool(value), (0, "no errors\n", ""))
 
     def test_findings(self):
+        upper_case = change_route(Prefix="/short/", Host="H.Example")
+        no_body = GOOD | {"Limits": {"MaxBodyBytes": 0}}
+        unused = GOOD | {"Services": [*GOOD["Services"], {"Name": "b"}]}
+        negative = GOOD | {"Routes": [ROUTE | {"Priority": -1}]}
         cases = (
             (b"{", "E001", ""),
             (b"\xff", "E001", ""),
@@ -113,35 +117,19 @@
             ({"Version": 1, "Routes": [{}]}, "E001", "Routes[0].Name"),
             (change_route(Name="short"), "E002", "Routes[1].Name"),
             (change_route(Prefix="/short/"), "E003", "Routes[1].Prefix"),
-            (
-                change_route(Prefix="/short/", Host="H.Example"),
-                "E003",
-                "Routes[1].Prefix",
-            ),
+            (upper_case, "E003", "Routes[1].Prefix"),
             (change_route(Host="h.example:80"), "E004", "Routes[1].Host"),
             (change_route(Host="h.example/"), "E004", "Routes[1].Host"),
             (change_route(Prefix="long/"), "E004", "Routes[1].Prefix"),
             (change_route(Service="quote"), "E005", "Routes[1].Service"),
             (change_route(TimeoutMs=0), "E006", "Routes[1].TimeoutMs"),
-            (
-                GOOD | {"Limits": {"MaxBodyBytes": 0}},
-                "E007",
-                "Limits.MaxBodyBytes",
-            ),
+            (no_body, "E007", "Limits.MaxBodyBytes"),
             (change_route(Stretch=0.9), "E008", "Routes[1].Stretch"),
             (GOOD | {"Services": {}}, "W001", "Services"),
-            (
-                GOOD | {"Services": [*GOOD["Services"], {"Name": "b"}]},
-                "W002",
-                "Services[1]",
-            ),
+            (unused, "W002", "Services[1]"),
             (change_route(TimeoutMs=60), "W005", "Routes[1].TimeoutMs"),
             (change_route(Attempts=0), "W006", "Routes[1].Attempts"),
-            (
-                GOOD | {"Routes": [ROUTE | {"Priority": -1}]},
-                "W007",
-                "Routes[0].Priority",
-            ),
+            (negative, "W007", "Routes[0].Priority"),
         )
         for value, check_id, path in cases:
             with self.subTest(check_id=check_id, path=path):
