--- a/pollenladder/platform/callers.py
+++ b/pollenladder/platform/callers.py
@@ -59,7 +59,7 @@
     """
     try:
         job = _JOB_DECODER.decode(body)
-    except msgspec.MsgspecError as error:
+    except messages.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
     _check_supported(job)
     step = job.steps[0]
--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -4,6 +4,10 @@
 
 import msgspec
 
+# What a decoder raises on an invalid value. One that is nested too deeply raises
+# RecursionError, even in a field that is ignored.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+
 Natural = Annotated[int, msgspec.Meta(ge=0)]
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Text = Annotated[str, msgspec.Meta(max_length=4000)]
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -49,7 +49,7 @@
     """
     try:
         config = _CONFIG_DECODER.decode(source)
-    except msgspec.MsgspecError as error:
+    except messages.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
     return jobs.Configuration(
         version=config.version,
@@ -67,7 +67,7 @@
     """
     try:
         services = _SERVICES_DECODER.decode(source)
-    except msgspec.MsgspecError:
+    except messages.DECODE_ERRORS:
         return {}
     return {
         service.name: service.cold_start_s
@@ -132,7 +132,7 @@
     try:
         entry = _WORKER_DECODER.decode(source)
         address = settings.parse_address(entry.addr)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (*messages.DECODE_ERRORS, ValueError) as error:
         raise exceptions.BadDocumentError(str(error)) from error
     if entry.state not in (READY, DRAINING):
         raise exceptions.BadDocumentError(f"unknown state {entry.state!r:.40}")
@@ -162,7 +162,7 @@
     """
     try:
         return _MEMBER_DECODER.decode(source)
-    except msgspec.MsgspecError as error:
+    except messages.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
 
 
@@ -179,7 +179,7 @@
     """
     try:
         return _OWNERSHIP_DECODER.decode(source).epoch
-    except msgspec.MsgspecError as error:
+    except messages.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
 
 
@@ -213,7 +213,7 @@
     """
     try:
         layout = _LAYOUT_DECODER.decode(source)
-    except msgspec.MsgspecError as error:
+    except messages.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
     if layout.version < 1 or any(n < 1 for n in layout.parts.values()):
         raise exceptions.BadDocumentError("a number below 1")
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -58,6 +58,12 @@
             _encode(Steps=[STEP | {"Cpu": -1}]),
             _encode(Spec=5),
             _encode(Spec="x" * 4001),
+            # Nested too deeply, in a field that is ignored.
+            _encode()[:-1]
+            + b', "A": '
+            + b"[" * 100_000
+            + b"]" * 100_000
+            + b"}",
         )
         for body in cases:
             with (
