--- a/pollenladder/scheduling/arrivals.py
+++ b/pollenladder/scheduling/arrivals.py
@@ -1,10 +1,9 @@
 """Decide whether a job that arrives is admitted.
 
 Under overload, admission pressure asks for a margin, and from large jobs for more
-of it. This must not leave workers idle: on a day with a load wave of 55%, groups
-refused 841 jobs in nine seconds that were forecast to start in time, because
-pressure was at its maximum, while reports showed room. A job whose tasks can all
-start at once is therefore admitted whatever the pressure.
+of it. This must not leave workers idle: at the crest of a load wave, pressure is
+still high when capacity is free again. A job whose tasks can all start at once is
+therefore admitted whatever the pressure.
 """
 
 import dataclasses
--- a/pollenladder/scheduling/delays.py
+++ b/pollenladder/scheduling/delays.py
@@ -1,9 +1,8 @@
 """Decide whether a lack of capacity delayed a job.
 
-Admission pressure must follow the load alone. On workers of speed 0.7, or with
-3% of the jobs at seven times their run time, many jobs end after their objective
-although every task started on time. Counting those as signs of overload made
-admission refuse jobs while workers were idle.
+Admission pressure must follow the load alone. On slow workers, or in a queue with a
+long tail, many jobs end after their objective although every task started on time.
+They are no sign of overload and must not make admission refuse other jobs.
 """
 
 from pollenladder.jobs import entities as jobs
--- a/pollenladder/scheduling/displacement.py
+++ b/pollenladder/scheduling/displacement.py
@@ -1,10 +1,9 @@
 """Remove waiting jobs that can no longer start in time.
 
 In a burst, jobs that arrive later and are more urgent push back jobs that were
-admitted before. On a day with twice the usual load, 440 of 502 refusals came only
-at the latest start of such a job, when no other group could serve it in time
-either. A job that has not begun is therefore refused as soon as the forecast shows
-that it was displaced, so that its gateway can ask a group that has room.
+admitted before. At the latest start of such a job, no other group could serve it in
+time either. A job that has not begun is therefore refused as soon as the forecast
+shows that it was displaced, so that its gateway can ask a group that has room.
 """
 
 import heapq
--- a/pollenladder/scheduling/group_retries.py
+++ b/pollenladder/scheduling/group_retries.py
@@ -1,10 +1,9 @@
 """Decide whether a gateway asks another group after a refusal.
 
-A burst does not hit all groups alike: on a day of overload, gateways tried at most
-two more groups, the first of them without room, and answered refusals while a group
-that was never asked had idle workers. A gateway therefore continues as long as a
-report shows room for the whole job, asks each group at most once, and stops when
-the job can no longer be in time. The gateway knows neither the bias of declared run
+A burst does not hit all groups alike, so one group may refuse jobs while another has
+idle workers. A gateway therefore continues as long as a report shows room for the
+whole job, asks each group at most once, and stops when the job can no longer be in
+time. The gateway knows neither the bias of declared run
 times nor the number of waves that a wide job may take, so the owner still decides.
 """
 
--- a/pollenladder/scheduling/learned_state.py
+++ b/pollenladder/scheduling/learned_state.py
@@ -1,8 +1,8 @@
 """What an owner has learned, for the next owner of its group.
 
-The load that this answers: an owner is lost or hands over while workers differ
-in speed. The next owner would move healthy runs on slow workers until it has
-learned the speeds anew.
+An owner may be lost or hand over while workers differ in speed. Without this state,
+the next owner would move healthy runs on slow workers until it has learned the
+speeds anew.
 
 The state is bounded and holds no job. A new owner works without it.
 """
