--- a/pollenladder/scheduling/speed_matching.py
+++ b/pollenladder/scheduling/speed_matching.py
@@ -7,9 +7,9 @@
 
 from pollenladder.scheduling import tables
 
-# Cost of a worker for each unit of speed that it lacks, in thousandths of a
-# core. A lack of 0.3 costs about half of a worker of 64 cores, so that a slightly
-# slow worker is still preferred to a nearly idle one.
+# Cost of a worker that lacks speed, and again for each unit of speed that it
+# lacks, in thousandths of a core. More than the capacity of most workers, so that
+# being in time comes before keeping capacity free for wide tasks.
 LACKING_SPEED_COST_MILLI = 100_000
 # Expected run times are wrong by a log-normal factor with sigma 0.4. The objective
 # changes with the true run time and needs only a small margin. The caller's
@@ -41,4 +41,6 @@
 
 def compute_cost(needed_speed: float, speed: float) -> float:
     """Return the cost of a worker's lack of speed, in thousandths of a core."""
-    return LACKING_SPEED_COST_MILLI * max(0.0, needed_speed - speed)
+    if needed_speed <= speed:
+        return 0.0
+    return LACKING_SPEED_COST_MILLI * (1.0 + needed_speed - speed)
