Log the runs on a lost worker, and leases that hold them too long

Change: events run_on_lost_worker and lost_runs_held, process_ended in worker_lost, counters pollenladder_worker_failures, reason lease_expired where the owner infers the end of a run; explain names lost runs as the cause. No decision is changed.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -274,6 +274,12 @@
         missed_polls: Consecutive polls without a reply.
         last_missed_at: Monotonic time in seconds at which a poll last got no
             reply.
+        lost_at: Monotonic time in seconds since which the worker has not been
+            reachable; only meaningful while it is not.
+        has_process_ended: Whether the last poll found that the worker's process
+            has ended.
+        is_loss_reported: Whether runs that outlast the longest lease have been
+            logged since the worker was lost.
         started_ms: Process start time in the last poll reply.
         polled_clock_s: The worker's clock in the last poll reply. A reply with
             an earlier time is outdated.
@@ -299,6 +305,9 @@
     is_reachable: bool = False
     missed_polls: int = 0
     last_missed_at: float = float("-inf")
+    lost_at: float = float("inf")
+    has_process_ended: bool = False
+    is_loss_reported: bool = False
     started_ms: int = 0
     polled_clock_s: float = 0.0
     cursor: int = 0
--- a/pollenladder/http/exceptions.py
+++ b/pollenladder/http/exceptions.py
@@ -32,6 +32,10 @@
     """All connections of the pool stayed in use; nothing was written."""
 
 
+class RefusedError(NotSentError):
+    """No process listens at the peer's address; nothing was written."""
+
+
 class NoResponseError(ExchangeError):
     """The request, or part of it, may have arrived at the peer.
 
--- a/pollenladder/http/exchanges.py
+++ b/pollenladder/http/exchanges.py
@@ -102,6 +102,8 @@
         # The cause of the timeout may affect the idle connections too.
         pool.close_idle()
         raise _build_error(state, exceptions.Cause.TIMEOUT, "timeout") from None
+    except ConnectionRefusedError as error:
+        raise exceptions.RefusedError(str(error)) from error
     except OSError as error:
         raise _build_error(
             state, exceptions.Cause.CLOSED, str(error)
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -254,7 +254,20 @@
         "worker_lost",
         Kind.WORKER,
         "the worker gets no new work, as polls got no reply",
-        ("worker", "missed_looks", "runs"),
+        ("worker", "missed_looks", "runs", "process_ended"),
+    ),
+    Event(
+        "lost_runs_held",
+        Kind.WORKER,
+        "a worker has been lost for longer than any lease, and its runs still "
+        "hold their tasks",
+        ("worker", "runs", "lost_s", "lease_left_s"),
+    ),
+    Event(
+        "run_on_lost_worker",
+        Kind.RUN,
+        "the run was on a worker when it was lost",
+        (*_RUN_FIELDS, "queue", "state", "age_s"),
     ),
     Event(
         "worker_reached",
--- a/pollenladder/logs/explanations.py
+++ b/pollenladder/logs/explanations.py
@@ -13,6 +13,13 @@
 # Changes of ownership or of dependencies that precede a request's first line by
 # at most this time may explain its outcome.
 CONTEXT_BEFORE_S = 3.0
+# Events that tell why a run did not complete its task.
+_FAILED_RUN_EVENTS = (
+    "task_requeued",
+    "run_failed",
+    "run_moved",
+    "run_on_lost_worker",
+)
 CONTEXT_KINDS = (events.Kind.OWNERSHIP, events.Kind.DEPENDENCY)
 
 
@@ -158,7 +165,7 @@
         f"{line.fields['task']} on {line.fields.get('worker', '')}:"
         f" {line.fields.get('reason') or line.event.name}"
         for line in job_lines
-        if line.event.name in ("task_requeued", "run_failed", "run_moved")
+        if line.event.name in _FAILED_RUN_EVENTS
     ]
     text = (
         f"{fields['outcome']} ({fields['reason']}) after {fields['took_s']} s"
--- a/pollenladder/platform/workers.py
+++ b/pollenladder/platform/workers.py
@@ -57,7 +57,15 @@
     """The worker has seen a higher epoch than the one in the request."""
 
 
-class OtherIncarnationError(PollError):
+class ProcessEndedError(PollError):
+    """The process of the worker has ended."""
+
+
+class RefusedError(ProcessEndedError):
+    """No process listens at the worker's address."""
+
+
+class OtherIncarnationError(ProcessEndedError):
     """The address now belongs to another worker."""
 
 
@@ -172,6 +180,7 @@
 
         Raises:
             FencedError: Another owner has taken over the worker.
+            RefusedError: No process listens at the worker's address.
             OtherIncarnationError: The address now belongs to another worker.
             PollError: There is no usable response.
         """
@@ -184,6 +193,8 @@
             response = self._send(
                 self._poll_head, body, wait_s + response_margin_s
             )
+        except http_exceptions.RefusedError as error:
+            raise RefusedError(str(error)) from error
         except http_exceptions.ExchangeError as error:
             raise PollError(str(error)) from error
         return _read_poll_response(response)
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -11,6 +11,7 @@
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import worker_losses
 
 ORPHAN_END_RETENTION_S = 3.0
 # A gateway behind a network partition forwards its jobs to another owner, which
@@ -31,6 +32,7 @@
     _cancel_jobs_of_lost_gateways(region, now)
     for worker in list(region.workers.values()):
         _check_runs(region, worker, now)
+        worker_losses.report_held_runs(region, worker, now)
         if not worker.is_listed and not worker.runs:
             region.remove_worker(worker.listing.worker_id)
     _delete_old_orphan_ends(region, now)
@@ -154,7 +156,7 @@
     expired = have_leases_expired(worker, now)
     for run in list(worker.runs.values()):
         if expired and not worker.is_reachable:
-            runs.release(region, worker, run, "lapsed")
+            runs.release(region, worker, run, "lease_expired")
         elif run.state is fleet.RunState.STOPPING:
             if now >= run.next_stop_at:
                 runs.stop(region, run, now)
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -13,6 +13,7 @@
 from pollenladder.scheduling import speed_learning
 from pollenladder.scheduling import stalls
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import worker_losses
 
 # Consecutive polls without a reply after which a worker is unreachable and gets
 # no new runs.
@@ -76,7 +77,7 @@
     elif reply is fleet.StartReply.OTHER_INCARNATION:
         worker.busy_until = now + OTHER_INCARNATION_PAUSE_S
     elif reply is fleet.StartReply.NOT_SENT:
-        worker.is_reachable = False
+        worker_losses.mark_lost(region, worker, now)
     elif reply is fleet.StartReply.OLD_RUN and task is not None:
         task.next_run += runs.RUN_NUMBER_STEP
     if task is not None:
@@ -108,22 +109,28 @@
 
 
 def handle_missed_poll(
-    region: tables.Region, worker_id: str, now: float
+    region: tables.Region,
+    worker_id: str,
+    now: float,
+    has_process_ended: bool = False,
 ) -> None:
-    """Record that a poll got no reply."""
+    """Record that a poll got no reply.
+
+    Args:
+        region: The region.
+        worker_id: The worker's id.
+        now: Monotonic time in seconds.
+        has_process_ended: Whether no process answers under the worker's
+            address and id.
+    """
     worker = region.workers.get(worker_id)
     if worker is None:
         return
     worker.missed_polls += 1
     worker.last_missed_at = now
-    if worker.is_reachable and worker.missed_polls >= MAX_MISSED_POLLS:
-        worker.is_reachable = False
-        region.log_event(
-            "worker_lost",
-            worker=worker_id,
-            missed_looks=worker.missed_polls,
-            runs=len(worker.runs),
-        )
+    worker.has_process_ended = has_process_ended
+    if worker.missed_polls >= MAX_MISSED_POLLS:
+        worker_losses.mark_lost(region, worker, now)
 
 
 def handle_fenced(region: tables.Region, worker_id: str) -> None:
@@ -205,7 +212,7 @@
             runs=len(reply.running),
             ends=len(reply.ended),
         )
-    worker.is_reachable = True
+    worker_losses.mark_reached(worker)
     worker.is_synced = True
 
 
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -179,7 +179,34 @@
     decision: str
 
 
-Effect = StartRun | StopRun | LookNow | AnswerJob | LogEvent | CountDecision
+class Failure(enum.Enum):
+    """A failure of workers that is counted for the metrics.
+
+    Attributes:
+        WORKER_LOST: A worker no longer replies.
+        RUN_ON_LOST_WORKER: A run was on a worker when it was lost.
+    """
+
+    WORKER_LOST = "worker_lost"
+    RUN_ON_LOST_WORKER = "run_on_lost_worker"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountFailure:
+    """Add one to the counter of a kind of failure of workers."""
+
+    failure: Failure
+
+
+Effect = (
+    StartRun
+    | StopRun
+    | LookNow
+    | AnswerJob
+    | LogEvent
+    | CountDecision
+    | CountFailure
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -370,6 +397,10 @@
         """Queue the count of a kind of decision, for the metrics."""
         self.effects.append(CountDecision(decision))
 
+    def count_failure(self, failure: Failure) -> None:
+        """Queue the count of a failure of workers, for the metrics."""
+        self.effects.append(CountFailure(failure))
+
     def take_effects(self) -> list[Effect]:
         """Return and clear the effects decided on since the last call."""
         effects, self.effects = self.effects, []
--- /dev/null
+++ b/pollenladder/scheduling/worker_losses.py
@@ -0,0 +1,75 @@
+"""Workers that no longer reply, and the runs that were on them.
+
+Polls tell whether the process of a lost worker has ended or whether the network
+may have failed. A run on a lost worker occupies its task until its lease has
+expired, because the worker may still be executing it.
+"""
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import runs
+from pollenladder.scheduling import tables
+
+# Time beyond a lease after which the runs of a lost worker are reported if
+# their tasks are still held back.
+REPORT_MARGIN_S = 0.5
+
+
+def mark_lost(region: tables.Region, worker: fleet.Worker, now: float) -> None:
+    """Record that a worker does not reply, and log the runs on it."""
+    if not worker.is_reachable:
+        return
+    worker.is_reachable = False
+    worker.lost_at = now
+    worker.is_loss_reported = False
+    region.count_failure(tables.Failure.WORKER_LOST)
+    region.log_event(
+        "worker_lost",
+        worker=worker.listing.worker_id,
+        missed_looks=worker.missed_polls,
+        runs=len(worker.runs),
+        process_ended=worker.has_process_ended,
+    )
+    for run in worker.runs.values():
+        _log_run(region, run, now)
+
+
+def mark_reached(worker: fleet.Worker) -> None:
+    """Record that a worker replies."""
+    worker.is_reachable = True
+    worker.has_process_ended = False
+
+
+def report_held_runs(
+    region: tables.Region, worker: fleet.Worker, now: float
+) -> None:
+    """Log once that runs on a lost worker outlast the longest lease."""
+    if worker.is_reachable or worker.is_loss_reported or not worker.runs:
+        return
+    lost_s = now - worker.lost_at
+    if lost_s < region.max_lease_s + REPORT_MARGIN_S:
+        return
+    worker.is_loss_reported = True
+    clock_s = now + worker.clock_ahead_s
+    region.log_event(
+        "lost_runs_held",
+        worker=worker.listing.worker_id,
+        runs=len(worker.runs),
+        lost_s=round(lost_s, 3),
+        lease_left_s=round(worker.lease_until_s - clock_s, 3),
+    )
+
+
+def _log_run(region: tables.Region, run: fleet.Run, now: float) -> None:
+    job, _ = runs.find_task(region, run)
+    region.count_failure(tables.Failure.RUN_ON_LOST_WORKER)
+    region.log_event(
+        "run_on_lost_worker",
+        job=jobs.parse_job_id(run.task),
+        task=run.task,
+        run=run.number,
+        worker=run.worker_id,
+        queue=job.submission.queue if job else "",
+        state=run.state.value,
+        age_s=round(now - run.sent_at, 4),
+    )
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -220,6 +220,7 @@
                 ),
                 get_lag_s=lambda: self._membership.loop_lag.lag_s,
                 count=self._meters.count_decision,
+                count_failure=self._meters.count_failure,
             ),
             self._clock,
             self._settings.features,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -47,12 +47,14 @@
         on_fenced: Called with the id of a worker that has seen a higher epoch.
         get_lag_s: Returns the mean lag of the event loop, in seconds.
         count: Adds one to the counter of a kind of decision.
+        count_failure: Adds one to the counter of a kind of failure of workers.
     """
 
     answer: Callable[[str, jobs.Answer], None]
     on_fenced: Callable[[str], None]
     get_lag_s: Callable[[], float]
     count: Callable[[str], None]
+    count_failure: Callable[[str], None] = lambda failure: None
 
 
 class Engine:
@@ -302,6 +304,8 @@
             self._callbacks.answer(effect.gateway_id, effect.answer)
         elif isinstance(effect, tables.CountDecision):
             self._callbacks.count(effect.decision)
+        elif isinstance(effect, tables.CountFailure):
+            self._callbacks.count_failure(effect.failure.value)
         else:
             self._send_order(effect)
 
--- a/pollenladder/service/meters.py
+++ b/pollenladder/service/meters.py
@@ -63,6 +63,12 @@
             ("decision",),
             registry=self.registry,
         )
+        self._failures = prometheus_client.Counter(
+            "pollenladder_worker_failures",
+            "Losses of workers, and what they led to.",
+            ("failure",),
+            registry=self.registry,
+        )
         self._jobs = prometheus_client.Counter(
             "pollenladder_jobs",
             "Jobs answered.",
@@ -81,6 +87,10 @@
         """Count a decision of an owner under overload."""
         self._decisions.labels(decision).inc()
 
+    def count_failure(self, failure: str) -> None:
+        """Count a failure of workers."""
+        self._failures.labels(failure).inc()
+
     def count_job(self, answer: jobs.Answer, took_s: float) -> None:
         """Count an answered job and record its response time, in seconds."""
         labels = (answer.outcome.value, answer.reason.value)
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -147,7 +147,12 @@
         if self._closed:
             return 0.0
         was_reachable = self._worker.is_reachable
-        replies.handle_missed_poll(self._region, self._worker_id, self._clock())
+        replies.handle_missed_poll(
+            self._region,
+            self._worker_id,
+            self._clock(),
+            has_process_ended=isinstance(error, workers.ProcessEndedError),
+        )
         if was_reachable:
             logs.log(
                 LOGGER,
