--- a/standins/site.py
+++ b/standins/site.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable
 import json
 import pathlib
+import time
 from typing import Any
 
+import gevent
 from gevent import pywsgi
 
 from standins import site_store
@@ -27,6 +29,8 @@
     Attributes:
         store: The store.
         workers: Workers by id, including those that were stopped.
+        crash_down_s: How long a crashed worker is down, in seconds.
+        crashes: When workers crashed, monotonic, in seconds.
     """
 
     def __init__(
@@ -39,6 +43,8 @@
         """
         self.store = site_store.SiteStore(rewrite)
         self.workers: dict[str, site_worker.SiteWorker] = {}
+        self.crash_down_s = 1.5
+        self.crashes: list[float] = []
         self._servers: dict[str, pywsgi.WSGIServer] = {}
         self._store_server = wsgi.serve(self.store.serve)
 
@@ -57,7 +63,7 @@
             data_centre: The data centre of the worker.
             cpu: The CPU capacity in thousandths of a core.
         """
-        worker = site_worker.SiteWorker(worker_id, cpu)
+        worker = site_worker.SiteWorker(worker_id, cpu, self.crash_worker)
         self.workers[worker_id] = worker
         self._servers[worker_id] = wsgi.serve(worker.serve)
         self.list_worker(worker_id, data_centre)
@@ -103,6 +109,22 @@
         """Close the port of a worker and leave its store entry unchanged."""
         self._servers[worker_id].stop(timeout=0)
 
+    def crash_worker(self, worker_id: str) -> None:
+        """Crash a worker; it restarts under its id after `crash_down_s`.
+
+        Meanwhile its port refuses connections and its store entry is unchanged.
+        """
+        port = self.get_worker_port(worker_id)
+        self.crashes.append(time.monotonic())
+        self.workers[worker_id].restart()
+        self._servers[worker_id].crash()
+        gevent.spawn_later(self.crash_down_s, self._reopen, worker_id, port)
+
+    def _reopen(self, worker_id: str, port: int) -> None:
+        worker = self.workers[worker_id]
+        worker.restart()
+        self._servers[worker_id] = wsgi.serve(worker.serve, port)
+
     def configure(
         self,
         version: int,
@@ -210,7 +232,11 @@
 
 
 def build_job(
-    tasks: int = 2, run_ms: int = 60, cpu: int = 27_000, fail: bool = False
+    tasks: int = 2,
+    run_ms: int = 60,
+    cpu: int = 27_000,
+    fail: bool = False,
+    crashing_task: int | None = None,
 ) -> bytes:
     """Build the body of a job that `site_worker.SiteWorker` can run.
 
@@ -219,8 +245,12 @@
         run_ms: The run time of each task in milliseconds.
         cpu: The CPU demand of each task in thousandths of a core.
         fail: Whether the tasks fail.
+        crashing_task: The index of the task that crashes its worker, if any.
     """
-    spec = json.dumps({"run_ms": run_ms, "cpu": cpu, "fail": fail})
+    work = {"run_ms": run_ms, "cpu": cpu, "fail": fail}
+    if crashing_task is not None:
+        work["crashing_task"] = crashing_task
+    spec = json.dumps(work)
     step = {"Count": tasks, "Cpu": cpu, "MemMb": 64, "EstimateMs": run_ms}
     return json.dumps(
         {"Spec": spec, "Steps": [step], "Preemptible": True}
--- a/standins/site_worker.py
+++ b/standins/site_worker.py
@@ -14,6 +14,8 @@
 
 # Time between a stop request and the end of the run.
 STOP_DELAY_S = 0.03
+# Time between the start of a task that crashes its worker and the crash.
+CRASH_DELAY_S = 0.012
 # Leases that are requested for longer are shortened to this.
 MAX_LEASE_S = 1.0
 
@@ -74,7 +76,9 @@
 class SiteWorker:
     """A worker and its WSGI application.
 
-    The `Spec` of a task is JSON: `{"run_ms": n, "cpu": n, "fail": bool}`.
+    The `Spec` of a task is JSON: `{"run_ms": n, "cpu": n, "fail": bool,
+    "crashing_task": n}`. The last one, if present, is the index of the task of
+    the job that crashes its worker.
 
     Attributes:
         worker_id: The id of the worker.
@@ -85,7 +89,20 @@
         started_ms: Wall-clock start time of this incarnation in milliseconds.
     """
 
-    def __init__(self, worker_id: str, cpu: int = 64_000):
+    def __init__(
+        self,
+        worker_id: str,
+        cpu: int = 64_000,
+        crash: Callable[[str], None] | None = None,
+    ):
+        """Start a worker.
+
+        Args:
+            worker_id: The id of the worker.
+            cpu: CPU capacity in thousandths of a core.
+            crash: Crashes the worker; called with its id.
+        """
+        self._crash = crash or (lambda worker_id: self.restart())
         self.worker_id = worker_id
         self.cpu = cpu
         self.faults = Faults()
@@ -184,6 +201,8 @@
         run = Run(task, number, time.monotonic(), run_s, spec["cpu"])
         self._running[task] = run
         self.history.append(run)
+        if spec.get("crashing_task") == int(task.rsplit(".", 1)[-1]):
+            gevent.spawn_later(CRASH_DELAY_S, self._crash, self.worker_id)
         fails = self.faults.fails_all or spec.get("fail", False)
         if not self.faults.hangs:
             how = "failed" if fails else "done"
