Let the leases of a lost worker expire

Callers saw: after a crash of a worker's process, every job with a task there was held until its caller left, 1.9 to 5 s later, although other workers had room. Cause: the owner polls a lost worker each 0.15 s, and recorded a new end of its leases with each poll, also when the connection was refused. The recorded leases never expired, so the tasks never got another run. Evidence: lost_runs_held on 45 of 45 lost workers, with .85 to 1.0 s left 1.5 s after the loss, and not one task_requeued for it. Change: polls renew leases only while the worker is reachable. The worker's own lease then ends within 1 s, and the owner's record with it.

--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -109,14 +109,16 @@
     def _poll(self, wait_s: float) -> float:
         """Poll once; return the pause before the next poll, in seconds.
 
-        Each poll also renews the leases of the worker's runs.
+        Each poll of a reachable worker also renews the leases of its runs. Those
+        of an unreachable worker expire, so that its tasks can start elsewhere.
 
         Args:
             wait_s: How long the worker may hold its reply until a run ends.
         """
         sent_at = self._clock()
         worker = self._worker
-        lease_until_s = self._extend_lease() if worker.is_synced else None
+        renews = worker.is_synced and worker.is_reachable
+        lease_until_s = self._extend_lease() if renews else None
         try:
             reply = self._client.poll(
                 self._region.epoch,
