--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -108,6 +108,14 @@
     answer: jobs.Answer
 
 
+@dataclasses.dataclass(frozen=True)
+class TasksCrashed:
+    """An owner tells a gateway that workers were lost under tasks of a job."""
+
+    job_id: str
+    crashes: tuple[jobs.TaskCrashes, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class NotOwner:
     """A daemon rejects a job because it does not own the group.
@@ -163,7 +171,7 @@
     layout: groups.Layout
 
 
-# Wire tags. Never reuse a tag for another message; 1, 2, 8, 9 and 14 are
+# Wire tags. Never reuse a tag for another message; 1, 2, 8, 9, 14 and 15 are
 # retired.
 TAGS = (
     (3, Cancel),
@@ -175,7 +183,8 @@
     (11, PushLayout),
     (12, Release),
     (13, Heartbeat),
-    (15, Submit),
+    (16, Submit),
+    (17, TasksCrashed),
 )
 
 
--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -278,6 +278,8 @@
             reachable; only meaningful while it is not.
         has_process_ended: Whether the last poll found that the worker's process
             has ended.
+        has_crash_recorded: Whether the end of the process has been recorded
+            against the runs on the worker.
         is_loss_reported: Whether runs that outlast the longest lease have been
             logged since the worker was lost.
         started_ms: Process start time in the last poll reply.
@@ -297,6 +299,8 @@
         cold_start_s: For how long the workers of the service are cold after
             their start, in seconds; 0 if there is no limit.
         speed: Speed derived from the run times.
+        isolated_task: The task that runs alone on the worker, or for which the
+            worker is reserved; empty if there is none.
     """
 
     listing: Listing
@@ -307,6 +311,7 @@
     last_missed_at: float = float("-inf")
     lost_at: float = float("inf")
     has_process_ended: bool = False
+    has_crash_recorded: bool = False
     is_loss_reported: bool = False
     started_ms: int = 0
     polled_clock_s: float = 0.0
@@ -321,6 +326,7 @@
     warm_at: float = float("-inf")
     cold_start_s: float = 0.0
     speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
+    isolated_task: str = ""
 
     def __post_init__(self):
         self.free = self.listing.capacity
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -117,6 +117,21 @@
     cold_starts: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskCrashes:
+    """How many workers crashed or were lost while they ran a task.
+
+    Attributes:
+        index: Index of the task in its job.
+        suspicions: Number of crashes of which the task is suspected.
+        lost_workers: Number of workers that were lost under the task.
+    """
+
+    index: int
+    suspicions: int
+    lost_workers: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Submission:
     """A job as a gateway sends it to the owner that schedules it.
@@ -147,6 +162,7 @@
         allowed_regions: See `Queue`.
         may_be_late: Whether no other group can serve the job in time, so that it
             may be served late.
+        crashes: What earlier owners know of crashes under the job's tasks.
     """
 
     job_id: str
@@ -169,6 +185,7 @@
     may_run_elsewhere: bool = False
     allowed_regions: tuple[str, ...] = ()
     may_be_late: bool = False
+    crashes: tuple[TaskCrashes, ...] = ()
 
 
 class Outcome(enum.Enum):
@@ -195,6 +212,10 @@
     Attributes:
         ALL_DONE: All tasks have completed.
         TASK_FAILED: A task failed as often as the queue allows.
+        TASK_CRASHED_WORKERS: Workers crashed under a task, which is not started
+            again.
+        QUEUE_CRASHES_WORKERS: Tasks of the queue have crashed as many workers as
+            the queue may use at a time.
         CALLER_CANCELLED: The caller requested the cancellation.
         CALLER_LEFT: All callers that waited for the job have disconnected.
         NO_ROOM_IN_TIME: On arrival, the job was forecast to start too late.
@@ -211,6 +232,8 @@
 
     ALL_DONE = "all_done"
     TASK_FAILED = "task_failed"
+    TASK_CRASHED_WORKERS = "task_crashed_workers"
+    QUEUE_CRASHES_WORKERS = "queue_crashes_workers"
     CALLER_CANCELLED = "caller_cancelled"
     CALLER_LEFT = "caller_left"
     NO_ROOM_IN_TIME = "no_room_in_time"
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -299,6 +299,24 @@
         "an order was dropped, as its worker is no longer known",
         ("worker", "order"),
     ),
+    Event(
+        "task_suspected",
+        Kind.RUN,
+        "the worker crashed soon after it had started the task",
+        (*_RUN_FIELDS, "queue", "suspicions", "age_s"),
+    ),
+    Event(
+        "worker_reserved",
+        Kind.WORKER,
+        "the worker gets no new tasks until a suspected task can run on it alone",
+        ("job", "task", "worker", "runs"),
+    ),
+    Event(
+        "queue_crashes_workers",
+        Kind.WORKER,
+        "tasks of the queue crash workers; it may use only some of them at a time",
+        ("queue", "group", "workers_down"),
+    ),
     Event(
         "run_adopted",
         Kind.RUN,
--- /dev/null
+++ b/pollenladder/scheduling/crash_records.py
@@ -0,0 +1,105 @@
+"""What an owner knows about workers that crashed, and the queues involved."""
+
+import collections
+from collections.abc import Collection
+from collections.abc import Mapping
+import dataclasses
+
+from pollenladder.scheduling import crash_evidence
+
+# Assumed time that a crashed worker is down, in seconds, until one was seen to
+# return.
+DEFAULT_OUTAGE_S = 3.0
+# After its last crash, a queue that crashes workers counts as such for this time.
+# Longer than a worker is usually down.
+HOLD_S = 5.0
+# Weight of the newest outage in the moving average.
+OUTAGE_LEARNING_RATE = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class CrashRecords:
+    """Crashes of workers in one group.
+
+    Attributes:
+        evidence: Evidence that tasks of a queue crash workers, by queue.
+        crashing_until: Until when tasks of a queue are taken to crash workers,
+            monotonic, in seconds, by queue.
+        down: When workers crashed under tasks of a queue, monotonic, in seconds,
+            by queue and worker id. Workers that have returned or that are no
+            longer listed are left out.
+        exposed: The number of runs of a queue's tasks on each worker, by queue
+            and worker id.
+        outage_s: How long a crashed worker is down on average, in seconds.
+    """
+
+    evidence: dict[str, crash_evidence.Evidence] = dataclasses.field(
+        default_factory=dict
+    )
+    crashing_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    down: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
+    exposed: dict[str, collections.Counter[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    outage_s: float = DEFAULT_OUTAGE_S
+
+    def add_run(self, queue: str, worker_id: str) -> None:
+        """Record that a worker has another run of a queue's tasks."""
+        self.exposed.setdefault(queue, collections.Counter())[worker_id] += 1
+
+    def remove_run(self, queue: str, worker_id: str) -> None:
+        """Record that a run of a queue's tasks is over."""
+        counts = self.exposed[queue]
+        counts[worker_id] -= 1
+        if not counts[worker_id]:
+            del counts[worker_id]
+        if not counts:
+            del self.exposed[queue]
+
+    def is_crashing(self, queue: str, now: float) -> bool:
+        """Return whether tasks of a queue are taken to crash workers."""
+        return now < self.crashing_until.get(queue, float("-inf"))
+
+    def add_crash(
+        self,
+        worker_id: str,
+        suspected: Collection[str],
+        rates: Mapping[str, float],
+        now: float,
+    ) -> list[str]:
+        """Record that a worker crashed.
+
+        Args:
+            worker_id: The worker.
+            suspected: The queues of the suspected tasks.
+            rates: See `crash_evidence.update`.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The queues that are found to crash workers, and were not before.
+        """
+        self.evidence = crash_evidence.update(
+            self.evidence, suspected, rates, now
+        )
+        found = []
+        for queue in suspected:
+            self.down.setdefault(queue, {})[worker_id] = now
+            was_crashing = self.is_crashing(queue, now)
+            if was_crashing or crash_evidence.is_crashing(
+                self.evidence, queue, now
+            ):
+                self.crashing_until[queue] = now + HOLD_S
+            if not was_crashing and self.is_crashing(queue, now):
+                found.append(queue)
+        return found
+
+    def forget_worker(self, worker_id: str, now: float) -> None:
+        """Record that a worker has returned, or is no longer listed."""
+        crashed_at = None
+        for queue, workers in list(self.down.items()):
+            crashed_at = workers.pop(worker_id, crashed_at)
+            if not workers:
+                del self.down[queue]
+        if crashed_at is not None:
+            outage_s = now - crashed_at
+            self.outage_s += OUTAGE_LEARNING_RATE * (outage_s - self.outage_s)
--- /dev/null
+++ b/pollenladder/scheduling/crashes.py
@@ -0,0 +1,207 @@
+"""Tasks that crash the workers that start them.
+
+A crashed worker does not report which of its tasks was the cause. Tasks that crash
+workers do so soon after their start, so the last ones that the worker had started are
+suspected. A suspected task is started once more, alone on a worker (`isolation`). It
+is given up once `MAX_SUSPICIONS` workers have crashed under it. The other tasks of the
+worker are started again like any other task.
+
+Once tasks of a queue are known to crash workers (`crash_evidence`), its suspected tasks
+are given up after the first crash. Trying each of them again would cost one more
+worker each.
+"""
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import intake
+from pollenladder.scheduling import runs
+from pollenladder.scheduling import tables
+
+# Runs that were started within this time before the worker's last start are
+# suspected.
+SUSPECT_WINDOW_S = 0.03
+# A task is given up once it is suspected of as many crashes.
+MAX_SUSPICIONS = 2
+# A task is given up once as many workers were lost under it, whatever the cause.
+MAX_LOST_WORKERS = 3
+
+Loss = tuple[fleet.Run, tables.Job, tables.Task]
+
+
+def record_crash(
+    region: tables.Region, worker: fleet.Worker, now: float
+) -> None:
+    """Record that the process of a worker has ended, with all of its runs."""
+    if worker.has_crash_recorded:
+        return
+    worker.has_crash_recorded = True
+    lost = _list_lost(region, worker)
+    if not lost:
+        return
+    region.count_failure(tables.Failure.WORKER_CRASHED)
+    suspects = _choose_suspects(region, lost, now)
+    _update_evidence(region, worker, suspects, now)
+    for run, job, task in lost:
+        _count_loss(job, task)
+        if any(suspect is run for suspect, _, _ in suspects):
+            _suspect(region, run, job, task, now)
+    _report(region, lost)
+    for _, job, task in lost:
+        _give_up(region, job, task, now)
+
+
+def record_silent_loss(
+    region: tables.Region, run: fleet.Run, now: float
+) -> None:
+    """Record that the lease of a run on an unreachable worker has expired.
+
+    The worker may have crashed, or it may be partitioned from this daemon.
+    """
+    job, task = runs.find_task(region, run)
+    if job is None or task is None:
+        return
+    _count_loss(job, task)
+    _report(region, [(run, job, task)])
+    _give_up(region, job, task, now)
+
+
+def _count_loss(job: tables.Job, task: tables.Task) -> None:
+    task.lost_workers += 1
+    job.has_lost_workers = True
+
+
+def _list_lost(region: tables.Region, worker: fleet.Worker) -> list[Loss]:
+    lost = []
+    for run in worker.runs.values():
+        job, task = runs.find_task(region, run)
+        if job is not None and task is not None:
+            lost.append((run, job, task))
+    return lost
+
+
+def _choose_suspects(
+    region: tables.Region, lost: list[Loss], now: float
+) -> list[Loss]:
+    """Return the runs that may have crashed their worker.
+
+    If tasks of a queue are known to crash workers, only those are suspected.
+    """
+    recent = _list_recent([run for run, _, _ in lost])
+    suspects = [loss for loss in lost if loss[0] in recent]
+    known = [
+        loss
+        for loss in suspects
+        if region.crashes.is_crashing(loss[1].submission.queue, now)
+    ]
+    return known or suspects
+
+
+def _list_recent(found: list[fleet.Run]) -> list[fleet.Run]:
+    """Return the last runs that a worker has started."""
+    last_at = max(run.sent_at for run in found)
+    return [run for run in found if run.sent_at >= last_at - SUSPECT_WINDOW_S]
+
+
+def _update_evidence(
+    region: tables.Region,
+    worker: fleet.Worker,
+    suspects: list[Loss],
+    now: float,
+) -> None:
+    queues = {job.submission.queue for _, job, _ in suspects}
+    # A task that runs alone on its worker is there by choice, not by chance.
+    rates = {} if worker.isolated_task else _measure_rates(region)
+    worker_id = worker.listing.worker_id
+    for queue in region.crashes.add_crash(worker_id, queues, rates, now):
+        region.log_event(
+            "queue_crashes_workers",
+            queue=queue,
+            group=region.group,
+            workers_down=len(region.crashes.down[queue]),
+        )
+        _give_up_waiting(region, queue, now)
+
+
+def _give_up_waiting(region: tables.Region, queue: str, now: float) -> None:
+    """Give up the suspected tasks of a queue that would be started again."""
+    for job in list(region.jobs.values()):
+        if not job.has_lost_workers or job.submission.queue != queue:
+            continue
+        for task in job.tasks:
+            worker = region.workers.get(task.worker_id)
+            if worker is None or not worker.is_reachable:
+                _give_up(region, job, task, now)
+
+
+def _measure_rates(region: tables.Region) -> dict[str, float]:
+    """Return how often a worker's last runs include one of a queue, by queue."""
+    counts: dict[str, int] = {}
+    busy = 0
+    for worker in region.workers.values():
+        found = [run for run in worker.runs.values() if run.kind]
+        if not found:
+            continue
+        busy += 1
+        for queue in {run.kind for run in _list_recent(found)}:
+            counts[queue] = counts.get(queue, 0) + 1
+    return {queue: count / busy for queue, count in counts.items()}
+
+
+def _suspect(
+    region: tables.Region,
+    run: fleet.Run,
+    job: tables.Job,
+    task: tables.Task,
+    now: float,
+) -> None:
+    task.suspicions += 1
+    region.log_event(
+        "task_suspected",
+        job=job.submission.job_id,
+        task=run.task,
+        run=run.number,
+        worker=run.worker_id,
+        queue=job.submission.queue,
+        suspicions=task.suspicions,
+        age_s=round(now - run.sent_at, 4),
+    )
+
+
+def _report(region: tables.Region, lost: list[Loss]) -> None:
+    """Tell the gateways, so that the next owner knows of the crashes."""
+    affected = {job.submission.job_id: job for _, job, _ in lost}
+    for job in affected.values():
+        region.effects.append(
+            tables.ReportCrashes(
+                job.gateway_id, job.submission.job_id, list_crashes(job)
+            )
+        )
+
+
+def list_crashes(job: tables.Job) -> tuple[jobs.TaskCrashes, ...]:
+    """Return the crashes under a job's tasks, for the next owner."""
+    return tuple(
+        jobs.TaskCrashes(task.index, task.suspicions, task.lost_workers)
+        for task in job.tasks
+        if task.lost_workers
+    )
+
+
+def _give_up(
+    region: tables.Region, job: tables.Job, task: tables.Task, now: float
+) -> None:
+    """End a job if one of its tasks must not be started again."""
+    if job.submission.job_id not in region.jobs:
+        return
+    if task.suspicions >= MAX_SUSPICIONS:
+        outcome = jobs.Outcome.FAILED
+    elif task.lost_workers >= MAX_LOST_WORKERS or (
+        task.suspicions
+        and region.crashes.is_crashing(job.submission.queue, now)
+    ):
+        outcome = jobs.Outcome.GIVEN_UP
+    else:
+        return
+    region.count_failure(tables.Failure.JOB_GIVEN_UP)
+    reason = jobs.Reason.TASK_CRASHED_WORKERS
+    intake.end_job(region, job, outcome, reason, now)
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -9,6 +9,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import exposure
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
@@ -97,13 +98,14 @@
 
     Two task sizes share a forecast if equally many tasks of either size fit on
     an idle worker, for each capacity that workers of the service have. Jobs with
-    other allowed regions have forecasts of their own, which contain all waiting
-    jobs and may thus be too late.
+    other allowed regions, and those of a queue that may not use all workers, have
+    forecasts of their own, which contain all waiting jobs and may thus be too late.
     """
     service = job.submission.service
     sizes = region.capacities.get(service, ())
     counts = tuple(size.count_fitting(job.resources) for size in sizes)
-    key = (service, counts, job.submission.allowed_regions)
+    limited = exposure.get_limited_queue(region, job.submission, now)
+    key = (service, counts, job.submission.allowed_regions, limited)
     _delete_old_forecasts(region, now)
     forecast = region.start_forecasts.get(key)
     if forecast is None:
@@ -238,6 +240,8 @@
         allowed = job.submission.allowed_regions
         if not placement.is_allowed(region, allowed, worker):
             continue
+        if not exposure.permits(region, job.submission, worker, now):
+            continue
         if placement.is_available(worker, now):
             slots += _list_worker_slots(region, worker, job.resources, now)
         elif _is_awaiting_first_poll(worker):
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -14,7 +14,9 @@
 from pollenladder.scheduling import arrivals
 from pollenladder.scheduling import deferral
 from pollenladder.scheduling import delays
+from pollenladder.scheduling import exposure
 from pollenladder.scheduling import forecast
+from pollenladder.scheduling import isolation
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
@@ -70,6 +72,9 @@
     if reason is not None:
         _refuse(region, job, reason, MAX_RETRY_AFTER_S)
         return
+    if exposure.is_exhausted(region, submission, now):
+        _refuse_crashing(region, job, now)
+        return
     decision = _decide(region, job, now)
     if not decision.is_admitted:
         _refuse(region, job, jobs.Reason.NO_ROOM_IN_TIME, decision.wait_s)
@@ -147,6 +152,7 @@
 ) -> None:
     """Remove a job, answer it, and stop its remaining runs."""
     job_id = job.submission.job_id
+    isolation.cancel(region, job)
     region.jobs.pop(job_id, None)
     region.waiting.discard(job_id)
     answer = jobs.Answer(job_id, outcome, reason, retry_after_s)
@@ -188,10 +194,15 @@
 def _is_repeatable(answer: jobs.Answer) -> bool:
     """Return whether an answer is repeated if its job is submitted again.
 
+    A job that was given up because of crashes is not started again.
+
     A caller that lost its connection has not cancelled its job. If it returns,
     the job starts again.
     """
-    if answer.reason is jobs.Reason.CALLER_CANCELLED:
+    if answer.reason in (
+        jobs.Reason.CALLER_CANCELLED,
+        jobs.Reason.TASK_CRASHED_WORKERS,
+    ):
         return True
     return answer.outcome in (jobs.Outcome.COMPLETED, jobs.Outcome.FAILED)
 
@@ -220,15 +231,12 @@
     waves = _count_waves(region, submission)
     allowed_s = submission.stretch * expected_s * waves + submission.slack_s
     objective_at = submitted_at + allowed_s
-    first_run = submission.first_run
     return tables.Job(
         submission=submission,
         gateway_id=gateway_id,
         resources=_get_resources(submission),
-        tasks=[
-            tables.Task(index, tables.TaskState.WAITING, first_run)
-            for index in range(submission.tasks)
-        ],
+        tasks=_build_tasks(submission),
+        has_lost_workers=bool(submission.crashes),
         expected_s=expected_s,
         submitted_at=submitted_at,
         objective_at=objective_at,
@@ -237,6 +245,18 @@
     )
 
 
+def _build_tasks(submission: jobs.Submission) -> list[tables.Task]:
+    tasks = [
+        tables.Task(index, tables.TaskState.WAITING, submission.first_run)
+        for index in range(submission.tasks)
+    ]
+    for crashes in submission.crashes:
+        if 0 <= crashes.index < len(tasks):
+            tasks[crashes.index].suspicions = crashes.suspicions
+            tasks[crashes.index].lost_workers = crashes.lost_workers
+    return tasks
+
+
 def _get_resources(submission: jobs.Submission) -> jobs.Resources:
     return jobs.Resources(
         submission.cpu_milli, submission.memory_mb, submission.gpus
@@ -331,6 +351,15 @@
     )
 
 
+def _refuse_crashing(
+    region: tables.Region, job: tables.Job, now: float
+) -> None:
+    """Answer a job of a queue that has taken down as many workers as it may."""
+    region.count_failure(tables.Failure.JOB_REFUSED)
+    wait_s = exposure.estimate_wait_s(region, job.submission.queue, now)
+    _refuse(region, job, jobs.Reason.QUEUE_CRASHES_WORKERS, wait_s)
+
+
 def record_refusal(region: tables.Region, job: tables.Job) -> None:
     """Record that a job that is refused here may run in another group."""
     # Without workers of the service here, other groups have them.
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -103,6 +103,7 @@
         if worker.is_listed and worker_id not in listed:
             worker.is_listed = False
             region.record_worker_change(worker)
+            region.crashes.forget_worker(worker_id, now)
             region.log_event("worker_unlisted", worker=worker_id)
     _update_capacities(region)
     evacuation.mark_workers(region)
@@ -111,11 +112,16 @@
 
 
 def _update_capacities(region: tables.Region) -> None:
-    """Collect the distinct worker capacities of each service."""
+    """Collect the number of workers and their distinct capacities by service."""
     sizes: dict[str, set[jobs.Resources]] = {}
+    counts: dict[str, int] = {}
     for worker in region.workers.values():
         listing = worker.listing
         sizes.setdefault(listing.service, set()).add(listing.capacity)
+        counts[listing.service] = (
+            counts.get(listing.service, 0) + worker.is_listed
+        )
+    region.worker_counts = counts
     region.capacities = {name: tuple(group) for name, group in sizes.items()}
 
 
@@ -156,7 +162,7 @@
     expired = have_leases_expired(worker, now)
     for run in list(worker.runs.values()):
         if expired and not worker.is_reachable:
-            runs.release(region, worker, run, "lease_expired")
+            worker_losses.release_expired(region, worker, run, now)
         elif run.state is fleet.RunState.STOPPING:
             if now >= run.next_stop_at:
                 runs.stop(region, run, now)
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -20,6 +20,8 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import deferral
 from pollenladder.scheduling import delays
+from pollenladder.scheduling import exposure
+from pollenladder.scheduling import isolation
 from pollenladder.scheduling import neighbours
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import speed_matching
@@ -52,14 +54,17 @@
         return
     # Cached because the check visits all workers.
     knows_all_runs = functools.cache(lambda: runs.knows_all_runs(region, now))
-    unplaceable: dict[tuple[str, tuple[str, ...]], list[jobs.Resources]] = {}
+    unplaceable: dict[
+        tuple[str, tuple[str, ...], str], list[jobs.Resources]
+    ] = {}
     for job in waiting:
         # Skip a job whose tasks need at least as much as a task that has found
         # no worker of the allowed regions in this call.
         submission = job.submission
-        key = (submission.service, submission.allowed_regions)
+        limited = exposure.get_limited_queue(region, submission, now)
+        key = (submission.service, submission.allowed_regions, limited)
         unplaced = unplaceable.setdefault(key, [])
-        if _needs_as_much(job.resources, unplaced):
+        if not job.has_lost_workers and _needs_as_much(job.resources, unplaced):
             continue
         if not _place_job(region, job, knows_all_runs, now):
             unplaced.append(job.resources)
@@ -111,9 +116,11 @@
         is_deferred = job.is_deferred and not job.has_begun
         if not is_deferred:
             busy_services.add(submission.service)
-        if submission.cpu_milli <= largest.get(
-            submission.service, 0
-        ) or _may_use_evacuated(region, job):
+        if (
+            submission.cpu_milli <= largest.get(submission.service, 0)
+            or _may_use_evacuated(region, job)
+            or job.has_lost_workers
+        ):
             (deferred if is_deferred else waiting).append(job)
     waiting.sort(key=get_urgency)
     deferred = [
@@ -161,6 +168,7 @@
         job.resources.fits_in(warmup.compute_free(worker, now))
         and is_available(worker, now)
         and is_allowed(region, job.submission.allowed_regions, worker)
+        and exposure.permits(region, job.submission, worker, now)
     )
 
 
@@ -185,6 +193,7 @@
         and worker.listing.service == job.submission.service
         and job.resources.fits_in(worker.free)
         and is_allowed(region, job.submission.allowed_regions, worker)
+        and not worker.isolated_task
         and _can_run(worker, now)
     ]
     found.sort(key=lambda worker: worker.free.cpu_milli)
@@ -208,7 +217,11 @@
 
 def is_available(worker: fleet.Worker, now: float) -> bool:
     """Return whether a worker may be given a run now."""
-    return not worker.is_evacuated and _can_run(worker, now)
+    return (
+        not worker.is_evacuated
+        and not worker.isolated_task
+        and _can_run(worker, now)
+    )
 
 
 def _can_run(worker: fleet.Worker, now: float) -> bool:
@@ -239,6 +252,9 @@
             runs.may_have_unknown_runs(region, job) or not knows_all_runs()
         ):
             continue
+        if task.needs_isolation:
+            _place_alone(region, job, task, now)
+            continue
         if neighbours.must_separate(region, job.submission.queue, now):
             worker, is_changed = _choose_separate_worker(region, job, task, now)
         else:
@@ -252,6 +268,28 @@
     return True
 
 
+def _place_alone(
+    region: tables.Region, job: tables.Job, task: tables.Task, now: float
+) -> None:
+    """Start a suspected task if there is an idle worker for it."""
+
+    def can_run(worker: fleet.Worker) -> bool:
+        return (
+            not worker.is_evacuated
+            and _can_run(worker, now)
+            and is_allowed(region, job.submission.allowed_regions, worker)
+            and exposure.permits(region, job.submission, worker, now)
+        )
+
+    candidates = iterate_candidates(region, job, now)
+    worker = isolation.choose_worker(region, job, task, candidates, can_run)
+    if worker is not None:
+        _start(region, job, task, worker, now)
+        worker.isolated_task = jobs.format_task_name(
+            job.submission.job_id, task.index
+        )
+
+
 def _choose_worker(
     region: tables.Region,
     job: tables.Job,
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import crashes
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import neighbourhood
 from pollenladder.scheduling import neighbours
@@ -73,5 +74,6 @@
         # The gateway may have sent the job to the other owner in the meantime.
         may_have_begun=True,
         first_run=max(task.next_run for task in job.tasks),
+        crashes=crashes.list_crashes(job),
     )
     intake.submit(region, submission, job.gateway_id, now)
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -3,6 +3,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import crashes
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import learned_state
 from pollenladder.scheduling import long_tails
@@ -194,6 +195,7 @@
     if worker.started_ms and reply.started_ms != worker.started_ms:
         worker.cursor = 0
         worker.health = fleet.Health()
+        crashes.record_crash(region, worker, now)
         region.log_event(
             "worker_restarted",
             worker=worker.listing.worker_id,
@@ -212,7 +214,7 @@
             runs=len(reply.running),
             ends=len(reply.ended),
         )
-    worker_losses.mark_reached(worker)
+    worker_losses.mark_reached(region, worker, now)
     worker.is_synced = True
 
 
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -168,8 +168,7 @@
     task.next_run = max(task.next_run, run.number + 1)
     run.is_orphan = False
     run.expected_s = job.expected_s / region.get_speed(run.worker_id)
-    run.kind = job.submission.queue
-    _reserve_resources(region, job, run)
+    _assign_to_job(region, job, run)
     task.state = tables.TaskState.PLACED
     task.worker_id = run.worker_id
     job.has_begun = True
@@ -183,12 +182,13 @@
     return True
 
 
-def _reserve_resources(
+def _assign_to_job(
     region: tables.Region, job: tables.Job, run: fleet.Run
 ) -> None:
     """Reserve a job's resources for a run that was seen before its job."""
     worker = region.workers[run.worker_id]
     region.remove_run(worker, run)
+    run.kind = job.submission.queue
     run.resources = job.resources
     region.add_run(worker, run)
 
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -11,6 +11,7 @@
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
 from pollenladder.scheduling import admission as job_admission
+from pollenladder.scheduling import crash_records
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import free_capacity as worker_capacity
 from pollenladder.scheduling import interference
@@ -52,6 +53,8 @@
             of all workers are known. Another owner's run of the task may still
             be in progress on a worker that has not been polled.
         has_started: Whether this owner has started a run of the task.
+        suspicions: Number of crashes of workers of which the task is suspected.
+        lost_workers: Number of workers that were lost under the task.
     """
 
     index: int
@@ -64,6 +67,13 @@
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
     not_before: float = 0.0
     has_started: bool = False
+    suspicions: int = 0
+    lost_workers: int = 0
+
+    @property
+    def needs_isolation(self) -> bool:
+        """Whether the task may start only on a worker without other runs."""
+        return self.suspicions > 0 or self.lost_workers > 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -94,6 +104,7 @@
             the first one, and for a job that is not observed.
         is_observed: Whether `samples` are collected; None before the first run
             has completed.
+        has_lost_workers: Whether a worker was lost under one of the tasks.
     """
 
     submission: job_entities.Submission
@@ -112,6 +123,7 @@
     last_first_start_at: float = float("-inf")
     samples: list[interference.Sample] | None = None
     is_observed: bool | None = None
+    has_lost_workers: bool = False
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
@@ -159,6 +171,15 @@
     answer: job_entities.Answer
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportCrashes:
+    """Tell the gateway of a job how many workers were lost under its tasks."""
+
+    gateway_id: str
+    job_id: str
+    crashes: tuple[job_entities.TaskCrashes, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogEvent:
     """Write an event to the log.
@@ -185,10 +206,17 @@
     Attributes:
         WORKER_LOST: A worker no longer replies.
         RUN_ON_LOST_WORKER: A run was on a worker when it was lost.
+        WORKER_CRASHED: The process of a worker with runs has ended.
+        JOB_GIVEN_UP: A job was ended, as workers were lost under one of its
+            tasks.
+        JOB_REFUSED: A job was refused, as tasks of its queue crash workers.
     """
 
     WORKER_LOST = "worker_lost"
     RUN_ON_LOST_WORKER = "run_on_lost_worker"
+    WORKER_CRASHED = "worker_crashed"
+    JOB_GIVEN_UP = "job_given_up"
+    JOB_REFUSED = "job_refused"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -203,6 +231,7 @@
     | StopRun
     | LookNow
     | AnswerJob
+    | ReportCrashes
     | LogEvent
     | CountDecision
     | CountFailure
@@ -241,8 +270,11 @@
         predicted_ends: Cached predictions of `forecast` for each worker's runs;
             removed when one of the runs changes.
         start_forecasts: Cached start forecasts, by service, by the number of
-            tasks that fit into each of its capacities, and by allowed regions.
+            tasks that fit into each of its capacities, by allowed regions, and by
+            the queue if that may not use all workers.
         capacities: Distinct capacities of workers, by service.
+        worker_counts: Number of listed workers, by service.
+        crashes: What is known about crashes of workers.
         jobs: Unanswered jobs by id.
         waiting: Ids of the jobs with a waiting task.
         orphan_ends: When a run without a job here completed, by task name.
@@ -296,12 +328,16 @@
         default_factory=dict
     )
     start_forecasts: dict[
-        tuple[str, tuple[int, ...], tuple[str, ...]],
+        tuple[str, tuple[int, ...], tuple[str, ...], str],
         service_forecasts.StartForecast,
     ] = dataclasses.field(default_factory=dict)
     capacities: dict[str, tuple[job_entities.Resources, ...]] = (
         dataclasses.field(default_factory=dict)
     )
+    worker_counts: dict[str, int] = dataclasses.field(default_factory=dict)
+    crashes: crash_records.CrashRecords = dataclasses.field(
+        default_factory=crash_records.CrashRecords
+    )
     jobs: dict[str, Job] = dataclasses.field(default_factory=dict)
     waiting: set[str] = dataclasses.field(default_factory=set)
     orphan_ends: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -367,13 +403,18 @@
     def add_run(self, worker: fleet.Worker, run: fleet.Run) -> None:
         """Add a run to a worker, reserving its resources."""
         worker.add_run(run)
+        self.crashes.add_run(run.kind, run.worker_id)
         self.record_worker_change(worker)
         job_id = job_entities.parse_job_id(run.task)
         self.runs.setdefault(job_id, []).append(run)
 
     def remove_run(self, worker: fleet.Worker, run: fleet.Run) -> None:
         """Remove a run that is over, freeing its resources."""
+        if worker.runs.get(run.task) is run:
+            self.crashes.remove_run(run.kind, run.worker_id)
         worker.remove_run(run)
+        if worker.isolated_task == run.task:
+            worker.isolated_task = ""
         self.record_worker_change(worker)
         job_id = job_entities.parse_job_id(run.task)
         left = [
--- a/pollenladder/scheduling/worker_losses.py
+++ b/pollenladder/scheduling/worker_losses.py
@@ -7,6 +7,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import crashes
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
@@ -32,12 +33,27 @@
     )
     for run in worker.runs.values():
         _log_run(region, run, now)
+    if worker.has_process_ended:
+        crashes.record_crash(region, worker, now)
 
 
-def mark_reached(worker: fleet.Worker) -> None:
+def mark_reached(
+    region: tables.Region, worker: fleet.Worker, now: float
+) -> None:
     """Record that a worker replies."""
     worker.is_reachable = True
     worker.has_process_ended = False
+    worker.has_crash_recorded = False
+    region.crashes.forget_worker(worker.listing.worker_id, now)
+
+
+def release_expired(
+    region: tables.Region, worker: fleet.Worker, run: fleet.Run, now: float
+) -> None:
+    """Release a run whose lease has expired on a lost worker."""
+    if not worker.has_crash_recorded:
+        crashes.record_silent_loss(region, run, now)
+    runs.release(region, worker, run, "lease_expired")
 
 
 def report_held_runs(
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -105,7 +105,10 @@
             self._groups,
             self._membership,
             self._mesh,
-            self._gateway.handle_answer,
+            job_exchange.Callbacks(
+                handle_answer=self._gateway.handle_answer,
+                handle_crashes=self._gateway.handle_crashes,
+            ),
             settings.regions,
         )
 
@@ -221,6 +224,7 @@
                 get_lag_s=lambda: self._membership.loop_lag.lag_s,
                 count=self._meters.count_decision,
                 count_failure=self._meters.count_failure,
+                report_crashes=self._exchange.report_crashes,
             ),
             self._clock,
             self._settings.features,
@@ -372,6 +376,8 @@
             self._exchange.cancel_here(message.job_id, message.reason, sender)
         elif isinstance(message, messages.Release):
             self._exchange.release_here(message.group, message.job_id)
+        elif isinstance(message, messages.TasksCrashed):
+            self._gateway.handle_crashes(message.job_id, message.crashes)
         elif isinstance(message, messages.NotOwner):
             self._gateway.handle_not_owner(message.job_id)
         elif isinstance(message, messages.RequestConfiguration):
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -45,6 +45,8 @@
     Attributes:
         answer: Called with a gateway's id and a job's final answer.
         on_fenced: Called with the id of a worker that has seen a higher epoch.
+        report_crashes: Called with a gateway's id, a job's id and the crashes
+            under its tasks.
         get_lag_s: Returns the mean lag of the event loop, in seconds.
         count: Adds one to the counter of a kind of decision.
         count_failure: Adds one to the counter of a kind of failure of workers.
@@ -55,6 +57,9 @@
     get_lag_s: Callable[[], float]
     count: Callable[[str], None]
     count_failure: Callable[[str], None] = lambda failure: None
+    report_crashes: Callable[[str, str, tuple[jobs.TaskCrashes, ...]], None] = (
+        lambda gateway_id, job_id, crashes: None
+    )
 
 
 class Engine:
@@ -302,6 +307,10 @@
             logs.log(LOGGER, effect.event, **effect.fields)
         elif isinstance(effect, tables.AnswerJob):
             self._callbacks.answer(effect.gateway_id, effect.answer)
+        elif isinstance(effect, tables.ReportCrashes):
+            self._callbacks.report_crashes(
+                effect.gateway_id, effect.job_id, effect.crashes
+            )
         elif isinstance(effect, tables.CountDecision):
             self._callbacks.count(effect.decision)
         elif isinstance(effect, tables.CountFailure):
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -161,6 +161,14 @@
             answer = open_jobs.combine_refusals(job, answer, now)
         self._finish(job, answer)
 
+    def handle_crashes(
+        self, job_id: str, crashes: tuple[jobs.TaskCrashes, ...]
+    ) -> None:
+        """Keep what an owner tells about crashes, for the next owner."""
+        job = self.open_jobs.get(job_id)
+        if job is not None:
+            job.crashes = crashes
+
     def handle_not_owner(self, job_id: str) -> None:
         """Clear the owner of a job that a daemon rejected as not the owner."""
         job = self.open_jobs.get(job_id)
@@ -269,6 +277,7 @@
             may_have_begun=job.has_been_sent,
             first_run=job.first_run,
             may_run_elsewhere=job.may_run_elsewhere,
+            crashes=job.crashes,
         )
         # Set before the call, as an owner in this process answers the job at
         # once, and a refusal is then forwarded to another group.
--- a/pollenladder/service/job_exchange.py
+++ b/pollenladder/service/job_exchange.py
@@ -1,6 +1,7 @@
 """Pass jobs, cancellations and answers between this daemon and the owners."""
 
 from collections.abc import Callable
+import dataclasses
 import logging
 
 from pollenladder.cluster import groups as layouts
@@ -18,6 +19,20 @@
 LOGGER = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class Callbacks:
+    """The functions of the gateway that the exchange calls.
+
+    Attributes:
+        handle_answer: Called with an answer for a caller of this daemon, and the
+            daemon that gives it.
+        handle_crashes: Called with a job's id and the crashes under its tasks.
+    """
+
+    handle_answer: Callable[[jobs.Answer, str], None]
+    handle_crashes: Callable[[str, tuple[jobs.TaskCrashes, ...]], None]
+
+
 class JobExchange:
     """The way of a job from its gateway to a group's owner, and back."""
 
@@ -27,7 +42,7 @@
         all_groups: groups.Groups,
         membership: memberships.Membership,
         mesh: meshes.Mesh,
-        handle_answer: Callable[[jobs.Answer, str], None],
+        callbacks: Callbacks,
         regions: fleet_regions.Regions = fleet_regions.NONE,
     ):
         """Use the daemon's components.
@@ -37,8 +52,7 @@
             all_groups: The groups of workers.
             membership: The owners of the groups.
             mesh: The links to other daemons.
-            handle_answer: Called with an answer for a caller of this daemon,
-                and the daemon that gives it.
+            callbacks: The functions of this daemon's gateway.
             regions: The regions of the data centres.
         """
         self._regions = regions
@@ -46,7 +60,7 @@
         self._groups = all_groups
         self._membership = membership
         self._mesh = mesh
-        self._handle_answer = handle_answer
+        self._callbacks = callbacks
 
     def choose_group(
         self,
@@ -172,12 +186,24 @@
     def answer(self, gateway_id: str, answer: jobs.Answer) -> None:
         """Send the final answer of a job to its gateway."""
         if gateway_id == self._own.daemon_id:
-            self._handle_answer(answer, gateway_id)
+            self._callbacks.handle_answer(answer, gateway_id)
         elif not self._mesh.send(gateway_id, messages.Answered(answer)):
             logs.log(
                 LOGGER, "answer_not_sent", job=answer.job_id, peer=gateway_id
             )
 
+    def report_crashes(
+        self,
+        gateway_id: str,
+        job_id: str,
+        crashes: tuple[jobs.TaskCrashes, ...],
+    ) -> None:
+        """Tell the gateway of a job about crashes under its tasks."""
+        if gateway_id == self._own.daemon_id:
+            self._callbacks.handle_crashes(job_id, crashes)
+        else:
+            self._mesh.send(gateway_id, messages.TasksCrashed(job_id, crashes))
+
     def count_pending(self, queue: str) -> int:
         """Return the number of a queue's jobs that have not begun."""
         states = map(self._membership.get_group_state, self._groups.groups)
--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -31,6 +31,7 @@
             begun it.
         first_run: The first run number for the next forward; see
             `jobs.Submission`.
+        crashes: What owners have told about crashes under the job's tasks.
         times_forwarded: How often the job was forwarded, to any owner of its
             group.
         waiters: The number of requests that wait for the answer.
@@ -49,6 +50,7 @@
     owner_id: str = ""
     has_been_sent: bool = False
     first_run: int = 1
+    crashes: tuple[jobs.TaskCrashes, ...] = ()
     times_forwarded: int = 0
     waiters: int = 0
     answered: event.Event = dataclasses.field(default_factory=event.Event)
--- a/tests/scheduling/simulations.py
+++ b/tests/scheduling/simulations.py
@@ -12,6 +12,7 @@
 from pollenladder.scheduling import tables
 
 LEASE_S = 1.0
+EPSILON_S = 0.001
 CORES_64 = jobs.Resources(cpu_milli=64_000, memory_mb=131_072)
 SERVICE = "training"
 STARTED_MS = 1_000
@@ -140,6 +141,29 @@
         )
         self._collect()
 
+    def crash(self, worker_id: str) -> None:
+        """End the process of a worker; polls find that nothing listens there."""
+        self.lose(worker_id, has_process_ended=True)
+
+    def lose(self, worker_id: str, has_process_ended: bool = False) -> None:
+        """Let a worker miss as many polls as make it unreachable."""
+        worker = self.region.workers[worker_id]
+        worker.lease_until_s = self.now + worker.clock_ahead_s + LEASE_S
+        for _ in range(replies.MAX_MISSED_POLLS):
+            replies.handle_missed_poll(
+                self.region, worker_id, self.now, has_process_ended
+            )
+        self._collect()
+
+    def expire_lease(self) -> None:
+        """Advance the clock beyond the leases of workers that are lost."""
+        margin_s = runs.LEASE_EXPIRY_MARGIN_S + runs.MAX_CLOCK_DRIFT
+        self.step(LEASE_S + margin_s + EPSILON_S)
+
+    def list_logged(self, event: str) -> list[dict[str, object]]:
+        """Return the fields of all log events of a kind."""
+        return [e.fields for e in self.log_events if e.event == event]
+
     def confirm(self, order: tables.StartRun) -> None:
         """Deliver a worker's confirmation of a start."""
         self.reply(order, fleet.StartReply.STARTED)
--- /dev/null
+++ b/tests/scheduling/test_crashes.py
@@ -0,0 +1,284 @@
+"""Tests of tasks that crash the workers that start them."""
+
+import dataclasses
+import unittest
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import crashes
+from pollenladder.scheduling import exposure
+from pollenladder.scheduling import maintenance
+from pollenladder.scheduling import recovery
+from pollenladder.scheduling import tables
+from tests.scheduling import simulations
+
+OLD_JOB = "a" * 16
+NEW_JOB = "b" * 16
+LONG = {"budget_s": 20.0, "stretch": 50.0, "estimate_s": 0.5}
+STARTED_AGAIN_MS = simulations.STARTED_MS + 5_000
+
+
+class SuspicionTest(unittest.TestCase):
+    """Which of several tasks on a crashed worker is to blame."""
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=3)
+        self.region = self.simulation.region
+
+    def _start(self, job_id: str, **changes) -> tables.StartRun:
+        options = {"tasks": 1} | LONG | changes
+        self.simulation.submit(job_id, **options)
+        (order,) = self.simulation.take_starts()
+        self.simulation.confirm(order)
+        return order
+
+    def _crash_beside(self) -> tuple[tables.StartRun, tables.StartRun]:
+        """Crash the worker of an old task just after the start of a new one."""
+        old = self._start(OLD_JOB)
+        self.simulation.step(0.2)
+        new = self._start(NEW_JOB)
+        self.assertEqual(new.worker_id, old.worker_id)
+        self.simulation.crash(old.worker_id)
+        return old, new
+
+    def test_last_started_task_is_suspected(self):
+        _, new = self._crash_beside()
+        (suspected,) = self.simulation.list_logged("task_suspected")
+        self.assertEqual(suspected["task"], new.task)
+
+    def test_nothing_starts_again_before_the_lease_has_expired(self):
+        """Guards against two runs of a task if the worker is still alive."""
+        self._crash_beside()
+        self.simulation.step(0.5)
+        self.assertEqual(self.simulation.take_starts(), [])
+
+    def test_suspected_task_runs_alone(self):
+        """Guards against neighbours that a crashing task takes down again."""
+        old, new = self._crash_beside()
+        self.simulation.expire_lease()
+        starts = {s.task: s for s in self.simulation.take_starts()}
+        again, alone = starts[old.task], starts[new.task]
+        self.assertNotEqual(again.worker_id, alone.worker_id)
+        self.simulation.submit("c" * 16, tasks=1, **LONG)
+        (other,) = self.simulation.take_starts()
+        self.assertEqual(other.worker_id, again.worker_id)
+
+    def test_worker_is_reserved_if_none_is_idle(self):
+        _, new = self._crash_beside()
+        rest = [self._start(c * 16) for c in "cdef"]
+        self.simulation.expire_lease()
+        starts = [s.task for s in self.simulation.take_starts()]
+        self.assertNotIn(new.task, starts)
+        (reserved,) = self.simulation.list_logged("worker_reserved")
+        for order in rest:
+            if order.worker_id == reserved["worker"]:
+                self.simulation.end(order)
+        for order in self.simulation.take_starts():
+            if order.task == new.task:
+                self.assertEqual(order.worker_id, reserved["worker"])
+                return
+        self.fail("the suspected task was not started")
+
+    def test_reservation_ends_with_its_job(self):
+        _, new = self._crash_beside()
+        for name in "cdef":
+            self._start(name * 16)
+        self.simulation.expire_lease()
+        job = self.region.jobs[NEW_JOB]
+        self.simulation.step(LONG["budget_s"])
+        self.assertNotIn(job.submission.job_id, self.region.jobs)
+        reserved = [w for w in self.region.workers.values() if w.isolated_task]
+        self.assertEqual(reserved, [])
+
+    def test_task_is_given_up_after_its_second_crash(self):
+        _, new = self._crash_beside()
+        self.simulation.expire_lease()
+        starts = {s.task: s for s in self.simulation.take_starts()}
+        self.simulation.confirm(starts[new.task])
+        self.simulation.crash(starts[new.task].worker_id)
+        (answer,) = self.simulation.take_answers()
+        self.assertEqual(answer.job_id, NEW_JOB)
+        self.assertIs(answer.outcome, jobs.Outcome.FAILED)
+        self.assertIs(answer.reason, jobs.Reason.TASK_CRASHED_WORKERS)
+
+    def test_silent_losses_are_limited(self):
+        """Guards against a task that takes machines down without a trace."""
+        simulation = simulations.RegionSimulation(workers=5)
+        simulation.submit(NEW_JOB, tasks=1, **LONG)
+        for _ in range(crashes.MAX_LOST_WORKERS):
+            (order,) = simulation.take_starts()
+            simulation.confirm(order)
+            simulation.lose(order.worker_id)
+            simulation.expire_lease()
+        self.assertEqual(simulation.take_starts(), [])
+        (answer,) = simulation.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.GIVEN_UP)
+
+    def test_task_of_a_worker_that_was_only_cut_off_continues(self):
+        order = self._start(NEW_JOB)
+        self.simulation.lose(order.worker_id)
+        self.simulation.step(0.3)
+        self.simulation.poll(order.worker_id)
+        self.simulation.end(order)
+        (answer,) = self.simulation.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.COMPLETED)
+        self.assertEqual(self.simulation.list_logged("task_suspected"), [])
+
+    def test_restart_between_two_polls_counts_as_a_crash(self):
+        """Guards against a crash that is missed as the worker is back at once."""
+        order = self._start(NEW_JOB)
+        self.simulation.now += 0.1
+        self.simulation.poll(
+            order.worker_id, running=(), started_ms=STARTED_AGAIN_MS
+        )
+        self.assertEqual(self.region.jobs[NEW_JOB].tasks[0].suspicions, 1)
+
+    def test_gateway_is_told_and_the_next_owner_knows(self):
+        """Guards against crashes that are forgotten with the owner."""
+        self._crash_beside()
+        reports = {
+            e.job_id: e.crashes
+            for e in self.simulation.effects
+            if isinstance(e, tables.ReportCrashes)
+        }
+        self.assertEqual(reports[NEW_JOB], (jobs.TaskCrashes(0, 1, 1),))
+        self.assertEqual(reports[OLD_JOB], (jobs.TaskCrashes(0, 0, 1),))
+        next_owner = simulations.RegionSimulation(workers=2)
+        next_owner.submit(NEW_JOB, tasks=1, crashes=reports[NEW_JOB], **LONG)
+        (order,) = next_owner.take_starts()
+        next_owner.confirm(order)
+        next_owner.crash(order.worker_id)
+        (answer,) = next_owner.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.FAILED)
+
+    def test_owner_that_claims_again_knows(self):
+        self._crash_beside()
+        rebuilt = recovery.rebuild_region(self.region, 2, self.simulation.now)
+        self.assertEqual(rebuilt.jobs[NEW_JOB].tasks[0].suspicions, 1)
+
+    def test_job_that_was_given_up_is_not_started_when_it_comes_again(self):
+        self.test_task_is_given_up_after_its_second_crash()
+        self.simulation.submit(NEW_JOB, tasks=1, **LONG)
+        self.assertEqual(self.simulation.take_starts(), [])
+        (answer,) = self.simulation.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.FAILED)
+
+    def test_run_on_a_shrunken_worker_is_not_chosen_for_isolation(self):
+        """Guards against a wait for a worker that has become too small."""
+        _, new = self._crash_beside()
+        for name in "cdef":
+            self._start(name * 16)
+        self.simulation.expire_lease()
+        (reserved,) = self.simulation.list_logged("worker_reserved")
+        small = jobs.Resources(cpu_milli=8_000, memory_mb=131_072)
+        listings = [
+            dataclasses.replace(w.listing, capacity=small)
+            if worker_id == reserved["worker"]
+            else w.listing
+            for worker_id, w in self.region.workers.items()
+        ]
+        maintenance.update_workers(self.region, listings, self.simulation.now)
+        worker = self.region.workers[reserved["worker"]]
+        self.assertNotEqual(worker.isolated_task, new.task)
+
+
+class LimitTest(unittest.TestCase):
+    """Many jobs of one queue crash workers."""
+
+    WORKERS = 12
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=self.WORKERS)
+        self.region = self.simulation.region
+        for index in range(self.WORKERS):
+            self._submit(f"{index:016x}", "quotes", run_s=60.0)
+
+    def _submit(
+        self, job_id: str, queue: str, run_s: float = 0.2
+    ) -> list[tables.StartRun]:
+        self.simulation.submit(
+            job_id,
+            queue=queue,
+            tasks=1,
+            budget_s=100.0,
+            stretch=50.0,
+            estimate_s=run_s,
+        )
+        starts = self.simulation.take_starts()
+        for order in starts:
+            self.simulation.confirm(order)
+        return starts
+
+    def _crash_many(self, jobs_count: int) -> list[jobs.Answer]:
+        answers = []
+        for index in range(jobs_count):
+            self.simulation.step(0.1)
+            for order in self._submit(f"{1000 + index:016x}", "holds"):
+                self.simulation.crash(order.worker_id)
+            answers += self.simulation.take_answers()
+        return answers
+
+    def test_one_queue_takes_down_a_third_of_the_workers_at_most(self):
+        """Guards against a queue that takes down all workers."""
+        self._crash_many(40)
+        lost = [w for w in self.region.workers.values() if not w.is_reachable]
+        limit = int(exposure.MAX_DOWN_SHARE * self.WORKERS)
+        self.assertEqual(len(lost), limit)
+
+    def test_refused_callers_are_told_when_workers_should_be_back(self):
+        answers = self._crash_many(10)
+        refused = [a for a in answers if a.outcome is jobs.Outcome.REFUSED]
+        self.assertTrue(refused)
+        for answer in refused:
+            self.assertIs(answer.reason, jobs.Reason.QUEUE_CRASHES_WORKERS)
+            self.assertGreater(answer.retry_after_s, 1.0)
+            self.assertLess(answer.retry_after_s, 3.0)
+
+    def test_other_queues_are_not_limited(self):
+        self._crash_many(10)
+        self.assertEqual(len(self._submit("f" * 16, "receipts")), 1)
+
+    def test_queue_is_served_again_once_workers_are_back(self):
+        self._crash_many(10)
+        for worker_id, worker in self.region.workers.items():
+            if not worker.is_reachable:
+                self.simulation.poll(
+                    worker_id, running=(), started_ms=STARTED_AGAIN_MS
+                )
+        self.assertEqual(len(self._submit("e" * 16, "holds")), 1)
+
+    def test_suspected_task_of_a_known_queue_is_given_up_at_once(self):
+        answers = self._crash_many(10)
+        given_up = [a for a in answers if a.outcome is jobs.Outcome.GIVEN_UP]
+        self.assertTrue(given_up)
+
+    def test_crashes_of_idle_workers_limit_no_queue(self):
+        """Guards against a broken worker pool that is blamed on a queue."""
+        simulation = simulations.RegionSimulation(workers=self.WORKERS)
+        for index in range(self.WORKERS):
+            simulation.crash(f"w{index}")
+        self.assertEqual(simulation.region.crashes.evidence, {})
+
+    def test_workers_that_crash_together_limit_no_queue(self):
+        """Guards against a rack that fails and is blamed on its tasks."""
+        for index in range(6):
+            self._submit(f"{2000 + index:016x}", "holds")
+        for worker_id in list(self.region.workers)[::2]:
+            self.simulation.crash(worker_id)
+        for queue in ("holds", "quotes"):
+            self.assertFalse(
+                self.region.crashes.is_crashing(queue, self.simulation.now)
+            )
+
+    def test_exposed_workers_are_counted_by_run(self):
+        """Guards against a count that drifts when runs are adopted."""
+        simulation = simulations.RegionSimulation(workers=1)
+        simulation.poll("w0", running=(("9" * 16 + ".0.0.0", 1, 10.0),))
+        simulation.submit("9" * 16, tasks=1, may_have_begun=True, **LONG)
+        exposed = simulation.region.crashes.exposed
+        self.assertEqual(exposed, {"lookup": {"w0": 1}})
+        worker = simulation.region.workers["w0"]
+        (run,) = worker.runs.values()
+        self.assertIs(run.state, fleet.RunState.RUNNING)
+        simulation.region.remove_run(worker, run)
+        self.assertEqual(exposed, {})
