Tell other owners of queues that crash workers, and serve late restarts last

Cause: a queue that crashes workers was found anew by the owner of each group and by each next owner, at the cost of two to six workers each. And a job that a lost worker had made late came before all jobs that could still be in time. Change: heartbeats carry the queues that the sender has found, and for how long they count; a daemon passes on only what it has found itself. Jobs that can't be in time any more after the loss of a worker rank behind those that can.

--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -66,6 +66,8 @@
         evacuated: The evacuated data centres that the sender knows.
         is_evacuated_current: Whether the sender has confirmed that set since it
             was last paused for long.
+        crashing_queues: The queues that the sender has found to crash workers,
+            and for how much longer they count as such, in seconds.
     """
 
     reads_store: bool
@@ -79,6 +81,7 @@
     worker_list: worker_lists.ListReport
     evacuated: evacuations.EvacuatedSet
     is_evacuated_current: bool
+    crashing_queues: dict[str, float]
 
     def count_owned(self) -> int:
         """Return the number of groups that the sender owns."""
@@ -171,7 +174,7 @@
     layout: groups.Layout
 
 
-# Wire tags. Never reuse a tag for another message; 1, 2, 8, 9, 14 and 15 are
+# Wire tags. Never reuse a tag for another message; 1, 2, 8, 9 and 13 to 15 are
 # retired.
 TAGS = (
     (3, Cancel),
@@ -182,9 +185,9 @@
     (10, RequestLayout),
     (11, PushLayout),
     (12, Release),
-    (13, Heartbeat),
     (16, Submit),
     (17, TasksCrashed),
+    (18, Heartbeat),
 )
 
 
--- a/pollenladder/scheduling/crash_records.py
+++ b/pollenladder/scheduling/crash_records.py
@@ -5,14 +5,12 @@
 from collections.abc import Mapping
 import dataclasses
 
+from pollenladder.fleet import crashing_queues
 from pollenladder.scheduling import crash_evidence
 
 # Assumed time that a crashed worker is down, in seconds, until one was seen to
 # return.
 DEFAULT_OUTAGE_S = 3.0
-# After its last crash, a queue that crashes workers counts as such for this time.
-# Longer than a worker is usually down.
-HOLD_S = 5.0
 # Weight of the newest outage in the moving average.
 OUTAGE_LEARNING_RATE = 0.3
 
@@ -23,8 +21,8 @@
 
     Attributes:
         evidence: Evidence that tasks of a queue crash workers, by queue.
-        crashing_until: Until when tasks of a queue are taken to crash workers,
-            monotonic, in seconds, by queue.
+        queues: The queues whose tasks crash workers. It is shared by all groups,
+            and with other daemons.
         down: When workers crashed under tasks of a queue, monotonic, in seconds,
             by queue and worker id. Workers that have returned or that are no
             longer listed are left out.
@@ -36,7 +34,9 @@
     evidence: dict[str, crash_evidence.Evidence] = dataclasses.field(
         default_factory=dict
     )
-    crashing_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    queues: crashing_queues.CrashingQueues = dataclasses.field(
+        default_factory=crashing_queues.CrashingQueues
+    )
     down: dict[str, dict[str, float]] = dataclasses.field(default_factory=dict)
     exposed: dict[str, collections.Counter[str]] = dataclasses.field(
         default_factory=dict
@@ -58,7 +58,7 @@
 
     def is_crashing(self, queue: str, now: float) -> bool:
         """Return whether tasks of a queue are taken to crash workers."""
-        return now < self.crashing_until.get(queue, float("-inf"))
+        return self.queues.contains(queue, now)
 
     def add_crash(
         self,
@@ -88,7 +88,7 @@
             if was_crashing or crash_evidence.is_crashing(
                 self.evidence, queue, now
             ):
-                self.crashing_until[queue] = now + HOLD_S
+                self.queues.record(queue, now)
             if not was_crashing and self.is_crashing(queue, now):
                 found.append(queue)
         return found
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -3,7 +3,8 @@
 Workers may be full, and jobs may have very different widths. Jobs that have
 begun come first, because their completed tasks are worthless until the others
 complete too. The other jobs follow by the time at which they must start to end
-in time, the earliest first. Each task goes to the worker with the least free
+in time, the earliest first, and then those that the loss of a worker has made late.
+Each task goes to the worker with the least free
 capacity that fits it. This keeps capacity free for wide tasks, which need many
 cores.
 """
@@ -132,6 +133,8 @@
 
 def get_urgency(job: tables.Job) -> start_forecasts.Urgency:
     """Return a job's sort key; smaller keys are more urgent."""
+    if job.is_overdue:
+        return (start_forecasts.Rank.OVERDUE, job.latest_start_at)
     if job.has_begun:
         return (start_forecasts.Rank.BEGUN, job.latest_start_at)
     if job.is_deferred:
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import crash_records
 from pollenladder.scheduling import crashes
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import neighbourhood
@@ -47,6 +48,9 @@
         evacuated_services=region.evacuated_services,
         cold_starts=region.cold_starts,
         regions=region.regions,
+        crashes=crash_records.CrashRecords(
+            evidence=region.crashes.evidence, queues=region.crashes.queues
+        ),
         neighbourhood=neighbourhood.Neighbourhood(region.neighbourhood.model),
     )
     rebuilt.effects = region.take_effects()
--- a/pollenladder/scheduling/start_forecasts.py
+++ b/pollenladder/scheduling/start_forecasts.py
@@ -17,12 +17,14 @@
     Attributes:
         BEGUN: The job has begun; what has run is worthless until the rest has.
         IN_TIME: The job can be in time.
+        OVERDUE: The job has begun, and the loss of a worker has made it late.
         DEFERRED: The job cannot be in time.
     """
 
     BEGUN = 0
     IN_TIME = 1
-    DEFERRED = 2
+    OVERDUE = 2
+    DEFERRED = 3
 
 
 Urgency = tuple[int, float]
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -105,6 +105,8 @@
         is_observed: Whether `samples` are collected; None before the first run
             has completed.
         has_lost_workers: Whether a worker was lost under one of the tasks.
+        is_overdue: Whether the job cannot be in time any more, as a worker was
+            lost. Jobs that can be in time come before it.
     """
 
     submission: job_entities.Submission
@@ -124,6 +126,7 @@
     samples: list[interference.Sample] | None = None
     is_observed: bool | None = None
     has_lost_workers: bool = False
+    is_overdue: bool = False
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
--- a/pollenladder/scheduling/worker_losses.py
+++ b/pollenladder/scheduling/worker_losses.py
@@ -53,7 +53,12 @@
     """Release a run whose lease has expired on a lost worker."""
     if not worker.has_crash_recorded:
         crashes.record_silent_loss(region, run, now)
+    job, _ = runs.find_task(region, run)
     runs.release(region, worker, run, "lease_expired")
+    if job is not None and not job.is_overdue and now > job.latest_start_at:
+        job.is_overdue = True
+        # They contain the job with its rank before.
+        region.start_forecasts.clear()
 
 
 def report_held_runs(
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -14,6 +14,7 @@
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
+from pollenladder.fleet import crashing_queues
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import evacuations
 from pollenladder.fleet import worker_lists
@@ -68,6 +69,7 @@
         self._roster = rosters.Roster(settings.daemon_id)
         self._store = stores.Store(settings.store)
         self._list_history = worker_lists.ListHistory(settings.is_first_start)
+        self._crashing_queues = crashing_queues.CrashingQueues()
         self._evacuations = evacuations.Evacuations(
             evacuations.build_limits(
                 settings.evacuation_deadline_s, settings.max_lease_s
@@ -151,6 +153,9 @@
                 reads_store=lambda within_s: self._feeds.reads_store(within_s),
                 get_version=lambda: self._configurations.version,
                 get_layout_version=lambda: self._groups.layout.version,
+                list_crashing_queues=lambda: self._crashing_queues.build_report(
+                    self._clock()
+                ),
                 is_leaving=self._stopping.is_set,
             ),
             self._clock,
@@ -232,6 +237,7 @@
             self._evacuations,
             self._settings.regions,
             name,
+            self._crashing_queues,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
@@ -396,6 +402,9 @@
     ) -> None:
         self._membership.record_heartbeat(sender, heartbeat)
         self._evacuation_follower.handle_heartbeat(sender, heartbeat)
+        self._crashing_queues.record_told(
+            heartbeat.crashing_queues, self._clock()
+        )
         if heartbeat.layout_version > self._groups.layout.version:
             version = self._groups.layout.version
             self._mesh.send(sender, messages.RequestLayout(version))
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -10,12 +10,14 @@
 
 from pollenladder.cluster import heartbeats
 from pollenladder.core import clocks
+from pollenladder.fleet import crashing_queues
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import evacuations as fleet_evacuations
 from pollenladder.fleet import regions as fleet_regions
 from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
+from pollenladder.scheduling import crash_records
 from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import intake
@@ -80,6 +82,7 @@
         evacuations: fleet_evacuations.Evacuations | None = None,
         regions: fleet_regions.Regions = fleet_regions.NONE,
         group: str = "",
+        queues: crashing_queues.CrashingQueues | None = None,
     ):
         self.region: tables.Region | None = None
         self.stalled_runs = 0
@@ -90,6 +93,7 @@
         self._cold_starts: dict[str, float] = {}
         self._regions = regions
         self._group = group
+        self._crashing_queues = queues or crashing_queues.CrashingQueues()
         self._callbacks = callbacks
         self._clock = clock
         self._sessions: dict[str, sessions.Session] = {}
@@ -122,6 +126,9 @@
                 evacuations=self._evacuations,
                 cold_starts=self._cold_starts,
                 regions=self._regions,
+                crashes=crash_records.CrashRecords(
+                    queues=self._crashing_queues
+                ),
             )
             self._owns_workers.set()
         else:
--- a/pollenladder/service/membership.py
+++ b/pollenladder/service/membership.py
@@ -36,6 +36,8 @@
             within some seconds.
         get_version: Returns the version of the configuration, 0 if none.
         get_layout_version: Returns the version of the layout, 0 if none.
+        list_crashing_queues: Returns the queues that this daemon has found to
+            crash workers, and for how much longer they count, in seconds.
         is_leaving: Returns whether this daemon is shutting down.
     """
 
@@ -44,6 +46,7 @@
     reads_store: Callable[[float], bool]
     get_version: Callable[[], int]
     get_layout_version: Callable[[], int]
+    list_crashing_queues: Callable[[], dict[str, float]]
     is_leaving: Callable[[], bool]
 
 
@@ -253,6 +256,7 @@
             worker_list=self._list_history.build_report(now),
             evacuated=self._evacuations.known,
             is_evacuated_current=self._evacuations.is_current(now),
+            crashing_queues=self._callbacks.list_crashing_queues(),
         )
 
     def _get_heartbeat(self, daemon_id: str) -> messages.Heartbeat | None:
--- a/tests/cluster/samples.py
+++ b/tests/cluster/samples.py
@@ -45,6 +45,7 @@
         "worker_list": worker_lists.ListReport(),
         "evacuated": evacuations.EvacuatedSet(),
         "is_evacuated_current": True,
+        "crashing_queues": {},
     }
     return messages.Heartbeat(**(plain | changes))
 
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -8,6 +8,7 @@
 from pollenladder.scheduling import crashes
 from pollenladder.scheduling import exposure
 from pollenladder.scheduling import maintenance
+from pollenladder.scheduling import placement
 from pollenladder.scheduling import recovery
 from pollenladder.scheduling import tables
 from tests.scheduling import simulations
@@ -90,6 +91,20 @@
         reserved = [w for w in self.region.workers.values() if w.isolated_task]
         self.assertEqual(reserved, [])
 
+    def test_job_that_a_crash_has_made_late_waits_behind_others(self):
+        """Guards against late restarts that make other jobs late in turn."""
+        simulation = simulations.RegionSimulation(workers=2)
+        self.simulation, self.region = simulation, simulation.region
+        late = self._start(OLD_JOB, stretch=1.0)
+        for name in "cde":
+            self._start(name * 16)
+        simulation.crash(late.worker_id)
+        simulation.submit("f" * 16, tasks=1, **LONG)
+        simulation.expire_lease()
+        waiting = placement.sort_waiting(self.region)
+        order = [job.submission.job_id for job in waiting]
+        self.assertEqual(order, ["c" * 16, "f" * 16, OLD_JOB])
+
     def test_task_is_given_up_after_its_second_crash(self):
         _, new = self._crash_beside()
         self.simulation.expire_lease()
@@ -252,6 +267,14 @@
         given_up = [a for a in answers if a.outcome is jobs.Outcome.GIVEN_UP]
         self.assertTrue(given_up)
 
+    def test_queue_that_another_owner_found_is_limited_at_once(self):
+        """Guards against a next owner that loses workers to find it again."""
+        now = self.simulation.now
+        self.region.crashes.queues.record_told({"holds": 4.0}, now)
+        answers = self._crash_many(1)
+        (answer,) = answers
+        self.assertIs(answer.outcome, jobs.Outcome.GIVEN_UP)
+
     def test_crashes_of_idle_workers_limit_no_queue(self):
         """Guards against a broken worker pool that is blamed on a queue."""
         simulation = simulations.RegionSimulation(workers=self.WORKERS)
--- a/tests/service/test_crashing_tasks.py
+++ b/tests/service/test_crashing_tasks.py
@@ -30,6 +30,12 @@
     return sum(len(found.history) for found in cluster.site.workers.values())
 
 
+def _is_requeued(cluster: clusters.Cluster, owner: str) -> bool:
+    return any(
+        line["event"] == "task_requeued" for line in cluster.read_log(owner)
+    )
+
+
 class CrashedWorkerTest(unittest.TestCase):
     """A worker crashes under tasks that are not the cause."""
 
@@ -90,11 +96,9 @@
             cluster.submit, gateway, JOB, body, TIMEOUT_MS / 1000
         )
         waiting.wait_until(
-            lambda: any(
-                line["event"] == "task_requeued"
-                for line in cluster.read_log(owner)
-            )
+            lambda: pending.ready() or _is_requeued(cluster, owner)
         )
+        self.assertFalse(pending.ready(), pending.value)
         cluster.signal(owner, signal.SIGKILL)
         self.assertEqual(pending.get().state, "failed")
         self.assertEqual(len(cluster.site.crashes), 2)
--- a/tests/service/test_evacuations.py
+++ b/tests/service/test_evacuations.py
@@ -182,6 +182,7 @@
                 reads_store=lambda within_s: False,
                 get_version=lambda: 1,
                 get_layout_version=lambda: 1,
+                list_crashing_queues=dict,
                 is_leaving=lambda: False,
             ),
             lambda: self.now,
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -39,6 +39,7 @@
                 reads_store=self._reads_store,
                 get_version=lambda: 1,
                 get_layout_version=lambda: 1,
+                list_crashing_queues=dict,
                 is_leaving=lambda: self.is_leaving,
             ),
             lambda: self.now,
--- a/tests/service/test_rivals.py
+++ b/tests/service/test_rivals.py
@@ -77,6 +77,7 @@
                 reads_store=lambda within_s: name in self.readers,
                 get_version=lambda: 1,
                 get_layout_version=lambda: 1,
+                list_crashing_queues=dict,
                 is_leaving=lambda: False,
             ),
             lambda: self.now,
