Leave a worker alone that may be over its capacity unknown to a new owner

Cause, found by reading for the platform's rule on capacities: a new owner sees runs whose jobs it does not know yet, and counted them as needing nothing. Workers that guard their capacity reject what does not fit; others would start it. Change: EnforcesCapacity of a service is read; where it is false, a worker with a run of unknown size gets no tasks. A worker's learned speed is now discarded when its process is another one, not when its capacity changes, as the platform lets capacities shrink and grow while a worker runs. The test that wanted the speed discarded with the capacity is replaced by one for each of the two cases. Tests: tests.scheduling.test_capacity_changes; without the new condition test_unknown_run_fills_a_worker_that_does_not_guard_its_capacity gives 2 starts beside the unknown run instead of 0.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -299,6 +299,8 @@
         cold_start_s: For how long the workers of the service are cold after
             their start, in seconds; 0 if there is no limit.
         speed: Speed derived from the run times.
+        guards_capacity: Whether the worker rejects a start that exceeds its
+            capacity.
         isolated_task: The task that runs alone on the worker, or for which the
             worker is reserved; empty if there is none.
     """
@@ -326,6 +328,7 @@
     warm_at: float = float("-inf")
     cold_start_s: float = 0.0
     speed: SpeedEstimate = dataclasses.field(default_factory=SpeedEstimate)
+    guards_capacity: bool = True
     isolated_task: str = ""
 
     def __post_init__(self):
@@ -334,12 +337,15 @@
     def update_listing(self, listing: Listing) -> None:
         """Replace the worker's entry and adjust its free capacity."""
         gained = listing.capacity.subtract(self.listing.capacity)
-        if listing.capacity != self.listing.capacity:
-            # Another machine, or another share of one.
-            self.speed = SpeedEstimate()
         self.listing = listing
         self.free = self.free.add(gained)
 
+    def has_unknown_load(self) -> bool:
+        """Return whether it has a run whose resources are not known."""
+        return any(
+            run.resources == jobs.Resources() for run in self.runs.values()
+        )
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task] = run
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -108,6 +108,8 @@
             to other daemons.
         cold_starts: For how long workers are slow after their start, in
             seconds, by service; services without such a time are left out.
+        unguarded_services: The services whose workers start everything that they
+            are told to, even beyond their capacity.
     """
 
     version: int
@@ -115,6 +117,7 @@
     max_body_bytes: int
     source: bytes
     cold_starts: dict[str, float] = dataclasses.field(default_factory=dict)
+    unguarded_services: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -94,6 +94,8 @@
     name: str
     # For how long a worker is slow after its start; 0 if it is not.
     cold_start_s: Annotated[float, msgspec.Meta(ge=0)] = 0
+    # Whether its workers reject what does not fit into their capacity.
+    enforces_capacity: bool = True
 
 
 class Config(_Wire, frozen=True):
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -51,29 +51,34 @@
         config = _CONFIG_DECODER.decode(source)
     except messages.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
+    services = _decode_services(config.services)
     return jobs.Configuration(
         version=config.version,
         queues=tuple(_decode_queue(route) for route in config.routes),
         max_body_bytes=config.limits.max_body_bytes,
         source=source,
-        cold_starts=_decode_cold_starts(config.services),
+        cold_starts={
+            service.name: service.cold_start_s
+            for service in services
+            if service.cold_start_s
+        },
+        unguarded_services=frozenset(
+            service.name
+            for service in services
+            if not service.enforces_capacity
+        ),
     )
 
 
-def _decode_cold_starts(source: msgspec.Raw) -> dict[str, float]:
-    """Return for how long workers are cold, by service.
+def _decode_services(source: msgspec.Raw) -> tuple[messages.Service, ...]:
+    """Return the services.
 
-    An entry of an unexpected form only switches this limit off.
+    An entry of an unexpected form only switches off what services ask for.
     """
     try:
-        services = _SERVICES_DECODER.decode(source)
+        return _SERVICES_DECODER.decode(source)
     except messages.DECODE_ERRORS:
-        return {}
-    return {
-        service.name: service.cold_start_s
-        for service in services
-        if service.cold_start_s
-    }
+        return ()
 
 
 def _decode_queue(route: messages.Route) -> jobs.Queue:
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -91,6 +91,9 @@
         worker = region.workers.get(worker_id)
         if worker is None:
             worker = fleet.Worker(listing)
+            worker.guards_capacity = (
+                listing.service not in region.unguarded_services
+            )
             _update_warmup(region, worker, listing, now)
             region.add_worker(worker)
             region.log_event("worker_listed", worker=worker_id)
@@ -131,18 +134,30 @@
     if listing.is_draining and not worker.listing.is_draining:
         region.log_event("worker_draining", worker=listing.worker_id)
     worker.update_listing(listing)
+    worker.guards_capacity = listing.service not in region.unguarded_services
     worker.is_listed = True
     region.record_worker_change(worker)
 
 
-def update_cold_starts(
-    region: tables.Region, cold_starts: dict[str, float]
+def update_services(
+    region: tables.Region,
+    cold_starts: dict[str, float],
+    unguarded: frozenset[str],
 ) -> None:
-    """Apply the times for which workers are cold, in seconds, by service."""
+    """Apply what the configuration says about services.
+
+    Args:
+        region: The region.
+        cold_starts: The times for which workers are cold, in seconds, by service.
+        unguarded: The services whose workers do not reject what exceeds their
+            capacity.
+    """
     region.cold_starts = cold_starts
+    region.unguarded_services = unguarded
     for worker in region.workers.values():
         service = worker.listing.service
         worker.cold_start_s = cold_starts.get(service, 0.0)
+        worker.guards_capacity = service not in unguarded
 
 
 def _update_warmup(
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -234,6 +234,7 @@
         and worker.is_synced
         and worker.is_reachable
         and not worker.listing.is_draining
+        and (worker.guards_capacity or not worker.has_unknown_load())
         and now >= worker.busy_until
         and health.can_accept_run(worker, now)
     )
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -47,6 +47,7 @@
         evacuations=region.evacuations,
         evacuated_services=region.evacuated_services,
         cold_starts=region.cold_starts,
+        unguarded_services=region.unguarded_services,
         regions=region.regions,
         crashes=crash_records.CrashRecords(
             evidence=region.crashes.evidence, queues=region.crashes.queues
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -195,6 +195,8 @@
     if worker.started_ms and reply.started_ms != worker.started_ms:
         worker.cursor = 0
         worker.health = fleet.Health()
+        # The process may run on another machine now.
+        worker.speed = fleet.SpeedEstimate()
         crashes.record_crash(region, worker, now)
         region.log_event(
             "worker_restarted",
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -314,6 +314,8 @@
             evacuated data centres.
         cold_starts: For how long workers are cold after their start, in
             seconds, by service.
+        unguarded_services: The services whose workers do not reject what exceeds
+            their capacity.
         regions: The regions of the data centres.
     """
 
@@ -377,6 +379,7 @@
     )
     evacuated_services: frozenset[str] = frozenset()
     cold_starts: dict[str, float] = dataclasses.field(default_factory=dict)
+    unguarded_services: frozenset[str] = frozenset()
     regions: fleet_regions.Regions = fleet_regions.NONE
 
     def is_awaiting_worker_list(self, now: float) -> bool:
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -94,8 +94,8 @@
         self._configurations = configurations.Configurations(
             configurations.Callbacks(
                 send=lambda *message: self._mesh.send(*message),
-                on_change=lambda found: self._groups.update_cold_starts(
-                    found.cold_starts
+                on_change=lambda found: self._groups.update_services(
+                    found.cold_starts, found.unguarded_services
                 ),
             )
         )
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -91,6 +91,7 @@
         self._list_history = list_history or worker_lists.ListHistory()
         self._evacuations = evacuations or fleet_evacuations.Evacuations()
         self._cold_starts: dict[str, float] = {}
+        self._unguarded_services: frozenset[str] = frozenset()
         self._regions = regions
         self._group = group
         self._crashing_queues = queues or crashing_queues.CrashingQueues()
@@ -125,6 +126,7 @@
                 list_history=self._list_history,
                 evacuations=self._evacuations,
                 cold_starts=self._cold_starts,
+                unguarded_services=self._unguarded_services,
                 regions=self._regions,
                 crashes=crash_records.CrashRecords(
                     queues=self._crashing_queues
@@ -181,11 +183,14 @@
             evacuation.apply(self.region, self._clock())
             self._apply_effects()
 
-    def update_cold_starts(self, cold_starts: dict[str, float]) -> None:
-        """Apply the times for which workers are cold, by service."""
+    def update_services(
+        self, cold_starts: dict[str, float], unguarded: frozenset[str]
+    ) -> None:
+        """Apply the services; see `maintenance.update_services`."""
         self._cold_starts = cold_starts
+        self._unguarded_services = unguarded
         if self.region is not None:
-            maintenance.update_cold_starts(self.region, cold_starts)
+            maintenance.update_services(self.region, cold_starts, unguarded)
 
     def record_moved_workers(self) -> None:
         """Record that workers of the group have moved to another group."""
--- a/pollenladder/service/groups.py
+++ b/pollenladder/service/groups.py
@@ -56,6 +56,7 @@
         self._callbacks = callbacks
         self._listings: tuple[fleet.Listing, ...] = ()
         self._cold_starts: dict[str, float] = {}
+        self._unguarded_services: frozenset[str] = frozenset()
 
     def apply_layout(self, layout: layouts.Layout) -> bool:
         """Apply a layout unless it is older; return whether it is new."""
@@ -95,11 +96,14 @@
         for group in list(self.groups.values()):
             group.engine.update_evacuations()
 
-    def update_cold_starts(self, cold_starts: dict[str, float]) -> None:
-        """Apply the times for which workers are cold, by service."""
+    def update_services(
+        self, cold_starts: dict[str, float], unguarded: frozenset[str]
+    ) -> None:
+        """Apply the services; see `maintenance.update_services`."""
         self._cold_starts = cold_starts
+        self._unguarded_services = unguarded
         for group in list(self.groups.values()):
-            group.engine.update_cold_starts(cold_starts)
+            group.engine.update_services(cold_starts, unguarded)
 
     def list_workers(self, group: str) -> list[fleet.Listing]:
         """Return the listed workers of a group."""
@@ -184,7 +188,9 @@
         for name, group in added.items():
             self.groups[name] = group
             group.leadership.record_epoch(epoch)
-            group.engine.update_cold_starts(self._cold_starts)
+            group.engine.update_services(
+                self._cold_starts, self._unguarded_services
+            )
         self._callbacks.on_change()
 
     def _update_engines(self, is_full_list: bool) -> None:
