Let the soak crash workers, shrink them, and submit jobs that crash them

Cause: the soak restarted workers only behind an open port, so no round met a worker whose port refuses connections; nor did any capacity change. Change: three kinds of faults, and the check that a task is started at most twice more after three workers have crashed under it. While a worker is down, its proxy refuses connections too.

--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -57,8 +57,7 @@
         self.impairment = Impairment()
         self._target = (HOST, target_port)
         self._sockets: set[socket.socket] = set()
-        self._server = server.StreamServer((HOST, 0), self._serve)
-        self._server.start()
+        self._listen(0)
 
     @property
     def port(self) -> int:
@@ -71,6 +70,17 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             sock.close()
 
+    def refuse(self, for_s: float) -> None:
+        """Refuse connections for some time, as if the target had no process."""
+        port = self.port
+        self._server.stop(timeout=0)
+        self.reset_all()
+        gevent.spawn_later(for_s, self._listen, port)
+
+    def _listen(self, port: int) -> None:
+        self._server = server.StreamServer((HOST, port), self._serve)
+        self._server.start()
+
     def close(self) -> None:
         """Stop listening and reset all connections."""
         self._server.stop(timeout=0)
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -19,12 +19,15 @@
 from soak import faults
 from soak import invariants
 from soak import proxies
+from standins import site as sites
 from standins import site_store
 from standins import site_worker
 
 DAEMON_IDS = ["d1", "d2", "d3", "d4"]
 WORKER_COUNT = 6
 CALLERS_PER_DAEMON = 3
+# CPU of a worker whose capacity has shrunk, in thousandths of a core.
+SHRUNKEN_CPU = 24_000
 ROUND_S = 14.0
 CHECK_INTERVAL_S = 0.5
 # After the last fault all daemons must be ready within this time, and then
@@ -81,6 +84,10 @@
             )
             port = self._worker_proxies[worker_id].port
             self.cluster.site.list_worker(worker_id, port=port)
+        site = self.cluster.site
+        site.on_crash = lambda worker_id: self._worker_proxies[
+            worker_id
+        ].refuse(site.crash_down_s)
         self.callers = callers.Callers(self.cluster, self._rng)
         self.configurations = configurations.Configurations(self.cluster)
 
@@ -136,6 +143,11 @@
             "history_lost": faults.Kind(self._forget_history, _do_nothing),
             "worker_leaves": faults.Kind(self._drain_worker, self._end_drain),
             "worker_restart": faults.Kind(self._restart_worker, _do_nothing),
+            "worker_crash": faults.Kind(self._crash_worker, _do_nothing),
+            "worker_shrinks": faults.Kind(
+                self._shrink_worker, self._grow_worker
+            ),
+            "crashing_job": faults.Kind(self._submit_crashing_job, _do_nothing),
             "starts_lost": faults.Kind(self._lose_starts, _do_nothing),
             "starts_late": faults.Kind(self._delay_starts, _do_nothing),
             "worker_fails": self._make_worker_fault("fails_all", True, False),
@@ -371,6 +383,33 @@
     def _restart_worker(self, target: int) -> None:
         self._find_worker(target).restart()
 
+    def _crash_worker(self, target: int) -> None:
+        self.cluster.site.crash_worker(f"w{target % WORKER_COUNT}")
+
+    def _resize_worker(self, target: int, cpu: int) -> None:
+        worker = self._find_worker(target)
+        worker.cpu = cpu
+        worker_id = worker.worker_id
+        is_draining = worker_id in self._drain_starts_s
+        self.cluster.site.list_worker(
+            worker_id,
+            state="draining" if is_draining else "ready",
+            port=self._worker_proxies[worker_id].port,
+        )
+
+    def _shrink_worker(self, target: int) -> None:
+        self._resize_worker(target, SHRUNKEN_CPU)
+
+    def _grow_worker(self, target: int) -> None:
+        self._resize_worker(target, self._find_worker(target).max_cpu)
+
+    def _submit_crashing_job(self, target: int) -> None:
+        job_id = f"{self._rng.getrandbits(64):016x}"
+        body = sites.build_job(tasks=4, crashing_task=0)
+        name = self._choose_daemon(target)
+        submission = gevent.spawn(self.cluster.submit, name, job_id, body)
+        self._add_cleanup(submission.kill)
+
     def _lose_starts(self, target: int) -> None:
         self._find_worker(target).faults.lost_starts = 3
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -31,6 +31,7 @@
         workers: Workers by id, including those that were stopped.
         crash_down_s: How long a crashed worker is down, in seconds.
         crashes: When workers crashed, monotonic, in seconds.
+        on_crash: Called with the id of a worker that crashes.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.workers: dict[str, site_worker.SiteWorker] = {}
         self.crash_down_s = 1.5
         self.crashes: list[float] = []
+        self.on_crash: Callable[[str], None] = lambda worker_id: None
         self._servers: dict[str, pywsgi.WSGIServer] = {}
         self._store_server = wsgi.serve(self.store.serve)
 
@@ -110,14 +112,19 @@
         self._servers[worker_id].stop(timeout=0)
 
     def crash_worker(self, worker_id: str) -> None:
-        """Crash a worker; it restarts under its id after `crash_down_s`.
+        """Crash a worker unless it is down; it restarts after `crash_down_s`.
 
-        Meanwhile its port refuses connections and its store entry is unchanged.
+        It keeps its id. Meanwhile, its port refuses connections and its store
+        entry is unchanged.
         """
-        port = self.get_worker_port(worker_id)
+        server = self._servers[worker_id]
+        if not server.started:
+            return
+        port = server.server_port
+        self.on_crash(worker_id)
         self.crashes.append(time.monotonic())
         self.workers[worker_id].restart()
-        self._servers[worker_id].crash()
+        server.crash()
         gevent.spawn_later(self.crash_down_s, self._reopen, worker_id, port)
 
     def _reopen(self, worker_id: str, port: int) -> None:
--- a/standins/site_worker.py
+++ b/standins/site_worker.py
@@ -86,6 +86,7 @@
         history: All runs that were ever started.
         polls: Number of polls that were not fenced.
         cpu: CPU capacity in thousandths of a core.
+        max_cpu: The largest capacity that the worker ever has.
         started_ms: Wall-clock start time of this incarnation in milliseconds.
     """
 
@@ -105,6 +106,7 @@
         self._crash = crash or (lambda worker_id: self.restart())
         self.worker_id = worker_id
         self.cpu = cpu
+        self.max_cpu = cpu
         self.faults = Faults()
         self.history: list[Run] = []
         self.polls = 0
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -60,6 +60,16 @@
             self.worker.history.append(_build_run(f"a1.0.0.{index}", 1))
         self.assertIn("exceeded its CPU capacity", self._find()[0])
 
+    def test_a_crashing_task_is_not_started_again_and_again(self):
+        for number in range(1, 6):
+            how = "crashed" if number <= invariants.MAX_CRASHES else "done"
+            run = _build_run("a1.0.0.0", number, began_s=number, how=how)
+            run.ended_s = number + 0.1
+            self.worker.history.append(run)
+        self.assertEqual(self._find(), [])
+        self.worker.history.append(_build_run("a1.0.0.0", 6, began_s=7.0))
+        self.assertIn("started 3 times", " ".join(self._find()))
+
     def test_an_undisturbed_daemon_answers(self):
         call = _build_call(0)
         self.assertIn("undisturbed daemon", self._find(call)[0])
