--- a/bench/commands/emulate.py
+++ b/bench/commands/emulate.py
@@ -5,6 +5,7 @@
 import time
 
 from bench import reports
+from bench.emulator import crashes
 from bench.emulator import disturbances
 from bench.emulator import loads
 from bench.emulator import simulations
@@ -90,6 +91,13 @@
         help="pairs of queues whose tasks slow each other down",
     )
     parser.add_argument("--disturbance", type=float, default=1.6)
+    parser.add_argument(
+        "--crashing-kind",
+        choices=[kind.name for kind in loads.REQUEST_KINDS],
+        default="",
+        help="kind of the jobs of which some crash the workers that start them",
+    )
+    parser.add_argument("--crashing-share", type=float, default=0.1)
     parser.add_argument("--record", type=pathlib.Path, metavar="FILE")
     parser.add_argument("--replay", type=pathlib.Path, metavar="FILE")
 
@@ -135,6 +143,7 @@
             _list_speeds(options.speeds, options.workers),
             _draw_factors(options, seed),
             switched,
+            crashes.Plan(options.crashing_kind, options.crashing_share, seed),
         )
         simulation.run(arrivals)
         simulated.append(simulation)
@@ -177,5 +186,6 @@
         "refusal_p99_ms": round(1000 * tally.refusal_p99_s),
         "moved": sum(s.moved_runs for s in simulated),
         "disturbed": sum(s.disturbed_runs for s in simulated),
+        "crashes": sum(s.crashes for s in simulated),
         "processor_s": round(time.process_time() - began_s, 2),
     }
--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -11,6 +11,7 @@
 import heapq
 import itertools
 
+from bench.emulator import crashes
 from bench.emulator import disturbances
 from bench.emulator import gateways
 from bench.emulator import loads
@@ -28,6 +29,8 @@
 # Interval of the owner's maintenance steps.
 MAINTENANCE_INTERVAL_S = 0.02
 POLL_INTERVAL_S = 0.2
+LEASE_S = 1.0
+WORKER_CLOCK_AHEAD_S = 1000.0
 # One-way latency between an owner and a worker, with processing on both sides.
 WORKER_LATENCY_S = 0.001
 # Time between a caller and the owner in both directions together.
@@ -114,6 +117,7 @@
         started_job_ids: Ids of the jobs of which any task was started.
         moved_runs: Number of runs that were stopped as stalled.
         disturbed_runs: Number of runs that started on a faulty worker.
+        crashes: Number of crashes of workers.
     """
 
     def __init__(
@@ -125,11 +129,16 @@
         speeds: Sequence[float] = (),
         factors: disturbances.Factors | None = None,
         features: optional_features.Features = optional_features.ALL,
+        crash_plan: crashes.Plan = crashes.NONE,
     ):
         self.now = 0.0
+        self.crashes = 0
+        self._crash_plan = crash_plan
+        self._down_until_s: dict[str, float] = {}
+        self._started_ms: dict[str, int] = {}
         self._budget_s = budget_s
         self.regions = {
-            f"g{index}": tables.Region(1, 0.0, 1.0, features)
+            f"g{index}": tables.Region(1, 0.0, LEASE_S, features)
             for index in range(groups)
         }
         self._factors = factors or {}
@@ -169,6 +178,7 @@
             self._running[worker_id] = {}
             self._unreported_ends[worker_id] = []
             self._sequences[worker_id] = 0
+            self._started_ms[worker_id] = 1
         for group, region in self.regions.items():
             region.is_worker_list_current = True
             region.service_shares = {SERVICE: len(listings[group]) / count}
@@ -274,6 +284,11 @@
 
     def _start(self, order: tables.StartRun) -> None:
         job_id, _, _, index = order.task.split(".")
+        if self._is_down(order.worker_id):
+            region = self._find_region(order.worker_id)
+            reply = fleet.StartReply.NOT_SENT
+            replies.handle_start_reply(region, order, reply, self.now)
+            return
         self.started_job_ids.add(job_id)
         arrival = self.outcomes[job_id].arrival
         fault = self._find_fault(order.worker_id)
@@ -290,6 +305,11 @@
             ),
         )
         self._running[order.worker_id][order.task] = run
+        if self._crash_plan.crashes(arrival.kind, job_id, int(index)):
+            self._schedule(
+                self.now + crashes.CRASH_DELAY_S,
+                lambda: self._crash(order.worker_id),
+            )
         replies.handle_start_reply(
             self._find_region(order.worker_id),
             order,
@@ -298,6 +318,23 @@
         )
         self._update_rates(order.worker_id)
 
+    def _is_down(self, worker_id: str) -> bool:
+        return self.now < self._down_until_s.get(worker_id, 0.0)
+
+    def _crash(self, worker_id: str) -> None:
+        """End the process of a worker with all of its runs."""
+        if self._is_down(worker_id):
+            return
+        self.crashes += 1
+        self._running[worker_id].clear()
+        self._unreported_ends[worker_id].clear()
+        self._down_until_s[worker_id] = self.now + crashes.OUTAGE_S
+        self._started_ms[worker_id] += 1
+        for _ in range(replies.MAX_MISSED_POLLS):
+            self._schedule(
+                self.now + WORKER_LATENCY_S, lambda: self._poll(worker_id)
+            )
+
     def _update_rates(self, worker_id: str) -> None:
         """Reschedule the ends of the runs whose neighbours changed."""
         worker_runs = list(self._running[worker_id].values())
@@ -368,6 +405,14 @@
         )
 
     def _poll(self, worker_id: str) -> None:
+        region = self._find_region(worker_id)
+        if self._is_down(worker_id):
+            replies.handle_missed_poll(
+                region, worker_id, self.now, has_process_ended=True
+            )
+            return
+        worker = region.workers[worker_id]
+        worker.lease_until_s = self.now + WORKER_CLOCK_AHEAD_S + LEASE_S
         ended, self._unreported_ends[worker_id] = (
             self._unreported_ends[worker_id],
             [],
@@ -375,9 +420,14 @@
         running = tuple(
             self._observe(run) for run in self._running[worker_id].values()
         )
-        reply = fleet.PollReply(self.now + 1000.0, 1, running, tuple(ended))
+        reply = fleet.PollReply(
+            self.now + WORKER_CLOCK_AHEAD_S,
+            self._started_ms[worker_id],
+            running,
+            tuple(ended),
+        )
         replies.handle_poll_reply(
-            self._find_region(worker_id),
+            region,
             worker_id,
             reply,
             self.now - WORKER_LATENCY_S,
