Move effects and the choice of workers out of files that had grown large

Change: scheduling.effects holds what an owner decides on, out of tables; scheduling.candidates holds which workers may be given a task, out of placement; a lost run is a dataclass in crashes. The test now waits until the owner has stayed for 1.5 s; what it checks is unchanged. Tests of tests.scheduling, tests.docs, tests.logs, tests.contracts and five other modules pass; test_crashing_tasks 12 of 12 runs, four at a time.

--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -18,6 +18,7 @@
 from bench.emulator import submissions
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
@@ -100,7 +101,7 @@
 
 @dataclasses.dataclass
 class _Run:
-    order: tables.StartRun
+    order: effects.StartRun
     fails: bool
     hangs: bool
     progress: disturbances.Progress
@@ -263,17 +264,17 @@
                 for effect in region.take_effects():
                     self._apply(group, effect)
 
-    def _apply(self, group: str, effect: tables.Effect) -> None:
+    def _apply(self, group: str, effect: effects.Effect) -> None:
         arrival_s = self.now + WORKER_LATENCY_S
-        if isinstance(effect, tables.StartRun):
+        if isinstance(effect, effects.StartRun):
             self._schedule(arrival_s, lambda: self._start(effect))
-        elif isinstance(effect, tables.StopRun):
+        elif isinstance(effect, effects.StopRun):
             self._schedule(arrival_s, lambda: self._stop(effect))
-        elif isinstance(effect, tables.LookNow):
+        elif isinstance(effect, effects.LookNow):
             self._schedule(arrival_s, lambda: self._poll(effect.worker_id))
-        elif isinstance(effect, tables.LogEvent):
+        elif isinstance(effect, effects.LogEvent):
             self.moved_runs += effect.event == "run_moved"
-        elif isinstance(effect, tables.AnswerJob):
+        elif isinstance(effect, effects.AnswerJob):
             if self._gateway.try_another_group(group, effect.answer, self.now):
                 return
             outcome = self.outcomes[effect.answer.job_id]
@@ -282,7 +283,7 @@
                 waited_s = self.now - outcome.arrival.at_s
                 outcome.took_s = waited_s + CALLER_ROUND_TRIP_S
 
-    def _start(self, order: tables.StartRun) -> None:
+    def _start(self, order: effects.StartRun) -> None:
         job_id, _, _, index = order.task.split(".")
         if self._is_down(order.worker_id):
             region = self._find_region(order.worker_id)
@@ -367,7 +368,7 @@
                 return fault
         return None
 
-    def _stop(self, order: tables.StopRun) -> None:
+    def _stop(self, order: effects.StopRun) -> None:
         run = self._running[order.worker_id].get(order.task)
         if run is not None and run.order.number == order.number:
             self._end(run, fleet.RunEnd.STOPPED)
--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -11,8 +11,11 @@
 worker each.
 """
 
+import dataclasses
+
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
@@ -25,7 +28,14 @@
 # A task is given up once as many workers were lost under it, whatever the cause.
 MAX_LOST_WORKERS = 3
 
-Loss = tuple[fleet.Run, tables.Job, tables.Task]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """A run that was lost with its worker, and what it served."""
+
+    run: fleet.Run
+    job: tables.Job
+    task: tables.Task
 
 
 def record_crash(
@@ -38,16 +48,16 @@
     lost = _list_lost(region, worker)
     if not lost:
         return
-    region.count_failure(tables.Failure.WORKER_CRASHED)
+    region.count_failure(effects.Failure.WORKER_CRASHED)
     suspects = _choose_suspects(region, lost, now)
     _update_evidence(region, worker, suspects, now)
-    for run, job, task in lost:
-        _count_loss(job, task)
-        if any(suspect is run for suspect, _, _ in suspects):
-            _suspect(region, run, job, task, now)
+    for loss in lost:
+        _count_loss(loss)
+    for loss in suspects:
+        _suspect(region, loss, now)
     _report(region, lost)
-    for _, job, task in lost:
-        _give_up(region, job, task, now)
+    for loss in lost:
+        _give_up(region, loss.job, loss.task, now)
 
 
 def record_silent_loss(
@@ -60,14 +70,15 @@
     job, task = runs.find_task(region, run)
     if job is None or task is None:
         return
-    _count_loss(job, task)
-    _report(region, [(run, job, task)])
+    loss = Loss(run, job, task)
+    _count_loss(loss)
+    _report(region, [loss])
     _give_up(region, job, task, now)
 
 
-def _count_loss(job: tables.Job, task: tables.Task) -> None:
-    task.lost_workers += 1
-    job.has_lost_workers = True
+def _count_loss(loss: Loss) -> None:
+    loss.task.lost_workers += 1
+    loss.job.has_lost_workers = True
 
 
 def _list_lost(region: tables.Region, worker: fleet.Worker) -> list[Loss]:
@@ -75,7 +86,7 @@
     for run in worker.runs.values():
         job, task = runs.find_task(region, run)
         if job is not None and task is not None:
-            lost.append((run, job, task))
+            lost.append(Loss(run, job, task))
     return lost
 
 
@@ -86,12 +97,12 @@
 
     If tasks of a queue are known to crash workers, only those are suspected.
     """
-    recent = _list_recent([run for run, _, _ in lost])
-    suspects = [loss for loss in lost if loss[0] in recent]
+    recent = _list_recent([loss.run for loss in lost])
+    suspects = [loss for loss in lost if loss.run in recent]
     known = [
         loss
         for loss in suspects
-        if region.crashes.is_crashing(loss[1].submission.queue, now)
+        if region.crashes.is_crashing(loss.job.submission.queue, now)
     ]
     return known or suspects
 
@@ -108,7 +119,7 @@
     suspects: list[Loss],
     now: float,
 ) -> None:
-    queues = {job.submission.queue for _, job, _ in suspects}
+    queues = {loss.job.submission.queue for loss in suspects}
     # A task that runs alone on its worker is there by choice, not by chance.
     rates = {} if worker.isolated_task else _measure_rates(region)
     worker_id = worker.listing.worker_id
@@ -147,21 +158,16 @@
     return {queue: count / busy for queue, count in counts.items()}
 
 
-def _suspect(
-    region: tables.Region,
-    run: fleet.Run,
-    job: tables.Job,
-    task: tables.Task,
-    now: float,
-) -> None:
+def _suspect(region: tables.Region, loss: Loss, now: float) -> None:
+    run, task = loss.run, loss.task
     task.suspicions += 1
     region.log_event(
         "task_suspected",
-        job=job.submission.job_id,
+        job=loss.job.submission.job_id,
         task=run.task,
         run=run.number,
         worker=run.worker_id,
-        queue=job.submission.queue,
+        queue=loss.job.submission.queue,
         suspicions=task.suspicions,
         age_s=round(now - run.sent_at, 4),
     )
@@ -169,10 +175,10 @@
 
 def _report(region: tables.Region, lost: list[Loss]) -> None:
     """Tell the gateways, so that the next owner knows of the crashes."""
-    affected = {job.submission.job_id: job for _, job, _ in lost}
+    affected = {loss.job.submission.job_id: loss.job for loss in lost}
     for job in affected.values():
         region.effects.append(
-            tables.ReportCrashes(
+            effects.ReportCrashes(
                 job.gateway_id, job.submission.job_id, list_crashes(job)
             )
         )
@@ -202,6 +208,6 @@
         outcome = jobs.Outcome.GIVEN_UP
     else:
         return
-    region.count_failure(tables.Failure.JOB_GIVEN_UP)
+    region.count_failure(effects.Failure.JOB_GIVEN_UP)
     reason = jobs.Reason.TASK_CRASHED_WORKERS
     intake.end_job(region, job, outcome, reason, now)
--- a/pollenladder/scheduling/evacuation.py
+++ b/pollenladder/scheduling/evacuation.py
@@ -8,6 +8,7 @@
 """
 
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import candidates
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import tables
@@ -55,7 +56,7 @@
             continue
         if not job.has_begun and not job.submission.may_have_begun:
             _refuse(region, job, jobs.Reason.NO_WORKERS, now)
-        elif not placement.may_finish(region, now) and all(
+        elif not candidates.may_finish(region, now) and all(
             now >= task.not_before for task in job.list_waiting_tasks()
         ):
             outcome = jobs.Outcome.GIVEN_UP
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -9,6 +9,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import candidates
 from pollenladder.scheduling import exposure
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
@@ -169,7 +170,7 @@
 ) -> bool:
     """Return whether `tasks` tasks of a job can start at once."""
     missing = tasks
-    for worker in placement.iterate_candidates(region, job, now):
+    for worker in candidates.iterate_fitting(region, job, now):
         free = warmup.compute_free(worker, now)
         missing -= free.count_fitting(job.resources)
         if missing <= 0:
@@ -193,7 +194,7 @@
         for worker in region.workers.values()
         if worker.is_listed
         and not worker.is_evacuated
-        and placement.is_allowed(region, allowed, worker)
+        and candidates.is_allowed(region, allowed, worker)
     )
 
 
@@ -221,7 +222,7 @@
             worker.is_listed
             and not worker.is_evacuated
             and worker.listing.service == service
-            and placement.is_allowed(region, allowed, worker)
+            and candidates.is_allowed(region, allowed, worker)
         ):
             count += worker.listing.capacity.count_fitting(needed)
         if count >= enough:
@@ -238,11 +239,11 @@
         if worker.listing.service != job.submission.service:
             continue
         allowed = job.submission.allowed_regions
-        if not placement.is_allowed(region, allowed, worker):
+        if not candidates.is_allowed(region, allowed, worker):
             continue
         if not exposure.permits(region, job.submission, worker, now):
             continue
-        if placement.is_available(worker, now):
+        if candidates.is_available(worker, now):
             slots += _list_worker_slots(region, worker, job.resources, now)
         elif _is_awaiting_first_poll(worker):
             count = worker.listing.capacity.count_fitting(job.resources)
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -12,8 +12,10 @@
 from pollenladder.jobs import estimates
 from pollenladder.scheduling import admission
 from pollenladder.scheduling import arrivals
+from pollenladder.scheduling import candidates
 from pollenladder.scheduling import deferral
 from pollenladder.scheduling import delays
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import exposure
 from pollenladder.scheduling import forecast
 from pollenladder.scheduling import isolation
@@ -56,7 +58,7 @@
         return
     answered = region.answered.get(job_id)
     if answered is not None:
-        region.effects.append(tables.AnswerJob(gateway_id, answered[0]))
+        region.effects.append(effects.AnswerJob(gateway_id, answered[0]))
         region.log_event("answer_repeated", job=job_id, gateway=gateway_id)
         return
     job = _build_job(region, submission, gateway_id, now)
@@ -65,7 +67,7 @@
         answer = jobs.Answer(
             job_id, jobs.Outcome.GIVEN_UP, jobs.Reason.OWNER_LOST
         )
-        region.effects.append(tables.AnswerJob(gateway_id, answer))
+        region.effects.append(effects.AnswerJob(gateway_id, answer))
         region.log_event("job_runs_elsewhere", job=job_id, gateway=gateway_id)
         return
     reason = find_permanent_obstacle(region, job)
@@ -163,7 +165,7 @@
     # A lost gateway receives the answer of the owner that it forwarded the job
     # to, which this answer would contradict.
     if reason is not jobs.Reason.GATEWAY_LOST:
-        region.effects.append(tables.AnswerJob(job.gateway_id, answer))
+        region.effects.append(effects.AnswerJob(job.gateway_id, answer))
     region.log_event(
         "job_ended",
         job=job_id,
@@ -293,7 +295,7 @@
         w.is_listed
         and w.listing.service == service
         and (may_have_begun or not w.is_evacuated)
-        and placement.is_allowed(region, allowed, w)
+        and candidates.is_allowed(region, allowed, w)
         for w in region.workers.values()
     ):
         return jobs.Reason.NO_WORKERS
@@ -334,7 +336,7 @@
     answer = jobs.Answer(
         submission.job_id, outcome, reason, bound_retry_after(wait_s)
     )
-    region.effects.append(tables.AnswerJob(job.gateway_id, answer))
+    region.effects.append(effects.AnswerJob(job.gateway_id, answer))
     if outcome is jobs.Outcome.REFUSED:
         record_refusal(region, job)
     region.log_event(
@@ -355,7 +357,7 @@
     region: tables.Region, job: tables.Job, now: float
 ) -> None:
     """Answer a job of a queue that has taken down as many workers as it may."""
-    region.count_failure(tables.Failure.JOB_REFUSED)
+    region.count_failure(effects.Failure.JOB_REFUSED)
     wait_s = exposure.estimate_wait_s(region, job.submission.queue, now)
     _refuse(region, job, jobs.Reason.QUEUE_CRASHES_WORKERS, wait_s)
 
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -16,11 +16,12 @@
 import itertools
 
 from pollenladder.fleet import entities as fleet
-from pollenladder.fleet import health
 from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import candidates
 from pollenladder.scheduling import deferral
 from pollenladder.scheduling import delays
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import exposure
 from pollenladder.scheduling import isolation
 from pollenladder.scheduling import neighbours
@@ -84,7 +85,7 @@
     if not deferral.has_spare_capacity(region, job):
         return False
     missing = len(job.list_waiting_tasks())
-    for worker in iterate_candidates(region, job, now):
+    for worker in candidates.iterate_fitting(region, job, now):
         usable = warmup.compute_free(worker, now)
         missing -= usable.count_fitting(job.resources)
         if missing <= 0:
@@ -119,7 +120,7 @@
             busy_services.add(submission.service)
         if (
             submission.cpu_milli <= largest.get(submission.service, 0)
-            or _may_use_evacuated(region, job)
+            or candidates.may_use_evacuated(region, job)
             or job.has_lost_workers
         ):
             (deferred if is_deferred else waiting).append(job)
@@ -149,97 +150,6 @@
     return any(other.fits_in(needed) for other in others)
 
 
-def iterate_candidates(
-    region: tables.Region, job: tables.Job, now: float
-) -> Iterator[fleet.Worker]:
-    """Yield the available workers that fit a task, the least free CPU first."""
-    for worker_id in region.free_capacity.iterate_with_cpu(
-        job.submission.service, job.resources.cpu_milli
-    ):
-        worker = region.workers[worker_id]
-        if _is_candidate(region, job, worker, now):
-            yield worker
-    if _may_use_evacuated(region, job):
-        yield from _list_finishing(region, job, now)
-
-
-def _is_candidate(
-    region: tables.Region, job: tables.Job, worker: fleet.Worker, now: float
-) -> bool:
-    """Return whether a task of a job may start on a worker now."""
-    return (
-        job.resources.fits_in(warmup.compute_free(worker, now))
-        and is_available(worker, now)
-        and is_allowed(region, job.submission.allowed_regions, worker)
-        and exposure.permits(region, job.submission, worker, now)
-    )
-
-
-def _may_use_evacuated(region: tables.Region, job: tables.Job) -> bool:
-    """Return whether a job may be finished on evacuated workers for a time."""
-    return job.has_begun and job.submission.service in region.evacuated_services
-
-
-def _list_finishing(
-    region: tables.Region, job: tables.Job, now: float
-) -> list[fleet.Worker]:
-    """Return the evacuated workers on which a job's tasks may still start.
-
-    These are the ones that fit a task, sorted by their free CPU.
-    """
-    finish_until = region.evacuations.finish_until
-    found = [
-        worker
-        for worker in region.workers.values()
-        if worker.is_evacuated
-        and now < finish_until.get(worker.listing.data_centre, 0.0)
-        and worker.listing.service == job.submission.service
-        and job.resources.fits_in(worker.free)
-        and is_allowed(region, job.submission.allowed_regions, worker)
-        and not worker.isolated_task
-        and _can_run(worker, now)
-    ]
-    found.sort(key=lambda worker: worker.free.cpu_milli)
-    return found
-
-
-def may_finish(region: tables.Region, now: float) -> bool:
-    """Return whether begun jobs may still start tasks on evacuated workers."""
-    finish_until = region.evacuations.finish_until
-    return any(now < until for until in finish_until.values())
-
-
-def is_allowed(
-    region: tables.Region, allowed: tuple[str, ...], worker: fleet.Worker
-) -> bool:
-    """Return whether a worker is in one of the allowed regions."""
-    return not allowed or region.regions.allow(
-        allowed, worker.listing.data_centre
-    )
-
-
-def is_available(worker: fleet.Worker, now: float) -> bool:
-    """Return whether a worker may be given a run now."""
-    return (
-        not worker.is_evacuated
-        and not worker.isolated_task
-        and _can_run(worker, now)
-    )
-
-
-def _can_run(worker: fleet.Worker, now: float) -> bool:
-    """Return whether a worker may run a task, evacuated or not."""
-    return (
-        worker.is_listed
-        and worker.is_synced
-        and worker.is_reachable
-        and not worker.listing.is_draining
-        and (worker.guards_capacity or not worker.has_unknown_load())
-        and now >= worker.busy_until
-        and health.can_accept_run(worker, now)
-    )
-
-
 def _place_job(
     region: tables.Region,
     job: tables.Job,
@@ -280,13 +190,15 @@
     def can_run(worker: fleet.Worker) -> bool:
         return (
             not worker.is_evacuated
-            and _can_run(worker, now)
-            and is_allowed(region, job.submission.allowed_regions, worker)
+            and candidates.can_run(worker, now)
+            and candidates.is_allowed(
+                region, job.submission.allowed_regions, worker
+            )
             and exposure.permits(region, job.submission, worker, now)
         )
 
-    candidates = iterate_candidates(region, job, now)
-    worker = isolation.choose_worker(region, job, task, candidates, can_run)
+    fitting = candidates.iterate_fitting(region, job, now)
+    worker = isolation.choose_worker(region, job, task, fitting, can_run)
     if worker is not None:
         _start(region, job, task, worker, now)
         worker.isolated_task = jobs.format_task_name(
@@ -304,12 +216,12 @@
     best = None
     best_cost = float("inf")
     needed_speed = speed_matching.compute_needed_speed(region, job, now)
-    candidates = iterate_candidates(region, job, now)
+    fitting = candidates.iterate_fitting(region, job, now)
     if needed_speed:
-        candidates = _iterate_some_candidates(
+        fitting = _iterate_some_candidates(
             region, job, MAX_SPEED_CANDIDATES, now
         )
-    for worker in candidates:
+    for worker in fitting:
         if worker.free.cpu_milli >= best_cost:
             # The cost is at least the free CPU, which only grows from here.
             break
@@ -355,13 +267,15 @@
     region: tables.Region, job: tables.Job, limit: int, now: float
 ) -> Iterator[fleet.Worker]:
     """Yield up to `limit` candidates with the least, and some with the most CPU."""
-    yield from itertools.islice(iterate_candidates(region, job, now), limit)
+    yield from itertools.islice(
+        candidates.iterate_fitting(region, job, now), limit
+    )
     most_free = region.free_capacity.list_most_free(
         job.submission.service, MOST_FREE_CANDIDATES
     )
     for worker_id in most_free:
         worker = region.workers[worker_id]
-        if _is_candidate(region, job, worker, now):
+        if candidates.is_candidate(region, job, worker, now):
             yield worker
 
 
@@ -414,7 +328,7 @@
     job.has_begun = True
     delays.record_first_start(job, task, now)
     region.effects.append(
-        tables.StartRun(
+        effects.StartRun(
             run.worker_id, run.task, run.number, job.submission.spec
         )
     )
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -4,6 +4,7 @@
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import crashes
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import learned_state
 from pollenladder.scheduling import long_tails
@@ -25,7 +26,7 @@
 
 def handle_start_reply(
     region: tables.Region,
-    order: tables.StartRun,
+    order: effects.StartRun,
     reply: fleet.StartReply,
     now: float,
 ) -> None:
@@ -59,7 +60,7 @@
     """Mark a run whose start got no reply, and poll its worker."""
     if run.state is fleet.RunState.STARTING:
         run.state = fleet.RunState.UNCERTAIN
-        region.effects.append(tables.LookNow(run.worker_id))
+        region.effects.append(effects.LookNow(run.worker_id))
 
 
 def _handle_rejection(
@@ -84,12 +85,12 @@
     if task is not None:
         task.avoided_workers.add(run.worker_id)
     runs.release(region, worker, run, reply.value)
-    region.effects.append(tables.LookNow(run.worker_id))
+    region.effects.append(effects.LookNow(run.worker_id))
 
 
 def handle_stop_reply(
     region: tables.Region,
-    order: tables.StopRun,
+    order: effects.StopRun,
     reply: fleet.StopReply,
     now: float,
 ) -> None:
@@ -106,7 +107,7 @@
         # next poll either reports the end or does not contain the run.
         run.confirmed_at = now
         run.next_stop_at = now + runs.STOP_RETRY_S
-        region.effects.append(tables.LookNow(run.worker_id))
+        region.effects.append(effects.LookNow(run.worker_id))
 
 
 def handle_missed_poll(
@@ -331,7 +332,7 @@
         return
     if run.number != observed.number:
         region.effects.append(
-            tables.StopRun(
+            effects.StopRun(
                 worker.listing.worker_id, observed.task, observed.number
             )
         )
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -10,6 +10,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import tables
 
 # Share by which a worker's clock may run slower than the local clock. A lease
@@ -210,7 +211,7 @@
     """Order a run to stop; it keeps its resources until its end is known."""
     run.state = fleet.RunState.STOPPING
     run.next_stop_at = now + STOP_RETRY_S
-    region.effects.append(tables.StopRun(run.worker_id, run.task, run.number))
+    region.effects.append(effects.StopRun(run.worker_id, run.task, run.number))
 
 
 def release(
--- a/pollenladder/scheduling/sharing.py
+++ b/pollenladder/scheduling/sharing.py
@@ -18,7 +18,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
-from pollenladder.scheduling import placement
+from pollenladder.scheduling import candidates
 from pollenladder.scheduling import tables
 
 # Share of a group's capacity that a gateway of the same data centre leaves free
@@ -34,7 +34,7 @@
     capacity: dict[str, int] = {}
     free: dict[str, int] = {}
     for worker in region.workers.values():
-        if not placement.is_available(worker, now):
+        if not candidates.is_available(worker, now):
             continue
         service = worker.listing.service
         capacity[service] = (
--- a/pollenladder/scheduling/stalls.py
+++ b/pollenladder/scheduling/stalls.py
@@ -7,9 +7,9 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
+from pollenladder.scheduling import candidates
 from pollenladder.scheduling import long_tails
 from pollenladder.scheduling import neighbours
-from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
@@ -115,5 +115,5 @@
 ) -> bool:
     return any(
         other is not worker
-        for other in placement.iterate_candidates(region, job, now)
+        for other in candidates.iterate_fitting(region, job, now)
     )
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -1,4 +1,4 @@
-"""State of a region's owner, and the effects that it decides on."""
+"""State of a region's owner."""
 
 import dataclasses
 import enum
@@ -12,6 +12,7 @@
 from pollenladder.jobs import estimates as run_estimates
 from pollenladder.scheduling import admission as job_admission
 from pollenladder.scheduling import crash_records
+from pollenladder.scheduling import effects as owner_effects
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import free_capacity as worker_capacity
 from pollenladder.scheduling import interference
@@ -137,110 +138,6 @@
         return all(t.state is TaskState.DONE for t in self.tasks)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartRun:
-    """Order a worker to run a task."""
-
-    worker_id: str
-    task: str
-    number: int
-    spec: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopRun:
-    """Order a worker to stop a run, or to reject it if it arrives later."""
-
-    worker_id: str
-    task: str
-    number: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LookNow:
-    """Poll a worker at once, without waiting for a run to end.
-
-    The class name is a value in the log event `order_dropped`.
-    """
-
-    worker_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerJob:
-    """Send the final answer of a job to its gateway."""
-
-    gateway_id: str
-    answer: job_entities.Answer
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReportCrashes:
-    """Tell the gateway of a job how many workers were lost under its tasks."""
-
-    gateway_id: str
-    job_id: str
-    crashes: tuple[job_entities.TaskCrashes, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LogEvent:
-    """Write an event to the log.
-
-    Attributes:
-        event: Name of the event.
-        fields: Fields of the event.
-    """
-
-    event: str
-    fields: dict[str, object]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CountDecision:
-    """Add one to the counter of a kind of decision."""
-
-    decision: str
-
-
-class Failure(enum.Enum):
-    """A failure of workers that is counted for the metrics.
-
-    Attributes:
-        WORKER_LOST: A worker no longer replies.
-        RUN_ON_LOST_WORKER: A run was on a worker when it was lost.
-        WORKER_CRASHED: The process of a worker with runs has ended.
-        JOB_GIVEN_UP: A job was ended, as workers were lost under one of its
-            tasks.
-        JOB_REFUSED: A job was refused, as tasks of its queue crash workers.
-    """
-
-    WORKER_LOST = "worker_lost"
-    RUN_ON_LOST_WORKER = "run_on_lost_worker"
-    WORKER_CRASHED = "worker_crashed"
-    JOB_GIVEN_UP = "job_given_up"
-    JOB_REFUSED = "job_refused"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CountFailure:
-    """Add one to the counter of a kind of failure of workers."""
-
-    failure: Failure
-
-
-Effect = (
-    StartRun
-    | StopRun
-    | LookNow
-    | AnswerJob
-    | ReportCrashes
-    | LogEvent
-    | CountDecision
-    | CountFailure
-)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PredictedEnd:
     """When a run is expected to free its resources.
@@ -373,7 +270,9 @@
     inherited_speeds: dict[str, fleet.LearnedSpeed] = dataclasses.field(
         default_factory=dict
     )
-    effects: list[Effect] = dataclasses.field(default_factory=list)
+    effects: list[owner_effects.Effect] = dataclasses.field(
+        default_factory=list
+    )
     evacuations: fleet_evacuations.Evacuations = dataclasses.field(
         default_factory=fleet_evacuations.Evacuations
     )
@@ -438,17 +337,17 @@
 
     def log_event(self, event: str, **fields: object) -> None:
         """Queue an event for the log."""
-        self.effects.append(LogEvent(event, fields))
+        self.effects.append(owner_effects.LogEvent(event, fields))
 
     def count(self, decision: str) -> None:
         """Queue the count of a kind of decision, for the metrics."""
-        self.effects.append(CountDecision(decision))
+        self.effects.append(owner_effects.CountDecision(decision))
 
-    def count_failure(self, failure: Failure) -> None:
+    def count_failure(self, failure: owner_effects.Failure) -> None:
         """Queue the count of a failure of workers, for the metrics."""
-        self.effects.append(CountFailure(failure))
+        self.effects.append(owner_effects.CountFailure(failure))
 
-    def take_effects(self) -> list[Effect]:
+    def take_effects(self) -> list[owner_effects.Effect]:
         """Return and clear the effects decided on since the last call."""
         effects, self.effects = self.effects, []
         return effects
--- a/pollenladder/scheduling/worker_losses.py
+++ b/pollenladder/scheduling/worker_losses.py
@@ -8,6 +8,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import crashes
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
@@ -23,7 +24,7 @@
     worker.is_reachable = False
     worker.lost_at = now
     worker.is_loss_reported = False
-    region.count_failure(tables.Failure.WORKER_LOST)
+    region.count_failure(effects.Failure.WORKER_LOST)
     region.log_event(
         "worker_lost",
         worker=worker.listing.worker_id,
@@ -83,7 +84,7 @@
 
 def _log_run(region: tables.Region, run: fleet.Run, now: float) -> None:
     job, _ = runs.find_task(region, run)
-    region.count_failure(tables.Failure.RUN_ON_LOST_WORKER)
+    region.count_failure(effects.Failure.RUN_ON_LOST_WORKER)
     region.log_event(
         "run_on_lost_worker",
         job=jobs.parse_job_id(run.task),
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -18,6 +18,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import crash_records
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import intake
@@ -313,25 +314,25 @@
         finally:
             self._is_applying_effects = False
 
-    def _apply_effect(self, effect: tables.Effect) -> None:
-        if isinstance(effect, tables.LogEvent):
+    def _apply_effect(self, effect: effects.Effect) -> None:
+        if isinstance(effect, effects.LogEvent):
             self.stalled_runs += effect.event == "run_moved"
             logs.log(LOGGER, effect.event, **effect.fields)
-        elif isinstance(effect, tables.AnswerJob):
+        elif isinstance(effect, effects.AnswerJob):
             self._callbacks.answer(effect.gateway_id, effect.answer)
-        elif isinstance(effect, tables.ReportCrashes):
+        elif isinstance(effect, effects.ReportCrashes):
             self._callbacks.report_crashes(
                 effect.gateway_id, effect.job_id, effect.crashes
             )
-        elif isinstance(effect, tables.CountDecision):
+        elif isinstance(effect, effects.CountDecision):
             self._callbacks.count(effect.decision)
-        elif isinstance(effect, tables.CountFailure):
+        elif isinstance(effect, effects.CountFailure):
             self._callbacks.count_failure(effect.failure.value)
         else:
             self._send_order(effect)
 
     def _send_order(
-        self, effect: tables.StartRun | tables.StopRun | tables.LookNow
+        self, effect: effects.StartRun | effects.StopRun | effects.LookNow
     ) -> None:
         session = self._sessions.get(effect.worker_id)
         if session is None:
@@ -342,9 +343,9 @@
                 worker=effect.worker_id,
                 order=type(effect).__name__,
             )
-        elif isinstance(effect, tables.StartRun):
+        elif isinstance(effect, effects.StartRun):
             session.start_run(effect)
-        elif isinstance(effect, tables.StopRun):
+        elif isinstance(effect, effects.StopRun):
             session.stop_run(effect)
         else:
             session.poll_now()
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -10,6 +10,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.logs import lines as logs
 from pollenladder.platform import workers
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import polls
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import tables
@@ -78,11 +79,11 @@
         self._closed = True
         self._client.close()
 
-    def start_run(self, order: tables.StartRun) -> None:
+    def start_run(self, order: effects.StartRun) -> None:
         """Send an order to start a run, without waiting for the reply."""
         gevent.spawn(self._start_run, order)
 
-    def stop_run(self, order: tables.StopRun) -> None:
+    def stop_run(self, order: effects.StopRun) -> None:
         """Send an order to stop a run, without waiting for the reply."""
         gevent.spawn(self._stop_run, order)
 
@@ -177,7 +178,7 @@
         worker.lease_until_s = max(worker.lease_until_s, until_s)
         return until_s
 
-    def _start_run(self, order: tables.StartRun) -> None:
+    def _start_run(self, order: effects.StartRun) -> None:
         # The process may have been paused since the order was decided on. The
         # lease is computed only here, so it would not bound the delay.
         if self._region.evacuations.is_current(self._clock()):
@@ -197,7 +198,7 @@
         replies.handle_start_reply(self._region, order, reply, self._clock())
         self._callbacks.on_event()
 
-    def _stop_run(self, order: tables.StopRun) -> None:
+    def _stop_run(self, order: effects.StopRun) -> None:
         reply = self._client.stop(order.task, order.number, self._region.epoch)
         if self._closed:
             return
--- a/tests/scheduling/simulations.py
+++ b/tests/scheduling/simulations.py
@@ -5,6 +5,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import replies
@@ -80,8 +81,8 @@
         )
         self.region.is_worker_list_current = True
         self.now += runs.OWNER_SETTLING_S
-        self.effects: list[tables.Effect] = []
-        self.log_events: list[tables.LogEvent] = []
+        self.effects: list[effects.Effect] = []
+        self.log_events: list[effects.LogEvent] = []
         self.ends: dict[str, list[fleet.ObservedEnd]] = {}
         self.list_workers([f"w{i}" for i in range(workers)])
 
@@ -164,22 +165,24 @@
         """Return the fields of all log events of a kind."""
         return [e.fields for e in self.log_events if e.event == event]
 
-    def confirm(self, order: tables.StartRun) -> None:
+    def confirm(self, order: effects.StartRun) -> None:
         """Deliver a worker's confirmation of a start."""
         self.reply(order, fleet.StartReply.STARTED)
 
-    def reply(self, order: tables.StartRun, reply: fleet.StartReply) -> None:
+    def reply(self, order: effects.StartRun, reply: fleet.StartReply) -> None:
         """Deliver the result of a start."""
         replies.handle_start_reply(self.region, order, reply, self.now)
         self._collect()
 
-    def reply_stop(self, order: tables.StopRun, reply: fleet.StopReply) -> None:
+    def reply_stop(
+        self, order: effects.StopRun, reply: fleet.StopReply
+    ) -> None:
         """Deliver the result of a stop."""
         replies.handle_stop_reply(self.region, order, reply, self.now)
         self._collect()
 
     def end(
-        self, order: tables.StartRun, end: fleet.RunEnd = fleet.RunEnd.DONE
+        self, order: effects.StartRun, end: fleet.RunEnd = fleet.RunEnd.DONE
     ) -> None:
         """End a run and deliver a poll reply that reports it."""
         ends = self.ends.setdefault(order.worker_id, [])
@@ -193,17 +196,17 @@
         )
         self.poll(order.worker_id, running=others)
 
-    def take_starts(self) -> list[tables.StartRun]:
+    def take_starts(self) -> list[effects.StartRun]:
         """Return the start orders since the last call."""
-        return self._take(tables.StartRun)
+        return self._take(effects.StartRun)
 
-    def take_stops(self) -> list[tables.StopRun]:
+    def take_stops(self) -> list[effects.StopRun]:
         """Return the stop orders since the last call."""
-        return self._take(tables.StopRun)
+        return self._take(effects.StopRun)
 
     def take_answers(self) -> list[jobs.Answer]:
         """Return the answers since the last call."""
-        return [effect.answer for effect in self._take(tables.AnswerJob)]
+        return [effect.answer for effect in self._take(effects.AnswerJob)]
 
     def _take(self, kind: type) -> list:
         taken = [effect for effect in self.effects if type(effect) is kind]
@@ -212,7 +215,7 @@
 
     def _collect(self) -> None:
         for effect in self.region.take_effects():
-            if isinstance(effect, tables.LogEvent):
+            if isinstance(effect, effects.LogEvent):
                 self.log_events.append(effect)
             else:
                 self.effects.append(effect)
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -6,11 +6,11 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import crashes
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import exposure
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import recovery
-from pollenladder.scheduling import tables
 from tests.scheduling import simulations
 
 OLD_JOB = "a" * 16
@@ -26,14 +26,14 @@
         self.simulation = simulations.RegionSimulation(workers=3)
         self.region = self.simulation.region
 
-    def _start(self, job_id: str, **changes) -> tables.StartRun:
+    def _start(self, job_id: str, **changes) -> effects.StartRun:
         options = {"tasks": 1} | LONG | changes
         self.simulation.submit(job_id, **options)
         (order,) = self.simulation.take_starts()
         self.simulation.confirm(order)
         return order
 
-    def _crash_beside(self) -> tuple[tables.StartRun, tables.StartRun]:
+    def _crash_beside(self) -> tuple[effects.StartRun, effects.StartRun]:
         """Crash the worker of an old task just after the start of a new one."""
         old = self._start(OLD_JOB)
         self.simulation.step(0.2)
@@ -154,7 +154,7 @@
         reports = {
             e.job_id: e.crashes
             for e in self.simulation.effects
-            if isinstance(e, tables.ReportCrashes)
+            if isinstance(e, effects.ReportCrashes)
         }
         self.assertEqual(reports[NEW_JOB], (jobs.TaskCrashes(0, 1, 1),))
         self.assertEqual(reports[OLD_JOB], (jobs.TaskCrashes(0, 0, 1),))
@@ -210,7 +210,7 @@
 
     def _submit(
         self, job_id: str, queue: str, run_s: float = 0.2
-    ) -> list[tables.StartRun]:
+    ) -> list[effects.StartRun]:
         self.simulation.submit(
             job_id,
             queue=queue,
--- a/tests/scheduling/test_free_capacity.py
+++ b/tests/scheduling/test_free_capacity.py
@@ -5,8 +5,8 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import candidates
 from pollenladder.scheduling import free_capacity
-from pollenladder.scheduling import placement
 from tests.scheduling import simulations
 
 WORKERS = 176
@@ -65,7 +65,7 @@
     def test_a_search_visits_only_workers_with_capacity(self):
         job = self.simulation.region.jobs["last"]
         seen = list(
-            placement.iterate_candidates(
+            candidates.iterate_fitting(
                 self.simulation.region, job, self.simulation.now
             )
         )
@@ -78,7 +78,7 @@
             region.remove_run(worker, run)
         job = region.jobs["last"]
         seen = list(
-            placement.iterate_candidates(region, job, self.simulation.now)
+            candidates.iterate_fitting(region, job, self.simulation.now)
         )
         self.assertEqual(len(seen), 2)
         self.assertEqual(seen[1], worker)
--- a/tests/scheduling/test_neighbours.py
+++ b/tests/scheduling/test_neighbours.py
@@ -6,11 +6,11 @@
 from bench.emulator import loads
 from bench.emulator import simulations as emulations
 from pollenladder.fleet import entities as fleet
+from pollenladder.scheduling import candidates
 from pollenladder.scheduling import features
 from pollenladder.scheduling import interference
 from pollenladder.scheduling import neighbourhood
 from pollenladder.scheduling import neighbours
-from pollenladder.scheduling import placement
 from pollenladder.scheduling import recovery
 from tests.scheduling import simulations
 
@@ -87,7 +87,7 @@
             )
         _know_pair(simulation)
         with mock.patch.object(
-            placement, "is_available", wraps=placement.is_available
+            candidates, "is_available", wraps=candidates.is_available
         ) as visit:
             simulation.submit("v", queue="victim", tasks=1)
         self.assertLess(visit.call_count, MANY_WORKERS / 4)
--- a/tests/scheduling/test_sharing.py
+++ b/tests/scheduling/test_sharing.py
@@ -5,8 +5,8 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import sharing
-from pollenladder.scheduling import tables
 from tests.scheduling import simulations
 
 CAPACITY = 100_000
@@ -104,7 +104,7 @@
         outcomes = [
             effect.answer.outcome
             for effect in self.simulation.effects
-            if isinstance(effect, tables.AnswerJob)
+            if isinstance(effect, effects.AnswerJob)
         ]
         self.simulation.effects.clear()
         return outcomes
--- a/tests/service/test_crashing_tasks.py
+++ b/tests/service/test_crashing_tasks.py
@@ -17,6 +17,7 @@
 RESTART_S = 1.6
 # Down for longer than the test waits.
 LONG_DOWN_S = 30.0
+SETTLED_S = 1.5
 
 
 def _start_cluster(test, names: list[str], workers: int) -> clusters.Cluster:
@@ -30,6 +31,18 @@
     return sum(len(found.history) for found in cluster.site.workers.values())
 
 
+def _wait_for_lasting_owner(cluster: clusters.Cluster) -> str:
+    """Return the owner once it has stayed the same for `SETTLED_S`.
+
+    Both daemons may claim the workers one after the other at their start.
+    """
+    owner = ""
+    while owner != cluster.wait_for_owner():
+        owner = cluster.wait_for_owner()
+        gevent.sleep(SETTLED_S)
+    return owner
+
+
 def _is_requeued(cluster: clusters.Cluster, owner: str) -> bool:
     return any(
         line["event"] == "task_requeued" for line in cluster.read_log(owner)
@@ -89,7 +102,7 @@
         """Guards against a count of crashes that is lost with the owner."""
         cluster = _start_cluster(self, ["d1", "d2"], workers=1)
         cluster.site.crash_down_s = 3.0
-        owner = cluster.wait_for_owner()
+        owner = _wait_for_lasting_owner(cluster)
         (gateway,) = cluster.daemons.keys() - {owner}
         body = sites.build_job(tasks=1, crashing_task=0)
         pending = gevent.spawn(
--- a/tests/service/test_evacuations.py
+++ b/tests/service/test_evacuations.py
@@ -16,6 +16,7 @@
 from pollenladder.platform import exceptions
 from pollenladder.platform import rows
 from pollenladder.platform import store as stores
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import tables
 from pollenladder.service import engine as engines
@@ -262,7 +263,7 @@
         now = 1.0
         worker = region.workers["w1"]
         session = sessions.Session(region, worker, callbacks, lambda: now)
-        order = tables.StartRun("w1", "a1.0.0.0", 1, "(spec)")
+        order = effects.StartRun("w1", "a1.0.0.0", 1, "(spec)")
         with mock.patch.object(session, "_client") as client:
             client.start.return_value = fleet.StartReply.STARTED
             known.is_current(now)
