Find crashes after an unsent start, and blame no task of a leaving worker

Cause: a start that finds no process made the worker unreachable first, and the polls that show its end were then not looked at, so the crash counted as silence. A draining worker that exits as announced counted as crashed by its tasks. A suspected task that had completed could end its job once its worker was gone. A reserved worker's crash counted as if the suspected task had run there. A job that may have begun could be given up at a new owner while its queue was limited. Change: a poll that finds no process records the crash of any lost worker; draining workers, completed tasks and jobs that may have begun are left out. Tests: three in tests.scheduling.test_crashes, which fail on the code before.

--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -41,8 +41,12 @@
 def record_crash(
     region: tables.Region, worker: fleet.Worker, now: float
 ) -> None:
-    """Record that the process of a worker has ended, with all of its runs."""
-    if worker.has_crash_recorded:
+    """Record that the process of a worker has ended, with all of its runs.
+
+    A draining worker ends its process as announced, so none of its tasks is
+    suspected.
+    """
+    if worker.has_crash_recorded or worker.listing.is_draining:
         return
     worker.has_crash_recorded = True
     lost = _list_lost(region, worker)
@@ -121,7 +125,8 @@
 ) -> None:
     queues = {loss.job.submission.queue for loss in suspects}
     # A task that runs alone on its worker is there by choice, not by chance.
-    rates = {} if worker.isolated_task else _measure_rates(region)
+    is_isolated = worker.isolated_task in worker.runs
+    rates = {} if is_isolated else _measure_rates(region)
     worker_id = worker.listing.worker_id
     for queue in region.crashes.add_crash(worker_id, queues, rates, now):
         region.log_event(
@@ -130,20 +135,27 @@
             group=region.group,
             workers_down=len(region.crashes.down[queue]),
         )
-        _give_up_waiting(region, queue, now)
+        give_up_waiting(region, queue, now)
 
 
-def _give_up_waiting(region: tables.Region, queue: str, now: float) -> None:
+def give_up_waiting(region: tables.Region, queue: str, now: float) -> None:
     """Give up the suspected tasks of a queue that would be started again."""
     for job in list(region.jobs.values()):
         if not job.has_lost_workers or job.submission.queue != queue:
             continue
         for task in job.tasks:
-            worker = region.workers.get(task.worker_id)
-            if worker is None or not worker.is_reachable:
+            if _needs_restart(region, task):
                 _give_up(region, job, task, now)
 
 
+def _needs_restart(region: tables.Region, task: tables.Task) -> bool:
+    """Return whether a task waits, or has a run on a lost worker."""
+    if task.state is not tables.TaskState.PLACED:
+        return task.state is tables.TaskState.WAITING
+    worker = region.workers.get(task.worker_id)
+    return worker is None or not worker.is_reachable
+
+
 def _measure_rates(region: tables.Region) -> dict[str, float]:
     """Return how often a worker's last runs include one of a queue, by queue."""
     counts: dict[str, int] = {}
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -74,7 +74,9 @@
     if reason is not None:
         _refuse(region, job, reason, MAX_RETRY_AFTER_S)
         return
-    if exposure.is_exhausted(region, submission, now):
+    if not submission.may_have_begun and exposure.is_exhausted(
+        region, submission, now
+    ):
         _refuse_crashing(region, job, now)
         return
     decision = _decide(region, job, now)
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -133,6 +133,8 @@
     worker.has_process_ended = has_process_ended
     if worker.missed_polls >= MAX_MISSED_POLLS:
         worker_losses.mark_lost(region, worker, now)
+    if has_process_ended and not worker.is_reachable:
+        crashes.record_crash(region, worker, now)
 
 
 def handle_fenced(region: tables.Region, worker_id: str) -> None:
--- a/pollenladder/scheduling/worker_losses.py
+++ b/pollenladder/scheduling/worker_losses.py
@@ -34,8 +34,6 @@
     )
     for run in worker.runs.values():
         _log_run(region, run, now)
-    if worker.has_process_ended:
-        crashes.record_crash(region, worker, now)
 
 
 def mark_reached(
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -148,6 +148,55 @@
         )
         self.assertEqual(self.region.jobs[NEW_JOB].tasks[0].suspicions, 1)
 
+    def test_crash_is_found_after_a_start_that_was_not_sent(self):
+        """Guards against a crash that counts as silence.
+
+        A start that finds no process is the first sign of the crash.
+        """
+        order = self._start(NEW_JOB)
+        self.simulation.submit(OLD_JOB, tasks=1, **LONG)
+        (unsent,) = self.simulation.take_starts()
+        self.assertEqual(unsent.worker_id, order.worker_id)
+        self.simulation.reply(unsent, fleet.StartReply.NOT_SENT)
+        self.simulation.crash(order.worker_id)
+        self.assertEqual(self.region.jobs[NEW_JOB].tasks[0].suspicions, 1)
+
+    def test_no_task_of_a_draining_worker_is_suspected(self):
+        """Guards against tasks that are blamed when a worker leaves."""
+        order = self._start(NEW_JOB)
+        listings = [
+            dataclasses.replace(
+                w.listing, is_draining=worker_id == order.worker_id
+            )
+            for worker_id, w in self.region.workers.items()
+        ]
+        maintenance.update_workers(self.region, listings, self.simulation.now)
+        self.simulation.crash(order.worker_id)
+        self.assertEqual(self.region.jobs[NEW_JOB].tasks[0].suspicions, 0)
+        self.simulation.expire_lease()
+        self.assertEqual(len(self.simulation.take_starts()), 1)
+
+    def test_suspected_task_that_has_completed_ends_no_job(self):
+        """Guards against a job that is given up for a task that is done."""
+        self.simulation.submit(NEW_JOB, tasks=2, **LONG)
+        first, second = self.simulation.take_starts()
+        for order in (first, second):
+            self.simulation.confirm(order)
+        self.simulation.crash(first.worker_id)
+        self.simulation.expire_lease()
+        again = self.simulation.take_starts()
+        for order in again:
+            self.simulation.confirm(order)
+        self.simulation.end(again[0])
+        self.region.workers.pop(again[0].worker_id)
+        job = self.region.jobs[NEW_JOB]
+        records = self.region.crashes
+        records.queues.record(job.submission.queue, self.simulation.now)
+        crashes.give_up_waiting(
+            self.region, job.submission.queue, self.simulation.now
+        )
+        self.assertIn(NEW_JOB, self.region.jobs)
+
     def test_gateway_is_told_and_the_next_owner_knows(self):
         """Guards against crashes that are forgotten with the owner."""
         self._crash_beside()
