Cancel a reservation whose task turns out to be done

Found by reading. A suspected task may wait for a reserved worker while its first run completes behind a partition that refuses connections. Only reservations of waiting tasks were cancelled with the job, so the worker stayed reserved for good. Change: all reservations of a job without a run are cancelled when it ends. Test: test_reservation_ends_if_the_first_run_turns_out_to_be_done, which fails on the code before.

--- a/pollenladder/scheduling/isolation.py
+++ b/pollenladder/scheduling/isolation.py
@@ -60,13 +60,16 @@
 
 
 def cancel(region: tables.Region, job: tables.Job) -> None:
-    """Cancel the reservations for the waiting tasks of a job."""
+    """Cancel the reservations for tasks of a job that have no run there.
+
+    A run that is active ends its reservation when it is over.
+    """
     if not job.has_lost_workers:
         return
-    for task in job.list_waiting_tasks():
+    for task in job.tasks:
         name = jobs.format_task_name(job.submission.job_id, task.index)
         reserved = _find_reserved(region, name)
-        if reserved is not None:
+        if reserved is not None and name not in reserved.runs:
             reserved.isolated_task = ""
 
 
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -105,6 +105,21 @@
         order = [job.submission.job_id for job in waiting]
         self.assertEqual(order, ["c" * 16, "f" * 16, OLD_JOB])
 
+    def test_reservation_ends_if_the_first_run_turns_out_to_be_done(self):
+        """Guards against a worker that stays reserved for a task that is done.
+
+        Behind a partition that refuses connections, the first run completed.
+        """
+        _, new = self._crash_beside()
+        for name in "cdef":
+            self._start(name * 16)
+        self.simulation.expire_lease()
+        self.assertTrue(self.simulation.list_logged("worker_reserved"))
+        self.simulation.end(new)
+        self.assertNotIn(NEW_JOB, self.region.jobs)
+        reserved = [w for w in self.region.workers.values() if w.isolated_task]
+        self.assertEqual(reserved, [])
+
     def test_task_is_given_up_after_its_second_crash(self):
         _, new = self._crash_beside()
         self.simulation.expire_lease()
