Let the emulator play tasks of which few fit on a worker

The emulated workers had 64 and 96 cores for tasks of 27. Customers with 32 and 48 cores for tasks of 14 or 16 could not be played, where two or three tasks fill a worker.

--- a/bench/commands/emulate.py
+++ b/bench/commands/emulate.py
@@ -40,6 +40,12 @@
     parser.add_argument("--workers", type=int, default=WORKERS)
     parser.add_argument("--groups", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument(
+        "--sizes",
+        choices=loads.SIZES,
+        default="usual",
+        help="how many tasks fit on a worker",
+    )
     parser.add_argument("--faults", choices=FAULTS, default="none")
     parser.add_argument(
         "--budget",
@@ -108,7 +114,9 @@
     for load in options.load:
         began_s = time.process_time()
         simulated = _play(options, load)
-        result[str(load)] = _describe(simulated, began_s)
+        result[str(load)] = _describe(
+            simulated, loads.SIZES[options.sizes], began_s
+        )
     report = reports.Report(options.out, "emulate", "Emulated loads", result)
     columns = ("load", *next(iter(result.values())))
     rows = [(load, *row.values()) for load, row in result.items()]
@@ -127,7 +135,15 @@
     seeds = range(1) if options.replay else range(options.seeds)
     for seed in seeds:
         arrivals = list(
-            loads.draw(load, options.length_s, seed, options.burst, wave, tail)
+            loads.draw(
+                load,
+                options.length_s,
+                seed,
+                options.burst,
+                wave,
+                tail,
+                loads.SIZES[options.sizes],
+            )
         )
         if options.queues > 1:
             arrivals = list(loads.split_queues(arrivals, options.queues, seed))
@@ -144,6 +160,7 @@
             _draw_factors(options, seed),
             switched,
             crashes.Plan(options.crashing_kind, options.crashing_share, seed),
+            loads.SIZES[options.sizes],
         )
         simulation.run(arrivals)
         simulated.append(simulation)
@@ -170,10 +187,12 @@
 
 
 def _describe(
-    simulated: list[simulations.Simulation], began_s: float
+    simulated: list[simulations.Simulation],
+    sizes: loads.Sizes,
+    began_s: float,
 ) -> dict[str, object]:
     outcomes = [o for s in simulated for o in s.outcomes.values()]
-    tally = tallies.count(outcomes)
+    tally = tallies.count(outcomes, sizes)
     return {
         "jobs": len(outcomes),
         "worth": round(tally.worth, 3),
--- a/bench/emulator/loads.py
+++ b/bench/emulator/loads.py
@@ -90,6 +90,21 @@
         return self.queue or self.kind
 
 
+@dataclasses.dataclass(frozen=True)
+class Sizes:
+    """The CPU that tasks need, and that workers have.
+
+    Attributes:
+        task_cpu_milli: Mean CPU of a task, in thousandths of a core.
+        max_task_cpu_milli: Largest CPU of a task, in thousandths of a core.
+        worker_cpu_milli: CPU of the workers, in turn, in thousandths of a core.
+    """
+
+    task_cpu_milli: int
+    max_task_cpu_milli: int
+    worker_cpu_milli: tuple[int, ...]
+
+
 # Request rates of the users' specification: load 1 for 24 workers.
 REQUEST_KINDS = (
     Kind("check", 17.2, 8, 32, 0.06, 0.0291, 0),
@@ -100,10 +115,17 @@
 JOB_SIGMA = 0.4
 TASK_RUN_SIGMA = 0.15
 DECLARED_RUN_SIGMA = 0.4
-CPU_MEAN_MILLI = 27_000
 CPU_SIGMA = 0.2
-CPU_MAX_MILLI = 41_000
 MAX_RUN_FACTOR = 4.0
+# Every third worker has one and a half times the CPU of the others.
+SIZES = {
+    "usual": Sizes(27_000, 41_000, (64_000, 64_000, 96_000)),
+    # Two or three tasks fill a worker.
+    "tight": Sizes(14_000, 20_000, (32_000, 32_000, 48_000)),
+    # Two average tasks do not always fit the smaller workers.
+    "tighter": Sizes(16_000, 24_000, (32_000, 32_000, 48_000)),
+}
+USUAL_SIZES = SIZES["usual"]
 
 
 def draw(
@@ -113,6 +135,7 @@
     bursts: Iterable[Sequence[float]] = (),
     wave: Wave | None = None,
     tail: Tail | None = None,
+    sizes: Sizes = USUAL_SIZES,
 ) -> Iterator[Arrival]:
     """Generate random arrivals in order of time.
 
@@ -124,6 +147,7 @@
             rates.
         wave: Variation of the rates over time.
         tail: Tasks that take many times as long as declared.
+        sizes: The CPU of the tasks.
     """
     generator = random.Random(seed)
     arrivals = []
@@ -136,7 +160,7 @@
             at_s += generator.expovariate(kind.per_s * factor)
             if at_s > length_s:
                 break
-            arrivals.append(_draw_job(generator, kind, at_s))
+            arrivals.append(_draw_job(generator, kind, at_s, sizes))
     arrivals.sort(key=lambda arrival: arrival.at_s)
     if tail is not None:
         # Drawn separately, so that all else equals the load without a tail.
@@ -159,18 +183,20 @@
     return dataclasses.replace(arrival, runs_s=runs_s)
 
 
-def _draw_job(generator: random.Random, kind: Kind, at_s: float) -> Arrival:
+def _draw_job(
+    generator: random.Random, kind: Kind, at_s: float, sizes: Sizes
+) -> Arrival:
     tasks = round(kind.tasks * generator.lognormvariate(0, JOB_SIGMA))
     tasks = max(1, min(kind.max_tasks, tasks))
     run_s = kind.run_s * generator.lognormvariate(
         -(JOB_SIGMA**2) / 2, JOB_SIGMA
     )
     run_s = min(run_s, MAX_RUN_FACTOR * kind.run_s)
-    cpu = CPU_MEAN_MILLI * generator.lognormvariate(0, CPU_SIGMA)
+    cpu = sizes.task_cpu_milli * generator.lognormvariate(0, CPU_SIGMA)
     return Arrival(
         at_s=at_s,
         kind=kind.name,
-        cpu_milli=min(CPU_MAX_MILLI, int(cpu)),
+        cpu_milli=min(sizes.max_task_cpu_milli, int(cpu)),
         declared_s=run_s * generator.lognormvariate(0, DECLARED_RUN_SIGMA),
         runs_s=tuple(
             run_s * generator.lognormvariate(0, TASK_RUN_SIGMA)
--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -131,6 +131,7 @@
         factors: disturbances.Factors | None = None,
         features: optional_features.Features = optional_features.ALL,
         crash_plan: crashes.Plan = crashes.NONE,
+        sizes: loads.Sizes = loads.USUAL_SIZES,
     ):
         self.now = 0.0
         self.crashes = 0
@@ -138,6 +139,7 @@
         self._down_until_s: dict[str, float] = {}
         self._started_ms: dict[str, int] = {}
         self._budget_s = budget_s
+        self._sizes = sizes
         self.regions = {
             f"g{index}": tables.Region(1, 0.0, LEASE_S, features)
             for index in range(groups)
@@ -164,8 +166,8 @@
     def _add_workers(self, count: int) -> None:
         listings: dict[str, list[fleet.Listing]] = {n: [] for n in self.regions}
         for index in range(count):
-            # Every third worker has one and a half times the CPU of the others.
-            cpu = 96_000 if index % 3 == 2 else 64_000
+            cpus = self._sizes.worker_cpu_milli
+            cpu = cpus[index % len(cpus)]
             worker_id = f"w{index}"
             capacity = jobs.Resources(cpu, MEMORY_MB)
             address = ("10.0.0.1", 80)
--- a/bench/emulator/tallies.py
+++ b/bench/emulator/tallies.py
@@ -42,14 +42,22 @@
     widest: dict[str, float]
 
 
-def count(outcomes: Iterable[simulations.Outcome]) -> Tally:
-    """Compute the statistics of outcomes."""
+def count(
+    outcomes: Iterable[simulations.Outcome],
+    sizes: loads.Sizes = loads.USUAL_SIZES,
+) -> Tally:
+    """Compute the statistics of outcomes.
+
+    Args:
+        outcomes: The outcomes.
+        sizes: The CPU of the tasks in the load.
+    """
     outcomes = list(outcomes)
     total: dict[str, float] = {}
     earned: dict[str, float] = {}
     for outcome in outcomes:
         kind = outcome.arrival.kind
-        worth = _measure_worth(outcome.arrival)
+        worth = _measure_worth(outcome.arrival, sizes)
         total[kind] = total.get(kind, 0.0) + worth
         share = outcome.get_earned_share()
         earned[kind] = earned.get(kind, 0.0) + share * worth
@@ -77,10 +85,10 @@
     return sum(map(is_counted, outcomes)) / max(1, len(outcomes))
 
 
-def _measure_worth(arrival: loads.Arrival) -> float:
+def _measure_worth(arrival: loads.Arrival, sizes: loads.Sizes) -> float:
     kind = next(k for k in loads.REQUEST_KINDS if k.name == arrival.kind)
     work = sum(arrival.runs_s) * arrival.cpu_milli
-    mean = kind.tasks * kind.run_s * loads.CPU_MEAN_MILLI
+    mean = kind.tasks * kind.run_s * sizes.task_cpu_milli
     factor = FIXED_WORTH_SHARE + (1 - FIXED_WORTH_SHARE) * work / mean
     return kind.worth * min(factor, MAX_WORTH_FACTOR)
 
