Trust declared run times only as far as they have been right

Hypothesis: declared run times are wrong by a factor that varies as much as the run times themselves, so under load the callers' errors decide who is refused, deferred or started first. A regression by queue moves an unusual declaration towards the usual run time; exact declarations keep all their weight.

--- a/pollenladder/jobs/estimates.py
+++ b/pollenladder/jobs/estimates.py
@@ -1,6 +1,9 @@
 """Correct the run times that callers declare.
 
-The correction is learned from the measured run times of the same queue.
+The correction is learned from the measured run times of the same queue: a bias,
+and how far a declared run time that differs from the usual one can be trusted.
+If declared run times vary more than measured ones, much of the difference is an
+error of the caller, and the expected run time is moved towards the usual one.
 """
 
 import dataclasses
@@ -14,6 +17,60 @@
 # time divided by declared run time. One task says little about the bias of its
 # queue, because the run times of single tasks vary by more than that bias.
 MAX_LOG_RATIO = 2.0
+# Weight of the newest task in the moments of the regression.
+REGRESSION_RATE = 0.003
+# Number of tasks after which a regression counts for half.
+REGRESSION_HALF_TASKS = 50.0
+# Smallest variance of the logarithm of declared run times from which anything
+# is learned; a spread of 5%.
+MIN_VARIANCE = 0.0025
+
+
+@dataclasses.dataclass(slots=True)
+class Regression:
+    """Regression of the log ratio on the log of the declared run time.
+
+    The log ratio is the natural logarithm of measured run time divided by
+    declared run time.
+
+    Attributes:
+        tasks: Number of tasks recorded.
+        mean_declared: Moving average of the log of the declared run time.
+        mean_ratio: Moving average of the log ratio.
+        variance: Moving variance of the log of the declared run time.
+        covariance: Moving covariance of the two.
+    """
+
+    tasks: int = 0
+    mean_declared: float = 0.0
+    mean_ratio: float = 0.0
+    variance: float = 0.0
+    covariance: float = 0.0
+
+    def record(self, log_declared: float, log_ratio: float) -> None:
+        """Add a task."""
+        self.tasks += 1
+        rate = max(REGRESSION_RATE, 1.0 / self.tasks)
+        declared = log_declared - self.mean_declared
+        ratio = log_ratio - self.mean_ratio
+        self.mean_declared += rate * declared
+        self.mean_ratio += rate * ratio
+        self.variance += rate * ((1 - rate) * declared**2 - self.variance)
+        self.covariance += rate * (
+            (1 - rate) * declared * ratio - self.covariance
+        )
+
+    def predict_log_ratio(self, log_declared: float) -> float:
+        """Return how far the log ratio differs from its mean.
+
+        The slope is between -1, if declared run times say nothing about single
+        jobs, and 0, if they are as good for unusual jobs as for others.
+        """
+        if self.variance < MIN_VARIANCE:
+            return 0.0
+        slope = max(-1.0, min(0.0, self.covariance / self.variance))
+        slope *= self.tasks / (self.tasks + REGRESSION_HALF_TASKS)
+        return slope * (log_declared - self.mean_declared)
 
 
 @dataclasses.dataclass
@@ -23,11 +80,13 @@
     Attributes:
         log_bias: Moving average of the natural logarithm of measured run time
             divided by declared run time, by queue.
+        regressions: How the ratio depends on the declared run time, by queue.
         distributions: Distribution of measured run time divided by declared run
             time, by queue.
     """
 
     log_bias: dict[str, float] = dataclasses.field(default_factory=dict)
+    regressions: dict[str, Regression] = dataclasses.field(default_factory=dict)
     distributions: dict[str, durations.Distribution] = dataclasses.field(
         default_factory=dict
     )
@@ -42,7 +101,11 @@
     tail = find_long_tail(estimates, queue)
     if tail is not None:
         return declared_s * tail.median
-    return declared_s * math.exp(estimates.log_bias.get(queue, 0.0))
+    log_ratio = estimates.log_bias.get(queue, 0.0)
+    regression = estimates.regressions.get(queue)
+    if regression is not None and declared_s > 0:
+        log_ratio += regression.predict_log_ratio(math.log(declared_s))
+    return declared_s * math.exp(log_ratio)
 
 
 def record_run(
@@ -55,6 +118,8 @@
     log_ratio = max(-MAX_LOG_RATIO, min(MAX_LOG_RATIO, log_ratio))
     bias = estimates.log_bias.get(queue, 0.0)
     estimates.log_bias[queue] = bias + LEARNING_RATE * (log_ratio - bias)
+    regression = estimates.regressions.setdefault(queue, Regression())
+    regression.record(math.log(declared_s), log_ratio)
 
 
 def record_duration(
--- a/pollenladder/scheduling/admission.py
+++ b/pollenladder/scheduling/admission.py
@@ -36,7 +36,7 @@
 ALL_LEARNING_RATE = 0.03
 LARGE_LEARNING_RATE = 0.09
 # A job with more than this multiple of the average work is large.
-LARGE_FACTOR = 1.5
+LARGE_FACTOR = 1.3
 # Ratio of the shares admitted, of large jobs and of all jobs, below which large
 # jobs are preferred.
 MIN_LARGE_ADMISSION_RATIO = 0.9
--- a/tests/jobs/test_estimates.py
+++ b/tests/jobs/test_estimates.py
@@ -1,9 +1,15 @@
 """Tests of the correction of declared run times."""
 
+import math
+import random
+import statistics
 import unittest
 
 from pollenladder.jobs import estimates
 
+SIGMA = 0.4
+TASKS = 3_000
+
 
 class EstimatesTest(unittest.TestCase):
     """Measured run times correct later declared run times of the same queue."""
@@ -28,3 +34,50 @@
         estimates.record_run(self.estimates, "q", 0.0, 1.0)
         estimates.record_run(self.estimates, "q", 1.0, 0.0)
         self.assertEqual(self.estimates.log_bias, {})
+
+
+class RegressionTest(unittest.TestCase):
+    """Declared run times are trusted as far as they have been right.
+
+    Without the regression, a caller's error in the declared run time decided
+    which job was refused under overload and which one started first.
+    """
+
+    def _measure_error(self, declared_sigma: float) -> tuple[float, float]:
+        """Return the spread of predicted and declared over measured run time.
+
+        Both are standard deviations of the natural logarithm.
+        """
+        generator = random.Random(7)
+        learned = estimates.Estimates()
+        predicted_errors = []
+        declared_errors = []
+        for number in range(TASKS):
+            measured_s = 0.2 * generator.lognormvariate(0, SIGMA)
+            error = generator.gauss(0, declared_sigma)
+            declared_s = measured_s * math.exp(error)
+            predicted_s = estimates.predict_run_s(learned, "q", declared_s)
+            if number > TASKS // 2:
+                predicted_errors.append(math.log(predicted_s / measured_s))
+                declared_errors.append(error)
+            estimates.record_run(learned, "q", declared_s, measured_s)
+        return (
+            statistics.stdev(predicted_errors),
+            statistics.stdev(declared_errors),
+        )
+
+    def test_wrong_declarations_are_moved_towards_the_usual_run_time(self):
+        predicted, declared = self._measure_error(SIGMA)
+        # The best linear prediction has an error of SIGMA / sqrt(2).
+        self.assertLess(predicted, 0.8 * declared)
+
+    def test_exact_declarations_are_kept(self):
+        predicted, _ = self._measure_error(0.0)
+        self.assertLess(predicted, 0.01)
+
+    def test_queue_with_one_declared_run_time_keeps_it(self):
+        learned = estimates.Estimates()
+        for measured_s in (0.05, 0.1, 0.2) * 100:
+            estimates.record_run(learned, "q", 0.1, measured_s)
+        predicted_s = estimates.predict_run_s(learned, "q", 0.1)
+        self.assertAlmostEqual(predicted_s, 0.1, delta=0.03)
