Serve jobs late in a region of one group too

Cause: with one group, a job that could not be in time was refused at once. Its caller cannot come back before its deadline, so a result that is late, but before three times the objective, serves it better.

The capacity that stays free when a deferred job starts now follows the pressure, and at full pressure a deferred job waits for .5 s instead of .35 s. The test of the free capacity therefore sets the pressure; beside it, one for no pressure was added.

New test: test_only_group_may_serve_a_job_late_at_once, which fails without it.

--- a/bench/emulator/gateways.py
+++ b/bench/emulator/gateways.py
@@ -42,6 +42,8 @@
 
     def submit(self, submission: jobs.Submission, now: float) -> None:
         """Send a new job to its first group."""
+        may_be_late = group_retries.may_be_late_at_first(len(self._groups))
+        submission = dataclasses.replace(submission, may_be_late=may_be_late)
         job = _OpenJob(submission, now)
         self._open[submission.job_id] = job
         first = sharing.choose_first_group(submission.job_id, self._groups)
--- a/pollenladder/scheduling/deferral.py
+++ b/pollenladder/scheduling/deferral.py
@@ -24,11 +24,13 @@
 # Longest time from its submission for which a job waits as a deferred one at
 # admission pressure 1, in seconds; at half the pressure twice as long. In an overload
 # that lasts, the job would be refused after all, and its caller should know soon.
-MAX_WAIT_S = 0.35
+MAX_WAIT_S = 0.5
 MIN_PRESSURE = 0.01
 # Share of the capacity that must stay free when a deferred job starts, for jobs
-# that arrive while it runs.
+# that arrive while it runs. It is in force in full from FULL_RESERVE_PRESSURE, and
+# less of it at lower pressure: without overload, few jobs have to wait anyway.
 RESERVE_SHARE = 0.15
+FULL_RESERVE_PRESSURE = 0.5
 
 
 def get_latest_start(region: tables.Region, job: tables.Job) -> float:
@@ -45,9 +47,8 @@
 def may_be_deferred(job: tables.Job) -> bool:
     """Return whether a job may be served late.
 
-    The gateway allows it once no group reports room. In a region of one group it
-    never does: on few workers, jobs that are served late cost about as many jobs
-    that would be in time.
+    The gateway allows it once no group reports room, and from the start in a region
+    of one group.
     """
     return job.submission.may_be_late and job.expected_s <= MAX_RUN_S
 
@@ -72,7 +73,9 @@
     service = job.submission.service
     free_milli, capacity_milli = region.free_capacity.get_totals(service)
     needed_milli = len(job.tasks) * job.resources.cpu_milli
-    return free_milli - needed_milli >= RESERVE_SHARE * capacity_milli
+    strictness = min(1.0, region.admission.pressure / FULL_RESERVE_PRESSURE)
+    reserve_milli = RESERVE_SHARE * strictness * capacity_milli
+    return free_milli - needed_milli >= reserve_milli
 
 
 def record(
--- a/pollenladder/scheduling/group_retries.py
+++ b/pollenladder/scheduling/group_retries.py
@@ -36,6 +36,17 @@
     may_be_late: bool
 
 
+def may_be_late_at_first(groups: int) -> bool:
+    """Return whether the first group may serve a job late.
+
+    It may if there is no other group that could serve the job in time.
+
+    Args:
+        groups: The number of groups.
+    """
+    return groups == 1
+
+
 def choose_next(
     submission: jobs.Submission,
     reason: jobs.Reason,
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -119,6 +119,7 @@
             gateways.Callbacks(
                 find_owner=lambda group: self._membership.find_owner(group),
                 has_group=lambda group: group in self._groups.groups,
+                count_groups=lambda: len(self._groups.groups),
                 choose_group=lambda *job: self._exchange.choose_group(*job),
                 find_room=lambda *job: self._exchange.find_room(*job),
                 get_shed_share=lambda group: self._membership.get_shed_share(
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -32,6 +32,7 @@
     Attributes:
         find_owner: Returns the id of the current owner of a group, or "".
         has_group: Returns whether there is a group of that name.
+        count_groups: Returns the number of groups.
         choose_group: Returns the group for a job, or "". It is given the groups
             that have refused the job, and whether to choose only a group that
             has room for the job now.
@@ -52,6 +53,7 @@
 
     find_owner: Callable[[str], str]
     has_group: Callable[[str], bool]
+    count_groups: Callable[[], int]
     choose_group: Callable[[jobs.Submission, frozenset[str], bool], str]
     find_room: Callable[[jobs.Submission, frozenset[str]], str]
     get_shed_share: Callable[[str], float]
@@ -84,8 +86,13 @@
         job = self.open_jobs.get(job_id)
         if job is None:
             now = self._clock()
+            may_be_late = group_retries.may_be_late_at_first(
+                self._callbacks.count_groups()
+            )
             job = open_jobs.OpenJob(
-                submission=submission,
+                submission=dataclasses.replace(
+                    submission, may_be_late=may_be_late
+                ),
                 arrived_at=now,
                 deadline_at=now + submission.budget_s,
                 owner_wait_limit_s=open_jobs.compute_owner_wait_limit_s(
--- a/tests/scheduling/test_deferral.py
+++ b/tests/scheduling/test_deferral.py
@@ -59,6 +59,14 @@
         self.assertFalse([name for name in started if "late" in name])
 
     def test_some_capacity_is_left_for_jobs_that_arrive_meanwhile(self):
+        self.region.admission.pressure = deferral.FULL_RESERVE_PRESSURE
+        self.assertEqual(self._count_starts_on_last_room(), 0)
+
+    def test_last_capacity_is_used_if_other_jobs_do_not_wait(self):
+        self.assertEqual(self._count_starts_on_last_room(), 2)
+
+    def _count_starts_on_last_room(self) -> int:
+        """Return how many tasks of a deferred job start on the last free CPU."""
         self._submit("late", tasks=2, cpu_milli=32_000)
         self.assertTrue(self.region.jobs["late"].is_deferred)
         # Room for both tasks, but for nothing else.
@@ -67,7 +75,7 @@
         for order in self.fill:
             if order.worker_id == first:
                 self.simulation.end(order)
-        self.assertEqual(self.simulation.take_starts(), [])
+        return len(self.simulation.take_starts())
 
     def test_job_begins_only_as_a_whole(self):
         self._submit("late", tasks=4)
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -31,6 +31,7 @@
             gateways.Callbacks(
                 find_owner=lambda group: self.owner_id if group else "",
                 has_group=lambda group: group in self.groups,
+                count_groups=lambda: len(self.groups),
                 choose_group=self._choose_group,
                 find_room=self._find_room,
                 get_shed_share=lambda group: self.shed_share,
@@ -124,6 +125,12 @@
         self.assertEqual(asked, [GROUP, "b", "c", "d", "full"])
         self.assertEqual(len(self.refused_with_room), 1)
 
+    def test_only_group_may_serve_a_job_late_at_once(self):
+        # Before, the only group refused jobs that it could have served late.
+        self._submit_job()
+        ((_, submission),) = self.sent
+        self.assertTrue(submission.may_be_late)
+
     def test_without_room_only_one_more_group_is_asked(self):
         self.groups = [GROUP, "b", "c"]
         self.roomy = []
