Repeat lost requests for a link soon after a start of all machines

Daemons that start first connect to machines that are not up yet. Such a request is lost, the kernel repeats it after 1 s only, and the attempt ends after .3 s; the next one follows up to .15 s later.

The first attempt now lasts .05 s, each one that times out twice as long as the last, up to .3 s, and one follows the other at once. A peer that was started again begins anew. New test: test_lost_requests_for_a_connection_are_soon_repeated, which fails without it.

--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -5,6 +5,11 @@
 know it yet. A link that was silent for the timeout in `heartbeats` is closed,
 and the daemon reconnects immediately, because a connection may go silent
 permanently while new connections still work.
+
+After a loss of power, daemons start one after another. A request for a connection
+to a machine that is not up yet is lost, and the kernel repeats it only after 1 s.
+The first attempts to connect to a peer are therefore short, and follow one another
+at once.
 """
 
 from collections.abc import Callable
@@ -31,6 +36,10 @@
 # Rarely needed, as daemons send heartbeats of their own more often.
 LINK_HEARTBEAT_S = 5.0
 CONNECT_TIMEOUT_S = 0.3
+# Time limit of the first attempt to connect to a peer. Each attempt that times out
+# doubles it, up to `CONNECT_TIMEOUT_S`.
+FIRST_CONNECT_TIMEOUT_S = 0.05
+MAX_CONNECT_DOUBLINGS = 8
 CONNECT_RETRY_S = 0.15
 PEER_CONNECT_WAIT_S = 0.8
 MAX_FRAME_BYTES = 1024 * 1024
@@ -144,18 +153,26 @@
                 or waited_s > PEER_CONNECT_WAIT_S
             ):
                 self._connecting.add(daemon_id)
-                gevent.spawn(self._connect, peer.member)
+                gevent.spawn(self._connect, peer)
 
-    def _connect(self, member: rosters.Member) -> None:
+    def _connect(self, peer: rosters.Peer) -> None:
+        member = peer.member
+        daemon_id = member.daemon_id
         try:
-            link = server.connect(self._settings, member.address, member.port)
-        except (exceptions.WireError, OSError) as error:
-            LOGGER.debug(
-                "cannot connect to peer %s: %s", member.daemon_id, error
+            link = server.connect(
+                self._settings,
+                member.address,
+                member.port,
+                choose_connect_timeout_s(peer.connect_timeouts),
             )
+        except (exceptions.WireError, OSError) as error:
+            LOGGER.debug("cannot connect to peer %s: %s", daemon_id, error)
+            if isinstance(error, exceptions.ConnectTimeoutError):
+                peer.connect_timeouts += 1
+                self._wake.set()
             return
         finally:
-            self._connecting.discard(member.daemon_id)
+            self._connecting.discard(daemon_id)
         self._register_link(link)
 
     def _register_link(self, link: links.Link) -> None:
@@ -236,3 +253,14 @@
         logs.log(LOGGER, "link_lost", peer=daemon_id, reason=reason.value)
         self._callbacks.on_link_change(daemon_id, False)
         self._wake.set()
+
+
+def choose_connect_timeout_s(timeouts: int) -> float:
+    """Return the time limit of an attempt to connect to a peer, in seconds.
+
+    Args:
+        timeouts: The number of attempts that have timed out since the last link
+            to the peer was made.
+    """
+    doublings = min(timeouts, MAX_CONNECT_DOUBLINGS)
+    return min(CONNECT_TIMEOUT_S, FIRST_CONNECT_TIMEOUT_S * 2**doublings)
--- a/pollenladder/cluster/roster.py
+++ b/pollenladder/cluster/roster.py
@@ -41,6 +41,8 @@
         last_heartbeat_at: When the latest heartbeat arrived.
         views: The state of the peer in each group that it owns or may own,
             from its latest heartbeat.
+        connect_timeouts: The number of attempts to connect to the peer that have
+            timed out since it started or the last link was made.
     """
 
     member: Member
@@ -51,6 +53,7 @@
     views: dict[str, ownership.DaemonView] = dataclasses.field(
         default_factory=dict
     )
+    connect_timeouts: int = 0
 
 
 class Roster:
@@ -89,6 +92,7 @@
         if member.incarnation <= peer.member.incarnation:
             return False
         peer.member = member
+        peer.connect_timeouts = 0
         if not peer.is_linked:
             peer.unlinked_since = now
         return True
@@ -101,6 +105,7 @@
         if peer is None:
             return
         peer.is_linked = is_linked
+        peer.connect_timeouts = 0
         if not is_linked:
             peer.heartbeat = None
             peer.views = {}
--- a/pollenladder/wire/exceptions.py
+++ b/pollenladder/wire/exceptions.py
@@ -39,3 +39,7 @@
 
 class UnreachableError(WireError):
     """No connection to the peer could be opened; nothing was sent."""
+
+
+class ConnectTimeoutError(UnreachableError):
+    """The peer's machine has not replied to a request for a connection."""
--- a/pollenladder/wire/server.py
+++ b/pollenladder/wire/server.py
@@ -49,17 +49,33 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-def connect(settings: Settings, address: str, port: int) -> links.Link:
+def connect(
+    settings: Settings,
+    address: str,
+    port: int,
+    connect_timeout_s: float | None = None,
+) -> links.Link:
     """Open a connection to a peer and return the started link.
 
+    Args:
+        settings: The settings of the link.
+        address: IP address of the peer.
+        port: The peer's port for links.
+        connect_timeout_s: Maximum time to open the connection, in seconds; None
+            for the one in the settings.
+
     Raises:
+        exceptions.ConnectTimeoutError: The peer's machine did not reply.
         exceptions.UnreachableError: No connection could be opened.
         exceptions.HandshakeError: The handshake failed; see
             `handshake.connect`.
     """
     target = (address, port)
+    timeout_s = connect_timeout_s or settings.connect_timeout_s
     try:
-        sock = socket.create_connection(target, settings.connect_timeout_s)
+        sock = socket.create_connection(target, timeout_s)
+    except TimeoutError as error:
+        raise exceptions.ConnectTimeoutError(f"{address}:{port}") from error
     except OSError as error:
         raise exceptions.UnreachableError(f"{address}:{port}") from error
     try:
--- a/tests/cluster/test_mesh.py
+++ b/tests/cluster/test_mesh.py
@@ -1,6 +1,7 @@
 """Links between daemons over loopback."""
 
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -10,6 +11,8 @@
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
 from pollenladder.core import clocks
+from pollenladder.wire import exceptions
+from pollenladder.wire import server
 from tests.cluster import samples
 
 WAIT_S = 5.0
@@ -119,3 +122,37 @@
         gevent.sleep(1.5 * heartbeats.OWNER_TIMEOUT_S)
         self.assertEqual(self.near.ended, ["b"])
         samples.wait_until(lambda: len(self.near.ended) == 2, WAIT_S)
+
+
+class StartingMachineTest(unittest.TestCase):
+    """Load: all machines lose power and start one after another.
+
+    Guards against links that wait for the time limit of an attempt that began
+    before the peer's machine was up. Until they are made, no daemon claims the
+    workers, and jobs are refused.
+    """
+
+    def test_lost_requests_for_a_connection_are_soon_repeated(self):
+        node = _Node("a", ports.find_free_ports(1)[0])
+        peer = rosters.Member("b", "127.0.0.1", 1, "norte", 1)
+        node.roster.record_member(peer, clocks.read_monotonic_s())
+        limits_s = []
+
+        def time_out(settings, address, port, limit_s):
+            limits_s.append(limit_s)
+            gevent.sleep(limit_s)
+            raise exceptions.ConnectTimeoutError(address)
+
+        with mock.patch.object(server, "connect", time_out):
+            loop = gevent.spawn(node.mesh.run)
+            self.addCleanup(loop.kill)
+            samples.wait_until(lambda: len(limits_s) >= 5, WAIT_S)
+            loop.kill()
+        self.assertEqual(limits_s[:5], [0.05, 0.1, 0.2, 0.3, 0.3])
+
+    def test_restarted_daemon_is_tried_at_the_first_interval(self):
+        roster = rosters.Roster("a")
+        roster.record_member(rosters.Member("b", "", 1, "norte", 1), 0.0)
+        roster.peers["b"].connect_timeouts = 5
+        roster.record_member(rosters.Member("b", "", 1, "norte", 2), 1.0)
+        self.assertEqual(roster.peers["b"].connect_timeouts, 0)
