--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -9,7 +9,7 @@
 After a loss of power, daemons start one after another. A request for a connection
 to a machine that is not up yet is lost, and the kernel repeats it only after 1 s.
 The first attempts to connect to a peer are therefore short, and follow one another
-at once.
+at once. Later ones are longer, with a pause between them, as the peer may be gone.
 """
 
 from collections.abc import Callable
@@ -36,10 +36,10 @@
 # Rarely needed, as daemons send heartbeats of their own more often.
 LINK_HEARTBEAT_S = 5.0
 CONNECT_TIMEOUT_S = 0.3
-# Time limit of the first attempt to connect to a peer. Each attempt that times out
-# doubles it, up to `CONNECT_TIMEOUT_S`.
+# Time limit of the first attempt to connect to a peer. Each of the first attempts
+# that time out doubles it, up to `CONNECT_TIMEOUT_S`.
 FIRST_CONNECT_TIMEOUT_S = 0.05
-MAX_CONNECT_DOUBLINGS = 8
+MAX_CONNECT_DOUBLINGS = 3
 CONNECT_RETRY_S = 0.15
 PEER_CONNECT_WAIT_S = 0.8
 MAX_FRAME_BYTES = 1024 * 1024
@@ -169,7 +169,8 @@
             LOGGER.debug("cannot connect to peer %s: %s", daemon_id, error)
             if isinstance(error, exceptions.ConnectTimeoutError):
                 peer.connect_timeouts += 1
-                self._wake.set()
+                if peer.connect_timeouts <= MAX_CONNECT_DOUBLINGS:
+                    self._wake.set()
             return
         finally:
             self._connecting.discard(daemon_id)
