Claim the workers soon after a start of all daemons though one is lost

Cause: a daemon that has just started claims at once only if it reaches all listed daemons, and otherwise waits for .8 s.

If half of the listed daemons are reached and none of them owns the workers or follows an owner, .25 s are now enough: a daemon that runs accepts a link within milliseconds, so the missing ones are lost or cut off, as in any later claim. The decision moved to cluster.boot.

--- a/pollenladder/cluster/ownership.py
+++ b/pollenladder/cluster/ownership.py
@@ -183,6 +183,18 @@
     return 2 * (len(known & reachable.keys()) + 1) >= len(known)
 
 
+def has_no_owner(
+    known: frozenset[str], reachable: Mapping[str, DaemonView]
+) -> bool:
+    """Return whether half of the known daemons are reachable and ownerless.
+
+    None of the reachable daemons owns the workers or follows an owner then.
+    """
+    return reaches_half(known, reachable) and not any(
+        view.is_owner or view.follows for view in reachable.values()
+    )
+
+
 def is_cut_off_from_owner(
     own_id: str, reachable: Mapping[str, DaemonView]
 ) -> bool:
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -9,6 +9,7 @@
 from gevent import event
 from gevent import pywsgi
 
+from pollenladder.cluster import boot
 from pollenladder.cluster import groups as layouts
 from pollenladder.cluster import mesh as meshes
 from pollenladder.cluster import messages
@@ -270,7 +271,7 @@
             self._clock,
             clocks.read_wall_s,
             # If another layout was in force here, no owner is to be waited for.
-            0.0 if self._groups.groups else leadership.BOOT_GRACE_S,
+            0.0 if self._groups.groups else boot.GRACE_S,
         )
         gevent.spawn(engine.run)
         return groups.Group(engine, leading)
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 
+from pollenladder.cluster import boot
 from pollenladder.cluster import epochs
 from pollenladder.cluster import groups
 from pollenladder.cluster import liveness
@@ -16,8 +17,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-# A daemon that has just started first waits for heartbeats from an owner.
-BOOT_GRACE_S = 0.8
 # An owner hands over once it alone has lacked the store for this long. At the
 # begin and the end of an outage for all daemons, they notice it within less.
 ALONE_WITHOUT_STORE_S = 0.8
@@ -83,7 +82,7 @@
         callbacks: Callbacks,
         clock: clocks.Clock,
         wall_clock: clocks.Clock,
-        boot_grace_s: float = BOOT_GRACE_S,
+        boot_grace_s: float = boot.GRACE_S,
     ):
         now = clock()
         self.group = group
@@ -108,6 +107,8 @@
         self._highest_epoch = 0
         self._liveness = liveness.Liveness(group, roster, now)
         self._owner_changes_at: list[float] = []
+        self._created_at = now
+        self._boot_grace_s = boot_grace_s
         self._backs_off_until = now + boot_grace_s
         self._is_booting = True
 
@@ -303,15 +304,17 @@
 
     def _is_backing_off(self) -> bool:
         """Return whether this daemon claims no ownership for now."""
-        if self._clock() >= self._backs_off_until:
+        now = self._clock()
+        if now >= self._backs_off_until:
             return False
-        if not self._is_booting:
+        if not self._is_booting or not self._callbacks.knows_all_daemons():
             return True
-        # A booting daemon that reaches all others need not wait for more.
-        known = self._roster.list_known(self._data_centre) - {self._own_id}
-        reaches_all = known <= self._roster.list_reachable(self.group).keys()
-        return not (
-            known and reaches_all and self._callbacks.knows_all_daemons()
+        return boot.must_wait(
+            now - self._created_at,
+            self._roster.list_known(self._data_centre),
+            self._own_id,
+            self._roster.list_reachable(self.group),
+            self._boot_grace_s,
         )
 
     def build_state(self) -> messages.GroupState:
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pollenladder.cluster import boot
 from pollenladder.cluster import epochs
 from pollenladder.cluster import groups
 from pollenladder.cluster import heartbeats
@@ -127,10 +128,31 @@
         self.membership.step()
         self.assertTrue(foreign.is_owner)
 
+    def _start_with_lost_daemon(self, **changes: object) -> None:
+        """Start when one of four daemons is listed, but gone for good."""
+        gone = rosters.Member("a", "10.0.0.1", 1, "norte", 1)
+        self.roster.record_member(gone, self.now)
+        self._receive("c", **changes)
+        self._receive("d", **changes)
+        self.membership.step()
+        self.assertFalse(self.leading.is_owner)
+        self.now += boot.OWNERLESS_GRACE_S
+        self.membership.step()
+
+    def test_after_a_start_of_all_a_lost_daemon_does_not_delay_the_claim(self):
+        # Before, the daemons waited for the lost one for .8 s, and jobs that
+        # arrived meanwhile were refused.
+        self._start_with_lost_daemon()
+        self.assertTrue(self.leading.is_owner)
+
+    def test_restarted_daemon_does_not_claim_if_others_follow_an_owner(self):
+        self._start_with_lost_daemon(follows="a")
+        self.assertFalse(self.leading.is_owner)
+
     def test_lone_daemon_waits_for_others_before_it_claims(self):
         self.membership.step()
         self.assertEqual(self.claimed, [])
-        self.now += leadership.BOOT_GRACE_S
+        self.now += boot.GRACE_S
         self.membership.step()
         self.assertEqual(len(self.claimed), 1)
 
@@ -271,7 +293,7 @@
         for name in ("d", "e", "f"):
             member = rosters.Member(name, "10.0.0.1", 1, "norte", 1)
             self.roster.record_member(member, self.now)
-        self.now += leadership.BOOT_GRACE_S
+        self.now += boot.GRACE_S
         self.membership.step()
         self.assertFalse(self.leading.is_owner)
         self.is_owner_row_stale = True
