Count from logs the jobs that were not served in time

After a bad afternoon, operators had to count job_answered by hand: which queue, when, for what reason. 'pollenladder losses LOG...' prints it by window.

--- a/pollenladder/management/application.py
+++ b/pollenladder/management/application.py
@@ -22,6 +22,7 @@
 from pollenladder.management.commands import history
 from pollenladder.management.commands import interference
 from pollenladder.management.commands import job
+from pollenladder.management.commands import losses
 from pollenladder.management.commands import status
 
 VERSION = "0.1.0"
@@ -37,6 +38,7 @@
     job.JobCommand,
     explain.ExplainCommand,
     interference.InterferenceCommand,
+    losses.LossesCommand,
 )
 
 
