Notice unanswered orders by the usual reply time of a worker

Cause: an order without a reply was given up after .12 s; only then is the worker asked what it runs, told to drop the order, and the task started elsewhere.

The time limit is now the smoothed reply time of the worker plus four mean deviations, between .04 and .12 s, and doubles with each order that stays unanswered. Without any reply so far it is .12 s. The rule for a second start is unchanged.

The limit in test_timeout_is_extended_by_the_event_loop_lag moved with its name.

--- a/pollenladder/platform/workers.py
+++ b/pollenladder/platform/workers.py
@@ -11,12 +11,11 @@
 from pollenladder.http import responses
 from pollenladder.platform import exceptions
 from pollenladder.platform import messages
+from pollenladder.platform import reply_times
 
 MAX_CONNECTIONS = 12
 CONNECT_TIMEOUT_S = 0.15
 IDLE_LIMIT_S = 20.0
-# For start and stop requests.
-COMMAND_TIMEOUT_S = 0.12
 # An exchange spans several iterations of the event loop, and each iteration
 # may be delayed by the loop's lag.
 LOOP_ITERATIONS_PER_EXCHANGE = 3
@@ -89,6 +88,8 @@
                 timeouts, since a late read does not mean a late response.
         """
         self._get_lag_s = get_lag_s
+        self._clock = clock
+        self._reply_times = reply_times.ReplyTimes()
         self._pool = connections.ConnectionPool(
             address, MAX_CONNECTIONS, CONNECT_TIMEOUT_S, IDLE_LIMIT_S, clock
         )
@@ -134,7 +135,7 @@
             "Fence": epoch,
         }
         try:
-            response = self._send(self._start_head, body, COMMAND_TIMEOUT_S)
+            response = self._send_order(self._start_head, body)
         except http_exceptions.NotSentError:
             return fleet.StartReply.NOT_SENT
         except http_exceptions.NoResponseError:
@@ -145,7 +146,7 @@
         """Stop a run; if it has not begun, prevent its start."""
         body = {"Task": task, "Run": number, "Fence": epoch}
         try:
-            response = self._send(self._stop_head, body, COMMAND_TIMEOUT_S)
+            response = self._send_order(self._stop_head, body)
         except http_exceptions.ExchangeError:
             return fleet.StopReply.NO_REPLY
         if response.status == 200:
@@ -199,6 +200,17 @@
             raise PollError(str(error)) from error
         return _read_poll_response(response)
 
+    def _send_order(self, head: bytes, body: dict) -> responses.Response:
+        sent_at = self._clock()
+        timeout_s = self._reply_times.choose_timeout_s()
+        try:
+            response = self._send(head, body, timeout_s)
+        except http_exceptions.NoResponseError:
+            self._reply_times.record_timeout()
+            raise
+        self._reply_times.record(self._clock() - sent_at)
+        return response
+
     def _send(
         self, head: bytes, body: dict, timeout_s: float
     ) -> responses.Response:
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -7,6 +7,7 @@
 import gevent
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.platform import reply_times
 from pollenladder.platform import workers
 from standins import site_worker
 from tests.platform import served
@@ -91,13 +92,13 @@
 
     def test_timeout_is_extended_by_the_event_loop_lag(self):
         self._poll()
-        self.worker.faults.late_replies_s = 1.5 * workers.COMMAND_TIMEOUT_S
+        self.worker.faults.late_replies_s = 1.5 * reply_times.MAX_TIMEOUT_S
         self.assertIs(self._start(), fleet.StartReply.NO_REPLY)
         lagging = workers.WorkerClient(
             "w1",
             self.address,
             time.monotonic,
-            get_lag_s=lambda: workers.COMMAND_TIMEOUT_S,
+            get_lag_s=lambda: reply_times.MAX_TIMEOUT_S,
         )
         until_s = self._poll().clock_s + 1.0
         reply = lagging.start("k.0.0.0", 1, SPEC, until_s, 5)
