Let the soak's last callers return after a refusal

The log had shedding_changed, with a share of .018, as the event loop ran .1 s late beside other plays; a refusal with Retry-After is what a caller is promised then. The check now submits again after a refusal, within the same time limit; a daemon that only refuses, fails or hangs is still a violation.

--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -18,6 +18,7 @@
 from soak import configurations
 from soak import faults
 from soak import invariants
+from soak import last_jobs
 from soak import proxies
 from standins import site as sites
 from standins import site_store
@@ -187,7 +188,8 @@
         if self.callers.stop(STOP_TIMEOUT_S):
             return ["some calls did not end"]
         last = [
-            self.callers.submit(name, STOP_TIMEOUT_S) for name in DAEMON_IDS
+            last_jobs.submit_until_served(self.callers, name, STOP_TIMEOUT_S)
+            for name in DAEMON_IDS
         ]
         violations = self._find_violations()
         violations += [
