--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -22,6 +22,7 @@
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
+from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import sharing
 from pollenladder.scheduling import tables
@@ -290,7 +291,7 @@
         if self._is_down(order.worker_id):
             region = self._find_region(order.worker_id)
             reply = fleet.StartReply.NOT_SENT
-            replies.handle_start_reply(region, order, reply, self.now)
+            order_replies.handle_start_reply(region, order, reply, self.now)
             return
         self.started_job_ids.add(job_id)
         arrival = self.outcomes[job_id].arrival
@@ -313,7 +314,7 @@
                 self.now + crashes.CRASH_DELAY_S,
                 lambda: self._crash(order.worker_id),
             )
-        replies.handle_start_reply(
+        order_replies.handle_start_reply(
             self._find_region(order.worker_id),
             order,
             fleet.StartReply.STARTED,
@@ -374,7 +375,7 @@
         run = self._running[order.worker_id].get(order.task)
         if run is not None and run.order.number == order.number:
             self._end(run, fleet.RunEnd.STOPPED)
-        replies.handle_stop_reply(
+        order_replies.handle_stop_reply(
             self._find_region(order.worker_id),
             order,
             fleet.StopReply.STOPPED,
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -11,6 +11,7 @@
 from pollenladder.logs import lines as logs
 from pollenladder.platform import workers
 from pollenladder.scheduling import effects
+from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import polls
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import tables
@@ -195,12 +196,16 @@
             return
         if reply is fleet.StartReply.FENCED:
             self._handle_fenced()
-        replies.handle_start_reply(self._region, order, reply, self._clock())
+        order_replies.handle_start_reply(
+            self._region, order, reply, self._clock()
+        )
         self._callbacks.on_event()
 
     def _stop_run(self, order: effects.StopRun) -> None:
         reply = self._client.stop(order.task, order.number, self._region.epoch)
         if self._closed:
             return
-        replies.handle_stop_reply(self._region, order, reply, self._clock())
+        order_replies.handle_stop_reply(
+            self._region, order, reply, self._clock()
+        )
         self._callbacks.on_event()
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -11,7 +11,7 @@
 from pollenladder.platform import workers
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
-from pollenladder.scheduling import replies
+from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import runs
 from pollenladder.service import dispatcher
 from pollenladder.service import gateway
@@ -24,14 +24,14 @@
 
 def _retry_without_reply() -> None:
     """Treat a start without a reply as a start that was not sent."""
-    handle = replies.handle_start_reply
+    handle = order_replies.handle_start_reply
 
     def handle_as_not_sent(region, order, reply, now):
         if reply is fleet.StartReply.NO_REPLY:
             reply = fleet.StartReply.NOT_SENT
         handle(region, order, reply, now)
 
-    replies.handle_start_reply = handle_as_not_sent
+    order_replies.handle_start_reply = handle_as_not_sent
 
 
 def _send_no_epoch() -> None:
--- a/tests/scheduling/simulations.py
+++ b/tests/scheduling/simulations.py
@@ -8,6 +8,7 @@
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
+from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
@@ -171,14 +172,14 @@
 
     def reply(self, order: effects.StartRun, reply: fleet.StartReply) -> None:
         """Deliver the result of a start."""
-        replies.handle_start_reply(self.region, order, reply, self.now)
+        order_replies.handle_start_reply(self.region, order, reply, self.now)
         self._collect()
 
     def reply_stop(
         self, order: effects.StopRun, reply: fleet.StopReply
     ) -> None:
         """Deliver the result of a stop."""
-        replies.handle_stop_reply(self.region, order, reply, self.now)
+        order_replies.handle_stop_reply(self.region, order, reply, self.now)
         self._collect()
 
     def end(
