--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -23,6 +23,8 @@
             gateways.Callbacks(
                 find_owner=lambda group: "a",
                 has_group=lambda group: True,
+                count_groups=lambda: 1,
+                get_ownerless_s=lambda: 0.0,
                 choose_group=lambda submission, excluded, needs_room: "g",
                 find_room=lambda submission, asked: "",
                 get_shed_share=lambda group: 0.0,
