--- a/pollenladder/cluster/heartbeats.py
+++ b/pollenladder/cluster/heartbeats.py
@@ -22,7 +22,7 @@
 MAX_OWNER_TIMEOUT_S = 1.8
 # Limit on the heartbeats that a daemon sends, and on those that it receives,
 # while it follows an owner.
-MAX_HEARTBEATS_PER_S = 50.0
+MAX_HEARTBEATS_PER_S = 60.0
 # Intervals of heartbeats to distant peers: of an owner, of another daemon to an
 # owner, and between two other daemons.
 DISTANT_OWNER_INTERVAL_S = 0.25
