Return to counting deferred waits from the submission

The change before, 'Do not count the wait for an owner as a wait for capacity', is reverted. What the change was for stays open: jobs that waited for an owner are mostly refused by the new one when processor time is charged.

--- a/pollenladder/scheduling/deferral.py
+++ b/pollenladder/scheduling/deferral.py
@@ -24,7 +24,7 @@
 # Admission pressure from which the limits below apply in full.
 FULL_PRESSURE = 0.5
 MIN_STRICTNESS = 0.01
-# Longest time from its arrival here for which a job waits as a deferred one, in
+# Longest time from its submission for which a job waits as a deferred one, in
 # seconds; at half of `FULL_PRESSURE` twice as long. In an overload that lasts, the job
 # would be refused after all, and its caller should know soon.
 MAX_WAIT_S = 0.32
@@ -41,7 +41,7 @@
     limit = min(job.deadline_at, job.submitted_at + LATE_FACTOR * allowed_s)
     return min(
         limit - RUN_MARGIN * job.expected_s - tables.OVERHEAD_S,
-        job.received_at + MAX_WAIT_S / strictness,
+        job.submitted_at + MAX_WAIT_S / strictness,
     )
 
 
--- a/pollenladder/scheduling/delays.py
+++ b/pollenladder/scheduling/delays.py
@@ -29,17 +29,15 @@
 
     Returns:
         None if the outcome does not tell: the job was deferred, which was
-        decided when it could not start in time, it was cancelled or failed, it
-        had waited too long for an owner, or some of its tasks were held back
-        because an earlier owner may have started them.
+        decided when it could not start in time, it was cancelled or failed, or
+        some of its tasks were held back because an earlier owner may have
+        started them.
     """
     if job.is_deferred or outcome in (
         jobs.Outcome.CANCELLED,
         jobs.Outcome.FAILED,
     ):
         return None
-    if job.received_at > job.latest_start_at:
-        return None
     if not _have_all_started(job):
         return None if job.submission.may_have_begun else True
     return job.last_first_start_at > job.latest_start_at
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -129,11 +129,6 @@
     has_lost_workers: bool = False
     is_overdue: bool = False
 
-    @property
-    def received_at(self) -> float:
-        """When this owner received the job, which may have waited for an owner."""
-        return self.submitted_at + self.submission.age_s
-
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
         return [t for t in self.tasks if t.state is TaskState.WAITING]
