--- a/review/workers.py
+++ b/review/workers.py
@@ -106,6 +106,9 @@
         if instance not in ("", self.worker_id):
             return self._reply(start_response, 421, {})
         body = json.loads(environ["wsgi.input"].read())
+        if not self.is_up:
+            # The process ended while the request arrived.
+            return wsgi.drop_connection(environ)
         if body.get("Fence", 0) < self._fence:
             return self._reply(start_response, 409, {"Reason": "fence"})
         self._fence = body.get("Fence", 0)
