--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,7 +21,7 @@
 JOB_PAUSE_S = 0.3
 USUAL_PAUSE_S = 0.1
 CALM_S = 8.0
-DOWN_S = 3.0
+DOWN_S = 1.3
 RECOVERY_S = 12.0
 MEASURED_S = 10.0
 # The rule compares with a quarter of the requests.
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 from review import rig as rigs
 
 RECOVERY_S = 12.0
-DOWN_S = 3.0
+DOWN_S = 1.3
 ROUNDS = 8
 # The rule compares with a quarter of the requests.
 SERVED_SHARE = 0.25
--- a/review/cases.py
+++ b/review/cases.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -30,6 +31,11 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = rigs.Record(folder / "record.txt")
     record.write(f"trouble: {has_trouble}")
+    runner = gevent.getcurrent()
+    ended = rigs.CannotRunError("ended by a signal")
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # Raised in the case, so that it ends its processes first.
+        gevent.signal_handler(number, gevent.kill, runner, ended)
     try:
         with gevent.Timeout(LIMIT_S):
             code = BROKEN if run(record, has_trouble) else HELD
