--- a/pollenladder/cluster/groups.py
+++ b/pollenladder/cluster/groups.py
@@ -20,6 +20,8 @@
 # A data centre is split only into groups of at least this many workers, as jobs
 # with many tasks need many workers.
 MIN_GROUP_WORKERS = 16
+# Most groups of one data centre.
+MAX_PARTS = 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,4 +102,4 @@
 def _count_parts(workers: int, max_workers: float) -> int:
     """Return the number of groups of a data centre, a power of two."""
     needed = min(workers / max_workers, workers / MIN_GROUP_WORKERS)
-    return 2 ** max(0, round(math.log2(max(1.0, needed))))
+    return min(MAX_PARTS, 2 ** max(0, round(math.log2(max(1.0, needed)))))
--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -156,25 +156,39 @@
                 gevent.spawn(self._connect, peer)
 
     def _connect(self, peer: rosters.Peer) -> None:
+        """Connect to a peer once; the next attempt follows in `run`."""
+        daemon_id = peer.member.daemon_id
+        link = None
+        try:
+            link = self._open_link(peer)
+            if link is not None:
+                self._register_link(link)
+        except Exception:
+            logs.log_failure(LOGGER, "link_connect", daemon_id)
+            if link is not None:
+                link.close(links.CloseReason.FAILED)
+        finally:
+            self._connecting.discard(daemon_id)
+
+    def _open_link(self, peer: rosters.Peer) -> links.Link | None:
+        """Return a link to a peer, or None if none could be made."""
         member = peer.member
-        daemon_id = member.daemon_id
         try:
-            link = server.connect(
+            return server.connect(
                 self._settings,
                 member.address,
                 member.port,
                 choose_connect_timeout_s(peer.connect_timeouts),
             )
         except (exceptions.WireError, OSError) as error:
-            LOGGER.debug("cannot connect to peer %s: %s", daemon_id, error)
+            LOGGER.debug(
+                "cannot connect to peer %s: %s", member.daemon_id, error
+            )
             if isinstance(error, exceptions.ConnectTimeoutError):
                 peer.connect_timeouts += 1
                 if peer.connect_timeouts <= MAX_CONNECT_DOUBLINGS:
                     self._wake.set()
-            return
-        finally:
-            self._connecting.discard(daemon_id)
-        self._register_link(link)
+            return None
 
     def _register_link(self, link: links.Link) -> None:
         hello = link.peer
--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -37,6 +37,7 @@
 from pollenladder.membership import regions
 from pollenladder.metrics import lag
 from pollenladder.metrics import registry
+from pollenladder.supervision import loops
 from pollenladder.wire import messages
 
 LOGGER = logging.getLogger(__name__)
@@ -256,17 +257,18 @@
                 body_s=own.limits.body_timeout_s,
             ),
         )
-        for loop in (
-            self._engine.run,
-            self._lease_manager.run,
-            self._mesh.run,
-            self._poller.run_vms,
-            self._poller.run_declarations,
-            self._digest_exchange.run,
-            self._run_instrumentation,
-            lambda: lag.measure_event_loop_lag(self._metrics),
+        supervisor = loops.Supervisor()
+        for name, loop in (
+            ("engine", self._engine.run),
+            ("leases", self._lease_manager.run),
+            ("mesh", self._mesh.run),
+            ("vm_poller", self._poller.run_vms),
+            ("declaration_poller", self._poller.run_declarations),
+            ("digests", self._digest_exchange.run),
+            ("instrumentation", self._run_instrumentation),
+            ("lag", lambda: lag.measure_event_loop_lag(self._metrics)),
         ):
-            gevent.spawn(loop)
+            supervisor.spawn(name, loop)
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self._stop_requested.set)
         LOGGER.info("serving on %s:%d", own.address, own.http_port)
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -231,6 +231,7 @@
         GATEWAY_LOST: The owner has lost its link to the job's gateway.
         DEADLINE: The time that the caller waits has passed.
         DRAINING: Not set by this version.
+        INTERNAL_ERROR: A decision about the job failed unexpectedly.
     """
 
     ALL_DONE = "all_done"
@@ -249,6 +250,7 @@
     GATEWAY_LOST = "gateway_lost"
     DEADLINE = "deadline"
     DRAINING = "draining"
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -74,7 +74,13 @@
         "greenlet_failed",
         Kind.PROCESS,
         "a greenlet ended with an unhandled exception",
-        ("greenlet",),
+        ("greenlet", "error", "repeated"),
+    ),
+    Event(
+        "unexpected_error",
+        Kind.PROCESS,
+        "a step failed with an unexpected exception, and the daemon went on",
+        ("where", "subject", "error", "repeated"),
     ),
     Event(
         "log_lines_dropped",
--- a/pollenladder/logs/lines.py
+++ b/pollenladder/logs/lines.py
@@ -14,6 +14,8 @@
 import gevent
 import msgspec
 
+from pollenladder.logs import repeats
+
 LOGGER = logging.getLogger(__name__)
 
 # Warnings and errors are not subject to this limit.
@@ -23,6 +25,11 @@
 # A chunk holds whole lines, so its last line may exceed this size.
 WRITE_CHUNK_BYTES = 65_536
 DROPPED_EVENT = "log_lines_dropped"
+# Logged for an unexpected exception that its caller survives.
+FAILURE_EVENT = "unexpected_error"
+# The end of a longer traceback is logged; it names the line that failed.
+MAX_ERROR_CHARS = 4000
+MAX_SUBJECT_CHARS = 200
 
 
 class JsonLinesHandler(logging.Handler):
@@ -41,13 +48,21 @@
         self._buffered_bytes = 0
         self._second = 0
         self._lines_this_second = 0
+        self._repeats = repeats.Repeats()
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Buffer the line of a record, or count it as dropped."""
+        """Buffer the line of a record, or count it as dropped.
+
+        An error that was just logged is not logged again. The next line about
+        it tells how often it has occurred since.
+        """
+        repeated = self._repeats.record(record) if record.exc_info else 0
+        if repeated is None:
+            return
         if not self._is_within_limits(record):
             self.dropped += 1
             return
-        self._append(_format(record, self._daemon_id))
+        self._append(_format(record, self._daemon_id, repeated))
 
     def write_pending(self) -> None:
         """Write buffered lines until the descriptor would block."""
@@ -143,7 +158,7 @@
     )
 
 
-def _format(record: logging.LogRecord, daemon_id: str) -> bytes:
+def _format(record: logging.LogRecord, daemon_id: str, repeated: int) -> bytes:
     line: dict[str, Any] = {
         "time": _format_time(record.created),
         "level": record.levelname,
@@ -152,8 +167,15 @@
     }
     line.update(getattr(record, "fields", ()))
     if record.exc_info:
-        line["error"] = logging.Formatter().formatException(record.exc_info)
-    return msgspec.json.encode(line, enc_hook=str) + b"\n"
+        text = logging.Formatter().formatException(record.exc_info)
+        line["error"] = text[-MAX_ERROR_CHARS:]
+        line["repeated"] = repeated
+    try:
+        return msgspec.json.encode(line, enc_hook=str) + b"\n"
+    except ValueError:
+        # Text with lone surrogates has no encoding.
+        escaped = {name: ascii(value) for name, value in line.items()}
+        return msgspec.json.encode(escaped) + b"\n"
 
 
 def _format_dropped(count: int, daemon_id: str) -> bytes:
@@ -187,3 +209,27 @@
         **fields: Values that the reported decision is based on.
     """
     logger.log(level, event, extra={"fields": fields})
+
+
+def log_failure(
+    logger: logging.Logger,
+    where: str,
+    subject: str = "",
+    error: BaseException | None = None,
+) -> None:
+    """Log an unexpected exception that the caller survives.
+
+    Args:
+        logger: Logger of the calling module.
+        where: The step that failed. It is the label of a metric, so it must be
+            one of few names.
+        subject: What the step was about, such as the id of a worker.
+        error: The exception; the one that is being handled by default.
+    """
+    logger.error(
+        FAILURE_EVENT,
+        exc_info=error or True,
+        extra={
+            "fields": {"where": where, "subject": subject[:MAX_SUBJECT_CHARS]}
+        },
+    )
--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -14,6 +14,10 @@
 Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Text = Annotated[str, msgspec.Meta(max_length=4000)]
+# Longest name, id or task name that another writer chooses.
+MAX_NAME_CHARS = 200
+# Bounds the sum over all workers, which is sent to other daemons.
+Amount = Annotated[int, msgspec.Meta(ge=0, le=2**40)]
 
 
 class _Wire(msgspec.Struct, frozen=True, rename="pascal"):
@@ -66,10 +70,10 @@
 class Route(_Wire, frozen=True):
     """A queue: a host and path prefix, and the service that runs its jobs."""
 
-    name: str
-    host: str
-    prefix: str
-    service: str
+    name: Text
+    host: Text
+    prefix: Text
+    service: Text
     timeout_ms: float = 1500
     # Not the whole objective, despite the name: the response time objective is
     # `stretch` times the run time, plus `slo_ms`.
@@ -112,9 +116,9 @@
 class Capacity(_Wire, frozen=True):
     """The resources of a worker."""
 
-    cpu: Natural
-    mem_mb: Natural
-    gpu: Natural = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class ServerEntry(_Wire, frozen=True):
@@ -148,12 +152,12 @@
     """
 
     # The worker's monotonic clock.
-    clock_ms: float
+    clock_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
     running: tuple[tuple, ...] = ()
     ended: tuple[tuple, ...] = ()
     # When the worker's process started, in milliseconds; lower case on the
     # wire.
-    born: int = msgspec.field(default=0, name="born")
+    born: Natural = msgspec.field(default=0, name="born")
 
 
 class Row(_Wire, frozen=True):
@@ -182,7 +186,7 @@
     """The value of the owner's row, which only daemons write and read."""
 
     daemon_id: str
-    epoch: int
+    epoch: Natural
 
 
 class Written(_Wire, frozen=True):
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -8,6 +8,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.platform import exceptions
 from pollenladder.platform import messages
+from pollenladder.platform import names
 from pollenladder.platform import settings
 from pollenladder.scheduling import learned_state
 
@@ -132,15 +133,18 @@
 
     Raises:
         exceptions.BadDocumentError: The value does not describe a worker, or
-            its address or state is not valid.
+            its id, address or state is not valid.
     """
     try:
+        names.check_id(worker_id)
         entry = _WORKER_DECODER.decode(source)
+        names.check_name(entry.service)
+        names.check_name(entry.zone)
         address = settings.parse_address(entry.addr)
     except (*messages.DECODE_ERRORS, ValueError) as error:
         raise exceptions.BadDocumentError(str(error)) from error
     if entry.state not in (READY, DRAINING):
-        raise exceptions.BadDocumentError(f"unknown state {entry.state!r:.40}")
+        raise exceptions.BadDocumentError(f"unknown state {entry.state!a:.40}")
     return fleet.Listing(
         worker_id=worker_id,
         address=address,
@@ -166,9 +170,14 @@
         exceptions.BadDocumentError: The value does not describe a daemon.
     """
     try:
-        return _MEMBER_DECODER.decode(source)
-    except messages.DECODE_ERRORS as error:
+        member = _MEMBER_DECODER.decode(source)
+        names.check_name(member.daemon_id)
+        names.check_name(member.data_centre)
+        names.check_natural(member.incarnation)
+        settings.check_address(member.address, member.port)
+    except (*messages.DECODE_ERRORS, ValueError) as error:
         raise exceptions.BadDocumentError(str(error)) from error
+    return member
 
 
 def encode_ownership(daemon_id: str, epoch: int) -> bytes:
@@ -220,6 +229,8 @@
         layout = _LAYOUT_DECODER.decode(source)
     except messages.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
-    if layout.version < 1 or any(n < 1 for n in layout.parts.values()):
-        raise exceptions.BadDocumentError("a number below 1")
+    if not 1 <= layout.version <= messages.MAX_INTEGER:
+        raise exceptions.BadDocumentError("the version is out of range")
+    if not all(1 <= n <= groups.MAX_PARTS for n in layout.parts.values()):
+        raise exceptions.BadDocumentError("a number of groups out of range")
     return layout
--- a/pollenladder/platform/settings.py
+++ b/pollenladder/platform/settings.py
@@ -1,7 +1,10 @@
 """The settings file that the platform provides for each process."""
 
 import dataclasses
+import functools
+import ipaddress
 import os
+import re
 
 from pollenladder.fleet import regions as fleet_regions
 from pollenladder.platform import exceptions
@@ -13,6 +16,10 @@
 # Prefix of the names that give the region of a data centre.
 _ZONES_PREFIX = "Zones."
 DEFAULT_PATH = "/etc/pollenladder/settings.conf"
+MAX_PORT = 65_535
+PORT_PATTERN = re.compile("[0-9]{1,5}")
+# The addresses of all workers are parsed each time that their rows are read.
+MAX_CACHED_ADDRESSES = 16_384
 
 Address = tuple[str, int]
 
@@ -190,6 +197,7 @@
         raise exceptions.SettingsError(f"{name}: not an address") from error
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def parse_address(text: str) -> Address:
     """Return the IP address and the port from text such as `10.0.0.1:8080`.
 
@@ -197,6 +205,20 @@
         ValueError: The text is not of this form, or the port is out of range.
     """
     host, _, port = text.rpartition(":")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError(text)
+    check_address(host, int(port) if PORT_PATTERN.fullmatch(port) else 0)
     return host, int(port)
+
+
+def check_address(host: str, port: int) -> None:
+    """Check the address of a peer, a worker or the store.
+
+    Host names are not allowed, as nothing resolves them on the platform.
+
+    Raises:
+        ValueError: The host is not an IPv4 address in its usual form, or the
+            port is out of range.
+    """
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"not a port: {port}")
+    if str(ipaddress.IPv4Address(host)) != host:
+        raise ValueError(f"not an IPv4 address: {host!a:.40}")
--- a/pollenladder/platform/workers.py
+++ b/pollenladder/platform/workers.py
@@ -11,6 +11,7 @@
 from pollenladder.http import responses
 from pollenladder.platform import exceptions
 from pollenladder.platform import messages
+from pollenladder.platform import names
 from pollenladder.platform import reply_times
 
 MAX_CONNECTIONS = 12
@@ -19,6 +20,7 @@
 # An exchange spans several iterations of the event loop, and each iteration
 # may be delayed by the loop's lag.
 LOOP_ITERATIONS_PER_EXCHANGE = 3
+MAX_PERCENT = 100.0
 
 INVALID_REPLY_ERRORS = (
     *messages.DECODE_ERRORS,
@@ -257,11 +259,18 @@
 
 def _read_running(row: tuple) -> fleet.ObservedRun:
     task, number, _, percent, *_ = row
-    return fleet.ObservedRun(str(task), int(number), float(percent))
+    return fleet.ObservedRun(
+        names.check_text(task),
+        names.check_natural(number),
+        max(0.0, min(MAX_PERCENT, float(percent))),
+    )
 
 
 def _read_ended(row: tuple) -> fleet.ObservedEnd:
     sequence, task, number, outcome, *_ = row
     return fleet.ObservedEnd(
-        int(sequence), str(task), int(number), _RUN_ENDS[outcome]
+        names.check_natural(sequence),
+        names.check_text(task),
+        names.check_natural(number),
+        _RUN_ENDS[outcome],
     )
--- a/pollenladder/scheduling/effects.py
+++ b/pollenladder/scheduling/effects.py
@@ -98,6 +98,59 @@
     failure: Failure
 
 
+class Decision(enum.Enum):
+    """A decision whose unexpected failure does not hold up the others.
+
+    Attributes:
+        RUN_END: What follows from the end of a run.
+        RUN_REPORT: What follows from a run that a worker reports.
+        MISSING_RUNS: What follows from runs that a worker does not report.
+        STALLS: Which runs of a worker are stalled.
+        LEARNING: What a completed run tells about workers and queues.
+        PLACEMENT: Which workers get the waiting tasks.
+        JOB_PLACEMENT: Which workers get the tasks of one job.
+        EXPIRY: Which jobs and answers are out of time.
+        EVACUATION: Which jobs can't be served because of an evacuation.
+        DISPLACEMENT: Which waiting jobs can no longer be in time.
+        LOST_GATEWAYS: Which jobs have lost their gateway.
+        WORKER_CHECK: Which leases have expired, and which stops are repeated.
+        ORPHAN_ENDS: Which ends of unknown runs are forgotten.
+        FAILED_JOBS: How jobs end whose placement has failed.
+        RESUBMISSION: How a job goes on after its owner has claimed again.
+    """
+
+    RUN_END = "run_end"
+    RUN_REPORT = "run_report"
+    MISSING_RUNS = "missing_runs"
+    STALLS = "stalls"
+    LEARNING = "learning"
+    PLACEMENT = "placement"
+    JOB_PLACEMENT = "job_placement"
+    EXPIRY = "expiry"
+    EVACUATION = "evacuation"
+    DISPLACEMENT = "displacement"
+    LOST_GATEWAYS = "lost_gateways"
+    WORKER_CHECK = "worker_check"
+    ORPHAN_ENDS = "orphan_ends"
+    FAILED_JOBS = "failed_jobs"
+    RESUBMISSION = "resubmission"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DecisionFailed:
+    """Log and count an unexpected exception of a decision.
+
+    Attributes:
+        decision: The decision.
+        subject: The job, task or worker that it was about; empty for all.
+        error: The exception.
+    """
+
+    decision: Decision
+    subject: str
+    error: Exception
+
+
 Effect = (
     StartRun
     | StopRun
@@ -107,4 +160,5 @@
     | LogEvent
     | CountDecision
     | CountFailure
+    | DecisionFailed
 )
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -146,6 +146,45 @@
         del region.answered[job_id]
 
 
+def answer_failed(
+    region: tables.Region, submission: jobs.Submission, gateway_id: str
+) -> None:
+    """Answer a job whose submission failed unexpectedly, unless it was admitted.
+
+    Args:
+        region: The region.
+        submission: The job.
+        gateway_id: The daemon to which the answer is sent.
+    """
+    job_id = submission.job_id
+    if job_id in region.jobs:
+        return
+    outcome = jobs.Outcome.REFUSED
+    if submission.may_have_begun or runs.has_runs(region, job_id):
+        outcome = jobs.Outcome.GIVEN_UP
+    answer = jobs.Answer(
+        job_id, outcome, jobs.Reason.INTERNAL_ERROR, MAX_RETRY_AFTER_S
+    )
+    region.effects.append(effects.AnswerJob(gateway_id, answer))
+
+
+def end_failed_jobs(region: tables.Region, now: float) -> None:
+    """End the jobs whose placement failed unexpectedly.
+
+    They would fail again, so their callers know at once.
+    """
+    while region.failed_jobs:
+        job_id = region.failed_jobs.pop()
+        job = region.jobs.get(job_id)
+        if job is None:
+            continue
+        outcome = jobs.Outcome.REFUSED
+        if job.has_begun or job.submission.may_have_begun:
+            outcome = jobs.Outcome.GIVEN_UP
+        reason = jobs.Reason.INTERNAL_ERROR
+        end_job(region, job, outcome, reason, now, MAX_RETRY_AFTER_S)
+
+
 def end_job(
     region: tables.Region,
     job: tables.Job,
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -6,6 +6,7 @@
 from pollenladder.fleet import warmup
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import displacement
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import placement
@@ -24,21 +25,35 @@
     """Run one round of maintenance.
 
     Ends jobs that are out of time, releases runs with expired leases, repeats
-    unconfirmed stop orders, and places waiting tasks.
+    unconfirmed stop orders, and places waiting tasks. A part that fails
+    unexpectedly does not hold up the others.
     """
-    intake.expire(region, now)
-    evacuation.end_unservable_jobs(region, now)
-    displacement.remove_late_jobs(region, now)
-    _cancel_jobs_of_lost_gateways(region, now)
-    for worker in list(region.workers.values()):
-        _check_runs(region, worker, now)
-        worker_losses.report_held_runs(region, worker, now)
-        if not worker.is_listed and not worker.runs:
-            region.remove_worker(worker.listing.worker_id)
-    _delete_old_orphan_ends(region, now)
+    for decision, decide in _PARTS:
+        region.decide(decision, "", decide, region, now)
     placement.place(region, now)
 
 
+def _check_workers(region: tables.Region, now: float) -> None:
+    for worker_id, worker in list(region.workers.items()):
+        region.decide(
+            effects.Decision.WORKER_CHECK,
+            worker_id,
+            _check_worker,
+            region,
+            worker,
+            now,
+        )
+
+
+def _check_worker(
+    region: tables.Region, worker: fleet.Worker, now: float
+) -> None:
+    _check_runs(region, worker, now)
+    worker_losses.report_held_runs(region, worker, now)
+    if not worker.is_listed and not worker.runs:
+        region.remove_worker(worker.listing.worker_id)
+
+
 def mark_gateway_lost(
     region: tables.Region, gateway_id: str, now: float
 ) -> None:
@@ -207,3 +222,15 @@
         if at > oldest:
             break
         del region.orphan_ends[name]
+
+
+# The parts of a round of maintenance, in order.
+_PARTS = (
+    (effects.Decision.FAILED_JOBS, intake.end_failed_jobs),
+    (effects.Decision.EXPIRY, intake.expire),
+    (effects.Decision.EVACUATION, evacuation.end_unservable_jobs),
+    (effects.Decision.DISPLACEMENT, displacement.remove_late_jobs),
+    (effects.Decision.LOST_GATEWAYS, _cancel_jobs_of_lost_gateways),
+    (effects.Decision.WORKER_CHECK, _check_workers),
+    (effects.Decision.ORPHAN_ENDS, _delete_old_orphan_ends),
+)
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -43,9 +43,21 @@
 MAX_SPEED_CANDIDATES = 64
 MOST_FREE_CANDIDATES = 4
 
+# What tasks needed that found no worker, by service, allowed regions, and the queue
+# if that may not use all workers.
+Unplaceable = dict[tuple[str, tuple[str, ...], str], list[jobs.Resources]]
+
 
 def place(region: tables.Region, now: float) -> None:
-    """Start all waiting tasks that workers have capacity for."""
+    """Start all waiting tasks that workers have capacity for.
+
+    A job whose placement fails unexpectedly is left out from now on, and ended by
+    `intake.end_failed_jobs`.
+    """
+    region.decide(effects.Decision.PLACEMENT, "", _place_all, region, now)
+
+
+def _place_all(region: tables.Region, now: float) -> None:
     if region.is_awaiting_worker_list(now):
         return
     if not region.evacuations.is_current(now):
@@ -56,23 +68,57 @@
         return
     # Cached because the check visits all workers.
     knows_all_runs = functools.cache(lambda: runs.knows_all_runs(region, now))
-    unplaceable: dict[
-        tuple[str, tuple[str, ...], str], list[jobs.Resources]
-    ] = {}
+    unplaceable: Unplaceable = {}
     for job in waiting:
-        # Skip a job whose tasks need at least as much as a task that has found
-        # no worker of the allowed regions in this call.
-        submission = job.submission
-        limited = exposure.get_limited_queue(region, submission, now)
-        key = (submission.service, submission.allowed_regions, limited)
-        unplaced = unplaceable.setdefault(key, [])
-        if not job.has_lost_workers and _needs_as_much(job.resources, unplaced):
-            continue
-        if not _place_job(region, job, knows_all_runs, now):
-            unplaced.append(job.resources)
+        try:
+            _place_unless_hopeless(
+                region, job, unplaceable, knows_all_runs, now
+            )
+        except Exception as error:
+            _set_aside(region, job, error)
     for job in deferred:
-        if _may_start_deferred(region, job, now):
-            _place_job(region, job, knows_all_runs, now)
+        try:
+            if _may_start_deferred(region, job, now):
+                _place_job(region, job, knows_all_runs, now)
+        except Exception as error:
+            _set_aside(region, job, error)
+
+
+def _set_aside(
+    region: tables.Region, job: tables.Job, error: Exception
+) -> None:
+    """Leave a job out of later placements, because its own has failed."""
+    job_id = job.submission.job_id
+    region.waiting.discard(job_id)
+    region.failed_jobs.add(job_id)
+    decision = effects.Decision.JOB_PLACEMENT
+    region.effects.append(effects.DecisionFailed(decision, job_id, error))
+
+
+def _place_unless_hopeless(
+    region: tables.Region,
+    job: tables.Job,
+    unplaceable: Unplaceable,
+    knows_all_runs: Callable[[], bool],
+    now: float,
+) -> None:
+    """Place a job, unless one that needs no more has just found no worker.
+
+    Args:
+        region: The region.
+        job: The job.
+        unplaceable: What other tasks needed in vain.
+        knows_all_runs: Returns whether the runs of all workers are known.
+        now: Monotonic time in seconds.
+    """
+    submission = job.submission
+    limited = exposure.get_limited_queue(region, submission, now)
+    key = (submission.service, submission.allowed_regions, limited)
+    unplaced = unplaceable.setdefault(key, [])
+    if not job.has_lost_workers and _needs_as_much(job.resources, unplaced):
+        return
+    if not _place_job(region, job, knows_all_runs, now):
+        unplaced.append(job.resources)
 
 
 def _may_start_deferred(
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -11,6 +11,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import crash_records
 from pollenladder.scheduling import crashes
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import neighbourhood
 from pollenladder.scheduling import neighbours
@@ -56,8 +57,15 @@
     )
     rebuilt.effects = region.take_effects()
     neighbours.log_restored(rebuilt)
-    for job in region.jobs.values():
-        _resubmit(rebuilt, job, now)
+    for job_id, job in region.jobs.items():
+        rebuilt.decide(
+            effects.Decision.RESUBMISSION,
+            job_id,
+            _resubmit,
+            rebuilt,
+            job,
+            now,
+        )
     return rebuilt
 
 
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -83,14 +83,46 @@
     for ended in reply.ended:
         if ended.sequence > worker.cursor:
             worker.cursor = ended.sequence
-            _handle_end(region, worker, ended, now)
+            region.decide(
+                effects.Decision.RUN_END,
+                ended.task,
+                _handle_end,
+                region,
+                worker,
+                ended,
+                now,
+            )
     seen = {}
     for observed in reply.running:
         seen[observed.task] = observed.number
-        _handle_running(region, worker, observed, now)
-    _handle_missing_runs(region, worker, seen, sent_at, now)
+        region.decide(
+            effects.Decision.RUN_REPORT,
+            observed.task,
+            _handle_running,
+            region,
+            worker,
+            observed,
+            now,
+        )
+    region.decide(
+        effects.Decision.MISSING_RUNS,
+        worker_id,
+        _handle_missing_runs,
+        region,
+        worker,
+        seen,
+        sent_at,
+        now,
+    )
     region.record_worker_change(worker)
-    stalls.move_stalled_runs(region, worker, now)
+    region.decide(
+        effects.Decision.STALLS,
+        worker_id,
+        stalls.move_stalled_runs,
+        region,
+        worker,
+        now,
+    )
     placement.place(region, now)
 
 
@@ -180,18 +212,41 @@
         if run.is_orphan:
             region.orphan_ends[run.task] = now
         return
+    task.state = tables.TaskState.DONE
+    # The job is answered even if nothing can be learned from the run.
+    region.decide(
+        effects.Decision.LEARNING,
+        run.task,
+        _learn_from_run,
+        region,
+        worker,
+        job,
+        task,
+        run,
+        now,
+    )
+    intake.finish_if_complete(region, job, now)
+
+
+def _learn_from_run(
+    region: tables.Region,
+    worker: fleet.Worker,
+    job: tables.Job,
+    task: tables.Task,
+    run: fleet.Run,
+    now: float,
+) -> None:
+    """Learn about the worker and the queue from a completed run."""
     measured_s = now - (run.confirmed_at or run.sent_at)
     _record_success(region, worker, job, run, measured_s, now)
     is_worker_slow = worker.health.slowness >= health.SLOWNESS_THRESHOLD
     if run.is_start_known and not is_worker_slow:
         speed_learning.record_duration(region, job, run, measured_s)
-    task.state = tables.TaskState.DONE
     # The start of an adopted run is not known, so its run time teaches nothing.
     if run.is_start_known:
         task.took_s = measured_s
     speed_learning.record_job(region, job)
     neighbours.record_end(region, worker, job, run, now, region.get_speed)
-    intake.finish_if_complete(region, job, now)
 
 
 def _record_success(
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -1,7 +1,9 @@
 """State of a region's owner."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
+from typing import TypeVar
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import evacuations as fleet_evacuations
@@ -19,6 +21,8 @@
 from pollenladder.scheduling import neighbourhood as worker_neighbourhood
 from pollenladder.scheduling import start_forecasts as service_forecasts
 
+T = TypeVar("T")
+
 # Time from the decision to start a task to its first step, plus time from the
 # end of the last task to the caller's receipt of the answer.
 OVERHEAD_S = 0.015
@@ -196,6 +200,7 @@
         answered: Recent answers and when they were given, by job id.
         refused_until: Until when a refused job may run in another group, by
             job id.
+        failed_jobs: Ids of the jobs whose placement has failed unexpectedly.
         estimates: Bias of declared run times.
         admission: State of admission control.
         jobs_until_centred: Number of completed jobs after which the speeds of
@@ -256,6 +261,7 @@
         default_factory=dict
     )
     refused_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    failed_jobs: set[str] = dataclasses.field(default_factory=set)
     estimates: run_estimates.Estimates = dataclasses.field(
         default_factory=run_estimates.Estimates
     )
@@ -335,6 +341,30 @@
         self.free_capacity.update(worker)
         self.predicted_ends.pop(worker.listing.worker_id, None)
 
+    def decide(
+        self,
+        decision: owner_effects.Decision,
+        subject: str,
+        function: Callable[..., T],
+        *arguments: object,
+    ) -> T | None:
+        """Return the result of a function; None if it fails unexpectedly.
+
+        The failure is logged and counted, and the other decisions go on.
+
+        Args:
+            decision: The decision that the function makes.
+            subject: The job, task or worker that it is about; empty for all.
+            function: The function.
+            *arguments: Its arguments.
+        """
+        try:
+            return function(*arguments)
+        except Exception as error:
+            failed = owner_effects.DecisionFailed(decision, subject, error)
+            self.effects.append(failed)
+            return None
+
     def log_event(self, event: str, **fields: object) -> None:
         """Queue an event for the log."""
         self.effects.append(owner_effects.LogEvent(event, fields))
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -1,6 +1,5 @@
 """The composition root of the daemon on the users' platform."""
 
-from collections.abc import Callable
 import logging
 import signal
 import time
@@ -41,6 +40,7 @@
 from pollenladder.service import meters as metering
 from pollenladder.service import owner_rows
 from pollenladder.service import reachability
+from pollenladder.supervision import loops
 
 LOGGER = logging.getLogger(__name__)
 
@@ -55,8 +55,9 @@
 class Dispatcher:
     """The components of one daemon, wired together."""
 
-    def __init__(self, settings: conf.Settings):
+    def __init__(self, settings: conf.Settings, supervisor: loops.Supervisor):
         self._settings = settings
+        self._supervisor = supervisor
         self._clock = clocks.read_monotonic_s
         self._stopping = event.Event()
         self._meters = metering.Meters()
@@ -273,7 +274,7 @@
             # If another layout was in force here, no owner is to be waited for.
             0.0 if self._groups.groups else boot.GRACE_S,
         )
-        gevent.spawn(engine.run)
+        self._supervisor.spawn("engine", engine.run, name)
         return groups.Group(engine, leading)
 
     def run(self) -> int:
@@ -282,17 +283,21 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self._stopping.set)
         gevent.signal_handler(signal.SIGHUP, self._reload)
-        self._mesh.start()
-        run_in_background(
-            self._feeds.run_configuration,
-            self._feeds.run_daemons,
-            self._feeds.run_workers,
-            self._owner_rows.run,
-            self._learned_rows.run,
-            self._mesh.run,
-            self._membership.run,
-            self._gateway.run,
+        logging.getLogger().addHandler(
+            metering.ErrorCounter(self._meters.count_error)
         )
+        self._mesh.start()
+        for name, loop in (
+            ("configuration_feed", self._feeds.run_configuration),
+            ("daemon_feed", self._feeds.run_daemons),
+            ("worker_feed", self._feeds.run_workers),
+            ("owner_rows", self._owner_rows.run),
+            ("learned_rows", self._learned_rows.run),
+            ("mesh", self._mesh.run),
+            ("membership", self._membership.run),
+            ("gateway", self._gateway.run),
+        ):
+            self._supervisor.spawn(name, loop)
         server = self._serve_callers()
         pywsgi.WSGIServer(
             settings.readiness_address, self._show_readiness, log=None
@@ -351,6 +356,7 @@
             self._configurations.routes is not None
             and self._membership.has_owner
             and not self._stopping.is_set()
+            and not self._supervisor.list_failing()
         )
         status = "200 OK" if is_ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
@@ -484,12 +490,6 @@
             gevent.spawn(self._feeds.delete_daemon_row, daemon_id)
 
 
-def run_in_background(*loops: Callable[[], None]) -> None:
-    """Run endless loops, each in its own greenlet."""
-    for loop in loops:
-        gevent.spawn(loop)
-
-
 def main() -> int:
     """Run the daemon with the settings file of the platform."""
     try:
@@ -499,8 +499,9 @@
         LOGGER.error("invalid settings: %s", error)
         return 2
     handler = logs.configure_logging(settings.daemon_id)
-    gevent.spawn(handler.run)
-    code = Dispatcher(settings).run()
+    supervisor = loops.Supervisor()
+    supervisor.spawn("log_writer", handler.run)
+    code = Dispatcher(settings, supervisor).run()
     gevent.sleep(LOG_FLUSH_S)
     handler.write_pending()
     return code
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -205,7 +205,11 @@
         if self.region is None:
             return False
         submission = _add_read_delay(submission, self._callbacks.get_lag_s())
-        intake.submit(self.region, submission, gateway_id, self._clock())
+        try:
+            intake.submit(self.region, submission, gateway_id, self._clock())
+        except Exception:
+            logs.log_failure(LOGGER, "job_intake", submission.job_id)
+            intake.answer_failed(self.region, submission, gateway_id)
         self._apply_effects()
         return True
 
@@ -276,20 +280,35 @@
                 self._apply_effects()
 
     def _open_sessions(self, region: tables.Region) -> None:
-        for worker_id, worker in region.workers.items():
-            session = self._sessions.get(worker_id)
-            if session and session.address == worker.listing.address:
-                continue
-            if session:
-                session.close()
-            callbacks = sessions.Callbacks(
-                on_event=self._apply_effects,
-                on_fenced=self._callbacks.on_fenced,
-                get_lag_s=self._callbacks.get_lag_s,
-            )
-            session = sessions.Session(region, worker, callbacks, self._clock)
-            self._sessions[worker_id] = session
-            session.start_polling()
+        """Open a session with each worker that has none at its address.
+
+        A worker whose session fails stays unreachable and gets no tasks.
+        """
+        for worker in region.workers.values():
+            try:
+                self._open_session(region, worker)
+            except Exception:
+                worker_id = worker.listing.worker_id
+                logs.log_failure(LOGGER, "worker_session", worker_id)
+
+    def _open_session(
+        self, region: tables.Region, worker: fleet.Worker
+    ) -> None:
+        worker_id = worker.listing.worker_id
+        session = self._sessions.get(worker_id)
+        if session and session.address == worker.listing.address:
+            return
+        if session:
+            session.close()
+            del self._sessions[worker_id]
+        callbacks = sessions.Callbacks(
+            on_event=self._apply_effects,
+            on_fenced=self._callbacks.on_fenced,
+            get_lag_s=self._callbacks.get_lag_s,
+        )
+        session = sessions.Session(region, worker, callbacks, self._clock)
+        self._sessions[worker_id] = session
+        session.start_polling()
 
     def _close_all_sessions(self) -> None:
         for session in self._sessions.values():
@@ -302,7 +321,11 @@
                 self._sessions.pop(worker_id).close()
 
     def _apply_effects(self) -> None:
-        """Apply all effects, including those that they cause in turn."""
+        """Apply all effects, including those that they cause in turn.
+
+        One that fails does not hold up the others, which are orders to workers
+        and answers of other jobs.
+        """
         region = self.region
         if region is None or self._is_applying_effects:
             return
@@ -310,7 +333,11 @@
         try:
             while region.effects:
                 for effect in region.take_effects():
-                    self._apply_effect(effect)
+                    try:
+                        self._apply_effect(effect)
+                    except Exception:
+                        name = type(effect).__name__
+                        logs.log_failure(LOGGER, "effect", name)
         finally:
             self._is_applying_effects = False
 
@@ -328,6 +355,10 @@
             self._callbacks.count(effect.decision)
         elif isinstance(effect, effects.CountFailure):
             self._callbacks.count_failure(effect.failure.value)
+        elif isinstance(effect, effects.DecisionFailed):
+            logs.log_failure(
+                LOGGER, effect.decision.value, effect.subject, effect.error
+            )
         else:
             self._send_order(effect)
 
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import logging
+from typing import TypeVar
 
 import gevent
 from gevent import event
@@ -23,6 +25,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 # Longest wait of one call for changes. A new call follows, so a change of the
 # configuration is seen within 2 s even if the feed does not report it.
 CONFIGURATION_WAIT_S = 1.2
@@ -309,12 +313,9 @@
         for row in snapshot.rows:
             if row.key != rows.CONFIGURATION_KEY or row.is_removed:
                 continue
-            try:
-                found = rows.decode_configuration(row.value)
-            except exceptions.BadDocumentError as error:
-                self._log_rejected_row(row, error)
-                continue
-            self._callbacks.on_configuration(found)
+            found = self._decode(row, rows.decode_configuration)
+            if found is not None:
+                self._callbacks.on_configuration(found)
 
     def _handle_workers(
         self, snapshot: stores.Snapshot, is_full_read: bool
@@ -328,10 +329,11 @@
                 continue
             if row.key in removed:
                 removed[row.key] = False
-            try:
-                listed[row.key] = rows.decode_worker(row.key, row.value)
-            except exceptions.BadDocumentError as error:
-                self._log_rejected_row(row, error)
+            found = self._decode(
+                row, functools.partial(rows.decode_worker, row.key)
+            )
+            if found is not None:
+                listed[row.key] = found
         lapsed = self._workers.update(
             listed, removed, is_full_read, self._clock()
         )
@@ -352,14 +354,10 @@
             if row.key == rows.LAYOUT_KEY:
                 layout_row = row
                 continue
-            try:
-                member = rows.decode_member(row.value)
-            except exceptions.BadDocumentError as error:
-                self._log_rejected_row(row, error)
-                continue
+            member = self._decode(row, rows.decode_member)
             if member == self._own:
                 is_registered = True
-            else:
+            elif member is not None:
                 self._callbacks.on_member(member)
         if not is_registered:
             entry = rows.encode_member(self._own)
@@ -370,14 +368,25 @@
         if row is None:
             self._callbacks.on_layout(groups.Layout(), 0)
             return
+        # Whoever is to choose the layout replaces a row that is not valid.
+        layout = self._decode(row, rows.decode_layout) or groups.Layout()
+        self._has_read_layout = layout.version > 0
+        self._callbacks.on_layout(layout, row.version)
+
+    def _decode(
+        self, row: stores.Row, decode: Callable[[bytes], T]
+    ) -> T | None:
+        """Return the decoded value of a row; None if it is not valid.
+
+        An unexpected error rejects only this row, as the others hold.
+        """
         try:
-            layout = rows.decode_layout(row.value)
+            return decode(row.value)
         except exceptions.BadDocumentError as error:
             self._log_rejected_row(row, error)
-            # Whoever is to choose the layout replaces this row.
-            layout = groups.Layout()
-        self._has_read_layout = layout.version > 0
-        self._callbacks.on_layout(layout, row.version)
+        except Exception:
+            logs.log_failure(LOGGER, "row", row.key)
+        return None
 
     def _log_rejected_row(self, row: stores.Row, error: Exception) -> None:
         """Log an invalid row, once for each of its versions."""
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -194,7 +194,11 @@
             is_repeat = job.has_been_sent
             if is_repeat and not repeats_left:
                 continue
-            was_forwarded = self._forward(job)
+            try:
+                was_forwarded = self._forward(job)
+            except Exception:
+                logs.log_failure(LOGGER, "job_forward", job.submission.job_id)
+                continue
             repeats_left -= is_repeat and was_forwarded
 
     def handle_link_lost(self, daemon_id: str) -> None:
@@ -294,7 +298,7 @@
         job.has_been_sent = True
         job.first_run += jobs.RUN_NUMBERS_PER_FORWARD
         job.times_forwarded += 1
-        if not self._callbacks.submit(owner_id, job.group, submission):
+        if not self._send(job, submission):
             job.owner_id = ""
             job.has_been_sent = was_sent
             job.first_run -= jobs.RUN_NUMBERS_PER_FORWARD
@@ -310,14 +314,34 @@
             )
         return True
 
+    def _send(
+        self, job: open_jobs.OpenJob, submission: jobs.Submission
+    ) -> bool:
+        """Send a job to its owner; return False if it cannot arrive."""
+        try:
+            return self._callbacks.submit(job.owner_id, job.group, submission)
+        except Exception:
+            # The message was not sent, and the job waits for another attempt.
+            logs.log_failure(LOGGER, "job_forward", submission.job_id)
+            return False
+
     def expire(self, now: float) -> None:
-        """Answer jobs past their deadline and jobs without an owner in time."""
+        """Answer jobs past their deadline and jobs without an owner in time.
+
+        A job whose answer fails does not hold up the others.
+        """
         for job in list(self.open_jobs.values()):
-            if now >= job.deadline_at:
-                self._give_up(job, jobs.Reason.DEADLINE)
-            elif not job.has_been_sent and self._has_waited_too_long(job, now):
-                reason = jobs.Reason.NO_OWNER
-                self._refuse(job, reason, RETRY_AFTER_WITHOUT_OWNER_S)
+            try:
+                self._expire_job(job, now)
+            except Exception:
+                logs.log_failure(LOGGER, "job_expiry", job.submission.job_id)
+
+    def _expire_job(self, job: open_jobs.OpenJob, now: float) -> None:
+        if now >= job.deadline_at:
+            self._give_up(job, jobs.Reason.DEADLINE)
+        elif not job.has_been_sent and self._has_waited_too_long(job, now):
+            reason = jobs.Reason.NO_OWNER
+            self._refuse(job, reason, RETRY_AFTER_WITHOUT_OWNER_S)
 
     def _has_waited_too_long(self, job: open_jobs.OpenJob, now: float) -> bool:
         """Return whether a job that has no owner is refused."""
@@ -366,15 +390,16 @@
         )
 
     def _finish(self, job: open_jobs.OpenJob, answer: jobs.Answer) -> None:
+        # The caller gets its answer, whatever becomes of the reports below.
         self.open_jobs.pop(answer.job_id, None)
+        job.answer = answer
+        job.answered.set()
         if answer.outcome is jobs.Outcome.REFUSED:
             self._report_room(job, answer)
-        job.answer = answer
         # After any other answer, a task may still run in the last group.
         if answer.outcome in (jobs.Outcome.REFUSED, jobs.Outcome.COMPLETED):
             for group in job.refused_by:
                 self._callbacks.release(group, answer.job_id)
-        job.answered.set()
         took_s = self._clock() - job.arrived_at
         self._callbacks.on_answered(job.submission.queue, answer, took_s)
         logs.log(
--- a/pollenladder/service/groups.py
+++ b/pollenladder/service/groups.py
@@ -210,9 +210,13 @@
                 for service, capacity in _sum_capacities(listings).items()
                 if capacity
             }
-            self.groups[name].engine.update_workers(
-                listings, is_full_list, shares
-            )
+            try:
+                self.groups[name].engine.update_workers(
+                    listings, is_full_list, shares
+                )
+            except Exception:
+                # The other groups go on, and the next read repeats this one.
+                logs.log_failure(LOGGER, "worker_list", name)
 
 
 def _sum_capacities(listings: Iterable[fleet.Listing]) -> dict[str, int]:
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -359,7 +359,13 @@
             epoch=self._epoch,
             reason=reason,
         )
-        self._callbacks.claim(self._epoch)
+        try:
+            self._callbacks.claim(self._epoch)
+        except Exception:
+            # Another daemon may be able to take over.
+            logs.log_failure(LOGGER, "claim", self.group)
+            self._resign("the claim failed")
+            return
         self._follow(self._own_id)
 
     def _resign(self, reason: str, owner_id: str = "") -> None:
--- a/pollenladder/service/learned_rows.py
+++ b/pollenladder/service/learned_rows.py
@@ -84,11 +84,18 @@
         for group in self._owned.keys() - regions.keys():
             del self._owned[group]
         for group, region in regions.items():
-            owned = self._owned.get(group)
-            if owned is None or owned.region is not region:
-                self._read(group, region)
-            elif self._clock() >= owned.write_at:
-                self._write(group, owned)
+            try:
+                self._update(group, region)
+            except Exception:
+                logs.log_failure(LOGGER, "learned_state", group)
+
+    def _update(self, group: str, region: tables.Region) -> None:
+        """Read the row of a newly owned group, or write it if it is due."""
+        owned = self._owned.get(group)
+        if owned is None or owned.region is not region:
+            self._read(group, region)
+        elif self._clock() >= owned.write_at:
+            self._write(group, owned)
 
     def _read(self, group: str, region: tables.Region) -> None:
         """Let a new owner start from the row; without one, it starts anew."""
--- a/pollenladder/service/membership.py
+++ b/pollenladder/service/membership.py
@@ -176,13 +176,20 @@
                 self.loop_lag.record(late_s, self.is_owner)
 
     def step(self) -> None:
-        """Make one decision on each group."""
+        """Make one decision on each group.
+
+        A group whose decision fails does not hold up the others or the
+        heartbeats.
+        """
         for daemon_id in self._roster.forget_lost(self._clock()):
             self._last_sent_at.pop(daemon_id, None)
             logs.log(LOGGER, "daemon_forgotten", peer=daemon_id)
             self._callbacks.on_forgotten(daemon_id)
         for found in list(self.leaderships.values()):
-            found.step()
+            try:
+                found.step()
+            except Exception:
+                logs.log_failure(LOGGER, "ownership", found.group)
 
     def send_heartbeat_if_needed(self) -> None:
         """Send a heartbeat to all peers for which it is due.
--- a/pollenladder/service/meters.py
+++ b/pollenladder/service/meters.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import logging
 
 from gevent import pywsgi
 import prometheus_client
@@ -12,6 +13,8 @@
 from pollenladder.scheduling import neighbourhood
 
 PORT = 9464
+# Label of the exceptions that are logged without the name of a step.
+OTHER_STEP = "other"
 RESPONSE_BUCKETS_S = (
     0.025,
     0.05,
@@ -69,6 +72,12 @@
             ("failure",),
             registry=self.registry,
         )
+        self._errors = prometheus_client.Counter(
+            "pollenladder_unexpected_errors",
+            "Steps that failed unexpectedly, after which the daemon went on.",
+            ("where",),
+            registry=self.registry,
+        )
         self._jobs = prometheus_client.Counter(
             "pollenladder_jobs",
             "Jobs answered.",
@@ -91,6 +100,10 @@
         """Count a failure of workers."""
         self._failures.labels(failure).inc()
 
+    def count_error(self, where: str) -> None:
+        """Count a step that failed unexpectedly."""
+        self._errors.labels(where).inc()
+
     def count_job(self, answer: jobs.Answer, took_s: float) -> None:
         """Count an answered job and record its response time, in seconds."""
         labels = (answer.outcome.value, answer.reason.value)
@@ -101,6 +114,28 @@
         self._response.observe(took_s)
 
 
+class ErrorCounter(logging.Handler):
+    """Logging handler that counts the exceptions that are logged.
+
+    It counts those too that are not written to the log because they repeat.
+    """
+
+    def __init__(self, count_error: Callable[[str], None]):
+        """Initialize the handler.
+
+        Args:
+            count_error: Called with the step that failed.
+        """
+        super().__init__(logging.ERROR)
+        self._count_error = count_error
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Count a record that holds an exception."""
+        if record.exc_info:
+            fields = getattr(record, "fields", {})
+            self._count_error(fields.get("where", OTHER_STEP))
+
+
 class InterferenceCollector:
     """Metrics of known interference, read when they are requested."""
 
--- a/pollenladder/service/reachability.py
+++ b/pollenladder/service/reachability.py
@@ -59,6 +59,12 @@
         return False
 
     def _probe(self) -> None:
+        try:
+            self._probe_targets()
+        finally:
+            self._is_probing = False
+
+    def _probe_targets(self) -> None:
         here, elsewhere = self._choose_targets()
         probes = [gevent.spawn(_can_connect, a) for a in here + elsewhere]
         gevent.joinall(probes)
@@ -70,7 +76,6 @@
         )
         self._reaches_workers = reached_here or reached_elsewhere
         self._probed_at = self._clock()
-        self._is_probing = False
         logs.log(
             LOGGER,
             "reachability_probed",
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -20,6 +20,8 @@
 
 # Pause before the next poll of an unreachable worker.
 UNREACHABLE_PAUSE_S = 0.15
+# Pause after a poll that failed unexpectedly.
+FAILED_PAUSE_S = 0.15
 FENCED_PAUSE_S = 0.3
 
 
@@ -82,7 +84,7 @@
 
     def start_run(self, order: effects.StartRun) -> None:
         """Send an order to start a run, without waiting for the reply."""
-        gevent.spawn(self._start_run, order)
+        gevent.spawn(self._start_run_safely, order)
 
     def stop_run(self, order: effects.StopRun) -> None:
         """Send an order to stop a run, without waiting for the reply."""
@@ -97,28 +99,47 @@
 
     def _run(self) -> None:
         while not self._closed:
-            wait_s = polls.choose_wait_s(self._worker, self._clock())
-            pause_s = self._poll(wait_s)
+            pause_s = self._poll_safely(is_extra=False)
             if pause_s:
                 gevent.sleep(pause_s)
 
     def _poll_extra(self) -> None:
         while self._extra_wanted and not self._closed:
             self._extra_wanted = False
-            self._poll(0.0)
+            self._poll_safely(is_extra=True)
         self._extra_running = False
 
-    def _poll(self, wait_s: float) -> float:
+    def _poll_safely(self, is_extra: bool) -> float:
+        """Poll once; see `_poll`. A poll that fails unexpectedly counts as missed.
+
+        Otherwise the worker would count as reachable and get tasks, although
+        the owner hears nothing from it.
+        """
+        try:
+            return self._poll(is_extra)
+        except Exception as error:
+            logs.log_failure(LOGGER, "worker_poll", self._worker_id)
+            missed = workers.PollError(f"unexpected error: {error!a:.200}")
+        try:
+            self._handle_missed_poll(missed)
+        except Exception:
+            logs.log_failure(LOGGER, "missed_poll", self._worker_id)
+        gevent.sleep(FAILED_PAUSE_S)
+        return 0.0
+
+    def _poll(self, is_extra: bool) -> float:
         """Poll once; return the pause before the next poll, in seconds.
 
         Each poll of a reachable worker also renews the leases of its runs. Those
         of an unreachable worker expire, so that its tasks can start elsewhere.
 
         Args:
-            wait_s: How long the worker may hold its reply until a run ends.
+            is_extra: Whether the worker replies at once, without waiting for a
+                run to end.
         """
         sent_at = self._clock()
         worker = self._worker
+        wait_s = 0.0 if is_extra else polls.choose_wait_s(worker, sent_at)
         renews = worker.is_synced and worker.is_reachable
         lease_until_s = self._extend_lease() if renews else None
         try:
@@ -179,6 +200,14 @@
         worker.lease_until_s = max(worker.lease_until_s, until_s)
         return until_s
 
+    def _start_run_safely(self, order: effects.StartRun) -> None:
+        """Start a run; after an unexpected error, the run may exist."""
+        try:
+            self._start_run(order)
+        except Exception:
+            logs.log_failure(LOGGER, "run_start", order.task)
+            self._handle_start_reply(order, fleet.StartReply.NO_REPLY)
+
     def _start_run(self, order: effects.StartRun) -> None:
         # The process may have been paused since the order was decided on. The
         # lease is computed only here, so it would not bound the delay.
@@ -192,6 +221,11 @@
             )
         else:
             reply = fleet.StartReply.NOT_SENT
+        self._handle_start_reply(order, reply)
+
+    def _handle_start_reply(
+        self, order: effects.StartRun, reply: fleet.StartReply
+    ) -> None:
         if self._closed:
             return
         if reply is fleet.StartReply.FENCED:
--- /dev/null
+++ b/pollenladder/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""Loops that must not end while a daemon runs."""
--- a/pollenladder/wire/links.py
+++ b/pollenladder/wire/links.py
@@ -17,6 +17,7 @@
 from gevent import event
 from gevent import socket
 
+from pollenladder.logs import lines as logs
 from pollenladder.wire import codec
 from pollenladder.wire import exceptions
 from pollenladder.wire import framing
@@ -40,6 +41,7 @@
         TRUNCATED: The connection ended within a frame.
         GARBAGE: The peer sent a frame that is not a msgpack array.
         BAD_MESSAGE: The peer sent a message that can't be decoded.
+        FAILED: This daemon failed unexpectedly.
     """
 
     LOCAL = "local"
@@ -51,6 +53,7 @@
     TRUNCATED = "truncated"
     GARBAGE = "garbage"
     BAD_MESSAGE = "bad_message"
+    FAILED = "failed"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,7 +101,8 @@
 
 def _get_close_reason(error: exceptions.WireError) -> CloseReason:
     return next(
-        reason for cls, reason in _CLOSE_REASONS if isinstance(error, cls)
+        (reason for cls, reason in _CLOSE_REASONS if isinstance(error, cls)),
+        CloseReason.FAILED,
     )
 
 
@@ -145,9 +149,8 @@
         if self.closed:
             return
         self._sock.settimeout(None)
-        gevent.spawn(self._read)
-        gevent.spawn(self._write)
-        gevent.spawn(self._watch_peer)
+        for task in (self._read, self._write, self._watch_peer):
+            gevent.spawn(self._run, task)
 
     def send(self, message: Any) -> bool:
         """Queue a message; it is sent in one frame with other queued messages.
@@ -227,7 +230,32 @@
         self._queue_written.set()
         self._sock.close()
         self._closed_event.set()
-        self._on_close(self, reason)
+        try:
+            self._on_close(self, reason)
+        except Exception:
+            logs.log_failure(LOGGER, "link_close", self.peer.daemon_id)
+
+    def _run(self, task: Callable[[], None]) -> None:
+        """Run a greenlet of the link; an error closes the link.
+
+        Otherwise the link would stay open without a reader, a writer or a
+        timeout.
+        """
+        try:
+            task()
+        except OSError:
+            self.close(CloseReason.BROKEN)
+        except exceptions.WireError as error:
+            LOGGER.warning(
+                "closing link to %s: %s: %s",
+                self.peer.daemon_id,
+                type(error).__name__,
+                error,
+            )
+            self.close(_get_close_reason(error))
+        except Exception:
+            logs.log_failure(LOGGER, "link", self.peer.daemon_id)
+            self.close(CloseReason.FAILED)
 
     def _can_queue(self, size: int) -> bool:
         return (
@@ -252,17 +280,14 @@
         return batch
 
     def _write(self) -> None:
-        try:
-            while not self.closed:
-                self._data_queued.wait()
-                self._data_queued.clear()
-                if self._queue:
-                    self._write_queued()
-                elif not self.closed:
-                    # A frame without messages is a heartbeat.
-                    self._write_frame([])
-        except OSError:
-            self.close(CloseReason.BROKEN)
+        while not self.closed:
+            self._data_queued.wait()
+            self._data_queued.clear()
+            if self._queue:
+                self._write_queued()
+            elif not self.closed:
+                # A frame without messages is a heartbeat.
+                self._write_frame([])
 
     def _watch_peer(self) -> None:
         """Send heartbeats, and close the link if the peer falls silent.
@@ -323,20 +348,6 @@
         self.counts.bytes_out += len(frame)
 
     def _read(self) -> None:
-        try:
-            self._read_frames()
-        except OSError:
-            self.close(CloseReason.BROKEN)
-        except exceptions.WireError as error:
-            LOGGER.warning(
-                "closing link to %s: %s: %s",
-                self.peer.daemon_id,
-                type(error).__name__,
-                error,
-            )
-            self.close(_get_close_reason(error))
-
-    def _read_frames(self) -> None:
         frames = framing.FrameBuffer(self._limits.max_frame_bytes)
         while not self.closed:
             data = self._sock.recv(RECEIVE_BYTES)
@@ -371,8 +382,5 @@
         try:
             self._on_message(self, message)
         except Exception:
-            LOGGER.exception(
-                "handler of %s from %s failed",
-                type(message).__name__,
-                self.peer.daemon_id,
-            )
+            subject = f"{type(message).__name__} from {self.peer.daemon_id}"
+            logs.log_failure(LOGGER, "peer_message", subject)
--- a/pollenladder/wire/server.py
+++ b/pollenladder/wire/server.py
@@ -8,6 +8,7 @@
 from gevent import server
 from gevent import socket
 
+from pollenladder.logs import lines as logs
 from pollenladder.wire import codec
 from pollenladder.wire import exceptions
 from pollenladder.wire import handshake
@@ -151,6 +152,8 @@
             self._run_link(sock)
         except (OSError, exceptions.HandshakeError) as error:
             LOGGER.warning("handshake with %s failed: %s", source[0], error)
+        except Exception:
+            logs.log_failure(LOGGER, "link_accept", source[0])
         finally:
             self._open_connections -= 1
 
@@ -168,6 +171,10 @@
             settings.on_message,
             settings.on_close,
         )
-        self._on_link(link)
-        link.start()
+        try:
+            self._on_link(link)
+            link.start()
+        except Exception:
+            link.close(links.CloseReason.FAILED)
+            raise
         link.join()
--- a/tests/logs/test_events.py
+++ b/tests/logs/test_events.py
@@ -9,7 +9,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PACKAGES = ("service", "scheduling", "cluster")
 # Events that the log handler writes itself, without a call of the log function.
-BY_HANDLER = {"greenlet_failed", "log_lines_dropped"}
+BY_HANDLER = {"greenlet_failed", "log_lines_dropped", "unexpected_error"}
 PAGE = ROOT / "docs" / "ref" / "events.md"
 
 
--- a/tests/logs/test_lines.py
+++ b/tests/logs/test_lines.py
@@ -5,9 +5,11 @@
 import os
 import time
 import unittest
+from unittest import mock
 
 from pollenladder.logs import events
 from pollenladder.logs import lines
+from pollenladder.logs import repeats
 
 
 class LinesTest(unittest.TestCase):
@@ -55,6 +57,48 @@
             {"time", "level", "daemon", "event"},
         )
 
+    def _fail(self, subject: str = "w1", where: str = "poll") -> None:
+        try:
+            raise ValueError(subject)
+        except ValueError:
+            lines.log_failure(self.logger, where, subject)
+
+    def test_an_unexpected_error_is_logged_with_its_traceback(self):
+        self._fail()
+        self.handler.write_pending()
+        (line,) = self._read()
+        self.assertEqual(line["event"], lines.FAILURE_EVENT)
+        self.assertEqual((line["where"], line["subject"]), ("poll", "w1"))
+        self.assertIn("in _fail", line["error"])
+        self.assertTrue(line["error"].endswith("ValueError: w1"))
+
+    def test_an_error_that_repeats_does_not_fill_the_log(self):
+        # Guards against a log that holds nothing else, and against a failure
+        # that is hidden because it repeats.
+        with mock.patch.object(time, "time", return_value=1000.0) as clock:
+            for _ in range(50):
+                self._fail()
+            self._fail(where="session")
+            clock.return_value += repeats.INTERVAL_S
+            self._fail()
+        self.handler.write_pending()
+        found = [(line["where"], line["repeated"]) for line in self._read()]
+        self.assertEqual(found, [("poll", 0), ("session", 0), ("poll", 49)])
+
+    def test_text_without_an_encoding_is_logged_escaped(self):
+        # Guards against a log line that fails the step that logs it.
+        lines.log(self.logger, "job_rejoined", job="\ud800", gateway="g")
+        self.handler.write_pending()
+        (line,) = self._read()
+        self.assertIn("ud800", line["job"])
+
+    def test_long_errors_are_cut(self):
+        self._fail(100_000 * "x")
+        self.handler.write_pending()
+        (line,) = self._read()
+        self.assertEqual(len(line["error"]), lines.MAX_ERROR_CHARS)
+        self.assertEqual(len(line["subject"]), lines.MAX_SUBJECT_CHARS)
+
     def test_lines_above_the_rate_limit_are_dropped_and_counted(self):
         for _ in range(3 * lines.MAX_LINES_PER_S):
             lines.log(self.logger, "job_rejoined", job="j", gateway="g")
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -76,6 +76,93 @@
             ):
                 rows.decode_worker("w1", source)
 
+    def test_texts_that_cannot_be_used(self):
+        # Guards against a text that fails only where it becomes an address, a
+        # header or a part of a message, outside of the handling of the row.
+        cases = (
+            {"Addr": "127.0.\ufffd\ufffd:8169"},
+            {"Addr": "host.example:80"},
+            {"Addr": "[::1]:80"},
+            {"Addr": "10.0.0.256:80"},
+            {"Addr": "10.0.0.1\r\n:80"},
+            {"Addr": "10.0.0.9:0"},
+            {"Addr": "10.0.0.9:65536"},
+            {"Addr": "10.0.0.9:8_0"},
+            {"Addr": "10.0.0.9:\u0668\u0660"},
+            {"Zone": ""},
+            {"Zone": "nor\ufffd"},
+            {"Zone": "n" * 5000},
+            {"Service": "a\nb"},
+            {"Service": "s" * 5000},
+            {"Capacity": {"Cpu": 2**50, "MemMb": 1}},
+        )
+        for changes in cases:
+            source = json.dumps(ENTRY | changes).encode()
+            with (
+                self.subTest(changes=str(changes)[:80]),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_worker("w1", source)
+
+    def test_ids_that_fit_no_header(self):
+        # Guards against an id that adds a header to the requests to a worker.
+        source = json.dumps(ENTRY).encode()
+        for worker_id in ("", "w 1", "w\r\nX: y", "w\ufffd", "w" * 201):
+            with (
+                self.subTest(worker_id=worker_id[:20]),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_worker(worker_id, source)
+
+
+class DaemonRowTest(unittest.TestCase):
+    """Rows that only daemons write are checked all the same."""
+
+    def test_invalid_members(self):
+        # Guards against a row to which no connection can even be tried.
+        member = {
+            "daemon_id": "d",
+            "address": "10.0.0.1",
+            "port": 80,
+            "data_centre": "norte",
+            "incarnation": 1,
+        }
+        self.assertTrue(rows.decode_member(json.dumps(member).encode()))
+        cases = (
+            {"address": "10.0.\ufffd"},
+            {"port": 70_000},
+            {"port": -1},
+            {"daemon_id": "\n"},
+            {"data_centre": "n" * 5000},
+            {"incarnation": 10**30},
+        )
+        for changes in cases:
+            source = json.dumps(member | changes).encode()
+            with (
+                self.subTest(changes=str(changes)[:80]),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_member(source)
+
+    def test_invalid_layouts(self):
+        # Guards against more groups than a daemon has memory for.
+        for layout in (
+            {"version": 0},
+            {"version": 10**30},
+            {"version": 1, "parts": {"norte": 0}},
+            {"version": 1, "parts": {"norte": 10**9}},
+        ):
+            with (
+                self.subTest(layout=layout),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_layout(json.dumps(layout).encode())
+
+    def test_epoch_that_fits_no_message(self):
+        source = b'{"daemon_id":"d","epoch":1' + 30 * b"0" + b"}"
+        with self.assertRaises(exceptions.BadDocumentError):
+            rows.decode_ownership(source)
+
 
 class ConfigurationRowTest(unittest.TestCase):
     """Field names and units are converted; milliseconds become seconds."""
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -7,6 +7,7 @@
 import gevent
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.http import responses
 from pollenladder.platform import reply_times
 from pollenladder.platform import workers
 from standins import site_worker
@@ -57,6 +58,40 @@
             self.client.poll(4, 0, 0.0, None, RESPONSE_MARGIN_S)
         self.assertIs(self.client.stop("j.0.0.0", 1, 4), fleet.StopReply.FENCED)
 
+    def test_values_that_cannot_be_sent_on_make_a_reply_invalid(self):
+        # Guards against a reply that fails only in a later decision or request.
+        good = {"ClockMs": 5, "born": 1}
+        cases = (
+            {"ClockMs": 1e300},
+            {"ClockMs": -1},
+            {"born": 10**30},
+            {"Running": [["j.0.0.0", 10**30, "", 0]]},
+            {"Running": [["j.0.0.0", -1, "", 0]]},
+            {"Running": [["j.0.0.0", 1, "", "fast"]]},
+            {"Running": [["j.0.0." + 5000 * "9", 1, "", 0]]},
+            {"Running": [[None, 1, "", 0]]},
+            {"Ended": [[10**30, "j.0.0.0", 1, "done", ""]]},
+            {"Ended": [[1, "j.0.0.0", 10**30, "done", ""]]},
+            {"Ended": [[1, "j.0.0.0", 1, ["done"], ""]]},
+            {"Ended": [[1]]},
+        )
+        for changes in cases:
+            body = json.dumps(good | changes).encode()
+            response = responses.Response(200, {}, body, True)
+            with (
+                self.subTest(changes=str(changes)[:60]),
+                self.assertRaises(workers.PollError),
+            ):
+                workers._read_poll_response(response)
+
+    def test_progress_is_bounded(self):
+        for percent, expected in ((-5, 0.0), (1e300, 100.0), (40, 40.0)):
+            running = [["j.0.0.0", 1, "", percent]]
+            body = json.dumps({"ClockMs": 5, "Running": running}).encode()
+            response = responses.Response(200, {}, body, True)
+            (found,) = workers._read_poll_response(response).running
+            self.assertEqual(found.percent, expected)
+
     def test_stopped_run_cannot_start(self):
         self._poll()
         self.assertIs(
--- a/tests/service/test_daemons.py
+++ b/tests/service/test_daemons.py
@@ -1,5 +1,6 @@
 """Whole daemons, as processes, on a simulation of the users' platform."""
 
+import json
 import signal
 import unittest
 
@@ -9,6 +10,18 @@
 from standins import site as sites
 from standins import site_store
 
+# Like the row of a worker, but two characters of the address are unreadable.
+UNREADABLE_ROW = json.dumps(
+    {
+        "Service": sites.SERVICE,
+        "Addr": "127.0.\ufffd\ufffd:8169",
+        "Zone": "norte",
+        "State": "ready",
+        "Capacity": {"Cpu": 64_000, "MemMb": 131_072, "Gpu": 0},
+        "Seq": 1,
+    }
+).encode()
+
 
 class DaemonsTest(unittest.TestCase):
     """Jobs are answered and no task runs twice, whatever fails."""
@@ -124,6 +137,17 @@
         replies = self._collect(self._submit_some(["d1", "d2", "d3"]))
         self.assertEqual({r.state for r in replies}, {"completed"})
 
+    def test_all_daemons_serve_beside_a_row_with_an_unreadable_address(self):
+        # Guards against a row of another writer that ends the daemons' loops.
+        self.site.store.put("servers", "other", UNREADABLE_ROW)
+        for name in self.cluster.daemons:
+            self.cluster.signal(name, signal.SIGKILL)
+        for name in self.cluster.daemons:
+            self.cluster.start(name)
+        self.cluster.wait_until_ready()
+        replies = self._collect(self._submit_some(["d1", "d2", "d3"]))
+        self.assertEqual({r.state for r in replies}, {"completed"})
+
     def test_jobs_are_served_during_a_store_outage(self):
         self.site.store.faults.trouble = site_store.FailureMode.SILENT
         gevent.sleep(1.5)
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -1,8 +1,12 @@
 """The engine's admission of jobs, and restarts after a network partition."""
 
+import dataclasses
 import unittest
+from unittest import mock
 
 from pollenladder.cluster import heartbeats
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import intake
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
@@ -42,6 +46,63 @@
         self.assertEqual(job.submitted_at, 99.75)
         self.assertEqual(job.deadline_at, 100.0 + 2.0 - 0.25)
 
+    def test_worker_whose_session_fails_does_not_hold_up_the_others(self):
+        # Guards against a claim that one worker makes impossible.
+        unusable = dataclasses.replace(
+            simulations.build_listing("w0"), address=("127.0.\ufffd", 80)
+        )
+        usable = dataclasses.replace(
+            simulations.build_listing("w1"), address=("127.0.0.1", 1)
+        )
+        self.engine.claim(1, reads_store=True, peers=5)
+        with self.assertLogs(engines.LOGGER, "ERROR") as found:
+            self.engine.update_workers([unusable, usable], True, {})
+        self.assertEqual(set(self.engine._sessions), {"w1"})
+        (record,) = found.records
+        self.assertEqual(record.fields["subject"], "w0")
+        self.engine.resign()
+
+    def test_effect_that_fails_does_not_hold_up_the_others(self):
+        # Guards against orders and answers that are lost with another one.
+        self.engine.claim(1, reads_store=True, peers=5)
+        answered = []
+
+        def answer(gateway_id: str, found: jobs.Answer) -> None:
+            if gateway_id == "g1":
+                raise ValueError
+            answered.append(found.job_id)
+
+        self.engine._callbacks = dataclasses.replace(
+            self.engine._callbacks, answer=answer
+        )
+        self._submit()
+        self.engine.submit(simulations.build_submission("a2"), "g2")
+        cancelled = jobs.Reason.CALLER_CANCELLED
+        for job_id, gateway_id in (("a1", "g1"), ("a2", "g2")):
+            intake.cancel(
+                self.engine.region, job_id, cancelled, gateway_id, 100.0
+            )
+        with self.assertLogs(engines.LOGGER, "ERROR"):
+            self.engine._apply_effects()
+        self.assertEqual(answered, ["a2"])
+
+    def test_job_whose_intake_fails_is_answered(self):
+        # Guards against a caller that waits for its deadline.
+        self.engine.claim(1, reads_store=True, peers=5)
+        answers = []
+        self.engine._callbacks = dataclasses.replace(
+            self.engine._callbacks,
+            answer=lambda gateway_id, found: answers.append(found),
+        )
+        with (
+            mock.patch.object(intake, "submit", side_effect=ZeroDivisionError),
+            self.assertLogs(engines.LOGGER, "ERROR"),
+        ):
+            self.assertTrue(self._submit())
+        (found,) = answers
+        self.assertIs(found.outcome, jobs.Outcome.REFUSED)
+        self.assertIs(found.reason, jobs.Reason.INTERNAL_ERROR)
+
     def test_later_owner_knows_that_workers_moved_to_another_group(self):
         self.engine.record_moved_workers()
         self.engine.claim(1, reads_store=True, peers=5)
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -2,10 +2,13 @@
 
 import json
 import unittest
+from unittest import mock
 
 from pollenladder.cluster import roster as rosters
+from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import worker_lists
 from pollenladder.platform import exceptions
+from pollenladder.platform import rows
 from pollenladder.platform import store as stores
 from pollenladder.service import feeds
 
@@ -102,6 +105,22 @@
             followed.run_workers()
         return self.store.kinds
 
+    def test_row_that_fails_unexpectedly_does_not_hold_up_the_others(self):
+        # Guards against a table that one row keeps from being read.
+        decode = rows.decode_worker
+
+        def fail(worker_id: str, source: bytes) -> fleet.Listing:
+            if worker_id == "bad":
+                raise ZeroDivisionError
+            return decode(worker_id, source)
+
+        with (
+            mock.patch.object(rows, "decode_worker", fail),
+            self.assertLogs(feeds.LOGGER, "ERROR"),
+        ):
+            self._follow([["w0", "bad", "w1"]])
+        self.assertEqual(self.listed, ["w0", "w1"])
+
     def test_workers_are_kept_in_the_first_read_after_an_outage(self):
         # Guards against dropping workers whose rows are about to come back.
         lost = exceptions.StoreError("lost")
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -10,6 +10,8 @@
 from tests.scheduling import simulations
 
 GROUP = groups.REGION_GROUP
+# Sending this job to an owner raises an exception.
+FAILING_JOB = "f1"
 
 
 class GatewayTest(unittest.TestCase):
@@ -26,6 +28,7 @@
         self.shed_share = 0.0
         self.ownerless_s = 0.0
         self.groups = [GROUP]
+        self.report_fails = False
         # The groups that report room; all of them by default.
         self.roomy: list[str] | None = None
         self.refused_with_room: list[bool] = []
@@ -65,11 +68,15 @@
     def _find_room(
         self, submission: jobs.Submission, asked: frozenset[str]
     ) -> str:
+        if self.report_fails:
+            raise ValueError
         return next(iter(self.roomy or ()), "")
 
     def _submit(
         self, owner_id: str, group: str, submission: jobs.Submission
     ) -> bool:
+        if submission.job_id == FAILING_JOB:
+            raise ValueError("cannot be encoded")
         if self.arrives:
             self.sent.append((owner_id, submission))
         if self.answers_at_once:
@@ -89,6 +96,34 @@
         )
         self.gateway.handle_answer(answer, sender)
 
+    def test_job_that_cannot_be_sent_does_not_hold_up_the_others(self):
+        # Guards against a sweep that one job ends for all callers.
+        self.owner_id = ""
+        jobs_by_id = {
+            job_id: self.gateway.submit(
+                simulations.build_submission(job_id, budget_s=1.0)
+            )
+            for job_id in (FAILING_JOB, "a1")
+        }
+        self.owner_id = "a"
+        with self.assertLogs(gateways.LOGGER, "ERROR"):
+            self.gateway.forward_open_jobs()
+        self.assertEqual([s.job_id for _, s in self.sent], ["a1"])
+        failed = jobs_by_id[FAILING_JOB]
+        self.assertFalse(failed.has_been_sent)
+        self.owner_id = ""
+        self.gateway.expire(self.now + 0.9)
+        # It was never sent, so its caller is told that it has not run.
+        self.assertIs(failed.answer.outcome, jobs.Outcome.REFUSED)
+
+    def test_caller_is_answered_although_a_report_fails(self):
+        # Guards against a caller that waits because of a metric or a message.
+        job = self._submit_job()
+        self.report_fails = True
+        with self.assertRaises(ValueError):
+            self._refuse("a")
+        self.assertTrue(job.answered.is_set())
+
     def test_refused_job_goes_to_another_group(self):
         self.groups = [GROUP, "norte/0"]
         job = self._submit_job()
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -23,6 +23,7 @@
     def setUp(self):
         self.now = 100.0
         self.store_lost_at = None
+        self.claim_fails = False
         self.is_leaving = False
         self.knows_all_daemons = True
         self.is_owner_row_stale = False
@@ -55,7 +56,7 @@
             rosters.Member("b", "10.0.0.1", 1, "sur", 1),
             self.roster,
             leadership.Callbacks(
-                claim=self.claimed.append,
+                claim=self._claim,
                 resign=self._count_resigned,
                 on_owner=lambda owner_id: None,
                 on_change=lambda: None,
@@ -72,6 +73,11 @@
             lambda: 1_800_000_000.0,
         )
 
+    def _claim(self, epoch: int) -> None:
+        if self.claim_fails:
+            raise ValueError
+        self.claimed.append(epoch)
+
     def _count_resigned(self) -> None:
         self.resigned += 1
 
@@ -95,6 +101,27 @@
         self.membership.step()
         self.assertTrue(self.leading.is_owner)
 
+    def test_daemon_that_cannot_take_over_lets_others_claim(self):
+        # Guards against an owner in name only, and against lost heartbeats.
+        self.claim_fails = True
+        self._receive("c")
+        with self.assertLogs(leadership.LOGGER, "ERROR"):
+            self.membership.step()
+        self.assertFalse(self.leading.is_owner)
+        self.assertEqual(self.resigned, 1)
+        self.membership.send_heartbeat_if_needed()
+        self.assertFalse(self.sent[-1].count_owned())
+
+    def test_group_whose_decision_fails_does_not_hold_up_the_others(self):
+        # Guards against a loop that one group ends for all.
+        broken = self._build_leadership("norte/0")
+        broken.step = lambda: 1 / 0
+        self.membership.leaderships = {"norte/0": broken, GROUP: self.leading}
+        self._receive("c")
+        with self.assertLogs(membership.LOGGER, "ERROR"):
+            self.membership.step()
+        self.assertTrue(self.leading.is_owner)
+
     def test_daemon_that_reaches_all_others_claims_at_once(self):
         self._receive("c")
         self.membership.step()
--- a/tests/service/test_meters.py
+++ b/tests/service/test_meters.py
@@ -1,14 +1,36 @@
 """Tests of the daemon's metrics."""
 
+import logging
 import unittest
 
 import prometheus_client
 
+from pollenladder.logs import lines
 from pollenladder.scheduling import interference
 from pollenladder.scheduling import neighbourhood
 from pollenladder.service import meters as metering
 
 
+class ErrorCounterTest(unittest.TestCase):
+    """An operator must see unexpected errors without reading the log."""
+
+    def test_each_error_is_counted(self):
+        # Guards against errors that are hidden because their lines repeat.
+        meters = metering.Meters()
+        logger = logging.Logger("test")
+        logger.addHandler(metering.ErrorCounter(meters.count_error))
+        for _ in range(3):
+            try:
+                raise ValueError
+            except ValueError:
+                lines.log_failure(logger, "poll", "w1")
+        logger.error("no exception")
+        found = meters.registry.get_sample_value(
+            "pollenladder_unexpected_errors_total", {"where": "poll"}
+        )
+        self.assertEqual(found, 3)
+
+
 class InterferenceTest(unittest.TestCase):
     """An operator must see whether interference changes placements."""
 
--- /dev/null
+++ b/tests/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the supervision of loops."""
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -3,6 +3,7 @@
 import dataclasses
 import time
 import unittest
+from unittest import mock
 
 import gevent
 from gevent import socket
@@ -224,6 +225,31 @@
             option = (socket.IPPROTO_TCP, socket.TCP_NODELAY)
             self.assertTrue(link._sock.getsockopt(*option))
 
+    def test_a_link_with_a_failing_greenlet_is_closed(self):
+        # Guards against a link that stays open without a reader, a writer or a
+        # timeout.
+        for name in ("_handle_frame", "_write_frame"):
+            with (
+                self.subTest(name),
+                mock.patch.object(links.Link, name, side_effect=ValueError),
+                self.assertLogs(links.LOGGER, "ERROR"),
+            ):
+                self.setUp()
+                near, _ = self.open_link()
+                near.send(samples.Note(1, "note"))
+                near.join()
+                samples.wait_until(lambda: self.far.closed)
+            reasons = {*self.near.closed, *self.far.closed}
+            self.assertIn(Reason.FAILED, reasons)
+
+    def test_a_link_is_closed_although_its_handler_fails(self):
+        near, far = self.open_link()
+        far._on_close = mock.Mock(side_effect=ValueError)
+        with self.assertLogs(links.LOGGER, "ERROR"):
+            far.close()
+        far.join()
+        near.join()
+
     def test_a_failing_handler_does_not_end_the_link(self):
         def fail(link, message):
             self.far.received.append(message)
