Tell jobs without an estimate from jobs with an estimate of 0

Callers saw: once the jobs of one queue came without EstimateMs, no job of any queue was completed any more, not after a restart of all daemons either, while all daemons were ready.

Cause: the absent field became a declared run time of 0 s. stalls.measure_slowness divided by it, which ended the loop that polled the worker; the worker still counted as reachable.

Change: a job without an estimate is expected to run as long as the last ones of its queue without one, 0.25 s before any was measured, so the expected run time is never 0. These run times are learned apart from those of callers who declare them. A run is not moved, and no worker is rated, by a guess: only by the other tasks of the job, or once 20 tasks have been measured by two standard deviations above the usual run time. Estimates are bounded to 1 ms and 1 h, run times predicted from progress are more than 0, and names of a configuration that reach messages are bounded.

--- a/pollenladder/jobs/durations.py
+++ b/pollenladder/jobs/durations.py
@@ -59,7 +59,7 @@
 
 def record(distribution: Distribution, ratio: float) -> None:
     """Add a sample: a measured run time divided by the declared one."""
-    if ratio <= 0:
+    if not 0 < ratio < math.inf:
         return
     position = BUCKETS_PER_DOUBLING * math.log2(ratio / MIN_RATIO)
     index = max(0, min(BUCKETS - 1, math.floor(position)))
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -156,7 +156,8 @@
         cpu_milli: CPU that each task needs, in thousandths of a core.
         memory_mb: Memory that each task needs, in MB.
         gpus: Number of accelerators that each task needs.
-        estimate_s: Declared run time of a task, in seconds.
+        estimate_s: Declared run time of a task, in seconds; 0 if the caller has
+            declared none.
         may_have_begun: Whether another owner may have started tasks of the job.
         first_run: The lowest run number that its tasks may use, above the
             numbers that earlier owners may have used.
--- a/pollenladder/platform/callers.py
+++ b/pollenladder/platform/callers.py
@@ -12,6 +12,10 @@
 # WSGI name of the request header with the caller's deadline in milliseconds.
 DEADLINE_VARIABLE = "HTTP_POLLENLADDER_DEADLINE_MS"
 
+# Bounds of the estimates of callers.
+MIN_ESTIMATE_S = 0.001
+MAX_ESTIMATE_S = 3600.0
+
 _JOB_DECODER = msgspec.json.Decoder(messages.Job)
 
 
@@ -24,7 +28,7 @@
         tasks: Number of tasks.
         resources: Resources that each task needs.
         estimate_s: Run time of each task as estimated by the caller, in
-            seconds.
+            seconds; 0 if there is no estimate.
     """
 
     spec: str
@@ -67,10 +71,21 @@
         spec=job.spec,
         tasks=step.count,
         resources=jobs.Resources(step.cpu, step.mem_mb, step.gpu),
-        estimate_s=step.estimate_ms / 1000,
+        estimate_s=_decode_estimate_s(step.estimate_ms),
     )
 
 
+def _decode_estimate_s(estimate_ms: float) -> float:
+    """Return an estimate in seconds; 0 if there is none.
+
+    An estimate is rough, so one that no task of this product can have is replaced
+    by the nearest possible one.
+    """
+    if estimate_ms <= 0:
+        return 0.0
+    return max(MIN_ESTIMATE_S, min(MAX_ESTIMATE_S, estimate_ms / 1000))
+
+
 def _check_supported(job: messages.Job) -> None:
     """Raise an error if the job uses a feature that is not supported."""
     step = job.steps[0]
--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -83,7 +83,7 @@
     attempts: Integer = 1
     advice: Advice | None = None
     # Regions whose workers may run the jobs; empty or null for all.
-    allowed_regions: tuple[str, ...] | None = None
+    allowed_regions: tuple[Text, ...] | None = None
 
 
 class Limits(_Wire, frozen=True):
--- a/pollenladder/scheduling/group_retries.py
+++ b/pollenladder/scheduling/group_retries.py
@@ -11,6 +11,7 @@
 import dataclasses
 
 from pollenladder.jobs import entities as jobs
+from pollenladder.jobs import estimates
 from pollenladder.scheduling import deferral
 
 # A refusal for one of these reasons may not apply to another group.
@@ -68,15 +69,16 @@
     may_be_late = submission.may_be_late
     if reason not in REASONS:
         return Choice("", may_be_late)
-    allowed_s = submission.stretch * submission.estimate_s + submission.slack_s
+    estimate_s = estimates.assume_run_s(submission.estimate_s)
+    allowed_s = submission.stretch * estimate_s + submission.slack_s
     group = ""
-    if age_s <= allowed_s - submission.estimate_s:
+    if age_s <= allowed_s - estimate_s:
         group = choose_group(True)
     if group or may_be_late:
         return Choice(group, may_be_late)
     late_s = min(
         deferral.LATE_FACTOR * allowed_s, submission.age_s + submission.budget_s
     )
-    if age_s <= late_s - deferral.RUN_MARGIN * submission.estimate_s:
+    if age_s <= late_s - deferral.RUN_MARGIN * estimate_s:
         group = choose_group(False)
     return Choice(group, may_be_late=True)
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -281,6 +281,12 @@
         tasks=_build_tasks(submission),
         has_lost_workers=bool(submission.crashes),
         expected_s=expected_s,
+        longest_usual_s=estimates.find_longest_usual_s(
+            region.estimates,
+            submission.queue,
+            submission.estimate_s,
+            expected_s,
+        ),
         submitted_at=submitted_at,
         objective_at=objective_at,
         latest_start_at=objective_at - expected_s - tables.OVERHEAD_S,
--- a/pollenladder/scheduling/learned_state.py
+++ b/pollenladder/scheduling/learned_state.py
@@ -149,6 +149,9 @@
     new, old = _restore_counts(counts), _restore_counts(written)
     if new.has_long_tail != old.has_long_tail:
         return True
+    # Without enough samples, there is no median.
+    if not new.median or not old.median:
+        return new.median != old.median
     return abs(math.log(new.median / old.median)) > CHANGE_STEP
 
 
--- a/pollenladder/scheduling/owner_waits.py
+++ b/pollenladder/scheduling/owner_waits.py
@@ -9,6 +9,7 @@
 """
 
 from pollenladder.jobs import entities as jobs
+from pollenladder.jobs import estimates
 from pollenladder.scheduling import deferral
 
 # Time within which another daemon claims the workers of a lost owner, even if the
@@ -28,10 +29,11 @@
         submission: The job, as it arrived.
         ownerless_s: For how long there has been no owner, in seconds.
     """
-    allowed_s = submission.stretch * submission.estimate_s + submission.slack_s
+    estimate_s = estimates.assume_run_s(submission.estimate_s)
+    allowed_s = submission.stretch * estimate_s + submission.slack_s
     shortest_s = OVERDUE_WAIT_SHARE * allowed_s
     if ownerless_s > USUAL_CLAIM_S:
         return shortest_s
     late_s = min(deferral.LATE_FACTOR * allowed_s, submission.budget_s)
-    run_s = deferral.RUN_MARGIN * submission.estimate_s
+    run_s = deferral.RUN_MARGIN * estimate_s
     return max(shortest_s, late_s - run_s)
--- a/pollenladder/scheduling/progress.py
+++ b/pollenladder/scheduling/progress.py
@@ -21,9 +21,14 @@
 
 
 def predict_total_s(run: fleet.Run) -> float | None:
-    """Return a run's total run time by its own progress, or None if unknown."""
+    """Return a run's total run time by its own progress, or None if unknown.
+
+    A poll may report progress before the start is confirmed.
+    """
     if run.percent < MIN_PERCENT or not run.confirmed_at:
         return None
+    if run.percent_at <= run.confirmed_at:
+        return None
     return 100.0 * (run.percent_at - run.confirmed_at) / run.percent
 
 
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -260,14 +260,15 @@
     """Update a worker's health with the run time of a completed run.
 
     The run is compared with runs of the same job on other workers, or with the
-    expected run time if there are none. Both are corrected by the speed of the
-    worker.
+    expected run time if there are none and the caller has declared one. Both are
+    corrected by the speed of the worker.
     """
     usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
     if usual_s:
         usual_s /= region.get_speed(run.worker_id)
         usual_s *= neighbours.measure_slowdown(region, worker, run, now)
-    usual_s = usual_s or run.expected_s
+    if not usual_s and job.submission.estimate_s > 0:
+        usual_s = run.expected_s
     slowness = measured_s / usual_s if usual_s else 1.0
     slowness = long_tails.bound_slowness(region, job, slowness)
     health.record_success(worker.health, slowness, now)
--- a/pollenladder/scheduling/speed_learning.py
+++ b/pollenladder/scheduling/speed_learning.py
@@ -81,12 +81,15 @@
 ) -> tuple[float, float]:
     """Return the logarithm of a task's work, and the weight of the comparison.
 
-    A comparison with n siblings has a variance in proportion to 1 + 1/n.
+    A comparison with n siblings has a variance in proportion to 1 + 1/n. Without
+    siblings and without a declared run time, there is nothing to compare with.
     """
     if siblings:
         count = len(siblings)
         return statistics.median(siblings), count / (count + 1)
-    return math.log(max(job.expected_s, 1e-6)), speeds.DECLARED_WEIGHT
+    if job.submission.estimate_s <= 0:
+        return 0.0, 0.0
+    return math.log(job.expected_s), speeds.DECLARED_WEIGHT
 
 
 def _centre_services(region: tables.Region) -> None:
--- a/pollenladder/scheduling/stalls.py
+++ b/pollenladder/scheduling/stalls.py
@@ -16,8 +16,8 @@
 
 # Ratio of a run's predicted run time to the usual one above which it is
 # stalled. The usual run time is that of the job's tasks on other workers. If
-# there are none, it is the expected run time, whose limit is higher because
-# declared run times are far off.
+# there are none, it is the longest usual one of the job, whose limit is higher
+# because declared run times are far off.
 SIBLING_FACTOR = 2.2
 DECLARED_FACTOR = 5.0
 # A run is not considered stalled before it has run for this time.
@@ -72,8 +72,8 @@
 
     Returns:
         At least 1 if the run is stalled. 0 if the run is not in progress, has
-        not run for long enough, or would end before a new run on another
-        worker.
+        not run for long enough, would end before a new run on another worker,
+        or if no usual run time is known.
     """
     if run.state is not fleet.RunState.RUNNING:
         return 0.0
@@ -82,7 +82,9 @@
         return 0.0
     usual_s = progress.predict_by_siblings_s(region, job, run.worker_id)
     limit = SIBLING_FACTOR if usual_s else DECLARED_FACTOR
-    new_run_s = usual_s or job.expected_s
+    new_run_s = usual_s or job.longest_usual_s
+    if not new_run_s:
+        return 0.0
     usual_s = new_run_s / region.get_speed(run.worker_id)
     if elapsed_s < 0.5 * new_run_s:
         return 0.0
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -90,7 +90,7 @@
         gateway_id: The daemon to which the answer is sent.
         resources: Resources that each task needs.
         tasks: The job's tasks.
-        expected_s: Expected run time of a task, in seconds.
+        expected_s: Expected run time of a task, in seconds; more than 0.
         submitted_at: When the caller sent the job.
         objective_at: The job is in time if it ends by then, provided that
             `expected_s` is right.
@@ -112,6 +112,8 @@
         has_lost_workers: Whether a worker was lost under one of the tasks.
         is_overdue: Whether the job cannot be in time any more, as a worker was
             lost. Jobs that can be in time come before it.
+        longest_usual_s: Run time of a task beyond which it is unusual, in
+            seconds; None if that is not known.
     """
 
     submission: job_entities.Submission
@@ -132,6 +134,7 @@
     is_observed: bool | None = None
     has_lost_workers: bool = False
     is_overdue: bool = False
+    longest_usual_s: float | None = None
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
--- a/tests/jobs/test_estimates.py
+++ b/tests/jobs/test_estimates.py
@@ -36,6 +36,55 @@
         self.assertEqual(self.estimates.log_bias, {})
 
 
+class UndeclaredTest(unittest.TestCase):
+    """Jobs without a declared run time are expected to run like earlier ones."""
+
+    def setUp(self):
+        self.estimates = estimates.Estimates()
+
+    def _predict(self, declared_s: float = 0.0) -> float:
+        return estimates.predict_run_s(self.estimates, "q", declared_s)
+
+    def _find_longest(self) -> float | None:
+        return estimates.find_longest_usual_s(
+            self.estimates, "q", 0.0, self._predict()
+        )
+
+    def test_expected_run_time_is_never_zero(self):
+        # Guards against divisions by the expected run time.
+        self.assertEqual(self._predict(), estimates.UNDECLARED_RUN_S)
+        estimates.record_run(self.estimates, "q", 0.0, 0.9)
+        self.assertAlmostEqual(self._predict(), 0.9)
+
+    def test_later_runs_count_too(self):
+        for measured_s in [0.9] * 20 + [0.1] * 200:
+            estimates.record_run(self.estimates, "q", 0.0, measured_s)
+        self.assertAlmostEqual(self._predict(), 0.1, places=2)
+
+    def test_declared_run_times_are_learned_apart(self):
+        for _ in range(100):
+            estimates.record_run(self.estimates, "q", 0.0, 0.9)
+        self.assertEqual(self._predict(0.1), 0.1)
+        for _ in range(300):
+            estimates.record_run(self.estimates, "q", 0.1, 0.2)
+        self.assertAlmostEqual(self._predict(), 0.9)
+
+    def test_unusual_run_times_are_known_after_some_tasks(self):
+        # Guards against runs that are moved by the measure of a guess.
+        for n in range(estimates.MIN_UNDECLARED_TASKS):
+            self.assertIsNone(self._find_longest())
+            estimates.record_run(self.estimates, "q", 0.0, 0.1 + 0.8 * (n % 2))
+        self.assertGreater(self._find_longest(), 0.9)
+
+    def test_tail_of_declared_run_times_does_not_make_it_zero(self):
+        random_s = random.Random(1)
+        for n in range(2 * TASKS):
+            measured_s = 0.7 if n % 20 == 0 else random_s.uniform(0.08, 0.12)
+            estimates.record_duration(self.estimates, "q", 0.1, measured_s)
+        self.assertIsNotNone(estimates.find_long_tail(self.estimates, "q"))
+        self.assertEqual(self._predict(), estimates.UNDECLARED_RUN_S)
+
+
 class RegressionTest(unittest.TestCase):
     """Declared run times are trusted as far as they have been right.
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -28,6 +28,25 @@
     def test_job_built_by_the_stand_in(self):
         self.assertEqual(callers.decode_job(sites.build_job(tasks=3)).tasks, 3)
 
+    def test_estimates_are_within_what_tasks_can_take(self):
+        # Guards against divisions by a run time, and against numbers that
+        # overflow when they are multiplied.
+        cases = (
+            (None, 0.0),
+            (0, 0.0),
+            (1e-300, callers.MIN_ESTIMATE_S),
+            (900, 0.9),
+            (1e308, callers.MAX_ESTIMATE_S),
+        )
+        for estimate_ms, expected_s in cases:
+            job = json.loads(sites.build_job())
+            job["Steps"][0]["EstimateMs"] = estimate_ms
+            if estimate_ms is None:
+                del job["Steps"][0]["EstimateMs"]
+            with self.subTest(estimate_ms=estimate_ms):
+                found = callers.decode_job(json.dumps(job).encode())
+                self.assertEqual(found.estimate_s, expected_s)
+
     def test_unsupported_features(self):
         cases = (
             {"Preemptible": False},
--- a/tests/scheduling/test_owner_waits.py
+++ b/tests/scheduling/test_owner_waits.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from pollenladder.jobs import estimates
 from pollenladder.scheduling import owner_waits
 from tests.scheduling import simulations
 
@@ -29,3 +30,10 @@
 
     def test_a_job_that_cannot_be_late_waits_as_if_the_claim_were_overdue(self):
         self.assertAlmostEqual(self._compute(0.2, budget_s=0.35), 0.38 / 4)
+
+    def test_a_job_without_a_declared_run_time_waits_like_a_usual_one(self):
+        # Guards against a refusal as if its objective were next to nothing.
+        allowed_s = 1.6 * estimates.UNDECLARED_RUN_S + 0.06
+        self.assertAlmostEqual(
+            self._compute(3.0, estimate_s=0.0), allowed_s / 4
+        )
--- a/tests/scheduling/test_stalls.py
+++ b/tests/scheduling/test_stalls.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from pollenladder.jobs import estimates
+from pollenladder.scheduling import effects
 from tests.scheduling import simulations
 
 
@@ -51,3 +53,50 @@
         simulation.now += 1.5
         simulation.poll("w0")
         self.assertEqual(simulation.take_stops(), [])
+
+
+class UndeclaredTest(unittest.TestCase):
+    """Jobs of one task, whose callers declare no run time.
+
+    Guards against a division by the expected run time, which ended the polls of
+    the worker, and against runs that are moved for being longer than a guess.
+    """
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=3)
+
+    def _run(self, job_id: str, run_s: float, percent: float) -> int:
+        """Run a job and poll its worker before its end; return the stops."""
+        simulation = self.simulation
+        simulation.submit(job_id, tasks=1, estimate_s=0.0, budget_s=60.0)
+        (order,) = simulation.take_starts()
+        simulation.confirm(order)
+        simulation.now += run_s
+        simulation.poll(
+            order.worker_id, running=((order.task, order.number, percent),)
+        )
+        stops = len(simulation.take_stops())
+        if not stops:
+            simulation.end(order)
+        failed = [
+            effect
+            for effect in simulation.effects
+            if isinstance(effect, effects.DecisionFailed)
+        ]
+        self.assertEqual(failed, [])
+        return stops
+
+    def test_long_run_stays_while_nothing_is_known(self):
+        self.assertEqual(self._run("a1", run_s=5.0, percent=0.0), 0)
+
+    def test_run_without_progress_moves_once_usual_run_times_are_known(self):
+        for n in range(estimates.MIN_UNDECLARED_TASKS):
+            self.assertEqual(self._run(f"a{n}", run_s=0.9, percent=95.0), 0)
+        self.assertEqual(self._run("b1", run_s=0.9, percent=0.0), 1)
+
+    def test_workers_are_not_rated_by_a_guess(self):
+        for n in range(2 * estimates.MIN_UNDECLARED_TASKS):
+            self._run(f"a{n}", run_s=2.0, percent=95.0)
+        for worker in self.simulation.region.workers.values():
+            self.assertEqual(worker.health.slowness, 1.0)
+            self.assertEqual(worker.speed.evidence, 0.0)
--- a/tests/service/test_daemons.py
+++ b/tests/service/test_daemons.py
@@ -148,6 +148,19 @@
         replies = self._collect(self._submit_some(["d1", "d2", "d3"]))
         self.assertEqual({r.state for r in replies}, {"completed"})
 
+    def test_jobs_without_an_estimate_do_not_end_the_polls_of_workers(self):
+        # Guards against workers that count as reachable but are not polled.
+        job = json.loads(sites.build_job(tasks=1, run_ms=900))
+        del job["Steps"][0]["EstimateMs"]
+        body = json.dumps(job).encode()
+        undeclared = [
+            gevent.spawn(self.cluster.submit, "d1", f"{n:x}" * 16, body)
+            for n in range(10, 16)
+        ]
+        replies = self._collect(undeclared)
+        replies += self._collect(self._submit_some(["d1", "d2", "d3"] * 2))
+        self.assertEqual({r.state for r in replies}, {"completed"})
+
     def test_jobs_are_served_during_a_store_outage(self):
         self.site.store.faults.trouble = site_store.FailureMode.SILENT
         gevent.sleep(1.5)
