Split intake, the owner's engine and the wiring; decode rows in one place

Rejected rows of owners are now logged once for each version too, as all others. Nothing else behaves differently.

--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -16,7 +16,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import effects
-from pollenladder.scheduling import intake
+from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
@@ -222,4 +222,4 @@
         return
     region.count_failure(effects.Failure.JOB_GIVEN_UP)
     reason = jobs.Reason.TASK_CRASHED_WORKERS
-    intake.end_job(region, job, outcome, reason, now)
+    job_ends.end_job(region, job, outcome, reason, now)
--- a/pollenladder/scheduling/displacement.py
+++ b/pollenladder/scheduling/displacement.py
@@ -12,7 +12,7 @@
 from pollenladder.scheduling import admission
 from pollenladder.scheduling import deferral
 from pollenladder.scheduling import forecast
-from pollenladder.scheduling import intake
+from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
@@ -142,13 +142,13 @@
     if job.submission.may_have_begun:
         outcome = jobs.Outcome.GIVEN_UP
     forecast.remove_job(region, job)
-    intake.end_job(
+    job_ends.end_job(
         region,
         job,
         outcome,
         jobs.Reason.WAITED_TOO_LONG,
         now,
-        intake.bound_retry_after(wait_s),
+        job_ends.bound_retry_after(wait_s),
     )
     if outcome is jobs.Outcome.REFUSED:
-        intake.record_refusal(region, job)
+        job_ends.record_refusal(region, job)
--- a/pollenladder/scheduling/evacuation.py
+++ b/pollenladder/scheduling/evacuation.py
@@ -10,6 +10,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import candidates
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import tables
 
@@ -80,7 +81,7 @@
     region: tables.Region, job: tables.Job, reason: jobs.Reason, now: float
 ) -> None:
     """Refuse an admitted job that has not begun."""
-    intake.record_refusal(region, job)
+    job_ends.record_refusal(region, job)
     _end(region, job, jobs.Outcome.REFUSED, reason, now)
 
 
@@ -93,5 +94,5 @@
 ) -> None:
     # An evacuation is no overload, so the job does not count as late there.
     job.had_to_wait = False
-    retry_after_s = intake.MAX_RETRY_AFTER_S
-    intake.end_job(region, job, outcome, reason, now, retry_after_s)
+    retry_after_s = job_ends.MAX_RETRY_AFTER_S
+    job_ends.end_job(region, job, outcome, reason, now, retry_after_s)
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -8,7 +8,7 @@
 from pollenladder.scheduling import displacement
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import evacuation
-from pollenladder.scheduling import intake
+from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
@@ -79,7 +79,7 @@
         if job.gateway_id in lost:
             outcome = jobs.Outcome.CANCELLED
             reason = jobs.Reason.GATEWAY_LOST
-            intake.end_job(region, job, outcome, reason, now)
+            job_ends.end_job(region, job, outcome, reason, now)
 
 
 def update_workers(
@@ -226,8 +226,8 @@
 
 # The parts of a round of maintenance, in order.
 _PARTS = (
-    (effects.Decision.FAILED_JOBS, intake.end_failed_jobs),
-    (effects.Decision.EXPIRY, intake.expire),
+    (effects.Decision.FAILED_JOBS, job_ends.end_failed_jobs),
+    (effects.Decision.EXPIRY, job_ends.expire),
     (effects.Decision.EVACUATION, evacuation.end_unservable_jobs),
     (effects.Decision.DISPLACEMENT, displacement.remove_late_jobs),
     (effects.Decision.LOST_GATEWAYS, _cancel_jobs_of_lost_gateways),
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -52,7 +52,7 @@
     """Start all waiting tasks that workers have capacity for.
 
     A job whose placement fails unexpectedly is left out from now on, and ended by
-    `intake.end_failed_jobs`.
+    `job_ends.end_failed_jobs`.
     """
     region.decide(effects.Decision.PLACEMENT, "", _place_all, region, now)
 
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -5,7 +5,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import crashes
 from pollenladder.scheduling import effects
-from pollenladder.scheduling import intake
+from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import learned_state
 from pollenladder.scheduling import long_tails
 from pollenladder.scheduling import neighbours
@@ -200,7 +200,7 @@
     task = job.tasks[index]
     if task.state is tables.TaskState.WAITING:
         task.state = tables.TaskState.DONE
-        intake.finish_if_complete(region, job, now)
+        job_ends.finish_if_complete(region, job, now)
 
 
 def _handle_done(
@@ -225,7 +225,7 @@
         run,
         now,
     )
-    intake.finish_if_complete(region, job, now)
+    job_ends.finish_if_complete(region, job, now)
 
 
 def _learn_from_run(
@@ -285,7 +285,7 @@
     task.failures += 1
     task.avoided_workers.add(run.worker_id)
     if task.failures >= job.submission.max_attempts:
-        intake.end_job(
+        job_ends.end_job(
             region, job, jobs.Outcome.FAILED, jobs.Reason.TASK_FAILED, now
         )
 
@@ -349,7 +349,7 @@
     if task.state is tables.TaskState.WAITING and runs.adopt_orphan(
         region, job, task
     ):
-        intake.finish_if_complete(region, job, now)
+        job_ends.finish_if_complete(region, job, now)
         return
     runs.stop(region, run, now)
 
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -39,6 +39,7 @@
 from pollenladder.service import membership
 from pollenladder.service import meters as metering
 from pollenladder.service import owner_rows
+from pollenladder.service import peer_messages
 from pollenladder.service import reachability
 from pollenladder.supervision import loops
 
@@ -115,6 +116,16 @@
             ),
             settings.regions,
         )
+        self._receiver = peer_messages.Receiver(
+            self._exchange,
+            self._gateway,
+            self._configurations,
+            self._groups,
+            peer_messages.Callbacks(
+                send=self._mesh.send,
+                on_heartbeat=self._handle_heartbeat,
+            ),
+        )
 
     def _build_gateway(self) -> None:
         self._gateway = gateways.Gateway(
@@ -142,7 +153,9 @@
             self._own,
             self._roster,
             meshes.Callbacks(
-                on_message=self._handle_message,
+                on_message=lambda sender, message: self._receiver.handle(
+                    sender, message
+                ),
                 on_link_change=self._handle_link_change,
                 is_owner=lambda: self._membership.is_owner,
             ),
@@ -376,36 +389,6 @@
     ) -> None:
         self._meters.count_job(answer, took_s)
 
-    def _handle_message(self, sender: str, message: object) -> None:
-        if isinstance(message, messages.Heartbeat):
-            self._handle_heartbeat(sender, message)
-        elif isinstance(message, messages.Submit):
-            if not self._exchange.submit_here(
-                message.group, message.submission, sender
-            ):
-                job_id = message.submission.job_id
-                self._mesh.send(sender, messages.NotOwner(job_id))
-        elif isinstance(message, messages.Answered):
-            self._gateway.handle_answer(message.answer, sender)
-        elif isinstance(message, messages.Cancel):
-            self._exchange.cancel_here(message.job_id, message.reason, sender)
-        elif isinstance(message, messages.Release):
-            self._exchange.release_here(message.group, message.job_id)
-        elif isinstance(message, messages.TasksCrashed):
-            self._gateway.handle_crashes(message.job_id, message.crashes)
-        elif isinstance(message, messages.NotOwner):
-            self._gateway.handle_not_owner(message.job_id)
-        elif isinstance(message, messages.RequestConfiguration):
-            self._configurations.push(sender, message.version)
-        elif isinstance(message, messages.PushConfiguration):
-            self._configurations.apply_pushed(message)
-        elif isinstance(message, messages.RequestLayout):
-            if message.version < self._groups.layout.version:
-                layout = messages.PushLayout(self._groups.layout)
-                self._mesh.send(sender, layout)
-        elif isinstance(message, messages.PushLayout):
-            self._groups.apply_layout(message.layout)
-
     def _handle_heartbeat(
         self, sender: str, heartbeat: messages.Heartbeat
     ) -> None:
@@ -414,10 +397,6 @@
         self._crashing_queues.record_told(
             heartbeat.crashing_queues, self._clock()
         )
-        if heartbeat.layout_version > self._groups.layout.version:
-            version = self._groups.layout.version
-            self._mesh.send(sender, messages.RequestLayout(version))
-        self._configurations.request_newer(sender, heartbeat.config_version)
 
     def _handle_evacuation_change(self) -> None:
         self._groups.update_evacuations()
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -8,7 +8,6 @@
 import gevent
 from gevent import event
 
-from pollenladder.cluster import heartbeats
 from pollenladder.core import clocks
 from pollenladder.fleet import crashing_queues
 from pollenladder.fleet import entities as fleet
@@ -22,11 +21,12 @@
 from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import features as optional_features
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import recovery
-from pollenladder.scheduling import runs
 from pollenladder.scheduling import sharing
 from pollenladder.scheduling import tables
+from pollenladder.service import handover_delays
 from pollenladder.service import sessions
 
 LOGGER = logging.getLogger(__name__)
@@ -35,8 +35,6 @@
 # A new owner waits this long at most for the list of workers, which shows the
 # draining ones.
 LIST_WAIT_LIMIT_S = 0.3
-# Margin for the stop requests and clock differences of an isolated owner.
-HANDOVER_DELAY_MARGIN_S = 0.2
 # A smaller event loop lag is not added to the age of a job.
 MIN_COUNTED_LAG_S = 0.005
 
@@ -122,7 +120,7 @@
                 self._max_lease_s,
                 self._features,
                 self._group,
-                handover_delay_s=bound_handover_delay_s(peers),
+                handover_delay_s=handover_delays.bound_handover_delay_s(peers),
                 moved_workers_until=self._moved_workers_until,
                 list_history=self._list_history,
                 evacuations=self._evacuations,
@@ -209,7 +207,7 @@
             intake.submit(self.region, submission, gateway_id, self._clock())
         except Exception:
             logs.log_failure(LOGGER, "job_intake", submission.job_id)
-            intake.answer_failed(self.region, submission, gateway_id)
+            job_ends.answer_failed(self.region, submission, gateway_id)
         self._apply_effects()
         return True
 
@@ -382,34 +380,6 @@
             session.poll_now()
 
 
-def bound_handover_delay_s(peers: int) -> float:
-    """Return how long another owner may go on renewing leases, in seconds.
-
-    This is the bound for a job that is forwarded to this owner while a network
-    partition hides the other owner. Both sides of the partition start to wait
-    at the same time. The gateway loses the old owner after the shortest timeout
-    and forwards its jobs to this one. The old owner loses the gateway only
-    after the longest timeout, waits for it to return, and may hand over just
-    then. The next owner on that side treats the runs as orphans and waits once
-    more.
-
-    Args:
-        peers: The number of near peers; see `cluster.heartbeats`.
-    """
-    doublings = heartbeats.MAX_TIMEOUT_DOUBLINGS
-    timeout_s = max(
-        heartbeats.choose_timeout_s(peers, False, doublings),
-        heartbeats.choose_distant_timeout_s(True, False, doublings, 0.0),
-    )
-    grace_s = maintenance.GATEWAY_GRACE_S + runs.ORPHAN_GRACE_S
-    return (
-        timeout_s
-        - heartbeats.OWNER_TIMEOUT_S
-        + grace_s
-        + HANDOVER_DELAY_MARGIN_S
-    )
-
-
 def _add_read_delay(
     submission: jobs.Submission, lag_s: float
 ) -> jobs.Submission:
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -4,7 +4,6 @@
 import dataclasses
 import functools
 import logging
-from typing import TypeVar
 
 import gevent
 from gevent import event
@@ -22,11 +21,10 @@
 from pollenladder.platform import rows
 from pollenladder.platform import store as stores
 from pollenladder.service import evacuations as evacuation_rows
+from pollenladder.service import row_decoding
 
 LOGGER = logging.getLogger(__name__)
 
-T = TypeVar("T")
-
 # Longest wait of one call for changes. A new call follows, so a change of the
 # configuration is seen within 2 s even if the feed does not report it.
 CONFIGURATION_WAIT_S = 1.2
@@ -97,11 +95,11 @@
         self._workers = worker_tables.WorkerTable(list_history)
         self._workers_refresh = event.Event()
         self._daemons_refresh = event.Event()
-        self._rejected_versions: dict[str, int] = {}
+        self._decoder = row_decoding.RowDecoder()
         self._read_began_at: dict[str, float] = {}
         self._is_set_confirmed = True
         self._evacuation_rows = evacuation_rows.EvacuationRows(
-            self._log_rejected_row
+            self._decoder.log_rejected
         )
 
     @property
@@ -313,7 +311,7 @@
         for row in snapshot.rows:
             if row.key != rows.CONFIGURATION_KEY or row.is_removed:
                 continue
-            found = self._decode(row, rows.decode_configuration)
+            found = self._decoder.decode(row, rows.decode_configuration)
             if found is not None:
                 self._callbacks.on_configuration(found)
 
@@ -329,7 +327,7 @@
                 continue
             if row.key in removed:
                 removed[row.key] = False
-            found = self._decode(
+            found = self._decoder.decode(
                 row, functools.partial(rows.decode_worker, row.key)
             )
             if found is not None:
@@ -354,7 +352,7 @@
             if row.key == rows.LAYOUT_KEY:
                 layout_row = row
                 continue
-            member = self._decode(row, rows.decode_member)
+            member = self._decoder.decode(row, rows.decode_member)
             if member == self._own:
                 is_registered = True
             elif member is not None:
@@ -369,39 +367,12 @@
             self._callbacks.on_layout(groups.Layout(), 0)
             return
         # Whoever is to choose the layout replaces a row that is not valid.
-        layout = self._decode(row, rows.decode_layout) or groups.Layout()
+        layout = (
+            self._decoder.decode(row, rows.decode_layout) or groups.Layout()
+        )
         self._has_read_layout = layout.version > 0
         self._callbacks.on_layout(layout, row.version)
 
-    def _decode(
-        self, row: stores.Row, decode: Callable[[bytes], T]
-    ) -> T | None:
-        """Return the decoded value of a row; None if it is not valid.
-
-        An unexpected error rejects only this row, as the others hold.
-        """
-        try:
-            return decode(row.value)
-        except exceptions.BadDocumentError as error:
-            self._log_rejected_row(row, error)
-        except Exception:
-            logs.log_failure(LOGGER, "row", row.key)
-        return None
-
-    def _log_rejected_row(self, row: stores.Row, error: Exception) -> None:
-        """Log an invalid row, once for each of its versions."""
-        if self._rejected_versions.get(row.key) == row.version:
-            return
-        self._rejected_versions[row.key] = row.version
-        logs.log(
-            LOGGER,
-            "row_rejected",
-            logging.WARNING,
-            key=row.key,
-            version=row.version,
-            error=str(error)[:200],
-        )
-
 
 def choose_pause_s(daemons: int) -> float:
     """Return the pause between two reads of a table, in seconds.
--- a/pollenladder/service/owner_rows.py
+++ b/pollenladder/service/owner_rows.py
@@ -2,17 +2,14 @@
 
 from collections.abc import Callable
 import dataclasses
-import logging
 
 import gevent
 
 from pollenladder.core import clocks
-from pollenladder.logs import lines as logs
 from pollenladder.platform import exceptions
 from pollenladder.platform import rows
 from pollenladder.platform import store as stores
-
-LOGGER = logging.getLogger(__name__)
+from pollenladder.service import row_decoding
 
 OWNERSHIP_INTERVAL_S = 0.5
 # If the owner's row has not changed for this long, there is no live owner.
@@ -68,6 +65,7 @@
         self._own_id = own_id
         self._callbacks = callbacks
         self._clock = clock
+        self._decoder = row_decoding.RowDecoder()
         self._rows: dict[str, OwnerRow] = {}
 
     def run(self) -> None:
@@ -102,19 +100,9 @@
                 self._handle_row(row)
 
     def _handle_row(self, row: stores.Row) -> None:
-        try:
-            epoch = rows.decode_ownership(row.value)
-        except exceptions.BadDocumentError as error:
-            logs.log(
-                LOGGER,
-                "row_rejected",
-                logging.WARNING,
-                key=row.key,
-                version=row.version,
-                error=str(error)[:200],
-            )
-            return
-        self._callbacks.on_epoch(row.key, epoch)
+        epoch = self._decoder.decode(row, rows.decode_ownership)
+        if epoch is not None:
+            self._callbacks.on_epoch(row.key, epoch)
 
     def record_row(self, group: str, version: int) -> None:
         """Record the version of a group's owner row that was just read."""
--- /dev/null
+++ b/pollenladder/service/peer_messages.py
@@ -0,0 +1,88 @@
+"""Pass the messages of other daemons to the components that handle them."""
+
+from collections.abc import Callable
+import dataclasses
+
+from pollenladder.cluster import messages
+from pollenladder.service import configurations
+from pollenladder.service import gateway as gateways
+from pollenladder.service import groups
+from pollenladder.service import job_exchange
+
+
+@dataclasses.dataclass(frozen=True)
+class Callbacks:
+    """The functions that the receiver calls.
+
+    Attributes:
+        send: Sends a message to a daemon.
+        on_heartbeat: Called with the sender and each heartbeat.
+    """
+
+    send: Callable[[str, object], object]
+    on_heartbeat: Callable[[str, messages.Heartbeat], None]
+
+
+class Receiver:
+    """The messages of other daemons."""
+
+    def __init__(
+        self,
+        exchange: job_exchange.JobExchange,
+        gateway: gateways.Gateway,
+        known: configurations.Configurations,
+        all_groups: groups.Groups,
+        callbacks: Callbacks,
+    ):
+        self._exchange = exchange
+        self._gateway = gateway
+        self._configurations = known
+        self._groups = all_groups
+        self._callbacks = callbacks
+
+    def handle(self, sender: str, message: object) -> None:
+        """Handle a message of any type."""
+        if isinstance(message, messages.Heartbeat):
+            self._handle_heartbeat(sender, message)
+        elif isinstance(message, messages.Submit):
+            self._handle_submit(sender, message)
+        elif isinstance(message, messages.Answered):
+            self._gateway.handle_answer(message.answer, sender)
+        elif isinstance(message, messages.Cancel):
+            self._exchange.cancel_here(message.job_id, message.reason, sender)
+        elif isinstance(message, messages.Release):
+            self._exchange.release_here(message.group, message.job_id)
+        elif isinstance(message, messages.TasksCrashed):
+            self._gateway.handle_crashes(message.job_id, message.crashes)
+        elif isinstance(message, messages.NotOwner):
+            self._gateway.handle_not_owner(message.job_id)
+        elif isinstance(message, messages.RequestConfiguration):
+            self._configurations.push(sender, message.version)
+        elif isinstance(message, messages.PushConfiguration):
+            self._configurations.apply_pushed(message)
+        elif isinstance(message, messages.RequestLayout):
+            self._push_layout(sender, message.version)
+        elif isinstance(message, messages.PushLayout):
+            self._groups.apply_layout(message.layout)
+
+    def _handle_heartbeat(
+        self, sender: str, heartbeat: messages.Heartbeat
+    ) -> None:
+        self._callbacks.on_heartbeat(sender, heartbeat)
+        version = self._groups.layout.version
+        if heartbeat.layout_version > version:
+            self._callbacks.send(sender, messages.RequestLayout(version))
+        self._configurations.request_newer(sender, heartbeat.config_version)
+
+    def _handle_submit(self, sender: str, message: messages.Submit) -> None:
+        if not self._exchange.submit_here(
+            message.group, message.submission, sender
+        ):
+            job_id = message.submission.job_id
+            self._callbacks.send(sender, messages.NotOwner(job_id))
+
+    def _push_layout(self, sender: str, version: int) -> None:
+        """Send the layout in force to a daemon that has an older one."""
+        layout = self._groups.layout
+        if version < layout.version:
+            self._callbacks.send(sender, messages.PushLayout(layout))
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -10,6 +10,7 @@
 from pollenladder.platform import rows
 from pollenladder.platform import workers
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import runs
@@ -71,7 +72,7 @@
 
 def _complete_too_early() -> None:
     """Answer a job as soon as its first task is done."""
-    intake.finish_if_complete.__globals__["tables"].Job.is_complete = (
+    job_ends.finish_if_complete.__globals__["tables"].Job.is_complete = (
         lambda job: any(task.took_s for task in job.tasks)
     )
 
--- a/tests/scheduling/test_partition.py
+++ b/tests/scheduling/test_partition.py
@@ -24,7 +24,8 @@
 ENDED_AT = {"a1.0.0.1": 39.729, "a1.0.0.2": 39.470}
 LISTED_FIRST = [f"v{i}" for i in range(7)]
 STEP_S = 0.02
-# As `engine.bound_handover_delay_s` gives for up to 33 near peers, rounded down.
+# As `handover_delays.bound_handover_delay_s` gives for up to 33 near peers,
+# rounded down.
 HANDOVER_DELAY_S = 2.3
 
 
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -11,6 +11,7 @@
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 from pollenladder.service import engine as engines
+from pollenladder.service import handover_delays
 from tests.scheduling import simulations
 
 LEASE_S = 1.0
@@ -136,7 +137,7 @@
             1,
             0.0,
             LEASE_S,
-            handover_delay_s=engines.bound_handover_delay_s(peers),
+            handover_delay_s=handover_delays.bound_handover_delay_s(peers),
         )
         return runs.get_lease_expiry(region, heartbeats.OWNER_TIMEOUT_S)
 
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -11,6 +11,7 @@
 from pollenladder.platform import rows
 from pollenladder.platform import store as stores
 from pollenladder.service import feeds
+from pollenladder.service import row_decoding
 
 ENTRY = {
     "Service": "s",
@@ -116,7 +117,7 @@
 
         with (
             mock.patch.object(rows, "decode_worker", fail),
-            self.assertLogs(feeds.LOGGER, "ERROR"),
+            self.assertLogs(row_decoding.LOGGER, "ERROR"),
         ):
             self._follow([["w0", "bad", "w1"]])
         self.assertEqual(self.listed, ["w0", "w1"])
