Let the soak write unusable rows and send jobs without an estimate

Cause: the soak had neither, and it did not look at the logs, so a fault that the daemons survive would have passed.

Change: faults foreign_row and undeclared_jobs; a round fails if a log holds unexpected_error or greenlet_failed. The defect fail_on_foreign_rows takes the check of rows out; miss_configurations patched a method that no longer exists. Sessions with workers have tests of polls and starts that fail.

--- a/pollenladder/jobs/estimates.py
+++ b/pollenladder/jobs/estimates.py
@@ -141,7 +141,7 @@
 
 
 def assume_run_s(declared_s: float) -> float:
-    """Return a run time to reckon with before anything is measured, in seconds.
+    """Return the run time that is assumed before any was measured, in seconds.
 
     Args:
         declared_s: The declared run time, in seconds; 0 if there is none.
--- a/pollenladder/logs/lines.py
+++ b/pollenladder/logs/lines.py
@@ -27,6 +27,8 @@
 DROPPED_EVENT = "log_lines_dropped"
 # Logged for an unexpected exception that its caller survives.
 FAILURE_EVENT = "unexpected_error"
+# Logged for an exception that has ended a greenlet.
+GREENLET_EVENT = "greenlet_failed"
 # The end of a longer traceback is logged; it names the line that failed.
 MAX_ERROR_CHARS = 4000
 MAX_SUBJECT_CHARS = 200
@@ -152,7 +154,7 @@
     This replaces gevent's function, which prints a bare traceback.
     """
     LOGGER.error(
-        "greenlet_failed",
+        GREENLET_EVENT,
         exc_info=error,
         extra={"fields": {"greenlet": repr(context)[:200]}},
     )
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -14,8 +14,10 @@
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import runs
+from pollenladder.service import configurations
 from pollenladder.service import dispatcher
 from pollenladder.service import gateway
+from soak import foreign_rows
 
 
 def _forget_other_owners() -> None:
@@ -95,13 +97,25 @@
 
 def _miss_configurations() -> None:
     """Apply only the first configuration."""
-    apply = dispatcher.Dispatcher._apply_configuration
+    apply = configurations.Configurations.apply
 
     def apply_first(own, found):
-        if own._routes is None:
+        if own.routes is None:
             apply(own, found)
 
-    dispatcher.Dispatcher._apply_configuration = apply_first
+    configurations.Configurations.apply = apply_first
+
+
+def _fail_on_foreign_rows() -> None:
+    """Let a row of another writer raise an unexpected exception."""
+    decode = rows.decode_worker
+
+    def decode_or_fail(worker_id, value):
+        if worker_id == foreign_rows.KEY:
+            raise ZeroDivisionError
+        return decode(worker_id, value)
+
+    rows.decode_worker = decode_or_fail
 
 
 def _drop_callers_at_stop() -> None:
@@ -119,5 +133,6 @@
     "keep_jobs_of_lost_owners": _keep_jobs_of_lost_owners,
     "heed_no_leaving": _heed_no_leaving,
     "miss_configurations": _miss_configurations,
+    "fail_on_foreign_rows": _fail_on_foreign_rows,
     "drop_callers_at_stop": _drop_callers_at_stop,
 }
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -1,9 +1,12 @@
 """Invariants, checked against the records of callers and workers."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import itertools
+from typing import Any
 
+from pollenladder.logs import lines as logs
 from soak import callers
 from standins import site as sites
 from standins import site_worker
@@ -174,6 +177,22 @@
     return []
 
 
+def find_unexpected_errors(
+    lines_by_daemon: Mapping[str, Iterable[Mapping[str, Any]]],
+) -> list[str]:
+    """Return a line for each unexpected error in the logs of daemons.
+
+    Args:
+        lines_by_daemon: The log lines of each daemon.
+    """
+    return [
+        f"{name}: {line['event']}: {line['error'].splitlines()[-1]}"
+        for name, lines in lines_by_daemon.items()
+        for line in lines
+        if line["event"] in (logs.FAILURE_EVENT, logs.GREENLET_EVENT)
+    ]
+
+
 def _was_disturbed(call: callers.Call, disturbances: list[Disturbance]) -> bool:
     return any(
         disturbance.daemon_id == call.daemon_id
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -17,6 +17,7 @@
 from soak import clusters
 from soak import configurations
 from soak import faults
+from soak import foreign_rows
 from soak import invariants
 from soak import last_jobs
 from soak import proxies
@@ -31,6 +32,8 @@
 SHRUNKEN_CPU = 24_000
 ROUND_S = 14.0
 CHECK_INTERVAL_S = 0.5
+# Run times of the jobs whose callers declare none.
+UNDECLARED_RUN_TIMES_MS = (60, 300, 900)
 # After the last fault all daemons must be ready within this time, and then
 # complete a job.
 RECOVERY_TIMEOUT_S = 8.0
@@ -149,6 +152,12 @@
                 self._shrink_worker, self._grow_worker
             ),
             "crashing_job": faults.Kind(self._submit_crashing_job, _do_nothing),
+            "undeclared_jobs": faults.Kind(
+                self._submit_undeclared_jobs, _do_nothing
+            ),
+            "foreign_row": faults.Kind(
+                self._write_foreign_row, self._remove_foreign_row
+            ),
             "starts_lost": faults.Kind(self._lose_starts, _do_nothing),
             "starts_late": faults.Kind(self._delay_starts, _do_nothing),
             "worker_fails": self._make_worker_fault("fails_all", True, False),
@@ -192,6 +201,9 @@
             for name in DAEMON_IDS
         ]
         violations = self._find_violations()
+        violations += invariants.find_unexpected_errors(
+            {name: self.cluster.read_log(name) for name in DAEMON_IDS}
+        )
         violations += [
             f"{call.daemon_id} does not serve: {call.reply}"
             for call in last
@@ -412,6 +424,26 @@
         submission = gevent.spawn(self.cluster.submit, name, job_id, body)
         self._add_cleanup(submission.kill)
 
+    def _submit_undeclared_jobs(self, target: int) -> None:
+        """Submit jobs whose caller declares no run time."""
+        name = self._choose_daemon(target)
+        for run_ms in UNDECLARED_RUN_TIMES_MS:
+            job = json.loads(sites.build_job(tasks=1, run_ms=run_ms))
+            del job["Steps"][0]["EstimateMs"]
+            job_id = f"{self._rng.getrandbits(64):016x}"
+            body = json.dumps(job).encode()
+            submission = gevent.spawn(self.cluster.submit, name, job_id, body)
+            self._add_cleanup(submission.kill)
+
+    def _write_foreign_row(self, target: int) -> None:
+        row = foreign_rows.build(target)
+        store = self.cluster.site.store
+        store.put(rows.WORKERS_TABLE, foreign_rows.KEY, row)
+
+    def _remove_foreign_row(self, target: int) -> None:
+        store = self.cluster.site.store
+        store.remove_row(rows.WORKERS_TABLE, foreign_rows.KEY)
+
     def _lose_starts(self, target: int) -> None:
         self._find_worker(target).faults.lost_starts = 3
 
--- /dev/null
+++ b/tests/service/test_sessions.py
@@ -0,0 +1,77 @@
+"""A session goes on after unexpected errors."""
+
+import unittest
+from unittest import mock
+
+import gevent
+
+from pollenladder.core import clocks
+from pollenladder.fleet import entities as fleet
+from pollenladder.scheduling import effects
+from pollenladder.scheduling import replies
+from pollenladder.service import sessions
+from tests.scheduling import simulations
+
+WAIT_S = 1.0
+
+
+class SessionTest(unittest.TestCase):
+    """The session with a worker of a simulated region, without a network."""
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=1)
+        self.region = self.simulation.region
+        self.worker = self.region.workers["w0"]
+        self.session = sessions.Session(
+            self.region,
+            self.worker,
+            sessions.Callbacks(
+                on_event=lambda: None,
+                on_fenced=lambda worker_id: None,
+                get_lag_s=lambda: 0.0,
+            ),
+            clocks.read_monotonic_s,
+        )
+        self.session._client = self.client = mock.Mock()
+        self.addCleanup(self.session.close)
+
+    def test_polls_that_fail_at_once_do_not_spin_and_count_as_missed(self):
+        # Guards against a worker that counts as reachable but is not polled,
+        # and against a loop that takes the processor from all others.
+        self.client.poll.side_effect = ZeroDivisionError
+        with self.assertLogs(sessions.LOGGER, "ERROR"):
+            self.session.start_polling()
+            gevent.sleep(WAIT_S)
+        polls = self.client.poll.call_count
+        self.assertGreaterEqual(polls, replies.MAX_MISSED_POLLS)
+        self.assertLessEqual(polls, 1 + WAIT_S / sessions.FAILED_PAUSE_S)
+        self.assertFalse(self.worker.is_reachable)
+
+    def test_polls_go_on_once_they_work_again(self):
+        reply = fleet.PollReply(1e6, simulations.STARTED_MS, (), ())
+        self.client.poll.side_effect = [ZeroDivisionError, reply]
+        with self.assertLogs(sessions.LOGGER, "ERROR"):
+            self.session._poll_safely(is_extra=False)
+        self.session._poll_safely(is_extra=False)
+        self.assertTrue(self.worker.is_reachable)
+        self.assertEqual(self.worker.missed_polls, 0)
+
+    def test_extra_poll_that_fails_does_not_prevent_the_next_one(self):
+        self.client.poll.side_effect = ZeroDivisionError
+        with self.assertLogs(sessions.LOGGER, "ERROR"):
+            for _ in range(2):
+                self.session.poll_now()
+                gevent.sleep(2 * sessions.FAILED_PAUSE_S)
+        self.assertEqual(self.client.poll.call_count, 2)
+
+    def test_run_whose_start_fails_may_exist(self):
+        # Guards against a run that holds its resources for good, and against
+        # a second one beside it.
+        self.simulation.submit("a1", tasks=1)
+        (order,) = self.simulation.take_starts()
+        self.client.start.side_effect = OverflowError
+        with self.assertLogs(sessions.LOGGER, "ERROR"):
+            self.session._start_run_safely(order)
+        (run,) = self.worker.runs.values()
+        self.assertIs(run.state, fleet.RunState.UNCERTAIN)
+        self.assertIn(effects.LookNow("w0"), self.region.effects)
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -38,6 +38,15 @@
         self.worker.history.append(_build_run("a1.0.0.0", 1))
         self.assertIn("refused", self._find(_build_call(invariants.REFUSED))[0])
 
+    def test_no_daemon_logs_an_unexpected_error(self):
+        # Guards against faults that a daemon survives, so that nobody notices.
+        good = {"event": "started"}
+        bad = {"event": "unexpected_error", "error": "a line\nValueError: x"}
+        find = invariants.find_unexpected_errors
+        self.assertEqual(find({"d1": [good]}), [])
+        (found,) = find({"d1": [good], "d2": [bad]})
+        self.assertEqual(found, "d2: unexpected_error: ValueError: x")
+
     def test_a_completed_job_has_all_its_tasks_done(self):
         call = _build_call(200, "completed", tasks=2)
         self.worker.history.append(_build_run("a1.0.0.0", 1))
