Check the names in layouts and evacuations; tell failing loops in core

Cause: the property tests over the remaining rows of other writers found a layout with a data centre whose name is longer than a message may hold. Each daemon that read it would have sent heartbeats that its peers reject. The older daemon started its loops again, but its readiness check did not ask.

Change: names in layouts and in requests to take a data centre out of use are checked like those of workers, the number of groups of a layout is bounded, and the readiness check of pollenladder.core names loops that keep failing.

--- a/pollenladder/cluster/groups.py
+++ b/pollenladder/cluster/groups.py
@@ -20,8 +20,9 @@
 # A data centre is split only into groups of at least this many workers, as jobs
 # with many tasks need many workers.
 MIN_GROUP_WORKERS = 16
-# Most groups of one data centre.
+# Most groups of one data centre, and of all.
 MAX_PARTS = 1024
+MAX_GROUPS = 16 * MAX_PARTS
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pollenladder/core/daemon.py
+++ b/pollenladder/core/daemon.py
@@ -61,6 +61,7 @@
         self._draining = event.Event()
         self._incarnation = time.time_ns() // 1_000_000
         self._metrics = registry.Metrics()
+        self._supervisor = loops.Supervisor()
         self._shard_directory = directory.Directory()
         self._regions = regions.Regions(
             {n: c.region for n, c in settings.data_centres.items()},
@@ -239,6 +240,7 @@
             self._engine,
             self._mesh,
             self._draining.is_set,
+            self._supervisor.list_failing,
             self._clock,
         )
 
@@ -257,7 +259,6 @@
                 body_s=own.limits.body_timeout_s,
             ),
         )
-        supervisor = loops.Supervisor()
         for name, loop in (
             ("engine", self._engine.run),
             ("leases", self._lease_manager.run),
@@ -268,7 +269,7 @@
             ("instrumentation", self._run_instrumentation),
             ("lag", lambda: lag.measure_event_loop_lag(self._metrics)),
         ):
-            supervisor.spawn(name, loop)
+            self._supervisor.spawn(name, loop)
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self._stop_requested.set)
         LOGGER.info("serving on %s:%d", own.address, own.http_port)
--- a/pollenladder/core/gateway_backend.py
+++ b/pollenladder/core/gateway_backend.py
@@ -25,13 +25,26 @@
         engine: engines.Engine,
         mesh: meshes.Mesh,
         is_draining: Callable[[], bool],
+        list_failing_loops: Callable[[], list[str]],
         clock: clocks.Clock,
     ):
+        """Use the daemon's components.
+
+        Args:
+            own: The daemon's settings.
+            incarnation: A number that grows with each start of the daemon.
+            engine: The engine.
+            mesh: The other daemons.
+            is_draining: Returns whether the daemon accepts no more jobs.
+            list_failing_loops: Returns the names of the loops that keep failing.
+            clock: Monotonic time in seconds.
+        """
         self._own = own
         self._incarnation = incarnation
         self._engine = engine
         self._mesh = mesh
         self._is_draining = is_draining
+        self._list_failing_loops = list_failing_loops
         self._clock = clock
         self._jobs_issued = 0
 
@@ -66,6 +79,8 @@
             return "no declarations yet"
         if not self._engine.shard_directory.entries:
             return "no owner of a shard is known"
+        if failing := self._list_failing_loops():
+            return f"failing: {', '.join(failing)}"
         return None
 
     def describe_status(self) -> dict[str, Any]:
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -17,8 +17,6 @@
 # Followed by the name of a data centre that is taken out of use.
 _EVACUATION_PREFIX = "evacuate/"
 EVACUATION_VALUE = b"{}"
-# Bounds the heartbeats, which contain the names of evacuated data centres.
-MAX_DATA_CENTRE_CHARS = 200
 WORKERS_TABLE = "servers"
 # Written by the daemons, one row each.
 DAEMONS_TABLE = "daemons"
@@ -111,10 +109,11 @@
     """
     if not key.startswith(_EVACUATION_PREFIX):
         return None
-    name = key.removeprefix(_EVACUATION_PREFIX)
-    if not 0 < len(name) <= MAX_DATA_CENTRE_CHARS:
-        raise exceptions.BadDocumentError("not the name of a data centre")
-    return name
+    try:
+        return names.check_name(key.removeprefix(_EVACUATION_PREFIX))
+    except ValueError as error:
+        text = f"not the name of a data centre: {error}"
+        raise exceptions.BadDocumentError(text) from error
 
 
 def encode_evacuation_key(data_centre: str) -> str:
@@ -227,10 +226,14 @@
     """
     try:
         layout = _LAYOUT_DECODER.decode(source)
-    except messages.DECODE_ERRORS as error:
+        for data_centre in layout.parts:
+            names.check_name(data_centre)
+    except (*messages.DECODE_ERRORS, ValueError) as error:
         raise exceptions.BadDocumentError(str(error)) from error
     if not 1 <= layout.version <= messages.MAX_INTEGER:
         raise exceptions.BadDocumentError("the version is out of range")
     if not all(1 <= n <= groups.MAX_PARTS for n in layout.parts.values()):
         raise exceptions.BadDocumentError("a number of groups out of range")
+    if sum(layout.parts.values()) > groups.MAX_GROUPS:
+        raise exceptions.BadDocumentError("too many groups")
     return layout
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -151,9 +151,11 @@
             {"version": 10**30},
             {"version": 1, "parts": {"norte": 0}},
             {"version": 1, "parts": {"norte": 10**9}},
+            {"version": 1, "parts": {f"z{n}": 1000 for n in range(20)}},
+            {"version": 1, "parts": {5000 * "n": 1}},
         ):
             with (
-                self.subTest(layout=layout),
+                self.subTest(layout=str(layout)[:80]),
                 self.assertRaises(exceptions.BadDocumentError),
             ):
                 rows.decode_layout(json.dumps(layout).encode())
--- a/tests/service/test_arbitrary_values.py
+++ b/tests/service/test_arbitrary_values.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import math
+import socket
 import unittest
 
 import hypothesis
@@ -18,6 +19,7 @@
 from pollenladder.cluster import groups
 from pollenladder.cluster import messages
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import evacuations
 from pollenladder.http import responses
 from pollenladder.jobs import entities as jobs
 from pollenladder.platform import callers
@@ -31,6 +33,7 @@
 from pollenladder.scheduling import sharing
 from pollenladder.service import application
 from pollenladder.service import gateway as gateways
+from pollenladder.wire import handshake
 from tests.cluster import samples
 from tests.scheduling import simulations
 
@@ -323,6 +326,77 @@
         worker.lease_until_s = now + worker.clock_ahead_s + 1.0
         simulation._collect()
 
+    @SETTINGS
+    @hypothesis.given(
+        change_fields(
+            {
+                "daemon_id": "d",
+                "address": "10.0.0.1",
+                "port": 80,
+                "data_centre": "norte",
+                "incarnation": 1,
+            },
+            {
+                "daemon_id": TEXTS,
+                "address": TEXTS,
+                "port": draw_mostly(st.integers(-1, 70_000)),
+                "data_centre": TEXTS,
+                "incarnation": draw_mostly(st.integers(0, 2**60)),
+            },
+        )
+    )
+    def test_any_row_of_a_daemon(self, source: bytes):
+        try:
+            member = rows.decode_member(source)
+        except exceptions.BadDocumentError:
+            return
+        socket.inet_aton(member.address)
+        self.assertIn(member.port, range(1, 65_536))
+        hello = handshake.Hello(
+            member.daemon_id,
+            member.incarnation,
+            member.data_centre,
+            member.address,
+            member.port,
+            0,
+        )
+        packed = handshake._pack_hello(hello)
+        self.assertLess(len(packed), handshake.MAX_HANDSHAKE_BYTES / 2)
+        self.assertEqual(handshake._unpack_hello(packed), hello)
+
+    @SETTINGS
+    @hypothesis.given(
+        change_fields(
+            {"version": 1},
+            {
+                "version": draw_mostly(st.integers(0, 2**60)),
+                "parts": st.dictionaries(
+                    st.one_of(st.just("norte"), TEXTS),
+                    draw_mostly(st.integers(0, 2000)),
+                    max_size=3,
+                ),
+            },
+        )
+    )
+    def test_any_row_with_a_layout(self, source: bytes):
+        try:
+            layout = rows.decode_layout(source)
+        except exceptions.BadDocumentError:
+            return
+        self._send(messages.PushLayout(layout))
+        for name in groups.list_groups(layout)[:3]:
+            self._send(samples.build_heartbeat(group=name))
+
+    @SETTINGS
+    @hypothesis.given(TEXTS)
+    def test_any_row_that_takes_a_data_centre_out_of_use(self, name: str):
+        try:
+            found = rows.decode_evacuation(f"evacuate/{name}")
+        except exceptions.BadDocumentError:
+            return
+        evacuated = evacuations.EvacuatedSet(1, (found,))
+        self._send(samples.build_heartbeat(evacuated=evacuated))
+
     @SETTINGS
     @hypothesis.given(
         change_fields(
