--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -97,16 +97,24 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Cancel:
-    """A gateway cancels a job: its caller disconnected or cancelled it."""
+class CancelAttempt:
+    """A gateway cancels an attempt: its caller has left, or its time is over."""
 
     job_id: str
+    attempt: int
     reason: jobs.Reason
 
 
+@dataclasses.dataclass(frozen=True)
+class CancelJob:
+    """A caller has cancelled a job, for all of its attempts."""
+
+    job_id: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Answered:
-    """The owner's final answer for a job."""
+    """The owner's final answer for an attempt of a job."""
 
     answer: jobs.Answer
 
@@ -116,6 +124,7 @@
     """An owner tells a gateway that workers were lost under tasks of a job."""
 
     job_id: str
+    attempt: int
     crashes: tuple[jobs.TaskCrashes, ...]
 
 
@@ -127,14 +136,16 @@
     """
 
     job_id: str
+    attempt: int
 
 
 @dataclasses.dataclass(frozen=True)
 class Release:
-    """A job that a group has refused does not run in any other group either."""
+    """An attempt that a group has refused does not run in another group either."""
 
     group: str
     job_id: str
+    attempt: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -174,20 +185,21 @@
     layout: groups.Layout
 
 
-# Wire tags. Never reuse a tag for another message; 1, 2, 8, 9 and 13 to 15 are
+# Wire tags. Never reuse a tag for another message; 1 to 5, 8, 9 and 12 to 17 are
 # retired.
 TAGS = (
-    (3, Cancel),
-    (4, Answered),
-    (5, NotOwner),
     (6, RequestConfiguration),
     (7, PushConfiguration),
     (10, RequestLayout),
     (11, PushLayout),
-    (12, Release),
-    (16, Submit),
-    (17, TasksCrashed),
     (18, Heartbeat),
+    (19, Submit),
+    (20, CancelAttempt),
+    (21, Answered),
+    (22, TasksCrashed),
+    (23, NotOwner),
+    (24, Release),
+    (25, CancelJob),
 )
 
 
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -167,6 +167,8 @@
         may_be_late: Whether no other group can serve the job in time, so that it
             may be served late.
         crashes: What earlier owners know of crashes under the job's tasks.
+        attempt: Number of the attempt; see `Answer`. It is 0 until a gateway has
+            accepted the job.
     """
 
     job_id: str
@@ -190,6 +192,7 @@
     allowed_regions: tuple[str, ...] = ()
     may_be_late: bool = False
     crashes: tuple[TaskCrashes, ...] = ()
+    attempt: int = 0
 
 
 class Outcome(enum.Enum):
@@ -256,10 +259,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Answer:
-    """The final answer to a job.
+    """The final answer to one attempt of a job.
+
+    A caller whose connection breaks submits its job again, through any gateway. An
+    attempt is what one gateway has accepted and not answered yet. Several requests
+    to the same gateway share it.
 
     Attributes:
         job_id: The job's id.
+        attempt: Random number that the gateway has given to the attempt.
         outcome: The result; REFUSED guarantees that no task has begun.
         reason: Reason for the outcome.
         retry_after_s: Time in seconds until capacity is expected to be free, if
@@ -267,6 +275,7 @@
     """
 
     job_id: str
+    attempt: int
     outcome: Outcome
     reason: Reason
     retry_after_s: float = 0.0
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -2,7 +2,8 @@
 
 A field has the same name in all events. A suffix gives its unit: `_s` for
 seconds, `_ms` for milliseconds. `job`, `task`, `run` and `worker` hold the ids
-and numbers that callers and workers use. `peer`, `owner`, `gateway` and
+and numbers that callers and workers use. `attempt` is the random number that a
+gateway gives to what it has accepted and not answered yet. `peer`, `owner`, `gateway` and
 `sender` hold ids of daemons.
 """
 
@@ -411,6 +412,7 @@
             "wait_s",
             "latest_start_s",
             "jobs",
+            "attempt",
         ),
     ),
     Event(
@@ -456,7 +458,7 @@
         "job_rejoined",
         Kind.JOB,
         "the job was submitted again while in progress",
-        ("job", "gateway"),
+        ("job", "attempt", "gateway", "attempts"),
     ),
     Event(
         "tasks_held_back",
@@ -468,19 +470,19 @@
         "job_handed_on_again",
         Kind.JOB,
         "the gateway forwards the job again",
-        ("job", "owner", "age_s"),
+        ("job", "attempt", "owner", "age_s"),
     ),
     Event(
         "job_runs_elsewhere",
         Kind.JOB,
         "a job that another group may run was submitted again",
-        ("job", "gateway"),
+        ("job", "attempt", "gateway"),
     ),
     Event(
         "job_sent_to_another_group",
         Kind.JOB,
         "a group has refused the job, and another one is asked",
-        ("job", "group", "before", "reason"),
+        ("job", "attempt", "group", "before", "reason"),
     ),
     Event(
         "job_ended",
@@ -501,37 +503,62 @@
             "owner",
             "took_s",
             "retry_after_s",
+            "attempt",
         ),
     ),
     Event(
         "answer_repeated",
         Kind.JOB,
         "the job was submitted again after its end",
-        ("job", "gateway"),
+        ("job", "attempt", "gateway"),
+    ),
+    Event(
+        "attempt_removed",
+        Kind.JOB,
+        "an attempt waits for the job no longer; `left` others do",
+        ("job", "attempt", "gateway", "reason", "left"),
     ),
     Event(
         "cancel_ignored",
         Kind.JOB,
-        "a gateway cancelled a job that another gateway now serves",
-        ("job", "gateway"),
+        "a gateway cancelled an attempt that no owner here knows",
+        ("job", "attempt", "gateway", "reason"),
+    ),
+    Event(
+        "cancel_not_sent",
+        Kind.JOB,
+        "the owner can't be told that the attempt was cancelled",
+        ("job", "attempt", "owner", "reason"),
     ),
     Event(
         "answer_not_sent",
         Kind.JOB,
-        "there is no link to the job's gateway",
-        ("job", "peer"),
+        "there is no link to the attempt's gateway",
+        ("job", "attempt", "outcome", "peer"),
     ),
     Event(
         "answer_without_caller",
         Kind.JOB,
         "no caller waits for the job here any more",
-        ("job", "outcome"),
+        ("job", "attempt", "outcome", "sender"),
+    ),
+    Event(
+        "answer_for_another_attempt",
+        Kind.JOB,
+        "an answer for an attempt before the one that is open here",
+        ("job", "attempt", "open_attempt", "outcome", "reason", "sender"),
+    ),
+    Event(
+        "rejection_ignored",
+        Kind.JOB,
+        "a daemon that does not own the group rejects what is not open at it",
+        ("job", "attempt", "sender"),
     ),
     Event(
         "refusal_ignored",
         Kind.JOB,
         "a refusal from an earlier owner, or of a job forwarded more than once",
-        ("job", "sender", "owner", "times_handed_on"),
+        ("job", "attempt", "sender", "owner", "times_handed_on"),
     ),
 )
 
--- a/pollenladder/platform/callers.py
+++ b/pollenladder/platform/callers.py
@@ -1,6 +1,7 @@
 """Request and response bodies of callers, in the platform's format."""
 
 import dataclasses
+import enum
 import math
 
 import msgspec
@@ -37,6 +38,14 @@
     estimate_s: float
 
 
+class JobState(enum.Enum):
+    """State of a job, in the response to a request that asks for it or cancels it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    CANCELLED = "cancelled"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
     """An HTTP response to a caller.
@@ -143,6 +152,6 @@
     return Reply(200, msgspec.json.encode({"Pending": count}))
 
 
-def encode_state(state: str) -> Reply:
-    """Return the response with a job's state."""
-    return Reply(200, msgspec.json.encode({"State": state}))
+def encode_state(state: JobState) -> Reply:
+    """Return the response with a job's state, to a request that submits nothing."""
+    return Reply(200, msgspec.json.encode({"State": state.value}))
--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -188,12 +188,13 @@
 def _report(region: tables.Region, lost: list[Loss]) -> None:
     """Tell the gateways, so that the next owner knows of the crashes."""
     affected = {loss.job.submission.job_id: loss.job for loss in lost}
-    for job in affected.values():
-        region.effects.append(
-            effects.ReportCrashes(
-                job.gateway_id, job.submission.job_id, list_crashes(job)
+    for job_id, job in affected.items():
+        found = list_crashes(job)
+        for attempt in job.attempts.values():
+            report = effects.ReportCrashes(
+                attempt.gateway_id, job_id, attempt.number, found
             )
-        )
+            region.effects.append(report)
 
 
 def list_crashes(job: tables.Job) -> tuple[jobs.TaskCrashes, ...]:
--- a/pollenladder/scheduling/effects.py
+++ b/pollenladder/scheduling/effects.py
@@ -37,7 +37,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerJob:
-    """Send the final answer of a job to its gateway."""
+    """Send the final answer of an attempt to its gateway."""
 
     gateway_id: str
     answer: jobs.Answer
@@ -49,6 +49,7 @@
 
     gateway_id: str
     job_id: str
+    attempt: int
     crashes: tuple[jobs.TaskCrashes, ...]
 
 
@@ -112,7 +113,7 @@
         EXPIRY: Which jobs and answers are out of time.
         EVACUATION: Which jobs can't be served because of an evacuation.
         DISPLACEMENT: Which waiting jobs can no longer be in time.
-        LOST_GATEWAYS: Which jobs have lost their gateway.
+        LOST_GATEWAYS: Which attempts have lost their gateway.
         WORKER_CHECK: Which leases have expired, and which stops are repeated.
         ORPHAN_ENDS: Which ends of unknown runs are forgotten.
         FAILED_JOBS: How jobs end whose placement has failed.
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -11,6 +11,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.jobs import estimates
 from pollenladder.scheduling import arrivals
+from pollenladder.scheduling import attempts
 from pollenladder.scheduling import candidates
 from pollenladder.scheduling import deferral
 from pollenladder.scheduling import effects
@@ -32,38 +33,61 @@
     gateway_id: str,
     now: float,
 ) -> None:
-    """Admit or refuse a job.
+    """Admit or refuse a job, or add an attempt to a job that is known.
 
-    A job that is already known is assigned to the new gateway, or answered
-    again if it has ended recently.
+    Args:
+        region: The region.
+        submission: The job.
+        gateway_id: The daemon that has forwarded it.
+        now: Monotonic time in seconds.
+    """
+    attempt = attempts.Attempt(
+        submission.attempt, gateway_id, submission.first_run
+    )
+    known = region.jobs.get(submission.job_id)
+    if known is None:
+        admit(region, submission, {attempt.number: attempt}, now)
+    else:
+        _join(region, known, submission, attempt, now)
+
+
+def _join(
+    region: tables.Region,
+    job: tables.Job,
+    submission: jobs.Submission,
+    attempt: attempts.Attempt,
+    now: float,
+) -> None:
+    """Add or confirm an attempt of a job in progress."""
+    previous = job.attempts.get(attempt.number)
+    job.attempts = {attempt.number: attempt}
+    if submission.may_have_begun:
+        runs.record_rejoined(region, job, submission, previous, now)
+        # It can no longer be refused as not run.
+        job.is_deferred = False
+    region.log_event(
+        "job_rejoined",
+        job=submission.job_id,
+        attempt=attempt.number,
+        gateway=attempt.gateway_id,
+        attempts=len(job.attempts),
+    )
+
+
+def admit(
+    region: tables.Region,
+    submission: jobs.Submission,
+    waiting: dict[int, attempts.Attempt],
+    now: float,
+) -> None:
+    """Admit or refuse a job that is not in progress.
+
+    The attempts are answered like earlier ones if the job has ended recently.
     """
     job_id = submission.job_id
-    known = region.jobs.get(job_id)
-    if known is not None:
-        is_same_gateway = known.gateway_id == gateway_id
-        known.gateway_id = gateway_id
-        if submission.may_have_begun:
-            runs.record_rejoined(
-                region, known, submission, is_same_gateway, now
-            )
-            # It can no longer be refused as not run.
-            known.is_deferred = False
-        region.log_event("job_rejoined", job=job_id, gateway=gateway_id)
-        return
-    answered = region.answered.get(job_id)
-    if answered is not None:
-        region.effects.append(effects.AnswerJob(gateway_id, answered[0]))
-        region.log_event("answer_repeated", job=job_id, gateway=gateway_id)
-        return
-    job = _build_job(region, submission, gateway_id, now)
-    if now < region.refused_until.get(job_id, 0.0):
-        # Submitted again while another group may run it.
-        answer = jobs.Answer(
-            job_id, jobs.Outcome.GIVEN_UP, jobs.Reason.OWNER_LOST
-        )
-        region.effects.append(effects.AnswerJob(gateway_id, answer))
-        region.log_event("job_runs_elsewhere", job=job_id, gateway=gateway_id)
+    if _answer_without_run(region, submission, waiting, now):
         return
+    job = _build_job(region, submission, waiting, now)
     reason = find_permanent_obstacle(region, job)
     if reason is not None:
         _refuse(region, job, reason, job_ends.MAX_RETRY_AFTER_S)
@@ -90,6 +114,7 @@
         wait_s=round(decision.wait_s, 4),
         latest_start_s=round(job.latest_start_at - now, 4),
         jobs=len(region.jobs),
+        attempt=submission.attempt,
     )
     if submission.may_have_begun or runs.has_runs(region, job_id):
         _adopt_runs(region, job, now)
@@ -97,18 +122,78 @@
     placement.place(region, now)
 
 
-def cancel(
+def _answer_without_run(
+    region: tables.Region,
+    submission: jobs.Submission,
+    waiting: dict[int, attempts.Attempt],
+    now: float,
+) -> bool:
+    """Answer a job that must not start here; return whether it was answered."""
+    job_id = submission.job_id
+    end = region.recent_ends.get(job_id)
+    refusal = region.refusals.get(job_id)
+    if end is not None:
+        outcome, reason = end.outcome, end.reason
+        _log_repeated(region, job_id, waiting)
+    elif refusal is not None and now < refusal.until:
+        # Submitted again while another group may run it.
+        outcome, reason = jobs.Outcome.GIVEN_UP, jobs.Reason.OWNER_LOST
+        _log_running_elsewhere(region, job_id, waiting)
+    else:
+        return False
+    job_ends.answer_attempts(region, job_id, waiting, outcome, reason)
+    return True
+
+
+def _log_repeated(
+    region: tables.Region, job_id: str, waiting: dict[int, attempts.Attempt]
+) -> None:
+    for attempt in waiting.values():
+        region.log_event(
+            "answer_repeated",
+            job=job_id,
+            attempt=attempt.number,
+            gateway=attempt.gateway_id,
+        )
+
+
+def _log_running_elsewhere(
+    region: tables.Region, job_id: str, waiting: dict[int, attempts.Attempt]
+) -> None:
+    for attempt in waiting.values():
+        region.log_event(
+            "job_runs_elsewhere",
+            job=job_id,
+            attempt=attempt.number,
+            gateway=attempt.gateway_id,
+        )
+
+
+def cancel_attempt(
     region: tables.Region,
     job_id: str,
+    number: int,
     reason: jobs.Reason,
-    gateway_id: str,
     now: float,
 ) -> bool:
-    """Cancel a job.
+    """Cancel an attempt whose caller has left or waits no longer.
 
-    If the caller has only disconnected, the cancellation is ignored unless it
-    comes from the job's current gateway. The caller may have reconnected
-    through another one.
+    Other attempts go on waiting, as the caller may have reconnected through
+    another gateway.
+
+    Returns:
+        Whether the attempt is known.
+    """
+    job = region.jobs.get(job_id)
+    attempt = job.attempts.get(number) if job else None
+    if attempt is None:
+        return False
+    job_ends.remove_attempt(region, job, attempt, reason, now)
+    return True
+
+
+def cancel_job(region: tables.Region, job_id: str, now: float) -> bool:
+    """Cancel a job for all attempts, as its caller has requested.
 
     Returns:
         Whether the job is known.
@@ -116,18 +201,15 @@
     job = region.jobs.get(job_id)
     if job is None:
         return False
-    is_request = reason is jobs.Reason.CALLER_CANCELLED
-    if not is_request and job.gateway_id != gateway_id:
-        region.log_event("cancel_ignored", job=job_id, gateway=gateway_id)
-        return True
-    job_ends.end_job(region, job, jobs.Outcome.CANCELLED, reason, now)
+    outcome, reason = jobs.Outcome.CANCELLED, jobs.Reason.CALLER_CANCELLED
+    job_ends.end_job(region, job, outcome, reason, now)
     return True
 
 
 def _build_job(
     region: tables.Region,
     submission: jobs.Submission,
-    gateway_id: str,
+    waiting: dict[int, attempts.Attempt],
     now: float,
 ) -> tables.Job:
     expected_s = estimates.predict_run_s(
@@ -139,7 +221,7 @@
     objective_at = submitted_at + allowed_s
     return tables.Job(
         submission=submission,
-        gateway_id=gateway_id,
+        attempts=waiting,
         resources=_get_resources(submission),
         tasks=_build_tasks(submission),
         has_lost_workers=bool(submission.crashes),
@@ -243,10 +325,14 @@
     # another group could start the task a second time beside it.
     if submission.may_have_begun or runs.has_runs(region, submission.job_id):
         outcome = jobs.Outcome.GIVEN_UP
-    answer = jobs.Answer(
-        submission.job_id, outcome, reason, job_ends.bound_retry_after(wait_s)
+    job_ends.answer_attempts(
+        region,
+        submission.job_id,
+        job.attempts,
+        outcome,
+        reason,
+        job_ends.bound_retry_after(wait_s),
     )
-    region.effects.append(effects.AnswerJob(job.gateway_id, answer))
     if outcome is jobs.Outcome.REFUSED:
         job_ends.record_refusal(region, job)
     region.log_event(
--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -4,10 +4,12 @@
 that no owner may have begun.
 """
 
+from collections.abc import Mapping
 import math
 
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import admission
+from pollenladder.scheduling import attempts
 from pollenladder.scheduling import delays
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import isolation
@@ -26,14 +28,14 @@
         if now >= job.deadline_at:
             outcome = jobs.Outcome.GIVEN_UP
             end_job(region, job, outcome, jobs.Reason.DEADLINE, now)
-    for job_id, until in list(region.refused_until.items()):
-        if now >= until:
-            del region.refused_until[job_id]
+    for job_id, refusal in list(region.refusals.items()):
+        if now >= refusal.until:
+            del region.refusals[job_id]
     oldest = now - ANSWER_RETENTION_S
-    for job_id, (_, at) in list(region.answered.items()):
-        if at > oldest:
+    for job_id, end in list(region.recent_ends.items()):
+        if end.ended_at > oldest:
             break
-        del region.answered[job_id]
+        del region.recent_ends[job_id]
 
 
 def answer_failed(
@@ -53,7 +55,11 @@
     if submission.may_have_begun or runs.has_runs(region, job_id):
         outcome = jobs.Outcome.GIVEN_UP
     answer = jobs.Answer(
-        job_id, outcome, jobs.Reason.INTERNAL_ERROR, MAX_RETRY_AFTER_S
+        job_id,
+        submission.attempt,
+        outcome,
+        jobs.Reason.INTERNAL_ERROR,
+        MAX_RETRY_AFTER_S,
     )
     region.effects.append(effects.AnswerJob(gateway_id, answer))
 
@@ -83,20 +89,18 @@
     now: float,
     retry_after_s: float = 0.0,
 ) -> None:
-    """Remove a job, answer it, and stop its remaining runs."""
+    """Remove a job, answer its attempts, and stop its remaining runs."""
     job_id = job.submission.job_id
     isolation.cancel(region, job)
     region.jobs.pop(job_id, None)
     region.waiting.discard(job_id)
-    answer = jobs.Answer(job_id, outcome, reason, retry_after_s)
     if job.had_to_wait:
         _record_wait(region, job, outcome)
-    if _is_repeatable(answer):
-        region.answered[job_id] = (answer, now)
-    # A lost gateway receives the answer of the owner that it forwarded the job
-    # to, which this answer would contradict.
-    if reason is not jobs.Reason.GATEWAY_LOST:
-        region.effects.append(effects.AnswerJob(job.gateway_id, answer))
+    if _is_repeatable(outcome, reason):
+        region.recent_ends[job_id] = tables.RecentEnd(outcome, reason, now)
+    answer_attempts(
+        region, job_id, job.attempts, outcome, reason, retry_after_s
+    )
     region.log_event(
         "job_ended",
         job=job_id,
@@ -111,6 +115,50 @@
             runs.abandon(region, job, task, now)
 
 
+def answer_attempts(
+    region: tables.Region,
+    job_id: str,
+    waiting: Mapping[int, attempts.Attempt],
+    outcome: jobs.Outcome,
+    reason: jobs.Reason,
+    retry_after_s: float = 0.0,
+) -> None:
+    """Answer all attempts that wait for a job.
+
+    Only the newest attempt is refused, and the others are given up. A gateway may
+    start a refused job in another group, and two gateways would start it twice.
+    """
+    for number, attempt in waiting.items():
+        given = outcome
+        answer = jobs.Answer(job_id, number, given, reason, retry_after_s)
+        region.effects.append(effects.AnswerJob(attempt.gateway_id, answer))
+
+
+def remove_attempt(
+    region: tables.Region,
+    job: tables.Job,
+    attempt: attempts.Attempt,
+    reason: jobs.Reason,
+    now: float,
+) -> None:
+    """Remove an attempt that no longer waits; end the job if none is left.
+
+    The attempt gets no answer. Its gateway has answered it, or has forwarded it to
+    another owner, whose answer another one could contradict.
+    """
+    del job.attempts[attempt.number]
+    region.log_event(
+        "attempt_removed",
+        job=job.submission.job_id,
+        attempt=attempt.number,
+        gateway=attempt.gateway_id,
+        reason=reason.value,
+        left=len(job.attempts),
+    )
+    if not job.attempts:
+        end_job(region, job, jobs.Outcome.CANCELLED, reason, now)
+
+
 def _record_wait(
     region: tables.Region, job: tables.Job, outcome: jobs.Outcome
 ) -> None:
@@ -124,20 +172,20 @@
         admission.record_in_time(region.admission)
 
 
-def _is_repeatable(answer: jobs.Answer) -> bool:
-    """Return whether an answer is repeated if its job is submitted again.
+def _is_repeatable(outcome: jobs.Outcome, reason: jobs.Reason) -> bool:
+    """Return whether later attempts of a job are answered like the ones before.
 
     A job that was given up because of crashes is not started again.
 
     A caller that lost its connection has not cancelled its job. If it returns,
     the job starts again.
     """
-    if answer.reason in (
+    if reason in (
         jobs.Reason.CALLER_CANCELLED,
         jobs.Reason.TASK_CRASHED_WORKERS,
     ):
         return True
-    return answer.outcome in (jobs.Outcome.COMPLETED, jobs.Outcome.FAILED)
+    return outcome in (jobs.Outcome.COMPLETED, jobs.Outcome.FAILED)
 
 
 def finish_if_complete(
@@ -152,12 +200,26 @@
 
 
 def record_refusal(region: tables.Region, job: tables.Job) -> None:
-    """Record that a job that is refused here may run in another group."""
+    """Record that a job that is refused here may run in another group.
+
+    The newest attempt is the one that `answer_attempts` refuses.
+    """
     # Without workers of the service here, other groups have them.
     if region.service_shares.get(job.submission.service, 0.0) < 1.0:
         lease_s = region.max_lease_s * (1 + runs.MAX_CLOCK_DRIFT)
         until = job.deadline_at + lease_s
-        region.refused_until[job.submission.job_id] = until
+        refusal = tables.Refusal(list(job.attempts)[-1], until)
+        region.refusals[job.submission.job_id] = refusal
+
+
+def release_refusal(region: tables.Region, job_id: str, attempt: int) -> None:
+    """Forget that a refused job may run in another group.
+
+    Only the gateway of the refused attempt knows that it does not.
+    """
+    refusal = region.refusals.get(job_id)
+    if refusal is not None:
+        del region.refusals[job_id]
 
 
 def bound_retry_after(wait_s: float) -> float:
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -1,4 +1,4 @@
-"""Periodic work of the owner, and changes of its workers and gateways."""
+"""Periodic work of the owner, and changes of its workers."""
 
 from collections.abc import Iterable
 
@@ -8,6 +8,7 @@
 from pollenladder.scheduling import displacement
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import evacuation
+from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
@@ -15,10 +16,6 @@
 from pollenladder.scheduling import worker_losses
 
 ORPHAN_END_RETENTION_S = 3.0
-# A gateway behind a network partition forwards its jobs to another owner, which
-# starts them again once a lease has expired. Their runs here must be over by
-# then.
-GATEWAY_GRACE_S = 0.5
 
 
 def step(region: tables.Region, now: float) -> None:
@@ -54,34 +51,6 @@
         region.remove_worker(worker.listing.worker_id)
 
 
-def mark_gateway_lost(
-    region: tables.Region, gateway_id: str, now: float
-) -> None:
-    """Record that the link to a gateway has ended."""
-    region.lost_gateways[gateway_id] = now
-
-
-def mark_gateway_connected(region: tables.Region, gateway_id: str) -> None:
-    """Record that the link to a gateway is up again."""
-    region.lost_gateways.pop(gateway_id, None)
-
-
-def _cancel_jobs_of_lost_gateways(region: tables.Region, now: float) -> None:
-    """Cancel jobs whose gateways may have forwarded them to another owner."""
-    lost = {
-        gateway_id
-        for gateway_id, at in region.lost_gateways.items()
-        if now > at + GATEWAY_GRACE_S
-    }
-    if not lost:
-        return
-    for job in list(region.jobs.values()):
-        if job.gateway_id in lost:
-            outcome = jobs.Outcome.CANCELLED
-            reason = jobs.Reason.GATEWAY_LOST
-            job_ends.end_job(region, job, outcome, reason, now)
-
-
 def update_workers(
     region: tables.Region,
     listings: Iterable[fleet.Listing],
@@ -230,7 +199,7 @@
     (effects.Decision.EXPIRY, job_ends.expire),
     (effects.Decision.EVACUATION, evacuation.end_unservable_jobs),
     (effects.Decision.DISPLACEMENT, displacement.remove_late_jobs),
-    (effects.Decision.LOST_GATEWAYS, _cancel_jobs_of_lost_gateways),
+    (effects.Decision.LOST_GATEWAYS, gateway_links.remove_unconfirmed),
     (effects.Decision.WORKER_CHECK, _check_workers),
     (effects.Decision.ORPHAN_ENDS, _delete_old_orphan_ends),
 )
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -40,9 +40,9 @@
         moved_workers_until=region.moved_workers_until,
         list_history=region.list_history,
         service_shares=region.service_shares,
-        refused_until=region.refused_until,
-        lost_gateways=dict(region.lost_gateways),
-        answered=dict(region.answered),
+        refusals=region.refusals,
+        confirmations_due=dict(region.confirmations_due),
+        recent_ends=dict(region.recent_ends),
         estimates=region.estimates,
         admission=region.admission,
         evacuations=region.evacuations,
@@ -72,7 +72,7 @@
 def _resubmit(region: tables.Region, job: tables.Job, now: float) -> None:
     """Submit a job again, keeping its completed tasks.
 
-    Completed tasks are recorded as orphan ends, from which `intake.submit`
+    Completed tasks are recorded as orphan ends, from which `intake.admit`
     marks them as done.
     """
     job_id = job.submission.job_id
@@ -89,4 +89,4 @@
         first_run=max(task.next_run for task in job.tasks),
         crashes=crashes.list_crashes(job),
     )
-    intake.submit(region, submission, job.gateway_id, now)
+    intake.admit(region, submission, job.attempts, now)
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -10,6 +10,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import attempts
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import tables
 
@@ -97,13 +98,20 @@
     region: tables.Region,
     job: tables.Job,
     submission: jobs.Submission,
-    is_same_gateway: bool,
+    previous: attempts.Attempt | None,
     now: float,
 ) -> None:
     """Record that a job in progress was forwarded to this owner again.
 
-    If its gateway has forwarded it more than once since, or another gateway has
-    forwarded it, another owner may have started tasks that wait here.
+    If the attempt was forwarded more than once since, or another attempt is
+    forwarded, another owner may have started tasks that wait here.
+
+    Args:
+        region: The region.
+        job: The job.
+        submission: The job as it was forwarded again.
+        previous: The attempt as it was forwarded before, or None.
+        now: Monotonic time in seconds.
     """
     before = job.submission
     job.submission = dataclasses.replace(
@@ -111,11 +119,12 @@
         may_have_begun=True,
         may_run_elsewhere=before.may_run_elsewhere
         or submission.may_run_elsewhere,
-        first_run=submission.first_run,
+        first_run=max(before.first_run, submission.first_run),
     )
-    next_first_run = before.first_run + jobs.RUN_NUMBERS_PER_FORWARD
-    if is_same_gateway and submission.first_run == next_first_run:
-        return
+    if previous is not None:
+        next_first_run = previous.first_run + jobs.RUN_NUMBERS_PER_FORWARD
+        if submission.first_run == next_first_run:
+            return
     job.list_needed_at = now
     for task in job.tasks:
         task.next_run = max(task.next_run, submission.first_run)
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -13,6 +13,7 @@
 from pollenladder.jobs import entities as job_entities
 from pollenladder.jobs import estimates as run_estimates
 from pollenladder.scheduling import admission as job_admission
+from pollenladder.scheduling import attempts as job_attempts
 from pollenladder.scheduling import crash_records
 from pollenladder.scheduling import effects as owner_effects
 from pollenladder.scheduling import features as optional_features
@@ -87,7 +88,7 @@
 
     Attributes:
         submission: The job as it was submitted.
-        gateway_id: The daemon to which the answer is sent.
+        attempts: The attempts that wait for the job, by number, the newest last.
         resources: Resources that each task needs.
         tasks: The job's tasks.
         expected_s: Expected run time of a task, in seconds; more than 0.
@@ -96,7 +97,7 @@
             `expected_s` is right.
         latest_start_at: When the last task must start for the job to be in
             time.
-        deadline_at: When the caller stops waiting.
+        deadline_at: When the last attempt's caller stops waiting.
         has_begun: Whether any task has been started.
         had_to_wait: Whether capacity for some task was lacking on arrival.
         list_needed_at: A task starts before its `not_before` only if the list
@@ -117,7 +118,7 @@
     """
 
     submission: job_entities.Submission
-    gateway_id: str
+    attempts: dict[int, job_attempts.Attempt]
     resources: job_entities.Resources
     tasks: list[Task]
     expected_s: float
@@ -145,6 +146,34 @@
         return all(t.state is TaskState.DONE for t in self.tasks)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecentEnd:
+    """How a job has ended, in answer to attempts that come later.
+
+    Attributes:
+        outcome: The outcome.
+        reason: Reason for the outcome.
+        ended_at: Monotonic time in seconds.
+    """
+
+    outcome: job_entities.Outcome
+    reason: job_entities.Reason
+    ended_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A refused attempt, whose gateway may have started the job elsewhere.
+
+    Attributes:
+        attempt: Number of the attempt.
+        until: Monotonic time in seconds after which no run is left.
+    """
+
+    attempt: int
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PredictedEnd:
     """When a run is expected to free its resources.
@@ -199,10 +228,10 @@
             is shared by all groups, and changes as the list is read.
         service_shares: Share of each service's workers that belongs to this
             owner's group, 0 to 1.
-        lost_gateways: When the link to a gateway ended, by gateway id.
-        answered: Recent answers and when they were given, by job id.
-        refused_until: Until when a refused job may run in another group, by
-            job id.
+        confirmations_due: When the last attempts of a gateway have to be
+            forwarded again after a change of its link, by gateway id.
+        recent_ends: How jobs have ended recently, by job id.
+        refusals: The refused jobs that may run in another group, by job id.
         failed_jobs: Ids of the jobs whose placement has failed unexpectedly.
         estimates: Bias of declared run times.
         admission: State of admission control.
@@ -259,11 +288,11 @@
         default_factory=worker_lists.ListHistory
     )
     service_shares: dict[str, float] = dataclasses.field(default_factory=dict)
-    lost_gateways: dict[str, float] = dataclasses.field(default_factory=dict)
-    answered: dict[str, tuple[job_entities.Answer, float]] = dataclasses.field(
+    confirmations_due: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
-    refused_until: dict[str, float] = dataclasses.field(default_factory=dict)
+    recent_ends: dict[str, RecentEnd] = dataclasses.field(default_factory=dict)
+    refusals: dict[str, Refusal] = dataclasses.field(default_factory=dict)
     failed_jobs: set[str] = dataclasses.field(default_factory=set)
     estimates: run_estimates.Estimates = dataclasses.field(
         default_factory=run_estimates.Estimates
--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -34,16 +34,16 @@
         gateway: The gateway with the open jobs of this daemon.
         get_routes: Returns the routing table, or None before there is a
             configuration.
-        cancel_remote: Cancels a job whose caller is connected to another
-            daemon. Returns whether the job was known. Daemons that are not the
-            owner forward the request and return False.
+        cancel_job: Cancels a job at its owner, for the callers of all daemons.
+            Returns whether the job was known. Daemons that are not the owner
+            forward the request and return False.
         count_pending: Returns the number of jobs of a queue that have not
             begun.
     """
 
     gateway: gateways.Gateway
     get_routes: Callable[[], routing.RoutingTable | None]
-    cancel_remote: Callable[[str], bool]
+    cancel_job: Callable[[str], bool]
     count_pending: Callable[[str], int]
 
 
@@ -98,15 +98,18 @@
     job = dependencies.gateway.open_jobs.get(job_id)
     if job is None:
         return callers.Reply(410, callers.encode_error("no such job"))
-    state = "running" if job.has_been_sent else "queued"
+    state = callers.JobState.QUEUED
+    if job.has_been_sent:
+        state = callers.JobState.RUNNING
     return callers.encode_state(state)
 
 
 def _cancel(dependencies: Dependencies, job_id: str) -> callers.Reply:
-    if dependencies.gateway.cancel(job_id) or dependencies.cancel_remote(
-        job_id
-    ):
-        return callers.encode_state(jobs.Outcome.CANCELLED.value)
+    is_open = dependencies.gateway.cancel(job_id)
+    # Other daemons may have attempts of the job too.
+    is_known = dependencies.cancel_job(job_id)
+    if is_open or is_known:
+        return callers.encode_state(callers.JobState.CANCELLED)
     return callers.Reply(410, callers.encode_error("no such job"))
 
 
@@ -131,15 +134,32 @@
         return _reject(503, job_id, queue, "not supported: advice")
     budget_s = callers.read_budget_s(environ, queue.timeout_s)
     submission = _build_submission(queue, job_id, body, budget_s)
-    job = dependencies.gateway.submit(submission)
-    _wait_for_answer(
-        dependencies.gateway, job, environ[listeners.SOCKET_VARIABLE]
-    )
+    has_left = _build_caller_check(environ[listeners.SOCKET_VARIABLE])
+    return _run(dependencies.gateway, submission, has_left, environ)
+
+
+def _run(
+    gateway: gateways.Gateway,
+    submission: jobs.Submission,
+    has_left: open_jobs.CallerCheck,
+    environ: dict[str, Any],
+) -> callers.Reply:
+    """Return the answer to a job."""
+    job = gateway.submit(submission, has_left)
+    sock = environ[listeners.SOCKET_VARIABLE]
+    _wait_for_answer(gateway, job, sock, has_left)
     if job.answer is None:
         return callers.Reply(504, callers.encode_error("caller left"))
     return callers.encode_answer(job.answer)
 
 
+def _build_caller_check(sock: socket.socket | None) -> open_jobs.CallerCheck:
+    """Return the function that tells whether a connection is closed."""
+    if sock is None:
+        return open_jobs.stays
+    return lambda: _is_closed(sock)
+
+
 def _reject(
     status: int, job_id: str, queue: jobs.Queue, text: str
 ) -> callers.Reply:
@@ -183,11 +203,12 @@
     gateway: gateways.Gateway,
     job: open_jobs.OpenJob,
     sock: socket.socket | None,
+    has_left: open_jobs.CallerCheck = open_jobs.stays,
 ) -> None:
     """Wait until there is an answer or the caller closes its connection."""
     watcher = None
     if sock is not None and not job.answered.is_set():
-        watcher = gevent.spawn(_watch_connection, gateway, job, sock)
+        watcher = gevent.spawn(_watch_connection, gateway, job, sock, has_left)
     job.answered.wait()
     if watcher is not None:
         # Stop the watcher before another greenlet reads or closes the
@@ -196,14 +217,31 @@
 
 
 def _watch_connection(
-    gateway: gateways.Gateway, job: open_jobs.OpenJob, sock: socket.socket
+    gateway: gateways.Gateway,
+    job: open_jobs.OpenJob,
+    sock: socket.socket,
+    has_left: open_jobs.CallerCheck,
 ) -> None:
     """Remove a job's waiter when its caller closes the connection.
 
     The gateway cancels the job if it has no other waiter.
     """
     if _wait_for_close(sock):
-        gateway.remove_waiter(job)
+        gateway.remove_waiter(job, has_left)
+
+
+def _is_closed(sock: socket.socket) -> bool:
+    """Return whether the caller has closed a connection, without waiting."""
+    timeout_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(timeout_s)
 
 
 def _wait_for_close(sock: socket.socket) -> bool:
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -31,6 +31,7 @@
 from pollenladder.service import evacuations as evacuation_followers
 from pollenladder.service import feeds
 from pollenladder.service import gateway as gateways
+from pollenladder.service import gateway_callbacks
 from pollenladder.service import groups
 from pollenladder.service import job_exchange
 from pollenladder.service import layout_keeper
@@ -129,7 +130,7 @@
 
     def _build_gateway(self) -> None:
         self._gateway = gateways.Gateway(
-            gateways.Callbacks(
+            gateway_callbacks.Callbacks(
                 find_owner=lambda group: self._membership.find_owner(group),
                 get_ownerless_s=lambda: self._membership.get_ownerless_s(),
                 has_group=lambda group: group in self._groups.groups,
@@ -140,8 +141,10 @@
                     group
                 ),
                 submit=lambda *job: self._exchange.submit(*job),
-                cancel=lambda *job: self._exchange.cancel(*job),
-                release=lambda *job: self._exchange.release(*job),
+                cancel_attempt=lambda *attempt: self._exchange.cancel_attempt(
+                    *attempt
+                ),
+                release=lambda *attempt: self._exchange.release(*attempt),
                 on_refused_with_room=self._meters.refused_with_room.inc,
                 on_answered=self._count_answered,
             ),
@@ -335,7 +338,7 @@
         dependencies = application.Dependencies(
             gateway=self._gateway,
             get_routes=lambda: self._configurations.routes,
-            cancel_remote=self._exchange.cancel_remote,
+            cancel_job=self._exchange.cancel_job,
             count_pending=self._exchange.count_pending,
         )
         address, port = self._settings.caller_address
@@ -424,7 +427,7 @@
         if is_linked:
             self._membership.request_heartbeat()
         else:
-            self._gateway.handle_link_lost(daemon_id)
+            self._gateway.handle_link_change(daemon_id)
             self._membership.wake()
 
     def _claim(self, engine: engines.Engine, epoch: int) -> None:
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -20,6 +20,7 @@
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import features as optional_features
+from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import maintenance
@@ -46,8 +47,8 @@
     Attributes:
         answer: Called with a gateway's id and a job's final answer.
         on_fenced: Called with the id of a worker that has seen a higher epoch.
-        report_crashes: Called with a gateway's id, a job's id and the crashes
-            under its tasks.
+        report_crashes: Called with a gateway's id, a job's id, the number of the
+            attempt, and the crashes under the job's tasks.
         get_lag_s: Returns the mean lag of the event loop, in seconds.
         count: Adds one to the counter of a kind of decision.
         count_failure: Adds one to the counter of a kind of failure of workers.
@@ -58,9 +59,9 @@
     get_lag_s: Callable[[], float]
     count: Callable[[str], None]
     count_failure: Callable[[str], None] = lambda failure: None
-    report_crashes: Callable[[str, str, tuple[jobs.TaskCrashes, ...]], None] = (
-        lambda gateway_id, job_id, crashes: None
-    )
+    report_crashes: Callable[
+        [str, str, int, tuple[jobs.TaskCrashes, ...]], None
+    ] = lambda gateway_id, job_id, attempt, crashes: None
 
 
 class Engine:
@@ -211,31 +212,36 @@
         self._apply_effects()
         return True
 
-    def cancel(self, job_id: str, reason: jobs.Reason, gateway_id: str) -> bool:
-        """Cancel a job for a gateway; return whether it was known."""
+    def cancel_attempt(
+        self, job_id: str, attempt: int, reason: jobs.Reason
+    ) -> bool:
+        """Cancel an attempt for its gateway; return whether it was known."""
         if self.region is None:
             return False
-        known = intake.cancel(
-            self.region, job_id, reason, gateway_id, self._clock()
+        known = intake.cancel_attempt(
+            self.region, job_id, attempt, reason, self._clock()
         )
         self._apply_effects()
         return known
 
-    def release(self, job_id: str) -> None:
+    def cancel_job(self, job_id: str) -> bool:
+        """Cancel a job for all attempts; return whether it was known."""
+        if self.region is None:
+            return False
+        known = intake.cancel_job(self.region, job_id, self._clock())
+        self._apply_effects()
+        return known
+
+    def release(self, job_id: str, attempt: int) -> None:
         """Forget that a refused job may run in another group."""
         if self.region is not None:
-            self.region.refused_until.pop(job_id, None)
+            job_ends.release_refusal(self.region, job_id, attempt)
 
     def record_gateway_link(self, gateway_id: str, is_linked: bool) -> None:
         """Record that the link to a gateway was established or has ended."""
-        if self.region is None:
-            return
-        if is_linked:
-            maintenance.mark_gateway_connected(self.region, gateway_id)
-        else:
-            maintenance.mark_gateway_lost(
-                self.region, gateway_id, self._clock()
-            )
+        if self.region is not None:
+            now = self._clock()
+            gateway_links.record_change(self.region, gateway_id, is_linked, now)
 
     def count_reachable_workers(self) -> int:
         """Return the number of workers that this owner reaches."""
@@ -347,7 +353,10 @@
             self._callbacks.answer(effect.gateway_id, effect.answer)
         elif isinstance(effect, effects.ReportCrashes):
             self._callbacks.report_crashes(
-                effect.gateway_id, effect.job_id, effect.crashes
+                effect.gateway_id,
+                effect.job_id,
+                effect.attempt,
+                effect.crashes,
             )
         elif isinstance(effect, effects.CountDecision):
             self._callbacks.count(effect.decision)
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -14,6 +14,8 @@
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import group_retries
 from pollenladder.scheduling import owner_waits
+from pollenladder.service import gateway_callbacks
+from pollenladder.service import gateway_events
 from pollenladder.service import open_jobs
 
 LOGGER = logging.getLogger(__name__)
@@ -26,48 +28,6 @@
 MAX_REPEATS_PER_SWEEP = 8
 
 
-@dataclasses.dataclass(frozen=True)
-class Callbacks:
-    """The functions that the gateway calls.
-
-    Attributes:
-        find_owner: Returns the id of the current owner of a group, or "".
-        get_ownerless_s: Returns for how long no group has had an owner, in
-            seconds; 0 if one has.
-        has_group: Returns whether there is a group of that name.
-        count_groups: Returns the number of groups.
-        choose_group: Returns the group for a job, or "". It is given the groups
-            that have refused the job, and whether to choose only a group that
-            has room for the job now.
-        find_room: Returns a group that reports room for a whole job, or "". It
-            is given the groups that have refused the job, which are returned
-            only if no other group has room.
-        get_shed_share: Returns the share of new jobs to refuse, 0 to 1, for a
-            group.
-        submit: Sends a job to a daemon, for a group; returns False if it cannot
-            arrive.
-        cancel: Sends a daemon the cancellation of a job, with the reason.
-        release: Tells a group that refused a job that the job has an answer.
-        on_refused_with_room: Called when a job is refused while some group
-            reports room for it.
-        on_answered: Called with a job's queue, its answer, and the time from
-            its arrival to the answer, in seconds.
-    """
-
-    find_owner: Callable[[str], str]
-    get_ownerless_s: Callable[[], float]
-    has_group: Callable[[str], bool]
-    count_groups: Callable[[], int]
-    choose_group: Callable[[jobs.Submission, frozenset[str], bool], str]
-    find_room: Callable[[jobs.Submission, frozenset[str]], str]
-    get_shed_share: Callable[[str], float]
-    submit: Callable[[str, str, jobs.Submission], bool]
-    cancel: Callable[[str, str, jobs.Reason], None]
-    release: Callable[[str, str], None]
-    on_refused_with_room: Callable[[], None]
-    on_answered: Callable[[str, jobs.Answer, float], None]
-
-
 class Gateway:
     """The jobs whose callers are connected to this daemon.
 
@@ -75,61 +35,99 @@
         open_jobs: The jobs without an answer, by id.
     """
 
-    def __init__(self, callbacks: Callbacks, clock: clocks.Clock):
+    def __init__(
+        self,
+        callbacks: gateway_callbacks.Callbacks,
+        clock: clocks.Clock,
+        draw_attempt: Callable[[], int] = open_jobs.draw_attempt,
+    ):
+        """Use the daemon's components.
+
+        Args:
+            callbacks: The functions of other components.
+            clock: Returns the monotonic time in seconds.
+            draw_attempt: Returns a new number for an attempt.
+        """
         self.open_jobs: dict[str, open_jobs.OpenJob] = {}
         self._callbacks = callbacks
         self._clock = clock
+        self._draw_attempt = draw_attempt
         self._has_open_jobs = event.Event()
 
-    def submit(self, submission: jobs.Submission) -> open_jobs.OpenJob:
+    def submit(
+        self,
+        submission: jobs.Submission,
+        has_left: open_jobs.CallerCheck = open_jobs.stays,
+    ) -> open_jobs.OpenJob:
         """Accept a job, or add a waiter to the open job with its id.
 
         A new job may be refused at once while the owner is overloaded.
+
+        Args:
+            submission: The job.
+            has_left: Returns whether its caller has closed the connection.
         """
-        job_id = submission.job_id
-        job = self.open_jobs.get(job_id)
-        if job is None:
-            now = self._clock()
-            may_be_late = group_retries.may_be_late_at_first(
-                self._callbacks.count_groups()
-            )
-            job = open_jobs.OpenJob(
-                submission=dataclasses.replace(
-                    submission, may_be_late=may_be_late
-                ),
-                arrived_at=now,
-                deadline_at=now + submission.budget_s,
-            )
-            self.open_jobs[job_id] = job
-            self._has_open_jobs.set()
-            self._assign_group(job)
-            if shedding.is_shed(
-                job_id, self._callbacks.get_shed_share(job.group)
-            ):
-                reason = jobs.Reason.OWNER_BUSY
-                self._refuse(job, reason, RETRY_AFTER_SHED_S)
-                return job
+        job = self.open_jobs.get(submission.job_id)
+        if job is not None:
+            job.waiters.append(has_left)
+            return job
+        job = self._open(submission, has_left)
+        if shedding.is_shed(
+            submission.job_id, self._callbacks.get_shed_share(job.group)
+        ):
+            self._refuse(job, jobs.Reason.OWNER_BUSY, RETRY_AFTER_SHED_S)
+        else:
             self._forward(job)
-        job.waiters += 1
         return job
 
-    def remove_waiter(self, job: open_jobs.OpenJob) -> None:
-        """Remove a waiter; cancel the job when none is left."""
-        job.waiters -= 1
-        if job.waiters or job.answer is not None:
-            return
-        self._cancel(job, jobs.Reason.CALLER_LEFT)
+    def _open(
+        self, submission: jobs.Submission, has_left: open_jobs.CallerCheck
+    ) -> open_jobs.OpenJob:
+        """Begin an attempt of a job."""
+        now = self._clock()
+        may_be_late = group_retries.may_be_late_at_first(
+            self._callbacks.count_groups()
+        )
+        job = open_jobs.OpenJob(
+            submission=dataclasses.replace(
+                submission,
+                may_be_late=may_be_late,
+                attempt=self._draw_attempt(),
+            ),
+            arrived_at=now,
+            deadline_at=now + submission.budget_s,
+            waiters=[has_left],
+        )
+        self.open_jobs[submission.job_id] = job
+        self._has_open_jobs.set()
+        self._assign_group(job)
+        return job
+
+    def remove_waiter(
+        self,
+        job: open_jobs.OpenJob,
+        has_left: open_jobs.CallerCheck = open_jobs.stays,
+    ) -> None:
+        """Remove a waiter; cancel the attempt when none is left."""
+        job.waiters.remove(has_left)
+        if not job.waiters and job.answer is None:
+            self._cancel(job, jobs.Reason.CALLER_LEFT)
 
     def cancel(self, job_id: str) -> bool:
-        """Cancel a job for its caller; return whether it is open here."""
+        """Answer an open job as cancelled by its caller.
+
+        Returns:
+            Whether the job is open here. The owners are not told.
+        """
         job = self.open_jobs.get(job_id)
         if job is None:
             return False
-        self._cancel(job, jobs.Reason.CALLER_CANCELLED)
+        outcome, reason = jobs.Outcome.CANCELLED, jobs.Reason.CALLER_CANCELLED
+        self._finish(job, job.build_answer(outcome, reason))
         return True
 
     def handle_answer(self, answer: jobs.Answer, sender: str) -> None:
-        """Answer a job with an owner's answer.
+        """Answer an open attempt with an owner's answer.
 
         A refusal says that the job has not begun. It is ignored unless the job
         was forwarded only once and the refusal comes from that owner: another
@@ -142,24 +140,14 @@
         """
         job = self.open_jobs.get(answer.job_id)
         if job is None:
-            logs.log(
-                LOGGER,
-                "answer_without_caller",
-                job=answer.job_id,
-                outcome=answer.outcome.value,
-            )
+            gateway_events.log_answer_without_caller(answer, sender)
             return
+        if job.attempt != answer.attempt:
+            gateway_events.log_answer_for_another(job, answer, sender)
         is_refusal = answer.outcome is jobs.Outcome.REFUSED
         is_from_another = bool(job.owner_id) and sender != job.owner_id
         if is_refusal and (is_from_another or job.times_forwarded > 1):
-            logs.log(
-                LOGGER,
-                "refusal_ignored",
-                job=answer.job_id,
-                sender=sender,
-                owner=job.owner_id,
-                times_handed_on=job.times_forwarded,
-            )
+            gateway_events.log_refusal_ignored(job, sender)
             return
         if is_refusal:
             now = self._clock()
@@ -170,18 +158,20 @@
         self._finish(job, answer)
 
     def handle_crashes(
-        self, job_id: str, crashes: tuple[jobs.TaskCrashes, ...]
+        self, job_id: str, attempt: int, crashes: tuple[jobs.TaskCrashes, ...]
     ) -> None:
         """Keep what an owner tells about crashes, for the next owner."""
         job = self.open_jobs.get(job_id)
         if job is not None:
             job.crashes = crashes
 
-    def handle_not_owner(self, job_id: str) -> None:
-        """Clear the owner of a job that a daemon rejected as not the owner."""
+    def handle_not_owner(self, job_id: str, attempt: int, sender: str) -> None:
+        """Clear the owner of an attempt that a daemon rejected as not the owner."""
         job = self.open_jobs.get(job_id)
-        if job is not None:
-            job.owner_id = ""
+        if job is None:
+            gateway_events.log_rejection_ignored(job_id, attempt, sender)
+            return
+        job.owner_id = ""
 
     def forward_open_jobs(self) -> None:
         """Forward open jobs that the current owner does not have yet.
@@ -195,23 +185,27 @@
             if is_repeat and not repeats_left:
                 continue
             try:
-                was_forwarded = self._forward(job)
+                was_forwarded = self._forward_again(job)
             except Exception:
                 logs.log_failure(LOGGER, "job_forward", job.submission.job_id)
                 continue
             repeats_left -= is_repeat and was_forwarded
 
-    def handle_link_lost(self, daemon_id: str) -> None:
-        """Clear the owner of the jobs forwarded to a daemon whose link ended.
+    def handle_link_change(self, daemon_id: str) -> None:
+        """Clear the owner of the jobs forwarded to a daemon.
 
-        These jobs are forwarded again to the next owner.
+        Its link has ended, or there is a new one. What was on its way may be lost,
+        so these jobs are forwarded again, to this owner or the next one.
         """
         for job in self.open_jobs.values():
             if job.owner_id == daemon_id:
                 job.owner_id = ""
 
     def run(self) -> None:
-        """Forward and expire open jobs, forever."""
+        """Expire and forward open jobs, forever.
+
+        Jobs expire first, as the daemon may have been paused.
+        """
         while True:
             self._has_open_jobs.wait()
             gevent.sleep(SWEEP_INTERVAL_S)
@@ -247,19 +241,12 @@
         job.submission = dataclasses.replace(
             job.submission, may_be_late=choice.may_be_late
         )
-        logs.log(
-            LOGGER,
-            "job_sent_to_another_group",
-            job=refusal.job_id,
-            group=group,
-            before=job.group,
-            reason=refusal.reason.value,
-        )
+        gateway_events.log_sent_to_another_group(job, group, refusal)
         job.group = group
         job.owner_id = ""
         job.has_been_sent = False
         job.times_forwarded = 0
-        self._forward(job)
+        self._forward_again(job)
         return True
 
     def _update_group(self, job: open_jobs.OpenJob) -> None:
@@ -273,14 +260,34 @@
         ):
             self._assign_group(job)
 
+    def _forward_again(self, job: open_jobs.OpenJob) -> bool:
+        """Forward a job unless its callers have left meanwhile.
+
+        The daemon may have been paused, and may not have read yet that they have.
+
+        Returns:
+            Whether the job was forwarded.
+        """
+        owner_id = self._find_next_owner(job)
+        if not owner_id:
+            return False
+        return self._forward_to(job, owner_id)
+
     def _forward(self, job: open_jobs.OpenJob) -> bool:
         """Send a job to its owner unless that has it; return whether it did."""
+        owner_id = self._find_next_owner(job)
+        return bool(owner_id) and self._forward_to(job, owner_id)
+
+    def _find_next_owner(self, job: open_jobs.OpenJob) -> str:
+        """Return the owner to forward a job to, or "" if there is none."""
         if job.answer is not None:
-            return False
+            return ""
         self._update_group(job)
         owner_id = self._callbacks.find_owner(job.group)
-        if not owner_id or job.owner_id == owner_id:
-            return False
+        return "" if owner_id == job.owner_id else owner_id
+
+    def _forward_to(self, job: open_jobs.OpenJob, owner_id: str) -> bool:
+        """Send a job to an owner; return whether it did."""
         now = self._clock()
         submission = dataclasses.replace(
             job.submission,
@@ -305,13 +312,7 @@
             job.times_forwarded -= 1
             return False
         if was_sent:
-            logs.log(
-                LOGGER,
-                "job_handed_on_again",
-                job=submission.job_id,
-                owner=owner_id,
-                age_s=round(submission.age_s, 3),
-            )
+            gateway_events.log_forwarded_again(job, submission.age_s)
         return True
 
     def _send(
@@ -354,21 +355,34 @@
         self, job: open_jobs.OpenJob, reason: jobs.Reason, retry_after_s: float
     ) -> None:
         """Answer that a job has not run; only for jobs not sent to an owner."""
-        job_id = job.submission.job_id
         outcome = jobs.Outcome.REFUSED
-        self._finish(job, jobs.Answer(job_id, outcome, reason, retry_after_s))
+        self._finish(job, job.build_answer(outcome, reason, retry_after_s))
 
     def _give_up(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
+        self._cancel_at_owner(job, reason)
         outcome = jobs.Outcome.GIVEN_UP
-        if job.owner_id:
-            self._callbacks.cancel(job.owner_id, job.submission.job_id, reason)
-        self._finish(job, jobs.Answer(job.submission.job_id, outcome, reason))
+        self._finish(job, job.build_answer(outcome, reason))
 
     def _cancel(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
+        self._cancel_at_owner(job, reason)
+        outcome = jobs.Outcome.CANCELLED
+        self._finish(job, job.build_answer(outcome, reason))
+
+    def _cancel_at_owner(
+        self, job: open_jobs.OpenJob, reason: jobs.Reason
+    ) -> None:
+        """Send the owner the cancellation of an attempt.
+
+        If it cannot arrive, the owner removes the attempt after the change of the
+        link, as it is not forwarded again.
+        """
+        if not job.has_been_sent:
+            return
         job_id = job.submission.job_id
-        if job.owner_id:
-            self._callbacks.cancel(job.owner_id, job_id, reason)
-        self._finish(job, jobs.Answer(job_id, jobs.Outcome.CANCELLED, reason))
+        if not job.owner_id or not self._callbacks.cancel_attempt(
+            job.owner_id, job_id, job.attempt, reason
+        ):
+            gateway_events.log_cancel_not_sent(job, reason)
 
     def _report_room(
         self, job: open_jobs.OpenJob, refusal: jobs.Answer
@@ -378,16 +392,7 @@
         if not group:
             return
         self._callbacks.on_refused_with_room()
-        logs.log(
-            LOGGER,
-            "job_refused_with_room",
-            job=refusal.job_id,
-            queue=job.submission.queue,
-            reason=refusal.reason.value,
-            group=group,
-            was_asked=group in job.refused_by,
-            groups_asked=len(job.refused_by),
-        )
+        gateway_events.log_refused_with_room(job, refusal, group)
 
     def _finish(self, job: open_jobs.OpenJob, answer: jobs.Answer) -> None:
         # The caller gets its answer, whatever becomes of the reports below.
@@ -399,21 +404,10 @@
         # After any other answer, a task may still run in the last group.
         if answer.outcome in (jobs.Outcome.REFUSED, jobs.Outcome.COMPLETED):
             for group in job.refused_by:
-                self._callbacks.release(group, answer.job_id)
+                self._callbacks.release(group, answer.job_id, job.attempt)
         took_s = self._clock() - job.arrived_at
         self._callbacks.on_answered(job.submission.queue, answer, took_s)
-        logs.log(
-            LOGGER,
-            "job_answered",
-            job=answer.job_id,
-            queue=job.submission.queue,
-            outcome=answer.outcome.value,
-            reason=answer.reason.value,
-            group=job.group,
-            owner=job.owner_id,
-            took_s=round(took_s, 4),
-            retry_after_s=round(answer.retry_after_s, 3),
-        )
+        gateway_events.log_answered(job, answer, took_s)
 
 
 def format_retry_after(retry_after_s: float) -> str:
--- /dev/null
+++ b/pollenladder/service/gateway_callbacks.py
@@ -0,0 +1,50 @@
+"""The functions of other components that the gateway calls."""
+
+from collections.abc import Callable
+import dataclasses
+
+from pollenladder.jobs import entities as jobs
+
+
+@dataclasses.dataclass(frozen=True)
+class Callbacks:
+    """The functions that the gateway calls.
+
+    Attributes:
+        find_owner: Returns the id of the current owner of a group, or "".
+        get_ownerless_s: Returns for how long no group has had an owner, in
+            seconds; 0 if one has.
+        has_group: Returns whether there is a group of that name.
+        count_groups: Returns the number of groups.
+        choose_group: Returns the group for a job, or "". It is given the groups
+            that have refused the job, and whether to choose only a group that
+            has room for the job now.
+        find_room: Returns a group that reports room for a whole job, or "". It
+            is given the groups that have refused the job, which are returned
+            only if no other group has room.
+        get_shed_share: Returns the share of new jobs to refuse, 0 to 1, for a
+            group.
+        submit: Sends a job to a daemon, for a group; returns False if it cannot
+            arrive.
+        cancel_attempt: Sends a daemon the cancellation of an attempt, given by job
+            id and number, with the reason; returns False if it cannot arrive.
+        release: Tells a group that refused an attempt, given by job id and number,
+            that the attempt has an answer.
+        on_refused_with_room: Called when a job is refused while some group
+            reports room for it.
+        on_answered: Called with a job's queue, its answer, and the time from
+            its arrival to the answer, in seconds.
+    """
+
+    find_owner: Callable[[str], str]
+    get_ownerless_s: Callable[[], float]
+    has_group: Callable[[str], bool]
+    count_groups: Callable[[], int]
+    choose_group: Callable[[jobs.Submission, frozenset[str], bool], str]
+    find_room: Callable[[jobs.Submission, frozenset[str]], str]
+    get_shed_share: Callable[[str], float]
+    submit: Callable[[str, str, jobs.Submission], bool]
+    cancel_attempt: Callable[[str, str, int, jobs.Reason], bool]
+    release: Callable[[str, str, int], None]
+    on_refused_with_room: Callable[[], None]
+    on_answered: Callable[[str, jobs.Answer, float], None]
--- a/pollenladder/service/handover_delays.py
+++ b/pollenladder/service/handover_delays.py
@@ -1,7 +1,7 @@
 """How long two owners may overlap during a network partition."""
 
 from pollenladder.cluster import heartbeats
-from pollenladder.scheduling import maintenance
+from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import runs
 
 # Margin for the stop requests and clock differences of an isolated owner.
@@ -27,7 +27,7 @@
         heartbeats.choose_timeout_s(peers, False, doublings),
         heartbeats.choose_distant_timeout_s(True, False, doublings, 0.0),
     )
-    grace_s = maintenance.GATEWAY_GRACE_S + runs.ORPHAN_GRACE_S
+    grace_s = gateway_links.GATEWAY_GRACE_S + runs.ORPHAN_GRACE_S
     return (
         timeout_s
         - heartbeats.OWNER_TIMEOUT_S
--- a/pollenladder/service/job_exchange.py
+++ b/pollenladder/service/job_exchange.py
@@ -26,11 +26,12 @@
     Attributes:
         handle_answer: Called with an answer for a caller of this daemon, and the
             daemon that gives it.
-        handle_crashes: Called with a job's id and the crashes under its tasks.
+        handle_crashes: Called with a job's id, the number of the attempt, and the
+            crashes under the job's tasks.
     """
 
     handle_answer: Callable[[jobs.Answer, str], None]
-    handle_crashes: Callable[[str, tuple[jobs.TaskCrashes, ...]], None]
+    handle_crashes: Callable[[str, int, tuple[jobs.TaskCrashes, ...]], None]
 
 
 class JobExchange:
@@ -139,49 +140,72 @@
         found = self._groups.groups.get(group)
         return found is not None and found.engine.submit(submission, gateway_id)
 
-    def cancel(self, daemon_id: str, job_id: str, reason: jobs.Reason) -> None:
-        """Send an owner the cancellation of a job."""
+    def cancel_attempt(
+        self, daemon_id: str, job_id: str, attempt: int, reason: jobs.Reason
+    ) -> bool:
+        """Send an owner the cancellation of an attempt.
+
+        Returns:
+            Whether the cancellation can arrive.
+        """
         if daemon_id == self._own.daemon_id:
-            self.cancel_here(job_id, reason, daemon_id)
-        else:
-            self._mesh.send(daemon_id, messages.Cancel(job_id, reason))
+            self.cancel_attempt_here(job_id, attempt, reason, daemon_id)
+            return True
+        message = messages.CancelAttempt(job_id, attempt, reason)
+        return self._mesh.send(daemon_id, message)
 
-    def cancel_here(
-        self, job_id: str, reason: jobs.Reason, gateway_id: str
-    ) -> bool:
-        """Cancel a job of any group owned here; return whether it was known."""
+    def cancel_attempt_here(
+        self, job_id: str, attempt: int, reason: jobs.Reason, gateway_id: str
+    ) -> None:
+        """Cancel an attempt in any group owned here."""
         known = [
-            group.engine.cancel(job_id, reason, gateway_id)
+            group.engine.cancel_attempt(job_id, attempt, reason)
             for group in self._groups.groups.values()
         ]
-        return any(known)
+        if not any(known):
+            logs.log(
+                LOGGER,
+                "cancel_ignored",
+                job=job_id,
+                attempt=attempt,
+                gateway=gateway_id,
+                reason=reason.value,
+            )
 
-    def cancel_remote(self, job_id: str) -> bool:
-        """Cancel a job from another daemon; return whether it was known.
+    def cancel_job(self, job_id: str) -> bool:
+        """Cancel a job for all attempts; return whether an owner here knew it.
 
         The request is forwarded to all other owners, which do not answer it.
         """
-        reason = jobs.Reason.CALLER_CANCELLED
         owners = {
             group.leadership.owner_id for group in self._groups.groups.values()
         }
         for owner_id in owners - {"", self._own.daemon_id}:
-            self._mesh.send(owner_id, messages.Cancel(job_id, reason))
-        return self.cancel_here(job_id, reason, self._own.daemon_id)
+            self._mesh.send(owner_id, messages.CancelJob(job_id))
+        return self.cancel_job_here(job_id)
+
+    def cancel_job_here(self, job_id: str) -> bool:
+        """Cancel a job of any group owned here; return whether it was known."""
+        known = [
+            group.engine.cancel_job(job_id)
+            for group in self._groups.groups.values()
+        ]
+        return any(known)
 
-    def release(self, group: str, job_id: str) -> None:
-        """Tell a group that refused a job that it runs in no other group."""
+    def release(self, group: str, job_id: str, attempt: int) -> None:
+        """Tell a group that refused an attempt that it runs in no other group."""
         owner_id = self._membership.find_owner(group)
         if owner_id == self._own.daemon_id:
-            self.release_here(group, job_id)
+            self.release_here(group, job_id, attempt)
         elif owner_id:
-            self._mesh.send(owner_id, messages.Release(group, job_id))
+            message = messages.Release(group, job_id, attempt)
+            self._mesh.send(owner_id, message)
 
-    def release_here(self, group: str, job_id: str) -> None:
+    def release_here(self, group: str, job_id: str, attempt: int) -> None:
         """Forget, as the owner of a group, that a job may run elsewhere."""
         found = self._groups.groups.get(group)
         if found is not None:
-            found.engine.release(job_id)
+            found.engine.release(job_id, attempt)
 
     def answer(self, gateway_id: str, answer: jobs.Answer) -> None:
         """Send the final answer of a job to its gateway."""
@@ -189,20 +213,27 @@
             self._callbacks.handle_answer(answer, gateway_id)
         elif not self._mesh.send(gateway_id, messages.Answered(answer)):
             logs.log(
-                LOGGER, "answer_not_sent", job=answer.job_id, peer=gateway_id
+                LOGGER,
+                "answer_not_sent",
+                job=answer.job_id,
+                attempt=answer.attempt,
+                outcome=answer.outcome.value,
+                peer=gateway_id,
             )
 
     def report_crashes(
         self,
         gateway_id: str,
         job_id: str,
+        attempt: int,
         crashes: tuple[jobs.TaskCrashes, ...],
     ) -> None:
         """Tell the gateway of a job about crashes under its tasks."""
         if gateway_id == self._own.daemon_id:
-            self._callbacks.handle_crashes(job_id, crashes)
+            self._callbacks.handle_crashes(job_id, attempt, crashes)
         else:
-            self._mesh.send(gateway_id, messages.TasksCrashed(job_id, crashes))
+            message = messages.TasksCrashed(job_id, attempt, crashes)
+            self._mesh.send(gateway_id, message)
 
     def count_pending(self, queue: str) -> int:
         """Return the number of a queue's jobs that have not begun."""
--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -1,16 +1,34 @@
 """Jobs that a gateway has accepted and not answered yet."""
 
+from collections.abc import Callable
 import dataclasses
 import math
+import random
 
 from gevent import event
 
 from pollenladder.jobs import entities as jobs
 
+# Attempts are numbered with so many random bits, which messages can carry.
+ATTEMPT_BITS = 52
+
+# Returns whether a caller has closed its connection.
+CallerCheck = Callable[[], bool]
+
+
+def draw_attempt() -> int:
+    """Return a random number for an attempt, more than 0."""
+    return random.getrandbits(ATTEMPT_BITS) + 1
+
+
+def stays() -> bool:
+    """Return False, for a caller whose connection is not known."""
+    return False
+
 
 @dataclasses.dataclass
 class OpenJob:
-    """A job that has no answer yet.
+    """A job that has no answer yet, which is one attempt of its caller.
 
     Attributes:
         submission: The job as the caller submitted it.
@@ -29,7 +47,8 @@
         crashes: What owners have told about crashes under the job's tasks.
         times_forwarded: How often the job was forwarded, to any owner of its
             group.
-        waiters: The number of requests that wait for the answer.
+        waiters: For each request that waits for the answer, whether its caller
+            has left.
         answered: Set once there is an answer.
         answer: The answer, or None.
     """
@@ -46,10 +65,30 @@
     first_run: int = 1
     crashes: tuple[jobs.TaskCrashes, ...] = ()
     times_forwarded: int = 0
-    waiters: int = 0
+    waiters: list[CallerCheck] = dataclasses.field(default_factory=list)
     answered: event.Event = dataclasses.field(default_factory=event.Event)
     answer: jobs.Answer | None = None
 
+    @property
+    def attempt(self) -> int:
+        """Number of the attempt."""
+        return self.submission.attempt
+
+    def build_answer(
+        self,
+        outcome: jobs.Outcome,
+        reason: jobs.Reason,
+        retry_after_s: float = 0.0,
+    ) -> jobs.Answer:
+        """Return an answer of this gateway for the attempt."""
+        job_id = self.submission.job_id
+        return jobs.Answer(job_id, self.attempt, outcome, reason, retry_after_s)
+
+
+def have_callers_left(job: OpenJob) -> bool:
+    """Return whether all callers have closed their connections."""
+    return all(has_left() for has_left in job.waiters)
+
 
 def record_refusal(job: OpenJob, answer: jobs.Answer, now: float) -> None:
     """Record that the group that a job was sent to has refused it."""
--- a/pollenladder/service/peer_messages.py
+++ b/pollenladder/service/peer_messages.py
@@ -48,14 +48,24 @@
             self._handle_submit(sender, message)
         elif isinstance(message, messages.Answered):
             self._gateway.handle_answer(message.answer, sender)
-        elif isinstance(message, messages.Cancel):
-            self._exchange.cancel_here(message.job_id, message.reason, sender)
+        elif isinstance(message, messages.CancelAttempt):
+            self._exchange.cancel_attempt_here(
+                message.job_id, message.attempt, message.reason, sender
+            )
+        elif isinstance(message, messages.CancelJob):
+            self._exchange.cancel_job_here(message.job_id)
         elif isinstance(message, messages.Release):
-            self._exchange.release_here(message.group, message.job_id)
+            self._exchange.release_here(
+                message.group, message.job_id, message.attempt
+            )
         elif isinstance(message, messages.TasksCrashed):
-            self._gateway.handle_crashes(message.job_id, message.crashes)
+            self._gateway.handle_crashes(
+                message.job_id, message.attempt, message.crashes
+            )
         elif isinstance(message, messages.NotOwner):
-            self._gateway.handle_not_owner(message.job_id)
+            self._gateway.handle_not_owner(
+                message.job_id, message.attempt, sender
+            )
         elif isinstance(message, messages.RequestConfiguration):
             self._configurations.push(sender, message.version)
         elif isinstance(message, messages.PushConfiguration):
@@ -75,11 +85,10 @@
         self._configurations.request_newer(sender, heartbeat.config_version)
 
     def _handle_submit(self, sender: str, message: messages.Submit) -> None:
-        if not self._exchange.submit_here(
-            message.group, message.submission, sender
-        ):
-            job_id = message.submission.job_id
-            self._callbacks.send(sender, messages.NotOwner(job_id))
+        submission = message.submission
+        if not self._exchange.submit_here(message.group, submission, sender):
+            reply = messages.NotOwner(submission.job_id, submission.attempt)
+            self._callbacks.send(sender, reply)
 
     def _push_layout(self, sender: str, version: int) -> None:
         """Send the layout in force to a daemon that has an older one."""
