Ignore at the gateway what is for another attempt

Cause: the gateway matched answers by job id.

Answers, rejections and reports of crashes are for the attempt that they name; an answer for another one is logged. A rejection counts only from the daemon that the attempt was forwarded to last.

--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -144,6 +144,7 @@
             return
         if job.attempt != answer.attempt:
             gateway_events.log_answer_for_another(job, answer, sender)
+            return
         is_refusal = answer.outcome is jobs.Outcome.REFUSED
         is_from_another = bool(job.owner_id) and sender != job.owner_id
         if is_refusal and (is_from_another or job.times_forwarded > 1):
@@ -162,13 +163,13 @@
     ) -> None:
         """Keep what an owner tells about crashes, for the next owner."""
         job = self.open_jobs.get(job_id)
-        if job is not None:
+        if job is not None and job.attempt == attempt:
             job.crashes = crashes
 
     def handle_not_owner(self, job_id: str, attempt: int, sender: str) -> None:
         """Clear the owner of an attempt that a daemon rejected as not the owner."""
         job = self.open_jobs.get(job_id)
-        if job is None:
+        if job is None or job.attempt != attempt or job.owner_id != sender:
             gateway_events.log_rejection_ignored(job_id, attempt, sender)
             return
         job.owner_id = ""
