Answer a submission with 200 only if its job has ended

Cause: whatever outcome was neither refused nor given up became a 200 with the outcome's name as the state, so a cancelled job's POST got a state that callers can't read.

The response follows from each outcome without a default, and only FinalState (completed, failed) can stand in a 200 to a submission; JobState is for GET and DELETE.

--- a/pollenladder/platform/callers.py
+++ b/pollenladder/platform/callers.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import math
+from typing import assert_never
 
 import msgspec
 
@@ -38,6 +39,13 @@
     estimate_s: float
 
 
+class FinalState(enum.Enum):
+    """State of a job that has ended, in the response to its submission."""
+
+    COMPLETED = "completed"
+    FAILED = "failed"
+
+
 class JobState(enum.Enum):
     """State of a job, in the response to a request that asks for it or cancels it."""
 
@@ -130,16 +138,27 @@
 def encode_answer(answer: jobs.Answer) -> Reply:
     """Return the HTTP response for a job's final answer.
 
-    Status 429 guarantees that the job has not run and never will. Status 504
-    means that it may have run.
+    Status 200 carries the state of a job that has ended. Status 429 guarantees that
+    the job has not run and never will. Status 504 means that it may have run; a
+    cancelled job has not ended in any state that its caller could still use.
     """
-    outcome = answer.outcome
-    if outcome is jobs.Outcome.REFUSED:
-        body = encode_error(answer.reason.value)
-        return Reply(429, body, answer.retry_after_s)
-    if outcome is jobs.Outcome.GIVEN_UP:
-        return Reply(504, encode_error(answer.reason.value))
-    return Reply(200, msgspec.json.encode({"State": outcome.value}))
+    match answer.outcome:
+        case jobs.Outcome.COMPLETED:
+            return _encode_final_state(FinalState.COMPLETED)
+        case jobs.Outcome.FAILED:
+            return _encode_final_state(FinalState.FAILED)
+        case jobs.Outcome.REFUSED:
+            body = encode_error(answer.reason.value)
+            return Reply(429, body, answer.retry_after_s)
+        case jobs.Outcome.GIVEN_UP | jobs.Outcome.CANCELLED:
+            return Reply(504, encode_error(answer.reason.value))
+        case _:
+            assert_never(answer.outcome)
+
+
+def _encode_final_state(state: FinalState) -> Reply:
+    """Return the only kind of response with status 200 to a submission."""
+    return Reply(200, msgspec.json.encode({"State": state.value}))
 
 
 def encode_error(text: str) -> bytes:
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -99,7 +99,7 @@
         cases = (
             (jobs.Outcome.COMPLETED, 200),
             (jobs.Outcome.FAILED, 200),
-            (jobs.Outcome.CANCELLED, 200),
+            (jobs.Outcome.CANCELLED, 504),
             (jobs.Outcome.REFUSED, 429),
             (jobs.Outcome.GIVEN_UP, 504),
         )
