Let a job go on as long as any attempt waits for it

Cause: the owner knew one gateway of a job, the last one that had forwarded it. If no cancellation came, only that gateway got the answer.

All attempts are kept. A cancellation removes its own attempt, and the job ends with the last one; each attempt gets the answer with its own number, and the latest deadline holds. Of several attempts only the newest is refused, as each gateway may start a refused job in another group; and only the refused attempt releases a refusal.

--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -60,7 +60,8 @@
 ) -> None:
     """Add or confirm an attempt of a job in progress."""
     previous = job.attempts.get(attempt.number)
-    job.attempts = {attempt.number: attempt}
+    job.attempts[attempt.number] = attempt
+    job.deadline_at = max(job.deadline_at, now + submission.budget_s)
     if submission.may_have_begun:
         runs.record_rejoined(region, job, submission, previous, now)
         # It can no longer be refused as not run.
--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -128,8 +128,11 @@
     Only the newest attempt is refused, and the others are given up. A gateway may
     start a refused job in another group, and two gateways would start it twice.
     """
+    newest = next(reversed(waiting), None)
     for number, attempt in waiting.items():
         given = outcome
+        if outcome is jobs.Outcome.REFUSED and number != newest:
+            given = jobs.Outcome.GIVEN_UP
         answer = jobs.Answer(job_id, number, given, reason, retry_after_s)
         region.effects.append(effects.AnswerJob(attempt.gateway_id, answer))
 
@@ -218,7 +221,7 @@
     Only the gateway of the refused attempt knows that it does not.
     """
     refusal = region.refusals.get(job_id)
-    if refusal is not None:
+    if refusal is not None and refusal.attempt == attempt:
         del region.refusals[job_id]
 
 
