Stop jobs whose cancellation was lost with a link

Cause: a link that ended and was made again within 0.5 s cleared the owner's note that the gateway was lost, and a new link that replaced one unnoticed left no note.

Each change of the link to a gateway makes its attempts unconfirmed, and those that are not forwarded again within the grace are removed; a new link gives 0.25 s at least, and links that keep changing at most 0.75 s in all. The gateway forwards its open jobs again after any new link to their owner, not only after a loss.

--- a/pollenladder/scheduling/gateway_links.py
+++ b/pollenladder/scheduling/gateway_links.py
@@ -7,8 +7,6 @@
 expired. Its runs here must be over by then.
 """
 
-import math
-
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import attempts
 from pollenladder.scheduling import job_ends
@@ -27,9 +25,6 @@
     for job in region.jobs.values():
         for attempt in job.attempts.values():
             if attempt.gateway_id == gateway_id:
-                if is_linked:
-                    attempt.confirm_by = math.inf
-                    continue
                 _mark_unconfirmed(attempt, is_linked, now)
                 region.confirmations_due[gateway_id] = max(
                     attempt.confirm_by,
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -424,10 +424,10 @@
         self._evacuation_follower.handle_link_change(daemon_id, is_linked)
         for group in self._groups.groups.values():
             group.engine.record_gateway_link(daemon_id, is_linked)
+        self._gateway.handle_link_change(daemon_id)
         if is_linked:
             self._membership.request_heartbeat()
         else:
-            self._gateway.handle_link_change(daemon_id)
             self._membership.wake()
 
     def _claim(self, engine: engines.Engine, epoch: int) -> None:
