Start nothing old after a pause of the daemon

Jobs expire before they are forwarded, a job past its deadline is not forwarded, and an owner answers one that is. Before a request is submitted, and before an open job is forwarded again, the gateway looks once, without waiting, whether the callers have closed their connections.

--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -140,6 +140,9 @@
         # Submitted again while another group may run it.
         outcome, reason = jobs.Outcome.GIVEN_UP, jobs.Reason.OWNER_LOST
         _log_running_elsewhere(region, job_id, waiting)
+    elif submission.budget_s <= 0:
+        # Forwarded by a gateway that was paused.
+        outcome, reason = jobs.Outcome.GIVEN_UP, jobs.Reason.DEADLINE
     else:
         return False
     job_ends.answer_attempts(region, job_id, waiting, outcome, reason)
--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -135,6 +135,9 @@
     budget_s = callers.read_budget_s(environ, queue.timeout_s)
     submission = _build_submission(queue, job_id, body, budget_s)
     has_left = _build_caller_check(environ[listeners.SOCKET_VARIABLE])
+    if has_left():
+        # The daemon was paused before it read the request.
+        return _reject(504, job_id, queue, "caller left")
     return _run(dependencies.gateway, submission, has_left, environ)
 
 
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -210,8 +210,8 @@
         while True:
             self._has_open_jobs.wait()
             gevent.sleep(SWEEP_INTERVAL_S)
-            self.forward_open_jobs()
             self.expire(self._clock())
+            self.forward_open_jobs()
             if not self.open_jobs:
                 self._has_open_jobs.clear()
 
@@ -272,6 +272,9 @@
         owner_id = self._find_next_owner(job)
         if not owner_id:
             return False
+        if open_jobs.have_callers_left(job):
+            self._cancel(job, jobs.Reason.CALLER_LEFT)
+            return False
         return self._forward_to(job, owner_id)
 
     def _forward(self, job: open_jobs.OpenJob) -> bool:
@@ -290,6 +293,9 @@
     def _forward_to(self, job: open_jobs.OpenJob, owner_id: str) -> bool:
         """Send a job to an owner; return whether it did."""
         now = self._clock()
+        if now >= job.deadline_at:
+            # It expires in the next sweep.
+            return False
         submission = dataclasses.replace(
             job.submission,
             age_s=now - job.arrived_at,
