Drop a worker whose row can no longer be decoded

Cause: an undecodable row was skipped, so what it did depended on how it was read. In the changes of the table, its worker stayed listed with its old address and state, ready for starts, also if the row had been removed or had become undecodable after a valid version in the same answer. In a read of the whole table, its worker expired, without doubt if it was draining, though its process had not ended. And each removal of such a row put the list in doubt for 30 s, as a row that was never listed counts as a worker that came and went.

Change: `WorkerTable.update` takes what a read has shown as `RowChanges`, with the rows that cannot be decoded. A listed worker among them counts as expired at once, also in the grace after an outage, and once. Later versions and the removal of such a row raise no doubt if the table was read less than 1 s before. Runs go on, as for any worker that is no longer listed.

Callers in tests of `update` pass the same values as `RowChanges`; no check was changed.

--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -318,27 +318,35 @@
     def _handle_workers(
         self, snapshot: stores.Snapshot, is_full_read: bool
     ) -> None:
-        listed = {}
-        # Whether each row that was removed has stayed so.
-        removed = {}
-        for row in snapshot.rows:
-            if row.is_removed:
-                removed[row.key] = True
-                continue
-            if row.key in removed:
-                removed[row.key] = False
-            found = self._decoder.decode(
-                row, functools.partial(rows.decode_worker, row.key)
-            )
-            if found is not None:
-                listed[row.key] = found
         lapsed = self._workers.update(
-            listed, removed, is_full_read, self._clock()
+            self._decode_workers(snapshot), is_full_read, self._clock()
         )
         for worker_id in lapsed:
             logs.log(LOGGER, "worker_lapsed", worker=worker_id)
         self._callbacks.on_workers(self.list_workers(), is_full_read)
 
+    def _decode_workers(
+        self, snapshot: stores.Snapshot
+    ) -> worker_tables.RowChanges:
+        """Decode rows in the order of their changes; the last one counts."""
+        listed: dict[str, fleet.Listing] = {}
+        removed: dict[str, bool] = {}
+        undecodable: dict[str, bool] = {}
+        for row in snapshot.rows:
+            found = None
+            if not row.is_removed:
+                found = self._decoder.decode(
+                    row, functools.partial(rows.decode_worker, row.key)
+                )
+            if found is not None:
+                listed[row.key] = found
+            is_undecodable = found is None and not row.is_removed
+            if row.is_removed or row.key in removed:
+                removed[row.key] = row.is_removed
+            if is_undecodable or row.key in undecodable:
+                undecodable[row.key] = is_undecodable
+        return worker_tables.RowChanges(listed, removed, undecodable)
+
     def _choose_pause_s(self) -> float:
         if self._callbacks.get_epochs():
             return OWNER_WORKERS_PAUSE_S
--- a/tests/fleet/test_worker_tables.py
+++ b/tests/fleet/test_worker_tables.py
@@ -12,7 +12,7 @@
 from tests.scheduling import simulations
 
 
-class WorkerTableTest(unittest.TestCase):
+class _TwoWorkersTest(unittest.TestCase):
     """A table of two workers."""
 
     def setUp(self):
@@ -24,11 +24,19 @@
         self._update(self.both, is_full=True)
 
     def _update(
-        self, listed: dict, removed: tuple = (), is_full: bool = False
+        self,
+        listed: dict,
+        removed: tuple = (),
+        is_full: bool = False,
+        undecodable: tuple = (),
     ) -> list[str]:
         self.history.record_read(1, self.now, is_full)
-        missing = dict.fromkeys(removed, True)
-        return self.table.update(listed, missing, is_full, self.now)
+        found = worker_tables.RowChanges(
+            listed,
+            dict.fromkeys(removed, True),
+            dict.fromkeys(undecodable, True),
+        )
+        return self.table.update(found, is_full, self.now)
 
     def _list(self) -> list[str]:
         return sorted(w.worker_id for w in self.table.list_workers())
@@ -36,6 +44,10 @@
     def _has_expired(self) -> bool:
         return self.history.last_expired_at == self.now
 
+
+class WorkerTableTest(_TwoWorkersTest):
+    """Rows that were removed, or are missing from a whole read."""
+
     def test_a_removed_row_has_expired(self):
         self.assertEqual(self._update({}, ("w1",)), ["w1"])
         self.assertEqual(self._list(), ["w0"])
@@ -70,7 +82,8 @@
         self.assertEqual(self._list(), ["w0"])
 
     def test_a_row_that_came_back_at_once_is_reported_to_peers(self):
-        lapsed = self.table.update(self.both, {"w1": False}, False, self.now)
+        found = worker_tables.RowChanges(self.both, {"w1": False})
+        lapsed = self.table.update(found, False, self.now)
         self.assertEqual(lapsed, [])
         self.assertEqual(self._list(), ["w0", "w1"])
         report = self.history.build_report(self.now)
@@ -87,3 +100,68 @@
         self.now += worker_lists.STORE_RETURN_GRACE_S
         self.assertEqual(self._update({"w0": self.both["w0"]}), ["w1"])
         self.assertTrue(self._has_expired())
+
+
+class UndecodableRowsTest(_TwoWorkersTest):
+    """Rows that cannot be decoded, beside those of two workers."""
+
+    def test_a_listed_worker_is_dropped_as_if_it_had_expired(self):
+        # Guards against starts on a worker of which only old rows are known.
+        for is_full in (False, True):
+            with self.subTest(is_full=is_full):
+                self.setUp()
+                found = {"w0": self.both["w0"]}
+                dropped = self._update(
+                    found, is_full=is_full, undecodable=("w1",)
+                )
+                self.assertEqual(dropped, ["w1"])
+                self.assertEqual(self._list(), ["w0"])
+                self.assertTrue(self._has_expired())
+
+    def test_a_draining_worker_is_no_exception(self):
+        # Its process has not ended, unlike that of one whose row was removed.
+        draining = dataclasses.replace(self.both["w1"], is_draining=True)
+        self._update({"w1": draining})
+        self.assertEqual(self._update({}, undecodable=("w1",)), ["w1"])
+        self.assertTrue(self._has_expired())
+
+    def test_no_grace_after_an_outage(self):
+        self.history.record_store_state(False, self.now)
+        self.now += 5.0
+        self.history.record_store_state(True, self.now)
+        self.assertEqual(self._update({}, undecodable=("w1",)), ["w1"])
+        self.assertEqual(self._list(), ["w0"])
+
+    def test_a_row_that_never_named_a_worker_raises_no_doubt(self):
+        # Guards against waiting for leases each time that such a row changes.
+        self._update({}, undecodable=("odd",))
+        self.now += 0.4
+        self._update({}, undecodable=("odd",))
+        self.now += 0.4
+        self.assertEqual(self._update({}, ("odd",)), [])
+        self.assertEqual(self.history.find_doubt(self.now), "")
+        self.assertEqual(
+            self.history.build_report(self.now).expired_ago_ms,
+            worker_lists.MAX_REPORTED_MS,
+        )
+
+    def test_it_raises_doubt_if_it_may_have_named_a_worker_unseen(self):
+        self._update({}, undecodable=("odd",))
+        self.now += worker_lists.MAX_READ_GAP_S + 0.1
+        self.assertEqual(self._update({}, ("odd",)), ["odd"])
+        self.assertTrue(self._has_expired())
+
+    def test_a_worker_whose_row_stays_undecodable_raises_doubt_once(self):
+        self._update({}, undecodable=("w1",))
+        dropped_at = self.now
+        for _ in range(5):
+            self.now += 0.4
+            self._update({}, undecodable=("w1",))
+        self._update({}, ("w1",))
+        self.assertEqual(self.history.last_expired_at, dropped_at)
+
+    def test_a_worker_is_listed_again_once_its_row_can_be_decoded(self):
+        self._update({}, undecodable=("w1",))
+        self._update(self.both)
+        self.assertEqual(self._list(), ["w0", "w1"])
+        self.assertEqual(self._update({}, ("w1",)), ["w1"])
--- a/tests/scheduling/test_partition.py
+++ b/tests/scheduling/test_partition.py
@@ -54,7 +54,8 @@
         self.history.record_store_state(True, now)
         self.history.record_read(self.version, now, is_full)
         listed = {w: simulations.build_listing(w) for w in worker_ids}
-        self.table.update(listed, {}, is_full, now)
+        found = worker_tables.RowChanges(listed)
+        self.table.update(found, is_full, now)
 
     def _list(self, is_full: bool = False) -> None:
         """Read the store as the owner, and poll the workers found."""
@@ -155,7 +156,8 @@
         for is_full in (False, True):
             self.history.record_read(1_000, now, is_full)
             missing = dict.fromkeys(removed, True)
-            self.table.update(listed, missing, is_full, now)
+            found = worker_tables.RowChanges(listed, missing)
+            self.table.update(found, is_full, now)
 
     def _follow_until(self, end: float) -> None:
         for second in range(60, 0, -1):
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -1,5 +1,6 @@
 """The rate of reads from the store, and their order."""
 
+from collections.abc import Iterable
 import json
 import unittest
 from unittest import mock
@@ -23,10 +24,19 @@
     "Labels": [],
     "Seq": 1,
 }
+VALID = json.dumps(ENTRY).encode()
+# Also what a feed reports for a removed row.
+REMOVED = b""
+UNDECODABLE = b"[" * 10_000
 FULL = "full"
 CHANGES = "changes"
 
 
+def _list_entries(reply: Iterable) -> list[tuple[str, bytes]]:
+    """Return the rows of a reply; a key alone stands for a valid row."""
+    return [(r, VALID) if isinstance(r, str) else r for r in reply]
+
+
 class _EndOfScriptError(Exception):
     """All scripted replies have been given."""
 
@@ -63,8 +73,8 @@
         return stores.Snapshot(
             version,
             tuple(
-                stores.Row(key, json.dumps(ENTRY).encode(), version)
-                for key in reply
+                stores.Row(key, value, version, value is REMOVED)
+                for key, value in _list_entries(reply)
             ),
         )
 
@@ -76,7 +86,8 @@
         """Follow a scripted table; return the kinds of reads.
 
         Args:
-            replies: The keys of the rows of each reply, or an error.
+            replies: The rows of each reply, or an error. A row is its key, or
+                its key and its value.
             claims: Whether the daemon claims ownership after the first read.
         """
         self.store = _ScriptedStore(replies)
@@ -122,6 +133,22 @@
             self._follow([["w0", "bad", "w1"]])
         self.assertEqual(self.listed, ["w0", "w1"])
 
+    def test_worker_whose_row_becomes_undecodable_is_not_listed(self):
+        # Guards against starts on a worker by a row that no longer holds.
+        odd = ("w1", UNDECODABLE)
+        gone = ("w1", REMOVED)
+        for changes, listed in (
+            ([odd], ["w0"]),
+            (["w1", odd], ["w0"]),
+            ([gone, odd], ["w0"]),
+            ([odd, gone], ["w0"]),
+            ([odd, "w1"], ["w0", "w1"]),
+            ([odd, gone, "w1"], ["w0", "w1"]),
+        ):
+            with self.subTest(changes=[str(c)[:30] for c in changes]):
+                self._follow([["w0", "w1"], changes])
+                self.assertEqual(self.listed, listed)
+
     def test_workers_are_kept_in_the_first_read_after_an_outage(self):
         # Guards against dropping workers whose rows are about to come back.
         lost = exceptions.StoreError("lost")
