Ignore rows of other parts in the changes of a table

Cause: a feed reports the rows of all parts of a table, and the part was ignored. A row of another writer with a part, under the key of a worker, replaced the entry of that worker, and its removal dropped the worker. A read of the whole table asks for the empty part only, so the two disagreed.

Change: the store client leaves out rows that have a part.

--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -170,7 +170,7 @@
     # Base64 text.
     value: str = ""
     removed: bool = False
-    # An additional part of the key, which is always empty here.
+    # An additional part of the key. It is empty in all rows that are used here.
     part: str = msgspec.field(default="", name="part")
 
 
--- a/pollenladder/platform/store.py
+++ b/pollenladder/platform/store.py
@@ -95,7 +95,7 @@
             # Keep the version of the first page: a feed from there on repeats
             # the changes that were made between two pages.
             version = version or page.ver
-            rows += [_decode_row(row) for row in page.rows]
+            rows += _decode_rows(page)
             if not page.has_more:
                 return Snapshot(version, tuple(rows))
             if not page.rows:
@@ -114,9 +114,9 @@
         self.calls["read"] += 1
         query = {"Table": table, "part": "", "From": key, "Limit": 1}
         page = self._read("/rows-get", query, REQUEST_TIMEOUT_S)
-        for row in page.rows:
+        for row in _decode_rows(page):
             if row.key == key:
-                return _decode_row(row)
+                return row
         return None
 
     def wait_for_changes(
@@ -142,7 +142,7 @@
             wait_ms = int(wait_s * 1000)
             query = {"Table": table, "After": after, "WaitMs": wait_ms}
             page = self._read("/rows-feed", query, wait_s + REQUEST_TIMEOUT_S)
-            rows += [_decode_row(row) for row in page.rows]
+            rows += _decode_rows(page)
             last = max((row.ver for row in page.rows), default=after)
             if not page.has_more or last <= after:
                 return Snapshot(page.ver, tuple(rows))
@@ -236,6 +236,15 @@
     raise exceptions.StoreError(text)
 
 
+def _decode_rows(page: messages.Rows) -> list[Row]:
+    """Decode the rows of a page that are used here.
+
+    A feed reports the rows of all parts of a table. The rows used here have no
+    part, and other writers may use the same keys in other parts.
+    """
+    return [_decode_row(row) for row in page.rows if not row.part]
+
+
 def _decode_row(row: messages.Row) -> Row:
     try:
         value = base64.b64decode(row.value, validate=True)
--- a/standins/site_store.py
+++ b/standins/site_store.py
@@ -16,6 +16,7 @@
 from standins import wsgi
 
 MAX_ROWS = 500
+MAX_KEY_BYTES = 200
 
 
 class FailureMode(enum.Enum):
@@ -57,7 +58,7 @@
     table: str
     part: str
     key: str
-    value: str
+    value: Any
     version: int
     is_removed: bool = False
 
@@ -100,19 +101,23 @@
         self._oldest_feed_version = 0
         self._changed = event.Event()
 
-    def put(self, table: str, key: str, value: bytes) -> int:
+    def put(self, table: str, key: str, value: bytes, part: str = "") -> int:
         """Write a row on behalf of the platform and return its version."""
-        self.version += 1
         text = base64.b64encode(value).decode()
-        self._record_change(_Row(table, "", key, text, self.version))
+        return self.put_text(table, key, text, part)
+
+    def put_text(self, table: str, key: str, text: Any, part: str = "") -> int:
+        """Write a row whose value may be any JSON value, not only base64."""
+        self.version += 1
+        self._record_change(_Row(table, part, key, text, self.version))
         self._wake_feeds()
         return self.version
 
-    def remove_row(self, table: str, key: str) -> None:
+    def remove_row(self, table: str, key: str, part: str = "") -> None:
         """Remove a row on behalf of the platform."""
         self.version += 1
         self._record_change(
-            _Row(table, "", key, "", self.version, is_removed=True)
+            _Row(table, part, key, "", self.version, is_removed=True)
         )
         self._wake_feeds()
 
@@ -157,7 +162,7 @@
             return _reply(start_response, status, reply)
         query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
         if path == "/rows-get":
-            return _reply(start_response, 200, self._list_rows(query))
+            return _reply(start_response, *self._list_rows(query))
         if path == "/rows-feed":
             return _reply(start_response, *self._wait_for_changes(query))
         return _reply(start_response, 404, {})
@@ -184,8 +189,10 @@
         self._wake_feeds()
         return 200, self._add_version_and_clock({})
 
-    def _list_rows(self, query: dict[str, str]) -> dict[str, Any]:
+    def _list_rows(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         first = query.get("From", "")
+        if len(first.encode()) > MAX_KEY_BYTES:
+            return 400, {}
         limit = min(int(query.get("Limit", MAX_ROWS)), MAX_ROWS)
         rows = sorted(
             (
@@ -198,7 +205,7 @@
             key=lambda row: row.key.encode(),
         )
         found = [row.encode() for row in rows[:limit]]
-        return self._add_version_and_clock(
+        return 200, self._add_version_and_clock(
             {"rows": found, "HasMore": len(rows) > limit}
         )
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -43,6 +43,16 @@
         snapshot = self.store.read_table("mine")
         self.assertEqual(len(snapshot.rows), site_store.MAX_ROWS + 20)
 
+    def test_row_of_another_part_is_another_row(self):
+        # Guards against a worker that is listed, or dropped, by another row.
+        self.site.put("mine", "a", b"one")
+        before = self.site.version
+        self.site.put("mine", "a", b"other", part="p")
+        self.site.remove_row("mine", "a", part="p")
+        changes = self.store.wait_for_changes("mine", before, 0.0)
+        self.assertEqual(changes.rows, ())
+        self.assertEqual(changes.version, self.site.version)
+
     def test_feed_reports_changes_and_removals(self):
         snapshot = self.store.read_table("mine")
         self.site.put("mine", "a", b"1")
