Read the other rows beside one that cannot be decoded

Cause: a response of the store was decoded as a whole. A row in it whose key is no UTF-8 text, or whose value, version or part is null or of another type, made the whole table unreadable: each read failed as if the store were down, and workers, daemons and the configuration were no longer followed.

Change: `platform.pages` decodes row by row if the whole cannot be decoded. A row without a usable value gets an empty one, which its reader rejects and logs. A body that is not JSON, or is nested too deeply, still counts as no response: nothing in it tells where the rows are.

--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -166,7 +166,7 @@
     table: str
     key: str
     # The store's version at the row's last change.
-    ver: int
+    ver: Natural
     # Base64 text.
     value: str = ""
     removed: bool = False
@@ -174,14 +174,30 @@
     part: str = msgspec.field(default="", name="part")
 
 
+class RowAddress(_Wire, frozen=True):
+    """What tells a row from others, if the rest of it cannot be decoded."""
+
+    key: str
+    ver: Natural
+    part: str = msgspec.field(default="", name="part")
+
+
 class Rows(_Wire, frozen=True):
     """Rows, and the store's version at which they were read."""
 
-    ver: int
+    ver: Natural
     rows: tuple[Row, ...] = msgspec.field(default=(), name="rows")
     has_more: bool = False
 
 
+class RawRows(_Wire, frozen=True):
+    """Rows that are decoded one by one."""
+
+    ver: Natural
+    rows: tuple[msgspec.Raw, ...] = msgspec.field(default=(), name="rows")
+    has_more: bool = False
+
+
 class Ownership(msgspec.Struct, frozen=True):
     """The value of the owner's row, which only daemons write and read."""
 
--- a/pollenladder/platform/store.py
+++ b/pollenladder/platform/store.py
@@ -10,14 +10,13 @@
 import time
 import urllib.parse
 
-import msgspec
-
 from pollenladder.http import connections
 from pollenladder.http import exceptions as http_exceptions
 from pollenladder.http import exchanges
 from pollenladder.http import responses
 from pollenladder.platform import exceptions
 from pollenladder.platform import messages
+from pollenladder.platform import pages
 
 REQUEST_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
@@ -26,8 +25,6 @@
 MAX_CONNECTIONS = 8
 ROWS_PER_PAGE = 500
 
-_ROWS_DECODER = msgspec.json.Decoder(messages.Rows)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
@@ -206,8 +203,8 @@
         target = f"{path}?{urllib.parse.urlencode(query)}"
         body = self._call("GET", target, b"", timeout_s)
         try:
-            return _ROWS_DECODER.decode(body)
-        except messages.DECODE_ERRORS as error:
+            return pages.decode_page(body)
+        except exceptions.StoreError as error:
             raise exceptions.StoreError(f"{path}: {error}") from error
 
     def _call(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -55,6 +55,27 @@
         self.assertEqual(len(keys), site_store.MAX_ROWS + 1)
         self.assertEqual(len(set(keys)), len(keys))
 
+    def test_row_with_an_unusable_field_costs_only_itself(self):
+        # Guards against a table that one row keeps from being read.
+        self.store.put("mine", "a", b"one")
+        before = self.site.version
+        values = (None, 5, 10**400, 1e308, {"a": [1]}, ["b25l"])
+        for index, value in enumerate(values):
+            self.site.put_text("mine", f"odd{index}", value)
+        self.site.put("mine", "z", b"two")
+        read = self.store.read_table("mine").rows
+        changed = self.store.wait_for_changes("mine", before, 0.0).rows
+        odd = {f"odd{index}": b"" for index in range(len(values))}
+        for found in (
+            ({"a": b"one"} | odd | {"z": b"two"}, read),
+            (
+                odd | {"z": b"two"},
+                changed,
+            ),
+        ):
+            expected, rows = found
+            self.assertEqual({r.key: r.value for r in rows}, expected)
+
     def test_row_of_another_part_is_another_row(self):
         # Guards against a worker that is listed, or dropped, by another row.
         self.site.put("mine", "a", b"one")
