Use only the workers of services that the configuration names

Cause: an entry with another service counted as a worker wherever the list is used. 520 such rows in 40 data centres that don't exist made the daemon that chooses the layout store a group for each of them, for good (a layout never shrinks). By reading: such an entry at a dead address also is one of the three workers that a daemon probes to tell whether it is cut off, and an owner waits for its reply before it takes the runs of a takeover as known.

Change: the list passes `fleet.services`, and is passed on anew when the configuration changes. Services count as named if they are declared or used by a queue. Before the first configuration there are no workers, and no layout is chosen; a daemon serves no caller then.

--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -110,6 +110,7 @@
             seconds, by service; services without such a time are left out.
         unguarded_services: The services whose workers start everything that they
             are told to, even beyond their capacity.
+        services: The services that are declared. Queues may use others.
     """
 
     version: int
@@ -118,6 +119,7 @@
     source: bytes
     cold_starts: dict[str, float] = dataclasses.field(default_factory=dict)
     unguarded_services: frozenset[str] = frozenset()
+    services: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -66,6 +66,7 @@
             for service in services
             if not service.enforces_capacity
         ),
+        services=frozenset(service.name for service in services),
     )
 
 
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -97,9 +97,7 @@
         self._configurations = configurations.Configurations(
             configurations.Callbacks(
                 send=lambda *message: self._mesh.send(*message),
-                on_change=lambda found: self._groups.update_services(
-                    found.cold_starts, found.unguarded_services
-                ),
+                on_change=self._handle_configuration_change,
             )
         )
         self._build_gateway()
@@ -229,7 +227,9 @@
                 get_layout=lambda: self._groups.layout,
                 apply_layout=self._apply_layout,
                 write_layout=self._feeds.write_layout,
-                list_workers=self._feeds.list_workers,
+                list_workers=lambda: self._configurations.select_workers(
+                    self._feeds.list_workers()
+                ),
                 is_keeper=self._is_layout_keeper,
             ),
         )
@@ -403,6 +403,12 @@
         # Heartbeats tell the peers that do not reach the store.
         self._membership.wake()
 
+    def _handle_configuration_change(self, found: jobs.Configuration) -> None:
+        self._groups.update_services(
+            found.cold_starts, found.unguarded_services
+        )
+        self._update_workers(self._feeds.list_workers(), False)
+
     def _handle_member(self, member: rosters.Member) -> None:
         if self._roster.record_member(member, self._clock()):
             logs.log(
@@ -437,7 +443,8 @@
         listings: tuple[fleet.Listing, ...],
         is_full_list: bool,
     ) -> None:
-        self._groups.update_workers(listings, is_full_list)
+        named = self._configurations.select_workers(listings)
+        self._groups.update_workers(named, is_full_list)
         if self._layout_keeper.needs_change():
             self._feeds.refresh_daemons()
 
