Limit the log lines and the memory for invalid rows

Cause: a line was logged for each version of an invalid row, as a warning, which the limit of 500 lines/s doesn't cover, and the version of each invalid row was kept for good. So another writer that renews its rows, or writes them under new keys, filled the logs of all daemons and their memory.

--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -128,7 +128,7 @@
         "row_rejected",
         Kind.DEPENDENCY,
         "a row of the store is invalid",
-        ("key", "version", "error"),
+        ("key", "version", "error", "omitted"),
     ),
     Event(
         "link_made",
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -95,7 +95,7 @@
         self._workers = worker_tables.WorkerTable(list_history)
         self._workers_refresh = event.Event()
         self._daemons_refresh = event.Event()
-        self._decoder = row_decoding.RowDecoder()
+        self._decoder = row_decoding.RowDecoder(clock)
         self._read_began_at: dict[str, float] = {}
         self._is_set_confirmed = True
         self._evacuation_rows = evacuation_rows.EvacuationRows(
--- a/pollenladder/service/owner_rows.py
+++ b/pollenladder/service/owner_rows.py
@@ -65,7 +65,7 @@
         self._own_id = own_id
         self._callbacks = callbacks
         self._clock = clock
-        self._decoder = row_decoding.RowDecoder()
+        self._decoder = row_decoding.RowDecoder(clock)
         self._rows: dict[str, OwnerRow] = {}
 
     def run(self) -> None:
