Count only daemons in the table of daemons

Cause: the pause between two reads of a daemon that owns no group grows with the number of rows in the table of daemons, and invalid rows counted. With 600 of them it was 200 s instead of 2 s: such a daemon stopped following workers.

Change: only rows that describe daemons count.

--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -353,7 +353,7 @@
         return choose_pause_s(self._daemon_count)
 
     def _handle_members(self, found: tuple[stores.Row, ...]) -> None:
-        self._daemon_count = max(1, len(found))
+        daemons = 1
         is_registered = False
         layout_row = None
         for row in found:
@@ -364,7 +364,9 @@
             if member == self._own:
                 is_registered = True
             elif member is not None:
+                daemons += 1
                 self._callbacks.on_member(member)
+        self._daemon_count = daemons
         if not is_registered:
             entry = rows.encode_member(self._own)
             self._store.put(rows.DAEMONS_TABLE, self._own.daemon_id, entry)
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -171,6 +171,52 @@
         self.assertEqual(self.history.find_doubt(100.0), "store_returned")
 
 
+class _DaemonsStore:
+    """Answers one read of the table of daemons."""
+
+    def __init__(self, found: list[tuple[str, bytes]]):
+        self.calls: dict[str, int] = {}
+        self._rows = tuple(
+            stores.Row(key, value, n) for n, (key, value) in enumerate(found, 1)
+        )
+
+    def read_table(self, table: str) -> stores.Snapshot:
+        if not self._rows:
+            raise _EndOfScriptError
+        found, self._rows = self._rows, ()
+        return stores.Snapshot(1000, found)
+
+
+class DaemonsTest(unittest.TestCase):
+    """Rows of other writers among those of the daemons."""
+
+    def test_undecodable_rows_do_not_count_as_daemons(self):
+        # Guards against daemons that stop following the workers, as the pause
+        # between two reads grows with the number of daemons.
+        own = rosters.Member("d", "10.0.0.1", 1, "norte", 1)
+        found = [(f"odd{n}", UNDECODABLE) for n in range(600)]
+        found.append(("d", rows.encode_member(own)))
+        daemons: list[str] = []
+        followed = feeds.Feeds(
+            _DaemonsStore(found),
+            own,
+            feeds.Callbacks(
+                on_configuration=lambda found: None,
+                on_workers=lambda listings, is_full_read: None,
+                on_member=lambda member: daemons.append(member.daemon_id),
+                on_layout=lambda layout, version: None,
+                get_epochs=dict,
+                on_evacuated=lambda known, began_at: None,
+            ),
+            lambda: 100.0,
+            worker_lists.ListHistory(),
+        )
+        with self.assertRaises(_EndOfScriptError):
+            followed.run_daemons()
+        self.assertEqual(daemons, [])
+        self.assertEqual(followed._choose_pause_s(), feeds.MIN_PAUSE_S)
+
+
 class PauseTest(unittest.TestCase):
     """The reads by all daemons together are bounded."""
 
