Store the layout in force again if its row is lost or invalid

Cause: while a layout was in force, nothing replaced an invalid row of the layout. Each daemon that had not just read a layout reads the table of daemons four times a second, so all did, for good. A row with an older layout was built on, so that the stored layout differed from the one in force.

Change: the keeper of the layout builds on the newest layout that it knows, and stores it if the row differs. Others still write nothing then (test_lost_row_does_not_replace_the_layout_in_force, unchanged).

Result: test_keeper_stores_the_layout_in_force_again and test_keeper_does_not_build_on_an_older_layout failed before (nothing was written), pass now. The stand-in of the test ignores older layouts, as `Groups.apply_layout` does.

--- a/pollenladder/service/layout_keeper.py
+++ b/pollenladder/service/layout_keeper.py
@@ -58,7 +58,9 @@
             self._callbacks.apply_layout(stored)
         if not self._may_choose(stored):
             return
-        chosen = self._choose(stored)
+        # The row may be lost or invalid while a layout is in force.
+        newest = max(stored, self._callbacks.get_layout(), key=_get_version)
+        chosen = self._choose(newest)
         if chosen != stored:
             self._callbacks.write_layout(chosen, row_version)
 
@@ -85,11 +87,8 @@
         The first one is chosen by the daemon with the smallest id that is
         linked.
         """
-        if stored.version:
+        if stored.version or self._callbacks.get_layout().version:
             return self._callbacks.is_keeper()
-        if self._callbacks.get_layout().version:
-            # The row was lost or is invalid, but a layout is in force.
-            return False
         linked = self._roster.list_linked()
         return all(self._own_id < daemon_id for daemon_id in linked)
 
@@ -99,3 +98,7 @@
         return max(
             [self._processor_cores, *(view.processor_cores for view in linked)]
         )
+
+
+def _get_version(layout: groups.Layout) -> int:
+    return layout.version
--- a/tests/service/test_layout_keeper.py
+++ b/tests/service/test_layout_keeper.py
@@ -28,7 +28,7 @@
             self.roster,
             layout_keeper.Callbacks(
                 get_layout=self._get_layout,
-                apply_layout=self.applied.append,
+                apply_layout=self._apply,
                 write_layout=lambda *written: self.written.append(written),
                 list_workers=self._list_workers,
                 is_keeper=lambda: self.is_keeper,
@@ -44,6 +44,10 @@
             name, samples.build_heartbeat(**changes), 0.0
         )
 
+    def _apply(self, layout: groups.Layout) -> None:
+        if layout.version > self._get_layout().version:
+            self.applied.append(layout)
+
     def _get_layout(self) -> groups.Layout:
         return self.applied[-1] if self.applied else groups.Layout()
 
@@ -79,6 +83,20 @@
         self.keeper.update(groups.Layout(), 0)
         self.assertEqual(self.written, [])
 
+    def test_keeper_stores_the_layout_in_force_again(self):
+        # Guards against a row that stays invalid: daemons that have not read a
+        # layout read the table four times a second.
+        self.is_keeper = True
+        self.keeper.update(groups.Layout(3, {}), ROW)
+        self.keeper.update(groups.Layout(), ROW + 1)
+        self.assertEqual(self.written, [(groups.Layout(3, {}), ROW + 1)])
+
+    def test_keeper_does_not_build_on_an_older_layout(self):
+        self.is_keeper = True
+        self.keeper.update(groups.Layout(3, {}), ROW)
+        self.keeper.update(ONE, ROW + 1)
+        self.assertEqual(self.written, [(groups.Layout(3, {}), ROW + 1)])
+
     def test_keeper_replaces_a_layout_that_no_longer_suffices(self):
         self.workers = int(3 * groups.WORKERS_PER_CORE)
         self.keeper.update(ONE, ROW)
