Reject an entry if an unused field shows that it is no worker's

Cause: the decoder knew only the fields that are used. An entry with a `Seq`, `Slots` or `Version` of another type, or a number too large in one of them, was listed as a worker, and so was one with a time until it is warm of 1e308 ms, or a port with leading zeros. By PROTOCOL.md such an entry names no worker.

Change: `Version`, `Slots`, `Seq` and `Labels` are declared and checked; all may be missing, and `Labels` may be null. `ColdLeftMs` is at most 2**53. A port begins with 1 to 9, also in the settings file.

--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -122,7 +122,11 @@
 
 
 class ServerEntry(_Wire, frozen=True):
-    """A worker's description of itself in the store."""
+    """A worker's description of itself in the store.
+
+    Fields that are not used are declared too, because one of another type shows
+    that the entry does not describe a worker.
+    """
 
     service: str
     addr: str
@@ -130,7 +134,12 @@
     state: str
     capacity: Capacity
     # For how much longer the worker is slow after its start.
-    cold_left_ms: float = 0
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_INTEGER)] = 0
+    version: str = ""
+    slots: Natural = 0
+    seq: Natural = 0
+    # Some writers send null for an empty list.
+    labels: tuple[str, ...] | None = None
 
 
 class Started(_Wire, frozen=True):
--- a/pollenladder/platform/settings.py
+++ b/pollenladder/platform/settings.py
@@ -17,7 +17,7 @@
 _ZONES_PREFIX = "Zones."
 DEFAULT_PATH = "/etc/pollenladder/settings.conf"
 MAX_PORT = 65_535
-PORT_PATTERN = re.compile("[0-9]{1,5}")
+PORT_PATTERN = re.compile("[1-9][0-9]{0,4}")
 # The addresses of all workers are parsed each time that their rows are read.
 MAX_CACHED_ADDRESSES = 16_384
 
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -76,6 +76,74 @@
             ):
                 rows.decode_worker("w1", source)
 
+    def test_fields_that_may_be_missing(self):
+        # Guards against a worker that is lost because of a detail. Some writers
+        # send null for an empty list.
+        for name in ("Version", "Slots", "Seq", "Labels", "ColdLeftMs"):
+            with self.subTest(name=name):
+                entry = {k: ENTRY[k] for k in ENTRY if k != name}
+                source = json.dumps(entry).encode()
+                self.assertTrue(rows.decode_worker("w1", source))
+        source = json.dumps(ENTRY | {"Labels": None}).encode()
+        self.assertTrue(rows.decode_worker("w1", source))
+
+    def test_fields_of_another_type(self):
+        # Guards against a row of another writer that is used because only its
+        # unused fields show that it does not describe a worker.
+        too_large = int("9" * 400)
+        cases = (
+            {"Slots": None},
+            {"Slots": "8"},
+            {"Slots": -1},
+            {"Slots": 8.5},
+            {"Seq": None},
+            {"Seq": "4"},
+            {"Seq": 1e308},
+            {"Seq": too_large},
+            {"Version": None},
+            {"Version": 7},
+            {"Labels": "a"},
+            {"Labels": [7]},
+            {"ColdLeftMs": None},
+            {"ColdLeftMs": "0"},
+            {"ColdLeftMs": 1e308},
+            {"ColdLeftMs": too_large},
+            {"Capacity": {"Cpu": 2**63, "MemMb": 1}},
+            {"Capacity": {"Cpu": -1, "MemMb": 1}},
+            {"Capacity": {"Cpu": 1.0, "MemMb": 1}},
+            {"Capacity": {"Cpu": True, "MemMb": 1}},
+        )
+        for changes in cases:
+            source = json.dumps(ENTRY | changes).encode()
+            with (
+                self.subTest(changes=str(changes)[:80]),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_worker("w1", source)
+
+    def test_numbers_that_are_no_json(self):
+        # Python's encoder writes some of them, and converts no more than 4300
+        # digits.
+        source = json.dumps(ENTRY)
+        for number in (
+            "NaN",
+            "Infinity",
+            "-Infinity",
+            "1e400",
+            "-1e400",
+            "9" * 5000,
+            "9" * 100_000,
+        ):
+            for old in ('"Slots": 8', '"ColdLeftMs": 0', '"Cpu": 64000'):
+                self.assertIn(old, source)
+                name, _ = old.split(" ")
+                changed = source.replace(old, f"{name} {number}").encode()
+                with (
+                    self.subTest(name=name, number=number[:20]),
+                    self.assertRaises(exceptions.BadDocumentError),
+                ):
+                    rows.decode_worker("w1", changed)
+
     def test_texts_that_cannot_be_used(self):
         # Guards against a text that fails only where it becomes an address, a
         # header or a part of a message, outside of the handling of the row.
@@ -87,6 +155,17 @@
             {"Addr": "10.0.0.1\r\n:80"},
             {"Addr": "10.0.0.9:0"},
             {"Addr": "10.0.0.9:65536"},
+            {"Addr": "10.0.0.9:-1"},
+            {"Addr": "10.0.0.9:99999999999"},
+            {"Addr": "10.0.0.9:0080"},
+            {"Addr": "10.0.0.9: 80"},
+            {"Addr": "10.0.0.9:80 "},
+            {"Addr": "10.0.0.9:80\n"},
+            {"Addr": "10.0.0.9:\uff18\uff10"},
+            {"Addr": "\uff11\uff10.0.0.9:80"},
+            {"Addr": "1." * 400 + "1:80"},
+            {"Addr": ":80"},
+            {"Addr": "::1:80"},
             {"Addr": "10.0.0.9:8_0"},
             {"Addr": "10.0.0.9:\u0668\u0660"},
             {"Zone": ""},
