--- a/pollenladder/platform/messages.py
+++ b/pollenladder/platform/messages.py
@@ -122,7 +122,11 @@
 
 
 class ServerEntry(_Wire, frozen=True):
-    """A worker's description of itself in the store."""
+    """A worker's description of itself in the store.
+
+    Fields that are not used are declared too, because one of another type shows
+    that the entry does not describe a worker.
+    """
 
     service: str
     addr: str
@@ -130,7 +134,12 @@
     state: str
     capacity: Capacity
     # For how much longer the worker is slow after its start.
-    cold_left_ms: float = 0
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_INTEGER)] = 0
+    version: str = ""
+    slots: Natural = 0
+    seq: Natural = 0
+    # Some writers send null for an empty list.
+    labels: tuple[str, ...] | None = None
 
 
 class Started(_Wire, frozen=True):
@@ -166,22 +175,38 @@
     table: str
     key: str
     # The store's version at the row's last change.
-    ver: int
+    ver: Natural
     # Base64 text.
     value: str = ""
     removed: bool = False
-    # An additional part of the key, which is always empty here.
+    # An additional part of the key. It is empty in all rows that are used here.
+    part: str = msgspec.field(default="", name="part")
+
+
+class RowAddress(_Wire, frozen=True):
+    """What tells a row from others, if the rest of it cannot be decoded."""
+
+    key: str
+    ver: Natural
     part: str = msgspec.field(default="", name="part")
 
 
 class Rows(_Wire, frozen=True):
     """Rows, and the store's version at which they were read."""
 
-    ver: int
+    ver: Natural
     rows: tuple[Row, ...] = msgspec.field(default=(), name="rows")
     has_more: bool = False
 
 
+class RawRows(_Wire, frozen=True):
+    """Rows that are decoded one by one."""
+
+    ver: Natural
+    rows: tuple[msgspec.Raw, ...] = msgspec.field(default=(), name="rows")
+    has_more: bool = False
+
+
 class Ownership(msgspec.Struct, frozen=True):
     """The value of the owner's row, which only daemons write and read."""
 
--- a/pollenladder/platform/store.py
+++ b/pollenladder/platform/store.py
@@ -10,14 +10,13 @@
 import time
 import urllib.parse
 
-import msgspec
-
 from pollenladder.http import connections
 from pollenladder.http import exceptions as http_exceptions
 from pollenladder.http import exchanges
 from pollenladder.http import responses
 from pollenladder.platform import exceptions
 from pollenladder.platform import messages
+from pollenladder.platform import pages
 
 REQUEST_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
@@ -26,8 +25,6 @@
 MAX_CONNECTIONS = 8
 ROWS_PER_PAGE = 500
 
-_ROWS_DECODER = msgspec.json.Decoder(messages.Rows)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
@@ -85,25 +82,28 @@
         """
         self.calls["read"] += 1
         rows: list[Row] = []
-        first = ""
+        # Key of the last row that was read. The next page begins with it, as the
+        # store need not accept a key that is longer by one character.
+        last = ""
         version = 0
         while True:
             query = {"Table": table, "part": "", "Limit": ROWS_PER_PAGE}
-            if first:
-                query["From"] = first
+            if last:
+                query["From"] = last
             page = self._read("/rows-get", query, REQUEST_TIMEOUT_S)
             # Keep the version of the first page: a feed from there on repeats
             # the changes that were made between two pages.
             version = version or page.ver
-            rows += [_decode_row(row) for row in page.rows]
+            found = [row for row in _decode_rows(page) if row.key != last]
+            rows += found
             if not page.has_more:
                 return Snapshot(version, tuple(rows))
-            if not page.rows:
+            keys = [row.key for row in found if row.key]
+            if not keys:
                 raise exceptions.StoreError(
-                    "a page without rows is not the last"
+                    "a page without new rows is not the last"
                 )
-            # The smallest key after the last one of this page.
-            first = page.rows[-1].key + "\0"
+            last = keys[-1]
 
     def read_row(self, table: str, key: str) -> Row | None:
         """Read one row, or None if there is none.
@@ -114,9 +114,9 @@
         self.calls["read"] += 1
         query = {"Table": table, "part": "", "From": key, "Limit": 1}
         page = self._read("/rows-get", query, REQUEST_TIMEOUT_S)
-        for row in page.rows:
+        for row in _decode_rows(page):
             if row.key == key:
-                return _decode_row(row)
+                return row
         return None
 
     def wait_for_changes(
@@ -142,7 +142,7 @@
             wait_ms = int(wait_s * 1000)
             query = {"Table": table, "After": after, "WaitMs": wait_ms}
             page = self._read("/rows-feed", query, wait_s + REQUEST_TIMEOUT_S)
-            rows += [_decode_row(row) for row in page.rows]
+            rows += _decode_rows(page)
             last = max((row.ver for row in page.rows), default=after)
             if not page.has_more or last <= after:
                 return Snapshot(page.ver, tuple(rows))
@@ -203,8 +203,8 @@
         target = f"{path}?{urllib.parse.urlencode(query)}"
         body = self._call("GET", target, b"", timeout_s)
         try:
-            return _ROWS_DECODER.decode(body)
-        except messages.DECODE_ERRORS as error:
+            return pages.decode_page(body)
+        except exceptions.StoreError as error:
             raise exceptions.StoreError(f"{path}: {error}") from error
 
     def _call(
@@ -236,6 +236,15 @@
     raise exceptions.StoreError(text)
 
 
+def _decode_rows(page: messages.Rows) -> list[Row]:
+    """Decode the rows of a page that are used here.
+
+    A feed reports the rows of all parts of a table. The rows used here have no
+    part, and other writers may use the same keys in other parts.
+    """
+    return [_decode_row(row) for row in page.rows if not row.part]
+
+
 def _decode_row(row: messages.Row) -> Row:
     try:
         value = base64.b64decode(row.value, validate=True)
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -95,7 +95,7 @@
         self._workers = worker_tables.WorkerTable(list_history)
         self._workers_refresh = event.Event()
         self._daemons_refresh = event.Event()
-        self._decoder = row_decoding.RowDecoder()
+        self._decoder = row_decoding.RowDecoder(clock)
         self._read_began_at: dict[str, float] = {}
         self._is_set_confirmed = True
         self._evacuation_rows = evacuation_rows.EvacuationRows(
@@ -318,34 +318,42 @@
     def _handle_workers(
         self, snapshot: stores.Snapshot, is_full_read: bool
     ) -> None:
-        listed = {}
-        # Whether each row that was removed has stayed so.
-        removed = {}
-        for row in snapshot.rows:
-            if row.is_removed:
-                removed[row.key] = True
-                continue
-            if row.key in removed:
-                removed[row.key] = False
-            found = self._decoder.decode(
-                row, functools.partial(rows.decode_worker, row.key)
-            )
-            if found is not None:
-                listed[row.key] = found
         lapsed = self._workers.update(
-            listed, removed, is_full_read, self._clock()
+            self._decode_workers(snapshot), is_full_read, self._clock()
         )
         for worker_id in lapsed:
             logs.log(LOGGER, "worker_lapsed", worker=worker_id)
         self._callbacks.on_workers(self.list_workers(), is_full_read)
 
+    def _decode_workers(
+        self, snapshot: stores.Snapshot
+    ) -> worker_tables.RowChanges:
+        """Decode rows in the order of their changes; the last one counts."""
+        listed: dict[str, fleet.Listing] = {}
+        removed: dict[str, bool] = {}
+        undecodable: dict[str, bool] = {}
+        for row in snapshot.rows:
+            found = None
+            if not row.is_removed:
+                found = self._decoder.decode(
+                    row, functools.partial(rows.decode_worker, row.key)
+                )
+            if found is not None:
+                listed[row.key] = found
+            is_undecodable = found is None and not row.is_removed
+            if row.is_removed or row.key in removed:
+                removed[row.key] = row.is_removed
+            if is_undecodable or row.key in undecodable:
+                undecodable[row.key] = is_undecodable
+        return worker_tables.RowChanges(listed, removed, undecodable)
+
     def _choose_pause_s(self) -> float:
         if self._callbacks.get_epochs():
             return OWNER_WORKERS_PAUSE_S
         return choose_pause_s(self._daemon_count)
 
     def _handle_members(self, found: tuple[stores.Row, ...]) -> None:
-        self._daemon_count = max(1, len(found))
+        daemons = 1
         is_registered = False
         layout_row = None
         for row in found:
@@ -356,7 +364,9 @@
             if member == self._own:
                 is_registered = True
             elif member is not None:
+                daemons += 1
                 self._callbacks.on_member(member)
+        self._daemon_count = daemons
         if not is_registered:
             entry = rows.encode_member(self._own)
             self._store.put(rows.DAEMONS_TABLE, self._own.daemon_id, entry)
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -1,5 +1,6 @@
 """The rate of reads from the store, and their order."""
 
+from collections.abc import Iterable
 import json
 import unittest
 from unittest import mock
@@ -23,10 +24,19 @@
     "Labels": [],
     "Seq": 1,
 }
+VALID = json.dumps(ENTRY).encode()
+# Also what a feed reports for a removed row.
+REMOVED = b""
+UNDECODABLE = b"[" * 10_000
 FULL = "full"
 CHANGES = "changes"
 
 
+def _list_entries(reply: Iterable) -> list[tuple[str, bytes]]:
+    """Return the rows of a reply; a key alone stands for a valid row."""
+    return [(r, VALID) if isinstance(r, str) else r for r in reply]
+
+
 class _EndOfScriptError(Exception):
     """All scripted replies have been given."""
 
@@ -63,8 +73,8 @@
         return stores.Snapshot(
             version,
             tuple(
-                stores.Row(key, json.dumps(ENTRY).encode(), version)
-                for key in reply
+                stores.Row(key, value, version, value is REMOVED)
+                for key, value in _list_entries(reply)
             ),
         )
 
@@ -76,7 +86,8 @@
         """Follow a scripted table; return the kinds of reads.
 
         Args:
-            replies: The keys of the rows of each reply, or an error.
+            replies: The rows of each reply, or an error. A row is its key, or
+                its key and its value.
             claims: Whether the daemon claims ownership after the first read.
         """
         self.store = _ScriptedStore(replies)
@@ -122,6 +133,22 @@
             self._follow([["w0", "bad", "w1"]])
         self.assertEqual(self.listed, ["w0", "w1"])
 
+    def test_worker_whose_row_becomes_undecodable_is_not_listed(self):
+        # Guards against starts on a worker by a row that no longer holds.
+        odd = ("w1", UNDECODABLE)
+        gone = ("w1", REMOVED)
+        for changes, listed in (
+            ([odd], ["w0"]),
+            (["w1", odd], ["w0"]),
+            ([gone, odd], ["w0"]),
+            ([odd, gone], ["w0"]),
+            ([odd, "w1"], ["w0", "w1"]),
+            ([odd, gone, "w1"], ["w0", "w1"]),
+        ):
+            with self.subTest(changes=[str(c)[:30] for c in changes]):
+                self._follow([["w0", "w1"], changes])
+                self.assertEqual(self.listed, listed)
+
     def test_workers_are_kept_in_the_first_read_after_an_outage(self):
         # Guards against dropping workers whose rows are about to come back.
         lost = exceptions.StoreError("lost")
@@ -144,6 +171,52 @@
         self.assertEqual(self.history.find_doubt(100.0), "store_returned")
 
 
+class _DaemonsStore:
+    """Answers one read of the table of daemons."""
+
+    def __init__(self, found: list[tuple[str, bytes]]):
+        self.calls: dict[str, int] = {}
+        self._rows = tuple(
+            stores.Row(key, value, n) for n, (key, value) in enumerate(found, 1)
+        )
+
+    def read_table(self, table: str) -> stores.Snapshot:
+        if not self._rows:
+            raise _EndOfScriptError
+        found, self._rows = self._rows, ()
+        return stores.Snapshot(1000, found)
+
+
+class DaemonsTest(unittest.TestCase):
+    """Rows of other writers among those of the daemons."""
+
+    def test_undecodable_rows_do_not_count_as_daemons(self):
+        # Guards against daemons that stop following the workers, as the pause
+        # between two reads grows with the number of daemons.
+        own = rosters.Member("d", "10.0.0.1", 1, "norte", 1)
+        found = [(f"odd{n}", UNDECODABLE) for n in range(600)]
+        found.append(("d", rows.encode_member(own)))
+        daemons: list[str] = []
+        followed = feeds.Feeds(
+            _DaemonsStore(found),
+            own,
+            feeds.Callbacks(
+                on_configuration=lambda found: None,
+                on_workers=lambda listings, is_full_read: None,
+                on_member=lambda member: daemons.append(member.daemon_id),
+                on_layout=lambda layout, version: None,
+                get_epochs=dict,
+                on_evacuated=lambda known, began_at: None,
+            ),
+            lambda: 100.0,
+            worker_lists.ListHistory(),
+        )
+        with self.assertRaises(_EndOfScriptError):
+            followed.run_daemons()
+        self.assertEqual(daemons, [])
+        self.assertEqual(followed._choose_pause_s(), feeds.MIN_PAUSE_S)
+
+
 class PauseTest(unittest.TestCase):
     """The reads by all daemons together are bounded."""
 
