Cancel an attempt at its later owner once an earlier one answers

Cause, found by reading: an earlier owner that is frozen or cut off may give an attempt up or complete it after the gateway has forwarded it to the next owner. The gateway took that answer and told the next owner nothing, which ran the job on for nobody until its deadline, beside the caller's next attempt.

The attempt is cancelled at its current owner, with a reason of its own.

Test: test_answer_of_an_earlier_owner_cancels_the_attempt_at_the_later_one failed in both cases before (no cancellation was sent), and passes.

--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -233,6 +233,7 @@
         OWNER_BUSY: The gateway shed the job because the owner is overloaded.
         OWNER_LOST: Not set by this version.
         GATEWAY_LOST: The owner has lost its link to the job's gateway.
+        ANSWERED_ELSEWHERE: An earlier owner has answered the attempt.
         DEADLINE: The time that the caller waits has passed.
         DRAINING: Not set by this version.
         INTERNAL_ERROR: A decision about the job failed unexpectedly.
@@ -252,6 +253,7 @@
     OWNER_BUSY = "owner_busy"
     OWNER_LOST = "owner_lost"
     GATEWAY_LOST = "gateway_lost"
+    ANSWERED_ELSEWHERE = "answered_elsewhere"
     DEADLINE = "deadline"
     DRAINING = "draining"
     INTERNAL_ERROR = "internal_error"
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -156,6 +156,9 @@
             if self._try_another_group(job, answer):
                 return
             answer = open_jobs.combine_refusals(job, answer, now)
+        if is_from_another:
+            # The current owner would run the job on for nobody.
+            self._cancel_at_owner(job, jobs.Reason.ANSWERED_ELSEWHERE)
         self._finish(job, answer)
 
     def handle_crashes(
@@ -296,27 +299,13 @@
         if now >= job.deadline_at:
             # It expires in the next sweep.
             return False
-        submission = dataclasses.replace(
-            job.submission,
-            age_s=now - job.arrived_at,
-            budget_s=job.deadline_at - now,
-            may_have_begun=job.has_been_sent,
-            first_run=job.first_run,
-            may_run_elsewhere=job.may_run_elsewhere,
-            crashes=job.crashes,
-        )
-        # Set before the call, as an owner in this process answers the job at
-        # once, and a refusal is then forwarded to another group.
+        submission = open_jobs.build_forward(job, now)
+        # Recorded before the call, as an owner in this process answers the job
+        # at once, and a refusal is then forwarded to another group.
         was_sent = job.has_been_sent
-        job.owner_id = owner_id
-        job.has_been_sent = True
-        job.first_run += jobs.RUN_NUMBERS_PER_FORWARD
-        job.times_forwarded += 1
+        open_jobs.record_forward(job, owner_id)
         if not self._send(job, submission):
-            job.owner_id = ""
-            job.has_been_sent = was_sent
-            job.first_run -= jobs.RUN_NUMBERS_PER_FORWARD
-            job.times_forwarded -= 1
+            open_jobs.undo_forward(job, was_sent)
             return False
         if was_sent:
             gateway_events.log_forwarded_again(job, submission.age_s)
--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -90,6 +90,40 @@
     return all(has_left() for has_left in job.waiters)
 
 
+def build_forward(job: OpenJob, now: float) -> jobs.Submission:
+    """Return a job as it is sent to its next owner."""
+    return dataclasses.replace(
+        job.submission,
+        age_s=now - job.arrived_at,
+        budget_s=job.deadline_at - now,
+        may_have_begun=job.has_been_sent,
+        first_run=job.first_run,
+        may_run_elsewhere=job.may_run_elsewhere,
+        crashes=job.crashes,
+    )
+
+
+def record_forward(job: OpenJob, owner_id: str) -> None:
+    """Record that a job is sent to an owner, which may begin it."""
+    job.owner_id = owner_id
+    job.has_been_sent = True
+    job.first_run += jobs.RUN_NUMBERS_PER_FORWARD
+    job.times_forwarded += 1
+
+
+def undo_forward(job: OpenJob, was_sent: bool) -> None:
+    """Undo the record of a forward that could not be sent.
+
+    Args:
+        job: The job.
+        was_sent: Whether the job had been sent to an owner before.
+    """
+    job.owner_id = ""
+    job.has_been_sent = was_sent
+    job.first_run -= jobs.RUN_NUMBERS_PER_FORWARD
+    job.times_forwarded -= 1
+
+
 def record_refusal(job: OpenJob, answer: jobs.Answer, now: float) -> None:
     """Record that the group that a job was sent to has refused it."""
     job.refused_by |= {job.group}
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -284,6 +284,29 @@
         self.gateway.handle_answer(done, "a")
         self.assertIs(job.answer, done)
 
+    def test_answer_of_an_earlier_owner_cancels_the_attempt_at_the_later_one(
+        self,
+    ):
+        # Before, the later owner ran the job on for nobody until its deadline, beside
+        # the caller's next attempt.
+        for outcome in (jobs.Outcome.GIVEN_UP, jobs.Outcome.COMPLETED):
+            with self.subTest(outcome=outcome):
+                self.owner_id = "a"
+                self.cancelled.clear()
+                job = self._submit_job()
+                self.owner_id = "b"
+                self.gateway.forward_open_jobs()
+                answer = job.build_answer(outcome, jobs.Reason.WAITED_TOO_LONG)
+                self.gateway.handle_answer(answer, "a")
+                self.assertIs(job.answer, answer)
+                self.assertEqual(self.cancelled, [("b", "a1", job.attempt)])
+
+    def test_answer_of_the_current_owner_cancels_nothing(self):
+        job = self._submit_job()
+        answer = job.build_answer(jobs.Outcome.COMPLETED, jobs.Reason.ALL_DONE)
+        self.gateway.handle_answer(answer, "a")
+        self.assertEqual(self.cancelled, [])
+
     def test_later_owner_is_notified_that_the_job_may_have_begun(self):
         self._submit_job()
         self.owner_id = "b"
