Remember cancelled jobs at every daemon

The gateway that woke forwarded the job, and the owner started it again. Only the owners of the moment were told.

A request to cancel goes to all linked daemons. So the next owner knows it too, unless it was restarted or had no link.

--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -34,9 +34,8 @@
         gateway: The gateway with the open jobs of this daemon.
         get_routes: Returns the routing table, or None before there is a
             configuration.
-        cancel_job: Cancels a job at its owner, for the callers of all daemons.
-            Returns whether the job was known. Daemons that are not the owner
-            forward the request and return False.
+        cancel_job: Cancels a job at all daemons. Returns whether this one knew the
+            job.
         count_pending: Returns the number of jobs of a queue that have not
             begun.
     """
@@ -105,10 +104,7 @@
 
 
 def _cancel(dependencies: Dependencies, job_id: str) -> callers.Reply:
-    is_open = dependencies.gateway.cancel(job_id)
-    # Other daemons may have attempts of the job too.
-    is_known = dependencies.cancel_job(job_id)
-    if is_open or is_known:
+    if dependencies.cancel_job(job_id):
         return callers.encode_state(callers.JobState.CANCELLED)
     return callers.Reply(410, callers.encode_error("no such job"))
 
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -114,7 +114,9 @@
             job_exchange.Callbacks(
                 handle_answer=self._gateway.handle_answer,
                 handle_crashes=self._gateway.handle_crashes,
+                cancel=self._gateway.cancel,
             ),
+            self._clock,
             settings.regions,
         )
         self._receiver = peer_messages.Receiver(
--- a/pollenladder/service/job_exchange.py
+++ b/pollenladder/service/job_exchange.py
@@ -8,8 +8,10 @@
 from pollenladder.cluster import mesh as meshes
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
+from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import regions as fleet_regions
+from pollenladder.jobs import cancellations
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import sharing
@@ -28,10 +30,13 @@
             daemon that gives it.
         handle_crashes: Called with a job's id, the number of the attempt, and the
             crashes under the job's tasks.
+        cancel: Answers an open job as cancelled by its caller; returns whether it
+            is open at this daemon.
     """
 
     handle_answer: Callable[[jobs.Answer, str], None]
     handle_crashes: Callable[[str, int, tuple[jobs.TaskCrashes, ...]], None]
+    cancel: Callable[[str], bool]
 
 
 class JobExchange:
@@ -44,6 +49,7 @@
         membership: memberships.Membership,
         mesh: meshes.Mesh,
         callbacks: Callbacks,
+        clock: clocks.Clock,
         regions: fleet_regions.Regions = fleet_regions.NONE,
     ):
         """Use the daemon's components.
@@ -54,6 +60,7 @@
             membership: The owners of the groups.
             mesh: The links to other daemons.
             callbacks: The functions of this daemon's gateway.
+            clock: Returns the monotonic time in seconds.
             regions: The regions of the data centres.
         """
         self._regions = regions
@@ -62,6 +69,8 @@
         self._membership = membership
         self._mesh = mesh
         self._callbacks = callbacks
+        self._clock = clock
+        self._cancellations = cancellations.Cancellations()
 
     def choose_group(
         self,
@@ -136,7 +145,17 @@
     def submit_here(
         self, group: str, submission: jobs.Submission, gateway_id: str
     ) -> bool:
-        """Submit a job to a group's engine; return False if it is not owned."""
+        """Submit a job to a group's engine; return False if it is not owned.
+
+        A job that its caller has cancelled starts at no owner any more.
+        """
+        job_id = submission.job_id
+        if self._cancellations.is_cancelled(job_id, self._clock()):
+            outcome = jobs.Outcome.CANCELLED
+            reason = jobs.Reason.CALLER_CANCELLED
+            answer = jobs.Answer(job_id, submission.attempt, outcome, reason)
+            self.answer(gateway_id, answer)
+            return True
         found = self._groups.groups.get(group)
         return found is not None and found.engine.submit(submission, gateway_id)
 
@@ -173,24 +192,23 @@
             )
 
     def cancel_job(self, job_id: str) -> bool:
-        """Cancel a job for all attempts; return whether an owner here knew it.
+        """Cancel a job for all attempts; return whether this daemon knew it.
 
-        The request is forwarded to all other owners, which do not answer it.
+        The request is forwarded to all other daemons, which do not answer it. Any
+        of them may have the job open, or may be its next owner.
         """
-        owners = {
-            group.leadership.owner_id for group in self._groups.groups.values()
-        }
-        for owner_id in owners - {"", self._own.daemon_id}:
-            self._mesh.send(owner_id, messages.CancelJob(job_id))
+        self._mesh.broadcast(messages.CancelJob(job_id))
         return self.cancel_job_here(job_id)
 
     def cancel_job_here(self, job_id: str) -> bool:
-        """Cancel a job of any group owned here; return whether it was known."""
+        """Cancel a job at this daemon; return whether it was known."""
+        self._cancellations.record(job_id, self._clock())
+        is_open = self._callbacks.cancel(job_id)
         known = [
             group.engine.cancel_job(job_id)
             for group in self._groups.groups.values()
         ]
-        return any(known)
+        return is_open or any(known)
 
     def release(self, group: str, job_id: str, attempt: int) -> None:
         """Tell a group that refused an attempt that it runs in no other group."""
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -193,6 +193,11 @@
         path = sites.PREFIX + job_id
         return self._call(name, 0, "POST", path, body, timeout_s)
 
+    def cancel(self, name: str, job_id: str) -> Reply:
+        """Cancel a job through a daemon."""
+        path = sites.PREFIX + job_id
+        return self._call(name, 0, "DELETE", path, b"")
+
     def get(self, name: str, path: str, timeout_s: float) -> Reply:
         """Send a GET request to the caller port of a daemon."""
         return self._call(name, 0, "GET", path, b"", timeout_s)
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -138,7 +138,7 @@
         self.near, self.far = socket.socketpair()
         self.addCleanup(self.near.close)
         self.addCleanup(self.far.close)
-        self.gateway = mock.Mock(spec_set=["submit", "cancel", "open_jobs"])
+        self.gateway = mock.Mock(spec_set=["submit", "open_jobs"])
         self.gateway.open_jobs = {}
         self.is_known = False
         self.cancelled: list[str] = []
@@ -185,13 +185,12 @@
         self.gateway.submit.return_value = job
         self.assertEqual(self._request("POST")[0], "200")
 
-    def test_owner_is_told_of_a_job_that_is_cancelled_at_its_gateway(self):
-        # Guards against attempts at other gateways that go on.
-        self.gateway.cancel.return_value = True
+    def test_cancellation_of_a_known_job(self):
+        self.is_known = True
         status, body = self._request("DELETE")
         self.assertEqual((status, body), ("200", b'{"State":"cancelled"}'))
         self.assertEqual(self.cancelled, [JOB_ID])
 
     def test_cancellation_of_an_unknown_job(self):
-        self.gateway.cancel.return_value = False
         self.assertEqual(self._request("DELETE")[0], "410")
+        self.assertEqual(self.cancelled, [JOB_ID])
--- a/tests/service/test_evacuations.py
+++ b/tests/service/test_evacuations.py
@@ -288,6 +288,7 @@
             types.SimpleNamespace(get_group_state=lambda name: state),
             None,
             lambda answer, sender: None,
+            lambda: 100.0,
             regions.Regions("andes", {"sur": "costa"}),
         )
         submission = simulations.build_submission("a1", allowed_regions=allowed)
--- /dev/null
+++ b/tests/service/test_job_exchange.py
@@ -0,0 +1,84 @@
+"""Tests of cancellations on their way between gateways and owners."""
+
+import types
+import unittest
+from unittest import mock
+
+from pollenladder.cluster import groups
+from pollenladder.cluster import messages
+from pollenladder.cluster import roster as rosters
+from pollenladder.jobs import entities as jobs
+from pollenladder.service import job_exchange
+from tests.scheduling import simulations
+
+GROUP = groups.REGION_GROUP
+ATTEMPT = 7
+
+
+class CancellationsTest(unittest.TestCase):
+    """One daemon with an engine, a gateway, and links to other daemons."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.engine = mock.Mock()
+        self.engine.cancel_job.return_value = False
+        self.engine.cancel_attempt.return_value = False
+        self.engine.submit.return_value = True
+        self.mesh = mock.Mock()
+        self.gateway = mock.Mock()
+        self.gateway.cancel.return_value = False
+        self.exchange = job_exchange.JobExchange(
+            rosters.Member("d1", "10.0.0.1", 1, "norte", 1),
+            types.SimpleNamespace(
+                groups={GROUP: types.SimpleNamespace(engine=self.engine)}
+            ),
+            mock.Mock(),
+            self.mesh,
+            job_exchange.Callbacks(
+                handle_answer=self.gateway.handle_answer,
+                handle_crashes=self.gateway.handle_crashes,
+                cancel=self.gateway.cancel,
+            ),
+            lambda: self.now,
+        )
+        self.submission = simulations.build_submission("a1", attempt=ATTEMPT)
+
+    def test_job_that_is_forwarded_after_its_cancellation_does_not_start(self):
+        # Before, a job that was cancelled while its gateway was frozen started
+        # again once that one woke (review/4).
+        self.assertFalse(self.exchange.cancel_job("a1"))
+        self.now += 10.0
+        self.assertTrue(self.exchange.submit_here(GROUP, self.submission, "d2"))
+        self.engine.submit.assert_not_called()
+        ((gateway_id, message),) = [c.args for c in self.mesh.send.mock_calls]
+        self.assertEqual(gateway_id, "d2")
+        self.assertEqual(message.answer.attempt, ATTEMPT)
+        self.assertIs(message.answer.outcome, jobs.Outcome.CANCELLED)
+
+    def test_next_owner_knows_of_the_cancellation_too(self):
+        # Before, only the owners of the moment were told.
+        self.exchange.cancel_job("a1")
+        self.mesh.broadcast.assert_called_once_with(messages.CancelJob("a1"))
+        self.mesh.reset_mock()
+        self.exchange.cancel_job_here("b2")
+        self.mesh.broadcast.assert_not_called()
+
+    def test_attempt_that_is_open_at_another_gateway_is_ended(self):
+        # Guards against a gateway that forwards a cancelled job later.
+        self.gateway.cancel.return_value = True
+        self.assertTrue(self.exchange.cancel_job_here("a1"))
+        self.gateway.cancel.assert_called_once_with("a1")
+
+    def test_other_jobs_start(self):
+        self.exchange.cancel_job("b2")
+        self.exchange.submit_here(GROUP, self.submission, "d2")
+        self.engine.submit.assert_called_once_with(self.submission, "d2")
+
+    def test_cancellation_of_an_attempt_that_no_owner_knows_is_logged(self):
+        with self.assertLogs(job_exchange.LOGGER, "INFO") as found:
+            self.exchange.cancel_attempt_here(
+                "a1", ATTEMPT, jobs.Reason.CALLER_LEFT, "d2"
+            )
+        (record,) = found.records
+        self.assertEqual(record.getMessage(), "cancel_ignored")
+        self.assertEqual(record.fields["attempt"], ATTEMPT)
