--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
 from bench.commands import capacity
 from bench.commands import config
 from bench.commands import control
+from bench.commands import disruptions
 from bench.commands import emulate
 from bench.commands import faults
 from bench.commands import relay
@@ -21,6 +22,7 @@
     "config": config,
     "control": control,
     "capacity": capacity,
+    "disruptions": disruptions,
 }
 
 
