--- a/standins/site_store.py
+++ b/standins/site_store.py
@@ -15,7 +15,9 @@
 
 from standins import wsgi
 
+# A response has at most this many rows, and values of at most this length.
 MAX_ROWS = 500
+MAX_PAGE_CHARS = 1_000_000
 MAX_KEY_BYTES = 200
 
 
@@ -204,10 +206,7 @@
             ),
             key=lambda row: row.key.encode(),
         )
-        found = [row.encode() for row in rows[:limit]]
-        return 200, self._add_version_and_clock(
-            {"rows": found, "HasMore": len(rows) > limit}
-        )
+        return 200, self._build_page(rows, limit)
 
     def _wait_for_changes(
         self, query: dict[str, str]
@@ -218,17 +217,27 @@
             if after < self._oldest_feed_version:
                 return 410, {}
             rows = [
-                row.encode()
+                row
                 for row in self._history
                 if row.table == query["Table"] and row.version > after
             ]
             remaining_s = end - time.monotonic()
             if rows or remaining_s <= 0:
-                return 200, self._add_version_and_clock(
-                    {"rows": rows, "HasMore": False}
-                )
+                return 200, self._build_page(rows, MAX_ROWS)
             self._changed.wait(remaining_s)
 
+    def _build_page(self, rows: list[_Row], limit: int) -> dict[str, Any]:
+        page: list[dict[str, Any]] = []
+        size = 0
+        for row in rows[:limit]:
+            size += len(str(row.value))
+            if page and size > MAX_PAGE_CHARS:
+                break
+            page.append(row.encode())
+        return self._add_version_and_clock(
+            {"rows": page, "HasMore": len(page) < len(rows)}
+        )
+
     def _record_change(self, row: _Row) -> None:
         row_id = (row.table, row.part, row.key)
         if row.is_removed:
