Reject an epoch that no daemon makes

Cause: an owner's row with an epoch of up to 2**53 was believed by a daemon that follows no owner. Its claim then exceeds 2**53, so the row that it writes is rejected, while the workers keep the epoch: daemons that start later without a peer claim epochs near the clock, 40 times lower, and are fenced for good.

Change: epochs past the year 2100 are rejected.

Result: test_epoch_that_no_daemon_makes failed for 2**53 - 1 and 2**53 before, passes now.

--- a/pollenladder/cluster/epochs.py
+++ b/pollenladder/cluster/epochs.py
@@ -15,6 +15,8 @@
 # Margin above an epoch whose exact value is unknown.
 SKIP_AHEAD_MS = 10_000
 MAX_SKIP_DOUBLINGS = 12
+# The epoch of 2100-01-01. A higher one was not made by a daemon.
+MAX_EPOCH = (4_102_444_800 - ORIGIN_S) * 1000 * DAEMON_NUMBERS
 
 
 def make_epoch(own_id: str, wall_s: float, highest: int) -> int:
--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from pollenladder.cluster import epochs
 from pollenladder.cluster import groups
 from pollenladder.cluster import roster
 from pollenladder.fleet import entities as fleet
@@ -192,9 +193,12 @@
         exceptions.BadDocumentError: The value does not describe an ownership.
     """
     try:
-        return _OWNERSHIP_DECODER.decode(source).epoch
+        epoch = _OWNERSHIP_DECODER.decode(source).epoch
     except messages.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
+    if epoch > epochs.MAX_EPOCH:
+        raise exceptions.BadDocumentError("the epoch is out of range")
+    return epoch
 
 
 def encode_learned(state: learned_state.LearnedState) -> bytes:
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 
+from pollenladder.cluster import epochs
 from pollenladder.cluster import roster
 from pollenladder.platform import exceptions
 from pollenladder.platform import rows
@@ -239,6 +240,21 @@
             ):
                 rows.decode_layout(json.dumps(layout).encode())
 
+    def test_epoch_that_no_daemon_makes(self):
+        # Guards against claims above it: their rows would be rejected, so that a
+        # daemon that starts later would be fenced by all workers for good.
+        usual = epochs.make_epoch("d", 1_800_000_000.0, 0)
+        for epoch in (0, 1, usual, epochs.skip_ahead(usual, 100)):
+            row = rows.encode_ownership("d", epoch)
+            self.assertEqual(rows.decode_ownership(row), epoch)
+        for epoch in (-1, 2**53 - 1, 2**53, 2**62):
+            row = rows.encode_ownership("d", epoch)
+            with (
+                self.subTest(epoch=epoch),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_ownership(row)
+
     def test_epoch_that_fits_no_message(self):
         source = b'{"daemon_id":"d","epoch":1' + 30 * b"0" + b"}"
         with self.assertRaises(exceptions.BadDocumentError):
