Reject the entry of a worker by its length before decoding it

Cause: what an entry of another writer costs was only limited by the store.

Change: entries of more than 16,384 bytes are rejected by their length. Those of workers have about 300.

--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -31,6 +31,9 @@
 
 READY = "ready"
 DRAINING = "draining"
+# Longest entry of a worker. The store allows longer ones, and an owner reads the
+# entries of all other writers each time that they change.
+MAX_WORKER_BYTES = 16_384
 
 _CONFIG_DECODER = msgspec.json.Decoder(messages.Config)
 _SERVICES_DECODER = msgspec.json.Decoder(tuple[messages.Service, ...])
@@ -136,6 +139,8 @@
         exceptions.BadDocumentError: The value does not describe a worker, or
             its id, address or state is not valid.
     """
+    if len(source) > MAX_WORKER_BYTES:
+        raise exceptions.BadDocumentError(f"an entry of {len(source)} bytes")
     try:
         names.check_id(worker_id)
         entry = _WORKER_DECODER.decode(source)
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest import mock
 
 from pollenladder.cluster import epochs
 from pollenladder.cluster import roster
@@ -88,6 +89,20 @@
         source = json.dumps(ENTRY | {"Labels": None}).encode()
         self.assertTrue(rows.decode_worker("w1", source))
 
+    def test_row_that_is_too_long(self):
+        # Guards against rows of another writer that keep the event loop busy.
+        for changes in (
+            {"New": "x" * rows.MAX_WORKER_BYTES},
+            {"Addr": "1." * rows.MAX_WORKER_BYTES + ":80"},
+        ):
+            source = json.dumps(ENTRY | changes).encode()
+            with (
+                mock.patch.object(rows, "_WORKER_DECODER") as decoder,
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_worker("w1", source)
+            decoder.decode.assert_not_called()
+
     def test_fields_of_another_type(self):
         # Guards against a row of another writer that is used because only its
         # unused fields show that it does not describe a worker.
