Reject a version of the layout that no daemon makes

Cause: a row with the layout of version 2**53 was applied. The next one would have version 2**53 + 1, which all daemons reject, so that the layout could not follow the workers any more.

Change: versions of more than 2**32 are rejected; each change adds one.

Result: test_invalid_layouts failed for 2**53 before, passes now.

--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -19,6 +19,8 @@
 _EVACUATION_PREFIX = "evacuate/"
 EVACUATION_VALUE = b"{}"
 WORKERS_TABLE = "servers"
+# A layout's version increases by one. A higher one was not made by a daemon.
+MAX_LAYOUT_VERSION = 2**32
 # Written by the daemons, one row each.
 DAEMONS_TABLE = "daemons"
 # Key of the row with the layout of groups in the table of daemons.
@@ -240,7 +242,7 @@
             names.check_name(data_centre)
     except (*messages.DECODE_ERRORS, ValueError) as error:
         raise exceptions.BadDocumentError(str(error)) from error
-    if not 1 <= layout.version <= messages.MAX_INTEGER:
+    if not 1 <= layout.version <= MAX_LAYOUT_VERSION:
         raise exceptions.BadDocumentError("the version is out of range")
     if not all(1 <= n <= groups.MAX_PARTS for n in layout.parts.values()):
         raise exceptions.BadDocumentError("a number of groups out of range")
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -240,10 +240,12 @@
                 rows.decode_member(source)
 
     def test_invalid_layouts(self):
-        # Guards against more groups than a daemon has memory for.
+        # Guards against more groups than a daemon has memory for, and against a
+        # version above which the next layout would be rejected.
         for layout in (
             {"version": 0},
             {"version": 10**30},
+            {"version": 2**53},
             {"version": 1, "parts": {"norte": 0}},
             {"version": 1, "parts": {"norte": 10**9}},
             {"version": 1, "parts": {f"z{n}": 1000 for n in range(20)}},
