--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import functools
 import logging
 
 import gevent
@@ -22,6 +21,7 @@
 from pollenladder.platform import store as stores
 from pollenladder.service import evacuations as evacuation_rows
 from pollenladder.service import row_decoding
+from pollenladder.service import worker_rows
 
 LOGGER = logging.getLogger(__name__)
 
@@ -319,34 +319,14 @@
         self, snapshot: stores.Snapshot, is_full_read: bool
     ) -> None:
         lapsed = self._workers.update(
-            self._decode_workers(snapshot), is_full_read, self._clock()
+            worker_rows.decode_changes(snapshot, self._decoder),
+            is_full_read,
+            self._clock(),
         )
         for worker_id in lapsed:
             logs.log(LOGGER, "worker_lapsed", worker=worker_id)
         self._callbacks.on_workers(self.list_workers(), is_full_read)
 
-    def _decode_workers(
-        self, snapshot: stores.Snapshot
-    ) -> worker_tables.RowChanges:
-        """Decode rows in the order of their changes; the last one counts."""
-        listed: dict[str, fleet.Listing] = {}
-        removed: dict[str, bool] = {}
-        undecodable: dict[str, bool] = {}
-        for row in snapshot.rows:
-            found = None
-            if not row.is_removed:
-                found = self._decoder.decode(
-                    row, functools.partial(rows.decode_worker, row.key)
-                )
-            if found is not None:
-                listed[row.key] = found
-            is_undecodable = found is None and not row.is_removed
-            if row.is_removed or row.key in removed:
-                removed[row.key] = row.is_removed
-            if is_undecodable or row.key in undecodable:
-                undecodable[row.key] = is_undecodable
-        return worker_tables.RowChanges(listed, removed, undecodable)
-
     def _choose_pause_s(self) -> float:
         if self._callbacks.get_epochs():
             return OWNER_WORKERS_PAUSE_S
