--- a/tests/bench/test_ports.py
+++ b/tests/bench/test_ports.py
@@ -7,17 +7,38 @@
 
 from bench import ports
 
-SMALL_RANGE = range(30_000, 30_020)
+
+def _find_free_block() -> range:
+    """Return a block of ports that no process has claimed just now.
+
+    A fixed block may be claimed by another suite, or by an earlier test of this
+    process.
+    """
+    with (
+        mock.patch.object(ports, "_unused", []),
+        mock.patch.object(ports, "_claims", []),
+    ):
+        ports._claim_next(ports._iterate_blocks())
+        (claim,) = ports._claims
+        _, first = claim.getsockname()
+        claim.close()
+    return range(first, first + ports.BLOCK_SIZE)
 
 
 class PortsTest(unittest.TestCase):
     """A port is returned only once, even if no process listens on it yet."""
 
     def setUp(self):
-        for name, value in (("RANGE", SMALL_RANGE), ("_unused", [])):
+        block = _find_free_block()
+        for name, value in (("RANGE", block), ("_unused", []), ("_claims", [])):
             patch = mock.patch.object(ports, name, value)
             patch.start()
             self.addCleanup(patch.stop)
+        self.addCleanup(self._release)
+
+    def _release(self) -> None:
+        for claim in ports._claims:
+            claim.close()
 
     def test_no_port_is_returned_twice(self):
         found = [port for _ in range(4) for port in ports.find_free_ports(4)]
@@ -25,7 +46,7 @@
 
     def test_too_few_free_ports_raise(self):
         with self.assertRaises(OSError):
-            ports.find_free_ports(len(SMALL_RANGE) + 1)
+            ports.find_free_ports(len(ports.RANGE) + 1)
 
 
 class ProcessesTest(unittest.TestCase):
