Tell invalid rows of several tables apart

Cause: one decoder remembered the invalid rows of three tables by their keys. A key in two of them counted as changed at each read, so that the number of lines omitted grew without a change; before the limits, each read logged a line.

Change: one decoder for each table, each with its own limits.

Result: test_rows_of_two_tables_with_the_same_key_are_told_apart failed before ("5 != 0"), passes now.

--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -95,11 +95,13 @@
         self._workers = worker_tables.WorkerTable(list_history)
         self._workers_refresh = event.Event()
         self._daemons_refresh = event.Event()
-        self._decoder = row_decoding.RowDecoder(clock)
+        self._operator_rows = row_decoding.RowDecoder(clock)
+        self._worker_rows = row_decoding.RowDecoder(clock)
+        self._daemon_rows = row_decoding.RowDecoder(clock)
         self._read_began_at: dict[str, float] = {}
         self._is_set_confirmed = True
         self._evacuation_rows = evacuation_rows.EvacuationRows(
-            self._decoder.log_rejected
+            self._operator_rows.log_rejected
         )
 
     @property
@@ -311,7 +313,7 @@
         for row in snapshot.rows:
             if row.key != rows.CONFIGURATION_KEY or row.is_removed:
                 continue
-            found = self._decoder.decode(row, rows.decode_configuration)
+            found = self._operator_rows.decode(row, rows.decode_configuration)
             if found is not None:
                 self._callbacks.on_configuration(found)
 
@@ -319,7 +321,7 @@
         self, snapshot: stores.Snapshot, is_full_read: bool
     ) -> None:
         lapsed = self._workers.update(
-            worker_rows.decode_changes(snapshot, self._decoder),
+            worker_rows.decode_changes(snapshot, self._worker_rows),
             is_full_read,
             self._clock(),
         )
@@ -340,7 +342,7 @@
             if row.key == rows.LAYOUT_KEY:
                 layout_row = row
                 continue
-            member = self._decoder.decode(row, rows.decode_member)
+            member = self._daemon_rows.decode(row, rows.decode_member)
             if member == self._own:
                 is_registered = True
             elif member is not None:
@@ -358,7 +360,7 @@
             return
         # Whoever is to choose the layout replaces a row that is not valid.
         layout = (
-            self._decoder.decode(row, rows.decode_layout) or groups.Layout()
+            self._daemon_rows.decode(row, rows.decode_layout) or groups.Layout()
         )
         self._has_read_layout = layout.version > 0
         self._callbacks.on_layout(layout, row.version)
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -171,39 +171,43 @@
         self.assertEqual(self.history.find_doubt(100.0), "store_returned")
 
 
-class _DaemonsStore:
-    """Answers one read of the table of daemons."""
+class _TablesStore:
+    """Answers one read of each table, and then fails.
 
-    def __init__(self, found: list[tuple[str, bytes]]):
+    Attributes:
+        tables: The rows of the tables that can be read.
+        calls: As in `stores.Store`.
+    """
+
+    def __init__(self):
+        self.tables: dict[str, tuple[stores.Row, ...]] = {}
         self.calls: dict[str, int] = {}
-        self._rows = tuple(
-            stores.Row(key, value, n) for n, (key, value) in enumerate(found, 1)
-        )
 
     def read_table(self, table: str) -> stores.Snapshot:
-        if not self._rows:
+        if table not in self.tables:
             raise _EndOfScriptError
-        found, self._rows = self._rows, ()
-        return stores.Snapshot(1000, found)
+        return stores.Snapshot(1000, self.tables.pop(table))
 
+    def wait_for_changes(
+        self, table: str, after: int, wait_s: float
+    ) -> stores.Snapshot:
+        raise _EndOfScriptError
 
-class DaemonsTest(unittest.TestCase):
-    """Rows of other writers among those of the daemons."""
 
-    def test_undecodable_rows_do_not_count_as_daemons(self):
-        # Guards against daemons that stop following the workers, as the pause
-        # between two reads grows with the number of daemons.
-        own = rosters.Member("d", "10.0.0.1", 1, "norte", 1)
-        found = [(f"odd{n}", UNDECODABLE) for n in range(600)]
-        found.append(("d", rows.encode_member(own)))
-        daemons: list[str] = []
-        followed = feeds.Feeds(
-            _DaemonsStore(found),
-            own,
+class TablesTest(unittest.TestCase):
+    """Rows of other writers in several tables."""
+
+    def setUp(self):
+        self.own = rosters.Member("d", "10.0.0.1", 1, "norte", 1)
+        self.store = _TablesStore()
+        self.daemons: list[str] = []
+        self.feeds = feeds.Feeds(
+            self.store,
+            self.own,
             feeds.Callbacks(
                 on_configuration=lambda found: None,
                 on_workers=lambda listings, is_full_read: None,
-                on_member=lambda member: daemons.append(member.daemon_id),
+                on_member=lambda member: self.daemons.append(member.daemon_id),
                 on_layout=lambda layout, version: None,
                 get_epochs=dict,
                 on_evacuated=lambda known, began_at: None,
@@ -211,10 +215,38 @@
             lambda: 100.0,
             worker_lists.ListHistory(),
         )
+
+    def _read_daemons(self, *found: stores.Row) -> None:
+        entry = rows.encode_member(self.own)
+        registered = stores.Row("d", entry, 1)
+        self.store.tables[rows.DAEMONS_TABLE] = (*found, registered)
+        with self.assertRaises(_EndOfScriptError):
+            self.feeds.run_daemons()
+
+    def _read_workers(self, *found: stores.Row) -> None:
+        self.store.tables[rows.WORKERS_TABLE] = found
         with self.assertRaises(_EndOfScriptError):
-            followed.run_daemons()
-        self.assertEqual(daemons, [])
-        self.assertEqual(followed._choose_pause_s(), feeds.MIN_PAUSE_S)
+            self.feeds.run_workers()
+
+    def test_undecodable_rows_do_not_count_as_daemons(self):
+        # Guards against daemons that stop following the workers, as the pause
+        # between two reads grows with the number of daemons.
+        odd = [stores.Row(f"odd{n}", UNDECODABLE, n + 2) for n in range(600)]
+        self._read_daemons(*odd)
+        self.assertEqual(self.daemons, [])
+        self.assertEqual(self.feeds._choose_pause_s(), feeds.MIN_PAUSE_S)
+
+    def test_rows_of_two_tables_with_the_same_key_are_told_apart(self):
+        # Guards against a row that counts as changed each time that it is read.
+        patch = mock.patch.object(feeds, "MIN_PAUSE_S", 0.01)
+        patch.start()
+        self.addCleanup(patch.stop)
+        for _ in range(3):
+            self._read_workers(stores.Row("odd", UNDECODABLE, 2))
+            self._read_daemons(stores.Row("odd", UNDECODABLE, 3))
+        with self.assertLogs(row_decoding.LOGGER) as logged:
+            self._read_workers(stores.Row("odd2", UNDECODABLE, 4))
+        self.assertEqual(logged.records[0].fields["omitted"], 0)
 
 
 class PauseTest(unittest.TestCase):
