--- a/pollenladder/platform/rows.py
+++ b/pollenladder/platform/rows.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from pollenladder.cluster import epochs
 from pollenladder.cluster import groups
 from pollenladder.cluster import roster
 from pollenladder.fleet import entities as fleet
@@ -18,6 +19,8 @@
 _EVACUATION_PREFIX = "evacuate/"
 EVACUATION_VALUE = b"{}"
 WORKERS_TABLE = "servers"
+# A layout's version increases by one. A higher one was not made by a daemon.
+MAX_LAYOUT_VERSION = 2**32
 # Written by the daemons, one row each.
 DAEMONS_TABLE = "daemons"
 # Key of the row with the layout of groups in the table of daemons.
@@ -30,6 +33,9 @@
 
 READY = "ready"
 DRAINING = "draining"
+# Longest entry of a worker. The store allows longer ones, and an owner reads the
+# entries of all other writers each time that they change.
+MAX_WORKER_BYTES = 16_384
 
 _CONFIG_DECODER = msgspec.json.Decoder(messages.Config)
 _SERVICES_DECODER = msgspec.json.Decoder(tuple[messages.Service, ...])
@@ -135,6 +141,8 @@
         exceptions.BadDocumentError: The value does not describe a worker, or
             its id, address or state is not valid.
     """
+    if len(source) > MAX_WORKER_BYTES:
+        raise exceptions.BadDocumentError(f"an entry of {len(source)} bytes")
     try:
         names.check_id(worker_id)
         entry = _WORKER_DECODER.decode(source)
@@ -192,9 +200,12 @@
         exceptions.BadDocumentError: The value does not describe an ownership.
     """
     try:
-        return _OWNERSHIP_DECODER.decode(source).epoch
+        epoch = _OWNERSHIP_DECODER.decode(source).epoch
     except messages.DECODE_ERRORS as error:
         raise exceptions.BadDocumentError(str(error)) from error
+    if epoch > epochs.MAX_EPOCH:
+        raise exceptions.BadDocumentError("the epoch is out of range")
+    return epoch
 
 
 def encode_learned(state: learned_state.LearnedState) -> bytes:
@@ -231,7 +242,7 @@
             names.check_name(data_centre)
     except (*messages.DECODE_ERRORS, ValueError) as error:
         raise exceptions.BadDocumentError(str(error)) from error
-    if not 1 <= layout.version <= messages.MAX_INTEGER:
+    if not 1 <= layout.version <= MAX_LAYOUT_VERSION:
         raise exceptions.BadDocumentError("the version is out of range")
     if not all(1 <= n <= groups.MAX_PARTS for n in layout.parts.values()):
         raise exceptions.BadDocumentError("a number of groups out of range")
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -2,7 +2,9 @@
 
 import json
 import unittest
+from unittest import mock
 
+from pollenladder.cluster import epochs
 from pollenladder.cluster import roster
 from pollenladder.platform import exceptions
 from pollenladder.platform import rows
@@ -87,6 +89,20 @@
         source = json.dumps(ENTRY | {"Labels": None}).encode()
         self.assertTrue(rows.decode_worker("w1", source))
 
+    def test_row_that_is_too_long(self):
+        # Guards against rows of another writer that keep the event loop busy.
+        for changes in (
+            {"New": "x" * rows.MAX_WORKER_BYTES},
+            {"Addr": "1." * rows.MAX_WORKER_BYTES + ":80"},
+        ):
+            source = json.dumps(ENTRY | changes).encode()
+            with (
+                mock.patch.object(rows, "_WORKER_DECODER") as decoder,
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_worker("w1", source)
+            decoder.decode.assert_not_called()
+
     def test_fields_of_another_type(self):
         # Guards against a row of another writer that is used because only its
         # unused fields show that it does not describe a worker.
@@ -224,10 +240,12 @@
                 rows.decode_member(source)
 
     def test_invalid_layouts(self):
-        # Guards against more groups than a daemon has memory for.
+        # Guards against more groups than a daemon has memory for, and against a
+        # version above which the next layout would be rejected.
         for layout in (
             {"version": 0},
             {"version": 10**30},
+            {"version": 2**53},
             {"version": 1, "parts": {"norte": 0}},
             {"version": 1, "parts": {"norte": 10**9}},
             {"version": 1, "parts": {f"z{n}": 1000 for n in range(20)}},
@@ -239,6 +257,21 @@
             ):
                 rows.decode_layout(json.dumps(layout).encode())
 
+    def test_epoch_that_no_daemon_makes(self):
+        # Guards against claims above it: their rows would be rejected, so that a
+        # daemon that starts later would be fenced by all workers for good.
+        usual = epochs.make_epoch("d", 1_800_000_000.0, 0)
+        for epoch in (0, 1, usual, epochs.skip_ahead(usual, 100)):
+            row = rows.encode_ownership("d", epoch)
+            self.assertEqual(rows.decode_ownership(row), epoch)
+        for epoch in (-1, 2**53 - 1, 2**53, 2**62):
+            row = rows.encode_ownership("d", epoch)
+            with (
+                self.subTest(epoch=epoch),
+                self.assertRaises(exceptions.BadDocumentError),
+            ):
+                rows.decode_ownership(row)
+
     def test_epoch_that_fits_no_message(self):
         source = b'{"daemon_id":"d","epoch":1' + 30 * b"0" + b"}"
         with self.assertRaises(exceptions.BadDocumentError):
