End an attempt before its caller returns if its gateway is silent

Cause: a caller whose connection breaks submits its job again after 1.3 s. If the cancellation is lost, as the gateway is cut off or frozen, the owner missed a gateway of another data centre only after 2.0 s of silence and stopped its runs 0.5 s later. The next attempt may meet another owner, which starts the task at once.

Change: an owner serves an attempt only while it hears from its gateway (a lease of .95 s, shorter if callers return earlier, from the settings). Every link to an owner carries at least an empty frame each 0.3 s, which is not decoded. What is read counts as heard at the tick before the last one, as it may have arrived while the owner was suspended; an owner that was late itself reads first. The gateway is told, so that it forwards the attempt again if it is alive. The bound of how long another owner may go on renewing leases follows from the same constants, and no longer from the timeouts of links.

PartitionTest of test_engine computed its bound from link timeouts, which no longer end attempts; it now computes it from the lease, for four resubmission times, and is joined by a bound for broken links. test_partition replays with the shorter delay (1.3 s in place of 2.3 s), so its tasks may start earlier, and it still finds none twice. scheduling 361 passed, cluster 86, wire 31, service 184 passed.

--- a/pollenladder/cluster/heartbeats.py
+++ b/pollenladder/cluster/heartbeats.py
@@ -28,6 +28,9 @@
 DISTANT_OWNER_INTERVAL_S = 0.25
 TO_DISTANT_OWNER_INTERVAL_S = 0.8
 DISTANT_INTERVAL_S = 5.0
+# Every daemon sends something to each owner at this interval, if only an empty frame,
+# as an owner stops the jobs of a gateway that falls silent.
+TO_OWNER_INTERVAL_S = 0.3
 # Timeout of a daemon that is not the owner, in heartbeat intervals: allows two
 # missed heartbeats and some delay.
 TIMEOUT_INTERVALS = 2.5
--- a/pollenladder/cluster/mesh.py
+++ b/pollenladder/cluster/mesh.py
@@ -33,7 +33,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
-# Rarely needed, as daemons send heartbeats of their own more often.
+# Interval of the link's own heartbeats, which are empty frames. They are rarely needed,
+# as daemons send heartbeats of their own more often.
 LINK_HEARTBEAT_S = 5.0
 CONNECT_TIMEOUT_S = 0.3
 # Time limit of the first attempt to connect to a peer. Each of the first attempts
@@ -143,6 +144,13 @@
             if link is not None:
                 link.send_packed(packed)
 
+    def list_read_times(self) -> dict[str, float]:
+        """Return when the last bytes from each linked peer were read, by id."""
+        return {
+            daemon_id: link.received_at
+            for daemon_id, link in self._links.items()
+        }
+
     def _connect_missing(self) -> None:
         for daemon_id, peer in list(self._roster.peers.items()):
             if daemon_id in self._links or daemon_id in self._connecting:
@@ -233,6 +241,9 @@
             )
         is_owner = heartbeat.count_owned() > 0
         lag_s = heartbeat.lag_s if is_owner else 0.0
+        link.set_heartbeat_interval(
+            heartbeats.TO_OWNER_INTERVAL_S if is_owner else LINK_HEARTBEAT_S
+        )
         self._update_link_timeout(link, is_owner, lag_s)
 
     def _update_link_timeout(
--- a/pollenladder/cluster/messages.py
+++ b/pollenladder/cluster/messages.py
@@ -130,9 +130,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotOwner:
-    """A daemon rejects a job because it does not own the group.
+    """A daemon does not serve an attempt, as it does not own the group.
 
-    The job has not begun there.
+    An owner that has ended an attempt, as it heard nothing from the gateway, sends
+    this too. The job may have begun there.
     """
 
     job_id: str
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -518,6 +518,12 @@
         "an attempt waits for the job no longer; `left` others do",
         ("job", "attempt", "gateway", "reason", "left"),
     ),
+    Event(
+        "attempt_leases_expired",
+        Kind.JOB,
+        "nothing was heard from a gateway, so its attempts end here",
+        ("gateway", "attempts", "silent_s"),
+    ),
     Event(
         "cancel_ignored",
         Kind.JOB,
--- a/pollenladder/scheduling/effects.py
+++ b/pollenladder/scheduling/effects.py
@@ -43,6 +43,15 @@
     answer: jobs.Answer
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RejectAttempt:
+    """Tell a gateway to forward an attempt again, as this owner has ended it."""
+
+    gateway_id: str
+    job_id: str
+    attempt: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportCrashes:
     """Tell the gateway of a job how many workers were lost under its tasks."""
@@ -114,6 +123,7 @@
         EVACUATION: Which jobs can't be served because of an evacuation.
         DISPLACEMENT: Which waiting jobs can no longer be in time.
         LOST_GATEWAYS: Which attempts have lost their gateway.
+        ATTEMPT_LEASES: Which attempts end, as nothing is heard from their gateway.
         WORKER_CHECK: Which leases have expired, and which stops are repeated.
         ORPHAN_ENDS: Which ends of unknown runs are forgotten.
         FAILED_JOBS: How jobs end whose placement has failed.
@@ -130,6 +140,7 @@
     EXPIRY = "expiry"
     EVACUATION = "evacuation"
     DISPLACEMENT = "displacement"
+    ATTEMPT_LEASES = "attempt_leases"
     LOST_GATEWAYS = "lost_gateways"
     WORKER_CHECK = "worker_check"
     ORPHAN_ENDS = "orphan_ends"
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -25,6 +25,7 @@
 from pollenladder.platform import exceptions
 from pollenladder.platform import settings as conf
 from pollenladder.platform import store as stores
+from pollenladder.scheduling import attempt_leases
 from pollenladder.service import application
 from pollenladder.service import configurations
 from pollenladder.service import engine as engines
@@ -250,6 +251,8 @@
                 count=self._meters.count_decision,
                 count_failure=self._meters.count_failure,
                 report_crashes=self._exchange.report_crashes,
+                reject_attempt=self._exchange.reject_attempt,
+                list_read_times=self._mesh.list_read_times,
             ),
             self._clock,
             self._settings.features,
@@ -258,6 +261,9 @@
             self._settings.regions,
             name,
             self._crashing_queues,
+            attempt_lease_s=attempt_leases.choose_lease_s(
+                self._settings.resubmission_s
+            ),
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
@@ -431,8 +437,7 @@
             self._membership.wake()
 
     def _claim(self, engine: engines.Engine, epoch: int) -> None:
-        peers = self._roster.count_near()
-        engine.claim(epoch, self._feeds.is_store_up, peers)
+        engine.claim(epoch, self._feeds.is_store_up)
         self._feeds.refresh_workers()
 
     def _update_workers(
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -16,6 +16,7 @@
 from pollenladder.fleet import worker_lists
 from pollenladder.jobs import entities as jobs
 from pollenladder.logs import lines as logs
+from pollenladder.scheduling import attempt_leases
 from pollenladder.scheduling import crash_records
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import evacuation
@@ -52,6 +53,10 @@
         get_lag_s: Returns the mean lag of the event loop, in seconds.
         count: Adds one to the counter of a kind of decision.
         count_failure: Adds one to the counter of a kind of failure of workers.
+        reject_attempt: Called with a gateway's id, a job's id and the number of an
+            attempt that has ended, as the gateway was silent.
+        list_read_times: Returns when the last bytes from each linked daemon were
+            read, by id.
     """
 
     answer: Callable[[str, jobs.Answer], None]
@@ -62,6 +67,10 @@
     report_crashes: Callable[
         [str, str, int, tuple[jobs.TaskCrashes, ...]], None
     ] = lambda gateway_id, job_id, attempt, crashes: None
+    reject_attempt: Callable[[str, str, int], None] = (
+        lambda gateway_id, job_id, attempt: None
+    )
+    list_read_times: Callable[[], dict[str, float]] = dict
 
 
 class Engine:
@@ -83,6 +92,7 @@
         regions: fleet_regions.Regions = fleet_regions.NONE,
         group: str = "",
         queues: crashing_queues.CrashingQueues | None = None,
+        attempt_lease_s: float = attempt_leases.MAX_LEASE_S,
     ):
         self.region: tables.Region | None = None
         self.stalled_runs = 0
@@ -97,6 +107,8 @@
         self._crashing_queues = queues or crashing_queues.CrashingQueues()
         self._callbacks = callbacks
         self._clock = clock
+        self._attempt_lease_s = attempt_lease_s
+        self._contacts = attempt_leases.Contacts(clock())
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
         self._service_shares: dict[str, float] = {}
@@ -105,15 +117,15 @@
         self._owns_workers = event.Event()
         self._is_retired = False
 
-    def claim(self, epoch: int, reads_store: bool, peers: int) -> None:
+    def claim(self, epoch: int, reads_store: bool) -> None:
         """Become the owner, or continue as the owner with a higher epoch.
 
         Args:
             epoch: The epoch of the ownership.
             reads_store: Whether the list of workers can be read now.
-            peers: The number of near peers; see `cluster.heartbeats`.
         """
         now = self._clock()
+        self._contacts = attempt_leases.Contacts(now)
         if self.region is None:
             self.region = tables.Region(
                 epoch,
@@ -121,7 +133,9 @@
                 self._max_lease_s,
                 self._features,
                 self._group,
-                handover_delay_s=handover_delays.bound_handover_delay_s(peers),
+                handover_delay_s=handover_delays.bound_handover_delay_s(
+                    self._attempt_lease_s
+                ),
                 moved_workers_until=self._moved_workers_until,
                 list_history=self._list_history,
                 evacuations=self._evacuations,
@@ -279,10 +293,25 @@
             self._owns_workers.wait()
             gevent.sleep(TICK_S)
             if self.region is not None:
-                maintenance.step(self.region, self._clock())
+                now = self._clock()
+                self._end_expired_attempts(self.region, now)
+                maintenance.step(self.region, now)
                 self._close_sessions(self.region)
                 self._apply_effects()
 
+    def _end_expired_attempts(self, region: tables.Region, now: float) -> None:
+        """End the attempts whose gateways have been silent for too long."""
+        self._contacts.record_tick(self._callbacks.list_read_times(), now)
+        silent = self._contacts.list_silent(self._attempt_lease_s)
+        region.decide(
+            effects.Decision.ATTEMPT_LEASES,
+            "",
+            attempt_leases.end_expired,
+            region,
+            silent,
+            now,
+        )
+
     def _open_sessions(self, region: tables.Region) -> None:
         """Open a session with each worker that has none at its address.
 
@@ -351,6 +380,10 @@
             logs.log(LOGGER, effect.event, **effect.fields)
         elif isinstance(effect, effects.AnswerJob):
             self._callbacks.answer(effect.gateway_id, effect.answer)
+        elif isinstance(effect, effects.RejectAttempt):
+            self._callbacks.reject_attempt(
+                effect.gateway_id, effect.job_id, effect.attempt
+            )
         elif isinstance(effect, effects.ReportCrashes):
             self._callbacks.report_crashes(
                 effect.gateway_id,
--- a/pollenladder/service/job_exchange.py
+++ b/pollenladder/service/job_exchange.py
@@ -235,6 +235,12 @@
             message = messages.TasksCrashed(job_id, attempt, crashes)
             self._mesh.send(gateway_id, message)
 
+    def reject_attempt(
+        self, gateway_id: str, job_id: str, attempt: int
+    ) -> None:
+        """Tell a gateway that an owner here no longer serves an attempt."""
+        self._mesh.send(gateway_id, messages.NotOwner(job_id, attempt))
+
     def count_pending(self, queue: str) -> int:
         """Return the number of a queue's jobs that have not begun."""
         states = map(self._membership.get_group_state, self._groups.groups)
--- a/pollenladder/wire/links.py
+++ b/pollenladder/wire/links.py
@@ -139,11 +139,17 @@
         self._queue_written.set()
         self._closed_event = event.Event()
         self._peer_timeout_s = limits.peer_timeout_s
+        self._heartbeat_s = limits.heartbeat_s
         self._timeout_changed = event.Event()
         self._received_at = time.monotonic()
         self._write_began_at: float | None = None
         self._written_at = self._received_at
 
+    @property
+    def received_at(self) -> float:
+        """When bytes were last received, monotonic, in seconds."""
+        return self._received_at
+
     def start(self) -> None:
         """Start the greenlets that read from and write to the connection."""
         if self.closed:
@@ -202,6 +208,13 @@
         if is_shorter:
             self._timeout_changed.set()
 
+    def set_heartbeat_interval(self, heartbeat_s: float) -> None:
+        """Replace `Limits.heartbeat_s`."""
+        is_shorter = heartbeat_s < self._heartbeat_s
+        self._heartbeat_s = heartbeat_s
+        if is_shorter:
+            self._timeout_changed.set()
+
     def join(self) -> None:
         """Wait until the link is closed."""
         self._closed_event.wait()
@@ -298,7 +311,7 @@
         while not self.closed:
             now = time.monotonic()
             idle_s = now - self._written_at
-            if idle_s >= self._limits.heartbeat_s:
+            if idle_s >= self._heartbeat_s:
                 self._written_at = now
                 self._data_queued.set()
                 idle_s = 0.0
@@ -308,7 +321,7 @@
             left_s = since + self._peer_timeout_s - now
             if left_s > 0:
                 self._timeout_changed.wait(
-                    min(left_s, self._limits.heartbeat_s - idle_s)
+                    min(left_s, self._heartbeat_s - idle_s)
                 )
                 self._timeout_changed.clear()
             elif since == self._write_began_at:
