Limit leases by when the gateways of a worker's runs were last heard

Cause: a run outlived the return of its caller by the lease of its worker (1.0 s) if its owner was killed or suspended after the gateway had fallen silent, or if no stop order got a reply.

Change: a poll or start renews the lease at most until 1.22 s after the last contact with the gateways of each run on the worker, or after its last attempt has ended (scheduling.lease_limits). In normal service this is beyond the lease of 1.0 s or shortens it by a tenth. If a stop gets no reply until then, the other runs on that worker end too.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from pollenladder.jobs import entities as jobs
 
@@ -193,6 +194,8 @@
             the job is not known.
         is_start_known: Whether this owner has started the run, so that its run
             time can be measured.
+        ends_by: Until when the lease is renewed at the latest, as no caller waits
+            for the run; infinite while one may.
     """
 
     task: str
@@ -209,6 +212,7 @@
     next_stop_at: float = 0.0
     kind: str = ""
     is_start_known: bool = True
+    ends_by: float = math.inf
 
 
 @dataclasses.dataclass(slots=True)
--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -41,10 +41,13 @@
     A process reads what has arrived in each iteration of its event loop. What it
     reads between two ticks has therefore arrived after the tick before them, even if
     the process was suspended meanwhile. That tick counts as the time of the contact.
+
+    Attributes:
+        heard_at: When each daemon was last heard, monotonic, in seconds.
     """
 
     def __init__(self, now: float):
-        self._heard_at: dict[str, float] = {}
+        self.heard_at: dict[str, float] = {}
         self._read_at: dict[str, float] = {}
         self._ticks = (now, now, now)
 
@@ -59,11 +62,11 @@
         for daemon_id, at in read_at.items():
             if self._read_at.get(daemon_id) != at:
                 self._read_at[daemon_id] = at
-                self._heard_at[daemon_id] = before
+                self.heard_at[daemon_id] = before
         self._ticks = (before, last, now)
-        for daemon_id, at in list(self._heard_at.items()):
+        for daemon_id, at in list(self.heard_at.items()):
             if now > at + FORGET_AFTER_S:
-                del self._heard_at[daemon_id]
+                del self.heard_at[daemon_id]
 
     def list_silent(self, lease_s: float) -> dict[str, float]:
         """Return for how long each daemon with an expired lease was silent.
@@ -76,7 +79,7 @@
             return {}
         return {
             daemon_id: now - at
-            for daemon_id, at in self._heard_at.items()
+            for daemon_id, at in self.heard_at.items()
             if now > at + lease_s
         }
 
--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -150,6 +150,7 @@
     another owner, whose answer another one could contradict.
     """
     del job.attempts[attempt.number]
+    job.served_at = region.gateways_heard_at.get(attempt.gateway_id, now)
     region.log_event(
         "attempt_removed",
         job=job.submission.job_id,
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
@@ -177,6 +178,7 @@
         return False
     task.next_run = max(task.next_run, run.number + 1)
     run.is_orphan = False
+    run.ends_by = math.inf
     run.expected_s = job.expected_s / region.get_speed(run.worker_id)
     _assign_to_job(region, job, run)
     task.state = tables.TaskState.PLACED
@@ -213,6 +215,7 @@
     if run is None:
         return
     run.is_orphan = True
+    run.ends_by = min(now, job.served_at) + region.run_limit_s
     stop(region, run, now)
 
 
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import math
 from typing import TypeVar
 
 from pollenladder.fleet import entities as fleet
@@ -115,6 +116,8 @@
             lost. Jobs that can be in time come before it.
         longest_usual_s: Run time of a task beyond which it is unusual, in
             seconds; None if that is not known.
+        served_at: When the gateway of the last attempt that was removed had last
+            been heard; infinite before.
     """
 
     submission: job_entities.Submission
@@ -136,6 +139,7 @@
     has_lost_workers: bool = False
     is_overdue: bool = False
     longest_usual_s: float | None = None
+    served_at: float = math.inf
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
@@ -228,6 +232,10 @@
             is shared by all groups, and changes as the list is read.
         service_shares: Share of each service's workers that belongs to this
             owner's group, 0 to 1.
+        gateways_heard_at: When each linked daemon was last heard; see
+            `attempt_leases`.
+        run_limit_s: For how long runs go on after the last contact with their
+            gateways, in seconds; see `lease_limits`.
         confirmations_due: When the last attempts of a gateway have to be
             forwarded again after a change of its link, by gateway id.
         recent_ends: How jobs have ended recently, by job id.
@@ -288,6 +296,10 @@
         default_factory=worker_lists.ListHistory
     )
     service_shares: dict[str, float] = dataclasses.field(default_factory=dict)
+    gateways_heard_at: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    run_limit_s: float = math.inf
     confirmations_due: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -25,7 +25,6 @@
 from pollenladder.platform import exceptions
 from pollenladder.platform import settings as conf
 from pollenladder.platform import store as stores
-from pollenladder.scheduling import attempt_leases
 from pollenladder.service import application
 from pollenladder.service import configurations
 from pollenladder.service import engine as engines
@@ -261,9 +260,7 @@
             self._settings.regions,
             name,
             self._crashing_queues,
-            attempt_lease_s=attempt_leases.choose_lease_s(
-                self._settings.resubmission_s
-            ),
+            resubmission_s=self._settings.resubmission_s,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import dataclasses
 import logging
+import math
 
 import gevent
 from gevent import event
@@ -24,6 +25,7 @@
 from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import job_ends
+from pollenladder.scheduling import lease_limits
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import recovery
 from pollenladder.scheduling import sharing
@@ -92,7 +94,7 @@
         regions: fleet_regions.Regions = fleet_regions.NONE,
         group: str = "",
         queues: crashing_queues.CrashingQueues | None = None,
-        attempt_lease_s: float = attempt_leases.MAX_LEASE_S,
+        resubmission_s: float = math.inf,
     ):
         self.region: tables.Region | None = None
         self.stalled_runs = 0
@@ -107,7 +109,10 @@
         self._crashing_queues = queues or crashing_queues.CrashingQueues()
         self._callbacks = callbacks
         self._clock = clock
-        self._attempt_lease_s = attempt_lease_s
+        self._attempt_lease_s = attempt_leases.choose_lease_s(resubmission_s)
+        self._run_limit_s = lease_limits.choose_limit_s(
+            resubmission_s, self._attempt_lease_s
+        )
         self._contacts = attempt_leases.Contacts(clock())
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
@@ -136,6 +141,7 @@
                 handover_delay_s=handover_delays.bound_handover_delay_s(
                     self._attempt_lease_s
                 ),
+                run_limit_s=self._run_limit_s,
                 moved_workers_until=self._moved_workers_until,
                 list_history=self._list_history,
                 evacuations=self._evacuations,
@@ -302,6 +308,7 @@
     def _end_expired_attempts(self, region: tables.Region, now: float) -> None:
         """End the attempts whose gateways have been silent for too long."""
         self._contacts.record_tick(self._callbacks.list_read_times(), now)
+        region.gateways_heard_at = self._contacts.heard_at
         silent = self._contacts.list_silent(self._attempt_lease_s)
         region.decide(
             effects.Decision.ATTEMPT_LEASES,
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -11,6 +11,7 @@
 from pollenladder.logs import lines as logs
 from pollenladder.platform import workers
 from pollenladder.scheduling import effects
+from pollenladder.scheduling import lease_limits
 from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import polls
 from pollenladder.scheduling import replies
@@ -194,9 +195,8 @@
     def _extend_lease(self) -> float:
         """Return a lease expiry by the worker's clock; record the latest."""
         worker = self._worker
-        until_s = (
-            self._clock() + worker.clock_ahead_s + self._region.max_lease_s
-        )
+        expiry = lease_limits.choose_expiry(self._region, worker, self._clock())
+        until_s = expiry + worker.clock_ahead_s
         worker.lease_until_s = max(worker.lease_until_s, until_s)
         return until_s
 
--- /dev/null
+++ b/tests/scheduling/test_lease_limits.py
@@ -0,0 +1,142 @@
+"""Tests of leases that end soon after the last contact with a gateway."""
+
+import math
+import unittest
+
+from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import attempt_leases
+from pollenladder.scheduling import intake
+from pollenladder.scheduling import lease_limits
+from pollenladder.scheduling import recovery
+from pollenladder.scheduling import runs
+from tests.scheduling import simulations
+
+RESUBMISSION_S = 1.3
+ATTEMPT_LEASE_S = attempt_leases.choose_lease_s(RESUBMISSION_S)
+
+
+class LeaseLimitTest(unittest.TestCase):
+    """Guards against runs that outlive a silent gateway and their owner."""
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation()
+        self.region = self.simulation.region
+        self.region.run_limit_s = lease_limits.choose_limit_s(
+            RESUBMISSION_S, ATTEMPT_LEASE_S
+        )
+        self.began_at = self.simulation.now
+        self._hear("far")
+        self.simulation.submit(
+            "a1", gateway_id="far", attempt=11, tasks=1, budget_s=9.0
+        )
+        (self.start,) = self.simulation.take_starts()
+        self.simulation.confirm(self.start)
+        self.worker = self.region.workers[self.start.worker_id]
+
+    def _hear(self, gateway_id: str) -> None:
+        self.region.gateways_heard_at[gateway_id] = self.simulation.now
+
+    def _find_lease_s(self) -> float:
+        """Return for how long the next poll renews the leases of the worker."""
+        now = self.simulation.now
+        return lease_limits.choose_expiry(self.region, self.worker, now) - now
+
+    def _check_over_when_caller_returns(self) -> None:
+        """Check that a slow clock's lease ends before the caller returns.
+
+        The caller's connection has broken after `began_at`.
+        """
+        ends_at = self.simulation.now + self._find_lease_s() * (
+            1 + runs.MAX_CLOCK_DRIFT
+        )
+        self.assertLess(ends_at, self.began_at + RESUBMISSION_S)
+
+    def test_lease_is_whole_while_the_gateway_is_heard(self):
+        self.simulation.now += 0.2
+        self.assertAlmostEqual(self._find_lease_s(), simulations.LEASE_S)
+
+    def test_lease_never_outlasts_the_return_of_the_caller(self):
+        # The owner may be killed or suspended right after any of these polls.
+        for _ in range(round(ATTEMPT_LEASE_S / 0.05)):
+            self.simulation.now += 0.05
+            if self.simulation.now > self.began_at + 0.3:
+                self._check_over_when_caller_returns()
+
+    def test_any_attempt_that_is_heard_suffices(self):
+        self.simulation.now += 0.9
+        self._hear("near")
+        self.simulation.submit("a1", gateway_id="near", attempt=12)
+        self.assertAlmostEqual(self._find_lease_s(), simulations.LEASE_S)
+
+    def test_own_callers_set_no_limit(self):
+        self.region.gateways_heard_at.clear()
+        self.simulation.now += 5.0
+        self.assertAlmostEqual(self._find_lease_s(), simulations.LEASE_S)
+
+    def test_lease_ends_if_the_stop_of_a_silent_attempt_gets_no_reply(self):
+        self.simulation.now += ATTEMPT_LEASE_S + 0.04
+        attempt_leases.end_expired(
+            self.region, {"far": 1.0}, self.simulation.now
+        )
+        for _ in range(20):
+            self._check_over_when_caller_returns()
+            self.simulation.step(0.05)
+            self.simulation.poll(self.worker.listing.worker_id)
+
+    def test_lease_ends_if_the_stop_of_a_cancelled_attempt_gets_no_reply(self):
+        self.simulation.now = self.began_at + 3.0
+        self._hear("far")
+        self.began_at = self.simulation.now
+        intake.cancel_attempt(
+            self.region,
+            "a1",
+            11,
+            jobs.Reason.CALLER_LEFT,
+            self.simulation.now,
+        )
+        self.assertAlmostEqual(self._find_lease_s(), simulations.LEASE_S)
+        for _ in range(40):
+            self.simulation.step(0.05)
+            self._hear("far")
+            self.simulation.poll(self.worker.listing.worker_id)
+        self._check_over_when_caller_returns()
+
+    def test_lease_is_whole_again_once_the_run_is_over(self):
+        self.simulation.now += ATTEMPT_LEASE_S + 0.04
+        attempt_leases.end_expired(
+            self.region, {"far": 1.0}, self.simulation.now
+        )
+        self.simulation.end(self.start, fleet.RunEnd.STOPPED)
+        self.assertAlmostEqual(self._find_lease_s(), simulations.LEASE_S)
+
+    def test_run_that_its_job_adopts_goes_on(self):
+        self.simulation.poll("w1", running=(("c3.0.0.0", 1, 10.0),))
+        self.worker = self.region.workers["w1"]
+        self.simulation.now += 0.1
+        self.assertLess(self._find_lease_s(), 0.5)
+        self.simulation.submit(
+            "c3", gateway_id="near", tasks=1, may_have_begun=True
+        )
+        self.assertAlmostEqual(self._find_lease_s(), simulations.LEASE_S)
+
+    def test_unclaimed_run_ends_soon_if_its_stop_gets_no_reply(self):
+        self.simulation.poll("w1", running=(("gone.0.0.0", 1, 10.0),))
+        self.worker = self.region.workers["w1"]
+        for _ in range(20):
+            self.simulation.step(0.05)
+            self.simulation.poll("w1")
+        self.assertLess(self._find_lease_s(), 0.0)
+
+    def test_limit_stays_after_another_claim(self):
+        rebuilt = recovery.rebuild_region(self.region, 2, self.simulation.now)
+        self.assertEqual(rebuilt.run_limit_s, self.region.run_limit_s)
+
+    def test_limit_leaves_time_to_stop_a_silent_attempt(self):
+        for resubmission_s in (0.1, 1.0, 1.3, 9.0, math.inf):
+            lease_s = attempt_leases.choose_lease_s(resubmission_s)
+            limit_s = lease_limits.choose_limit_s(resubmission_s, lease_s)
+            with self.subTest(resubmission_s=resubmission_s):
+                self.assertGreaterEqual(
+                    limit_s - lease_s, lease_limits.STOP_TIME_S
+                )
--- a/tests/service/test_sessions.py
+++ b/tests/service/test_sessions.py
@@ -47,6 +47,23 @@
         self.assertLessEqual(polls, 1 + WAIT_S / sessions.FAILED_PAUSE_S)
         self.assertFalse(self.worker.is_reachable)
 
+    def test_leases_end_soon_after_the_last_contact_with_the_gateway(self):
+        # Guards against a run that goes on beside the next attempt's, as its owner
+        # is killed while the gateway is cut off.
+        self.simulation.now = now = clocks.read_monotonic_s()
+        self.region.run_limit_s = 1.2
+        self.region.gateways_heard_at["g1"] = now - 0.9
+        self.simulation.submit("a1", tasks=1)
+        (order,) = self.simulation.take_starts()
+        latest_s = now + 0.3 + self.worker.clock_ahead_s
+        self.client.poll.return_value = fleet.PollReply(
+            1e6, simulations.STARTED_MS, (), ()
+        )
+        self.session._start_run_safely(order)
+        self.session._poll_safely(is_extra=False)
+        self.assertAlmostEqual(self.client.start.call_args[0][3], latest_s)
+        self.assertAlmostEqual(self.client.poll.call_args[0][3], latest_s)
+
     def test_polls_go_on_once_they_work_again(self):
         reply = fleet.PollReply(1e6, simulations.STARTED_MS, (), ())
         self.client.poll.side_effect = [ZeroDivisionError, reply]
