Keep an attempt's lease when its owner claims again

Cause: Engine.claim began new Contacts also when this daemon is the owner already. An owner that workers fence behind a partition claims again and again with higher epochs, and each claim counted as a contact with all gateways, so that the leases of a silent gateway's attempts did not end. Change: new Contacts only if the daemon has not been the owner. Measured: test_claim_with_a_higher_epoch_does_not_extend_the_lease fails before (the job is still there 1.0 s after the last contact, with claims each 0.3 s) and passes now; tests.service.test_engine 10 passed.

--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -125,8 +125,8 @@
             reads_store: Whether the list of workers can be read now.
         """
         now = self._clock()
-        self._contacts = attempt_leases.Contacts(now)
         if self.region is None:
+            self._contacts = attempt_leases.Contacts(now)
             self.region = tables.Region(
                 epoch,
                 now,
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -201,3 +201,19 @@
         self._run_until(101.2)
         self.assertEqual(list(self.engine.region.jobs), ["b2"])
         self.assertEqual(self.rejected, [("g1", "a1", 7)])
+
+    def test_claim_with_a_higher_epoch_does_not_extend_the_lease(self):
+        # Before, each further claim of an owner behind a partition counted as a
+        # contact with all gateways.
+        self.engine.claim(1, reads_store=True)
+        self._run_until(100.2)
+        submission = simulations.build_submission(
+            "a1", attempt=7, budget_s=9.0, slack_s=9.0
+        )
+        self.engine.submit(submission, "g1")
+        for epoch in (2, 3, 4):
+            self._run_until(self.now + 0.3)
+            self.engine.claim(epoch, reads_store=True)
+        self._run_until(101.2)
+        self.assertEqual(self.engine.region.jobs, {})
+        self.assertEqual(self.rejected, [("g1", "a1", 7)])
