Cancel an attempt at all owners that it was forwarded to

Cause: a cancellation went to the owner of the moment only. An earlier owner that had not resigned yet, and that still heard this gateway, kept the attempt, as its lease goes on and its link does not change. Change: an open job keeps the owners of its group that it was forwarded to. All of them get the cancellation, and all but the sender when one of them answers.

--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -533,7 +533,7 @@
     Event(
         "cancel_not_sent",
         Kind.JOB,
-        "the owner can't be told that the attempt was cancelled",
+        "an owner can't be told that the attempt was cancelled",
         ("job", "attempt", "owner", "reason"),
     ),
     Event(
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -1,6 +1,7 @@
 """Accept the jobs of callers, forward them to the owner, and answer them."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import logging
 import math
@@ -156,9 +157,9 @@
             if self._try_another_group(job, answer):
                 return
             answer = open_jobs.combine_refusals(job, answer, now)
-        if is_from_another:
-            # The current owner would run the job on for nobody.
-            self._cancel_at_owner(job, jobs.Reason.ANSWERED_ELSEWHERE)
+        # Another owner would run the job on for nobody.
+        reason = jobs.Reason.ANSWERED_ELSEWHERE
+        self._cancel_at_owners(job, job.group_owners - {sender}, reason)
         self._finish(job, answer)
 
     def handle_crashes(
@@ -248,6 +249,7 @@
         gateway_events.log_sent_to_another_group(job, group, refusal)
         job.group = group
         job.owner_id = ""
+        job.group_owners = set()
         job.has_been_sent = False
         job.times_forwarded = 0
         self._forward_again(job)
@@ -355,30 +357,33 @@
         self._finish(job, job.build_answer(outcome, reason, retry_after_s))
 
     def _give_up(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
-        self._cancel_at_owner(job, reason)
+        self._cancel_at_owners(job, job.group_owners, reason)
         outcome = jobs.Outcome.GIVEN_UP
         self._finish(job, job.build_answer(outcome, reason))
 
     def _cancel(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
-        self._cancel_at_owner(job, reason)
+        self._cancel_at_owners(job, job.group_owners, reason)
         outcome = jobs.Outcome.CANCELLED
         self._finish(job, job.build_answer(outcome, reason))
 
-    def _cancel_at_owner(
-        self, job: open_jobs.OpenJob, reason: jobs.Reason
+    def _cancel_at_owners(
+        self,
+        job: open_jobs.OpenJob,
+        owner_ids: Collection[str],
+        reason: jobs.Reason,
     ) -> None:
-        """Send the owner the cancellation of an attempt.
+        """Send owners the cancellation of an attempt.
 
-        If it cannot arrive, the owner removes the attempt after the change of the
-        link, as it is not forwarded again.
+        An earlier owner may still execute the job, as it has not heard yet of the
+        one after it. If the cancellation cannot arrive, the owner removes the
+        attempt after the change of the link, as it is not forwarded again.
         """
-        if not job.has_been_sent:
-            return
         job_id = job.submission.job_id
-        if not job.owner_id or not self._callbacks.cancel_attempt(
-            job.owner_id, job_id, job.attempt, reason
-        ):
-            gateway_events.log_cancel_not_sent(job, reason)
+        for owner_id in owner_ids:
+            if not self._callbacks.cancel_attempt(
+                owner_id, job_id, job.attempt, reason
+            ):
+                gateway_events.log_cancel_not_sent(job, owner_id, reason)
 
     def _report_room(
         self, job: open_jobs.OpenJob, refusal: jobs.Answer
--- a/pollenladder/service/gateway_events.py
+++ b/pollenladder/service/gateway_events.py
@@ -107,14 +107,16 @@
     )
 
 
-def log_cancel_not_sent(job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
-    """Log that the owner can't be told that an attempt has ended."""
+def log_cancel_not_sent(
+    job: open_jobs.OpenJob, owner_id: str, reason: jobs.Reason
+) -> None:
+    """Log that an owner can't be told that an attempt has ended."""
     logs.log(
         LOGGER,
         "cancel_not_sent",
         job=job.submission.job_id,
         attempt=job.attempt,
-        owner=job.owner_id,
+        owner=owner_id,
         reason=reason.value,
     )
 
--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -40,6 +40,8 @@
             have capacity for the job.
         may_run_elsewhere: Whether workers of another group may run the job.
         owner_id: The owner that the job was forwarded to; "" if there is none.
+        group_owners: The owners of the group that the job was forwarded to. Any
+            of them that has not resigned may still execute it.
         has_been_sent: Whether the job was sent to an owner, which may have
             begun it.
         first_run: The first run number for the next forward; see
@@ -61,6 +63,7 @@
     capacity_at: float = math.inf
     may_run_elsewhere: bool = False
     owner_id: str = ""
+    group_owners: set[str] = dataclasses.field(default_factory=set)
     has_been_sent: bool = False
     first_run: int = 1
     crashes: tuple[jobs.TaskCrashes, ...] = ()
@@ -106,6 +109,7 @@
 def record_forward(job: OpenJob, owner_id: str) -> None:
     """Record that a job is sent to an owner, which may begin it."""
     job.owner_id = owner_id
+    job.group_owners.add(owner_id)
     job.has_been_sent = True
     job.first_run += jobs.RUN_NUMBERS_PER_FORWARD
     job.times_forwarded += 1
@@ -119,6 +123,8 @@
         was_sent: Whether the job had been sent to an owner before.
     """
     job.owner_id = ""
+    if not was_sent:
+        job.group_owners.clear()
     job.has_been_sent = was_sent
     job.first_run -= jobs.RUN_NUMBERS_PER_FORWARD
     job.times_forwarded -= 1
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -301,6 +301,20 @@
                 self.assertIs(job.answer, answer)
                 self.assertEqual(self.cancelled, [("b", "a1", job.attempt)])
 
+    def test_answer_of_the_later_owner_cancels_the_attempt_at_the_earlier_one(
+        self,
+    ):
+        # Before, the earlier owner ran the job on, also beside the next attempt
+        # of a caller whose job was given up.
+        job = self._submit_job()
+        self.owner_id = "b"
+        self.gateway.forward_open_jobs()
+        answer = job.build_answer(
+            jobs.Outcome.GIVEN_UP, jobs.Reason.WAITED_TOO_LONG
+        )
+        self.gateway.handle_answer(answer, "b")
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+
     def test_answer_of_the_current_owner_cancels_nothing(self):
         job = self._submit_job()
         answer = job.build_answer(jobs.Outcome.COMPLETED, jobs.Reason.ALL_DONE)
@@ -375,6 +389,37 @@
         self.gateway.remove_waiter(job)
         self.assertEqual(self.cancelled, [("a", "a1", FIRST_ATTEMPT)])
 
+    def test_caller_that_leaves_cancels_at_every_owner(self):
+        # Before, an earlier owner that this gateway still hears was not told, and
+        # ran the job on beside the caller's next attempt.
+        job = self._submit_job()
+        self.owner_id = "b"
+        self.gateway.forward_open_jobs()
+        self.gateway.remove_waiter(job)
+        self.assertEqual(
+            set(self.cancelled),
+            {("a", "a1", job.attempt), ("b", "a1", job.attempt)},
+        )
+
+    def test_caller_that_leaves_after_a_link_change_cancels_over_the_new_link(
+        self,
+    ):
+        # Before, the owner was told nothing, and ran the job on until the end of
+        # the grace. A reset of both connections brings this about.
+        job = self._submit_job()
+        self.gateway.handle_link_change("a")
+        self.gateway.remove_waiter(job)
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+
+    def test_refused_job_is_cancelled_only_in_its_last_group(self):
+        # Guards against cancellations at an owner that has refused the job.
+        self.groups = [GROUP, "norte/0"]
+        job = self._submit_job()
+        self.owner_id = "b"
+        self._refuse("a")
+        self.gateway.remove_waiter(job)
+        self.assertEqual(self.cancelled, [("b", "a1", job.attempt)])
+
     def test_job_with_another_waiter_continues(self):
         job = self._submit_job()
         self._submit_job()
