Notice a gateway that was silent throughout an owner's pause

Cause: Contacts forgot a gateway on the first tick after a pause of more than FORGET_AFTER_S, on which nothing expires, so that no later tick showed its silence. Its attempts went on until the loss of its link was noticed and 0.5 s more. Change: it is forgotten two ticks later, after the silence was shown. test_silent_daemons_are_forgotten asserted the fault: it expected no silence after just such a pause.

--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -61,8 +61,17 @@
                 self._read_at[daemon_id] = at
                 self._heard_at[daemon_id] = before
         self._ticks = (before, last, now)
+        self._forget_silent()
+
+    def _forget_silent(self) -> None:
+        """Forget the daemons whose silence earlier ticks have shown.
+
+        On the tick after a pause, nothing expires; the next one has to show the
+        silence before the pause.
+        """
+        before, _, _ = self._ticks
         for daemon_id, at in list(self._heard_at.items()):
-            if now > at + FORGET_AFTER_S:
+            if before > at + FORGET_AFTER_S:
                 del self._heard_at[daemon_id]
 
     def list_silent(self, lease_s: float) -> dict[str, float]:
