End no attempts of gateways that send while all ticks come late

Cause: a contact counts from the tick before the last one, so that an owner whose ticks come each half lease (0.48 s) or two long pauses after one another saw each gateway as silent on every tick, although all of them sent, and ended all jobs. Only the first of several late ticks was left out. Change: on any late tick, a gateway from which something was read since the last one is not silent. After a pause, the next tick in time judges it as before. Measured: test_an_owner_that_is_always_late_hears_those_that_send (silence of 0.99 s reported) and test_a_second_late_tick_is_no_silence_of_those_that_send (1.0 s) fail before; tests.scheduling.test_attempt_leases and tests.service.test_engine 26 passed.

--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -46,6 +46,7 @@
     def __init__(self, now: float):
         self._heard_at: dict[str, float] = {}
         self._read_at: dict[str, float] = {}
+        self._just_heard: set[str] = set()
         self._ticks = (now, now, now)
 
     def record_tick(self, read_at: Mapping[str, float], now: float) -> None:
@@ -56,10 +57,12 @@
             now: Monotonic time in seconds.
         """
         _, before, last = self._ticks
+        self._just_heard.clear()
         for daemon_id, at in read_at.items():
             if self._read_at.get(daemon_id) != at:
                 self._read_at[daemon_id] = at
                 self._heard_at[daemon_id] = before
+                self._just_heard.add(daemon_id)
         self._ticks = (before, last, now)
         self._forget_silent()
 
@@ -78,15 +81,18 @@
         """Return for how long each daemon with an expired lease was silent.
 
         Nothing expires on a tick that comes late, as the process has not read yet
-        what has arrived.
+        what has arrived. If all ticks come late, only daemons from which nothing was
+        read since the last one are silent.
         """
         before, last, now = self._ticks
-        if now > last + LATE_TICK_S and last <= before + LATE_TICK_S:
+        is_late = now > last + LATE_TICK_S
+        if is_late and last <= before + LATE_TICK_S:
             return {}
         return {
             daemon_id: now - at
             for daemon_id, at in self._heard_at.items()
             if now > at + lease_s
+            and not (is_late and daemon_id in self._just_heard)
         }
 
 
--- a/tests/scheduling/test_attempt_leases.py
+++ b/tests/scheduling/test_attempt_leases.py
@@ -106,6 +106,22 @@
         self.assertIn("g1", self._tick())
         self.assertEqual(self._tick(), {})
 
+    def test_an_owner_that_is_always_late_hears_those_that_send(self):
+        # Guards against an overloaded owner that ends all jobs at each tick.
+        self._hear()
+        self._tick()
+        for _ in range(6):
+            self._hear()
+            self.assertEqual(self._tick(LEASE_S / 2 + TICK_S), {})
+
+    def test_a_second_late_tick_is_no_silence_of_those_that_send(self):
+        # Guards against an owner that ends all jobs after two pauses in a row.
+        self._hear()
+        self._tick()
+        self._tick(0.3)
+        self._hear()
+        self.assertEqual(self._tick(0.7), {})
+
     def test_the_lease_follows_the_time_until_callers_return(self):
         for resubmission_s, lease_s in ((0.2, 0.5), (1.2, 0.85), (9.0, 0.95)):
             with self.subTest(resubmission_s=resubmission_s):
