Confirm a gateway's jobs in time after a change of the link

Cause: after a change of the link an owner removes the attempts that are not forwarded again within 0.5 s, at least 0.25 s after the new link.

--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -27,6 +27,14 @@
 # Most jobs that a gateway forwards again in one sweep, so that a new owner does
 # not get the jobs of all gateways at once.
 MAX_REPEATS_PER_SWEEP = 8
+# The same for an owner that had the jobs last. It removes those that are not
+# forwarded within `gateway_links.CONFIRMATION_S` of a new link.
+MAX_CONFIRMATIONS_PER_SWEEP = 32
+_MAX_FORWARDS = {
+    open_jobs.ForwardKind.FIRST: math.inf,
+    open_jobs.ForwardKind.CONFIRMATION: MAX_CONFIRMATIONS_PER_SWEEP,
+    open_jobs.ForwardKind.REPEAT: MAX_REPEATS_PER_SWEEP,
+}
 
 
 class Gateway:
@@ -184,17 +192,18 @@
         Of those that were sent to an earlier owner, only some are forwarded
         now, and the others in the next sweeps.
         """
-        repeats_left = MAX_REPEATS_PER_SWEEP
+        left = dict(_MAX_FORWARDS)
         for job in list(self.open_jobs.values()):
-            is_repeat = job.has_been_sent
-            if is_repeat and not repeats_left:
+            owner_id = self._callbacks.find_owner(job.group)
+            kind = open_jobs.classify_forward(job, owner_id)
+            if not left[kind]:
                 continue
             try:
                 was_forwarded = self._forward_again(job)
             except Exception:
                 logs.log_failure(LOGGER, "job_forward", job.submission.job_id)
                 continue
-            repeats_left -= is_repeat and was_forwarded
+            left[kind] -= was_forwarded
 
     def handle_link_change(self, daemon_id: str) -> None:
         """Clear the owner of the jobs forwarded to a daemon.
@@ -309,6 +318,7 @@
         if not self._send(job, submission):
             open_jobs.undo_forward(job, was_sent)
             return False
+        job.last_owner_id = owner_id
         if was_sent:
             gateway_events.log_forwarded_again(job, submission.age_s)
         return True
--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import enum
 import math
 import random
 
@@ -26,6 +27,20 @@
     return False
 
 
+class ForwardKind(enum.Enum):
+    """What the next forward of a job is to its owner.
+
+    Attributes:
+        FIRST: No owner has had the job.
+        CONFIRMATION: The owner had it last; their link has changed since.
+        REPEAT: Another owner had it last.
+    """
+
+    FIRST = "first"
+    CONFIRMATION = "confirmation"
+    REPEAT = "repeat"
+
+
 @dataclasses.dataclass
 class OpenJob:
     """A job that has no answer yet, which is one attempt of its caller.
@@ -40,6 +55,8 @@
             have capacity for the job.
         may_run_elsewhere: Whether workers of another group may run the job.
         owner_id: The owner that the job was forwarded to; "" if there is none.
+        last_owner_id: The owner that the job was forwarded to last, also after
+            its link has changed.
         group_owners: The owners of the group that the job was forwarded to. Any
             of them that has not resigned may still execute it.
         has_been_sent: Whether the job was sent to an owner, which may have
@@ -63,6 +80,7 @@
     capacity_at: float = math.inf
     may_run_elsewhere: bool = False
     owner_id: str = ""
+    last_owner_id: str = ""
     group_owners: set[str] = dataclasses.field(default_factory=set)
     has_been_sent: bool = False
     first_run: int = 1
@@ -93,6 +111,15 @@
     return all(has_left() for has_left in job.waiters)
 
 
+def classify_forward(job: OpenJob, owner_id: str) -> ForwardKind:
+    """Return what the forward of a job to an owner would be."""
+    if not job.has_been_sent:
+        return ForwardKind.FIRST
+    if owner_id == job.last_owner_id:
+        return ForwardKind.CONFIRMATION
+    return ForwardKind.REPEAT
+
+
 def build_forward(job: OpenJob, now: float) -> jobs.Submission:
     """Return a job as it is sent to its next owner."""
     return dataclasses.replace(
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -8,6 +8,7 @@
 from pollenladder.cluster import groups
 from pollenladder.jobs import entities as jobs
 from pollenladder.platform import messages as platform_messages
+from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import owner_waits
 from pollenladder.service import gateway as gateways
 from pollenladder.service import gateway_callbacks
@@ -244,6 +245,30 @@
         step = gateways.MAX_REPEATS_PER_SWEEP
         self.assertEqual(sent, [step, 2 * step, 3 * step])
 
+    def test_jobs_are_confirmed_in_time_after_a_change_of_the_link(self):
+        # Before, an owner stopped the jobs of a gateway that has many, as these were
+        # forwarded again as slowly as to a new owner.
+        count = 200
+        for number in range(count):
+            self.gateway.submit(simulations.build_submission(f"j{number}"))
+        self.gateway.handle_link_change("a")
+        sweeps = gateway_links.CONFIRMATION_S / gateways.SWEEP_INTERVAL_S
+        for _ in range(int(sweeps) - 1):
+            self.gateway.forward_open_jobs()
+        self.assertEqual(len(self.sent), 2 * count)
+
+    def test_owner_that_claims_after_another_gets_jobs_in_several_sweeps(self):
+        # Guards against a new owner that all jobs reach at once, as it was their
+        # owner before.
+        for number in range(40):
+            self.gateway.submit(simulations.build_submission(f"j{number}"))
+        self.owner_id = "b"
+        for _ in range(5):
+            self.gateway.forward_open_jobs()
+        self.owner_id = "a"
+        self.gateway.forward_open_jobs()
+        self.assertEqual(len(self.sent), 80 + gateways.MAX_REPEATS_PER_SWEEP)
+
     def test_new_job_is_refused_while_the_owner_sheds(self):
         self.shed_share = 1.0
         job = self._submit_job()
