Tell the owner of a job at its gateway when a caller cancels it

Cause: on a DELETE only the daemon that receives it tells all others. If its link to the owner is down at that moment, the owner goes on, and the job's gateway, which has a link to the owner, answered the caller's POST and told nobody. Change: the gateway cancels its open attempt at the owners too. Measured: test_request_to_cancel_is_sent_to_the_owner_of_the_attempt fails before (nothing sent), passes now; tests.service.test_gateway, test_job_exchange and test_application 63 passed.

--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -123,16 +123,15 @@
             self._cancel(job, jobs.Reason.CALLER_LEFT)
 
     def cancel(self, job_id: str) -> bool:
-        """Answer an open job as cancelled by its caller.
+        """Cancel an open job and answer it, as its caller has requested.
 
         Returns:
-            Whether the job is open here. The owners are not told.
+            Whether the job is open here.
         """
         job = self.open_jobs.get(job_id)
         if job is None:
             return False
-        outcome, reason = jobs.Outcome.CANCELLED, jobs.Reason.CALLER_CANCELLED
-        self._finish(job, job.build_answer(outcome, reason))
+        self._cancel(job, jobs.Reason.CALLER_CANCELLED)
         return True
 
     def handle_answer(self, answer: jobs.Answer, sender: str) -> None:
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -569,6 +569,13 @@
         self.assertIs(job.answer.reason, jobs.Reason.CALLER_CANCELLED)
         self.assertFalse(self.gateway.cancel("a1"))
 
+    def test_request_to_cancel_is_sent_to_the_owner_of_the_attempt(self):
+        # Before, only the daemon that had received the request told the owner. If
+        # their link was down, the job ran on for nobody.
+        job = self._submit_job()
+        self.gateway.cancel("a1")
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+
     def test_attempts_are_numbered_within_what_messages_carry(self):
         numbers = {open_jobs.draw_attempt() for _ in range(1000)}
         self.assertEqual(len(numbers), 1000)
