Correct the descriptions of reasons and effects of attempts

OWNER_LOST was described as never set, though a job that may run in another group is answered with it; GATEWAY_LOST and ANSWERED_ELSEWHERE lacked what sets them now; the union of effects lacked RejectAttempt. No behaviour changes.

--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -231,9 +231,11 @@
         NO_WORKERS: The service has no workers.
         NO_OWNER: The gateway found no owner to forward the job to.
         OWNER_BUSY: The gateway shed the job because the owner is overloaded.
-        OWNER_LOST: Not set by this version.
-        GATEWAY_LOST: The owner has lost its link to the job's gateway.
-        ANSWERED_ELSEWHERE: An earlier owner has answered the attempt.
+        OWNER_LOST: The job may run in another group, as an earlier attempt was
+            refused here.
+        GATEWAY_LOST: The gateway of the attempt has not forwarded it again after a
+            change of the link, or nothing was heard from it.
+        ANSWERED_ELSEWHERE: Another owner has answered the attempt.
         DEADLINE: The time that the caller waits has passed.
         DRAINING: Not set by this version.
         INTERNAL_ERROR: A decision about the job failed unexpectedly.
--- a/pollenladder/scheduling/effects.py
+++ b/pollenladder/scheduling/effects.py
@@ -168,6 +168,7 @@
     | StopRun
     | LookNow
     | AnswerJob
+    | RejectAttempt
     | ReportCrashes
     | LogEvent
     | CountDecision
