--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -1,6 +1,7 @@
 """Accept the jobs of callers, forward them to the owner, and answer them."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import logging
 import math
@@ -26,6 +27,14 @@
 # Most jobs that a gateway forwards again in one sweep, so that a new owner does
 # not get the jobs of all gateways at once.
 MAX_REPEATS_PER_SWEEP = 8
+# The same for an owner that had the jobs last. It removes those that are not
+# forwarded within `gateway_links.CONFIRMATION_S` of a new link.
+MAX_CONFIRMATIONS_PER_SWEEP = 32
+_MAX_FORWARDS = {
+    open_jobs.ForwardKind.FIRST: math.inf,
+    open_jobs.ForwardKind.CONFIRMATION: MAX_CONFIRMATIONS_PER_SWEEP,
+    open_jobs.ForwardKind.REPEAT: MAX_REPEATS_PER_SWEEP,
+}
 
 
 class Gateway:
@@ -114,16 +123,15 @@
             self._cancel(job, jobs.Reason.CALLER_LEFT)
 
     def cancel(self, job_id: str) -> bool:
-        """Answer an open job as cancelled by its caller.
+        """Cancel an open job and answer it, as its caller has requested.
 
         Returns:
-            Whether the job is open here. The owners are not told.
+            Whether the job is open here.
         """
         job = self.open_jobs.get(job_id)
         if job is None:
             return False
-        outcome, reason = jobs.Outcome.CANCELLED, jobs.Reason.CALLER_CANCELLED
-        self._finish(job, job.build_answer(outcome, reason))
+        self._cancel(job, jobs.Reason.CALLER_CANCELLED)
         return True
 
     def handle_answer(self, answer: jobs.Answer, sender: str) -> None:
@@ -156,9 +164,9 @@
             if self._try_another_group(job, answer):
                 return
             answer = open_jobs.combine_refusals(job, answer, now)
-        if is_from_another:
-            # The current owner would run the job on for nobody.
-            self._cancel_at_owner(job, jobs.Reason.ANSWERED_ELSEWHERE)
+        # Another owner would run the job on for nobody.
+        reason = jobs.Reason.ANSWERED_ELSEWHERE
+        self._cancel_at_owners(job, job.group_owners - {sender}, reason)
         self._finish(job, answer)
 
     def handle_crashes(
@@ -183,17 +191,18 @@
         Of those that were sent to an earlier owner, only some are forwarded
         now, and the others in the next sweeps.
         """
-        repeats_left = MAX_REPEATS_PER_SWEEP
+        left = dict(_MAX_FORWARDS)
         for job in list(self.open_jobs.values()):
-            is_repeat = job.has_been_sent
-            if is_repeat and not repeats_left:
+            owner_id = self._callbacks.find_owner(job.group)
+            kind = open_jobs.classify_forward(job, owner_id)
+            if not left[kind]:
                 continue
             try:
                 was_forwarded = self._forward_again(job)
             except Exception:
                 logs.log_failure(LOGGER, "job_forward", job.submission.job_id)
                 continue
-            repeats_left -= is_repeat and was_forwarded
+            left[kind] -= was_forwarded
 
     def handle_link_change(self, daemon_id: str) -> None:
         """Clear the owner of the jobs forwarded to a daemon.
@@ -248,6 +257,7 @@
         gateway_events.log_sent_to_another_group(job, group, refusal)
         job.group = group
         job.owner_id = ""
+        job.group_owners = set()
         job.has_been_sent = False
         job.times_forwarded = 0
         self._forward_again(job)
@@ -307,6 +317,7 @@
         if not self._send(job, submission):
             open_jobs.undo_forward(job, was_sent)
             return False
+        job.last_owner_id = owner_id
         if was_sent:
             gateway_events.log_forwarded_again(job, submission.age_s)
         return True
@@ -355,30 +366,33 @@
         self._finish(job, job.build_answer(outcome, reason, retry_after_s))
 
     def _give_up(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
-        self._cancel_at_owner(job, reason)
+        self._cancel_at_owners(job, job.group_owners, reason)
         outcome = jobs.Outcome.GIVEN_UP
         self._finish(job, job.build_answer(outcome, reason))
 
     def _cancel(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
-        self._cancel_at_owner(job, reason)
+        self._cancel_at_owners(job, job.group_owners, reason)
         outcome = jobs.Outcome.CANCELLED
         self._finish(job, job.build_answer(outcome, reason))
 
-    def _cancel_at_owner(
-        self, job: open_jobs.OpenJob, reason: jobs.Reason
+    def _cancel_at_owners(
+        self,
+        job: open_jobs.OpenJob,
+        owner_ids: Collection[str],
+        reason: jobs.Reason,
     ) -> None:
-        """Send the owner the cancellation of an attempt.
+        """Send owners the cancellation of an attempt.
 
-        If it cannot arrive, the owner removes the attempt after the change of the
-        link, as it is not forwarded again.
+        An earlier owner may still execute the job, as it has not heard yet of the
+        one after it. If the cancellation cannot arrive, the owner removes the
+        attempt after the change of the link, as it is not forwarded again.
         """
-        if not job.has_been_sent:
-            return
         job_id = job.submission.job_id
-        if not job.owner_id or not self._callbacks.cancel_attempt(
-            job.owner_id, job_id, job.attempt, reason
-        ):
-            gateway_events.log_cancel_not_sent(job, reason)
+        for owner_id in owner_ids:
+            if not self._callbacks.cancel_attempt(
+                owner_id, job_id, job.attempt, reason
+            ):
+                gateway_events.log_cancel_not_sent(job, owner_id, reason)
 
     def _report_room(
         self, job: open_jobs.OpenJob, refusal: jobs.Answer
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -8,6 +8,7 @@
 from pollenladder.cluster import groups
 from pollenladder.jobs import entities as jobs
 from pollenladder.platform import messages as platform_messages
+from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import owner_waits
 from pollenladder.service import gateway as gateways
 from pollenladder.service import gateway_callbacks
@@ -244,6 +245,30 @@
         step = gateways.MAX_REPEATS_PER_SWEEP
         self.assertEqual(sent, [step, 2 * step, 3 * step])
 
+    def test_jobs_are_confirmed_in_time_after_a_change_of_the_link(self):
+        # Before, an owner stopped the jobs of a gateway that has many, as these were
+        # forwarded again as slowly as to a new owner.
+        count = 200
+        for number in range(count):
+            self.gateway.submit(simulations.build_submission(f"j{number}"))
+        self.gateway.handle_link_change("a")
+        sweeps = gateway_links.CONFIRMATION_S / gateways.SWEEP_INTERVAL_S
+        for _ in range(int(sweeps) - 1):
+            self.gateway.forward_open_jobs()
+        self.assertEqual(len(self.sent), 2 * count)
+
+    def test_owner_that_claims_after_another_gets_jobs_in_several_sweeps(self):
+        # Guards against a new owner that all jobs reach at once, as it was their
+        # owner before.
+        for number in range(40):
+            self.gateway.submit(simulations.build_submission(f"j{number}"))
+        self.owner_id = "b"
+        for _ in range(5):
+            self.gateway.forward_open_jobs()
+        self.owner_id = "a"
+        self.gateway.forward_open_jobs()
+        self.assertEqual(len(self.sent), 80 + gateways.MAX_REPEATS_PER_SWEEP)
+
     def test_new_job_is_refused_while_the_owner_sheds(self):
         self.shed_share = 1.0
         job = self._submit_job()
@@ -301,6 +326,20 @@
                 self.assertIs(job.answer, answer)
                 self.assertEqual(self.cancelled, [("b", "a1", job.attempt)])
 
+    def test_answer_of_the_later_owner_cancels_the_attempt_at_the_earlier_one(
+        self,
+    ):
+        # Before, the earlier owner ran the job on, also beside the next attempt
+        # of a caller whose job was given up.
+        job = self._submit_job()
+        self.owner_id = "b"
+        self.gateway.forward_open_jobs()
+        answer = job.build_answer(
+            jobs.Outcome.GIVEN_UP, jobs.Reason.WAITED_TOO_LONG
+        )
+        self.gateway.handle_answer(answer, "b")
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+
     def test_answer_of_the_current_owner_cancels_nothing(self):
         job = self._submit_job()
         answer = job.build_answer(jobs.Outcome.COMPLETED, jobs.Reason.ALL_DONE)
@@ -375,6 +414,37 @@
         self.gateway.remove_waiter(job)
         self.assertEqual(self.cancelled, [("a", "a1", FIRST_ATTEMPT)])
 
+    def test_caller_that_leaves_cancels_at_every_owner(self):
+        # Before, an earlier owner that this gateway still hears was not told, and
+        # ran the job on beside the caller's next attempt.
+        job = self._submit_job()
+        self.owner_id = "b"
+        self.gateway.forward_open_jobs()
+        self.gateway.remove_waiter(job)
+        self.assertEqual(
+            set(self.cancelled),
+            {("a", "a1", job.attempt), ("b", "a1", job.attempt)},
+        )
+
+    def test_caller_that_leaves_after_a_link_change_cancels_over_the_new_link(
+        self,
+    ):
+        # Before, the owner was told nothing, and ran the job on until the end of
+        # the grace. A reset of both connections brings this about.
+        job = self._submit_job()
+        self.gateway.handle_link_change("a")
+        self.gateway.remove_waiter(job)
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+
+    def test_refused_job_is_cancelled_only_in_its_last_group(self):
+        # Guards against cancellations at an owner that has refused the job.
+        self.groups = [GROUP, "norte/0"]
+        job = self._submit_job()
+        self.owner_id = "b"
+        self._refuse("a")
+        self.gateway.remove_waiter(job)
+        self.assertEqual(self.cancelled, [("b", "a1", job.attempt)])
+
     def test_job_with_another_waiter_continues(self):
         job = self._submit_job()
         self._submit_job()
@@ -499,6 +569,13 @@
         self.assertIs(job.answer.reason, jobs.Reason.CALLER_CANCELLED)
         self.assertFalse(self.gateway.cancel("a1"))
 
+    def test_request_to_cancel_is_sent_to_the_owner_of_the_attempt(self):
+        # Before, only the daemon that had received the request told the owner. If
+        # their link was down, the job ran on for nobody.
+        job = self._submit_job()
+        self.gateway.cancel("a1")
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+
     def test_attempts_are_numbered_within_what_messages_carry(self):
         numbers = {open_jobs.draw_attempt() for _ in range(1000)}
         self.assertEqual(len(numbers), 1000)
