--- a/bench/disruptions/listings.py
+++ b/bench/disruptions/listings.py
@@ -22,14 +22,15 @@
 LIST_HEAD = "how: "
 SEPARATORS = re.compile(r"[,;|]| or | and ")
 LEADING = re.compile(r"^(?:and |\+ )?")
-# Variants outside of lists: "how once: ...", "; prompt: ...", "with reborn ...",
-# "also wipe" and "busy 503".
+# "(... with power also wipe)"
+ADDED = re.compile(r"with [a-z_]+ also ([a-z_]+)")
+# Variants outside of lists: "how once: ...", "; prompt: ...", "with reborn ..."
+# and "busy 503".
 NAMED = (
     re.compile(r"how ([a-z_]+)"),
     re.compile(r"; ([a-z_]+)[:,]"),
     re.compile(r"with ([a-z_]+)"),
     re.compile(r"\+ ([a-z_]+)"),
-    re.compile(r"with [a-z_]+ also ([a-z_]+)"),
     re.compile(r"([a-z]{3,}) [45]\d\d\b"),
 )
 
@@ -85,7 +86,7 @@
         for word in _split(words.replace(" and, for roll_term,", ","))
     ]
     for brackets in IN_BRACKETS.findall(line):
-        variants += NAMED[4].findall(brackets)
+        variants += ADDED.findall(brackets)
     return variants
 
 
--- a/bench/disruptions/plans.py
+++ b/bench/disruptions/plans.py
@@ -8,6 +8,7 @@
 import msgspec
 
 ANY_KIND = "any"
+HUNT_COMMAND = "hunt"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -49,9 +50,6 @@
     days: list[_PlayedDay] = []
 
 
-HUNT_COMMAND = "hunt"
-
-
 def read_file(path: pathlib.Path) -> set[Disruption]:
     """Return the disruptions of a site file or of a file of days.
 
