Forward no job that the gateway knows to be cancelled

Cause: only the owner looked up whether a job was cancelled. An owner whose link was down when the DELETE was told to all daemons does not know, and the next attempt of the job started there, though the gateway knew. Change: the exchange answers such a job instead of sending it, also at the gateway. Measured: test_job_that_was_cancelled_here_is_not_forwarded fails before (sent once), passes now; tests.service.test_job_exchange and test_gateway 53 passed.

--- a/pollenladder/service/job_exchange.py
+++ b/pollenladder/service/job_exchange.py
@@ -137,9 +137,16 @@
     def submit(
         self, daemon_id: str, group: str, submission: jobs.Submission
     ) -> bool:
-        """Send a job to an owner; return False if it cannot arrive."""
-        if daemon_id == self._own.daemon_id:
-            return self.submit_here(group, submission, daemon_id)
+        """Send a job to an owner; return False if it cannot arrive.
+
+        A job that is known here to be cancelled is answered instead. The owner may
+        not have heard of the cancellation.
+        """
+        own_id = self._own.daemon_id
+        if daemon_id == own_id:
+            return self.submit_here(group, submission, own_id)
+        if self._answer_if_cancelled(submission, own_id):
+            return True
         return self._mesh.send(daemon_id, messages.Submit(group, submission))
 
     def submit_here(
@@ -149,16 +156,23 @@
 
         A job that its caller has cancelled starts at no owner any more.
         """
-        job_id = submission.job_id
-        if self._cancellations.is_cancelled(job_id, self._clock()):
-            outcome = jobs.Outcome.CANCELLED
-            reason = jobs.Reason.CALLER_CANCELLED
-            answer = jobs.Answer(job_id, submission.attempt, outcome, reason)
-            self.answer(gateway_id, answer)
+        if self._answer_if_cancelled(submission, gateway_id):
             return True
         found = self._groups.groups.get(group)
         return found is not None and found.engine.submit(submission, gateway_id)
 
+    def _answer_if_cancelled(
+        self, submission: jobs.Submission, gateway_id: str
+    ) -> bool:
+        """Answer a job that is known to be cancelled; return whether it is."""
+        job_id = submission.job_id
+        if not self._cancellations.is_cancelled(job_id, self._clock()):
+            return False
+        outcome, reason = jobs.Outcome.CANCELLED, jobs.Reason.CALLER_CANCELLED
+        answer = jobs.Answer(job_id, submission.attempt, outcome, reason)
+        self.answer(gateway_id, answer)
+        return True
+
     def cancel_attempt(
         self, daemon_id: str, job_id: str, attempt: int, reason: jobs.Reason
     ) -> bool:
--- a/tests/service/test_job_exchange.py
+++ b/tests/service/test_job_exchange.py
@@ -55,6 +55,18 @@
         self.assertEqual(message.answer.attempt, ATTEMPT)
         self.assertIs(message.answer.outcome, jobs.Outcome.CANCELLED)
 
+    def test_job_that_was_cancelled_here_is_not_forwarded(self):
+        # Before, the next attempt of a job that this daemon knew to be cancelled
+        # started at an owner that the cancellation had not reached.
+        self.exchange.cancel_job_here("a1")
+        self.assertTrue(self.exchange.submit("d2", GROUP, self.submission))
+        self.mesh.send.assert_not_called()
+        ((answer, sender),) = [
+            c.args for c in self.gateway.handle_answer.mock_calls
+        ]
+        self.assertEqual((answer.attempt, sender), (ATTEMPT, "d1"))
+        self.assertIs(answer.outcome, jobs.Outcome.CANCELLED)
+
     def test_next_owner_knows_of_the_cancellation_too(self):
         # Before, only the owners of the moment were told.
         self.exchange.cancel_job("a1")
