Count the leases of an earlier owner before a task starts elsewhere

Change: at a worker's first reply to an owner, the longest lease from then on is recorded. From that reply on, the worker obeys no earlier owner.

--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -164,9 +164,21 @@
             ends=len(reply.ended),
         )
     worker_losses.mark_reached(region, worker, now)
+    if not worker.is_synced:
+        _record_earlier_leases(region, worker)
     worker.is_synced = True
 
 
+def _record_earlier_leases(region: tables.Region, worker: fleet.Worker) -> None:
+    """Record how long the leases may last that an earlier owner has granted.
+
+    From its first reply on, a worker obeys no earlier owner. Leases never shorten,
+    so they also apply to the runs that this owner starts.
+    """
+    latest_s = worker.polled_clock_s + region.max_lease_s
+    worker.lease_until_s = max(worker.lease_until_s, latest_s)
+
+
 def _handle_end(
     region: tables.Region,
     worker: fleet.Worker,
--- a/tests/scheduling/test_lease_limits.py
+++ b/tests/scheduling/test_lease_limits.py
@@ -9,6 +9,7 @@
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import lease_limits
 from pollenladder.scheduling import recovery
+from pollenladder.scheduling import replies
 from pollenladder.scheduling import runs
 from tests.scheduling import simulations
 
@@ -140,3 +141,25 @@
                 self.assertGreaterEqual(
                     limit_s - lease_s, lease_limits.STOP_TIME_S
                 )
+
+
+class EarlierOwnerTest(unittest.TestCase):
+    """Guards against a second run beside one that an earlier owner keeps alive."""
+
+    def test_run_outlasts_the_short_leases_of_a_new_owner(self):
+        # The earlier owner has renewed the lease of the worker, which applies to
+        # all of its runs, just before this owner polls it.
+        simulation = simulations.RegionSimulation(workers=1)
+        polled_at = simulation.now
+        simulation.submit("a1", tasks=1, budget_s=9.0)
+        (start,) = simulation.take_starts()
+        simulation.confirm(start)
+        simulation.list_workers(["w0", "w1"])
+        for _ in range(replies.MAX_MISSED_POLLS):
+            replies.handle_missed_poll(simulation.region, "w0", simulation.now)
+        while simulation.now < polled_at + simulations.LEASE_S:
+            self.assertEqual(simulation.take_starts(), [])
+            simulation.step(0.05)
+        simulation.step(0.1)
+        (start,) = simulation.take_starts()
+        self.assertEqual(start.worker_id, "w1")
