Forget the lease that a worker's earlier process had by its own clock

Cause: a worker that starts again keeps its id, and its clock starts anew. The end of the last lease by the earlier clock stayed on record, and is far ahead of the new clock. If the worker was lost again, its runs never counted as expired, and their tasks waited until the deadline of their jobs. Found by reading for the table of overlapping runs.

Change: at a restart, the record is replaced by the longest lease from the poll's time on, and the time for orders that are still on their way.

Test: before the change the task was not requeued after the lease; now it is, and not before. tests.scheduling: 373 passed.

--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -20,6 +20,8 @@
 # Consecutive polls without a reply after which a worker is unreachable and gets
 # no new runs.
 MAX_MISSED_POLLS = 3
+# An order that was sent to an earlier process of a worker arrives within this time.
+ORDER_ARRIVAL_S = 0.35
 
 
 def handle_missed_poll(
@@ -141,6 +143,9 @@
     """Record that a worker is reachable, and whether it has restarted."""
     if worker.started_ms and reply.started_ms != worker.started_ms:
         worker.cursor = 0
+        # The worker cuts a lease by the clock of its earlier process to the longest.
+        latest_order_s = reply.clock_s + ORDER_ARRIVAL_S
+        worker.lease_until_s = latest_order_s + region.max_lease_s
         worker.health = fleet.Health()
         # The process may run on another machine now.
         worker.speed = fleet.SpeedEstimate()
--- a/tests/scheduling/simulations.py
+++ b/tests/scheduling/simulations.py
@@ -131,6 +131,7 @@
         running: tuple[tuple[str, int, float], ...] | None = None,
         sent_ago_s: float = 0.001,
         started_ms: int = STARTED_MS,
+        clock_s: float | None = None,
     ) -> None:
         """Deliver a poll reply; by default it contains all runs known here."""
         worker = self.region.workers[worker_id]
@@ -140,7 +141,7 @@
                 for run in worker.runs.values()
             )
         reply = fleet.PollReply(
-            clock_s=self.now - 50.0,
+            clock_s=self.now - 50.0 if clock_s is None else clock_s,
             started_ms=started_ms,
             running=tuple(fleet.ObservedRun(*row) for row in running),
             ended=tuple(self.ends.get(worker_id, ())),
@@ -158,6 +159,12 @@
         """Let a worker miss as many polls as make it unreachable."""
         worker = self.region.workers[worker_id]
         worker.lease_until_s = self.now + worker.clock_ahead_s + LEASE_S
+        self.miss_polls(worker_id, has_process_ended)
+
+    def miss_polls(
+        self, worker_id: str, has_process_ended: bool = False
+    ) -> None:
+        """Let a worker miss as many polls, without any lease granted here."""
         for _ in range(replies.MAX_MISSED_POLLS):
             replies.handle_missed_poll(
                 self.region, worker_id, self.now, has_process_ended
--- a/tests/scheduling/test_lease_limits.py
+++ b/tests/scheduling/test_lease_limits.py
@@ -155,11 +155,33 @@
         (start,) = simulation.take_starts()
         simulation.confirm(start)
         simulation.list_workers(["w0", "w1"])
-        for _ in range(replies.MAX_MISSED_POLLS):
-            replies.handle_missed_poll(simulation.region, "w0", simulation.now)
+        simulation.miss_polls("w0")
         while simulation.now < polled_at + simulations.LEASE_S:
             self.assertEqual(simulation.take_starts(), [])
             simulation.step(0.05)
         simulation.step(0.1)
         (start,) = simulation.take_starts()
         self.assertEqual(start.worker_id, "w1")
+
+
+class RestartedWorkerTest(unittest.TestCase):
+    """Guards against a task that waits for a lease of the worker's earlier process.
+
+    The clock of a worker starts anew with its process.
+    """
+
+    def test_runs_of_a_restarted_worker_expire_when_it_is_lost(self):
+        simulation = simulations.RegionSimulation(workers=1)
+        worker = simulation.region.workers["w0"]
+        # The last lease by the clock of the earlier process.
+        worker.lease_until_s = simulation.now + worker.clock_ahead_s + 1.0
+        simulation.poll("w0", running=(), started_ms=2_000, clock_s=0.5)
+        simulation.submit("a1", tasks=1, budget_s=9.0)
+        (start,) = simulation.take_starts()
+        simulation.confirm(start)
+        simulation.miss_polls("w0")
+        simulation.step(replies.ORDER_ARRIVAL_S)
+        self.assertEqual(simulation.list_logged("task_requeued"), [])
+        simulation.expire_lease()
+        (requeued,) = simulation.list_logged("task_requeued")
+        self.assertEqual(requeued["reason"], "lease_expired")
