Withdraw suspicions when the same process answers again

Cause: a worker behind a partition that refuses connections seems to have crashed. When it answered over another connection, the record that a crash was counted was cleared, but the suspicion of its tasks stayed. The next refusal suspected the same run again, and with two suspicions its job ended as failed, although nothing had crashed.

Change: an owner keeps which tasks it has counted against a lost worker. If the same process answers, the counts are taken back and the gateways are told; if another one does, they stand.

Before the change three of the four new tests of tests.scheduling.test_crashes fail; the fourth guards the opposite case.

--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -312,6 +312,12 @@
         "the worker crashed soon after it had started the task",
         (*_RUN_FIELDS, "queue", "suspicions", "age_s"),
     ),
+    Event(
+        "suspicion_withdrawn",
+        Kind.RUN,
+        "the worker's process answers again, so the task has not crashed it",
+        ("job", "task", "worker", "suspicions"),
+    ),
     Event(
         "worker_reserved",
         Kind.WORKER,
--- a/pollenladder/scheduling/crash_records.py
+++ b/pollenladder/scheduling/crash_records.py
@@ -15,6 +15,21 @@
 OUTAGE_LEARNING_RATE = 0.3
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskLoss:
+    """A task that ran on a worker when its process seemed to end.
+
+    Attributes:
+        job_id: The job's id.
+        task_index: Index of the task in its job.
+        is_suspected: Whether the task is suspected of the crash.
+    """
+
+    job_id: str
+    task_index: int
+    is_suspected: bool
+
+
 @dataclasses.dataclass(slots=True)
 class CrashRecords:
     """Crashes of workers in one group.
@@ -28,6 +43,8 @@
             longer listed are left out.
         exposed: The number of runs of a queue's tasks on each worker, by queue
             and worker id.
+        losses: The tasks on workers whose process seems to have ended, by worker
+            id, until the worker answers again.
         outage_s: How long a crashed worker is down on average, in seconds.
     """
 
@@ -41,8 +58,17 @@
     exposed: dict[str, collections.Counter[str]] = dataclasses.field(
         default_factory=dict
     )
+    losses: dict[str, list[TaskLoss]] = dataclasses.field(default_factory=dict)
     outage_s: float = DEFAULT_OUTAGE_S
 
+    def add_losses(self, worker_id: str, losses: list[TaskLoss]) -> None:
+        """Record the tasks on a worker whose process seems to have ended."""
+        self.losses[worker_id] = losses
+
+    def take_losses(self, worker_id: str) -> list[TaskLoss]:
+        """Return the tasks recorded with a worker, and forget them."""
+        return self.losses.pop(worker_id, [])
+
     def add_run(self, queue: str, worker_id: str) -> None:
         """Record that a worker has another run of a queue's tasks."""
         self.exposed.setdefault(queue, collections.Counter())[worker_id] += 1
@@ -95,6 +121,7 @@
 
     def forget_worker(self, worker_id: str, now: float) -> None:
         """Record that a worker has returned, or is no longer listed."""
+        self.losses.pop(worker_id, None)
         crashed_at = None
         for queue, workers in list(self.down.items()):
             crashed_at = workers.pop(worker_id, crashed_at)
--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -6,6 +6,8 @@
 is given up once `MAX_SUSPICIONS` workers have crashed under it. The other tasks of the
 worker are started again like any other task.
 
+A process that answers again has not crashed, so its tasks are no longer suspected.
+
 Once tasks of a queue are known to crash workers (`crash_evidence`), its suspected tasks
 are given up after the first crash. Trying each of them again would cost one more
 worker each.
@@ -15,6 +17,7 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import crash_records
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import runs
@@ -59,6 +62,10 @@
         _count_loss(loss)
     for loss in suspects:
         _suspect(region, loss, now)
+    region.crashes.add_losses(
+        worker.listing.worker_id,
+        [_describe(loss, loss in suspects) for loss in lost],
+    )
     _report(region, lost)
     for loss in lost:
         _give_up(region, loss.job, loss.task, now)
@@ -80,6 +87,34 @@
     _give_up(region, job, task, now)
 
 
+def withdraw_crash(region: tables.Region, worker: fleet.Worker) -> None:
+    """Record that the process of a worker has not ended, as it answers again.
+
+    The evidence about queues is kept, as it decays.
+    """
+    for found in region.crashes.take_losses(worker.listing.worker_id):
+        job = region.jobs.get(found.job_id)
+        if job is None or found.task_index >= len(job.tasks):
+            continue
+        task = job.tasks[found.task_index]
+        task.lost_workers = max(0, task.lost_workers - 1)
+        if found.is_suspected:
+            task.suspicions = max(0, task.suspicions - 1)
+            region.log_event(
+                "suspicion_withdrawn",
+                job=found.job_id,
+                task=jobs.format_task_name(found.job_id, task.index),
+                worker=worker.listing.worker_id,
+                suspicions=task.suspicions,
+            )
+        _report_job(region, job)
+
+
+def _describe(loss: Loss, is_suspected: bool) -> crash_records.TaskLoss:
+    job_id = loss.job.submission.job_id
+    return crash_records.TaskLoss(job_id, loss.task.index, is_suspected)
+
+
 def _count_loss(loss: Loss) -> None:
     loss.task.lost_workers += 1
     loss.job.has_lost_workers = True
@@ -188,13 +223,20 @@
 def _report(region: tables.Region, lost: list[Loss]) -> None:
     """Tell the gateways, so that the next owner knows of the crashes."""
     affected = {loss.job.submission.job_id: loss.job for loss in lost}
-    for job_id, job in affected.items():
-        found = list_crashes(job)
-        for attempt in job.attempts.values():
-            report = effects.ReportCrashes(
-                attempt.gateway_id, job_id, attempt.number, found
-            )
-            region.effects.append(report)
+    for job in affected.values():
+        _report_job(region, job)
+
+
+def _report_job(region: tables.Region, job: tables.Job) -> None:
+    found = list_crashes(job)
+    for attempt in job.attempts.values():
+        report = effects.ReportCrashes(
+            attempt.gateway_id,
+            job.submission.job_id,
+            attempt.number,
+            found,
+        )
+        region.effects.append(report)
 
 
 def list_crashes(job: tables.Job) -> tuple[jobs.TaskCrashes, ...]:
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -151,6 +151,8 @@
             born_ms=reply.started_ms,
             runs=len(worker.runs),
         )
+    elif worker.started_ms:
+        crashes.withdraw_crash(region, worker)
     worker.started_ms = reply.started_ms
     learned_state.apply_inherited_speed(region, worker)
     worker.polled_clock_s = reply.clock_s
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -154,6 +154,55 @@
         self.assertIs(answer.outcome, jobs.Outcome.COMPLETED)
         self.assertEqual(self.simulation.list_logged("task_suspected"), [])
 
+    def test_process_that_answers_again_has_not_crashed(self):
+        """Guards against a job that fails, as one run is suspected twice.
+
+        Connections were refused behind a partition, twice.
+        """
+        order = self._start(NEW_JOB)
+        for _ in range(crashes.MAX_SUSPICIONS + 1):
+            self.simulation.crash(order.worker_id)
+            self.simulation.poll(order.worker_id)
+        self.assertEqual(self.simulation.take_answers(), [])
+        task = self.region.jobs[NEW_JOB].tasks[0]
+        self.assertEqual((task.suspicions, task.lost_workers), (0, 0))
+        self.simulation.end(order)
+        (answer,) = self.simulation.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.COMPLETED)
+
+    def test_suspicion_ends_when_the_process_answers_after_the_lease(self):
+        """Guards against a suspicion that outlasts the partition.
+
+        The task runs on another worker by then.
+        """
+        _, new = self._crash_beside()
+        self.simulation.expire_lease()
+        self.simulation.poll(new.worker_id, running=())
+        task = self.region.jobs[NEW_JOB].tasks[0]
+        self.assertEqual((task.suspicions, task.lost_workers), (0, 0))
+
+    def test_gateway_is_told_of_a_withdrawn_suspicion(self):
+        """Guards against a next owner that goes on with a false suspicion."""
+        order = self._start(NEW_JOB)
+        self.simulation.crash(order.worker_id)
+        self.simulation.poll(order.worker_id)
+        reports = [
+            e.crashes
+            for e in self.simulation.effects
+            if isinstance(e, effects.ReportCrashes)
+        ]
+        self.assertEqual(reports, [(jobs.TaskCrashes(0, 1, 1),), ()])
+
+    def test_another_process_at_the_address_confirms_the_crash(self):
+        """Guards against a crash that is forgotten as the worker returns."""
+        order = self._start(NEW_JOB)
+        self.simulation.crash(order.worker_id)
+        for _ in range(2):
+            self.simulation.poll(
+                order.worker_id, running=(), started_ms=STARTED_AGAIN_MS
+            )
+        self.assertEqual(self.region.jobs[NEW_JOB].tasks[0].suspicions, 1)
+
     def test_restart_between_two_polls_counts_as_a_crash(self):
         """Guards against a crash that is missed as the worker is back at once."""
         order = self._start(NEW_JOB)
