Take refused connections for a crash only if others accept them

Cause: a partition may refuse connections. Each worker behind it was taken for crashed, its last started tasks were suspected, and with a second suspicion, here or at the next owner, a job ended as failed although no process had ended (LOST).

Change: when a lost worker refuses connections, the owner opens a connection to two other reachable workers of its data centre. Only if both accept has the worker crashed. Otherwise it counts as silent: its tasks start again once their leases have expired. Another incarnation at the address is proof as before. The number of workers that are lost at a time would not do: open connections outlive such a partition, so workers are found one by one.

The tests of crashes are unchanged.

--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -306,6 +306,12 @@
         "an order was dropped, as its worker is no longer known",
         ("worker", "order"),
     ),
+    Event(
+        "worker_crashed",
+        Kind.WORKER,
+        "the worker's process has ended, and all of its runs with it",
+        ("worker", "runs"),
+    ),
     Event(
         "task_suspected",
         Kind.RUN,
--- a/pollenladder/platform/workers.py
+++ b/pollenladder/platform/workers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from gevent import socket
 import msgspec
 
 from pollenladder.fleet import entities as fleet
@@ -58,16 +59,22 @@
     """The worker has seen a higher epoch than the one in the request."""
 
 
-class ProcessEndedError(PollError):
-    """The process of the worker has ended."""
+class RefusedError(PollError):
+    """No process listens at the worker's address, or a partition refuses."""
 
 
-class RefusedError(ProcessEndedError):
-    """No process listens at the worker's address."""
+class OtherIncarnationError(PollError):
+    """The address now belongs to another worker."""
 
 
-class OtherIncarnationError(ProcessEndedError):
-    """The address now belongs to another worker."""
+def accepts_connection(address: tuple[str, int]) -> bool:
+    """Return whether a worker accepts a new connection."""
+    try:
+        sock = socket.create_connection(address, CONNECT_TIMEOUT_S)
+    except OSError:
+        return False
+    sock.close()
+    return True
 
 
 class WorkerClient:
@@ -183,7 +190,7 @@
 
         Raises:
             FencedError: Another owner has taken over the worker.
-            RefusedError: No process listens at the worker's address.
+            RefusedError: The connection was refused.
             OtherIncarnationError: The address now belongs to another worker.
             PollError: There is no usable response.
         """
--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -52,6 +52,11 @@
     if worker.has_crash_recorded or worker.listing.is_draining:
         return
     worker.has_crash_recorded = True
+    region.log_event(
+        "worker_crashed",
+        worker=worker.listing.worker_id,
+        runs=len(worker.runs),
+    )
     lost = _list_lost(region, worker)
     if not lost:
         return
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -45,8 +45,19 @@
     worker.has_process_ended = has_process_ended
     if worker.missed_polls >= MAX_MISSED_POLLS:
         worker_losses.mark_lost(region, worker, now)
-    if has_process_ended and not worker.is_reachable:
-        crashes.record_crash(region, worker, now)
+    if has_process_ended:
+        handle_process_end(region, worker_id, now)
+
+
+def handle_process_end(
+    region: tables.Region, worker_id: str, now: float
+) -> None:
+    """Record that the process of an unreachable worker has ended."""
+    worker = region.workers.get(worker_id)
+    if worker is None or worker.is_reachable:
+        return
+    worker.has_process_ended = True
+    crashes.record_crash(region, worker, now)
 
 
 def handle_fenced(region: tables.Region, worker_id: str) -> None:
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -15,6 +15,7 @@
 from pollenladder.scheduling import polls
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import witnesses
 
 LOGGER = logging.getLogger(__name__)
 
@@ -176,7 +177,7 @@
             self._region,
             self._worker_id,
             self._clock(),
-            has_process_ended=isinstance(error, workers.ProcessEndedError),
+            has_process_ended=isinstance(error, workers.OtherIncarnationError),
         )
         if was_reachable:
             logs.log(
@@ -187,10 +188,36 @@
                 missed=self._worker.missed_polls,
             )
         self._callbacks.on_event()
+        if isinstance(error, workers.RefusedError):
+            self._check_refusal()
         if self._worker.missed_polls < replies.MAX_MISSED_POLLS:
             return 0.0
         return UNREACHABLE_PAUSE_S
 
+    def _check_refusal(self) -> None:
+        """Find out whether the process has ended or the network refuses.
+
+        A refusal that no witness can explain counts as silence.
+        """
+        worker = self._worker
+        if worker.is_reachable or worker.has_crash_recorded:
+            return
+        is_only = not witnesses.has_others(self._region, worker)
+        if not is_only and not self._do_witnesses_accept():
+            return
+        if not self._closed:
+            replies.handle_process_end(
+                self._region, self._worker_id, self._clock()
+            )
+            self._callbacks.on_event()
+
+    def _do_witnesses_accept(self) -> bool:
+        chosen = witnesses.choose(self._region, self._worker)
+        return bool(chosen) and all(
+            workers.accepts_connection(witness.listing.address)
+            for witness in chosen
+        )
+
     def _extend_lease(self) -> float:
         """Return a lease expiry by the worker's clock; record the latest."""
         worker = self._worker
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -1,6 +1,7 @@
 """Tests of the worker client against the stand-in, with injected faults."""
 
 import json
+import socket
 import time
 import unittest
 
@@ -119,6 +120,14 @@
         with self.assertRaises(workers.OtherIncarnationError):
             other.poll(5, 0, 0.0, None, RESPONSE_MARGIN_S)
 
+    def test_connection_is_accepted_only_where_a_process_listens(self):
+        """Guards against a crash and a partition that can't be told apart."""
+        self.assertTrue(workers.accepts_connection(self.address))
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            refused = workers.accepts_connection(unused.getsockname())
+        self.assertFalse(refused)
+
     def test_start_without_reply_may_have_begun(self):
         self._poll()
         self.worker.faults.lost_starts = 1
--- a/tests/service/test_sessions.py
+++ b/tests/service/test_sessions.py
@@ -7,6 +7,7 @@
 
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.platform import workers
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import replies
 from pollenladder.service import sessions
@@ -75,3 +76,99 @@
         (run,) = self.worker.runs.values()
         self.assertIs(run.state, fleet.RunState.UNCERTAIN)
         self.assertIn(effects.LookNow("w0"), self.region.effects)
+
+
+class RefusalTest(unittest.TestCase):
+    """A worker refuses connections: it has crashed, or the network is partitioned."""
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=3)
+        self.region = self.simulation.region
+        self.simulation.submit("a1", tasks=1)
+        (order,) = self.simulation.take_starts()
+        self.simulation.confirm(order)
+        self.worker = self.region.workers[order.worker_id]
+        self.session = sessions.Session(
+            self.region,
+            self.worker,
+            sessions.Callbacks(
+                on_event=lambda: None,
+                on_fenced=lambda worker_id: None,
+                get_lag_s=lambda: 0.0,
+            ),
+            lambda: self.simulation.now,
+        )
+        self.session._client = self.client = mock.Mock()
+        self.addCleanup(self.session.close)
+
+    def _refuse_polls(self, witness_accepts: list[bool]) -> int:
+        """Refuse polls until the worker is lost; return the suspicions."""
+        self.client.poll.side_effect = workers.RefusedError
+        with mock.patch.object(
+            workers, "accepts_connection", side_effect=witness_accepts
+        ):
+            for _ in range(replies.MAX_MISSED_POLLS):
+                self.session._poll_safely(is_extra=False)
+        self.assertFalse(self.worker.is_reachable)
+        return self.region.jobs["a1"].tasks[0].suspicions
+
+    def test_partition_that_refuses_connections_is_no_crash(self):
+        """Guards against jobs that fail although no process has ended."""
+        self.assertEqual(self._refuse_polls([False]), 0)
+
+    def test_single_witness_that_refuses_raises_doubt(self):
+        """Guards against a connection that is made just before the partition."""
+        self.assertEqual(self._refuse_polls([True, False]), 0)
+
+    def test_refusal_is_a_crash_if_others_accept_connections(self):
+        """Guards against crashes that are taken for silence."""
+        self.assertEqual(self._refuse_polls([True, True]), 1)
+
+    def test_crash_is_found_once_the_doubt_is_over(self):
+        """Guards against a crash that is missed, as a witness crashed too."""
+        self.assertEqual(self._refuse_polls([False]), 0)
+        with mock.patch.object(
+            workers, "accepts_connection", return_value=True
+        ) as check:
+            for _ in range(2):
+                self.session._poll_safely(is_extra=False)
+        self.assertEqual(self.region.jobs["a1"].tasks[0].suspicions, 1)
+        self.assertEqual(check.call_count, 2)
+
+    def test_without_witnesses_nothing_is_known(self):
+        """Guards against a partition of a data centre that is lost entirely."""
+        for worker_id, worker in self.region.workers.items():
+            if worker is not self.worker:
+                self.simulation.lose(worker_id)
+        self.assertEqual(self._refuse_polls([]), 0)
+
+    def test_refusal_of_the_only_worker_is_a_crash(self):
+        """Guards against crashes that count as silence where nothing compares."""
+        for worker_id in list(self.region.workers):
+            if worker_id != self.worker.listing.worker_id:
+                self.region.remove_worker(worker_id)
+        self.assertEqual(self._refuse_polls([]), 1)
+
+    def test_other_incarnation_needs_no_witness(self):
+        """Guards against a restart that is taken for a partition."""
+        self.client.poll.side_effect = workers.OtherIncarnationError
+        for _ in range(replies.MAX_MISSED_POLLS):
+            self.session._poll_safely(is_extra=False)
+        self.assertEqual(self.region.jobs["a1"].tasks[0].suspicions, 1)
+
+    def test_worker_that_answers_during_the_check_has_not_crashed(self):
+        """Guards against a task that is suspected on a worker that is back."""
+
+        def answer_meanwhile(address: tuple[str, int]) -> bool:
+            del address  # Unused.
+            self.simulation.poll(self.worker.listing.worker_id)
+            return True
+
+        self.client.poll.side_effect = workers.RefusedError
+        with mock.patch.object(
+            workers, "accepts_connection", side_effect=answer_meanwhile
+        ):
+            for _ in range(replies.MAX_MISSED_POLLS):
+                self.session._poll_safely(is_extra=False)
+        self.assertTrue(self.worker.is_reachable)
+        self.assertEqual(self.region.jobs["a1"].tasks[0].suspicions, 0)
