Check refusals only of workers that may have crashed under runs

Cause: the check of a refusal was repeated with each poll, 0.15 s apart, for a draining worker that had left and for one without runs, as neither is ever recorded as crashed.

Change: such workers are not checked. worker_crashed is logged under the same condition as the metric of that name. The tests also count the checks.

--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -41,26 +41,35 @@
     task: tables.Task
 
 
-def record_crash(
-    region: tables.Region, worker: fleet.Worker, now: float
-) -> None:
-    """Record that the process of a worker has ended, with all of its runs.
+def is_crash_possible(worker: fleet.Worker) -> bool:
+    """Return whether the end of a worker's process would be a crash under runs.
 
     A draining worker ends its process as announced, so none of its tasks is
     suspected.
     """
-    if worker.has_crash_recorded or worker.listing.is_draining:
+    return (
+        bool(worker.runs)
+        and not worker.has_crash_recorded
+        and not worker.listing.is_draining
+    )
+
+
+def record_crash(
+    region: tables.Region, worker: fleet.Worker, now: float
+) -> None:
+    """Record that the process of a worker has ended, with all of its runs."""
+    if not is_crash_possible(worker):
         return
     worker.has_crash_recorded = True
+    lost = _list_lost(region, worker)
+    if not lost:
+        return
+    region.count_failure(effects.Failure.WORKER_CRASHED)
     region.log_event(
         "worker_crashed",
         worker=worker.listing.worker_id,
         runs=len(worker.runs),
     )
-    lost = _list_lost(region, worker)
-    if not lost:
-        return
-    region.count_failure(effects.Failure.WORKER_CRASHED)
     suspects = _choose_suspects(region, lost, now)
     _update_evidence(region, worker, suspects, now)
     for loss in lost:
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -10,6 +10,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.logs import lines as logs
 from pollenladder.platform import workers
+from pollenladder.scheduling import crashes
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import polls
@@ -200,7 +201,7 @@
         A refusal that no witness can explain counts as silence.
         """
         worker = self._worker
-        if worker.is_reachable or worker.has_crash_recorded:
+        if worker.is_reachable or not crashes.is_crash_possible(worker):
             return
         is_only = not witnesses.has_others(self._region, worker)
         if not is_only and not self._do_witnesses_accept():
--- a/tests/service/test_sessions.py
+++ b/tests/service/test_sessions.py
@@ -1,5 +1,6 @@
 """A session goes on after unexpected errors."""
 
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -8,6 +9,7 @@
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
 from pollenladder.platform import workers
+from pollenladder.scheduling import crashes
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import replies
 from pollenladder.service import sessions
@@ -106,9 +108,10 @@
         self.client.poll.side_effect = workers.RefusedError
         with mock.patch.object(
             workers, "accepts_connection", side_effect=witness_accepts
-        ):
+        ) as check:
             for _ in range(replies.MAX_MISSED_POLLS):
                 self.session._poll_safely(is_extra=False)
+        self.assertEqual(check.call_count, len(witness_accepts))
         self.assertFalse(self.worker.is_reachable)
         return self.region.jobs["a1"].tasks[0].suspicions
 
@@ -149,6 +152,14 @@
                 self.region.remove_worker(worker_id)
         self.assertEqual(self._refuse_polls([]), 1)
 
+    def test_gone_worker_without_a_crash_to_find_is_not_checked(self):
+        """Guards against connections to others as long as a worker is away."""
+        draining = dataclasses.replace(self.worker.listing, is_draining=True)
+        self.worker.update_listing(draining)
+        self.assertEqual(self._refuse_polls([]), 0)
+        idle = fleet.Worker(simulations.build_listing("w9"))
+        self.assertFalse(crashes.is_crash_possible(idle))
+
     def test_other_incarnation_needs_no_witness(self):
         """Guards against a restart that is taken for a partition."""
         self.client.poll.side_effect = workers.OtherIncarnationError
