--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -306,12 +306,24 @@
         "an order was dropped, as its worker is no longer known",
         ("worker", "order"),
     ),
+    Event(
+        "worker_crashed",
+        Kind.WORKER,
+        "the worker's process has ended, and all of its runs with it",
+        ("worker", "runs"),
+    ),
     Event(
         "task_suspected",
         Kind.RUN,
         "the worker crashed soon after it had started the task",
         (*_RUN_FIELDS, "queue", "suspicions", "age_s"),
     ),
+    Event(
+        "suspicion_withdrawn",
+        Kind.RUN,
+        "the worker's process answers again, so the task has not crashed it",
+        ("job", "task", "worker", "suspicions"),
+    ),
     Event(
         "worker_reserved",
         Kind.WORKER,
