--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -169,8 +169,9 @@
         may_be_late: Whether no other group can serve the job in time, so that it
             may be served late.
         crashes: What earlier owners know of crashes under the job's tasks.
-        attempt: Number of the attempt; see `Answer`. It is 0 until a gateway has
-            accepted the job.
+        attempt: Random number that the gateway has given to the attempt; 0 until
+            a gateway has accepted the job. An attempt is what one gateway has
+            accepted and not answered yet.
     """
 
     job_id: str
@@ -273,7 +274,7 @@
 
     Attributes:
         job_id: The job's id.
-        attempt: Random number that the gateway has given to the attempt.
+        attempt: Number of the attempt; see `Submission`.
         outcome: The result; REFUSED guarantees that no task has begun.
         reason: Reason for the outcome.
         retry_after_s: Time in seconds until capacity is expected to be free, if
--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -50,7 +50,10 @@
         self.heard_at: dict[str, float] = {}
         self._read_at: dict[str, float] = {}
         self._just_heard: set[str] = set()
-        self._ticks = (now, now, now)
+        self._tick_at = now
+        # When the two ticks before were.
+        self._last_tick_at = now
+        self._earlier_tick_at = now
 
     def record_tick(self, read_at: Mapping[str, float], now: float) -> None:
         """Record what was received until a tick.
@@ -59,14 +62,15 @@
             read_at: When the last bytes from each linked daemon were read.
             now: Monotonic time in seconds.
         """
-        _, before, last = self._ticks
+        self._earlier_tick_at = self._last_tick_at
+        self._last_tick_at = self._tick_at
+        self._tick_at = now
         self._just_heard.clear()
         for daemon_id, at in read_at.items():
             if self._read_at.get(daemon_id) != at:
                 self._read_at[daemon_id] = at
-                self.heard_at[daemon_id] = before
+                self.heard_at[daemon_id] = self._earlier_tick_at
                 self._just_heard.add(daemon_id)
-        self._ticks = (before, last, now)
         self._forget_silent()
 
     def _forget_silent(self) -> None:
@@ -75,9 +79,8 @@
         On the tick after a pause, nothing expires; the next one has to show the
         silence before the pause.
         """
-        before, _, _ = self._ticks
         for daemon_id, at in list(self.heard_at.items()):
-            if before > at + FORGET_AFTER_S:
+            if self._earlier_tick_at > at + FORGET_AFTER_S:
                 del self.heard_at[daemon_id]
 
     def list_silent(self, lease_s: float) -> dict[str, float]:
@@ -87,9 +90,10 @@
         what has arrived. If all ticks come late, only daemons from which nothing was
         read since the last one are silent.
         """
-        before, last, now = self._ticks
-        is_late = now > last + LATE_TICK_S
-        if is_late and last <= before + LATE_TICK_S:
+        now = self._tick_at
+        is_late = now > self._last_tick_at + LATE_TICK_S
+        was_late = self._last_tick_at > self._earlier_tick_at + LATE_TICK_S
+        if is_late and not was_late:
             return {}
         return {
             daemon_id: now - at
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -78,7 +78,7 @@
 def admit(
     region: tables.Region,
     submission: jobs.Submission,
-    waiting: dict[int, attempts.Attempt],
+    open_attempts: dict[int, attempts.Attempt],
     now: float,
 ) -> None:
     """Admit or refuse a job that is not in progress.
@@ -86,9 +86,9 @@
     The attempts are answered like earlier ones if the job has ended recently.
     """
     job_id = submission.job_id
-    if _answer_without_run(region, submission, waiting, now):
+    if _answer_without_run(region, submission, open_attempts, now):
         return
-    job = _build_job(region, submission, waiting, now)
+    job = _build_job(region, submission, open_attempts, now)
     reason = find_permanent_obstacle(region, job)
     if reason is not None:
         _refuse(region, job, reason, job_ends.MAX_RETRY_AFTER_S)
@@ -126,7 +126,7 @@
 def _answer_without_run(
     region: tables.Region,
     submission: jobs.Submission,
-    waiting: dict[int, attempts.Attempt],
+    open_attempts: dict[int, attempts.Attempt],
     now: float,
 ) -> bool:
     """Answer a job that must not start here; return whether it was answered."""
@@ -135,24 +135,26 @@
     refusal = region.refusals.get(job_id)
     if end is not None:
         outcome, reason = end.outcome, end.reason
-        _log_repeated(region, job_id, waiting)
+        _log_repeated(region, job_id, open_attempts)
     elif refusal is not None and now < refusal.until:
         # Submitted again while another group may run it.
         outcome, reason = jobs.Outcome.GIVEN_UP, jobs.Reason.OWNER_LOST
-        _log_running_elsewhere(region, job_id, waiting)
+        _log_running_elsewhere(region, job_id, open_attempts)
     elif submission.budget_s <= 0:
         # Forwarded by a gateway that was paused.
         outcome, reason = jobs.Outcome.GIVEN_UP, jobs.Reason.DEADLINE
     else:
         return False
-    job_ends.answer_attempts(region, job_id, waiting, outcome, reason)
+    job_ends.answer_attempts(region, job_id, open_attempts, outcome, reason)
     return True
 
 
 def _log_repeated(
-    region: tables.Region, job_id: str, waiting: dict[int, attempts.Attempt]
+    region: tables.Region,
+    job_id: str,
+    open_attempts: dict[int, attempts.Attempt],
 ) -> None:
-    for attempt in waiting.values():
+    for attempt in open_attempts.values():
         region.log_event(
             "answer_repeated",
             job=job_id,
@@ -162,9 +164,11 @@
 
 
 def _log_running_elsewhere(
-    region: tables.Region, job_id: str, waiting: dict[int, attempts.Attempt]
+    region: tables.Region,
+    job_id: str,
+    open_attempts: dict[int, attempts.Attempt],
 ) -> None:
-    for attempt in waiting.values():
+    for attempt in open_attempts.values():
         region.log_event(
             "job_runs_elsewhere",
             job=job_id,
@@ -213,7 +217,7 @@
 def _build_job(
     region: tables.Region,
     submission: jobs.Submission,
-    waiting: dict[int, attempts.Attempt],
+    open_attempts: dict[int, attempts.Attempt],
     now: float,
 ) -> tables.Job:
     expected_s = estimates.predict_run_s(
@@ -225,7 +229,7 @@
     objective_at = submitted_at + allowed_s
     return tables.Job(
         submission=submission,
-        attempts=waiting,
+        attempts=open_attempts,
         resources=_get_resources(submission),
         tasks=_build_tasks(submission),
         has_lost_workers=bool(submission.crashes),
--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -118,7 +118,7 @@
 def answer_attempts(
     region: tables.Region,
     job_id: str,
-    waiting: Mapping[int, attempts.Attempt],
+    open_attempts: Mapping[int, attempts.Attempt],
     outcome: jobs.Outcome,
     reason: jobs.Reason,
     retry_after_s: float = 0.0,
@@ -128,8 +128,8 @@
     Only the newest attempt is refused, and the others are given up. A gateway may
     start a refused job in another group, and two gateways would start it twice.
     """
-    newest = next(reversed(waiting), None)
-    for number, attempt in waiting.items():
+    newest = next(reversed(open_attempts), None)
+    for number, attempt in open_attempts.items():
         given = outcome
         if outcome is jobs.Outcome.REFUSED and number != newest:
             given = jobs.Outcome.GIVEN_UP
--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -155,7 +155,7 @@
 def _build_caller_check(sock: socket.socket | None) -> open_jobs.CallerCheck:
     """Return the function that tells whether a connection is closed."""
     if sock is None:
-        return open_jobs.stays
+        return open_jobs.never_leaves
     return lambda: _is_closed(sock)
 
 
@@ -202,7 +202,7 @@
     gateway: gateways.Gateway,
     job: open_jobs.OpenJob,
     sock: socket.socket | None,
-    has_left: open_jobs.CallerCheck = open_jobs.stays,
+    has_left: open_jobs.CallerCheck = open_jobs.never_leaves,
 ) -> None:
     """Wait until there is an answer or the caller closes its connection."""
     watcher = None
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -28,6 +28,7 @@
 from pollenladder.service import application
 from pollenladder.service import configurations
 from pollenladder.service import engine as engines
+from pollenladder.service import engine_callbacks
 from pollenladder.service import evacuations as evacuation_followers
 from pollenladder.service import feeds
 from pollenladder.service import gateway as gateways
@@ -243,7 +244,7 @@
         """Build the engine and the leadership of one group of workers."""
         engine = engines.Engine(
             self._settings.max_lease_s,
-            engines.Callbacks(
+            engine_callbacks.Callbacks(
                 answer=self._exchange.answer,
                 on_fenced=lambda worker_id: self._groups.record_fenced(
                     name, worker_id
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -1,6 +1,5 @@
 """Pass events to the owner's scheduling and apply the resulting effects."""
 
-from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import logging
@@ -30,6 +29,7 @@
 from pollenladder.scheduling import recovery
 from pollenladder.scheduling import sharing
 from pollenladder.scheduling import tables
+from pollenladder.service import engine_callbacks
 from pollenladder.service import handover_delays
 from pollenladder.service import sessions
 
@@ -43,38 +43,6 @@
 MIN_COUNTED_LAG_S = 0.005
 
 
-@dataclasses.dataclass(frozen=True)
-class Callbacks:
-    """The functions that the engine calls.
-
-    Attributes:
-        answer: Called with a gateway's id and a job's final answer.
-        on_fenced: Called with the id of a worker that has seen a higher epoch.
-        report_crashes: Called with a gateway's id, a job's id, the number of the
-            attempt, and the crashes under the job's tasks.
-        get_lag_s: Returns the mean lag of the event loop, in seconds.
-        count: Adds one to the counter of a kind of decision.
-        count_failure: Adds one to the counter of a kind of failure of workers.
-        reject_attempt: Called with a gateway's id, a job's id and the number of an
-            attempt that has ended, as the gateway was silent.
-        list_read_times: Returns when the last bytes from each linked daemon were
-            read, by id.
-    """
-
-    answer: Callable[[str, jobs.Answer], None]
-    on_fenced: Callable[[str], None]
-    get_lag_s: Callable[[], float]
-    count: Callable[[str], None]
-    count_failure: Callable[[str], None] = lambda failure: None
-    report_crashes: Callable[
-        [str, str, int, tuple[jobs.TaskCrashes, ...]], None
-    ] = lambda gateway_id, job_id, attempt, crashes: None
-    reject_attempt: Callable[[str, str, int], None] = (
-        lambda gateway_id, job_id, attempt: None
-    )
-    list_read_times: Callable[[], dict[str, float]] = dict
-
-
 class Engine:
     """Schedules jobs while this daemon is the owner, and is idle otherwise.
 
@@ -86,7 +54,7 @@
     def __init__(
         self,
         max_lease_s: float,
-        callbacks: Callbacks,
+        callbacks: engine_callbacks.Callbacks,
         clock: clocks.Clock,
         features: optional_features.Features = optional_features.ALL,
         list_history: worker_lists.ListHistory | None = None,
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -66,7 +66,7 @@
     def submit(
         self,
         submission: jobs.Submission,
-        has_left: open_jobs.CallerCheck = open_jobs.stays,
+        has_left: open_jobs.CallerCheck = open_jobs.never_leaves,
     ) -> open_jobs.OpenJob:
         """Accept a job, or add a waiter to the open job with its id.
 
@@ -115,7 +115,7 @@
     def remove_waiter(
         self,
         job: open_jobs.OpenJob,
-        has_left: open_jobs.CallerCheck = open_jobs.stays,
+        has_left: open_jobs.CallerCheck = open_jobs.never_leaves,
     ) -> None:
         """Remove a waiter; cancel the attempt when none is left."""
         job.waiters.remove(has_left)
--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -22,7 +22,7 @@
     return random.getrandbits(ATTEMPT_BITS) + 1
 
 
-def stays() -> bool:
+def never_leaves() -> bool:
     """Return False, for a caller whose connection is not known."""
     return False
 
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -14,6 +14,7 @@
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 from pollenladder.service import engine as engines
+from pollenladder.service import engine_callbacks
 from pollenladder.service import handover_delays
 from tests.scheduling import simulations
 
@@ -27,7 +28,7 @@
         self.lag_s = 0.0
         self.engine = engines.Engine(
             LEASE_S,
-            engines.Callbacks(
+            engine_callbacks.Callbacks(
                 answer=lambda gateway_id, answer: None,
                 on_fenced=lambda worker_id: None,
                 get_lag_s=lambda: self.lag_s,
@@ -169,7 +170,7 @@
         self.rejected: list[tuple[str, str, int]] = []
         self.engine = engines.Engine(
             LEASE_S,
-            engines.Callbacks(
+            engine_callbacks.Callbacks(
                 answer=lambda gateway_id, answer: None,
                 on_fenced=lambda worker_id: None,
                 get_lag_s=lambda: 0.0,
--- a/tests/service/test_evacuations.py
+++ b/tests/service/test_evacuations.py
@@ -20,6 +20,7 @@
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import tables
 from pollenladder.service import engine as engines
+from pollenladder.service import engine_callbacks
 from pollenladder.service import evacuations as followers
 from pollenladder.service import feeds
 from pollenladder.service import job_exchange
@@ -228,7 +229,7 @@
         answers = []
         engine = engines.Engine(
             simulations.LEASE_S,
-            engines.Callbacks(
+            engine_callbacks.Callbacks(
                 answer=lambda gateway_id, answer: answers.append(answer),
                 on_fenced=lambda worker_id: None,
                 get_lag_s=lambda: 0.0,
