Conclude from a closed connection, not from a refusal, that a worker crashed

Two other workers of the data centre accepted connections, so the refusals were taken for crashes; the second one ended the job as failed. The same evidence isolated tasks, reserved workers, blamed the queue, and refused its callers.

A conclusion now rests on evidence of its own type (`fleet.MissedPoll`, `fleet.ProcessEnd`): - A refusal alone counts as silence. - A connection that was closed in order, then refusals while others accept, tells that the process has ended. Tasks are suspected, and a job ends as given up after two of these. - Another process at the worker's address, or under its id, proves it. Only two proved crashes end a job as failed. - Whatever was counted is taken back as the same process answers: silent losses and what was concluded about queues, too.

--- a/bench/emulator/simulations.py
+++ b/bench/emulator/simulations.py
@@ -412,7 +412,10 @@
         region = self._find_region(worker_id)
         if self._is_down(worker_id):
             replies.handle_missed_poll(
-                region, worker_id, self.now, has_process_ended=True
+                region, worker_id, self.now, fleet.MissedPoll.CLOSED
+            )
+            replies.handle_process_end(
+                region, worker_id, fleet.ProcessEnd.CLOSED, self.now
             )
             return
         worker = region.workers[worker_id]
--- a/pollenladder/endpoints/readers.py
+++ b/pollenladder/endpoints/readers.py
@@ -35,6 +35,7 @@
 }
 REASONS_BY_CAUSE = {
     exceptions.Cause.CLOSED: verdicts.Reason.CONNECTION_LOST,
+    exceptions.Cause.RESET: verdicts.Reason.CONNECTION_LOST,
     exceptions.Cause.TIMEOUT: verdicts.Reason.NO_REPLY,
     exceptions.Cause.GARBAGE: verdicts.Reason.BAD_REPLY,
 }
--- a/pollenladder/fleet/crashing_queues.py
+++ b/pollenladder/fleet/crashing_queues.py
@@ -24,6 +24,10 @@
         """Record that a task of a queue that crashes workers has crashed one."""
         self._found[queue] = now + HOLD_S
 
+    def withdraw(self, queue: str) -> None:
+        """Take back what this daemon has found about a queue."""
+        self._found.pop(queue, None)
+
     def record_told(self, remaining_s: Mapping[str, float], now: float) -> None:
         """Record what another daemon tells.
 
--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -104,6 +104,38 @@
     ended: tuple[ObservedEnd, ...]
 
 
+class MissedPoll(enum.Enum):
+    """What a poll without a usable reply tells about the worker's process.
+
+    Attributes:
+        NO_REPLY: Nothing. The connection failed or was silent, as it does when the
+            network is partitioned.
+        CLOSED: The connection was closed in order. The host of a process that ends
+            closes its connections, and a partition does not.
+        REFUSED: A new connection was refused. No process listens there, or a
+            partition refuses connections.
+        REPLACED: Another process answers at the worker's address.
+    """
+
+    NO_REPLY = "no_reply"
+    CLOSED = "closed"
+    REFUSED = "refused"
+    REPLACED = "replaced"
+
+
+class ProcessEnd(enum.Enum):
+    """What the end of a worker's process is concluded from.
+
+    Attributes:
+        CLOSED: Its connections were closed in order and new ones are refused. The
+            conclusion is taken back if the same process answers again.
+        REPLACED: Another process answers in its place, which proves the end.
+    """
+
+    CLOSED = "closed"
+    REPLACED = "replaced"
+
+
 class StartReply(enum.Enum):
     """Result of an order to start a run.
 
@@ -280,8 +312,8 @@
             reply.
         lost_at: Monotonic time in seconds since which the worker has not been
             reachable; only meaningful while it is not.
-        has_process_ended: Whether the last poll found that the worker's process
-            has ended.
+        missed_causes: What the polls since the last reply have told about the
+            worker's process.
         has_crash_recorded: Whether the end of the process has been recorded
             against the runs on the worker.
         is_loss_reported: Whether runs that outlast the longest lease have been
@@ -316,7 +348,7 @@
     missed_polls: int = 0
     last_missed_at: float = float("-inf")
     lost_at: float = float("inf")
-    has_process_ended: bool = False
+    missed_causes: frozenset[MissedPoll] = frozenset()
     has_crash_recorded: bool = False
     is_loss_reported: bool = False
     started_ms: int = 0
@@ -344,6 +376,17 @@
         self.listing = listing
         self.free = self.free.add(gained)
 
+    def has_closed_connections(self) -> bool:
+        """Return whether the host has closed the connections of the process.
+
+        If any poll since the last reply met another failure, the network may be
+        the cause.
+        """
+        return (
+            MissedPoll.CLOSED in self.missed_causes
+            and MissedPoll.NO_REPLY not in self.missed_causes
+        )
+
     def has_unknown_load(self) -> bool:
         """Return whether it has a run whose resources are not known."""
         return any(
--- a/pollenladder/http/exceptions.py
+++ b/pollenladder/http/exceptions.py
@@ -10,12 +10,14 @@
     """Why a request that may have arrived got no usable response.
 
     Attributes:
-        CLOSED: The connection failed or was closed.
+        CLOSED: The peer closed the connection in order.
+        RESET: The connection failed.
         TIMEOUT: The time limit of the exchange expired.
         GARBAGE: The bytes received are not one HTTP response.
     """
 
     CLOSED = "closed"
+    RESET = "reset"
     TIMEOUT = "timeout"
     GARBAGE = "garbage"
 
--- a/pollenladder/http/exchanges.py
+++ b/pollenladder/http/exchanges.py
@@ -105,9 +105,7 @@
     except ConnectionRefusedError as error:
         raise exceptions.RefusedError(str(error)) from error
     except OSError as error:
-        raise _build_error(
-            state, exceptions.Cause.CLOSED, str(error)
-        ) from error
+        raise _build_error(state, exceptions.Cause.RESET, str(error)) from error
     except responses.ResponseError as error:
         raise _build_error(
             state, exceptions.Cause.GARBAGE, str(error)
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -261,7 +261,7 @@
         "worker_lost",
         Kind.WORKER,
         "the worker gets no new work, as polls got no reply",
-        ("worker", "missed_looks", "runs", "process_ended"),
+        ("worker", "missed_looks", "runs", "causes"),
     ),
     Event(
         "lost_runs_held",
@@ -298,7 +298,7 @@
         "look_missed",
         Kind.WORKER,
         "a poll got no valid reply",
-        ("worker", "error", "missed"),
+        ("worker", "error", "cause", "missed"),
     ),
     Event(
         "order_dropped",
@@ -310,13 +310,19 @@
         "worker_crashed",
         Kind.WORKER,
         "the worker's process has ended, and all of its runs with it",
-        ("worker", "runs"),
+        ("worker", "evidence", "runs"),
+    ),
+    Event(
+        "crash_proved",
+        Kind.WORKER,
+        "another process answers in place of a lost worker's, so that one has ended",
+        ("worker", "tasks"),
     ),
     Event(
         "task_suspected",
         Kind.RUN,
         "the worker crashed soon after it had started the task",
-        (*_RUN_FIELDS, "queue", "suspicions", "age_s"),
+        (*_RUN_FIELDS, "queue", "suspicions", "proved", "age_s"),
     ),
     Event(
         "suspicion_withdrawn",
--- a/pollenladder/platform/workers.py
+++ b/pollenladder/platform/workers.py
@@ -52,20 +52,36 @@
 
 
 class PollError(exceptions.PlatformError):
-    """A poll got no usable response."""
+    """A poll got no usable response.
+
+    Attributes:
+        cause: What the error tells about the worker's process.
+    """
+
+    cause = fleet.MissedPoll.NO_REPLY
 
 
 class FencedError(PollError):
     """The worker has seen a higher epoch than the one in the request."""
 
 
+class ClosedError(PollError):
+    """The worker's host closed the connection in order, without a response."""
+
+    cause = fleet.MissedPoll.CLOSED
+
+
 class RefusedError(PollError):
     """No process listens at the worker's address, or a partition refuses."""
 
+    cause = fleet.MissedPoll.REFUSED
+
 
 class OtherIncarnationError(PollError):
     """The address now belongs to another worker."""
 
+    cause = fleet.MissedPoll.REPLACED
+
 
 def accepts_connection(address: tuple[str, int]) -> bool:
     """Return whether a worker accepts a new connection."""
@@ -190,6 +206,7 @@
 
         Raises:
             FencedError: Another owner has taken over the worker.
+            ClosedError: The connection was closed in order.
             RefusedError: The connection was refused.
             OtherIncarnationError: The address now belongs to another worker.
             PollError: There is no usable response.
@@ -205,6 +222,8 @@
             )
         except http_exceptions.RefusedError as error:
             raise RefusedError(str(error)) from error
+        except http_exceptions.NoResponseError as error:
+            raise _build_poll_error(error) from error
         except http_exceptions.ExchangeError as error:
             raise PollError(str(error)) from error
         return _read_poll_response(response)
@@ -229,6 +248,12 @@
         return exchanges.exchange(self._pool, request, timeout_s)
 
 
+def _build_poll_error(error: http_exceptions.NoResponseError) -> PollError:
+    if error.cause is http_exceptions.Cause.CLOSED:
+        return ClosedError(str(error))
+    return PollError(str(error))
+
+
 def _read_start_response(response: responses.Response) -> fleet.StartReply:
     if response.status == 200:
         return fleet.StartReply.STARTED
--- a/pollenladder/scheduling/crash_records.py
+++ b/pollenladder/scheduling/crash_records.py
@@ -17,17 +17,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskLoss:
-    """A task that ran on a worker when its process seemed to end.
+    """A task that ran on a worker when it was lost.
 
     Attributes:
         job_id: The job's id.
         task_index: Index of the task in its job.
-        is_suspected: Whether the task is suspected of the crash.
+        is_suspected: Whether the task is suspected of a crash of the worker.
+        is_recent: Whether the task is to be suspected if the worker has crashed.
     """
 
     job_id: str
     task_index: int
     is_suspected: bool
+    is_recent: bool
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,8 +45,8 @@
             longer listed are left out.
         exposed: The number of runs of a queue's tasks on each worker, by queue
             and worker id.
-        losses: The tasks on workers whose process seems to have ended, by worker
-            id, until the worker answers again.
+        losses: The tasks on workers that were lost, by worker id, until it is
+            known whether the worker's process runs or has ended.
         outage_s: How long a crashed worker is down on average, in seconds.
     """
 
@@ -62,8 +64,8 @@
     outage_s: float = DEFAULT_OUTAGE_S
 
     def add_losses(self, worker_id: str, losses: list[TaskLoss]) -> None:
-        """Record the tasks on a worker whose process seems to have ended."""
-        self.losses[worker_id] = losses
+        """Record the tasks on a worker that was lost."""
+        self.losses.setdefault(worker_id, []).extend(losses)
 
     def take_losses(self, worker_id: str) -> list[TaskLoss]:
         """Return the tasks recorded with a worker, and forget them."""
@@ -119,6 +121,20 @@
                 found.append(queue)
         return found
 
+    def withdraw_crash(self, worker_id: str) -> None:
+        """Take back that queues of this group have crashed a worker.
+
+        How much the worker has added to the evidence is not kept, so the evidence
+        about its queues is gathered anew.
+        """
+        blamed = [q for q, found in self.down.items() if worker_id in found]
+        for queue in blamed:
+            del self.down[queue][worker_id]
+            if not self.down[queue]:
+                del self.down[queue]
+            self.evidence.pop(queue, None)
+            self.queues.withdraw(queue)
+
     def forget_worker(self, worker_id: str, now: float) -> None:
         """Record that a worker has returned, or is no longer listed."""
         self.losses.pop(worker_id, None)
--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -2,11 +2,13 @@
 
 A crashed worker does not report which of its tasks was the cause. Tasks that crash
 workers do so soon after their start, so the last ones that the worker had started are
-suspected. A suspected task is started once more, alone on a worker (`isolation`). It
-is given up once `MAX_SUSPICIONS` workers have crashed under it. The other tasks of the
-worker are started again like any other task.
+suspected. A suspected task is started once more, alone on a worker (`isolation`). The
+other tasks of the worker are started again like any other task.
 
-A process that answers again has not crashed, so its tasks are no longer suspected.
+A task that is suspected of `MAX_SUSPICIONS` crashes is started no more. Its job has
+failed only if all of these crashes are proved: another process has answered in place of
+the worker's (`ProcessEnd`). Else it is given up, which leaves open what has happened. A
+process that answers again has not crashed, so whatever was counted is taken back.
 
 Once tasks of a queue are known to crash workers (`crash_evidence`), its suspected tasks
 are given up after the first crash. Trying each of them again would cost one more
@@ -55,9 +57,22 @@
 
 
 def record_crash(
-    region: tables.Region, worker: fleet.Worker, now: float
+    region: tables.Region,
+    worker: fleet.Worker,
+    evidence: fleet.ProcessEnd,
+    now: float,
 ) -> None:
-    """Record that the process of a worker has ended, with all of its runs."""
+    """Record that the process of a worker has ended, with all of its runs.
+
+    Args:
+        region: The region.
+        worker: The worker.
+        evidence: What the end is concluded from.
+        now: Monotonic time in seconds.
+    """
+    is_proved = evidence is fleet.ProcessEnd.REPLACED
+    if is_proved:
+        _prove_losses(region, worker, now)
     if not is_crash_possible(worker):
         return
     worker.has_crash_recorded = True
@@ -68,6 +83,7 @@
     region.log_event(
         "worker_crashed",
         worker=worker.listing.worker_id,
+        evidence=evidence.value,
         runs=len(worker.runs),
     )
     suspects = _choose_suspects(region, lost, now)
@@ -75,42 +91,41 @@
     for loss in lost:
         _count_loss(loss)
     for loss in suspects:
-        _suspect(region, loss, now)
-    region.crashes.add_losses(
-        worker.listing.worker_id,
-        [_describe(loss, loss in suspects) for loss in lost],
-    )
+        _suspect(region, loss, is_proved, now)
+    if not is_proved:
+        _keep_losses(region, worker, lost, suspects, are_suspected=True)
     _report(region, lost)
     for loss in lost:
         _give_up(region, loss.job, loss.task, now)
 
 
 def record_silent_loss(
-    region: tables.Region, run: fleet.Run, now: float
+    region: tables.Region, worker: fleet.Worker, now: float
 ) -> None:
-    """Record that the lease of a run on an unreachable worker has expired.
+    """Record that the leases of the runs on an unreachable worker have expired.
 
     The worker may have crashed, or it may be partitioned from this daemon.
     """
-    job, task = runs.find_task(region, run)
-    if job is None or task is None:
+    lost = _list_lost(region, worker)
+    if not lost:
         return
-    loss = Loss(run, job, task)
-    _count_loss(loss)
-    _report(region, [loss])
-    _give_up(region, job, task, now)
+    suspects = _choose_suspects(region, lost, now)
+    for loss in lost:
+        _count_loss(loss)
+    _keep_losses(region, worker, lost, suspects, are_suspected=False)
+    _report(region, lost)
+    for loss in lost:
+        _give_up(region, loss.job, loss.task, now)
 
 
 def withdraw_crash(region: tables.Region, worker: fleet.Worker) -> None:
-    """Record that the process of a worker has not ended, as it answers again.
-
-    The evidence about queues is kept, as it decays.
-    """
-    for found in region.crashes.take_losses(worker.listing.worker_id):
-        job = region.jobs.get(found.job_id)
-        if job is None or found.task_index >= len(job.tasks):
+    """Record that the process of a worker has not ended, as it answers again."""
+    worker_id = worker.listing.worker_id
+    region.crashes.withdraw_crash(worker_id)
+    for found in region.crashes.take_losses(worker_id):
+        job, task = _find_counted(region, found)
+        if job is None or task is None:
             continue
-        task = job.tasks[found.task_index]
         task.lost_workers = max(0, task.lost_workers - 1)
         if found.is_suspected:
             task.suspicions = max(0, task.suspicions - 1)
@@ -118,15 +133,60 @@
                 "suspicion_withdrawn",
                 job=found.job_id,
                 task=jobs.format_task_name(found.job_id, task.index),
-                worker=worker.listing.worker_id,
+                worker=worker_id,
                 suspicions=task.suspicions,
             )
         _report_job(region, job)
 
 
-def _describe(loss: Loss, is_suspected: bool) -> crash_records.TaskLoss:
-    job_id = loss.job.submission.job_id
-    return crash_records.TaskLoss(job_id, loss.task.index, is_suspected)
+def _prove_losses(
+    region: tables.Region, worker: fleet.Worker, now: float
+) -> None:
+    """Record that the process of a lost worker has ended for certain."""
+    worker_id = worker.listing.worker_id
+    losses = region.crashes.take_losses(worker_id)
+    if not losses:
+        return
+    region.log_event("crash_proved", worker=worker_id, tasks=len(losses))
+    for found in losses:
+        job, task = _find_counted(region, found)
+        if job is None or task is None or not found.is_recent:
+            continue
+        if not found.is_suspected:
+            task.suspicions += 1
+        task.proved_crashes += 1
+        _report_job(region, job)
+        _give_up(region, job, task, now)
+
+
+def _find_counted(
+    region: tables.Region, found: crash_records.TaskLoss
+) -> tuple[tables.Job | None, tables.Task | None]:
+    """Return the job and task of a recorded loss, or (None, None)."""
+    job = region.jobs.get(found.job_id)
+    if job is None or found.task_index >= len(job.tasks):
+        return None, None
+    return job, job.tasks[found.task_index]
+
+
+def _keep_losses(
+    region: tables.Region,
+    worker: fleet.Worker,
+    lost: list[Loss],
+    recent: list[Loss],
+    are_suspected: bool,
+) -> None:
+    """Keep what was counted until the worker's process is known to run or not."""
+    kept = [
+        crash_records.TaskLoss(
+            job_id=loss.job.submission.job_id,
+            task_index=loss.task.index,
+            is_suspected=are_suspected and loss in recent,
+            is_recent=loss in recent,
+        )
+        for loss in lost
+    ]
+    region.crashes.add_losses(worker.listing.worker_id, kept)
 
 
 def _count_loss(loss: Loss) -> None:
@@ -219,9 +279,12 @@
     return {queue: count / busy for queue, count in counts.items()}
 
 
-def _suspect(region: tables.Region, loss: Loss, now: float) -> None:
+def _suspect(
+    region: tables.Region, loss: Loss, is_proved: bool, now: float
+) -> None:
     run, task = loss.run, loss.task
     task.suspicions += 1
+    task.proved_crashes += is_proved
     region.log_event(
         "task_suspected",
         job=loss.job.submission.job_id,
@@ -230,6 +293,7 @@
         worker=run.worker_id,
         queue=loss.job.submission.queue,
         suspicions=task.suspicions,
+        proved=task.proved_crashes,
         age_s=round(now - run.sent_at, 4),
     )
 
@@ -256,7 +320,12 @@
 def list_crashes(job: tables.Job) -> tuple[jobs.TaskCrashes, ...]:
     """Return the crashes under a job's tasks, for the next owner."""
     return tuple(
-        jobs.TaskCrashes(task.index, task.suspicions, task.lost_workers)
+        jobs.TaskCrashes(
+            task.index,
+            task.suspicions,
+            task.lost_workers,
+            task.proved_crashes,
+        )
         for task in job.tasks
         if task.lost_workers
     )
@@ -268,15 +337,24 @@
     """End a job if one of its tasks must not be started again."""
     if job.submission.job_id not in region.jobs:
         return
-    if task.suspicions >= MAX_SUSPICIONS:
+    if task.proved_crashes >= MAX_SUSPICIONS:
         outcome = jobs.Outcome.FAILED
-    elif task.lost_workers >= MAX_LOST_WORKERS or (
-        task.suspicions
-        and region.crashes.is_crashing(job.submission.queue, now)
-    ):
+    elif _must_not_restart(region, job, task, now):
         outcome = jobs.Outcome.GIVEN_UP
     else:
         return
     region.count_failure(effects.Failure.JOB_GIVEN_UP)
     reason = jobs.Reason.TASK_CRASHED_WORKERS
     job_ends.end_job(region, job, outcome, reason, now)
+
+
+def _must_not_restart(
+    region: tables.Region, job: tables.Job, task: tables.Task, now: float
+) -> bool:
+    """Return whether a task may take down yet another worker."""
+    if task.suspicions >= MAX_SUSPICIONS:
+        return True
+    if task.lost_workers >= MAX_LOST_WORKERS:
+        return True
+    is_crashing = region.crashes.is_crashing(job.submission.queue, now)
+    return bool(task.suspicions) and is_crashing
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -254,8 +254,10 @@
     ]
     for crashes in submission.crashes:
         if 0 <= crashes.index < len(tasks):
-            tasks[crashes.index].suspicions = crashes.suspicions
-            tasks[crashes.index].lost_workers = crashes.lost_workers
+            task = tasks[crashes.index]
+            task.suspicions = crashes.suspicions
+            task.lost_workers = crashes.lost_workers
+            task.proved_crashes = crashes.proved
     return tasks
 
 
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -158,11 +158,11 @@
     region: tables.Region, worker: fleet.Worker, now: float
 ) -> None:
     """Release expired runs, repeat stop orders, and stop unclaimed orphans."""
-    expired = have_leases_expired(worker, now)
+    if not worker.is_reachable and have_leases_expired(worker, now):
+        worker_losses.release_expired(region, worker, now)
+        return
     for run in list(worker.runs.values()):
-        if expired and not worker.is_reachable:
-            worker_losses.release_expired(region, worker, run, now)
-        elif run.state is fleet.RunState.STOPPING:
+        if run.state is fleet.RunState.STOPPING:
             if now >= run.next_stop_at:
                 runs.stop(region, run, now)
         elif run.is_orphan and now > run.sent_at + runs.ORPHAN_GRACE_S:
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -24,7 +24,7 @@
     region: tables.Region,
     worker_id: str,
     now: float,
-    has_process_ended: bool = False,
+    cause: fleet.MissedPoll = fleet.MissedPoll.NO_REPLY,
 ) -> None:
     """Record that a poll got no reply.
 
@@ -32,30 +32,31 @@
         region: The region.
         worker_id: The worker's id.
         now: Monotonic time in seconds.
-        has_process_ended: Whether no process answers under the worker's
-            address and id.
+        cause: What the missed poll tells about the worker's process.
     """
     worker = region.workers.get(worker_id)
     if worker is None:
         return
     worker.missed_polls += 1
     worker.last_missed_at = now
-    worker.has_process_ended = has_process_ended
+    worker.missed_causes |= {cause}
     if worker.missed_polls >= MAX_MISSED_POLLS:
         worker_losses.mark_lost(region, worker, now)
-    if has_process_ended:
-        handle_process_end(region, worker_id, now)
+    if cause is fleet.MissedPoll.REPLACED:
+        handle_process_end(region, worker_id, fleet.ProcessEnd.REPLACED, now)
 
 
 def handle_process_end(
-    region: tables.Region, worker_id: str, now: float
+    region: tables.Region,
+    worker_id: str,
+    evidence: fleet.ProcessEnd,
+    now: float,
 ) -> None:
     """Record that the process of an unreachable worker has ended."""
     worker = region.workers.get(worker_id)
     if worker is None or worker.is_reachable:
         return
-    worker.has_process_ended = True
-    crashes.record_crash(region, worker, now)
+    crashes.record_crash(region, worker, evidence, now)
 
 
 def handle_fenced(region: tables.Region, worker_id: str) -> None:
@@ -156,7 +157,7 @@
         worker.health = fleet.Health()
         # The process may run on another machine now.
         worker.speed = fleet.SpeedEstimate()
-        crashes.record_crash(region, worker, now)
+        crashes.record_crash(region, worker, fleet.ProcessEnd.REPLACED, now)
         region.log_event(
             "worker_restarted",
             worker=worker.listing.worker_id,
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -62,6 +62,7 @@
         has_started: Whether this owner has started a run of the task.
         suspicions: Number of crashes of workers of which the task is suspected.
         lost_workers: Number of workers that were lost under the task.
+        proved_crashes: Number of the suspected crashes that are proved.
     """
 
     index: int
@@ -76,6 +77,7 @@
     has_started: bool = False
     suspicions: int = 0
     lost_workers: int = 0
+    proved_crashes: int = 0
 
     @property
     def needs_isolation(self) -> bool:
--- a/pollenladder/scheduling/worker_losses.py
+++ b/pollenladder/scheduling/worker_losses.py
@@ -30,7 +30,7 @@
         worker=worker.listing.worker_id,
         missed_looks=worker.missed_polls,
         runs=len(worker.runs),
-        process_ended=worker.has_process_ended,
+        causes=sorted(cause.value for cause in worker.missed_causes),
     )
     for run in worker.runs.values():
         _log_run(region, run, now)
@@ -41,17 +41,24 @@
 ) -> None:
     """Record that a worker replies."""
     worker.is_reachable = True
-    worker.has_process_ended = False
+    worker.missed_causes = frozenset()
     worker.has_crash_recorded = False
     region.crashes.forget_worker(worker.listing.worker_id, now)
 
 
 def release_expired(
-    region: tables.Region, worker: fleet.Worker, run: fleet.Run, now: float
+    region: tables.Region, worker: fleet.Worker, now: float
 ) -> None:
-    """Release a run whose lease has expired on a lost worker."""
+    """Release the runs on a lost worker, as their leases have expired."""
     if not worker.has_crash_recorded:
-        crashes.record_silent_loss(region, run, now)
+        crashes.record_silent_loss(region, worker, now)
+    for run in list(worker.runs.values()):
+        _release(region, worker, run, now)
+
+
+def _release(
+    region: tables.Region, worker: fleet.Worker, run: fleet.Run, now: float
+) -> None:
     job, _ = runs.find_task(region, run)
     runs.release(region, worker, run, "lease_expired")
     if job is not None and not job.is_overdue and now > job.latest_start_at:
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -179,7 +179,7 @@
             self._region,
             self._worker_id,
             self._clock(),
-            has_process_ended=isinstance(error, workers.OtherIncarnationError),
+            error.cause,
         )
         if was_reachable:
             logs.log(
@@ -187,6 +187,7 @@
                 "look_missed",
                 worker=self._worker_id,
                 error=str(error),
+                cause=error.cause.value,
                 missed=self._worker.missed_polls,
             )
         self._callbacks.on_event()
@@ -199,9 +200,12 @@
     def _check_refusal(self) -> None:
         """Find out whether the process has ended or the network refuses.
 
-        A refusal that no witness can explain counts as silence.
+        A refusal alone counts as silence. A process that has ended has closed its
+        connections before, and the others of its data centre accept new ones.
         """
         worker = self._worker
+        if not worker.has_closed_connections():
+            return
         if worker.is_reachable or not crashes.is_crash_possible(worker):
             return
         is_only = not witnesses.has_others(self._region, worker)
@@ -209,7 +213,10 @@
             return
         if not self._closed:
             replies.handle_process_end(
-                self._region, self._worker_id, self._clock()
+                self._region,
+                self._worker_id,
+                fleet.ProcessEnd.CLOSED,
+                self._clock(),
             )
             self._callbacks.on_event()
 
