Keep the crash counts of a job beyond its end, for a caller that returns

A caller that is answered with 504 submits its job again. The owner repeated the answer for 5 s and only if the job had been given up for crashes; then, and after each deadline, the counts began anew, and a task that crashes workers was started on one after the other.

The counts of a task are now one record (`CrashCounts`) that outlives its job for 30 s after a caller last asked. A job that must not be started again is answered at once: as given up while the crashes are not proved, as failed from the proof on, and started again if they are taken back.

Not kept by the next owner: the gateways keep counts only while a job waits.

--- a/pollenladder/scheduling/crash_records.py
+++ b/pollenladder/scheduling/crash_records.py
@@ -15,6 +15,39 @@
 OUTAGE_LEARNING_RATE = 0.3
 
 
+# The counts of a job that has ended are kept for this time after a caller last asked
+# for it. Longer than a crashed worker is down and than callers take to submit again.
+RETENTION_S = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class CrashCounts:
+    """How many workers crashed or were lost while they ran a task.
+
+    Attributes:
+        suspicions: Number of crashes of which the task is suspected.
+        lost_workers: Number of workers that were lost under the task.
+        proved: Number of the suspected crashes that are proved.
+    """
+
+    suspicions: int = 0
+    lost_workers: int = 0
+    proved: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class EndedJob:
+    """A job that has ended, and under which workers were lost.
+
+    Attributes:
+        counts: The counts of its tasks, by index.
+        until: When they are forgotten; monotonic, in seconds.
+    """
+
+    counts: dict[int, CrashCounts]
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskLoss:
     """A task that ran on a worker when it was lost.
@@ -22,12 +55,14 @@
     Attributes:
         job_id: The job's id.
         task_index: Index of the task in its job.
+        counts: The counts of the task, also after its job has ended.
         is_suspected: Whether the task is suspected of a crash of the worker.
         is_recent: Whether the task is to be suspected if the worker has crashed.
     """
 
     job_id: str
     task_index: int
+    counts: CrashCounts
     is_suspected: bool
     is_recent: bool
 
@@ -47,6 +82,8 @@
             and worker id.
         losses: The tasks on workers that were lost, by worker id, until it is
             known whether the worker's process runs or has ended.
+        ended_jobs: Jobs that have ended without being completed, by id, so that
+            their tasks do not crash workers anew if they are submitted again.
         outage_s: How long a crashed worker is down on average, in seconds.
     """
 
@@ -61,8 +98,29 @@
         default_factory=dict
     )
     losses: dict[str, list[TaskLoss]] = dataclasses.field(default_factory=dict)
+    ended_jobs: dict[str, EndedJob] = dataclasses.field(default_factory=dict)
     outage_s: float = DEFAULT_OUTAGE_S
 
+    def keep_job(
+        self, job_id: str, counts: dict[int, CrashCounts], now: float
+    ) -> None:
+        """Keep the counts of a job that has ended."""
+        # The newest entries are the last ones.
+        self.ended_jobs.pop(job_id, None)
+        self.ended_jobs[job_id] = EndedJob(counts, now + RETENTION_S)
+
+    def find_counts(self, job_id: str) -> dict[int, CrashCounts]:
+        """Return the counts kept for a job, by task index."""
+        ended = self.ended_jobs.get(job_id)
+        return ended.counts if ended else {}
+
+    def forget_old_jobs(self, now: float) -> None:
+        """Forget the jobs that no caller has asked for lately."""
+        for job_id, ended in list(self.ended_jobs.items()):
+            if ended.until > now:
+                break
+            del self.ended_jobs[job_id]
+
     def add_losses(self, worker_id: str, losses: list[TaskLoss]) -> None:
         """Record the tasks on a worker that was lost."""
         self.losses.setdefault(worker_id, []).extend(losses)
--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -123,20 +123,20 @@
     worker_id = worker.listing.worker_id
     region.crashes.withdraw_crash(worker_id)
     for found in region.crashes.take_losses(worker_id):
-        job, task = _find_counted(region, found)
-        if job is None or task is None:
-            continue
-        task.lost_workers = max(0, task.lost_workers - 1)
+        counts = found.counts
+        counts.lost_workers = max(0, counts.lost_workers - 1)
         if found.is_suspected:
-            task.suspicions = max(0, task.suspicions - 1)
+            counts.suspicions = max(0, counts.suspicions - 1)
             region.log_event(
                 "suspicion_withdrawn",
                 job=found.job_id,
-                task=jobs.format_task_name(found.job_id, task.index),
+                task=jobs.format_task_name(found.job_id, found.task_index),
                 worker=worker_id,
-                suspicions=task.suspicions,
+                suspicions=counts.suspicions,
             )
-        _report_job(region, job)
+        job = region.jobs.get(found.job_id)
+        if job is not None:
+            _report_job(region, job)
 
 
 def _prove_losses(
@@ -149,24 +149,14 @@
         return
     region.log_event("crash_proved", worker=worker_id, tasks=len(losses))
     for found in losses:
-        job, task = _find_counted(region, found)
-        if job is None or task is None or not found.is_recent:
+        if not found.is_recent:
             continue
-        if not found.is_suspected:
-            task.suspicions += 1
-        task.proved_crashes += 1
-        _report_job(region, job)
-        _give_up(region, job, task, now)
-
-
-def _find_counted(
-    region: tables.Region, found: crash_records.TaskLoss
-) -> tuple[tables.Job | None, tables.Task | None]:
-    """Return the job and task of a recorded loss, or (None, None)."""
-    job = region.jobs.get(found.job_id)
-    if job is None or found.task_index >= len(job.tasks):
-        return None, None
-    return job, job.tasks[found.task_index]
+        found.counts.suspicions += not found.is_suspected
+        found.counts.proved += 1
+        job = region.jobs.get(found.job_id)
+        if job is not None:
+            _report_job(region, job)
+            _give_up(region, job, job.tasks[found.task_index], now)
 
 
 def _keep_losses(
@@ -181,6 +171,7 @@
         crash_records.TaskLoss(
             job_id=loss.job.submission.job_id,
             task_index=loss.task.index,
+            counts=loss.task.crashes,
             is_suspected=are_suspected and loss in recent,
             is_recent=loss in recent,
         )
@@ -190,7 +181,7 @@
 
 
 def _count_loss(loss: Loss) -> None:
-    loss.task.lost_workers += 1
+    loss.task.crashes.lost_workers += 1
     loss.job.has_lost_workers = True
 
 
@@ -283,8 +274,8 @@
     region: tables.Region, loss: Loss, is_proved: bool, now: float
 ) -> None:
     run, task = loss.run, loss.task
-    task.suspicions += 1
-    task.proved_crashes += is_proved
+    task.crashes.suspicions += 1
+    task.crashes.proved += is_proved
     region.log_event(
         "task_suspected",
         job=loss.job.submission.job_id,
@@ -292,8 +283,8 @@
         run=run.number,
         worker=run.worker_id,
         queue=loss.job.submission.queue,
-        suspicions=task.suspicions,
-        proved=task.proved_crashes,
+        suspicions=task.crashes.suspicions,
+        proved=task.crashes.proved,
         age_s=round(now - run.sent_at, 4),
     )
 
@@ -322,12 +313,12 @@
     return tuple(
         jobs.TaskCrashes(
             task.index,
-            task.suspicions,
-            task.lost_workers,
-            task.proved_crashes,
+            task.crashes.suspicions,
+            task.crashes.lost_workers,
+            task.crashes.proved,
         )
         for task in job.tasks
-        if task.lost_workers
+        if task.crashes.lost_workers
     )
 
 
@@ -337,24 +328,42 @@
     """End a job if one of its tasks must not be started again."""
     if job.submission.job_id not in region.jobs:
         return
-    if task.proved_crashes >= MAX_SUSPICIONS:
-        outcome = jobs.Outcome.FAILED
-    elif _must_not_restart(region, job, task, now):
-        outcome = jobs.Outcome.GIVEN_UP
-    else:
+    outcome = _choose_outcome(region, job.submission.queue, task.crashes, now)
+    if outcome is None:
         return
     region.count_failure(effects.Failure.JOB_GIVEN_UP)
     reason = jobs.Reason.TASK_CRASHED_WORKERS
     job_ends.end_job(region, job, outcome, reason, now)
 
 
-def _must_not_restart(
-    region: tables.Region, job: tables.Job, task: tables.Task, now: float
-) -> bool:
-    """Return whether a task may take down yet another worker."""
-    if task.suspicions >= MAX_SUSPICIONS:
-        return True
-    if task.lost_workers >= MAX_LOST_WORKERS:
-        return True
-    is_crashing = region.crashes.is_crashing(job.submission.queue, now)
-    return bool(task.suspicions) and is_crashing
+def find_outcome(
+    region: tables.Region, submission: jobs.Submission, now: float
+) -> jobs.Outcome | None:
+    """Return how a job ends that is submitted again, or None if it may start."""
+    found = [
+        _choose_outcome(region, submission.queue, counts, now)
+        for counts in region.crashes.find_counts(submission.job_id).values()
+    ]
+    if jobs.Outcome.FAILED in found:
+        return jobs.Outcome.FAILED
+    if jobs.Outcome.GIVEN_UP in found:
+        return jobs.Outcome.GIVEN_UP
+    return None
+
+
+def _choose_outcome(
+    region: tables.Region,
+    queue: str,
+    counts: crash_records.CrashCounts,
+    now: float,
+) -> jobs.Outcome | None:
+    """Return how a job ends because of one of its tasks, or None."""
+    if counts.proved >= MAX_SUSPICIONS:
+        return jobs.Outcome.FAILED
+    if counts.suspicions >= MAX_SUSPICIONS:
+        return jobs.Outcome.GIVEN_UP
+    if counts.lost_workers >= MAX_LOST_WORKERS:
+        return jobs.Outcome.GIVEN_UP
+    if counts.suspicions and region.crashes.is_crashing(queue, now):
+        return jobs.Outcome.GIVEN_UP
+    return None
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -13,6 +13,8 @@
 from pollenladder.scheduling import arrivals
 from pollenladder.scheduling import attempts
 from pollenladder.scheduling import candidates
+from pollenladder.scheduling import crash_records
+from pollenladder.scheduling import crashes
 from pollenladder.scheduling import deferral
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import exposure
@@ -133,7 +135,13 @@
     job_id = submission.job_id
     end = region.recent_ends.get(job_id)
     refusal = region.refusals.get(job_id)
-    if end is not None:
+    crashed = crashes.find_outcome(region, submission, now)
+    if crashed is not None:
+        outcome, reason = crashed, jobs.Reason.TASK_CRASHED_WORKERS
+        counts = region.crashes.find_counts(job_id)
+        region.crashes.keep_job(job_id, counts, now)
+        _log_repeated(region, job_id, open_attempts)
+    elif end is not None:
         outcome, reason = end.outcome, end.reason
         _log_repeated(region, job_id, open_attempts)
     elif refusal is not None and now < refusal.until:
@@ -227,12 +235,13 @@
     waves = _count_waves(region, submission)
     allowed_s = submission.stretch * expected_s * waves + submission.slack_s
     objective_at = submitted_at + allowed_s
+    tasks = _build_tasks(region, submission)
     return tables.Job(
         submission=submission,
         attempts=open_attempts,
         resources=_get_resources(submission),
-        tasks=_build_tasks(submission),
-        has_lost_workers=bool(submission.crashes),
+        tasks=tasks,
+        has_lost_workers=any(task.crashes.lost_workers for task in tasks),
         expected_s=expected_s,
         longest_usual_s=estimates.find_longest_usual_s(
             region.estimates,
@@ -247,17 +256,22 @@
     )
 
 
-def _build_tasks(submission: jobs.Submission) -> list[tables.Task]:
+def _build_tasks(
+    region: tables.Region, submission: jobs.Submission
+) -> list[tables.Task]:
     tasks = [
         tables.Task(index, tables.TaskState.WAITING, submission.first_run)
         for index in range(submission.tasks)
     ]
-    for crashes in submission.crashes:
-        if 0 <= crashes.index < len(tasks):
-            task = tasks[crashes.index]
-            task.suspicions = crashes.suspicions
-            task.lost_workers = crashes.lost_workers
-            task.proved_crashes = crashes.proved
+    for told in submission.crashes:
+        if 0 <= told.index < len(tasks):
+            tasks[told.index].crashes = crash_records.CrashCounts(
+                told.suspicions, told.lost_workers, told.proved
+            )
+    # What this owner knows itself is never older than what it has told.
+    for index, counts in region.crashes.find_counts(submission.job_id).items():
+        if index < len(tasks):
+            tasks[index].crashes = counts
     return tasks
 
 
--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -36,6 +36,7 @@
         if end.ended_at > oldest:
             break
         del region.recent_ends[job_id]
+    region.crashes.forget_old_jobs(now)
 
 
 def answer_failed(
@@ -96,6 +97,8 @@
     region.waiting.discard(job_id)
     if job.had_to_wait:
         _record_wait(region, job, outcome)
+    if outcome is not jobs.Outcome.COMPLETED:
+        _keep_crashes(region, job, now)
     if _is_repeatable(outcome, reason):
         region.recent_ends[job_id] = tables.RecentEnd(outcome, reason, now)
     answer_attempts(
@@ -115,6 +118,18 @@
             runs.abandon(region, job, task, now)
 
 
+def _keep_crashes(region: tables.Region, job: tables.Job, now: float) -> None:
+    """Keep what is known of crashes, in case the job is submitted again."""
+    if not job.has_lost_workers:
+        return
+    counts = {
+        task.index: task.crashes
+        for task in job.tasks
+        if task.crashes.lost_workers
+    }
+    region.crashes.keep_job(job.submission.job_id, counts, now)
+
+
 def answer_attempts(
     region: tables.Region,
     job_id: str,
@@ -179,15 +194,10 @@
 def _is_repeatable(outcome: jobs.Outcome, reason: jobs.Reason) -> bool:
     """Return whether later attempts of a job are answered like the ones before.
 
-    A job that was given up because of crashes is not started again.
-
     A caller that lost its connection has not cancelled its job. If it returns,
     the job starts again.
     """
-    if reason in (
-        jobs.Reason.CALLER_CANCELLED,
-        jobs.Reason.TASK_CRASHED_WORKERS,
-    ):
+    if reason is jobs.Reason.CALLER_CANCELLED:
         return True
     return outcome in (jobs.Outcome.COMPLETED, jobs.Outcome.FAILED)
 
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -52,7 +52,9 @@
         unguarded_services=region.unguarded_services,
         regions=region.regions,
         crashes=crash_records.CrashRecords(
-            evidence=region.crashes.evidence, queues=region.crashes.queues
+            evidence=region.crashes.evidence,
+            queues=region.crashes.queues,
+            ended_jobs=region.crashes.ended_jobs,
         ),
         neighbourhood=neighbourhood.Neighbourhood(region.neighbourhood.model),
     )
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -60,9 +60,7 @@
             of all workers are known. Another owner's run of the task may still
             be in progress on a worker that has not been polled.
         has_started: Whether this owner has started a run of the task.
-        suspicions: Number of crashes of workers of which the task is suspected.
-        lost_workers: Number of workers that were lost under the task.
-        proved_crashes: Number of the suspected crashes that are proved.
+        crashes: Numbers of workers that crashed or were lost under the task.
     """
 
     index: int
@@ -75,14 +73,14 @@
     avoided_workers: set[str] = dataclasses.field(default_factory=set)
     not_before: float = 0.0
     has_started: bool = False
-    suspicions: int = 0
-    lost_workers: int = 0
-    proved_crashes: int = 0
+    crashes: crash_records.CrashCounts = dataclasses.field(
+        default_factory=crash_records.CrashCounts
+    )
 
     @property
     def needs_isolation(self) -> bool:
         """Whether the task may start only on a worker without other runs."""
-        return self.suspicions > 0 or self.lost_workers > 1
+        return self.crashes.suspicions > 0 or self.crashes.lost_workers > 1
 
 
 @dataclasses.dataclass(slots=True)
