Count a restart as proof only if the task still held its lease

A worker that is cut off ends its runs with their leases, and may restart only then. Its restart was taken as proof that its last tasks had crashed it, and two of these ended a job as failed although no process had ended under it. Such tasks are suspected, no more.

How a job ends because of its counts moves to crash_outcomes, which intake uses too.

--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -5,10 +5,9 @@
 suspected. A suspected task is started once more, alone on a worker (`isolation`). The
 other tasks of the worker are started again like any other task.
 
-A task that is suspected of `MAX_SUSPICIONS` crashes is started no more. Its job has
-failed only if all of these crashes are proved: another process has answered in place of
-the worker's (`ProcessEnd`). Else it is given up, which leaves open what has happened. A
-process that answers again has not crashed, so whatever was counted is taken back.
+Each count rests on evidence (`fleet.ProcessEnd`). A process that answers again has not
+crashed, so whatever was counted is taken back. How a job ends because of the counts is
+decided in `crash_outcomes`.
 
 Once tasks of a queue are known to crash workers (`crash_evidence`), its suspected tasks
 are given up after the first crash. Trying each of them again would cost one more
@@ -19,19 +18,15 @@
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import crash_outcomes
 from pollenladder.scheduling import crash_records
 from pollenladder.scheduling import effects
-from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
 # Runs that were started within this time before the worker's last start are
 # suspected.
 SUSPECT_WINDOW_S = 0.03
-# A task is given up once it is suspected of as many crashes.
-MAX_SUSPICIONS = 2
-# A task is given up once as many workers were lost under it, whatever the cause.
-MAX_LOST_WORKERS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +91,7 @@
         _keep_losses(region, worker, lost, suspects, are_suspected=True)
     _report(region, lost)
     for loss in lost:
-        _give_up(region, loss.job, loss.task, now)
+        crash_outcomes.give_up(region, loss.job, loss.task, now)
 
 
 def record_silent_loss(
@@ -115,7 +110,7 @@
     _keep_losses(region, worker, lost, suspects, are_suspected=False)
     _report(region, lost)
     for loss in lost:
-        _give_up(region, loss.job, loss.task, now)
+        crash_outcomes.give_up(region, loss.job, loss.task, now)
 
 
 def withdraw_crash(region: tables.Region, worker: fleet.Worker) -> None:
@@ -149,14 +144,16 @@
         return
     region.log_event("crash_proved", worker=worker_id, tasks=len(losses))
     for found in losses:
-        if not found.is_recent:
-            continue
-        found.counts.suspicions += not found.is_suspected
-        found.counts.proved += 1
+        if found.is_suspected:
+            found.counts.proved += 1
+        elif found.is_recent:
+            # Its lease had expired, so it may have been over before the process ended.
+            found.counts.suspicions += 1
         job = region.jobs.get(found.job_id)
         if job is not None:
             _report_job(region, job)
-            _give_up(region, job, job.tasks[found.task_index], now)
+            task = job.tasks[found.task_index]
+            crash_outcomes.give_up(region, job, task, now)
 
 
 def _keep_losses(
@@ -245,7 +242,7 @@
             continue
         for task in job.tasks:
             if _needs_restart(region, task):
-                _give_up(region, job, task, now)
+                crash_outcomes.give_up(region, job, task, now)
 
 
 def _needs_restart(region: tables.Region, task: tables.Task) -> bool:
@@ -320,50 +317,3 @@
         for task in job.tasks
         if task.crashes.lost_workers
     )
-
-
-def _give_up(
-    region: tables.Region, job: tables.Job, task: tables.Task, now: float
-) -> None:
-    """End a job if one of its tasks must not be started again."""
-    if job.submission.job_id not in region.jobs:
-        return
-    outcome = _choose_outcome(region, job.submission.queue, task.crashes, now)
-    if outcome is None:
-        return
-    region.count_failure(effects.Failure.JOB_GIVEN_UP)
-    reason = jobs.Reason.TASK_CRASHED_WORKERS
-    job_ends.end_job(region, job, outcome, reason, now)
-
-
-def find_outcome(
-    region: tables.Region, submission: jobs.Submission, now: float
-) -> jobs.Outcome | None:
-    """Return how a job ends that is submitted again, or None if it may start."""
-    found = [
-        _choose_outcome(region, submission.queue, counts, now)
-        for counts in region.crashes.find_counts(submission.job_id).values()
-    ]
-    if jobs.Outcome.FAILED in found:
-        return jobs.Outcome.FAILED
-    if jobs.Outcome.GIVEN_UP in found:
-        return jobs.Outcome.GIVEN_UP
-    return None
-
-
-def _choose_outcome(
-    region: tables.Region,
-    queue: str,
-    counts: crash_records.CrashCounts,
-    now: float,
-) -> jobs.Outcome | None:
-    """Return how a job ends because of one of its tasks, or None."""
-    if counts.proved >= MAX_SUSPICIONS:
-        return jobs.Outcome.FAILED
-    if counts.suspicions >= MAX_SUSPICIONS:
-        return jobs.Outcome.GIVEN_UP
-    if counts.lost_workers >= MAX_LOST_WORKERS:
-        return jobs.Outcome.GIVEN_UP
-    if counts.suspicions and region.crashes.is_crashing(queue, now):
-        return jobs.Outcome.GIVEN_UP
-    return None
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -13,8 +13,8 @@
 from pollenladder.scheduling import arrivals
 from pollenladder.scheduling import attempts
 from pollenladder.scheduling import candidates
+from pollenladder.scheduling import crash_outcomes
 from pollenladder.scheduling import crash_records
-from pollenladder.scheduling import crashes
 from pollenladder.scheduling import deferral
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import exposure
@@ -135,7 +135,7 @@
     job_id = submission.job_id
     end = region.recent_ends.get(job_id)
     refusal = region.refusals.get(job_id)
-    crashed = crashes.find_outcome(region, submission, now)
+    crashed = crash_outcomes.find_outcome(region, submission, now)
     if crashed is not None:
         outcome, reason = crashed, jobs.Reason.TASK_CRASHED_WORKERS
         counts = region.crashes.find_counts(job_id)
