--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -1,11 +1,13 @@
 """Tests of the worker client against the stand-in, with injected faults."""
 
+from collections.abc import Callable
 import json
 import socket
 import time
 import unittest
 
 import gevent
+from gevent import socket as gevent_socket
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.http import responses
@@ -186,3 +188,60 @@
                 workers._read_poll_response(
                     workers.responses.Response(200, {}, body, True)
                 )
+
+
+class EndedProcessTest(unittest.TestCase):
+    """What polls tell once the process of a worker has ended."""
+
+    def setUp(self):
+        self.listener = gevent_socket.socket()
+        self.addCleanup(self.listener.close)
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+
+    def _serve(self, end: Callable[[gevent_socket.socket], None]) -> None:
+        """Answer one poll, then end as given."""
+        connection, _ = self.listener.accept()
+        connection.recv(65536)
+        body = {"ClockMs": 1, "born": 5, "Running": [], "Ended": []}
+        encoded = json.dumps(body).encode()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(encoded)
+        connection.sendall(head + encoded)
+        end(connection)
+        self.listener.close()
+        connection.close()
+
+    def _list_causes(
+        self, end: Callable[[gevent_socket.socket], None], pause_s: float = 0.0
+    ) -> list[fleet.MissedPoll]:
+        """Return the causes of two missed polls after one that is answered."""
+        gevent.spawn(self._serve, end)
+        address = self.listener.getsockname()
+        client = workers.WorkerClient("w1", address, time.monotonic)
+        client.poll(5, 0, 0.0, None, RESPONSE_MARGIN_S)
+        gevent.sleep(pause_s)
+        causes = []
+        for _ in range(2):
+            with self.assertRaises(workers.PollError) as caught:
+                client.poll(5, 0, 0.0, None, 1.0)
+            causes.append(caught.exception.cause)
+        return causes
+
+    def test_connection_that_is_closed_during_a_poll_tells_of_the_end(self):
+        """Guards against crashes that count as silence."""
+        causes = self._list_causes(lambda connection: connection.recv(65536))
+        closed = [fleet.MissedPoll.CLOSED, fleet.MissedPoll.REFUSED]
+        self.assertEqual(causes, closed)
+
+    def test_connection_that_is_reset_tells_nothing(self):
+        """Guards against a partition that resets, taken for the end of a process.
+
+        A socket that is closed before all of its input is read sends a reset.
+        """
+        causes = self._list_causes(lambda connection: gevent.sleep(0.05))
+        self.assertIs(causes[0], fleet.MissedPoll.NO_REPLY)
+
+    def test_connection_that_is_closed_while_idle_tells_of_the_end(self):
+        """Guards against a crash between two polls that counts as silence."""
+        causes = self._list_causes(lambda connection: None, pause_s=0.05)
+        self.assertIn(fleet.MissedPoll.CLOSED, causes)
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -497,3 +497,251 @@
         self.assertIs(run.state, fleet.RunState.RUNNING)
         simulation.region.remove_run(worker, run)
         self.assertEqual(exposed, {})
+
+
+class LaterEvidenceTest(unittest.TestCase):
+    """What a proof or a withdrawal may still change when it comes late."""
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=4)
+        self.region = self.simulation.region
+
+    def _start(self, job_id: str, **changes) -> effects.StartRun:
+        options = {"tasks": 1} | LONG | changes
+        self.simulation.submit(job_id, **options)
+        (order,) = self.simulation.take_starts()
+        self.simulation.confirm(order)
+        return order
+
+    def _lose_twice(self) -> tuple[effects.StartRun, ...]:
+        """Lose the workers of a task's first two runs in silence."""
+        first = self._start(NEW_JOB)
+        self.simulation.lose(first.worker_id)
+        self.simulation.expire_lease()
+        (second,) = self.simulation.take_starts()
+        self.simulation.confirm(second)
+        self.simulation.lose(second.worker_id)
+        self.simulation.expire_lease()
+        (third,) = self.simulation.take_starts()
+        self.simulation.confirm(third)
+        return first, second, third
+
+    def test_late_proofs_do_not_end_a_job_whose_task_runs(self):
+        """Guards against a job that fails while its task runs on a sound worker."""
+        first, second, third = self._lose_twice()
+        self.simulation.replace(first.worker_id)
+        self.simulation.replace(second.worker_id)
+        self.assertIn(NEW_JOB, self.region.jobs)
+        self.simulation.end(third)
+        (answer,) = self.simulation.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.COMPLETED)
+
+    def test_late_proofs_do_not_end_a_job_whose_task_is_done(self):
+        """Guards against a job that fails because of a task that has completed."""
+        self.simulation.submit(NEW_JOB, **LONG)
+        lost = []
+        for _ in range(2):
+            orders = self.simulation.take_starts()
+            for order in orders:
+                self.simulation.confirm(order)
+            for worker_id in {order.worker_id for order in orders}:
+                self.simulation.lose(worker_id)
+                lost.append(worker_id)
+            self.simulation.expire_lease()
+        first, second = self.simulation.take_starts()
+        for order in (first, second):
+            self.simulation.confirm(order)
+        self.simulation.end(first)
+        job = self.region.jobs[NEW_JOB]
+        self.assertEqual(len(job.list_waiting_tasks()), 0)
+        for worker_id in lost:
+            self.simulation.replace(worker_id)
+        self.assertIn(NEW_JOB, self.region.jobs)
+
+    def test_restarts_of_several_workers_do_not_fail_a_job(self):
+        """Guards against a job that fails as workers restart for another reason.
+
+        That another process answers proves that a worker's process has ended, but
+        not that the task was the cause: all workers restart at the same time.
+        """
+        simulation = simulations.RegionSimulation(workers=4)
+        names = [letter * 16 for letter in "bcdefa01"]
+        for name in names:
+            simulation.submit(name, tasks=1, **LONG)
+        for _ in range(2):
+            starts = simulation.take_starts()
+            for order in starts:
+                simulation.confirm(order)
+            simulation.step(0.2)
+            used = sorted({order.worker_id for order in starts})
+            for worker_id in used:
+                simulation.lose(worker_id)
+            for worker_id in used:
+                simulation.poll(
+                    worker_id,
+                    running=(),
+                    started_ms=int(STARTED_AGAIN_MS + 1000 * simulation.now),
+                )
+            simulation.expire_lease()
+        failed = [
+            answer.job_id
+            for answer in simulation.take_answers()
+            if answer.outcome is jobs.Outcome.FAILED
+        ]
+        self.assertEqual(failed, [])
+
+    def test_no_crash_is_proved_against_a_run_that_was_never_confirmed(self):
+        """Guards against a task that is blamed though it has not started there.
+
+        The worker has crashed before the order has arrived, which got no reply.
+        """
+        old = self._start(OLD_JOB)
+        self.simulation.step(0.2)
+        self.simulation.submit(NEW_JOB, tasks=1, **LONG)
+        (order,) = self.simulation.take_starts()
+        self.assertEqual(order.worker_id, old.worker_id)
+        self.simulation.reply(order, fleet.StartReply.NO_REPLY)
+        self.simulation.lose(old.worker_id)
+        self.simulation.replace(old.worker_id)
+        (task,) = self.region.jobs[NEW_JOB].tasks
+        self.assertEqual(task.proved_crashes, 0)
+
+    def test_silent_loss_of_a_draining_worker_proves_nothing(self):
+        """Guards against tasks that are blamed when a worker has left as announced."""
+        order = self._start(NEW_JOB)
+        listings = [
+            dataclasses.replace(
+                w.listing, is_draining=worker_id == order.worker_id
+            )
+            for worker_id, w in self.region.workers.items()
+        ]
+        maintenance.update_workers(self.region, listings, self.simulation.now)
+        self.simulation.lose(order.worker_id)
+        self.simulation.expire_lease()
+        self.simulation.replace(order.worker_id)
+        (task,) = self.region.jobs[NEW_JOB].tasks
+        self.assertEqual((task.suspicions, task.proved_crashes), (0, 0))
+
+    def test_counts_are_taken_back_after_the_entry_has_lapsed(self):
+        """Guards against counts that stay as a partition hides the entry, too."""
+        order = self._start(NEW_JOB)
+        listed = list(self.region.workers)
+        self.simulation.crash(order.worker_id)
+        rest = [name for name in listed if name != order.worker_id]
+        self.simulation.list_workers(rest, synced=False)
+        self.simulation.list_workers(listed, synced=False)
+        self.simulation.poll(order.worker_id)
+        (task,) = self.region.jobs[NEW_JOB].tasks
+        self.assertEqual((task.suspicions, task.lost_workers), (0, 0))
+
+    def test_counts_are_taken_back_by_an_owner_that_claims_again(self):
+        """Guards against counts that nobody can take back after a new claim."""
+        order = self._start(NEW_JOB)
+        self.simulation.crash(order.worker_id)
+        simulation = self.simulation
+        simulation.region = recovery.rebuild_region(
+            self.region, 2, simulation.now
+        )
+        simulation.list_workers(list(self.region.workers), synced=False)
+        simulation.poll(order.worker_id, running=((order.task, 1, 10.0),))
+        (task,) = simulation.region.jobs[NEW_JOB].tasks
+        self.assertEqual((task.suspicions, task.lost_workers), (0, 0))
+
+    def test_job_that_was_given_up_starts_again_after_a_withdrawal(self):
+        """Guards against an answer that is repeated after its evidence is gone."""
+        first = self._start(NEW_JOB)
+        self.simulation.crash(first.worker_id)
+        self.simulation.expire_lease()
+        (second,) = self.simulation.take_starts()
+        self.simulation.confirm(second)
+        self.simulation.crash(second.worker_id)
+        (answer,) = self.simulation.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.GIVEN_UP)
+        for order in (first, second):
+            self.simulation.poll(order.worker_id, running=())
+        self.simulation.submit(NEW_JOB, tasks=1, **LONG)
+        self.assertEqual(len(self.simulation.take_starts()), 1)
+
+
+class QueueEvidenceTest(unittest.TestCase):
+    """What is concluded about queues from proved and withdrawn crashes."""
+
+    WORKERS = 24
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=self.WORKERS)
+        self.region = self.simulation.region
+        for index in range(self.WORKERS):
+            self._submit(f"{index:016x}", "quotes", run_s=60.0)
+
+    def _submit(
+        self, job_id: str, queue: str, run_s: float = 0.2
+    ) -> list[effects.StartRun]:
+        options = LONG | {"budget_s": 100.0, "estimate_s": run_s}
+        self.simulation.submit(job_id, queue=queue, tasks=1, **options)
+        starts = self.simulation.take_starts()
+        for order in starts:
+            self.simulation.confirm(order)
+        return starts
+
+    def _is_found(self) -> bool:
+        return self.region.crashes.is_crashing("holds", self.simulation.now)
+
+    def _crash(self, count: int) -> list[str]:
+        """Crash a worker under each of several tasks of one queue."""
+        crashed = []
+        for index in range(count):
+            self.simulation.step(0.1)
+            (order,) = self._submit(f"{1000 + index:016x}", "holds")
+            self.simulation.crash(order.worker_id)
+            crashed.append(order.worker_id)
+        return crashed
+
+    def test_queue_is_cleared_once_all_its_crashes_are_taken_back(self):
+        """Guards against callers that are refused as workers were cut off."""
+        crashed = self._crash(7)
+        self.assertTrue(self._is_found())
+        for worker_id in crashed:
+            self.simulation.poll(worker_id)
+        self.assertFalse(self._is_found())
+        self.assertEqual(self.region.crashes.down, {})
+
+    def test_one_withdrawal_leaves_the_evidence_of_other_crashes(self):
+        """Guards against a queue that one partition clears of proved crashes."""
+        *crashed, cut_off = self._crash(7)
+        self.assertTrue(self._is_found())
+        for worker_id in crashed:
+            self.simulation.replace(worker_id)
+        self.simulation.poll(cut_off)
+        self.assertTrue(self._is_found())
+
+    def test_crashes_that_are_proved_late_are_evidence_against_the_queue(self):
+        """Guards against a queue that is never found as its workers fall silent."""
+        for index in range(8):
+            for order in self._submit(f"{1000 + index:016x}", "holds"):
+                self.simulation.lose(order.worker_id)
+                self.simulation.expire_lease()
+                for again in self.simulation.take_starts():
+                    self.simulation.confirm(again)
+                self.simulation.poll(
+                    order.worker_id,
+                    running=(),
+                    started_ms=STARTED_AGAIN_MS + index,
+                )
+        self.assertTrue(self._is_found())
+
+    def test_withdrawal_leaves_what_another_group_has_found(self):
+        """Guards against a group that clears a queue that another group blames."""
+        records = [
+            dataclasses.replace(
+                self.region.crashes, evidence={}, down={}, losses={}
+            )
+            for _ in range(2)
+        ]
+        now = self.simulation.now
+        for index in range(6):
+            records[0].add_crash(f"a{index}", ["holds"], {"holds": 0.05}, now)
+        self.assertTrue(self._is_found())
+        records[1].add_crash("b0", ["holds"], {"holds": 0.05}, now)
+        records[1].withdraw_crash("b0")
+        self.assertTrue(self._is_found())
--- a/tests/service/test_sessions.py
+++ b/tests/service/test_sessions.py
@@ -167,6 +167,13 @@
             self.session._poll_safely(is_extra=False)
         self.assertEqual(self.region.jobs["a1"].tasks[0].suspicions, 0)
 
+    def test_connection_that_was_closed_before_a_reply_counts_no_more(self):
+        """Guards against old evidence that a later partition completes."""
+        self.client.poll.side_effect = workers.ClosedError
+        self.session._poll_safely(is_extra=False)
+        self.simulation.poll(self.worker.listing.worker_id)
+        self.assertEqual(self._refuse_polls([], workers.RefusedError), 0)
+
     def test_refusal_is_a_crash_if_others_accept_connections(self):
         """Guards against crashes that are taken for silence."""
         self.assertEqual(self._refuse_polls([True, True]), 1)
