--- /dev/null
+++ b/tests/http/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP client."""
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -12,6 +12,7 @@
 from pollenladder.platform import reply_times
 from pollenladder.platform import workers
 from standins import site_worker
+from tests.contracts import scripted
 from tests.platform import served
 
 RESPONSE_MARGIN_S = 0.15
@@ -128,6 +129,37 @@
             refused = workers.accepts_connection(unused.getsockname())
         self.assertFalse(refused)
 
+    def _find_poll_error(self, *script: scripted.Step) -> workers.PollError:
+        """Return the error of a poll of a peer that plays a script."""
+        peer = scripted.Peer(*script)
+        self.addCleanup(peer.stop)
+        self.address = ("127.0.0.1", peer.port)
+        self.client = self._connect("w1")
+        with self.assertRaises(workers.PollError) as caught:
+            self._poll()
+        return caught.exception
+
+    def test_connection_that_is_closed_in_order_is_told(self):
+        """Guards against crashes that are never found."""
+        error = self._find_poll_error(scripted.READ, scripted.CLOSE)
+        self.assertIsInstance(error, workers.ClosedError)
+        self.assertIs(error.cause, fleet.MissedPoll.CLOSED)
+
+    def test_reset_connection_tells_nothing(self):
+        """Guards against a partition that counts as the end of a process."""
+        error = self._find_poll_error(scripted.READ, scripted.RESET)
+        self.assertIs(type(error), workers.PollError)
+        self.assertIs(error.cause, fleet.MissedPoll.NO_REPLY)
+
+    def test_refused_connection_is_told(self):
+        """Guards against a refusal that counts as a closed connection."""
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            self.address = unused.getsockname()
+            with self.assertRaises(workers.RefusedError) as caught:
+                self._connect("w1").poll(5, 0, 0.0, None, RESPONSE_MARGIN_S)
+        self.assertIs(caught.exception.cause, fleet.MissedPoll.REFUSED)
+
     def test_start_without_reply_may_have_begun(self):
         self._poll()
         self.worker.faults.lost_starts = 1
--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -42,6 +42,16 @@
         self.simulation.crash(old.worker_id)
         return old, new
 
+    def _drain(self, worker_id: str) -> None:
+        listings = [
+            dataclasses.replace(
+                w.listing,
+                is_draining=w.listing.is_draining or listed_id == worker_id,
+            )
+            for listed_id, w in self.region.workers.items()
+        ]
+        maintenance.update_workers(self.region, listings, self.simulation.now)
+
     def test_last_started_task_is_suspected(self):
         _, new = self._crash_beside()
         (suspected,) = self.simulation.list_logged("task_suspected")
@@ -285,18 +295,51 @@
     def test_no_task_of_a_draining_worker_is_suspected(self):
         """Guards against tasks that are blamed when a worker leaves."""
         order = self._start(NEW_JOB)
-        listings = [
-            dataclasses.replace(
-                w.listing, is_draining=worker_id == order.worker_id
-            )
-            for worker_id, w in self.region.workers.items()
-        ]
-        maintenance.update_workers(self.region, listings, self.simulation.now)
+        self._drain(order.worker_id)
         self.simulation.crash(order.worker_id)
         self.assertEqual(self.region.jobs[NEW_JOB].tasks[0].suspicions, 0)
         self.simulation.expire_lease()
         self.assertEqual(len(self.simulation.take_starts()), 1)
 
+    def test_planned_end_after_the_lease_proves_no_crash(self):
+        """Guards against a job that fails, though none of its workers crashed.
+
+        Workers are cut off, and stop their runs as the leases expire. Only then are
+        they told to drain, and replaced.
+        """
+        simulation = self.simulation
+        simulation.submit(NEW_JOB, tasks=1, **LONG)
+        for _ in range(crashes.MAX_SUSPICIONS):
+            (order,) = simulation.take_starts()
+            simulation.confirm(order)
+            simulation.lose(order.worker_id)
+            simulation.expire_lease()
+            self._drain(order.worker_id)
+            simulation.poll(
+                order.worker_id, running=(), started_ms=STARTED_AGAIN_MS
+            )
+            self.assertEqual(simulation.take_answers(), [])
+
+    def test_unconfirmed_run_is_not_suspected_of_the_end_of_a_later_process(
+        self,
+    ):
+        """Guards against a job that fails, as one crash is proved twice.
+
+        The run crashed its worker before its start was confirmed. The next process
+        ends, too, before the owner knows that the run is over.
+        """
+        self.simulation.submit(NEW_JOB, tasks=1, **LONG)
+        (order,) = self.simulation.take_starts()
+        self.simulation.reply(order, fleet.StartReply.NO_REPLY)
+        for born_ms in (STARTED_AGAIN_MS, STARTED_AGAIN_MS + 1_000):
+            self.simulation.now += 0.1
+            self.simulation.poll(
+                order.worker_id, running=(), started_ms=born_ms
+            )
+        self.assertEqual(self.simulation.take_answers(), [])
+        (task,) = self.region.jobs[NEW_JOB].tasks
+        self.assertEqual((task.suspicions, task.proved_crashes), (1, 1))
+
     def test_suspected_task_that_has_completed_ends_no_job(self):
         """Guards against a job that is given up for a task that is done."""
         self.simulation.submit(NEW_JOB, tasks=2, **LONG)
@@ -454,6 +497,27 @@
                 )
         self.assertEqual(len(self._submit("e" * 16, "holds")), 1)
 
+    def test_queue_is_not_blamed_once_the_same_processes_answer(self):
+        """Guards against a partition whose queue stays refused."""
+        self._crash_many(10)
+        found = self.region.crashes
+        self.assertTrue(found.is_crashing("holds", self.simulation.now))
+        lost = [w for w in self.region.workers.values() if not w.is_reachable]
+        for worker in lost:
+            self.simulation.poll(worker.listing.worker_id, running=())
+        self.assertFalse(found.is_crashing("holds", self.simulation.now))
+        self.assertNotIn("holds", found.evidence)
+        self.assertEqual(found.down, {})
+        self.assertEqual(len(self._submit("e" * 16, "holds")), 1)
+
+    def test_queue_stays_blamed_if_another_worker_answers(self):
+        """Guards against evidence that any reply takes back."""
+        self._crash_many(10)
+        found = self.region.crashes
+        reachable = [w for w in self.region.workers.values() if w.is_reachable]
+        self.simulation.poll(reachable[0].listing.worker_id)
+        self.assertTrue(found.is_crashing("holds", self.simulation.now))
+
     def test_suspected_task_of_a_known_queue_is_given_up_at_once(self):
         answers = self._crash_many(10)
         given_up = [a for a in answers if a.outcome is jobs.Outcome.GIVEN_UP]
