Never end a job as failed because of crashes, and settle each loss by its process

- A job whose tasks crash workers is given up (504).
Only ends `failed` that workers report fail a job.
Its counts are kept, so it is not started again when it is sent again.
- What was counted for a lost worker is one record with the start time of its process.
The next reply settles it: the same process takes everything back, also after the entry has lapsed or the owner has claimed again; another one makes the last tasks suspected, if their start was confirmed and the worker did not drain.
- A late crash ends a job only if its task would be started again; it is evidence against the queue.
- A withdrawal takes back what that loss has added to the evidence, not the evidence of other crashes or of other groups.
- A connection that was closed in order while idle counts as closed.

Where they compared proved crashes, which are gone, they now compare suspicions. Tests that asserted `failed` for crashes asserted the fault; they assert that the job is given up, stays so when it is sent again, and that no third worker crashes.

--- a/pollenladder/fleet/crashing_queues.py
+++ b/pollenladder/fleet/crashing_queues.py
@@ -17,16 +17,23 @@
     """The queues that are taken to crash workers, and until when."""
 
     def __init__(self):
-        self._found: dict[str, float] = {}
+        # By queue and group.
+        self._found: dict[tuple[str, str], float] = {}
         self._told: dict[str, float] = {}
 
-    def record(self, queue: str, now: float) -> None:
-        """Record that a task of a queue that crashes workers has crashed one."""
-        self._found[queue] = now + HOLD_S
+    def record(self, queue: str, now: float, group: str = "") -> None:
+        """Record that a task of a queue that crashes workers has crashed one.
 
-    def withdraw(self, queue: str) -> None:
-        """Take back what this daemon has found about a queue."""
-        self._found.pop(queue, None)
+        Args:
+            queue: The queue.
+            now: Monotonic time in seconds.
+            group: The group of the worker.
+        """
+        self._found[queue, group] = now + HOLD_S
+
+    def withdraw(self, queue: str, group: str = "") -> None:
+        """Take back what was found about a queue in a group of this daemon."""
+        self._found.pop((queue, group), None)
 
     def record_told(self, remaining_s: Mapping[str, float], now: float) -> None:
         """Record what another daemon tells.
@@ -43,11 +50,17 @@
     def contains(self, queue: str, now: float) -> bool:
         """Return whether a queue is taken to crash workers."""
         never = float("-inf")
-        return now < self._found.get(queue, never) or now < self._told.get(
-            queue, never
+        if now < self._told.get(queue, never):
+            return True
+        return any(
+            found == queue and now < until
+            for (found, _), until in self._found.items()
         )
 
     def build_report(self, now: float) -> dict[str, float]:
         """Return for how much longer each queue found here counts, in seconds."""
-        self._found = {q: t for q, t in self._found.items() if t > now}
-        return {q: round(t - now, 2) for q, t in self._found.items()}
+        self._found = {key: t for key, t in self._found.items() if t > now}
+        latest: dict[str, float] = {}
+        for (queue, _), until in self._found.items():
+            latest[queue] = max(until, latest.get(queue, until))
+        return {queue: round(t - now, 2) for queue, t in latest.items()}
--- a/pollenladder/http/connections.py
+++ b/pollenladder/http/connections.py
@@ -56,6 +56,16 @@
         """
         return not self._poll.poll(0)
 
+    def is_closed_by_peer(self) -> bool:
+        """Return whether the peer has closed a connection with input, in order.
+
+        The connection can't be used afterwards.
+        """
+        try:
+            return not self.sock.recv(1)
+        except OSError:
+            return False
+
 
 class ConnectionPool:
     """A pool of connections to one address with a limit on their number.
@@ -64,6 +74,8 @@
         opened: Number of connections opened so far.
         stale: Number of idle connections found closed by the peer, or with
             unexpected input.
+        was_closed_by_peer: Whether the peer has closed an idle connection in
+            order since the last connection was opened.
     """
 
     def __init__(
@@ -88,6 +100,7 @@
         """
         self.opened = 0
         self.stale = 0
+        self.was_closed_by_peer = False
         self._address = address
         self._connect_timeout_s = connect_timeout_s
         self._idle_limit_s = idle_limit_s
@@ -143,6 +156,7 @@
             if connection.has_no_input():
                 return connection
             self.stale += 1
+            self.was_closed_by_peer |= connection.is_closed_by_peer()
             connection.sock.close()
         return None
 
@@ -158,4 +172,5 @@
             sock.close()
             raise
         self.opened += 1
+        self.was_closed_by_peer = False
         return Connection(sock)
--- a/pollenladder/http/exceptions.py
+++ b/pollenladder/http/exceptions.py
@@ -35,7 +35,16 @@
 
 
 class RefusedError(NotSentError):
-    """No process listens at the peer's address; nothing was written."""
+    """No process listens at the peer's address; nothing was written.
+
+    Attributes:
+        was_closed: Whether the peer has closed an idle connection in order since
+            the last connection was opened.
+    """
+
+    def __init__(self, detail: str, was_closed: bool = False):
+        super().__init__(detail)
+        self.was_closed = was_closed
 
 
 class NoResponseError(ExchangeError):
--- a/pollenladder/http/exchanges.py
+++ b/pollenladder/http/exchanges.py
@@ -103,7 +103,9 @@
         pool.close_idle()
         raise _build_error(state, exceptions.Cause.TIMEOUT, "timeout") from None
     except ConnectionRefusedError as error:
-        raise exceptions.RefusedError(str(error)) from error
+        raise exceptions.RefusedError(
+            str(error), pool.was_closed_by_peer
+        ) from error
     except OSError as error:
         raise _build_error(state, exceptions.Cause.RESET, str(error)) from error
     except responses.ResponseError as error:
--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -130,14 +130,11 @@
         index: Index of the task in its job.
         suspicions: Number of crashes of which the task is suspected.
         lost_workers: Number of workers that were lost under the task.
-        proved: Number of these crashes that are proved, as another process
-            answered in place of the worker's.
     """
 
     index: int
     suspicions: int
     lost_workers: int
-    proved: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -313,16 +313,17 @@
         ("worker", "evidence", "runs"),
     ),
     Event(
-        "crash_proved",
+        "crash_found_late",
         Kind.WORKER,
-        "another process answers in place of a lost worker's, so that one has ended",
+        "another process answers in place of a worker that was lost in silence, so its "
+        "last tasks are suspected",
         ("worker", "tasks"),
     ),
     Event(
         "task_suspected",
         Kind.RUN,
         "the worker crashed soon after it had started the task",
-        (*_RUN_FIELDS, "queue", "suspicions", "proved", "age_s"),
+        (*_RUN_FIELDS, "queue", "suspicions", "age_s"),
     ),
     Event(
         "suspicion_withdrawn",
--- a/pollenladder/platform/workers.py
+++ b/pollenladder/platform/workers.py
@@ -77,6 +77,12 @@
     cause = fleet.MissedPoll.REFUSED
 
 
+class ClosedAndRefusedError(RefusedError):
+    """An idle connection was closed in order, and a new one is refused."""
+
+    cause = fleet.MissedPoll.CLOSED
+
+
 class OtherIncarnationError(PollError):
     """The address now belongs to another worker."""
 
@@ -221,7 +227,7 @@
                 self._poll_head, body, wait_s + response_margin_s
             )
         except http_exceptions.RefusedError as error:
-            raise RefusedError(str(error)) from error
+            raise _build_refused_error(error) from error
         except http_exceptions.NoResponseError as error:
             raise _build_poll_error(error) from error
         except http_exceptions.ExchangeError as error:
@@ -248,6 +254,12 @@
         return exchanges.exchange(self._pool, request, timeout_s)
 
 
+def _build_refused_error(error: http_exceptions.RefusedError) -> RefusedError:
+    if error.was_closed:
+        return ClosedAndRefusedError(f"closed while idle: {error}")
+    return RefusedError(str(error))
+
+
 def _build_poll_error(error: http_exceptions.NoResponseError) -> PollError:
     if error.cause is http_exceptions.Cause.CLOSED:
         return ClosedError(str(error))
--- a/pollenladder/scheduling/crash_evidence.py
+++ b/pollenladder/scheduling/crash_evidence.py
@@ -21,6 +21,8 @@
 # Logarithm of the odds above which a queue counts as crashing workers.
 THRESHOLD = math.log(100)
 MAX_LEVEL = 2 * THRESHOLD
+# A level below it is a rounding error.
+NEGLIGIBLE_LEVEL = 1e-9
 # Evidence decays, as callers mend their tasks.
 HALF_LIFE_S = 5.0
 
@@ -68,6 +70,31 @@
     return updated
 
 
+def remove(
+    known: Mapping[str, Evidence],
+    queue: str,
+    gain: float,
+    gained_at: float,
+    now: float,
+) -> dict[str, Evidence]:
+    """Return the evidence without what one crash has added to a queue's.
+
+    Args:
+        known: The evidence before.
+        queue: The queue.
+        gain: What the crash has added.
+        gained_at: When that was; monotonic, in seconds.
+        now: Monotonic time in seconds.
+    """
+    updated = dict(known)
+    updated.pop(queue, None)
+    left = gain * 0.5 ** ((now - gained_at) / HALF_LIFE_S)
+    level = get_level(known, queue, now) - left
+    if level > NEGLIGIBLE_LEVEL:
+        updated[queue] = Evidence(level, now)
+    return updated
+
+
 def get_level(known: Mapping[str, Evidence], queue: str, now: float) -> float:
     """Return the current logarithm of the odds for a queue."""
     found = known.get(queue)
--- a/pollenladder/scheduling/crash_outcomes.py
+++ b/pollenladder/scheduling/crash_outcomes.py
@@ -1,8 +1,8 @@
-"""How a job ends because workers crashed or were lost under one of its tasks.
+"""Whether a job ends because workers crashed or were lost under one of its tasks.
 
-A task that is suspected of `MAX_SUSPICIONS` crashes is started no more. Its job has
-failed only if all of these crashes are proved, as nobody can take that back. Else it is
-given up, which leaves open what has happened, so that the caller may submit it again.
+Such a job is given up, which leaves open what has happened. It never counts as failed:
+that another process answers in place of a worker's proves that a process has ended, but
+neither that the task was still running then, nor that it was the cause.
 """
 
 from pollenladder.jobs import entities as jobs
@@ -23,42 +23,34 @@
     """End a job if one of its tasks must not be started again."""
     if job.submission.job_id not in region.jobs:
         return
-    outcome = _choose_outcome(region, job.submission.queue, task.crashes, now)
-    if outcome is None:
+    if not _must_not_start(region, job.submission.queue, task.crashes, now):
         return
     region.count_failure(effects.Failure.JOB_GIVEN_UP)
+    outcome = jobs.Outcome.GIVEN_UP
     reason = jobs.Reason.TASK_CRASHED_WORKERS
     job_ends.end_job(region, job, outcome, reason, now)
 
 
-def find_outcome(
+def is_given_up(
     region: tables.Region, submission: jobs.Submission, now: float
-) -> jobs.Outcome | None:
-    """Return how a job ends that is submitted again, or None if it may start."""
-    found = [
-        _choose_outcome(region, submission.queue, counts, now)
-        for counts in region.crashes.find_counts(submission.job_id).values()
-    ]
-    if jobs.Outcome.FAILED in found:
-        return jobs.Outcome.FAILED
-    if jobs.Outcome.GIVEN_UP in found:
-        return jobs.Outcome.GIVEN_UP
-    return None
+) -> bool:
+    """Return whether a job that is submitted again must not be started."""
+    kept = region.crashes.find_counts(submission.job_id)
+    return any(
+        _must_not_start(region, submission.queue, counts, now)
+        for counts in kept.values()
+    )
 
 
-def _choose_outcome(
+def _must_not_start(
     region: tables.Region,
     queue: str,
     counts: crash_records.CrashCounts,
     now: float,
-) -> jobs.Outcome | None:
-    """Return how a job ends because of one of its tasks, or None."""
-    if counts.proved >= MAX_SUSPICIONS:
-        return jobs.Outcome.FAILED
+) -> bool:
     if counts.suspicions >= MAX_SUSPICIONS:
-        return jobs.Outcome.GIVEN_UP
+        return True
     if counts.lost_workers >= MAX_LOST_WORKERS:
-        return jobs.Outcome.GIVEN_UP
-    if counts.suspicions and region.crashes.is_crashing(queue, now):
-        return jobs.Outcome.GIVEN_UP
-    return None
+        return True
+    is_crashing = region.crashes.is_crashing(queue, now)
+    return bool(counts.suspicions) and is_crashing
--- a/pollenladder/scheduling/crash_records.py
+++ b/pollenladder/scheduling/crash_records.py
@@ -13,10 +13,8 @@
 DEFAULT_OUTAGE_S = 3.0
 # Weight of the newest outage in the moving average.
 OUTAGE_LEARNING_RATE = 0.3
-
-
-# The counts of a job that has ended are kept for this time after a caller last asked
-# for it. Longer than a crashed worker is down and than callers take to submit again.
+# What is known about a job that has ended, or about a worker that is lost, is kept for
+# this time. Longer than a crashed worker is down and than callers take to return.
 RETENTION_S = 30.0
 
 
@@ -27,24 +25,22 @@
     Attributes:
         suspicions: Number of crashes of which the task is suspected.
         lost_workers: Number of workers that were lost under the task.
-        proved: Number of the suspected crashes that are proved.
     """
 
     suspicions: int = 0
     lost_workers: int = 0
-    proved: int = 0
 
 
 @dataclasses.dataclass(slots=True)
-class EndedJob:
-    """A job that has ended, and under which workers were lost.
+class KeptCounts:
+    """The counts of a job that may be submitted again.
 
     Attributes:
-        counts: The counts of its tasks, by index.
+        tasks: The counts of its tasks, by index.
         until: When they are forgotten; monotonic, in seconds.
     """
 
-    counts: dict[int, CrashCounts]
+    tasks: dict[int, CrashCounts]
     until: float
 
 
@@ -55,6 +51,7 @@
     Attributes:
         job_id: The job's id.
         task_index: Index of the task in its job.
+        queue: The job's queue.
         counts: The counts of the task, also after its job has ended.
         is_suspected: Whether the task is suspected of a crash of the worker.
         is_recent: Whether the task is to be suspected if the worker has crashed.
@@ -62,16 +59,36 @@
 
     job_id: str
     task_index: int
+    queue: str
     counts: CrashCounts
     is_suspected: bool
     is_recent: bool
 
 
+@dataclasses.dataclass(slots=True)
+class WorkerLoss:
+    """A worker that was lost with tasks; it may have crashed.
+
+    Attributes:
+        started_ms: Start time of the process that was lost. A reply tells whether
+            it still runs.
+        at: When the loss was recorded; monotonic, in seconds.
+        tasks: The tasks that ran on the worker.
+        gains: How much the loss has added to the evidence, by queue.
+    """
+
+    started_ms: int
+    at: float
+    tasks: list[TaskLoss]
+    gains: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(slots=True)
 class CrashRecords:
     """Crashes of workers in one group.
 
     Attributes:
+        group: The group.
         evidence: Evidence that tasks of a queue crash workers, by queue.
         queues: The queues whose tasks crash workers. It is shared by all groups,
             and with other daemons.
@@ -80,13 +97,15 @@
             longer listed are left out.
         exposed: The number of runs of a queue's tasks on each worker, by queue
             and worker id.
-        losses: The tasks on workers that were lost, by worker id, until it is
-            known whether the worker's process runs or has ended.
-        ended_jobs: Jobs that have ended without being completed, by id, so that
-            their tasks do not crash workers anew if they are submitted again.
+        losses: The workers that were lost with tasks, by id, until it is known
+            whether their process runs or has ended.
+        kept: Counts of jobs that have ended without being completed, by job id,
+            so that their tasks do not crash workers anew if they are submitted
+            again.
         outage_s: How long a crashed worker is down on average, in seconds.
     """
 
+    group: str = ""
     evidence: dict[str, crash_evidence.Evidence] = dataclasses.field(
         default_factory=dict
     )
@@ -97,37 +116,32 @@
     exposed: dict[str, collections.Counter[str]] = dataclasses.field(
         default_factory=dict
     )
-    losses: dict[str, list[TaskLoss]] = dataclasses.field(default_factory=dict)
-    ended_jobs: dict[str, EndedJob] = dataclasses.field(default_factory=dict)
+    losses: dict[str, WorkerLoss] = dataclasses.field(default_factory=dict)
+    kept: dict[str, KeptCounts] = dataclasses.field(default_factory=dict)
     outage_s: float = DEFAULT_OUTAGE_S
 
-    def keep_job(
-        self, job_id: str, counts: dict[int, CrashCounts], now: float
+    def keep_counts(
+        self, job_id: str, tasks: dict[int, CrashCounts], now: float
     ) -> None:
-        """Keep the counts of a job that has ended."""
+        """Keep the counts of a job that may be submitted again."""
         # The newest entries are the last ones.
-        self.ended_jobs.pop(job_id, None)
-        self.ended_jobs[job_id] = EndedJob(counts, now + RETENTION_S)
+        self.kept.pop(job_id, None)
+        self.kept[job_id] = KeptCounts(tasks, now + RETENTION_S)
 
     def find_counts(self, job_id: str) -> dict[int, CrashCounts]:
         """Return the counts kept for a job, by task index."""
-        ended = self.ended_jobs.get(job_id)
-        return ended.counts if ended else {}
+        kept = self.kept.get(job_id)
+        return kept.tasks if kept else {}
 
-    def forget_old_jobs(self, now: float) -> None:
-        """Forget the jobs that no caller has asked for lately."""
-        for job_id, ended in list(self.ended_jobs.items()):
-            if ended.until > now:
+    def forget_old(self, now: float) -> None:
+        """Forget jobs and lost workers of which nothing was heard for long."""
+        for job_id, kept in list(self.kept.items()):
+            if kept.until > now:
                 break
-            del self.ended_jobs[job_id]
-
-    def add_losses(self, worker_id: str, losses: list[TaskLoss]) -> None:
-        """Record the tasks on a worker that was lost."""
-        self.losses.setdefault(worker_id, []).extend(losses)
-
-    def take_losses(self, worker_id: str) -> list[TaskLoss]:
-        """Return the tasks recorded with a worker, and forget them."""
-        return self.losses.pop(worker_id, [])
+            del self.kept[job_id]
+        for worker_id, loss in list(self.losses.items()):
+            if now > loss.at + RETENTION_S:
+                del self.losses[worker_id]
 
     def add_run(self, queue: str, worker_id: str) -> None:
         """Record that a worker has another run of a queue's tasks."""
@@ -146,56 +160,68 @@
         """Return whether tasks of a queue are taken to crash workers."""
         return self.queues.contains(queue, now)
 
-    def add_crash(
+    def add_evidence(
         self,
-        worker_id: str,
         suspected: Collection[str],
         rates: Mapping[str, float],
         now: float,
-    ) -> list[str]:
-        """Record that a worker crashed.
+    ) -> dict[str, float]:
+        """Record as evidence that a worker crashed.
 
         Args:
-            worker_id: The worker.
             suspected: The queues of the suspected tasks.
             rates: See `crash_evidence.update`.
             now: Monotonic time in seconds.
 
         Returns:
-            The queues that are found to crash workers, and were not before.
+            How much was added to the evidence, by queue.
         """
-        self.evidence = crash_evidence.update(
-            self.evidence, suspected, rates, now
-        )
+        before = self.evidence
+        self.evidence = crash_evidence.update(before, suspected, rates, now)
+        get_level = crash_evidence.get_level
+        return {
+            queue: get_level(self.evidence, queue, now)
+            - get_level(before, queue, now)
+            for queue in suspected
+        }
+
+    def find_crashing(
+        self, suspected: Collection[str], now: float
+    ) -> list[str]:
+        """Return the queues that are found to crash workers, and were not before."""
         found = []
         for queue in suspected:
-            self.down.setdefault(queue, {})[worker_id] = now
             was_crashing = self.is_crashing(queue, now)
             if was_crashing or crash_evidence.is_crashing(
                 self.evidence, queue, now
             ):
-                self.queues.record(queue, now)
+                self.queues.record(queue, now, self.group)
             if not was_crashing and self.is_crashing(queue, now):
                 found.append(queue)
         return found
 
-    def withdraw_crash(self, worker_id: str) -> None:
-        """Take back that queues of this group have crashed a worker.
-
-        How much the worker has added to the evidence is not kept, so the evidence
-        about its queues is gathered anew.
-        """
-        blamed = [q for q, found in self.down.items() if worker_id in found]
-        for queue in blamed:
-            del self.down[queue][worker_id]
-            if not self.down[queue]:
-                del self.down[queue]
-            self.evidence.pop(queue, None)
-            self.queues.withdraw(queue)
+    def mark_down(
+        self, worker_id: str, queues: Collection[str], since: float
+    ) -> None:
+        """Record that a worker is down because of tasks of queues."""
+        for queue in queues:
+            self.down.setdefault(queue, {})[worker_id] = since
+
+    def withdraw(self, worker_id: str, loss: WorkerLoss, now: float) -> None:
+        """Take back what a loss has added to the evidence about queues."""
+        for queue, gain in loss.gains.items():
+            workers = self.down.get(queue, {})
+            workers.pop(worker_id, None)
+            if not workers:
+                self.down.pop(queue, None)
+            self.evidence = crash_evidence.remove(
+                self.evidence, queue, gain, loss.at, now
+            )
+            if not crash_evidence.is_crashing(self.evidence, queue, now):
+                self.queues.withdraw(queue, self.group)
 
     def forget_worker(self, worker_id: str, now: float) -> None:
         """Record that a worker has returned, or is no longer listed."""
-        self.losses.pop(worker_id, None)
         crashed_at = None
         for queue, workers in list(self.down.items()):
             crashed_at = workers.pop(worker_id, crashed_at)
--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -65,9 +65,6 @@
         evidence: What the end is concluded from.
         now: Monotonic time in seconds.
     """
-    is_proved = evidence is fleet.ProcessEnd.REPLACED
-    if is_proved:
-        _prove_losses(region, worker, now)
     if not is_crash_possible(worker):
         return
     worker.has_crash_recorded = True
@@ -81,14 +78,19 @@
         evidence=evidence.value,
         runs=len(worker.runs),
     )
-    suspects = _choose_suspects(region, lost, now)
-    _update_evidence(region, worker, suspects, now)
+    suspects = _choose_suspects(region, lost, evidence, now)
     for loss in lost:
         _count_loss(loss)
     for loss in suspects:
-        _suspect(region, loss, is_proved, now)
-    if not is_proved:
-        _keep_losses(region, worker, lost, suspects, are_suspected=True)
+        _suspect(region, loss, now)
+    queues = {loss.job.submission.queue for loss in suspects}
+    # A task that runs alone on its worker is there by choice, not by chance.
+    is_isolated = worker.isolated_task in worker.runs
+    rates = {} if is_isolated else _measure_rates(region)
+    gains = region.crashes.add_evidence(queues, rates, now)
+    if evidence is fleet.ProcessEnd.CLOSED:
+        _keep_loss(region, worker, lost, suspects, True, gains, now)
+    _blame(region, worker, queues, now)
     _report(region, lost)
     for loss in lost:
         crash_outcomes.give_up(region, loss.job, loss.task, now)
@@ -104,20 +106,55 @@
     lost = _list_lost(region, worker)
     if not lost:
         return
-    suspects = _choose_suspects(region, lost, now)
+    evidence = fleet.ProcessEnd.REPLACED
+    recent = _choose_suspects(region, lost, evidence, now)
     for loss in lost:
         _count_loss(loss)
-    _keep_losses(region, worker, lost, suspects, are_suspected=False)
+    _keep_loss(region, worker, lost, recent, False, {}, now)
     _report(region, lost)
     for loss in lost:
         crash_outcomes.give_up(region, loss.job, loss.task, now)
 
 
-def withdraw_crash(region: tables.Region, worker: fleet.Worker) -> None:
-    """Record that the process of a worker has not ended, as it answers again."""
+def settle_loss(
+    region: tables.Region, worker: fleet.Worker, started_ms: int, now: float
+) -> None:
+    """Process that a worker that was lost answers again.
+
+    The same process has not crashed, so whatever was counted is taken back. Another
+    one proves that the process has ended.
+
+    Args:
+        region: The region.
+        worker: The worker.
+        started_ms: Start time of the process that answers.
+        now: Monotonic time in seconds.
+    """
+    loss = region.crashes.losses.pop(worker.listing.worker_id, None)
+    if loss is None:
+        return
+    if loss.started_ms == started_ms:
+        _withdraw_loss(region, worker, loss, now)
+    else:
+        _prove_loss(region, worker, loss, now)
+
+
+def prove_loss(region: tables.Region, worker: fleet.Worker, now: float) -> None:
+    """Process that another process answers at the address of a lost worker."""
+    loss = region.crashes.losses.pop(worker.listing.worker_id, None)
+    if loss is not None:
+        _prove_loss(region, worker, loss, now)
+
+
+def _withdraw_loss(
+    region: tables.Region,
+    worker: fleet.Worker,
+    loss: crash_records.WorkerLoss,
+    now: float,
+) -> None:
     worker_id = worker.listing.worker_id
-    region.crashes.withdraw_crash(worker_id)
-    for found in region.crashes.take_losses(worker_id):
+    region.crashes.withdraw(worker_id, loss, now)
+    for found in loss.tasks:
         counts = found.counts
         counts.lost_workers = max(0, counts.lost_workers - 1)
         if found.is_suspected:
@@ -134,47 +171,70 @@
             _report_job(region, job)
 
 
-def _prove_losses(
-    region: tables.Region, worker: fleet.Worker, now: float
+def _prove_loss(
+    region: tables.Region,
+    worker: fleet.Worker,
+    loss: crash_records.WorkerLoss,
+    now: float,
 ) -> None:
-    """Record that the process of a lost worker has ended for certain."""
-    worker_id = worker.listing.worker_id
-    losses = region.crashes.take_losses(worker_id)
-    if not losses:
+    """Suspect the last tasks of a worker that was lost in silence.
+
+    The tasks of a crash that was found at once are suspected already.
+    """
+    suspects = [
+        found
+        for found in loss.tasks
+        if found.is_recent and not found.is_suspected
+    ]
+    if not suspects or worker.listing.is_draining:
         return
-    region.log_event("crash_proved", worker=worker_id, tasks=len(losses))
-    for found in losses:
-        if found.is_suspected:
-            found.counts.proved += 1
-        elif found.is_recent:
-            # Its lease had expired, so it may have been over before the process ended.
-            found.counts.suspicions += 1
+    names = [
+        jobs.format_task_name(found.job_id, found.task_index)
+        for found in suspects
+    ]
+    region.count_failure(effects.Failure.WORKER_CRASHED)
+    region.log_event(
+        "crash_found_late", worker=worker.listing.worker_id, tasks=names
+    )
+    for found in suspects:
+        found.counts.suspicions += 1
+    queues = {found.queue for found in suspects}
+    region.crashes.add_evidence(queues, _measure_rates(region), now)
+    _blame(region, worker, queues, now)
+    for found in suspects:
         job = region.jobs.get(found.job_id)
-        if job is not None:
-            _report_job(region, job)
-            task = job.tasks[found.task_index]
+        if job is None:
+            continue
+        _report_job(region, job)
+        task = job.tasks[found.task_index]
+        if _needs_restart(region, task):
             crash_outcomes.give_up(region, job, task, now)
 
 
-def _keep_losses(
+def _keep_loss(
     region: tables.Region,
     worker: fleet.Worker,
     lost: list[Loss],
     recent: list[Loss],
     are_suspected: bool,
+    gains: dict[str, float],
+    now: float,
 ) -> None:
     """Keep what was counted until the worker's process is known to run or not."""
-    kept = [
+    tasks = [
         crash_records.TaskLoss(
             job_id=loss.job.submission.job_id,
             task_index=loss.task.index,
+            queue=loss.job.submission.queue,
             counts=loss.task.crashes,
             is_suspected=are_suspected and loss in recent,
             is_recent=loss in recent,
         )
         for loss in lost
     ]
-    region.crashes.add_losses(worker.listing.worker_id, kept)
+    region.crashes.losses[worker.listing.worker_id] = crash_records.WorkerLoss(
+        worker.started_ms, now, tasks, gains
+    )
 
 
 def _count_loss(loss: Loss) -> None:
@@ -192,12 +252,19 @@
 
 
 def _choose_suspects(
-    region: tables.Region, lost: list[Loss], now: float
+    region: tables.Region,
+    lost: list[Loss],
+    evidence: fleet.ProcessEnd,
+    now: float,
 ) -> list[Loss]:
     """Return the runs that may have crashed their worker.
 
-    If tasks of a queue are known to crash workers, only those are suspected.
+    If tasks of a queue are known to crash workers, only those are suspected. An order
+    to a worker that was lost in silence may not have arrived before the end of the
+    process, so a run is suspected then only if its start was confirmed.
     """
+    if evidence is fleet.ProcessEnd.REPLACED:
+        lost = [loss for loss in lost if loss.run.confirmed_at]
     recent = _list_recent([loss.run for loss in lost])
     suspects = [loss for loss in lost if loss.run in recent]
     known = [
@@ -210,22 +277,20 @@
 
 def _list_recent(found: list[fleet.Run]) -> list[fleet.Run]:
     """Return the last runs that a worker has started."""
-    last_at = max(run.sent_at for run in found)
+    last_at = max((run.sent_at for run in found), default=0.0)
     return [run for run in found if run.sent_at >= last_at - SUSPECT_WINDOW_S]
 
 
-def _update_evidence(
+def _blame(
     region: tables.Region,
     worker: fleet.Worker,
-    suspects: list[Loss],
+    queues: set[str],
     now: float,
 ) -> None:
-    queues = {loss.job.submission.queue for loss in suspects}
-    # A task that runs alone on its worker is there by choice, not by chance.
-    is_isolated = worker.isolated_task in worker.runs
-    rates = {} if is_isolated else _measure_rates(region)
+    """Record the queues of the suspected tasks as the cause of a crash."""
     worker_id = worker.listing.worker_id
-    for queue in region.crashes.add_crash(worker_id, queues, rates, now):
+    region.crashes.mark_down(worker_id, queues, min(now, worker.lost_at))
+    for queue in region.crashes.find_crashing(queues, now):
         region.log_event(
             "queue_crashes_workers",
             queue=queue,
@@ -267,12 +332,9 @@
     return {queue: count / busy for queue, count in counts.items()}
 
 
-def _suspect(
-    region: tables.Region, loss: Loss, is_proved: bool, now: float
-) -> None:
+def _suspect(region: tables.Region, loss: Loss, now: float) -> None:
     run, task = loss.run, loss.task
     task.crashes.suspicions += 1
-    task.crashes.proved += is_proved
     region.log_event(
         "task_suspected",
         job=loss.job.submission.job_id,
@@ -281,7 +343,6 @@
         worker=run.worker_id,
         queue=loss.job.submission.queue,
         suspicions=task.crashes.suspicions,
-        proved=task.crashes.proved,
         age_s=round(now - run.sent_at, 4),
     )
 
@@ -312,7 +373,6 @@
             task.index,
             task.crashes.suspicions,
             task.crashes.lost_workers,
-            task.crashes.proved,
         )
         for task in job.tasks
         if task.crashes.lost_workers
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -135,11 +135,11 @@
     job_id = submission.job_id
     end = region.recent_ends.get(job_id)
     refusal = region.refusals.get(job_id)
-    crashed = crash_outcomes.find_outcome(region, submission, now)
-    if crashed is not None:
-        outcome, reason = crashed, jobs.Reason.TASK_CRASHED_WORKERS
+    if crash_outcomes.is_given_up(region, submission, now):
+        outcome = jobs.Outcome.GIVEN_UP
+        reason = jobs.Reason.TASK_CRASHED_WORKERS
         counts = region.crashes.find_counts(job_id)
-        region.crashes.keep_job(job_id, counts, now)
+        region.crashes.keep_counts(job_id, counts, now)
         _log_repeated(region, job_id, open_attempts)
     elif end is not None:
         outcome, reason = end.outcome, end.reason
@@ -266,7 +266,7 @@
     for told in submission.crashes:
         if 0 <= told.index < len(tasks):
             tasks[told.index].crashes = crash_records.CrashCounts(
-                told.suspicions, told.lost_workers, told.proved
+                told.suspicions, told.lost_workers
             )
     # What this owner knows itself is never older than what it has told.
     for index, counts in region.crashes.find_counts(submission.job_id).items():
--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -36,7 +36,7 @@
         if end.ended_at > oldest:
             break
         del region.recent_ends[job_id]
-    region.crashes.forget_old_jobs(now)
+    region.crashes.forget_old(now)
 
 
 def answer_failed(
@@ -98,7 +98,7 @@
     if job.had_to_wait:
         _record_wait(region, job, outcome)
     if outcome is not jobs.Outcome.COMPLETED:
-        _keep_crashes(region, job, now)
+        keep_crashes(region, job, now)
     if _is_repeatable(outcome, reason):
         region.recent_ends[job_id] = tables.RecentEnd(outcome, reason, now)
     answer_attempts(
@@ -118,7 +118,7 @@
             runs.abandon(region, job, task, now)
 
 
-def _keep_crashes(region: tables.Region, job: tables.Job, now: float) -> None:
+def keep_crashes(region: tables.Region, job: tables.Job, now: float) -> None:
     """Keep what is known of crashes, in case the job is submitted again."""
     if not job.has_lost_workers:
         return
@@ -127,7 +127,7 @@
         for task in job.tasks
         if task.crashes.lost_workers
     }
-    region.crashes.keep_job(job.submission.job_id, counts, now)
+    region.crashes.keep_counts(job.submission.job_id, counts, now)
 
 
 def answer_attempts(
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -13,6 +13,7 @@
 from pollenladder.scheduling import crashes
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import intake
+from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import neighbourhood
 from pollenladder.scheduling import neighbours
 from pollenladder.scheduling import tables
@@ -52,15 +53,19 @@
         unguarded_services=region.unguarded_services,
         regions=region.regions,
         crashes=crash_records.CrashRecords(
+            region.crashes.group,
             evidence=region.crashes.evidence,
             queues=region.crashes.queues,
-            ended_jobs=region.crashes.ended_jobs,
+            losses=region.crashes.losses,
+            kept=region.crashes.kept,
         ),
         neighbourhood=neighbourhood.Neighbourhood(region.neighbourhood.model),
     )
     rebuilt.effects = region.take_effects()
     neighbours.log_restored(rebuilt)
     for job_id, job in region.jobs.items():
+        # The counts may still be taken back.
+        job_ends.keep_crashes(rebuilt, job, now)
         rebuilt.decide(
             effects.Decision.RESUBMISSION,
             job_id,
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -56,6 +56,8 @@
     worker = region.workers.get(worker_id)
     if worker is None or worker.is_reachable:
         return
+    if evidence is fleet.ProcessEnd.REPLACED:
+        crashes.prove_loss(region, worker, now)
     crashes.record_crash(region, worker, evidence, now)
 
 
@@ -149,6 +151,7 @@
     now: float,
 ) -> None:
     """Record that a worker is reachable, and whether it has restarted."""
+    crashes.settle_loss(region, worker, reply.started_ms, now)
     if worker.started_ms and reply.started_ms != worker.started_ms:
         worker.cursor = 0
         # The worker cuts a lease by the clock of its earlier process to the longest.
@@ -164,8 +167,6 @@
             born_ms=reply.started_ms,
             runs=len(worker.runs),
         )
-    elif worker.started_ms:
-        crashes.withdraw_crash(region, worker)
     worker.started_ms = reply.started_ms
     learned_state.apply_inherited_speed(region, worker)
     worker.polled_clock_s = reply.clock_s
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -117,7 +117,7 @@
                 unguarded_services=self._unguarded_services,
                 regions=self._regions,
                 crashes=crash_records.CrashRecords(
-                    queues=self._crashing_queues
+                    self._group, queues=self._crashing_queues
                 ),
             )
             self._owns_workers.set()
