Cut workers off in turn in the soak, and check jobs answered as failed

The fault order_cuts resets and refuses the connections of one worker after the other, several at once, while their processes live on. A new promise: a job answered as failed has a task under which two workers have crashed, or that has failed as often as allowed. A worker that crashes now closes its connections in order, as a host does; the proxy reset them before. Resetting a proxy's connections twice raised an error, as closed sockets were kept.

--- a/soak/defects.py
+++ b/soak/defects.py
@@ -9,6 +9,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.platform import rows
 from pollenladder.platform import workers
+from pollenladder.scheduling import crashes
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import maintenance
@@ -123,6 +124,17 @@
     dispatcher.Dispatcher._shut_down = lambda own, server: None
 
 
+def _take_refusals_for_crashes() -> None:
+    """Take a refusal for a proof that the process of a worker has ended."""
+    record = crashes.record_crash
+
+    def record_as_proved(region, worker, evidence, now):
+        record(region, worker, fleet.ProcessEnd.REPLACED, now)
+
+    crashes.record_crash = record_as_proved
+    fleet.Worker.has_closed_connections = lambda own: True
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "forget_other_owners": _forget_other_owners,
     "retry_without_reply": _retry_without_reply,
@@ -135,4 +147,5 @@
     "miss_configurations": _miss_configurations,
     "fail_on_foreign_rows": _fail_on_foreign_rows,
     "drop_callers_at_stop": _drop_callers_at_stop,
+    "take_refusals_for_crashes": _take_refusals_for_crashes,
 }
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -1,5 +1,6 @@
 """Invariants, checked against the records of callers and workers."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -21,6 +22,9 @@
 # MAX_STARTS_AFTER_CRASHES times more.
 MAX_CRASHES = 3
 MAX_STARTS_AFTER_CRASHES = 2
+# A job may fail once one of its tasks has crashed MIN_CRASHES workers, or has
+# failed as often as the site's configuration allows.
+MIN_CRASHES = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -171,12 +175,23 @@
         done = {run.task for run in runs if run.how == "done"}
         if len(done) < call.tasks:
             return [f"{name}: completed with {len(done)} of {call.tasks} done"]
+    if call.reply.state == "failed" and not _may_have_failed(runs):
+        return [f"{name}: failed, and no task has failed or crashed so often"]
     is_disconnected = call.reply.status == 0 and not call.has_left
     if is_disconnected and not _was_disturbed(call, disturbances):
         return [f"{name}: no answer from an undisturbed daemon"]
     return []
 
 
+def _may_have_failed(runs: list[site_worker.Run]) -> bool:
+    ends = collections.Counter((run.task, run.how) for run in runs)
+    return any(
+        ends[run.task, "crashed"] >= MIN_CRASHES
+        or ends[run.task, "failed"] >= sites.MAX_ATTEMPTS
+        for run in runs
+    )
+
+
 def find_unexpected_errors(
     lines_by_daemon: Mapping[str, Iterable[Mapping[str, Any]]],
 ) -> list[str]:
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -66,15 +66,27 @@
 
     def reset_all(self) -> None:
         """Reset all open connections."""
-        for sock in list(self._sockets):
+        while self._sockets:
+            sock = self._sockets.pop()
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             sock.close()
 
-    def refuse(self, for_s: float) -> None:
-        """Refuse connections for some time, as if the target had no process."""
+    def crash(self, for_s: float) -> None:
+        """Close all connections in order, and refuse new ones for some time."""
+        if self._server.started:
+            self._refuse(for_s)
+            while self._sockets:
+                self._sockets.pop().close()
+
+    def partition(self, for_s: float) -> None:
+        """Reset all connections, and refuse new ones for some time."""
+        if self._server.started:
+            self._refuse(for_s)
+            self.reset_all()
+
+    def _refuse(self, for_s: float) -> None:
         port = self.port
         self._server.stop(timeout=0)
-        self.reset_all()
         gevent.spawn_later(for_s, self._listen, port)
 
     def _listen(self, port: int) -> None:
--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -39,6 +39,11 @@
 RECOVERY_TIMEOUT_S = 8.0
 # Limit for open calls, for the final jobs and for the exit of a stopped daemon.
 STOP_TIMEOUT_S = 7.0
+# Workers that are cut off in turn: how many, each for how long, and the time
+# between two of them. Several are cut off at once.
+CUT_COUNT = 9
+CUT_S = 1.6
+CUT_INTERVAL_S = 0.5
 # A daemon still accepts new connections for this long after SIGTERM.
 STOP_ACCEPT_S = 2.0
 
@@ -89,9 +94,9 @@
             port = self._worker_proxies[worker_id].port
             self.cluster.site.list_worker(worker_id, port=port)
         site = self.cluster.site
-        site.on_crash = lambda worker_id: self._worker_proxies[
-            worker_id
-        ].refuse(site.crash_down_s)
+        site.on_crash = lambda worker_id: self._worker_proxies[worker_id].crash(
+            site.crash_down_s
+        )
         self.callers = callers.Callers(self.cluster, self._rng)
         self.configurations = configurations.Configurations(self.cluster)
 
@@ -133,6 +138,7 @@
             "order_reset": faults.Kind(
                 self._reset_worker_connections, _do_nothing
             ),
+            "order_cuts": faults.Kind(self._cut_workers_in_turn, _do_nothing),
             "order_silent": self._make_worker_impairment(proxies.Mode.SILENT),
             "order_one_way": self._make_worker_impairment(proxies.Mode.ONE_WAY),
             "order_slow": self._make_worker_impairment(proxies.Mode.DELAY, 0.1),
@@ -353,6 +359,12 @@
     def _reset_worker_connections(self, target: int) -> None:
         self._find_worker_proxy(target).reset_all()
 
+    def _cut_workers_in_turn(self, target: int) -> None:
+        """Reset and refuse connections to one worker after the other."""
+        for index in range(CUT_COUNT):
+            self._find_worker_proxy(target + index).partition(CUT_S)
+            gevent.sleep(CUT_INTERVAL_S)
+
     def _make_worker_impairment(
         self, mode: proxies.Mode, delay_s: float = 0.0
     ) -> faults.Kind:
--- a/standins/site.py
+++ b/standins/site.py
@@ -21,6 +21,8 @@
 SERVICE = "training"
 QUEUE_HOST = "jobs.example"
 PREFIX = "/lookups/"
+# A job fails once one of its tasks has failed as often.
+MAX_ATTEMPTS = 3
 
 
 class Site:
@@ -157,7 +159,7 @@
             "SloMs": 400,
             "Priority": 1,
             "Service": SERVICE,
-            "Attempts": 3,
+            "Attempts": MAX_ATTEMPTS,
             "Stretch": 1.6,
         }
         routes = [route | changes]
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -79,6 +79,29 @@
         self.worker.history.append(_build_run("a1.0.0.0", 6, began_s=7.0))
         self.assertIn("started 3 times", " ".join(self._find()))
 
+    def test_a_failed_job_has_a_task_that_failed_or_crashed_so_often(self):
+        call = _build_call(200, "failed")
+        for how, needed in (
+            ("crashed", invariants.MIN_CRASHES),
+            ("failed", sites.MAX_ATTEMPTS),
+        ):
+            # One task alone must have crashed or failed so often.
+            history = [_build_run("a1.0.0.1", 1, how=how)]
+            for number in range(needed):
+                self.worker.history[:] = history
+                self.assertIn("failed, and no task", self._find(call)[0])
+                began_s = 2.0 + number
+                run = _build_run(
+                    "a1.0.0.0",
+                    number + 1,
+                    how=how,
+                    began_s=began_s,
+                    ended_s=began_s + 0.1,
+                )
+                history.append(run)
+            self.worker.history[:] = history
+            self.assertEqual(self._find(call), [])
+
     def test_an_undisturbed_daemon_answers(self):
         call = _build_call(0)
         self.assertIn("undisturbed daemon", self._find(call)[0])
--- a/tests/soak/test_rounds.py
+++ b/tests/soak/test_rounds.py
@@ -10,6 +10,11 @@
 from soak import rounds
 
 SEED = 1
+# Workers are cut off in turn, all through the round.
+CUTS = [
+    faults.Fault("order_cuts", at_s=1.0, for_s=0.5, target=0),
+    faults.Fault("order_cuts", at_s=6.0, for_s=0.5, target=1),
+]
 
 
 class DrawTest(unittest.TestCase):
@@ -46,3 +51,14 @@
         report = rounds.run(SEED, self.folder, "complete_too_early")
         self.assertNotEqual(report.violations, [])
         self.assertNotEqual(list(self.folder.iterdir()), [])
+
+    def test_partitioned_workers_fail_no_job(self):
+        """Guards against jobs shown as failed whose tasks run on."""
+        report = rounds.run(SEED, self.folder, planned_faults=CUTS)
+        self.assertEqual(report.violations, [])
+
+    def test_refusals_taken_for_crashes_are_detected(self):
+        """Guards against partitions that are too short to be noticed."""
+        defect = "take_refusals_for_crashes"
+        report = rounds.run(SEED, self.folder, defect, CUTS)
+        self.assertIn("failed, and no task", " ".join(report.violations))
