Keep the failed runs of a task when the owner claims again

A job with a task that can never be done was answered later, and its task was started more often than max_attempts of the queue allows.

Cause: a daemon that claims again with a higher epoch builds its state anew (recovery.rebuild_region) and submits its jobs again. It kept the completed tasks and the crashes, but not the failures, nor which workers to avoid.

Fix: a task keeps the numbers of its failed runs instead of a count, and the rebuilt region keeps them. A number is in the set once, however often a worker lists the end, so what is kept cannot count an end twice and a job cannot fail too early. Another daemon that takes over still begins at none.

--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -71,7 +71,7 @@
 
 
 def _resubmit(region: tables.Region, job: tables.Job, now: float) -> None:
-    """Submit a job again, keeping its completed tasks.
+    """Submit a job again, keeping its completed tasks and its failed runs.
 
     Completed tasks are recorded as orphan ends, from which `intake.admit`
     marks them as done.
@@ -91,3 +91,13 @@
         crashes=crashes.list_crashes(job),
     )
     intake.admit(region, submission, job.attempts, now)
+    admitted = region.jobs.get(job_id)
+    if admitted is not None:
+        _keep_failures(job, admitted)
+
+
+def _keep_failures(before: tables.Job, after: tables.Job) -> None:
+    """Copy which runs of a job's tasks have failed, and which workers to avoid."""
+    for old, new in zip(before.tasks, after.tasks, strict=True):
+        new.failed_runs = old.failed_runs
+        new.avoided_workers = set(old.avoided_workers)
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -263,9 +263,9 @@
     runs.release(region, worker, run, "failed")
     if job is None or task is None:
         return
-    task.failures += 1
+    task.failed_runs |= {run.number}
     task.avoided_workers.add(run.worker_id)
-    if task.failures >= job.submission.max_attempts:
+    if len(task.failed_runs) >= job.submission.max_attempts:
         job_ends.end_job(
             region, job, jobs.Outcome.FAILED, jobs.Reason.TASK_FAILED, now
         )
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -51,7 +51,8 @@
         index: Index of the task in its job.
         state: State of the task.
         next_run: Number of the task's next run.
-        failures: Number of failed runs.
+        failed_runs: Numbers of the runs that have failed. A worker may report the end
+            of a run more than once.
         stalls: Number of stalled runs.
         worker_id: Worker of the current or completed run; empty while waiting.
         took_s: Measured run time in seconds; 0 until the task is done.
@@ -68,7 +69,7 @@
     index: int
     state: TaskState
     next_run: int
-    failures: int = 0
+    failed_runs: frozenset[int] = frozenset()
     stalls: int = 0
     worker_id: str = ""
     took_s: float = 0.0
