--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -129,7 +129,8 @@
     Attributes:
         CLOSED: Its connections were closed in order and new ones are refused. The
             conclusion is taken back if the same process answers again.
-        REPLACED: Another process answers in its place, which proves the end.
+        REPLACED: Another process answers in its place. The end is certain, but not
+            its time: a run may have been over before.
     """
 
     CLOSED = "closed"
--- a/pollenladder/scheduling/isolation.py
+++ b/pollenladder/scheduling/isolation.py
@@ -1,8 +1,7 @@
 """Run tasks that may have crashed a worker alone on a worker.
 
 Several tasks may run on a worker that crashes. The suspected ones are started again
-without neighbours: one that crashes its worker again is the cause beyond doubt, and
-takes no other task down. If no worker is idle, one is reserved, and gets no new tasks
+without neighbours, so that one that crashes its worker again takes no other task down. If no worker is idle, one is reserved, and gets no new tasks
 until its runs have ended.
 """
 
--- a/pollenladder/scheduling/witnesses.py
+++ b/pollenladder/scheduling/witnesses.py
@@ -2,8 +2,9 @@
 
 A worker whose process has ended refuses connections, and so does each worker behind
 some partitions, although its process runs. Other workers of its data centre are
-witnesses: if they accept new connections, only the process has ended. Replies over
-open connections are no evidence, as those may outlast a partition.
+witnesses: if they refuse new connections too, the network is the cause. If they accept
+some, it may still be a partition of the single worker, so that alone proves nothing.
+Replies over open connections are no evidence, as those may outlast a partition.
 """
 
 import zlib
@@ -31,8 +32,8 @@
 def has_others(region: tables.Region, worker: fleet.Worker) -> bool:
     """Return whether any other worker is listed, in whatever data centre.
 
-    The tasks of an only worker can't be lost with a second one before it has
-    answered again, so a refusal that is taken for a crash by mistake does no harm.
+    An only worker has nothing to be compared with. Its tasks can't be lost with a
+    second one before it answers again, which takes a wrong suspicion back.
     """
     return any(
         other.is_listed
--- a/pollenladder/scheduling/worker_losses.py
+++ b/pollenladder/scheduling/worker_losses.py
@@ -1,7 +1,7 @@
 """Workers that no longer reply, and the runs that were on them.
 
-Polls tell whether the process of a lost worker has ended or whether the network
-may have failed. A run on a lost worker occupies its task until its lease has
+Polls tell whether the process of a lost worker has probably ended or whether the
+network may have failed; see `crashes`. A run on a lost worker occupies its task until its lease has
 expired, because the worker may still be executing it.
 """
 
