Log until when an owner has granted leases to the runs that it gives up

The logs did not tell which of two owners had kept a run alive. `orphan_stopped` and the new event `leases_expired` give the end of the last lease that this owner has granted and the time, both by the worker's clock, so that the logs of two owners can be compared.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -324,6 +324,7 @@
         cursor: Sequence number of the last ended run that was processed.
         clock_ahead_s: The worker's clock minus the local clock.
         lease_until_s: Latest expiry of a lease granted, by the worker's clock.
+        granted_until_s: The same, without leases granted by earlier owners.
         busy_until: The worker gets no starts before this monotonic time, which
             is set when it rejects a start.
         free: Capacity minus the resources of the runs; components may be
@@ -356,6 +357,7 @@
     cursor: int = 0
     clock_ahead_s: float = 0.0
     lease_until_s: float = 0.0
+    granted_until_s: float = 0.0
     busy_until: float = 0.0
     free: jobs.Resources = jobs.Resources()
     runs: dict[str, Run] = dataclasses.field(default_factory=dict)
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -270,6 +270,13 @@
         "hold their tasks",
         ("worker", "runs", "lost_s", "lease_left_s"),
     ),
+    Event(
+        "leases_expired",
+        Kind.WORKER,
+        "the runs on a lost worker are released; times by the worker's clock, the "
+        "later one also covers leases that an earlier owner may have granted",
+        ("worker", "runs", "granted_until_s", "lease_until_s", "clock_s"),
+    ),
     Event(
         "run_on_lost_worker",
         Kind.RUN,
@@ -415,8 +422,9 @@
     Event(
         "orphan_stopped",
         Kind.RUN,
-        "a run that no job of this owner needs is stopped",
-        ("task", "worker"),
+        "a run that no job of this owner needs is stopped; times by the worker's "
+        "clock",
+        ("task", "run", "worker", "granted_until_s", "clock_s"),
     ),
     Event(
         "job_admitted",
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -167,7 +167,12 @@
                 runs.stop(region, run, now)
         elif run.is_orphan and now > run.sent_at + runs.ORPHAN_GRACE_S:
             region.log_event(
-                "orphan_stopped", task=run.task, worker=run.worker_id
+                "orphan_stopped",
+                task=run.task,
+                run=run.number,
+                worker=run.worker_id,
+                granted_until_s=round(worker.granted_until_s, 3),
+                clock_s=round(now + worker.clock_ahead_s, 3),
             )
             runs.stop(region, run, now)
 
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -154,6 +154,7 @@
         # The worker cuts a lease by the clock of its earlier process to the longest.
         latest_order_s = reply.clock_s + ORDER_ARRIVAL_S
         worker.lease_until_s = latest_order_s + region.max_lease_s
+        worker.granted_until_s = 0.0
         worker.health = fleet.Health()
         # The process may run on another machine now.
         worker.speed = fleet.SpeedEstimate()
--- a/pollenladder/scheduling/worker_losses.py
+++ b/pollenladder/scheduling/worker_losses.py
@@ -52,6 +52,8 @@
     """Release the runs on a lost worker, as their leases have expired."""
     if not worker.has_crash_recorded:
         crashes.record_silent_loss(region, worker, now)
+    if worker.runs:
+        _log_expiry(region, worker, now)
     for run in list(worker.runs.values()):
         _release(region, worker, run, now)
 
@@ -87,6 +89,19 @@
     )
 
 
+def _log_expiry(
+    region: tables.Region, worker: fleet.Worker, now: float
+) -> None:
+    region.log_event(
+        "leases_expired",
+        worker=worker.listing.worker_id,
+        runs=len(worker.runs),
+        lease_until_s=round(worker.lease_until_s, 3),
+        granted_until_s=round(worker.granted_until_s, 3),
+        clock_s=round(now + worker.clock_ahead_s, 3),
+    )
+
+
 def _log_run(region: tables.Region, run: fleet.Run, now: float) -> None:
     job, _ = runs.find_task(region, run)
     region.count_failure(effects.Failure.RUN_ON_LOST_WORKER)
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -233,6 +233,7 @@
         expiry = lease_limits.choose_expiry(self._region, worker, self._clock())
         until_s = expiry + worker.clock_ahead_s
         worker.lease_until_s = max(worker.lease_until_s, until_s)
+        worker.granted_until_s = max(worker.granted_until_s, until_s)
         return until_s
 
     def _start_run_safely(self, order: effects.StartRun) -> None:
