Do not extend leases beside a run that no job has claimed yet

Callers saw nothing in their answers; a task had two runs at the same time (TWICE) around a cut of a data centre, with the sites' own callers.

Cause: a new owner extended the leases of the runs that it found, for 0.45 s, by polls and by starts, while the owner that had granted them, cut off from the worker, counted only its own grants and started the tasks elsewhere.

Now an owner extends no lease on a worker while it has a run that this owner has not started and no job has claimed here. Such a worker gets no starts, as a start extends the one lease of all runs, even if the worker rejects it. A start that was decided before is not sent (no_lease). So a run that nobody claims ends with the lease that its own owner counts. Forecasts count the slots of such a worker as free in 0.1 s. This takes the place of has_unknown_load, which kept starts from unguarded workers only.

Tests: TwoOwnersTest and three more in test_lease_limits, one in test_sessions and one in test_capacity_changes fail before. test_unclaimed_run_ends_soon_if_its_stop_gets_no_reply is replaced by test_leases_beside_an_unclaimed_run_are_not_extended: the lease was to be over after 1 s, now none is granted at any step. test_run_that_its_job_adopts_goes_on asks for no lease in place of one below 0.5 s. test_worker_that_guards_its_capacity_is_used asked for starts beside an unclaimed run, which is the fault; it now asks for none until the run is over, and for both at once then.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -151,6 +151,8 @@
             address, which doesn't have the run.
         REJECTED: The worker rejected the order for any other reason.
         NOT_SENT: The order was not sent, so no run exists.
+        NO_LEASE: The order was not sent, as the leases on the worker must not be
+            extended.
         NO_REPLY: The order may have been received, so the run may exist.
     """
 
@@ -163,6 +165,7 @@
     OTHER_INCARNATION = "other_incarnation"
     REJECTED = "rejected"
     NOT_SENT = "not_sent"
+    NO_LEASE = "no_lease"
     NO_REPLY = "no_reply"
 
 
@@ -330,6 +333,9 @@
         free: Capacity minus the resources of the runs; components may be
             negative.
         runs: Runs by task name.
+        unclaimed_runs: The tasks of the runs that this owner has not started and
+            that no job has claimed here. Another owner may still count their
+            leases, so these must not be extended, nor those of the other runs.
         health: Health derived from the results of the runs.
         is_evacuated: Whether the worker's data centre is taken out of use.
         warm_at: Monotonic time until which the worker is cold; see `warmup`.
@@ -361,6 +367,7 @@
     busy_until: float = 0.0
     free: jobs.Resources = jobs.Resources()
     runs: dict[str, Run] = dataclasses.field(default_factory=dict)
+    unclaimed_runs: set[str] = dataclasses.field(default_factory=set)
     health: Health = dataclasses.field(default_factory=Health)
     is_evacuated: bool = False
     warm_at: float = float("-inf")
@@ -389,21 +396,18 @@
             and MissedPoll.NO_REPLY not in self.missed_causes
         )
 
-    def has_unknown_load(self) -> bool:
-        """Return whether it has a run whose resources are not known."""
-        return any(
-            run.resources == jobs.Resources() for run in self.runs.values()
-        )
-
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.task] = run
         self.free = self.free.subtract(run.resources)
+        if run.is_orphan:
+            self.unclaimed_runs.add(run.task)
 
     def remove_run(self, run: Run) -> None:
         """Remove a run and free its resources."""
         if self.runs.get(run.task) is run:
             del self.runs[run.task]
+            self.unclaimed_runs.discard(run.task)
             self.free = self.free.add(run.resources)
 
 
--- a/pollenladder/scheduling/candidates.py
+++ b/pollenladder/scheduling/candidates.py
@@ -80,21 +80,33 @@
 
 def is_available(worker: fleet.Worker, now: float) -> bool:
     """Return whether a worker may be given a run now."""
+    return not worker.unclaimed_runs and is_usable(worker, now)
+
+
+def is_usable(worker: fleet.Worker, now: float) -> bool:
+    """Return whether a worker may be given a run once all of its runs are claimed."""
     return (
         not worker.is_evacuated
         and not worker.isolated_task
-        and can_run(worker, now)
+        and _is_ready(worker, now)
     )
 
 
 def can_run(worker: fleet.Worker, now: float) -> bool:
-    """Return whether a worker may run a task, evacuated or not."""
+    """Return whether a worker may run a task, evacuated or not.
+
+    A start extends the leases of all runs, which must not be extended while one of
+    them is unclaimed. The resources of such a run are not known, either.
+    """
+    return not worker.unclaimed_runs and _is_ready(worker, now)
+
+
+def _is_ready(worker: fleet.Worker, now: float) -> bool:
     return (
         worker.is_listed
         and worker.is_synced
         and worker.is_reachable
         and not worker.listing.is_draining
-        and (worker.guards_capacity or not worker.has_unknown_load())
         and now >= worker.busy_until
         and health.can_accept_run(worker, now)
     )
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -23,6 +23,8 @@
 MIN_RUN_S = 0.001
 # Time that a new owner is assumed to need for the first poll of a worker.
 FIRST_POLL_S = 0.03
+# Time that gateways are assumed to need to claim the runs that a new owner has found.
+CLAIM_S = 0.1
 # The time for which a forecast is reused is the product of this and the number
 # of the region's workers, but at most `MAX_FORECAST_AGE_S`.
 FORECAST_AGE_S_PER_WORKER = 0.0002
@@ -243,7 +245,7 @@
             continue
         if not exposure.permits(region, job.submission, worker, now):
             continue
-        if candidates.is_available(worker, now):
+        if candidates.is_usable(worker, now):
             slots += _list_worker_slots(region, worker, job.resources, now)
         elif _is_awaiting_first_poll(worker):
             count = worker.listing.capacity.count_fitting(job.resources)
@@ -285,6 +287,8 @@
         held_back = capacity.count_fitting(needed) - len(slots)
         warm_s = max([worker.warm_at - now, *slots[-1:]])
         slots += [warm_s] * held_back
+    if worker.unclaimed_runs:
+        slots = [max(CLAIM_S, wait_s) for wait_s in slots]
     return slots
 
 
--- a/pollenladder/scheduling/lease_limits.py
+++ b/pollenladder/scheduling/lease_limits.py
@@ -6,6 +6,10 @@
 of the run. The lease therefore ends soon after the last contact with the gateways of
 each run. It is renewed with each poll, so this shortens it only while a gateway is
 silent or a stop is unconfirmed.
+
+A new owner does not extend the leases of runs that no job has claimed yet. The owner
+that has granted them may be active still, on the other side of a network partition, and
+start their tasks elsewhere once the leases that it has granted have expired.
 """
 
 from collections.abc import Iterable
@@ -22,8 +26,6 @@
 # Time that a run goes on at least after the lease of its attempt has expired, so that it
 # is stopped before the other runs on its worker end with it.
 STOP_TIME_S = 0.25
-# Time from the first report of a run whose job is not known until it has been stopped.
-ORPHAN_TIME_S = 0.45
 
 
 def choose_limit_s(resubmission_s: float, attempt_lease_s: float) -> float:
@@ -54,8 +56,14 @@
 
 def choose_expiry(
     region: tables.Region, worker: fleet.Worker, now: float
-) -> float:
-    """Return until when a worker's runs get a lease; monotonic, in seconds."""
+) -> float | None:
+    """Return until when a worker's runs get a lease; monotonic, in seconds.
+
+    Returns:
+        None if the leases must not be extended.
+    """
+    if worker.unclaimed_runs:
+        return None
     expiry = now + region.max_lease_s
     for run in worker.runs.values():
         expiry = min(expiry, _find_run_limit(region, run))
@@ -68,7 +76,4 @@
     job = region.jobs.get(jobs.parse_job_id(run.task))
     if job is not None:
         return find_limit(region, job.attempts.values())
-    if run.is_orphan:
-        # Its gateways are not known.
-        return run.sent_at + ORPHAN_TIME_S
     return math.inf
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -133,8 +133,9 @@
     def _poll(self, is_extra: bool) -> float:
         """Poll once; return the pause before the next poll, in seconds.
 
-        Each poll of a reachable worker also renews the leases of its runs. Those
-        of an unreachable worker expire, so that its tasks can start elsewhere.
+        Each poll of a reachable worker also renews the leases of its runs, unless
+        one of them is unclaimed. Those of an unreachable worker expire, so that its
+        tasks can start elsewhere.
 
         Args:
             is_extra: Whether the worker replies at once, without waiting for a
@@ -227,10 +228,16 @@
             for witness in chosen
         )
 
-    def _extend_lease(self) -> float:
-        """Return a lease expiry by the worker's clock; record the latest."""
+    def _extend_lease(self) -> float | None:
+        """Return a lease expiry by the worker's clock; record the latest.
+
+        Returns:
+            None if the leases must not be extended.
+        """
         worker = self._worker
         expiry = lease_limits.choose_expiry(self._region, worker, self._clock())
+        if expiry is None:
+            return None
         until_s = expiry + worker.clock_ahead_s
         worker.lease_until_s = max(worker.lease_until_s, until_s)
         worker.granted_until_s = max(worker.granted_until_s, until_s)
@@ -248,17 +255,23 @@
         # The process may have been paused since the order was decided on. The
         # lease is computed only here, so it would not bound the delay.
         if self._region.evacuations.is_current(self._clock()):
-            reply = self._client.start(
-                order.task,
-                order.number,
-                order.spec,
-                self._extend_lease(),
-                self._region.epoch,
-            )
+            reply = self._send_start(order)
         else:
             reply = fleet.StartReply.NOT_SENT
         self._handle_start_reply(order, reply)
 
+    def _send_start(self, order: effects.StartRun) -> fleet.StartReply:
+        lease_until_s = self._extend_lease()
+        if lease_until_s is None:
+            return fleet.StartReply.NO_LEASE
+        return self._client.start(
+            order.task,
+            order.number,
+            order.spec,
+            lease_until_s,
+            self._region.epoch,
+        )
+
     def _handle_start_reply(
         self, order: effects.StartRun, reply: fleet.StartReply
     ) -> None:
--- a/tests/scheduling/test_capacity_changes.py
+++ b/tests/scheduling/test_capacity_changes.py
@@ -71,8 +71,19 @@
         unguarded = frozenset({simulations.SERVICE})
         self.assertEqual(self._count_starts(unguarded), 0)
 
-    def test_worker_that_guards_its_capacity_is_used(self):
-        self.assertEqual(self._count_starts(frozenset()), 2)
+    def test_worker_that_guards_its_capacity_is_used_once_the_run_is_over(self):
+        """Guards against a start that extends the lease of an unclaimed run.
+
+        One lease applies to all runs of a worker, and an earlier owner may still
+        count the one that it has granted.
+        """
+        simulation = simulations.RegionSimulation(workers=1)
+        simulation.poll("w0", running=self.ORPHAN)
+        simulation.submit(OTHER, tasks=2, stretch=50.0, budget_s=50.0)
+        self.assertEqual(len(simulation.take_starts()), 0)
+        simulation.now += 0.1
+        simulation.poll("w0", running=())
+        self.assertEqual(len(simulation.take_starts()), 2)
 
     def test_worker_is_used_once_the_job_is_known(self):
         simulation = simulations.RegionSimulation(workers=1)
--- a/tests/scheduling/test_lease_limits.py
+++ b/tests/scheduling/test_lease_limits.py
@@ -38,10 +38,16 @@
     def _hear(self, gateway_id: str) -> None:
         self.region.gateways_heard_at[gateway_id] = self.simulation.now
 
+    def _choose_expiry(self) -> float | None:
+        return lease_limits.choose_expiry(
+            self.region, self.worker, self.simulation.now
+        )
+
     def _find_lease_s(self) -> float:
         """Return for how long the next poll renews the leases of the worker."""
-        now = self.simulation.now
-        return lease_limits.choose_expiry(self.region, self.worker, now) - now
+        expiry = self._choose_expiry()
+        self.assertIsNotNone(expiry)
+        return expiry - self.simulation.now
 
     def _check_over_when_caller_returns(self) -> None:
         """Check that a slow clock's lease ends before the caller returns.
@@ -115,19 +121,33 @@
         self.simulation.poll("w1", running=(("c3.0.0.0", 1, 10.0),))
         self.worker = self.region.workers["w1"]
         self.simulation.now += 0.1
-        self.assertLess(self._find_lease_s(), 0.5)
+        self.assertIsNone(self._choose_expiry())
         self.simulation.submit(
             "c3", gateway_id="near", tasks=1, may_have_begun=True
         )
         self.assertAlmostEqual(self._find_lease_s(), simulations.LEASE_S)
 
-    def test_unclaimed_run_ends_soon_if_its_stop_gets_no_reply(self):
-        self.simulation.poll("w1", running=(("gone.0.0.0", 1, 10.0),))
+    def test_leases_beside_an_unclaimed_run_are_not_extended(self):
+        # Neither before it is stopped nor while its stop gets no reply.
         self.worker = self.region.workers["w1"]
+        self.simulation.poll("w1", running=(("gone.0.0.0", 1, 10.0),))
         for _ in range(20):
+            self.assertIsNone(self._choose_expiry())
             self.simulation.step(0.05)
             self.simulation.poll("w1")
-        self.assertLess(self._find_lease_s(), 0.0)
+        self.simulation.poll("w1", running=())
+        self.assertAlmostEqual(self._find_lease_s(), simulations.LEASE_S)
+
+    def test_leases_beside_a_second_run_of_a_task_are_not_extended(self):
+        # Its job is known here, but needs another run.
+        other_id = next(
+            worker_id
+            for worker_id in self.region.workers
+            if worker_id != self.worker.listing.worker_id
+        )
+        self.worker = self.region.workers[other_id]
+        self.simulation.poll(other_id, running=(("a1.0.0.0", 9, 10.0),))
+        self.assertIsNone(self._choose_expiry())
 
     def test_limit_stays_after_another_claim(self):
         rebuilt = recovery.rebuild_region(self.region, 2, self.simulation.now)
@@ -143,6 +163,53 @@
                 )
 
 
+class TwoOwnersTest(unittest.TestCase):
+    """Guards against a second run, as a second owner keeps the first one alive.
+
+    A partition cuts the worker off from its owner. Another owner inside polls it and
+    gets none of the jobs.
+    """
+
+    def setUp(self):
+        self.outside = simulations.RegionSimulation(workers=2)
+        self.outside.submit("a1", tasks=1, budget_s=9.0)
+        (self.start,) = self.outside.take_starts()
+        self.outside.confirm(self.start)
+        self.inside = simulations.RegionSimulation(workers=0, epoch=2)
+        self.lease_until = 0.0
+
+    def _renew(self, simulation: simulations.RegionSimulation) -> None:
+        """Renew the leases of the worker like a poll, if its owner may."""
+        worker = simulation.region.workers[self.start.worker_id]
+        expiry = lease_limits.choose_expiry(
+            simulation.region, worker, simulation.now
+        )
+        if expiry is not None:
+            worker.lease_until_s = expiry + worker.clock_ahead_s
+            self.lease_until = max(self.lease_until, expiry)
+
+    def _advance(self, until: float, step_s: float = 0.02) -> None:
+        while self.inside.now < until:
+            self.inside.step(step_s)
+            if self.inside.now < self.lease_until:
+                running = ((self.start.task, self.start.number, 10.0),)
+                self.inside.poll(self.start.worker_id, running=running)
+                self._renew(self.inside)
+
+    def test_run_is_over_when_its_owner_starts_the_next_one(self):
+        worker_id = self.start.worker_id
+        self._renew(self.outside)
+        cut_at = self.outside.now
+        self.outside.miss_polls(worker_id)
+        self.inside.now = cut_at + simulations.LEASE_S - 0.2
+        self.inside.list_workers([worker_id], synced=False)
+        self._advance(cut_at + 2 * simulations.LEASE_S)
+        while not self.outside.take_starts():
+            self.outside.step(0.02)
+            self.assertLess(self.outside.now, cut_at + 3.0)
+        self.assertLess(self.lease_until, self.outside.now)
+
+
 class EarlierOwnerTest(unittest.TestCase):
     """Guards against a second run beside one that an earlier owner keeps alive."""
 
--- a/tests/service/test_sessions.py
+++ b/tests/service/test_sessions.py
@@ -68,6 +68,28 @@
         self.assertAlmostEqual(self.client.start.call_args[0][3], latest_s)
         self.assertAlmostEqual(self.client.poll.call_args[0][3], latest_s)
 
+    def test_leases_are_not_extended_beside_an_unclaimed_run(self):
+        # Guards against a run that a second owner keeps alive while the first one,
+        # cut off from the worker, starts its task elsewhere.
+        self.simulation.submit("a1", tasks=1)
+        (order,) = self.simulation.take_starts()
+        self.simulation.poll(
+            "w0",
+            running=((order.task, order.number, 1.0), ("c3.0.0.0", 1, 1.0)),
+        )
+        self.client.poll.return_value = fleet.PollReply(
+            1e6,
+            simulations.STARTED_MS,
+            (fleet.ObservedRun("c3.0.0.0", 1, 1.0),),
+            (),
+        )
+        lease_until_s = self.worker.lease_until_s
+        self.session._poll_safely(is_extra=True)
+        self.assertIsNone(self.client.poll.call_args[0][3])
+        self.session._start_run_safely(order)
+        self.client.start.assert_not_called()
+        self.assertEqual(self.worker.lease_until_s, lease_until_s)
+
     def test_polls_go_on_once_they_work_again(self):
         reply = fleet.PollReply(1e6, simulations.STARTED_MS, (), ())
         self.client.poll.side_effect = [ZeroDivisionError, reply]
