--- a/tests/models/test_run.py
+++ b/tests/models/test_run.py
@@ -52,7 +52,7 @@
 
     def test_every_model_has_twins(self):
         models = run.list_models()
-        self.assertEqual(len(models), 7)
+        self.assertEqual(len(models), 8)
         for model in models:
             twins = run.list_twins(model)
             self.assertGreaterEqual(len(twins), 6)
