Answer a request whose job cannot be submitted

The caller now gets 504, as its job may have been sent to an owner before. Failures of its own connection are still left to the server.

--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -52,7 +52,7 @@
     def serve(
         environ: dict[str, Any], start_response: Callable
     ) -> Iterable[bytes]:
-        reply = _answer(dependencies, environ)
+        reply = _answer_always(dependencies, environ)
         headers = [
             ("Content-Type", replies.JSON_TYPE),
             ("Content-Length", str(len(reply.body))),
@@ -66,6 +66,27 @@
     return serve
 
 
+def _answer_always(
+    dependencies: Dependencies, environ: dict[str, Any]
+) -> callers.Reply:
+    """Return the reply to a request, also after an unexpected exception.
+
+    The server would close the connection without a reply. The job may have been
+    sent to an owner before the exception, so the reply does not tell that it has
+    not run.
+
+    Raises:
+        OSError: The connection of the caller has failed.
+    """
+    try:
+        return _answer(dependencies, environ)
+    except OSError:
+        raise
+    except Exception:
+        logs.log_failure(LOGGER, "request", environ["PATH_INFO"])
+        return callers.Reply(504, callers.encode_error("internal error"))
+
+
 def _answer(
     dependencies: Dependencies, environ: dict[str, Any]
 ) -> callers.Reply:
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -185,6 +185,21 @@
         self.gateway.submit.return_value = job
         self.assertEqual(self._request("POST")[0], "200")
 
+    def test_request_is_answered_although_its_job_cannot_be_submitted(self):
+        # Guards against a connection that is closed without an answer: the
+        # server closes it after an exception of the application.
+        self.gateway.submit.side_effect = KeyError("norte")
+        with self.assertLogs(application.LOGGER, "ERROR"):
+            status, _ = self._request("POST")
+        # The job may have been sent to an owner before the exception.
+        self.assertEqual(status, "504")
+
+    def test_broken_connection_is_left_to_the_server(self):
+        # Guards against an error line for each caller that disconnects.
+        self.gateway.submit.side_effect = ConnectionResetError
+        with self.assertRaises(ConnectionResetError):
+            self._request("POST")
+
     def test_cancellation_of_a_known_job(self):
         self.is_known = True
         status, body = self._request("DELETE")
