Answer the jobs that outlast the stop of their gateway

Callers saw their connection end without an answer when they waited for longer than a stopped daemon drains: after 5.4 of 6 s the process ended with open jobs. In the whole-daemon test, two jobs of 20 s with 30 s to wait got no reply (status 0 twice) after SIGTERM.

The gateway now answers what is still open 0.2 s before the end of the drain: 504 if the job was sent to an owner, where the attempt is cancelled, and else 429, as it has not run. Both requests of the test are answered with 504.

--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -243,7 +243,7 @@
             change of the link, or nothing was heard from it.
         ANSWERED_ELSEWHERE: Another owner has answered the attempt.
         DEADLINE: The time that the caller waits has passed.
-        DRAINING: Not set by this version.
+        DRAINING: The gateway of the job stops before the job has ended.
         INTERNAL_ERROR: A decision about the job failed unexpectedly.
     """
 
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -51,6 +51,8 @@
 LAST_CALLERS_WAIT_S = 2.3
 # Reserved out of the stop grace period for the process to exit.
 STOP_MARGIN_S = 0.6
+# Reserved before that to answer the jobs that have not ended.
+LAST_ANSWERS_WAIT_S = 0.2
 # Lets the log writer run before the last lines are flushed.
 LOG_FLUSH_S = 0.05
 
@@ -364,7 +366,10 @@
         gevent.sleep(LAST_CALLERS_WAIT_S)
         left_s = self._settings.stop_grace_s - STOP_MARGIN_S
         left_s -= self._clock() - began_at
-        drained = server.drain(max(0.0, left_s))
+        drained = server.drain(max(0.0, left_s - LAST_ANSWERS_WAIT_S))
+        if not drained:
+            self._gateway.give_up_all()
+            drained = server.drain(LAST_ANSWERS_WAIT_S)
         logs.log(
             LOGGER,
             "stopped",
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -24,6 +24,7 @@
 SWEEP_INTERVAL_S = 0.03
 RETRY_AFTER_WITHOUT_OWNER_S = 1.0
 RETRY_AFTER_SHED_S = 1.0
+RETRY_AFTER_STOP_S = 1.0
 # Most jobs that a gateway forwards again in one sweep, so that a new owner does
 # not get the jobs of all gateways at once.
 MAX_REPEATS_PER_SWEEP = 8
@@ -365,6 +366,21 @@
         outcome = jobs.Outcome.REFUSED
         self._finish(job, job.build_answer(outcome, reason, retry_after_s))
 
+    def give_up_all(self) -> None:
+        """Answer all open jobs, as the daemon cannot wait any longer for them."""
+        for job in list(self.open_jobs.values()):
+            try:
+                self._give_up_for_stop(job)
+            except Exception:
+                logs.log_failure(LOGGER, "job_give_up", job.submission.job_id)
+
+    def _give_up_for_stop(self, job: open_jobs.OpenJob) -> None:
+        reason = jobs.Reason.DRAINING
+        if job.has_been_sent:
+            self._give_up(job, reason)
+        else:
+            self._refuse(job, reason, RETRY_AFTER_STOP_S)
+
     def _give_up(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
         self._cancel_at_owners(job, job.group_owners, reason)
         outcome = jobs.Outcome.GIVEN_UP
--- a/tests/service/test_daemons.py
+++ b/tests/service/test_daemons.py
@@ -119,6 +119,24 @@
         self.assertEqual(process.wait(timeout=8), 0)
         self.assertEqual(self.site.find_overlaps(), [])
 
+    def test_stopped_daemon_answers_a_job_that_outlasts_its_stop(self):
+        # Guards against a request that ends with its connection: the caller
+        # waits for longer than the daemon may take to stop.
+        self.site.configure(2, TimeoutMs=30_000)
+        gevent.sleep(1.0)
+        owner = self._find_owner()
+        job = sites.build_job(tasks=1, run_ms=20_000)
+        pending = [
+            gevent.spawn(self.cluster.submit, name, job_id * 16, job)
+            for name, job_id in ((owner, "a"), (owner, "b"))
+        ]
+        gevent.sleep(0.2)
+        self.cluster.signal(owner, signal.SIGTERM)
+        replies = self._collect(pending)
+        self.assertEqual([r.status for r in replies], [504, 504])
+        process = self.cluster.daemons[owner].process
+        self.assertEqual(process.wait(timeout=8), 0)
+
     def test_only_survivor_serves(self):
         survivor, *others = self._list_others(self._find_owner())
         for name in (self._find_owner(), *others):
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -140,6 +140,20 @@
             self._refuse("a")
         self.assertTrue(job.answered.is_set())
 
+    def test_all_open_jobs_are_answered_when_the_daemon_stops(self):
+        # Guards against callers whose connections end without an answer.
+        sent = self._submit_job()
+        self.owner_id = ""
+        unsent = self.gateway.submit(simulations.build_submission("b1"))
+        self.gateway.give_up_all()
+        self.assertEqual(self.gateway.open_jobs, {})
+        self.assertIs(sent.answer.outcome, jobs.Outcome.GIVEN_UP)
+        self.assertEqual(self.cancelled, [("a", "a1", FIRST_ATTEMPT)])
+        # It has not run, so its caller may submit it anywhere.
+        self.assertIs(unsent.answer.outcome, jobs.Outcome.REFUSED)
+        reasons = {sent.answer.reason, unsent.answer.reason}
+        self.assertEqual(reasons, {jobs.Reason.DRAINING})
+
     def test_refused_job_goes_to_another_group(self):
         self.groups = [GROUP, "norte/0"]
         job = self._submit_job()
