Add a failing test of a crash that nobody counts

The model of crashes found it: a run of a job that was given up, and whose counts were taken back, may crash its worker before it is stopped.

--- a/tests/scheduling/test_crashes.py
+++ b/tests/scheduling/test_crashes.py
@@ -775,6 +775,33 @@
         self.simulation.submit(NEW_JOB, tasks=1, **LONG)
         self.assertEqual(len(self.simulation.take_starts()), 1)
 
+    def test_crash_of_a_run_whose_job_was_given_up_is_counted(self):
+        """Guards against a crash that nobody counts if its job is submitted again.
+
+        Both workers of a job that was given up answer again; one still has its run,
+        which crashes it before it is stopped.
+        """
+        simulation = simulations.RegionSimulation(workers=3)
+        simulation.submit(NEW_JOB, tasks=1, **LONG)
+        orders = []
+        for _ in range(crash_outcomes.MAX_SUSPICIONS):
+            simulation.expire_lease()
+            (order,) = simulation.take_starts()
+            simulation.confirm(order)
+            simulation.crash(order.worker_id)
+            orders.append(order)
+        (answer,) = simulation.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.GIVEN_UP)
+        simulation.step(0.1)
+        first, second = orders
+        simulation.poll(first.worker_id, running=())
+        running = ((second.task, second.number, 10.0),)
+        simulation.poll(second.worker_id, running=running)
+        simulation.crash(second.worker_id)
+        simulation.submit(NEW_JOB, tasks=1, **LONG)
+        (task,) = simulation.region.jobs[NEW_JOB].tasks
+        self.assertEqual(task.crashes.suspicions, 1)
+
 
 class QueueEvidenceTest(unittest.TestCase):
     """What is concluded about queues from proved and withdrawn crashes."""
