Count the crash of a run whose job has ended

What callers saw: a task that crashes its workers could take one worker more for each time that its job was given up and submitted again, as an end of a run without a job counted for nothing.

Cause: the runs that a lost worker takes along were looked up by the jobs in progress only, though the counts of an ended job are kept for its next submission.

--- a/models/crashes.pml
+++ b/models/crashes.pml
@@ -21,15 +21,15 @@
  * Shown: (a) a task crashes at most MAX_SUSPICIONS workers, or MAX_LOST_WORKERS if any
  * of its runs was lost without a suspicion at once, and one more for each owner that
  * dies; (b) if its job is submitted again after it was given up, at most as many under
- * each owner, and one more for each time that the job starts again: a run that goes on
- * as its job is given up may crash its worker before it is stopped, which nobody
- * counts; (c) until an owner dies, a job is given up, or given up again, only if as many
+ * each owner, as the crash of a run that goes on after its job was given up counts,
+ * too; (c) until an owner dies, a job is given up, or given up again, only if as many
  * processes have ended or have not answered since as workers were counted as lost. So
  * a job that was given up starts again once everything was taken back. What a dead
  * owner has counted is never taken back, so (c) ends with it.
  *
  * Code: scheduling.crashes: record_crash, record_silent_loss, settle_loss,
  * prove_loss, list_crashes.
+ * Code: scheduling.lost_runs: list_lost.
  * Code: scheduling.crash_outcomes: give_up, is_given_up.
  * Code: scheduling.job_ends: keep_crashes.
  * Code: scheduling.worker_losses: mark_reached, release_expired.
@@ -45,11 +45,13 @@
  * the owner dies; NAIVE_CLAIM does not ask the gateway; NAIVE_ORDER may start the task
  * before its report has arrived; NAIVE_REFUSAL counts a refusal as a crash that nothing
  * takes back; NAIVE_WITHDRAW takes nothing back; NAIVE_TWICE counts a crash again as
- * another process answers; NAIVE_KEPT forgets the counts as the job ends.
+ * another process answers; NAIVE_KEPT forgets the counts as the job ends;
+ * NAIVE_ENDED does not count what happens to a run after its job was given up.
  */
 #define WORKERS 2
 #define MAX_SUSPICIONS 2
 #define MAX_LOST_WORKERS 3
+#define MAX_COUNT 6
 #define MAX_DEATHS 1
 #define MAX_RESTARTS 1
 
@@ -90,8 +92,28 @@
 #define is_lost(w) (cut[w] || process[w] == CRASHED || replaced[w])
 #define is_pending(w) (loss[w] != NONE && process[w] != CRASHED && !replaced[w])
 #define is_limit (suspicions >= MAX_SUSPICIONS || lost >= MAX_LOST_WORKERS)
+#ifdef NAIVE_ENDED
+#define IS_COUNTED (!over)
+#else
+#define IS_COUNTED true
+#endif
 #define LIMIT (is_unsuspected -> MAX_LOST_WORKERS : MAX_SUSPICIONS)
 
+/* Counts beyond the limits make no difference. */
+inline add_loss() {
+	if
+	:: lost < MAX_COUNT -> lost++
+	:: else -> skip
+	fi
+}
+
+inline add_suspicion() {
+	if
+	:: suspicions < MAX_COUNT -> suspicions++
+	:: else -> skip
+	fi
+}
+
 inline report() {
 #ifndef NAIVE_OWNER
 	reporting = 1
@@ -117,9 +139,9 @@
 inline record(w, is_kept) {
 	recorded = 1;
 #ifndef NAIVE_COUNT
-	lost++;
+	add_loss();
 	if
-	:: suspicions++
+	:: add_suspicion()
 	:: !is_kept -> is_unsuspected = 1 /* its start was not confirmed */
 	fi;
 	if
@@ -135,14 +157,14 @@
 	if
 #ifdef NAIVE_TWICE
 	:: loss[w] == SUSPECTED ->
-		lost++; suspicions++; loss[w] = NONE;
+		add_loss(); add_suspicion(); loss[w] = NONE;
 		report();
 		give_up()
 #endif
 	:: loss[w] == SILENT ->
 		loss[w] = NONE;
 		if
-		:: suspicions++;
+		:: add_suspicion();
 			report();
 			if
 			:: leased == WORKERS -> give_up()
@@ -154,7 +176,7 @@
 	:: else -> loss[w] = NONE
 	fi;
 	if
-	:: known && leased == w && !recorded && !over -> record(w, 0)
+	:: known && leased == w && !recorded && IS_COUNTED -> record(w, 0)
 	:: else -> skip
 	fi
 }
@@ -179,7 +201,7 @@
 		process[w] = ACTIVE; leased = w; known = 1; recorded = 0
 	   }
 	:: atomic { /* closed connections, then refusals */
-		up && !over && known && leased == w && !recorded &&
+		up && IS_COUNTED && known && leased == w && !recorded &&
 		(cut[w] || process[w] == CRASHED) ->
 #ifdef NAIVE_REFUSAL
 		record(w, 0)
@@ -189,7 +211,8 @@
 	   }
 	:: atomic { /* a poll finds another process at the address */
 		up && replaced[w] && !cut[w] && process[w] != CRASHED &&
-		(loss[w] != NONE || (known && leased == w && !recorded && !over)) ->
+		(loss[w] != NONE ||
+		(known && leased == w && !recorded && IS_COUNTED)) ->
 		prove(w)
 	   }
 	:: atomic { /* another process answers under the worker's id */
@@ -228,9 +251,9 @@
 	:: atomic { /* the lease has expired */
 		up && leased == w && process[w] != ACTIVE && is_lost(w) ->
 		if
-		:: known && !recorded && !over ->
+		:: known && !recorded && IS_COUNTED ->
 #ifndef NAIVE_COUNT
-			lost++; loss[w] = SILENT; is_unsuspected = 1;
+			add_loss(); loss[w] = SILENT; is_unsuspected = 1;
 #endif
 			report();
 			give_up()
@@ -247,7 +270,7 @@
 		process[w] == ACTIVE ->
 		process[w] = CRASHED; crashes++; ends++;
 		assert(crashes <= (is_again ->
-			LIMIT * (deaths + 1) + restarts : LIMIT + deaths))
+			LIMIT * (deaths + 1) : LIMIT + deaths))
 	   }
 	:: atomic { /* the lease has expired */
 		process[w] == ACTIVE && cut[w] ->
--- a/pollenladder/scheduling/crash_records.py
+++ b/pollenladder/scheduling/crash_records.py
@@ -36,10 +36,12 @@
     """The counts of a job that may be submitted again.
 
     Attributes:
+        queue: The job's queue.
         tasks: The counts of its tasks, by index.
         until: When they are forgotten; monotonic, in seconds.
     """
 
+    queue: str
     tasks: dict[int, CrashCounts]
     until: float
 
@@ -121,12 +123,30 @@
     outage_s: float = DEFAULT_OUTAGE_S
 
     def keep_counts(
-        self, job_id: str, tasks: dict[int, CrashCounts], now: float
+        self,
+        job_id: str,
+        queue: str,
+        tasks: dict[int, CrashCounts],
+        now: float,
     ) -> None:
         """Keep the counts of a job that may be submitted again."""
         # The newest entries are the last ones.
         self.kept.pop(job_id, None)
-        self.kept[job_id] = KeptCounts(tasks, now + RETENTION_S)
+        self.kept[job_id] = KeptCounts(queue, tasks, now + RETENTION_S)
+
+    def open_counts(
+        self, job_id: str, queue: str, index: int, now: float
+    ) -> CrashCounts:
+        """Return the counts of a task whose job has ended, and keep them."""
+        tasks = self.find_counts(job_id)
+        counts = tasks.setdefault(index, CrashCounts())
+        self.keep_counts(job_id, queue, tasks, now)
+        return counts
+
+    def find_queue(self, job_id: str) -> str:
+        """Return the queue of a job whose counts are kept, or ""."""
+        kept = self.kept.get(job_id)
+        return kept.queue if kept else ""
 
     def find_counts(self, job_id: str) -> dict[int, CrashCounts]:
         """Return the counts kept for a job, by task index."""
--- a/pollenladder/scheduling/crashes.py
+++ b/pollenladder/scheduling/crashes.py
@@ -14,29 +14,14 @@
 worker each.
 """
 
-import dataclasses
-
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import crash_outcomes
 from pollenladder.scheduling import crash_records
 from pollenladder.scheduling import effects
-from pollenladder.scheduling import runs
+from pollenladder.scheduling import lost_runs
 from pollenladder.scheduling import tables
 
-# Runs that were started within this time before the worker's last start are
-# suspected.
-SUSPECT_WINDOW_S = 0.03
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Loss:
-    """A run that was lost with its worker, and what it served."""
-
-    run: fleet.Run
-    job: tables.Job
-    task: tables.Task
-
 
 def is_crash_possible(worker: fleet.Worker) -> bool:
     """Return whether the end of a worker's process would be a crash under runs.
@@ -68,7 +53,7 @@
     if not is_crash_possible(worker):
         return
     worker.has_crash_recorded = True
-    lost = _list_lost(region, worker)
+    lost = lost_runs.list_lost(region, worker, now)
     if not lost:
         return
     region.count_failure(effects.Failure.WORKER_CRASHED)
@@ -78,12 +63,12 @@
         evidence=evidence.value,
         runs=len(worker.runs),
     )
-    suspects = _choose_suspects(region, lost, evidence, now)
+    suspects = lost_runs.choose_suspects(region, lost, evidence, now)
     for loss in lost:
         _count_loss(loss)
     for loss in suspects:
         _suspect(region, loss, now)
-    queues = {loss.job.submission.queue for loss in suspects}
+    queues = {loss.queue for loss in suspects}
     # A task that runs alone on its worker is there by choice, not by chance.
     is_isolated = worker.isolated_task in worker.runs
     rates = {} if is_isolated else _measure_rates(region)
@@ -92,8 +77,7 @@
         _keep_loss(region, worker, lost, suspects, True, gains, now)
     _blame(region, worker, queues, now)
     _report(region, lost)
-    for loss in lost:
-        crash_outcomes.give_up(region, loss.job, loss.task, now)
+    _give_up_lost(region, lost, now)
 
 
 def record_silent_loss(
@@ -103,17 +87,16 @@
 
     The worker may have crashed, or it may be partitioned from this daemon.
     """
-    lost = _list_lost(region, worker)
+    lost = lost_runs.list_lost(region, worker, now)
     if not lost:
         return
     evidence = fleet.ProcessEnd.REPLACED
-    recent = _choose_suspects(region, lost, evidence, now)
+    recent = lost_runs.choose_suspects(region, lost, evidence, now)
     for loss in lost:
         _count_loss(loss)
     _keep_loss(region, worker, lost, recent, False, {}, now)
     _report(region, lost)
-    for loss in lost:
-        crash_outcomes.give_up(region, loss.job, loss.task, now)
+    _give_up_lost(region, lost, now)
 
 
 def settle_loss(
@@ -214,8 +197,8 @@
 def _keep_loss(
     region: tables.Region,
     worker: fleet.Worker,
-    lost: list[Loss],
-    recent: list[Loss],
+    lost: list[lost_runs.LostRun],
+    recent: list[lost_runs.LostRun],
     are_suspected: bool,
     gains: dict[str, float],
     now: float,
@@ -223,10 +206,10 @@
     """Keep what was counted until the worker's process is known to run or not."""
     tasks = [
         crash_records.TaskLoss(
-            job_id=loss.job.submission.job_id,
-            task_index=loss.task.index,
-            queue=loss.job.submission.queue,
-            counts=loss.task.crashes,
+            job_id=loss.job_id,
+            task_index=loss.task_index,
+            queue=loss.queue,
+            counts=loss.counts,
             is_suspected=are_suspected and loss in recent,
             is_recent=loss in recent,
         )
@@ -237,48 +220,20 @@
     )
 
 
-def _count_loss(loss: Loss) -> None:
-    loss.task.crashes.lost_workers += 1
-    loss.job.has_lost_workers = True
-
-
-def _list_lost(region: tables.Region, worker: fleet.Worker) -> list[Loss]:
-    lost = []
-    for run in worker.runs.values():
-        job, task = runs.find_task(region, run)
-        if job is not None and task is not None:
-            lost.append(Loss(run, job, task))
-    return lost
-
-
-def _choose_suspects(
-    region: tables.Region,
-    lost: list[Loss],
-    evidence: fleet.ProcessEnd,
-    now: float,
-) -> list[Loss]:
-    """Return the runs that may have crashed their worker.
-
-    If tasks of a queue are known to crash workers, only those are suspected. An order
-    to a worker that was lost in silence may not have arrived before the end of the
-    process, so a run is suspected then only if its start was confirmed.
-    """
-    if evidence is fleet.ProcessEnd.REPLACED:
-        lost = [loss for loss in lost if loss.run.confirmed_at]
-    recent = _list_recent([loss.run for loss in lost])
-    suspects = [loss for loss in lost if loss.run in recent]
-    known = [
-        loss
-        for loss in suspects
-        if region.crashes.is_crashing(loss.job.submission.queue, now)
-    ]
-    return known or suspects
+def _count_loss(loss: lost_runs.LostRun) -> None:
+    loss.counts.lost_workers += 1
+    if loss.job is not None:
+        loss.job.has_lost_workers = True
 
 
-def _list_recent(found: list[fleet.Run]) -> list[fleet.Run]:
-    """Return the last runs that a worker has started."""
-    last_at = max((run.sent_at for run in found), default=0.0)
-    return [run for run in found if run.sent_at >= last_at - SUSPECT_WINDOW_S]
+def _give_up_lost(
+    region: tables.Region, lost: list[lost_runs.LostRun], now: float
+) -> None:
+    """End the jobs whose lost tasks must not be started again."""
+    for loss in lost:
+        if loss.job is not None:
+            task = loss.job.tasks[loss.task_index]
+            crash_outcomes.give_up(region, loss.job, task, now)
 
 
 def _blame(
@@ -327,29 +282,31 @@
         if not found:
             continue
         busy += 1
-        for queue in {run.kind for run in _list_recent(found)}:
+        for queue in {run.kind for run in lost_runs.list_recent(found)}:
             counts[queue] = counts.get(queue, 0) + 1
     return {queue: count / busy for queue, count in counts.items()}
 
 
-def _suspect(region: tables.Region, loss: Loss, now: float) -> None:
-    run, task = loss.run, loss.task
-    task.crashes.suspicions += 1
+def _suspect(
+    region: tables.Region, loss: lost_runs.LostRun, now: float
+) -> None:
+    run = loss.run
+    loss.counts.suspicions += 1
     region.log_event(
         "task_suspected",
-        job=loss.job.submission.job_id,
+        job=loss.job_id,
         task=run.task,
         run=run.number,
         worker=run.worker_id,
-        queue=loss.job.submission.queue,
-        suspicions=task.crashes.suspicions,
+        queue=loss.queue,
+        suspicions=loss.counts.suspicions,
         age_s=round(now - run.sent_at, 4),
     )
 
 
-def _report(region: tables.Region, lost: list[Loss]) -> None:
+def _report(region: tables.Region, lost: list[lost_runs.LostRun]) -> None:
     """Tell the gateways, so that the next owner knows of the crashes."""
-    affected = {loss.job.submission.job_id: loss.job for loss in lost}
+    affected = {loss.job_id: loss.job for loss in lost if loss.job is not None}
     for job in affected.values():
         _report_job(region, job)
 
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -139,7 +139,7 @@
         outcome = jobs.Outcome.GIVEN_UP
         reason = jobs.Reason.TASK_CRASHED_WORKERS
         counts = region.crashes.find_counts(job_id)
-        region.crashes.keep_counts(job_id, counts, now)
+        region.crashes.keep_counts(job_id, submission.queue, counts, now)
         _log_repeated(region, job_id, open_attempts)
     elif end is not None:
         outcome, reason = end.outcome, end.reason
--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -127,7 +127,9 @@
         for task in job.tasks
         if task.crashes.lost_workers
     }
-    region.crashes.keep_counts(job.submission.job_id, counts, now)
+    region.crashes.keep_counts(
+        job.submission.job_id, job.submission.queue, counts, now
+    )
 
 
 def answer_attempts(
