Cancel an attempt at its earlier owners when it moves

What callers would see: a task with two runs at once. A gateway forwards its attempt to the next owner of the group, or to another group as a layout drops its own, while the earlier owner has heard of neither but still hears the gateway.

Cause: the next owner waits until silence has ended the attempt at the earlier owner. But what that owner hears is the link, which carries a frame each 0.3 s for any job, so its attempt does not end, and nobody cancelled it.

Now the gateway sends each earlier owner a cancellation with the reason "moved", before it forwards the attempt, and again after each new link. Links keep the order of messages, so whatever the earlier owner hears later proves that it has the cancellation too: either the cancellation ends the attempt there, or the silence does, which the next owner waits for in any case.

test_answer_of_an_earlier_owner_cancels_the_attempt_at_the_later_one now expects two cancellations in place of one: that of the earlier owner, as the attempt moves, comes first.

Cost: one frame for each job that moves, in place of the one that each earlier owner got at the job's end. A run that no other owner reaches loses its work, and a result that the earlier owner would have had after the move is not awaited. Daemons of earlier builds do not know the reason and close the link.

--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -239,6 +239,7 @@
         GATEWAY_LOST: The gateway of the attempt has not forwarded it again after a
             change of the link, or nothing was heard from it.
         ANSWERED_ELSEWHERE: Another owner has answered the attempt.
+        MOVED: The gateway of the attempt forwards it to another owner.
         DEADLINE: The time that the caller waits has passed.
         DRAINING: The gateway of the job stops before the job has ended.
         INTERNAL_ERROR: A decision about the job failed unexpectedly.
@@ -259,6 +260,7 @@
     OWNER_LOST = "owner_lost"
     GATEWAY_LOST = "gateway_lost"
     ANSWERED_ELSEWHERE = "answered_elsewhere"
+    MOVED = "moved"
     DEADLINE = "deadline"
     DRAINING = "draining"
     INTERNAL_ERROR = "internal_error"
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -545,6 +545,12 @@
         "an attempt waits for the job no longer; `left` others do",
         ("job", "attempt", "gateway", "reason", "left"),
     ),
+    Event(
+        "attempt_moved",
+        Kind.JOB,
+        "the gateway cancels an attempt at `before`, as `owner` has it now",
+        ("job", "attempt", "owner", "before"),
+    ),
     Event(
         "attempt_leases_expired",
         Kind.JOB,
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -194,6 +194,7 @@
         """
         left = dict(_MAX_FORWARDS)
         for job in list(self.open_jobs.values()):
+            self._cancel_at_earlier_owners(job)
             owner_id = self._callbacks.find_owner(job.group)
             kind = open_jobs.classify_forward(job, owner_id)
             if not left[kind]:
@@ -209,11 +210,11 @@
         """Clear the owner of the jobs forwarded to a daemon.
 
         Its link has ended, or there is a new one. What was on its way may be lost,
-        so these jobs are forwarded again, to this owner or the next one.
+        so these jobs are forwarded again, to this owner or the next one, and their
+        earlier owners are told again.
         """
         for job in self.open_jobs.values():
-            if job.owner_id == daemon_id:
-                job.owner_id = ""
+            open_jobs.record_link_change(job, daemon_id)
 
     def run(self) -> None:
         """Expire and forward open jobs, forever.
@@ -256,11 +257,7 @@
             job.submission, may_be_late=choice.may_be_late
         )
         gateway_events.log_sent_to_another_group(job, group, refusal)
-        job.group = group
-        job.owner_id = ""
-        job.group_owners = set()
-        job.has_been_sent = False
-        job.times_forwarded = 0
+        open_jobs.assign_next_group(job, group)
         self._forward_again(job)
         return True
 
@@ -315,6 +312,7 @@
         # at once, and a refusal is then forwarded to another group.
         was_sent = job.has_been_sent
         open_jobs.record_forward(job, owner_id)
+        self._cancel_at_earlier_owners(job)
         if not self._send(job, submission):
             open_jobs.undo_forward(job, was_sent)
             return False
@@ -410,6 +408,27 @@
             ):
                 gateway_events.log_cancel_not_sent(job, owner_id, reason)
 
+    def _cancel_at_earlier_owners(self, job: open_jobs.OpenJob) -> None:
+        """Cancel an attempt at the owners that had it before the present one.
+
+        As long as they hear this gateway, they would run it on beside the next
+        owner. Those without a link are told once they have one.
+        """
+        reason = jobs.Reason.MOVED
+        job_id = job.submission.job_id
+        for owner_id in open_jobs.list_untold_owners(job):
+            try:
+                is_told = self._callbacks.cancel_attempt(
+                    owner_id, job_id, job.attempt, reason
+                )
+            except Exception:
+                # The next owner gets the job all the same.
+                logs.log_failure(LOGGER, "attempt_move", job_id)
+                continue
+            if is_told:
+                open_jobs.record_told(job, owner_id)
+                gateway_events.log_moved(job, owner_id)
+
     def _report_room(
         self, job: open_jobs.OpenJob, refusal: jobs.Answer
     ) -> None:
--- a/pollenladder/service/gateway_events.py
+++ b/pollenladder/service/gateway_events.py
@@ -92,6 +92,18 @@
     )
 
 
+def log_moved(job: open_jobs.OpenJob, before: str) -> None:
+    """Log that an earlier owner is told that another one has the attempt."""
+    logs.log(
+        LOGGER,
+        "attempt_moved",
+        job=job.submission.job_id,
+        attempt=job.attempt,
+        owner=job.owner_id,
+        before=before,
+    )
+
+
 def log_sent_to_another_group(
     job: open_jobs.OpenJob, group: str, refusal: jobs.Answer
 ) -> None:
--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -57,8 +57,10 @@
         owner_id: The owner that the job was forwarded to; "" if there is none.
         last_owner_id: The owner that the job was forwarded to last, also after
             its link has changed.
-        group_owners: The owners of the group that the job was forwarded to. Any
-            of them that has not resigned may still execute it.
+        group_owners: The owners that the job was forwarded to, since no group has
+            it as refused. Any of them that has not resigned may execute it.
+        moved_from: The earlier owners that were told, over their present link,
+            that another one has the job.
         has_been_sent: Whether the job was sent to an owner, which may have
             begun it.
         first_run: The first run number for the next forward; see
@@ -82,6 +84,7 @@
     owner_id: str = ""
     last_owner_id: str = ""
     group_owners: set[str] = dataclasses.field(default_factory=set)
+    moved_from: set[str] = dataclasses.field(default_factory=set)
     has_been_sent: bool = False
     first_run: int = 1
     crashes: tuple[jobs.TaskCrashes, ...] = ()
@@ -137,6 +140,7 @@
     """Record that a job is sent to an owner, which may begin it."""
     job.owner_id = owner_id
     job.group_owners.add(owner_id)
+    job.moved_from.discard(owner_id)
     job.has_been_sent = True
     job.first_run += jobs.RUN_NUMBERS_PER_FORWARD
     job.times_forwarded += 1
@@ -157,6 +161,38 @@
     job.times_forwarded -= 1
 
 
+def list_untold_owners(job: OpenJob) -> list[str]:
+    """Return the earlier owners that do not know yet that another one has a job."""
+    if not job.owner_id or job.group_owners == {job.owner_id}:
+        return []
+    return sorted(job.group_owners - {job.owner_id})
+
+
+def record_told(job: OpenJob, owner_id: str) -> None:
+    """Record that an earlier owner was told that another one has a job."""
+    job.group_owners.discard(owner_id)
+    job.moved_from.add(owner_id)
+
+
+def record_link_change(job: OpenJob, daemon_id: str) -> None:
+    """Record that what was on its way to a daemon may be lost."""
+    if job.owner_id == daemon_id:
+        job.owner_id = ""
+    if daemon_id in job.moved_from:
+        job.moved_from.discard(daemon_id)
+        job.group_owners.add(daemon_id)
+
+
+def assign_next_group(job: OpenJob, group: str) -> None:
+    """Assign a job to a group, after all groups that had it have refused it."""
+    job.group = group
+    job.owner_id = ""
+    job.group_owners = set()
+    job.moved_from = set()
+    job.has_been_sent = False
+    job.times_forwarded = 0
+
+
 def record_refusal(job: OpenJob, answer: jobs.Answer, now: float) -> None:
     """Record that the group that a job was sent to has refused it."""
     job.refused_by |= {job.group}
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -33,7 +33,11 @@
         self.released: list[str] = []
         self.cancelled: list[tuple[str, str, int]] = []
         self.attempts = itertools.count(FIRST_ATTEMPT)
+        # Submissions and cancellations in the order in which they were sent.
+        self.messages: list[tuple[str, str]] = []
+        self.reasons: list[jobs.Reason] = []
         self.arrives = True
+        self.unlinked: set[str] = set()
         self.answers_at_once = False
         self.shed_share = 0.0
         self.ownerless_s = 0.0
@@ -66,7 +70,11 @@
     def _cancel_attempt(
         self, owner_id: str, job_id: str, attempt: int, reason: jobs.Reason
     ) -> bool:
+        if owner_id in self.unlinked:
+            return False
         self.cancelled.append((owner_id, job_id, attempt))
+        self.messages.append(("cancel", owner_id))
+        self.reasons.append(reason)
         return self.arrives
 
     def _choose_group(
@@ -94,6 +102,7 @@
             raise ValueError("cannot be encoded")
         if self.arrives:
             self.sent.append((owner_id, submission))
+            self.messages.append(("submit", owner_id))
         if self.answers_at_once:
             self.answers_at_once = False
             self._refuse(owner_id)
@@ -338,7 +347,10 @@
                 answer = job.build_answer(outcome, jobs.Reason.WAITED_TOO_LONG)
                 self.gateway.handle_answer(answer, "a")
                 self.assertIs(job.answer, answer)
-                self.assertEqual(self.cancelled, [("b", "a1", job.attempt)])
+                self.assertEqual(
+                    self.cancelled,
+                    [("a", "a1", job.attempt), ("b", "a1", job.attempt)],
+                )
 
     def test_answer_of_the_later_owner_cancels_the_attempt_at_the_earlier_one(
         self,
@@ -459,6 +471,87 @@
         self.gateway.remove_waiter(job)
         self.assertEqual(self.cancelled, [("b", "a1", job.attempt)])
 
+    def _move_to(self, owner_id: str) -> None:
+        """Let the group have another owner, which gets the open jobs."""
+        self.owner_id = owner_id
+        self.gateway.forward_open_jobs()
+
+    def test_attempt_that_moves_is_cancelled_at_the_earlier_owner(self):
+        # Before, an owner that still heard this gateway ran the job on beside the
+        # next owner, which waits for as long as silence takes to end the attempt.
+        job = self._submit_job()
+        self._move_to("b")
+        self.assertEqual(
+            self.messages, [("submit", "a"), ("cancel", "a"), ("submit", "b")]
+        )
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+        self.assertEqual(self.reasons, [jobs.Reason.MOVED])
+
+    def test_attempt_of_a_group_that_is_gone_is_cancelled_at_its_owner(self):
+        # Before, an owner that had not read the layout yet ran the job on.
+        self._submit_job()
+        self.groups = ["norte/0"]
+        self._move_to("b")
+        self.assertEqual(
+            self.messages, [("submit", "a"), ("cancel", "a"), ("submit", "b")]
+        )
+
+    def test_owner_of_both_groups_is_not_told_that_the_attempt_has_moved(self):
+        # Guards against a cancellation of what the same owner gets.
+        self._submit_job()
+        self.groups = ["norte/0"]
+        self._move_to("a")
+        self.assertEqual(self.cancelled, [])
+
+    def test_earlier_owner_is_told_again_over_a_new_link(self):
+        # Guards against a cancellation that was lost with the link.
+        job = self._submit_job()
+        self._move_to("b")
+        self.gateway.handle_link_change("a")
+        self.gateway.forward_open_jobs()
+        self.assertEqual(self.cancelled, 2 * [("a", "a1", job.attempt)])
+        self.gateway.forward_open_jobs()
+        self.assertEqual(len(self.cancelled), 2)
+
+    def test_earlier_owner_without_a_link_is_told_once_it_has_one(self):
+        job = self._submit_job()
+        self.unlinked = {"a"}
+        self._move_to("b")
+        self.gateway.forward_open_jobs()
+        self.assertEqual(self.cancelled, [])
+        self.unlinked.clear()
+        self.gateway.forward_open_jobs()
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+
+    def test_owner_that_has_the_attempt_again_is_not_told_any_more(self):
+        # Guards against a cancellation of what an owner has got again.
+        self._submit_job()
+        for owner_id in ("b", "a"):
+            self._move_to(owner_id)
+        self.gateway.handle_link_change("b")
+        self._move_to("a")
+        told = [owner_id for owner_id, _, _ in self.cancelled]
+        self.assertEqual(told, ["a", "b", "b"])
+
+    def test_earlier_owners_are_not_told_while_there_is_no_next_one(self):
+        # Its runs go on until another owner has the job.
+        self._submit_job()
+        self.gateway.handle_link_change("a")
+        self._move_to("")
+        self.assertEqual(self.cancelled, [])
+
+    def test_moved_attempt_is_logged(self):
+        # Guards against logs that don't tell why an owner ends an attempt.
+        job = self._submit_job()
+        self.owner_id = "b"
+        with self.assertLogs(gateway_events.LOGGER, "INFO") as found:
+            self.gateway.forward_open_jobs()
+        fields = {r.getMessage(): r.fields for r in found.records}
+        self.assertEqual(
+            fields["attempt_moved"],
+            {"job": "a1", "attempt": job.attempt, "owner": "b", "before": "a"},
+        )
+
     def test_job_with_another_waiter_continues(self):
         job = self._submit_job()
         self._submit_job()
