Count a job whose sending fails late as begun

What callers would see: a task with two runs, or a refusal of a job that has run. If any exception left the call that sends a job, the gateway recorded that the job was never sent. Once the message is queued, or the owner is this process, the owner may have the job all the same; the next owner, or another group, then got it as one that had not begun. By reading, no exception of today's code leaves the call that late: links queue after they encode, and an engine catches what its decisions and effects raise.

Now only EncodingError, which is raised before a message is queued, says that nothing was sent. After any other exception the job counts as sent: it is forwarded again to the next owner only, and is not refused.

Evidence: test_job_whose_sending_fails_late_may_have_begun and test_job_whose_sending_fails_late_is_not_refused failed before ("False is not true"; answered as REFUSED with NO_OWNER).

In GatewayTest the stand-in for a message that can't be encoded raised ValueError, which no link raises: codecs and links raise EncodingError. It raises that now; what test_job_that_cannot_be_sent_does_not_hold_up_the_others checks is the same.

--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -18,6 +18,7 @@
 from pollenladder.service import gateway_callbacks
 from pollenladder.service import gateway_events
 from pollenladder.service import open_jobs
+from pollenladder.wire import exceptions
 
 LOGGER = logging.getLogger(__name__)
 
@@ -327,10 +328,14 @@
         """Send a job to its owner; return False if it cannot arrive."""
         try:
             return self._callbacks.submit(job.owner_id, job.group, submission)
-        except Exception:
+        except exceptions.EncodingError:
             # The message was not sent, and the job waits for another attempt.
             logs.log_failure(LOGGER, "job_forward", submission.job_id)
             return False
+        except Exception:
+            # The owner may have the job, so it may have begun.
+            logs.log_failure(LOGGER, "job_forward", submission.job_id)
+            return True
 
     def expire(self, now: float) -> None:
         """Answer jobs past their deadline and jobs without an owner in time.
--- a/pollenladder/service/gateway_callbacks.py
+++ b/pollenladder/service/gateway_callbacks.py
@@ -25,7 +25,8 @@
         get_shed_share: Returns the share of new jobs to refuse, 0 to 1, for a
             group.
         submit: Sends a job to a daemon, for a group; returns False if it cannot
-            arrive.
+            arrive. If it raises anything but `exceptions.EncodingError`, the
+            daemon may have the job.
         cancel_attempt: Sends a daemon the cancellation of an attempt, given by job
             id and number, with the reason; returns False if it cannot arrive.
         release: Tells a group that refused an attempt, given by job id and number,
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -14,6 +14,7 @@
 from pollenladder.service import gateway_callbacks
 from pollenladder.service import gateway_events
 from pollenladder.service import open_jobs
+from pollenladder.wire import exceptions
 from tests.scheduling import simulations
 
 GROUP = groups.REGION_GROUP
@@ -38,6 +39,8 @@
         self.reasons: list[jobs.Reason] = []
         self.arrives = True
         self.unlinked: set[str] = set()
+        # Raised by the next call that sends a job, after it was sent.
+        self.error_after_sending: Exception | None = None
         self.answers_at_once = False
         self.shed_share = 0.0
         self.ownerless_s = 0.0
@@ -99,13 +102,16 @@
         self, owner_id: str, group: str, submission: jobs.Submission
     ) -> bool:
         if submission.job_id == FAILING_JOB:
-            raise ValueError("cannot be encoded")
+            raise exceptions.EncodingError("cannot be encoded")
         if self.arrives:
             self.sent.append((owner_id, submission))
             self.messages.append(("submit", owner_id))
+        error, self.error_after_sending = self.error_after_sending, None
         if self.answers_at_once:
             self.answers_at_once = False
             self._refuse(owner_id)
+        if error is not None:
+            raise error
         return self.arrives
 
     def _submit_job(self) -> open_jobs.OpenJob:
@@ -552,6 +558,28 @@
             {"job": "a1", "attempt": job.attempt, "owner": "b", "before": "a"},
         )
 
+    def _submit_with_error(self, error: Exception) -> open_jobs.OpenJob:
+        """Submit a job whose sending raises an error after it was sent."""
+        self.error_after_sending = error
+        with self.assertLogs(gateways.LOGGER, "ERROR"):
+            return self._submit_job()
+
+    def test_job_whose_sending_fails_late_may_have_begun(self):
+        # Before, the job counted as never sent, and another owner, or another
+        # group, got it as one that had not begun.
+        self._submit_with_error(RuntimeError("after the message was queued"))
+        self._move_to("b")
+        first, second = (submission for _, submission in self.sent)
+        self.assertTrue(second.may_have_begun)
+        self.assertGreater(second.first_run, first.first_run)
+
+    def test_job_whose_sending_fails_late_is_not_refused(self):
+        # Before, its caller was told that it had not run.
+        job = self._submit_with_error(RuntimeError("after it was queued"))
+        self.owner_id = ""
+        self.gateway.expire(self.now + 0.9)
+        self.assertIsNone(job.answer)
+
     def test_job_with_another_waiter_continues(self):
         job = self._submit_job()
         self._submit_job()
