Keep the record of a forward that was made within another one

What callers would see: a job that its second group has to begin again. An owner in the gateway's own process refuses a job within the call that forwards it, and the gateway forwards it to the next group before that call returns. Afterwards the gateway recorded the owner that had refused the job as the last one. If the outer call failed after that, the inner forward was undone, and the job counted as never sent.

Now a forward is recorded before the call with its owner, and is undone only if no other forward and no other group has come since.

Evidence: test_owner_of_the_next_group_counts_as_the_last_one failed before (ForwardKind.REPEAT in place of CONFIRMATION), and test_failure_after_a_refusal_leaves_the_next_group_its_job ("False is not true"). The second case needs an error that no owner in the same process raises today.

--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -311,14 +311,12 @@
         submission = open_jobs.build_forward(job, now)
         # Recorded before the call, as an owner in this process answers the job
         # at once, and a refusal is then forwarded to another group.
-        was_sent = job.has_been_sent
-        open_jobs.record_forward(job, owner_id)
+        forward = open_jobs.record_forward(job, owner_id)
         self._cancel_at_earlier_owners(job)
         if not self._send(job, submission):
-            open_jobs.undo_forward(job, was_sent)
+            open_jobs.undo_forward(job, forward)
             return False
-        job.last_owner_id = owner_id
-        if was_sent:
+        if forward.was_sent:
             gateway_events.log_forwarded_again(job, submission.age_s)
         return True
 
--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -136,28 +136,52 @@
     )
 
 
-def record_forward(job: OpenJob, owner_id: str) -> None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """What a forward has changed in the record of a job, so that it can be undone.
+
+    Attributes:
+        group: The group of the job.
+        first_run: The first run number of the forward.
+        was_sent: Whether the job had been sent to an owner before.
+        last_owner_id: The owner that the job was forwarded to before.
+    """
+
+    group: str
+    first_run: int
+    was_sent: bool
+    last_owner_id: str
+
+
+def record_forward(job: OpenJob, owner_id: str) -> Forward:
     """Record that a job is sent to an owner, which may begin it."""
+    forward = Forward(
+        job.group, job.first_run, job.has_been_sent, job.last_owner_id
+    )
     job.owner_id = owner_id
+    job.last_owner_id = owner_id
     job.group_owners.add(owner_id)
     job.moved_from.discard(owner_id)
     job.has_been_sent = True
     job.first_run += jobs.RUN_NUMBERS_PER_FORWARD
     job.times_forwarded += 1
+    return forward
 
 
-def undo_forward(job: OpenJob, was_sent: bool) -> None:
+def undo_forward(job: OpenJob, forward: Forward) -> None:
     """Undo the record of a forward that could not be sent.
 
-    Args:
-        job: The job.
-        was_sent: Whether the job had been sent to an owner before.
+    If the job was forwarded to another group meanwhile, its record is kept.
     """
+    next_first_run = forward.first_run + jobs.RUN_NUMBERS_PER_FORWARD
+    if job.group != forward.group or job.first_run != next_first_run:
+        return
     job.owner_id = ""
-    if not was_sent:
+    job.last_owner_id = forward.last_owner_id
+    if not forward.was_sent:
         job.group_owners.clear()
-    job.has_been_sent = was_sent
-    job.first_run -= jobs.RUN_NUMBERS_PER_FORWARD
+    job.has_been_sent = forward.was_sent
+    job.first_run = forward.first_run
     job.times_forwarded -= 1
 
 
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -41,6 +41,8 @@
         self.unlinked: set[str] = set()
         # Raised by the next call that sends a job, after it was sent.
         self.error_after_sending: Exception | None = None
+        # The owners of groups that do not have `owner_id`.
+        self.owners: dict[str, str] = {}
         self.answers_at_once = False
         self.shed_share = 0.0
         self.ownerless_s = 0.0
@@ -51,7 +53,7 @@
         self.refused_with_room: list[bool] = []
         self.gateway = gateways.Gateway(
             gateway_callbacks.Callbacks(
-                find_owner=lambda group: self.owner_id if group else "",
+                find_owner=self._find_owner,
                 get_ownerless_s=lambda: self.ownerless_s,
                 has_group=lambda group: group in self.groups,
                 count_groups=lambda: len(self.groups),
@@ -70,6 +72,9 @@
             lambda: next(self.attempts),
         )
 
+    def _find_owner(self, group: str) -> str:
+        return self.owners.get(group, self.owner_id) if group else ""
+
     def _cancel_attempt(
         self, owner_id: str, job_id: str, attempt: int, reason: jobs.Reason
     ) -> bool:
@@ -580,6 +585,34 @@
         self.gateway.expire(self.now + 0.9)
         self.assertIsNone(job.answer)
 
+    def test_failure_after_a_refusal_leaves_the_next_group_its_job(self):
+        # The owner is this process and refuses at once, so the second group has
+        # the job as the first call fails. Before, the job counted as never sent.
+        for error in (RuntimeError("late"), exceptions.EncodingError("late")):
+            with self.subTest(error=error):
+                self.groups = [GROUP, "norte/0"]
+                self.answers_at_once = True
+                job = self._submit_with_error(error)
+                self.assertEqual(job.group, "norte/0")
+                self.assertTrue(job.has_been_sent)
+                self.assertEqual(job.group_owners, {"a"})
+                self.gateway.remove_waiter(job)
+                self.attempts = itertools.count(FIRST_ATTEMPT)
+
+    def test_owner_of_the_next_group_counts_as_the_last_one(self):
+        # Before, the group that had refused the job did, so that its forward over
+        # a new link came as late as those to another owner.
+        self.groups = [GROUP, "norte/0"]
+        self.answers_at_once = True
+        self.owners = {"norte/0": "b"}
+        job = self._submit_job()
+        self.assertEqual(self.sent[-1][0], "b")
+        self.gateway.handle_link_change("b")
+        self.assertIs(
+            open_jobs.classify_forward(job, "b"),
+            open_jobs.ForwardKind.CONFIRMATION,
+        )
+
     def test_job_with_another_waiter_continues(self):
         job = self._submit_job()
         self._submit_job()
