Model an attempt that moves while its earlier owner goes on

models/attempts.pml searched only what the owner that a gateway follows keeps. Now it has the cancellation at the first owner as the attempt moves to the second one, and checks the first owner too: once nothing is on its way and no grace is pending, it runs the job for an open attempt that it still has, or for none.

The model needs no repetition over a new link: the owner's grace ends what such a link has lost. The gateway repeats it to end the attempt sooner, and the model has no time.

--- a/models/attempts.pml
+++ b/models/attempts.pml
@@ -5,16 +5,19 @@
  * A caller submits a job to either of two gateways, leaves at any step, and submits
  * it again. A gateway forwards its open attempt to the owner that it follows, and
  * notices late that a caller has left. It follows the second owner after the first
- * one, which goes on, as it may be frozen or cut off. A link that ends loses what
- * is on its way, and a new link may replace one whose end was not noticed. A
- * gateway may be restarted.
+ * one, which goes on, as it may be frozen, cut off, or not have heard of the second
+ * one. The gateway cancels the attempt at the first owner as it forwards it to the
+ * second one. A link that ends loses what is on its way, and a new link may replace
+ * one whose end was not noticed. A gateway may be restarted.
  *
  * Checked: an answer finishes only the attempt that it names. A cancellation leaves
  * the caller's current attempt alone unless it names it. Once nothing is on its way
  * and no grace is pending, an owner runs the job only for attempts that are open,
- * and it knows the open attempt that was forwarded to it.
+ * and it knows the open attempt that was forwarded to it; the first owner does not
+ * run the job for an attempt that was forwarded to the second one.
  *
- * Code: service.gateway: Gateway. scheduling.intake: submit, cancel_attempt.
+ * Code: service.gateway: Gateway. service.open_jobs: list_untold_owners.
+ * Code: scheduling.intake: submit, cancel_attempt.
  * Code: scheduling.gateway_links: record_change, remove_unconfirmed.
  * Code: scheduling.job_ends: remove_attempt, answer_attempts.
  *
@@ -26,7 +29,8 @@
  * forgets that a link was lost once it is made again; NAIVE_REPLACED does not count
  * a new link that replaces another; NAIVE_FORWARD forwards nothing again after
  * that; NAIVE_ELSEWHERE tells the next owner nothing of an earlier owner's answer;
- * NAIVE_NUMBER numbers the attempts of each process of a gateway from 1.
+ * NAIVE_NUMBER numbers the attempts of each process of a gateway from 1; NAIVE_MOVED
+ * does not cancel an attempt at the first owner as it moves.
  */
 #define ATTEMPTS 2
 #define NONE 2               /* no attempt */
@@ -62,6 +66,7 @@
 byte forwarded[2] = NO_OWNER;   /* the owner that the open attempt was sent to */
 byte follows[2];
 byte numbered[2];
+bit untold[2];               /* the first owner has it, and knows of no next one */
 bit restarted;
 
 /* Owners. */
@@ -152,9 +157,24 @@
 	fi
 }
 
+/* Cancel the attempt x of gateway g, which moves, at the first owner. */
+inline cancel_moved() {
+#ifdef NAIVE_MOVED
+	skip
+#else
+	if
+	:: untold[g] && follows[g] == 1 && up[LINK(g, 0)] ->
+		cancellation[AT(x, 0)] = 1;
+		untold[g] = 0
+	:: else
+	fi
+#endif
+}
+
 inline close() {
 	open[x] = 0;
 	left[x] = 0;
+	untold[g] = 0;
 	forwarded[g] = NO_OWNER
 }
 
@@ -231,8 +251,10 @@
 		if
 		:: x < ATTEMPTS && forwarded[g] != follows[g] &&
 		   up[LINK(g, follows[g])] ->
+			cancel_moved();
 			forwarded[g] = follows[g];
-			submission[AT(x, follows[g])] = 1
+			submission[AT(x, follows[g])] = 1;
+			untold[g] = untold[g] || follows[g] == 0
 		:: else
 		fi
 	}
@@ -425,5 +447,20 @@
 		:: else
 		fi
 	}
+	/* The same for the first owner, whichever one the gateway follows. */
+	:: atomic {
+		made > 0 ->
+		choose_attempt();
+		g = gateway[a];
+		find_open();
+		if
+		:: up[LINK(g, 0)] && !submission[AT(a, 0)] &&
+		   !cancellation[AT(a, 0)] && !answer[AT(a, 0)] &&
+		   !(unconfirmed[0] & BIT(a)) ->
+			assert(!(waiting[0] & BIT(a)) ||
+			       (x == a && forwarded[g] != 1))
+		:: else
+		fi
+	}
 	od
 }
