Test that an owner that claims again keeps its refusals

A group that has refused a job answers the job's next attempt with 504 as long as another group may run it. That this holds after another claim of the same owner had no test; with the refusals left out of recovery.rebuild_region it fails.

--- a/tests/scheduling/test_attempts.py
+++ b/tests/scheduling/test_attempts.py
@@ -230,3 +230,16 @@
         job_ends.release_refusal(self.region, "a1", FIRST)
         self.simulation.submit("a1", "g3", tasks=1)
         self.assertIn("a1", self.region.jobs)
+
+    def test_owner_that_claims_again_still_refuses_what_may_run_elsewhere(self):
+        # Guards against a second run beside that of another group.
+        self.simulation.submit("a1", cpu_milli=10**9)
+        self.simulation.take_answers()
+        self.simulation.region = recovery.rebuild_region(
+            self.region, 2, self.simulation.now
+        )
+        self.simulation.list_workers(["w0"])
+        self.simulation.submit("a1", "g2", tasks=1)
+        (answer,) = self.simulation.take_answers()
+        self.assertIs(answer.outcome, jobs.Outcome.GIVEN_UP)
+        self.assertEqual(self.simulation.take_starts(), [])
