--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -187,7 +187,7 @@
 
 def list_untold_owners(job: OpenJob) -> list[str]:
     """Return the earlier owners that do not know yet that another one has a job."""
-    if not job.owner_id or job.group_owners == {job.owner_id}:
+    if not job.owner_id or len(job.group_owners) == 1:
         return []
     return sorted(job.group_owners - {job.owner_id})
 
