Give the cancellations of a gateway a module of their own

What it sends to owners as an attempt ends or moves stands in attempt_cancellations now; nothing else changes.

--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -1,7 +1,6 @@
 """Accept the jobs of callers, forward them to the owner, and answer them."""
 
 from collections.abc import Callable
-from collections.abc import Collection
 import dataclasses
 import logging
 import math
@@ -15,6 +14,7 @@
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import group_retries
 from pollenladder.scheduling import owner_waits
+from pollenladder.service import attempt_cancellations
 from pollenladder.service import gateway_callbacks
 from pollenladder.service import gateway_events
 from pollenladder.service import open_jobs
@@ -168,7 +168,7 @@
             answer = open_jobs.combine_refusals(job, answer, now)
         # Another owner would run the job on for nobody.
         reason = jobs.Reason.ANSWERED_ELSEWHERE
-        self._cancel_at_owners(job, job.group_owners - {sender}, reason)
+        attempt_cancellations.cancel(self._callbacks, job, reason, sender)
         self._finish(job, answer)
 
     def handle_crashes(
@@ -195,7 +195,7 @@
         """
         left = dict(_MAX_FORWARDS)
         for job in list(self.open_jobs.values()):
-            self._cancel_at_earlier_owners(job)
+            attempt_cancellations.cancel_moved(self._callbacks, job)
             owner_id = self._callbacks.find_owner(job.group)
             kind = open_jobs.classify_forward(job, owner_id)
             if not left[kind]:
@@ -312,7 +312,7 @@
         # Recorded before the call, as an owner in this process answers the job
         # at once, and a refusal is then forwarded to another group.
         forward = open_jobs.record_forward(job, owner_id)
-        self._cancel_at_earlier_owners(job)
+        attempt_cancellations.cancel_moved(self._callbacks, job)
         if not self._send(job, submission):
             open_jobs.undo_forward(job, forward)
             return False
@@ -383,55 +383,15 @@
             self._refuse(job, reason, RETRY_AFTER_STOP_S)
 
     def _give_up(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
-        self._cancel_at_owners(job, job.group_owners, reason)
+        attempt_cancellations.cancel(self._callbacks, job, reason)
         outcome = jobs.Outcome.GIVEN_UP
         self._finish(job, job.build_answer(outcome, reason))
 
     def _cancel(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
-        self._cancel_at_owners(job, job.group_owners, reason)
+        attempt_cancellations.cancel(self._callbacks, job, reason)
         outcome = jobs.Outcome.CANCELLED
         self._finish(job, job.build_answer(outcome, reason))
 
-    def _cancel_at_owners(
-        self,
-        job: open_jobs.OpenJob,
-        owner_ids: Collection[str],
-        reason: jobs.Reason,
-    ) -> None:
-        """Send owners the cancellation of an attempt.
-
-        An earlier owner may still execute the job, as it has not heard yet of the
-        one after it. If the cancellation cannot arrive, the owner removes the
-        attempt after the change of the link, as it is not forwarded again.
-        """
-        job_id = job.submission.job_id
-        for owner_id in owner_ids:
-            if not self._callbacks.cancel_attempt(
-                owner_id, job_id, job.attempt, reason
-            ):
-                gateway_events.log_cancel_not_sent(job, owner_id, reason)
-
-    def _cancel_at_earlier_owners(self, job: open_jobs.OpenJob) -> None:
-        """Cancel an attempt at the owners that had it before the present one.
-
-        As long as they hear this gateway, they would run it on beside the next
-        owner. Those without a link are told once they have one.
-        """
-        reason = jobs.Reason.MOVED
-        job_id = job.submission.job_id
-        for owner_id in open_jobs.list_untold_owners(job):
-            try:
-                is_told = self._callbacks.cancel_attempt(
-                    owner_id, job_id, job.attempt, reason
-                )
-            except Exception:
-                # The next owner gets the job all the same.
-                logs.log_failure(LOGGER, "attempt_move", job_id)
-                continue
-            if is_told:
-                open_jobs.record_told(job, owner_id)
-                gateway_events.log_moved(job, owner_id)
-
     def _report_room(
         self, job: open_jobs.OpenJob, refusal: jobs.Answer
     ) -> None:
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -10,6 +10,7 @@
 from pollenladder.platform import messages as platform_messages
 from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import owner_waits
+from pollenladder.service import attempt_cancellations
 from pollenladder.service import gateway as gateways
 from pollenladder.service import gateway_callbacks
 from pollenladder.service import gateway_events
@@ -39,6 +40,8 @@
         self.reasons: list[jobs.Reason] = []
         self.arrives = True
         self.unlinked: set[str] = set()
+        # Sending these a cancellation raises an exception.
+        self.failing: set[str] = set()
         # Raised by the next call that sends a job, after it was sent.
         self.error_after_sending: Exception | None = None
         # The owners of groups that do not have `owner_id`.
@@ -80,6 +83,8 @@
     ) -> bool:
         if owner_id in self.unlinked:
             return False
+        if owner_id in self.failing:
+            raise RuntimeError
         self.cancelled.append((owner_id, job_id, attempt))
         self.messages.append(("cancel", owner_id))
         self.reasons.append(reason)
@@ -534,6 +539,18 @@
         self.gateway.forward_open_jobs()
         self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
 
+    def test_cancellation_that_fails_does_not_hold_up_the_next_owner(self):
+        # Guards against a job that no owner has, and against an owner that is never
+        # told because the first cancellation failed.
+        self._submit_job()
+        self.failing = {"a"}
+        with self.assertLogs(attempt_cancellations.LOGGER, "ERROR"):
+            self._move_to("b")
+        self.assertEqual(self.sent[-1][0], "b")
+        self.failing.clear()
+        self.gateway.forward_open_jobs()
+        self.assertEqual(self.messages[-1], ("cancel", "a"))
+
     def test_owner_that_has_the_attempt_again_is_not_told_any_more(self):
         # Guards against a cancellation of what an owner has got again.
         self._submit_job()
