End the leases of an unconfirmed attempt by the change of its link

What callers would see: a task with two runs. A gateway is killed and back under its id. Its old attempts stay unconfirmed at the owner and are removed 0.5 s to 0.75 s after the first change of the link, but their runs got leases until 1.22 s after the last contact with the daemon of that id, which is the new process. If the stops get no reply, the runs outlast the 1.3 s after which the caller submits the job again.

Now the change of the link counts as the last contact for an attempt that was not confirmed since.

Evidence: test_runs_end_in_time_though_the_next_process_of_a_gateway_is_heard failed before: the leases were to end 1.22 s after the attempt's removal, not after the change of the link.

--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -165,7 +165,9 @@
     another owner, whose answer another one could contradict.
     """
     del job.attempts[attempt.number]
-    job.served_at = region.gateways_heard_at.get(attempt.gateway_id, now)
+    heard_at = region.gateways_heard_at.get(attempt.gateway_id, now)
+    # What is heard since may come from another process of the gateway.
+    job.served_at = min(heard_at, attempt.unconfirmed_since)
     region.log_event(
         "attempt_removed",
         job=job.submission.job_id,
--- a/tests/scheduling/test_gateway_links.py
+++ b/tests/scheduling/test_gateway_links.py
@@ -2,11 +2,16 @@
 
 import unittest
 
+from pollenladder.scheduling import attempt_leases
 from pollenladder.scheduling import gateway_links
+from pollenladder.scheduling import lease_limits
 from tests.scheduling import simulations
 
 GRACE_S = gateway_links.GATEWAY_GRACE_S
 CONFIRMATION_S = gateway_links.CONFIRMATION_S
+RUN_LIMIT_S = lease_limits.choose_limit_s(
+    1.3, attempt_leases.choose_lease_s(1.3)
+)
 A1_TASKS = {"a1.0.0.0", "a1.0.0.1"}
 
 
@@ -53,6 +58,24 @@
         self.assertNotIn("a1", self.simulation.region.jobs)
         self.assertLess(GRACE_S + 0.1, simulations.LEASE_S)
 
+    def test_runs_end_in_time_though_the_next_process_of_a_gateway_is_heard(
+        self,
+    ):
+        # Before, a gateway that was back under its id counted as heard for attempts
+        # of its earlier process, so that a run whose stop gets no reply outlasted the
+        # time after which the caller submits the job again.
+        region = self.simulation.region
+        region.run_limit_s = RUN_LIMIT_S
+        changed_at = self.simulation.now
+        self._change_link(False)
+        self.simulation.step(0.3)
+        self._change_link(True)
+        while "a1" in region.jobs:
+            region.gateways_heard_at["far"] = self.simulation.now
+            self.simulation.step(0.02)
+        limits = {run.ends_by for run in region.runs["a1"]}
+        self.assertEqual(limits, {changed_at + RUN_LIMIT_S})
+
     def test_jobs_of_other_gateways_continue(self):
         self._change_link(False)
         self.simulation.step(GRACE_S + 0.02)
