Count the time for which a machine was suspended

What callers would see: a task with two runs, or an answer that comes long after they have left. The platform may suspend a machine for seconds, and says that the steady clock does not count that time. The daemon read just that clock, so it woke without noticing: gateways counted as heard a moment ago, leases of runs were renewed by a second for attempts that had ended elsewhere, late ticks were not late, and a gateway's open jobs did not expire. What the daemon does after a pause was tested with stopped processes only, for which that clock goes on.

Now the monotonic time is read from CLOCK_BOOTTIME, which counts a suspension, so that it looks like any other pause. The links between daemons still read the other clock, but compare only its own readings with each other; the owner only looks whether their time of reading has changed.

--- a/pollenladder/core/clocks.py
+++ b/pollenladder/core/clocks.py
@@ -8,8 +8,12 @@
 
 
 def read_monotonic_s() -> float:
-    """Return the monotonic time, in seconds."""
-    return time.monotonic()
+    """Return the monotonic time, in seconds.
+
+    It counts the time for which the machine was suspended, unlike `time.monotonic`.
+    Leases and timeouts of other machines go on meanwhile.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def read_wall_s() -> float:
