--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -1,7 +1,6 @@
 """Accept the jobs of callers, forward them to the owner, and answer them."""
 
 from collections.abc import Callable
-from collections.abc import Collection
 import dataclasses
 import logging
 import math
@@ -15,9 +14,11 @@
 from pollenladder.logs import lines as logs
 from pollenladder.scheduling import group_retries
 from pollenladder.scheduling import owner_waits
+from pollenladder.service import attempt_cancellations
 from pollenladder.service import gateway_callbacks
 from pollenladder.service import gateway_events
 from pollenladder.service import open_jobs
+from pollenladder.wire import exceptions
 
 LOGGER = logging.getLogger(__name__)
 
@@ -167,7 +168,7 @@
             answer = open_jobs.combine_refusals(job, answer, now)
         # Another owner would run the job on for nobody.
         reason = jobs.Reason.ANSWERED_ELSEWHERE
-        self._cancel_at_owners(job, job.group_owners - {sender}, reason)
+        attempt_cancellations.cancel(self._callbacks, job, reason, sender)
         self._finish(job, answer)
 
     def handle_crashes(
@@ -194,6 +195,7 @@
         """
         left = dict(_MAX_FORWARDS)
         for job in list(self.open_jobs.values()):
+            attempt_cancellations.cancel_moved(self._callbacks, job)
             owner_id = self._callbacks.find_owner(job.group)
             kind = open_jobs.classify_forward(job, owner_id)
             if not left[kind]:
@@ -209,11 +211,11 @@
         """Clear the owner of the jobs forwarded to a daemon.
 
         Its link has ended, or there is a new one. What was on its way may be lost,
-        so these jobs are forwarded again, to this owner or the next one.
+        so these jobs are forwarded again, to this owner or the next one, and their
+        earlier owners are told again.
         """
         for job in self.open_jobs.values():
-            if job.owner_id == daemon_id:
-                job.owner_id = ""
+            open_jobs.record_link_change(job, daemon_id)
 
     def run(self) -> None:
         """Expire and forward open jobs, forever.
@@ -256,11 +258,7 @@
             job.submission, may_be_late=choice.may_be_late
         )
         gateway_events.log_sent_to_another_group(job, group, refusal)
-        job.group = group
-        job.owner_id = ""
-        job.group_owners = set()
-        job.has_been_sent = False
-        job.times_forwarded = 0
+        open_jobs.assign_next_group(job, group)
         self._forward_again(job)
         return True
 
@@ -313,13 +311,12 @@
         submission = open_jobs.build_forward(job, now)
         # Recorded before the call, as an owner in this process answers the job
         # at once, and a refusal is then forwarded to another group.
-        was_sent = job.has_been_sent
-        open_jobs.record_forward(job, owner_id)
+        forward = open_jobs.record_forward(job, owner_id)
+        attempt_cancellations.cancel_moved(self._callbacks, job)
         if not self._send(job, submission):
-            open_jobs.undo_forward(job, was_sent)
+            open_jobs.undo_forward(job, forward)
             return False
-        job.last_owner_id = owner_id
-        if was_sent:
+        if forward.was_sent:
             gateway_events.log_forwarded_again(job, submission.age_s)
         return True
 
@@ -329,10 +326,14 @@
         """Send a job to its owner; return False if it cannot arrive."""
         try:
             return self._callbacks.submit(job.owner_id, job.group, submission)
-        except Exception:
+        except exceptions.EncodingError:
             # The message was not sent, and the job waits for another attempt.
             logs.log_failure(LOGGER, "job_forward", submission.job_id)
             return False
+        except Exception:
+            # The owner may have the job, so it may have begun.
+            logs.log_failure(LOGGER, "job_forward", submission.job_id)
+            return True
 
     def expire(self, now: float) -> None:
         """Answer jobs past their deadline and jobs without an owner in time.
@@ -382,34 +383,15 @@
             self._refuse(job, reason, RETRY_AFTER_STOP_S)
 
     def _give_up(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
-        self._cancel_at_owners(job, job.group_owners, reason)
+        attempt_cancellations.cancel(self._callbacks, job, reason)
         outcome = jobs.Outcome.GIVEN_UP
         self._finish(job, job.build_answer(outcome, reason))
 
     def _cancel(self, job: open_jobs.OpenJob, reason: jobs.Reason) -> None:
-        self._cancel_at_owners(job, job.group_owners, reason)
+        attempt_cancellations.cancel(self._callbacks, job, reason)
         outcome = jobs.Outcome.CANCELLED
         self._finish(job, job.build_answer(outcome, reason))
 
-    def _cancel_at_owners(
-        self,
-        job: open_jobs.OpenJob,
-        owner_ids: Collection[str],
-        reason: jobs.Reason,
-    ) -> None:
-        """Send owners the cancellation of an attempt.
-
-        An earlier owner may still execute the job, as it has not heard yet of the
-        one after it. If the cancellation cannot arrive, the owner removes the
-        attempt after the change of the link, as it is not forwarded again.
-        """
-        job_id = job.submission.job_id
-        for owner_id in owner_ids:
-            if not self._callbacks.cancel_attempt(
-                owner_id, job_id, job.attempt, reason
-            ):
-                gateway_events.log_cancel_not_sent(job, owner_id, reason)
-
     def _report_room(
         self, job: open_jobs.OpenJob, refusal: jobs.Answer
     ) -> None:
--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -57,8 +57,10 @@
         owner_id: The owner that the job was forwarded to; "" if there is none.
         last_owner_id: The owner that the job was forwarded to last, also after
             its link has changed.
-        group_owners: The owners of the group that the job was forwarded to. Any
-            of them that has not resigned may still execute it.
+        group_owners: The owners that the job was forwarded to, since no group has
+            it as refused. Any of them that has not resigned may execute it.
+        moved_from: The earlier owners that were told, over their present link,
+            that another one has the job.
         has_been_sent: Whether the job was sent to an owner, which may have
             begun it.
         first_run: The first run number for the next forward; see
@@ -82,6 +84,7 @@
     owner_id: str = ""
     last_owner_id: str = ""
     group_owners: set[str] = dataclasses.field(default_factory=set)
+    moved_from: set[str] = dataclasses.field(default_factory=set)
     has_been_sent: bool = False
     first_run: int = 1
     crashes: tuple[jobs.TaskCrashes, ...] = ()
@@ -133,30 +136,87 @@
     )
 
 
-def record_forward(job: OpenJob, owner_id: str) -> None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """What a forward has changed in the record of a job, so that it can be undone.
+
+    Attributes:
+        group: The group of the job.
+        first_run: The first run number of the forward.
+        was_sent: Whether the job had been sent to an owner before.
+        last_owner_id: The owner that the job was forwarded to before.
+    """
+
+    group: str
+    first_run: int
+    was_sent: bool
+    last_owner_id: str
+
+
+def record_forward(job: OpenJob, owner_id: str) -> Forward:
     """Record that a job is sent to an owner, which may begin it."""
+    forward = Forward(
+        job.group, job.first_run, job.has_been_sent, job.last_owner_id
+    )
     job.owner_id = owner_id
+    job.last_owner_id = owner_id
     job.group_owners.add(owner_id)
+    job.moved_from.discard(owner_id)
     job.has_been_sent = True
     job.first_run += jobs.RUN_NUMBERS_PER_FORWARD
     job.times_forwarded += 1
+    return forward
 
 
-def undo_forward(job: OpenJob, was_sent: bool) -> None:
+def undo_forward(job: OpenJob, forward: Forward) -> None:
     """Undo the record of a forward that could not be sent.
 
-    Args:
-        job: The job.
-        was_sent: Whether the job had been sent to an owner before.
+    If the job was forwarded to another group meanwhile, its record is kept.
     """
+    next_first_run = forward.first_run + jobs.RUN_NUMBERS_PER_FORWARD
+    if job.group != forward.group or job.first_run != next_first_run:
+        return
     job.owner_id = ""
-    if not was_sent:
+    job.last_owner_id = forward.last_owner_id
+    if not forward.was_sent:
         job.group_owners.clear()
-    job.has_been_sent = was_sent
-    job.first_run -= jobs.RUN_NUMBERS_PER_FORWARD
+    job.has_been_sent = forward.was_sent
+    job.first_run = forward.first_run
     job.times_forwarded -= 1
 
 
+def list_untold_owners(job: OpenJob) -> list[str]:
+    """Return the earlier owners that do not know yet that another one has a job."""
+    if not job.owner_id or len(job.group_owners) == 1:
+        return []
+    return sorted(job.group_owners - {job.owner_id})
+
+
+def record_told(job: OpenJob, owner_id: str) -> None:
+    """Record that an earlier owner was told that another one has a job."""
+    job.group_owners.discard(owner_id)
+    job.moved_from.add(owner_id)
+
+
+def record_link_change(job: OpenJob, daemon_id: str) -> None:
+    """Record that what was on its way to a daemon may be lost."""
+    if job.owner_id == daemon_id:
+        job.owner_id = ""
+    if daemon_id in job.moved_from:
+        job.moved_from.discard(daemon_id)
+        job.group_owners.add(daemon_id)
+
+
+def assign_next_group(job: OpenJob, group: str) -> None:
+    """Assign a job to a group, after all groups that had it have refused it."""
+    job.group = group
+    job.owner_id = ""
+    job.group_owners = set()
+    job.moved_from = set()
+    job.has_been_sent = False
+    job.times_forwarded = 0
+
+
 def record_refusal(job: OpenJob, answer: jobs.Answer, now: float) -> None:
     """Record that the group that a job was sent to has refused it."""
     job.refused_by |= {job.group}
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -10,10 +10,12 @@
 from pollenladder.platform import messages as platform_messages
 from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import owner_waits
+from pollenladder.service import attempt_cancellations
 from pollenladder.service import gateway as gateways
 from pollenladder.service import gateway_callbacks
 from pollenladder.service import gateway_events
 from pollenladder.service import open_jobs
+from pollenladder.wire import exceptions
 from tests.scheduling import simulations
 
 GROUP = groups.REGION_GROUP
@@ -33,7 +35,17 @@
         self.released: list[str] = []
         self.cancelled: list[tuple[str, str, int]] = []
         self.attempts = itertools.count(FIRST_ATTEMPT)
+        # Submissions and cancellations in the order in which they were sent.
+        self.messages: list[tuple[str, str]] = []
+        self.reasons: list[jobs.Reason] = []
         self.arrives = True
+        self.unlinked: set[str] = set()
+        # Sending these a cancellation raises an exception.
+        self.failing: set[str] = set()
+        # Raised by the next call that sends a job, after it was sent.
+        self.error_after_sending: Exception | None = None
+        # The owners of groups that do not have `owner_id`.
+        self.owners: dict[str, str] = {}
         self.answers_at_once = False
         self.shed_share = 0.0
         self.ownerless_s = 0.0
@@ -44,7 +56,7 @@
         self.refused_with_room: list[bool] = []
         self.gateway = gateways.Gateway(
             gateway_callbacks.Callbacks(
-                find_owner=lambda group: self.owner_id if group else "",
+                find_owner=self._find_owner,
                 get_ownerless_s=lambda: self.ownerless_s,
                 has_group=lambda group: group in self.groups,
                 count_groups=lambda: len(self.groups),
@@ -63,10 +75,19 @@
             lambda: next(self.attempts),
         )
 
+    def _find_owner(self, group: str) -> str:
+        return self.owners.get(group, self.owner_id) if group else ""
+
     def _cancel_attempt(
         self, owner_id: str, job_id: str, attempt: int, reason: jobs.Reason
     ) -> bool:
+        if owner_id in self.unlinked:
+            return False
+        if owner_id in self.failing:
+            raise RuntimeError
         self.cancelled.append((owner_id, job_id, attempt))
+        self.messages.append(("cancel", owner_id))
+        self.reasons.append(reason)
         return self.arrives
 
     def _choose_group(
@@ -91,12 +112,16 @@
         self, owner_id: str, group: str, submission: jobs.Submission
     ) -> bool:
         if submission.job_id == FAILING_JOB:
-            raise ValueError("cannot be encoded")
+            raise exceptions.EncodingError("cannot be encoded")
         if self.arrives:
             self.sent.append((owner_id, submission))
+            self.messages.append(("submit", owner_id))
+        error, self.error_after_sending = self.error_after_sending, None
         if self.answers_at_once:
             self.answers_at_once = False
             self._refuse(owner_id)
+        if error is not None:
+            raise error
         return self.arrives
 
     def _submit_job(self) -> open_jobs.OpenJob:
@@ -338,7 +363,10 @@
                 answer = job.build_answer(outcome, jobs.Reason.WAITED_TOO_LONG)
                 self.gateway.handle_answer(answer, "a")
                 self.assertIs(job.answer, answer)
-                self.assertEqual(self.cancelled, [("b", "a1", job.attempt)])
+                self.assertEqual(
+                    self.cancelled,
+                    [("a", "a1", job.attempt), ("b", "a1", job.attempt)],
+                )
 
     def test_answer_of_the_later_owner_cancels_the_attempt_at_the_earlier_one(
         self,
@@ -459,6 +487,149 @@
         self.gateway.remove_waiter(job)
         self.assertEqual(self.cancelled, [("b", "a1", job.attempt)])
 
+    def _move_to(self, owner_id: str) -> None:
+        """Let the group have another owner, which gets the open jobs."""
+        self.owner_id = owner_id
+        self.gateway.forward_open_jobs()
+
+    def test_attempt_that_moves_is_cancelled_at_the_earlier_owner(self):
+        # Before, an owner that still heard this gateway ran the job on beside the
+        # next owner, which waits for as long as silence takes to end the attempt.
+        job = self._submit_job()
+        self._move_to("b")
+        self.assertEqual(
+            self.messages, [("submit", "a"), ("cancel", "a"), ("submit", "b")]
+        )
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+        self.assertEqual(self.reasons, [jobs.Reason.MOVED])
+
+    def test_attempt_of_a_group_that_is_gone_is_cancelled_at_its_owner(self):
+        # Before, an owner that had not read the layout yet ran the job on.
+        self._submit_job()
+        self.groups = ["norte/0"]
+        self._move_to("b")
+        self.assertEqual(
+            self.messages, [("submit", "a"), ("cancel", "a"), ("submit", "b")]
+        )
+
+    def test_owner_of_both_groups_is_not_told_that_the_attempt_has_moved(self):
+        # Guards against a cancellation of what the same owner gets.
+        self._submit_job()
+        self.groups = ["norte/0"]
+        self._move_to("a")
+        self.assertEqual(self.cancelled, [])
+
+    def test_earlier_owner_is_told_again_over_a_new_link(self):
+        # Guards against a cancellation that was lost with the link.
+        job = self._submit_job()
+        self._move_to("b")
+        self.gateway.handle_link_change("a")
+        self.gateway.forward_open_jobs()
+        self.assertEqual(self.cancelled, 2 * [("a", "a1", job.attempt)])
+        self.gateway.forward_open_jobs()
+        self.assertEqual(len(self.cancelled), 2)
+
+    def test_earlier_owner_without_a_link_is_told_once_it_has_one(self):
+        job = self._submit_job()
+        self.unlinked = {"a"}
+        self._move_to("b")
+        self.gateway.forward_open_jobs()
+        self.assertEqual(self.cancelled, [])
+        self.unlinked.clear()
+        self.gateway.forward_open_jobs()
+        self.assertEqual(self.cancelled, [("a", "a1", job.attempt)])
+
+    def test_cancellation_that_fails_does_not_hold_up_the_next_owner(self):
+        # Guards against a job that no owner has, and against an owner that is never
+        # told because the first cancellation failed.
+        self._submit_job()
+        self.failing = {"a"}
+        with self.assertLogs(attempt_cancellations.LOGGER, "ERROR"):
+            self._move_to("b")
+        self.assertEqual(self.sent[-1][0], "b")
+        self.failing.clear()
+        self.gateway.forward_open_jobs()
+        self.assertEqual(self.messages[-1], ("cancel", "a"))
+
+    def test_owner_that_has_the_attempt_again_is_not_told_any_more(self):
+        # Guards against a cancellation of what an owner has got again.
+        self._submit_job()
+        for owner_id in ("b", "a"):
+            self._move_to(owner_id)
+        self.gateway.handle_link_change("b")
+        self._move_to("a")
+        told = [owner_id for owner_id, _, _ in self.cancelled]
+        self.assertEqual(told, ["a", "b", "b"])
+
+    def test_earlier_owners_are_not_told_while_there_is_no_next_one(self):
+        # Its runs go on until another owner has the job.
+        self._submit_job()
+        self.gateway.handle_link_change("a")
+        self._move_to("")
+        self.assertEqual(self.cancelled, [])
+
+    def test_moved_attempt_is_logged(self):
+        # Guards against logs that don't tell why an owner ends an attempt.
+        job = self._submit_job()
+        self.owner_id = "b"
+        with self.assertLogs(gateway_events.LOGGER, "INFO") as found:
+            self.gateway.forward_open_jobs()
+        fields = {r.getMessage(): r.fields for r in found.records}
+        self.assertEqual(
+            fields["attempt_moved"],
+            {"job": "a1", "attempt": job.attempt, "owner": "b", "before": "a"},
+        )
+
+    def _submit_with_error(self, error: Exception) -> open_jobs.OpenJob:
+        """Submit a job whose sending raises an error after it was sent."""
+        self.error_after_sending = error
+        with self.assertLogs(gateways.LOGGER, "ERROR"):
+            return self._submit_job()
+
+    def test_job_whose_sending_fails_late_may_have_begun(self):
+        # Before, the job counted as never sent, and another owner, or another
+        # group, got it as one that had not begun.
+        self._submit_with_error(RuntimeError("after the message was queued"))
+        self._move_to("b")
+        first, second = (submission for _, submission in self.sent)
+        self.assertTrue(second.may_have_begun)
+        self.assertGreater(second.first_run, first.first_run)
+
+    def test_job_whose_sending_fails_late_is_not_refused(self):
+        # Before, its caller was told that it had not run.
+        job = self._submit_with_error(RuntimeError("after it was queued"))
+        self.owner_id = ""
+        self.gateway.expire(self.now + 0.9)
+        self.assertIsNone(job.answer)
+
+    def test_failure_after_a_refusal_leaves_the_next_group_its_job(self):
+        # The owner is this process and refuses at once, so the second group has
+        # the job as the first call fails. Before, the job counted as never sent.
+        for error in (RuntimeError("late"), exceptions.EncodingError("late")):
+            with self.subTest(error=error):
+                self.groups = [GROUP, "norte/0"]
+                self.answers_at_once = True
+                job = self._submit_with_error(error)
+                self.assertEqual(job.group, "norte/0")
+                self.assertTrue(job.has_been_sent)
+                self.assertEqual(job.group_owners, {"a"})
+                self.gateway.remove_waiter(job)
+                self.attempts = itertools.count(FIRST_ATTEMPT)
+
+    def test_owner_of_the_next_group_counts_as_the_last_one(self):
+        # Before, the group that had refused the job did, so that its forward over
+        # a new link came as late as those to another owner.
+        self.groups = [GROUP, "norte/0"]
+        self.answers_at_once = True
+        self.owners = {"norte/0": "b"}
+        job = self._submit_job()
+        self.assertEqual(self.sent[-1][0], "b")
+        self.gateway.handle_link_change("b")
+        self.assertIs(
+            open_jobs.classify_forward(job, "b"),
+            open_jobs.ForwardKind.CONFIRMATION,
+        )
+
     def test_job_with_another_waiter_continues(self):
         job = self._submit_job()
         self._submit_job()
