--- a/pollenladder/service/open_jobs.py
+++ b/pollenladder/service/open_jobs.py
@@ -57,8 +57,9 @@
         owner_id: The owner that the job was forwarded to; "" if there is none.
         last_owner_id: The owner that the job was forwarded to last, also after
             its link has changed.
-        group_owners: The owners that the job was forwarded to, since no group has
-            it as refused. Any of them that has not resigned may execute it.
+        group_owners: The owners that the job was forwarded to since a group last
+            refused it, without those in `moved_from`. Any of them that has not
+            resigned may execute it.
         moved_from: The earlier owners that were told, over their present link,
             that another one has the job.
         has_been_sent: Whether the job was sent to an owner, which may have
