Require a proof before a task starts again, and one that covers other owners

What callers would see: a task with two runs at once (TWICE). An owner that loses a worker starts its tasks elsewhere once the leases that it has granted itself have expired. Another owner that reaches the worker, and to which the gateway has forwarded the job, adopts the run and extends its lease meanwhile.

Cause: the first owner took the end of its own leases for the end of the run.

Now runs.release takes a run_ends.Proof: the worker's report, its list without the run, a rejected or unsent start, another process, or leases that have expired whoever granted them. For the last one, the owner has to hear from the gateway of each attempt after the expiry, over a link on which the attempt was forwarded. A gateway forwards an attempt to another owner only after it has told the first one on that link, and no other owner extends the lease of a run that no gateway has claimed there. So at the time of that contact, nobody had.

Cost: on the silent loss of a worker, a task waits for the next frame of its gateway, up to 0.3 s; not for callers of the owner's own daemon. After a reset or a restart of the worker, nothing changes. A message of the gateway that takes longer than 0.05 s may still have been sent before the expiry.

The loss of a worker is counted once, although its runs may be held afterwards.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -318,8 +318,8 @@
             reachable; only meaningful while it is not.
         missed_causes: What the polls since the last reply have told about the
             worker's process.
-        has_crash_recorded: Whether the end of the process has been recorded
-            against the runs on the worker.
+        has_crash_recorded: Whether the end of the process, or the loss of the
+            worker, has been recorded against the runs on the worker.
         is_loss_reported: Whether runs that outlast the longest lease have been
             logged since the worker was lost.
         started_ms: Process start time in the last poll reply.
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -10,6 +10,7 @@
 from pollenladder.scheduling import evacuation
 from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import job_ends
+from pollenladder.scheduling import lease_expiry
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
@@ -158,7 +159,7 @@
     region: tables.Region, worker: fleet.Worker, now: float
 ) -> None:
     """Release expired runs, repeat stop orders, and stop unclaimed orphans."""
-    if not worker.is_reachable and have_leases_expired(worker, now):
+    if not worker.is_reachable and now > lease_expiry.find_expiry(worker):
         worker_losses.release_expired(region, worker, now)
         return
     for run in list(worker.runs.values()):
@@ -177,18 +178,6 @@
             runs.stop(region, run, now)
 
 
-def have_leases_expired(worker: fleet.Worker, now: float) -> bool:
-    """Return whether all leases on a worker must have expired."""
-    if not worker.is_synced:
-        return False
-    clock_s = now + worker.clock_ahead_s
-    return clock_s > worker.lease_until_s + _get_expiry_margin_s(worker)
-
-
-def _get_expiry_margin_s(worker: fleet.Worker) -> float:
-    return runs.LEASE_EXPIRY_MARGIN_S + runs.MAX_CLOCK_DRIFT
-
-
 def _delete_old_orphan_ends(region: tables.Region, now: float) -> None:
     # Entries are stored in order of insertion, the oldest first.
     oldest = now - ORPHAN_END_RETENTION_S
--- a/pollenladder/scheduling/order_replies.py
+++ b/pollenladder/scheduling/order_replies.py
@@ -5,6 +5,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import placement
+from pollenladder.scheduling import run_ends
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 from pollenladder.scheduling import worker_losses
@@ -38,10 +39,11 @@
         worker=run.worker_id,
         reply=reply.value,
     )
-    if reply is fleet.StartReply.NO_REPLY:
+    proof = run_ends.prove_by_rejection(reply)
+    if proof is None:
         _mark_uncertain(region, run)
     else:
-        _handle_rejection(region, worker, run, reply, now)
+        _handle_rejection(region, worker, run, reply, proof, now)
         placement.place(region, now)
 
 
@@ -57,6 +59,7 @@
     worker: fleet.Worker,
     run: fleet.Run,
     reply: fleet.StartReply,
+    proof: run_ends.Proof,
     now: float,
 ) -> None:
     """Requeue the task of a run that its worker did not start."""
@@ -73,7 +76,7 @@
         task.next_run += runs.RUN_NUMBER_STEP
     if task is not None:
         task.avoided_workers.add(run.worker_id)
-    runs.release(region, worker, run, reply.value)
+    runs.release(region, worker, run, proof)
     region.effects.append(effects.LookNow(run.worker_id))
 
 
@@ -88,8 +91,9 @@
     run = worker.runs.get(order.task) if worker else None
     if run is None or run.number != order.number:
         return
-    if reply is fleet.StopReply.OTHER_INCARNATION:
-        runs.release(region, worker, run, reply.value)
+    proof = run_ends.prove_by_stop(reply)
+    if proof is not None:
+        runs.release(region, worker, run, proof)
         placement.place(region, now)
     elif reply is fleet.StopReply.STOPPED:
         # The worker also confirms a stop of a run that it never started. The
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -7,6 +7,7 @@
 from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import learned_state
 from pollenladder.scheduling import placement
+from pollenladder.scheduling import run_ends
 from pollenladder.scheduling import run_learning
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import stalls
@@ -212,7 +213,7 @@
     elif ended.end is fleet.RunEnd.FAILED:
         _handle_failed(region, worker, run, now)
     else:
-        runs.release(region, worker, run, ended.end.value)
+        runs.release(region, worker, run, run_ends.prove_by_report(ended.end))
 
 
 def _handle_orphan_end(
@@ -262,7 +263,8 @@
 ) -> None:
     job, task = runs.find_task(region, run)
     runs.attribute_failure(worker, run, region, now)
-    runs.release(region, worker, run, "failed")
+    proof = run_ends.prove_by_report(fleet.RunEnd.FAILED)
+    runs.release(region, worker, run, proof)
     if job is None or task is None:
         return
     task.failed_runs |= {run.number}
@@ -362,4 +364,4 @@
                 # reject it.
                 runs.stop(region, run, now)
         elif run.confirmed_at and run.confirmed_at < sent_at:
-            runs.release(region, worker, run, "not_there")
+            runs.release(region, worker, run, run_ends.ABSENT)
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -1,8 +1,6 @@
 """Life cycle of runs: started, confirmed, lost, stopped, ended.
 
-A task gets another run only when its last run is known to be over: its worker
-has reported the end, or the run's lease must have expired by the worker's own
-clock.
+A task gets another run only with a proof that its last run is over; see `run_ends`.
 """
 
 import dataclasses
@@ -13,6 +11,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import attempts
 from pollenladder.scheduling import effects
+from pollenladder.scheduling import run_ends
 from pollenladder.scheduling import tables
 
 # Share by which a worker's clock may run slower than the local clock. A lease
@@ -227,9 +226,19 @@
 
 
 def release(
-    region: tables.Region, worker: fleet.Worker, run: fleet.Run, reason: str
+    region: tables.Region,
+    worker: fleet.Worker,
+    run: fleet.Run,
+    proof: run_ends.Proof,
 ) -> None:
-    """Remove a run that is over, and requeue its task if its job needs it."""
+    """Remove a run that is over, and requeue its task if its job needs it.
+
+    Args:
+        region: The region.
+        worker: The worker.
+        run: The run.
+        proof: What shows that the run is over.
+    """
     job, task = find_task(region, run)
     region.remove_run(worker, run)
     if job is None or task is None:
@@ -243,7 +252,7 @@
         task=run.task,
         run=run.number,
         worker=run.worker_id,
-        reason=reason,
+        reason=proof.reason,
     )
 
 
--- a/pollenladder/scheduling/worker_losses.py
+++ b/pollenladder/scheduling/worker_losses.py
@@ -1,14 +1,16 @@
 """Workers that no longer reply, and the runs that were on them.
 
 Polls tell whether the process of a lost worker has probably ended or whether the
-network may have failed; see `crashes`. A run on a lost worker occupies its task until its lease has
-expired, because the worker may still be executing it.
+network may have failed; see `crashes`. A run on a lost worker occupies its task until
+all of its leases have expired, because the worker may still be executing it.
 """
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import crashes
 from pollenladder.scheduling import effects
+from pollenladder.scheduling import lease_expiry
+from pollenladder.scheduling import run_ends
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
@@ -49,20 +51,30 @@
 def release_expired(
     region: tables.Region, worker: fleet.Worker, now: float
 ) -> None:
-    """Release the runs on a lost worker, as their leases have expired."""
+    """Release the runs on a lost worker whose leases are known to have expired."""
     if not worker.has_crash_recorded:
         crashes.record_silent_loss(region, worker, now)
-    if worker.runs:
-        _log_expiry(region, worker, now)
+        worker.has_crash_recorded = True
+    is_first = True
     for run in list(worker.runs.values()):
-        _release(region, worker, run, now)
+        proof = lease_expiry.prove_expired(region, worker, run, now)
+        if proof is None:
+            continue
+        if is_first:
+            _log_expiry(region, worker, now)
+        is_first = False
+        _release(region, worker, run, proof, now)
 
 
 def _release(
-    region: tables.Region, worker: fleet.Worker, run: fleet.Run, now: float
+    region: tables.Region,
+    worker: fleet.Worker,
+    run: fleet.Run,
+    proof: run_ends.Proof,
+    now: float,
 ) -> None:
     job, _ = runs.find_task(region, run)
-    runs.release(region, worker, run, "lease_expired")
+    runs.release(region, worker, run, proof)
     if job is not None and not job.is_overdue and now > job.latest_start_at:
         job.is_overdue = True
         # They contain the job with its rank before.
