Leave a run alone for a moment after its job has moved to another owner

What callers would see: an ordinary change of the owner loses the work of running tasks. A gateway that hears of the next owner first cancels its attempts at the earlier one, which stopped their runs at once, before the next owner had polled the workers and adopted them.

Evidence: test_run_goes_on_if_the_gateway_hears_of_the_next_owner_first failed before with "AssertionError: {} != {'a1.0.0.0': 1}": the run was stopped, and the next owner had not adopted it.

When an unclaimed run is stopped is a field of its own, Run.claim_by, in place of a time from when it was first seen.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -223,8 +223,8 @@
         confirmed_at: When the worker confirmed the run; 0 before.
         percent: Progress at the last poll, 0 to 100.
         percent_at: When `percent` was received.
-        is_orphan: Whether no job of this owner needs the run. It is stopped
-            unless such a job arrives within a grace period.
+        is_orphan: Whether no job of this owner needs the run.
+        claim_by: When an orphan is stopped unless a job of this owner needs it.
         next_stop_at: When the stop order is sent again.
         kind: The kind of the task, by which interference is learned; empty if
             the job is not known.
@@ -245,6 +245,7 @@
     percent: float = 0.0
     percent_at: float = 0.0
     is_orphan: bool = False
+    claim_by: float = 0.0
     next_stop_at: float = 0.0
     kind: str = ""
     is_start_known: bool = True
--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -115,7 +115,7 @@
     )
     for task in job.tasks:
         if task.state is tables.TaskState.PLACED:
-            runs.abandon(region, job, task, now)
+            runs.abandon(region, job, task, reason, now)
 
 
 def keep_crashes(region: tables.Region, job: tables.Job, now: float) -> None:
--- a/pollenladder/scheduling/maintenance.py
+++ b/pollenladder/scheduling/maintenance.py
@@ -166,7 +166,7 @@
         if run.state is fleet.RunState.STOPPING:
             if now >= run.next_stop_at:
                 runs.stop(region, run, now)
-        elif run.is_orphan and now > run.sent_at + runs.ORPHAN_GRACE_S:
+        elif run.is_orphan and now > run.claim_by:
             region.log_event(
                 "orphan_stopped",
                 task=run.task,
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -325,6 +325,7 @@
         percent_at=now,
         is_orphan=True,
         is_start_known=False,
+        claim_by=now + runs.ORPHAN_GRACE_S,
     )
     region.add_run(worker, run)
     index = runs.parse_task_index(observed.task)
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -205,9 +205,16 @@
 
 
 def abandon(
-    region: tables.Region, job: tables.Job, task: tables.Task, now: float
+    region: tables.Region,
+    job: tables.Job,
+    task: tables.Task,
+    reason: jobs.Reason,
+    now: float,
 ) -> None:
-    """Stop the run of a task whose job has ended."""
+    """Stop the run of a task whose job has ended.
+
+    The run of a job that has moved to another owner gets time to be adopted.
+    """
     name = jobs.format_task_name(job.submission.job_id, task.index)
     worker = region.workers.get(task.worker_id)
     run = worker.runs.get(name) if worker else None
@@ -215,7 +222,11 @@
         return
     run.is_orphan = True
     run.ends_by = min(now, job.served_at) + region.run_limit_s
-    stop(region, run, now)
+    run.claim_by = now
+    if reason is jobs.Reason.MOVED:
+        run.claim_by = now + ORPHAN_GRACE_S
+    else:
+        stop(region, run, now)
 
 
 def stop(region: tables.Region, run: fleet.Run, now: float) -> None:
--- a/tests/scheduling/test_two_owners.py
+++ b/tests/scheduling/test_two_owners.py
@@ -87,6 +87,29 @@
         latest_s = simulations.LEASE_S + two_owners.FRAME_INTERVAL_S + 0.2
         self.assertLess(started_at, cut_at + latest_s)
 
+    def test_run_goes_on_if_the_gateway_hears_of_the_next_owner_first(self):
+        # Guards against lost work, as the first owner stops what the next one adopts.
+        self._prepare(SLOW_CLOCK)
+        self._claim()
+        self.simulation.cut("o2", "w1")
+        self.simulation.followed = "o2"
+        self.simulation.run(0.2)
+        self.simulation.heal("o2", "w1")
+        self._check_no_overlap()
+        self.assertEqual(self.simulation.workers["w1"].running, {TASK: 1})
+
+    def test_run_is_over_before_the_next_owner_starts_its_task(self):
+        # Guards against a second run on a worker that only the next owner reaches.
+        self._prepare(SLOW_CLOCK)
+        self.simulation.add_worker("w3")
+        self.simulation.claim("o2", 2)
+        self.simulation.cut("o2", "w1")
+        self.simulation.cut("o2", "w2")
+        self.simulation.list_workers("o2", ["w1", "w2", "w3"])
+        self.simulation.followed = "o2"
+        self._check_no_overlap()
+        self.assertEqual(list(self.simulation.workers["w3"].running), [TASK])
+
 
 if __name__ == "__main__":
     unittest.main()
