Take no lease for expired if a silent gateway may have moved its attempt

What callers would see: a task with two runs at once. A job has attempts of two gateways, its worker is lost, and one of the gateways falls silent. That one may have forwarded its attempt to an owner that reaches the worker and adopts the run.

Now the leases on a lost worker prove nothing for a job that goes on after one of its attempts was removed. Its tasks wait for the worker, or until the job is given up.

Evidence: test_task_waits_if_a_silent_gateway_may_have_moved_its_attempt failed before with "AssertionError: 1 != 0": the task had started.

--- a/pollenladder/scheduling/lease_expiry.py
+++ b/pollenladder/scheduling/lease_expiry.py
@@ -45,10 +45,11 @@
     """Return whether no gateway had forwarded a job to another owner by a time.
 
     An attempt whose link has changed may have been forwarded to another owner until
-    its gateway forwards it again.
+    its gateway forwards it again. So may one that was removed while others wait for
+    the job, as its gateway was silent.
     """
     heard_at = region.gateways_heard_at
-    return all(
+    return math.isinf(job.served_at) and all(
         math.isinf(attempt.unconfirmed_since)
         and heard_at.get(attempt.gateway_id, math.inf) > since
         for attempt in job.attempts.values()
--- a/tests/scheduling/test_lease_expiry.py
+++ b/tests/scheduling/test_lease_expiry.py
@@ -3,6 +3,7 @@
 import unittest
 
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import attempt_leases
 from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import replies
@@ -72,6 +73,15 @@
         self._hear("far")
         self.assertEqual(self._count_starts(), 1)
 
+    def test_task_waits_if_a_silent_gateway_may_have_moved_its_attempt(self):
+        self._hear("near")
+        self.simulation.submit("a1", "near", tasks=1)
+        now = self.simulation.now
+        attempt_leases.end_expired(self.region, {"far": 1.0}, now)
+        self._lose_worker()
+        self._hear("near")
+        self.assertEqual(self._count_starts(), 0)
+
     def test_task_of_an_own_caller_waits_for_the_lease_only(self):
         self.region.gateways_heard_at.clear()
         self._lose_worker()
