Start no task again beside a run that is known under another number

What callers would see: a task with two runs at once. If a worker reported a run of a task under another number than the owner knew, the owner stopped it, but took its own run for over, as the report did not list it, and started the task elsewhere at once. It also extended the worker's lease meanwhile, which whoever had started the run may count, and a start that the worker rejected because of that run let the task start again, too.

Cause: the number was compared where the task should have been. The proof that a run is over says nothing of another run of its task.

By the protocol, no way to such a report was found: a worker obeys no earlier owner once it was polled, and bars a start that a stop was sent for. So this is a second line of defence.

Now the task waits until no run of it is reported, the lease is not extended, and the worker gets no starts.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -338,6 +338,8 @@
         unclaimed_runs: The tasks of the runs that this owner has not started and
             that no job has claimed here. Another owner may still count their
             leases, so these must not be extended, nor those of the other runs.
+        renumbered_runs: The tasks that the last poll reply had under another number
+            than this owner. The same holds for these.
         health: Health derived from the results of the runs.
         is_evacuated: Whether the worker's data centre is taken out of use.
         warm_at: Monotonic time until which the worker is cold; see `warmup`.
@@ -370,6 +372,7 @@
     free: jobs.Resources = jobs.Resources()
     runs: dict[str, Run] = dataclasses.field(default_factory=dict)
     unclaimed_runs: set[str] = dataclasses.field(default_factory=set)
+    renumbered_runs: set[str] = dataclasses.field(default_factory=set)
     health: Health = dataclasses.field(default_factory=Health)
     is_evacuated: bool = False
     warm_at: float = float("-inf")
@@ -387,6 +390,10 @@
         self.listing = listing
         self.free = self.free.add(gained)
 
+    def has_foreign_runs(self) -> bool:
+        """Return whether another owner may count the leases of a run."""
+        return bool(self.unclaimed_runs or self.renumbered_runs)
+
     def has_closed_connections(self) -> bool:
         """Return whether the host has closed the connections of the process.
 
--- a/pollenladder/scheduling/candidates.py
+++ b/pollenladder/scheduling/candidates.py
@@ -80,7 +80,7 @@
 
 def is_available(worker: fleet.Worker, now: float) -> bool:
     """Return whether a worker may be given a run now."""
-    return not worker.unclaimed_runs and is_usable(worker, now)
+    return not worker.has_foreign_runs() and is_usable(worker, now)
 
 
 def is_usable(worker: fleet.Worker, now: float) -> bool:
@@ -98,7 +98,7 @@
     A start extends the leases of all runs, which must not be extended while one of
     them is unclaimed. The resources of such a run are not known, either.
     """
-    return not worker.unclaimed_runs and _is_ready(worker, now)
+    return not worker.has_foreign_runs() and _is_ready(worker, now)
 
 
 def _is_ready(worker: fleet.Worker, now: float) -> bool:
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -287,7 +287,7 @@
         held_back = capacity.count_fitting(needed) - len(slots)
         warm_s = max([worker.warm_at - now, *slots[-1:]])
         slots += [warm_s] * held_back
-    if worker.unclaimed_runs:
+    if worker.has_foreign_runs():
         slots = [max(CLAIM_S, wait_s) for wait_s in slots]
     return slots
 
--- a/pollenladder/scheduling/lease_limits.py
+++ b/pollenladder/scheduling/lease_limits.py
@@ -62,7 +62,7 @@
     Returns:
         None if the leases must not be extended.
     """
-    if worker.unclaimed_runs:
+    if worker.has_foreign_runs():
         return None
     expiry = now + region.max_lease_s
     for run in worker.runs.values():
--- a/pollenladder/scheduling/order_replies.py
+++ b/pollenladder/scheduling/order_replies.py
@@ -40,7 +40,8 @@
         reply=reply.value,
     )
     proof = run_ends.prove_by_rejection(reply)
-    if proof is None:
+    if proof is None or run.task in worker.renumbered_runs:
+        # A run of the task may be there, with this number or another one.
         _mark_uncertain(region, run)
     else:
         _handle_rejection(region, worker, run, reply, proof, now)
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -106,6 +106,7 @@
                 now,
             )
     seen = {}
+    worker.renumbered_runs.clear()
     for observed in reply.running:
         seen[observed.task] = observed.number
         region.decide(
@@ -286,6 +287,7 @@
         _add_orphan(region, worker, observed, now)
         return
     if run.number != observed.number:
+        worker.renumbered_runs.add(observed.task)
         region.effects.append(
             effects.StopRun(
                 worker.listing.worker_id, observed.task, observed.number
@@ -357,7 +359,8 @@
         now: Monotonic time in seconds.
     """
     for run in list(worker.runs.values()):
-        if seen.get(run.task) == run.number:
+        if run.task in seen:
+            # A run of the task is there, even if under another number.
             continue
         if run.state is fleet.RunState.UNCERTAIN:
             if run.sent_at < sent_at:
--- a/tests/scheduling/test_lease_limits.py
+++ b/tests/scheduling/test_lease_limits.py
@@ -6,6 +6,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import attempt_leases
+from pollenladder.scheduling import candidates
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import lease_limits
 from pollenladder.scheduling import recovery
@@ -149,6 +150,17 @@
         self.simulation.poll(other_id, running=(("a1.0.0.0", 9, 10.0),))
         self.assertIsNone(self._choose_expiry())
 
+    def test_leases_beside_a_run_under_another_number_are_not_extended(self):
+        # Guards against a second run: whoever has started it may count its lease.
+        worker_id = self.worker.listing.worker_id
+        self.simulation.poll(worker_id, running=((self.start.task, 9, 10.0),))
+        (stop,) = self.simulation.take_stops()
+        self.assertEqual(stop.number, 9)
+        self.assertIsNone(self._choose_expiry())
+        self.assertFalse(candidates.can_run(self.worker, self.simulation.now))
+        self.simulation.poll(worker_id)
+        self.assertAlmostEqual(self._find_lease_s(), simulations.LEASE_S)
+
     def test_limit_stays_after_another_claim(self):
         rebuilt = recovery.rebuild_region(self.region, 2, self.simulation.now)
         self.assertEqual(rebuilt.run_limit_s, self.region.run_limit_s)
--- a/tests/scheduling/test_run_ends.py
+++ b/tests/scheduling/test_run_ends.py
@@ -3,7 +3,9 @@
 import unittest
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.scheduling import effects
 from pollenladder.scheduling import run_ends
+from tests.scheduling import simulations
 
 
 class ProofTest(unittest.TestCase):
@@ -24,5 +26,44 @@
         self.assertIsNone(run_ends.prove_by_stop(fleet.StopReply.NO_REPLY))
 
 
+class OtherNumberTest(unittest.TestCase):
+    """Guards against a second run beside one that is known under another number."""
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=2)
+        self.simulation.submit("a1", tasks=1, budget_s=9.0)
+        (self.start,) = self.simulation.take_starts()
+
+    def _poll(self, *numbers: int) -> None:
+        self.simulation.now += 0.1
+        self.simulation.poll(
+            self.start.worker_id,
+            running=tuple((self.start.task, n, 10.0) for n in numbers),
+        )
+
+    def test_task_starts_again_once_no_run_is_there(self):
+        self.simulation.confirm(self.start)
+        self._poll(9)
+        (stop,) = self.simulation.take_stops()
+        self.assertEqual(stop.number, 9)
+        self._poll(9)
+        self.assertEqual(self.simulation.take_starts(), [])
+        self._poll()
+        self.assertEqual(len(self.simulation.take_starts()), 1)
+
+    def test_rejected_start_does_not_prove_that_the_other_run_is_over(self):
+        self._poll(9)
+        self.simulation.reply(self.start, fleet.StartReply.OLD_RUN)
+        self.assertEqual(self.simulation.take_starts(), [])
+        self._poll()
+        self.simulation.take_stops()
+        stop = effects.StopRun(
+            self.start.worker_id, self.start.task, self.start.number
+        )
+        self.simulation.reply_stop(stop, fleet.StopReply.STOPPED)
+        self._poll()
+        self.assertEqual(len(self.simulation.take_starts()), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
