Start no task again while another run of it is being stopped

What callers would see: a task with two runs at once, or a third one beside two. An owner that finds a second run of a task on another worker stops it. If the first run ended before that, the task was started again at once, beside the run that was still being stopped.

Now the task adopts that run, as the next attempt of a job does, and starts again with the proof that it is over.

Evidence: test_task_waits_until_its_run_on_another_worker_is_stopped failed before with "StartRun(worker_id='w2', task='a1.0.0.0', number=2, ...)" while run 9 had not ended.

--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -244,6 +244,8 @@
 ) -> None:
     """Remove a run that is over, and requeue its task if its job needs it.
 
+    The task starts again once no run of it is known on any worker.
+
     Args:
         region: The region.
         worker: The worker.
@@ -256,6 +258,9 @@
         return
     task.state = tables.TaskState.WAITING
     task.worker_id = ""
+    if adopt_orphan(region, job, task):
+        # Another run of the task, which is being stopped.
+        return
     region.waiting.add(job.submission.job_id)
     region.log_event(
         "task_requeued",
--- a/tests/scheduling/test_run_ends.py
+++ b/tests/scheduling/test_run_ends.py
@@ -65,5 +65,28 @@
         self.assertEqual(len(self.simulation.take_starts()), 1)
 
 
+class OrphanTest(unittest.TestCase):
+    """Guards against a third run beside one that is being stopped elsewhere."""
+
+    def test_task_waits_until_its_run_on_another_worker_is_stopped(self):
+        simulation = simulations.RegionSimulation(workers=3)
+        simulation.submit("a1", tasks=1, budget_s=9.0)
+        (start,) = simulation.take_starts()
+        simulation.confirm(start)
+        other_id = min({"w0", "w1", "w2"} - {start.worker_id})
+        simulation.now += 0.1
+        simulation.poll(other_id, running=((start.task, 9, 10.0),))
+        (stop,) = simulation.take_stops()
+        self.assertEqual((stop.worker_id, stop.number), (other_id, 9))
+        simulation.end(start, fleet.RunEnd.FAILED)
+        self.assertEqual(simulation.take_starts(), [])
+        simulation.ends[other_id] = [
+            fleet.ObservedEnd(1, start.task, 9, fleet.RunEnd.STOPPED)
+        ]
+        simulation.poll(other_id, running=())
+        (second,) = simulation.take_starts()
+        self.assertGreater(second.number, 9)
+
+
 if __name__ == "__main__":
     unittest.main()
