--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -223,8 +223,8 @@
         confirmed_at: When the worker confirmed the run; 0 before.
         percent: Progress at the last poll, 0 to 100.
         percent_at: When `percent` was received.
-        is_orphan: Whether no job of this owner needs the run. It is stopped
-            unless such a job arrives within a grace period.
+        is_orphan: Whether no job of this owner needs the run.
+        claim_by: When an orphan is stopped unless a job of this owner needs it.
         next_stop_at: When the stop order is sent again.
         kind: The kind of the task, by which interference is learned; empty if
             the job is not known.
@@ -245,6 +245,7 @@
     percent: float = 0.0
     percent_at: float = 0.0
     is_orphan: bool = False
+    claim_by: float = 0.0
     next_stop_at: float = 0.0
     kind: str = ""
     is_start_known: bool = True
@@ -318,8 +319,8 @@
             reachable; only meaningful while it is not.
         missed_causes: What the polls since the last reply have told about the
             worker's process.
-        has_crash_recorded: Whether the end of the process has been recorded
-            against the runs on the worker.
+        has_crash_recorded: Whether the end of the process, or the loss of the
+            worker, has been recorded against the runs on the worker.
         is_loss_reported: Whether runs that outlast the longest lease have been
             logged since the worker was lost.
         started_ms: Process start time in the last poll reply.
@@ -337,6 +338,8 @@
         unclaimed_runs: The tasks of the runs that this owner has not started and
             that no job has claimed here. Another owner may still count their
             leases, so these must not be extended, nor those of the other runs.
+        renumbered_runs: The tasks that the last poll reply had under another number
+            than this owner. The same holds for these.
         health: Health derived from the results of the runs.
         is_evacuated: Whether the worker's data centre is taken out of use.
         warm_at: Monotonic time until which the worker is cold; see `warmup`.
@@ -369,6 +372,7 @@
     free: jobs.Resources = jobs.Resources()
     runs: dict[str, Run] = dataclasses.field(default_factory=dict)
     unclaimed_runs: set[str] = dataclasses.field(default_factory=set)
+    renumbered_runs: set[str] = dataclasses.field(default_factory=set)
     health: Health = dataclasses.field(default_factory=Health)
     is_evacuated: bool = False
     warm_at: float = float("-inf")
@@ -386,6 +390,10 @@
         self.listing = listing
         self.free = self.free.add(gained)
 
+    def has_foreign_runs(self) -> bool:
+        """Return whether another owner may count the leases of a run."""
+        return bool(self.unclaimed_runs or self.renumbered_runs)
+
     def has_closed_connections(self) -> bool:
         """Return whether the host has closed the connections of the process.
 
--- a/pollenladder/scheduling/replies.py
+++ b/pollenladder/scheduling/replies.py
@@ -7,6 +7,7 @@
 from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import learned_state
 from pollenladder.scheduling import placement
+from pollenladder.scheduling import run_ends
 from pollenladder.scheduling import run_learning
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import stalls
@@ -105,6 +106,7 @@
                 now,
             )
     seen = {}
+    worker.renumbered_runs.clear()
     for observed in reply.running:
         seen[observed.task] = observed.number
         region.decide(
@@ -212,7 +214,7 @@
     elif ended.end is fleet.RunEnd.FAILED:
         _handle_failed(region, worker, run, now)
     else:
-        runs.release(region, worker, run, ended.end.value)
+        runs.release(region, worker, run, run_ends.prove_by_report(ended.end))
 
 
 def _handle_orphan_end(
@@ -262,7 +264,8 @@
 ) -> None:
     job, task = runs.find_task(region, run)
     runs.attribute_failure(worker, run, region, now)
-    runs.release(region, worker, run, "failed")
+    proof = run_ends.prove_by_report(fleet.RunEnd.FAILED)
+    runs.release(region, worker, run, proof)
     if job is None or task is None:
         return
     task.failed_runs |= {run.number}
@@ -284,6 +287,7 @@
         _add_orphan(region, worker, observed, now)
         return
     if run.number != observed.number:
+        worker.renumbered_runs.add(observed.task)
         region.effects.append(
             effects.StopRun(
                 worker.listing.worker_id, observed.task, observed.number
@@ -323,6 +327,7 @@
         percent_at=now,
         is_orphan=True,
         is_start_known=False,
+        claim_by=now + runs.ORPHAN_GRACE_S,
     )
     region.add_run(worker, run)
     index = runs.parse_task_index(observed.task)
@@ -354,7 +359,8 @@
         now: Monotonic time in seconds.
     """
     for run in list(worker.runs.values()):
-        if seen.get(run.task) == run.number:
+        if run.task in seen:
+            # A run of the task is there, even if under another number.
             continue
         if run.state is fleet.RunState.UNCERTAIN:
             if run.sent_at < sent_at:
@@ -362,4 +368,4 @@
                 # reject it.
                 runs.stop(region, run, now)
         elif run.confirmed_at and run.confirmed_at < sent_at:
-            runs.release(region, worker, run, "not_there")
+            runs.release(region, worker, run, run_ends.ABSENT)
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -1,8 +1,6 @@
 """Life cycle of runs: started, confirmed, lost, stopped, ended.
 
-A task gets another run only when its last run is known to be over: its worker
-has reported the end, or the run's lease must have expired by the worker's own
-clock.
+A task gets another run only with a proof that its last run is over; see `run_ends`.
 """
 
 import dataclasses
@@ -13,6 +11,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import attempts
 from pollenladder.scheduling import effects
+from pollenladder.scheduling import run_ends
 from pollenladder.scheduling import tables
 
 # Share by which a worker's clock may run slower than the local clock. A lease
@@ -206,9 +205,16 @@
 
 
 def abandon(
-    region: tables.Region, job: tables.Job, task: tables.Task, now: float
+    region: tables.Region,
+    job: tables.Job,
+    task: tables.Task,
+    reason: jobs.Reason,
+    now: float,
 ) -> None:
-    """Stop the run of a task whose job has ended."""
+    """Stop the run of a task whose job has ended.
+
+    The run of a job that has moved to another owner gets time to be adopted.
+    """
     name = jobs.format_task_name(job.submission.job_id, task.index)
     worker = region.workers.get(task.worker_id)
     run = worker.runs.get(name) if worker else None
@@ -216,7 +222,11 @@
         return
     run.is_orphan = True
     run.ends_by = min(now, job.served_at) + region.run_limit_s
-    stop(region, run, now)
+    run.claim_by = now
+    if reason is jobs.Reason.MOVED:
+        run.claim_by = now + ORPHAN_GRACE_S
+    else:
+        stop(region, run, now)
 
 
 def stop(region: tables.Region, run: fleet.Run, now: float) -> None:
@@ -227,15 +237,30 @@
 
 
 def release(
-    region: tables.Region, worker: fleet.Worker, run: fleet.Run, reason: str
+    region: tables.Region,
+    worker: fleet.Worker,
+    run: fleet.Run,
+    proof: run_ends.Proof,
 ) -> None:
-    """Remove a run that is over, and requeue its task if its job needs it."""
+    """Remove a run that is over, and requeue its task if its job needs it.
+
+    The task starts again once no run of it is known on any worker.
+
+    Args:
+        region: The region.
+        worker: The worker.
+        run: The run.
+        proof: What shows that the run is over.
+    """
     job, task = find_task(region, run)
     region.remove_run(worker, run)
     if job is None or task is None:
         return
     task.state = tables.TaskState.WAITING
     task.worker_id = ""
+    if adopt_orphan(region, job, task):
+        # Another run of the task, which is being stopped.
+        return
     region.waiting.add(job.submission.job_id)
     region.log_event(
         "task_requeued",
@@ -243,7 +268,7 @@
         task=run.task,
         run=run.number,
         worker=run.worker_id,
-        reason=reason,
+        reason=proof.reason,
     )
 
 
