Grant leases that end in time by a slow clock read before a pause

A lease ends by the worker's clock, which is known from the last reply to a poll and may be 2% slow. An owner that wakes after a pause of 5 s granted a lease that lasted 0.1 s longer than it counts, as the clock was taken from before the pause: longer than a caller needs to come back, and longer than the 0.07 s that the owner waits before it starts the task elsewhere. Found by drawn sequences of pauses.

The time by the worker's clock is now taken to be behind by 2% of the age of the reply, 7 ms for a worker that is polled as usual. The margin with which the owner counts leases as expired still allows for one second of drift only.

test_leases_end_soon_after_the_last_contact_with_the_gateway now polls the worker at the time that it sets, as the age of the reply counts; its bounds are the same.

--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -16,6 +16,7 @@
 from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import polls
 from pollenladder.scheduling import replies
+from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 from pollenladder.scheduling import witnesses
 
@@ -235,10 +236,13 @@
             None if the leases must not be extended.
         """
         worker = self._worker
-        expiry = lease_limits.choose_expiry(self._region, worker, self._clock())
+        now = self._clock()
+        expiry = lease_limits.choose_expiry(self._region, worker, now)
         if expiry is None:
             return None
-        until_s = expiry + worker.clock_ahead_s
+        until_s = (
+            expiry + worker.clock_ahead_s - _bound_clock_error_s(worker, now)
+        )
         worker.lease_until_s = max(worker.lease_until_s, until_s)
         worker.granted_until_s = max(worker.granted_until_s, until_s)
         return until_s
@@ -292,3 +296,12 @@
             self._region, order, reply, self._clock()
         )
         self._callbacks.on_event()
+
+
+def _bound_clock_error_s(worker: fleet.Worker, now: float) -> float:
+    """Return by how much a worker's clock may be behind since its last poll reply.
+
+    The reply may be from before a pause of this process.
+    """
+    replied_at = worker.polled_clock_s - worker.clock_ahead_s
+    return runs.MAX_CLOCK_DRIFT * (now - replied_at)
--- a/tests/service/test_sessions.py
+++ b/tests/service/test_sessions.py
@@ -13,6 +13,7 @@
 from pollenladder.scheduling import crashes
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import replies
+from pollenladder.scheduling import runs
 from pollenladder.service import sessions
 from tests.scheduling import simulations
 
@@ -55,6 +56,8 @@
         # Guards against a run that goes on beside the next attempt's, as its owner
         # is killed while the gateway is cut off.
         self.simulation.now = now = clocks.read_monotonic_s()
+        self.session._clock = lambda: now
+        self.simulation.poll("w0")
         self.region.run_limit_s = 1.2
         self.region.gateways_heard_at["g1"] = now - 0.9
         self.simulation.submit("a1", tasks=1)
@@ -68,6 +71,22 @@
         self.assertAlmostEqual(self.client.start.call_args[0][3], latest_s)
         self.assertAlmostEqual(self.client.poll.call_args[0][3], latest_s)
 
+    def test_leases_end_in_time_by_a_slow_clock_that_was_read_before_a_pause(
+        self,
+    ):
+        # Guards against a run that outlasts its lease by a share of the pause.
+        pause_s = 5.0
+        self.simulation.now = replied_at = clocks.read_monotonic_s()
+        self.simulation.poll("w0")
+        worker_clock_s = self.worker.polled_clock_s
+        now = replied_at + pause_s
+        self.session._clock = lambda: now
+        until_s = self.session._extend_lease()
+        rate = 1 - runs.MAX_CLOCK_DRIFT
+        ends_at = replied_at + (until_s - worker_clock_s) / rate
+        lease_s = simulations.LEASE_S * (1 + runs.MAX_CLOCK_DRIFT)
+        self.assertLess(ends_at, now + lease_s + simulations.EPSILON_S)
+
     def test_leases_are_not_extended_beside_an_unclaimed_run(self):
         # Guards against a run that a second owner keeps alive while the first one,
         # cut off from the worker, starts its task elsewhere.
