Forget a silent gateway only once its silence was reported

An owner forgets when it last heard from a gateway after 5 s, as the attempts of a gateway that was silent for so long have ended. After a pause of 5 s, and a second late tick on which the gateway's last frame had just been read, it forgot a gateway whose silence it had never reported: its attempts went on to the job's deadline, with leases that no contact limits. The caller comes back through another gateway after 1.3 s, and the task runs twice. Found by drawn sequences of pauses.

A gateway is now forgotten only if its silence was reported and nothing was read from it since.

test_silence_is_noticed_after_several_long_pauses, before: AssertionError: 'g1' not found in {}

--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -22,7 +22,7 @@
 MAX_LEASE_S = 0.95
 # After a longer pause between two ticks, what has arrived meanwhile is read first.
 LATE_TICK_S = 0.1
-# No attempt of a gateway is left once it has been silent for this long.
+# A gateway whose silence was reported is forgotten once it has lasted this long.
 FORGET_AFTER_S = 5.0
 
 
@@ -50,6 +50,7 @@
         self.heard_at: dict[str, float] = {}
         self._read_at: dict[str, float] = {}
         self._just_heard: set[str] = set()
+        self._reported: set[str] = set()
         self._tick_at = now
         # When the two ticks before were.
         self._last_tick_at = now
@@ -71,17 +72,18 @@
                 self._read_at[daemon_id] = at
                 self.heard_at[daemon_id] = self._earlier_tick_at
                 self._just_heard.add(daemon_id)
+        self._reported -= self._just_heard
         self._forget_silent()
 
     def _forget_silent(self) -> None:
-        """Forget the daemons whose silence earlier ticks have shown.
+        """Forget the daemons that were reported as silent some time ago.
 
-        On the tick after a pause, nothing expires; the next one has to show the
-        silence before the pause.
+        Late ticks don't report all of them, however long their silence is.
         """
-        for daemon_id, at in list(self.heard_at.items()):
-            if self._earlier_tick_at > at + FORGET_AFTER_S:
+        for daemon_id in list(self._reported):
+            if self._tick_at > self.heard_at[daemon_id] + FORGET_AFTER_S:
                 del self.heard_at[daemon_id]
+                self._reported.remove(daemon_id)
 
     def list_silent(self, lease_s: float) -> dict[str, float]:
         """Return for how long each daemon with an expired lease was silent.
@@ -95,12 +97,14 @@
         was_late = self._last_tick_at > self._earlier_tick_at + LATE_TICK_S
         if is_late and not was_late:
             return {}
-        return {
+        silent = {
             daemon_id: now - at
             for daemon_id, at in self.heard_at.items()
             if now > at + lease_s
             and not (is_late and daemon_id in self._just_heard)
         }
+        self._reported.update(silent)
+        return silent
 
 
 def end_expired(
--- a/tests/scheduling/test_attempt_leases.py
+++ b/tests/scheduling/test_attempt_leases.py
@@ -106,6 +106,23 @@
         self.assertIn("g1", self._tick())
         self.assertEqual(self._tick(), {})
 
+    def test_silence_is_noticed_after_several_long_pauses(self):
+        # Before, the gateway was forgotten: nothing expired on the tick after the first
+        # pause, and on the second one its last frame had just been read.
+        self._hear()
+        self._tick()
+        self.assertEqual(self._tick(attempt_leases.FORGET_AFTER_S + 0.1), {})
+        self._hear()
+        self.assertEqual(self._tick(0.2), {})
+        self.assertIn("g1", self._tick())
+        self.assertEqual(self._find_forgotten(), {"g1"})
+
+    def _find_forgotten(self) -> set[str]:
+        """Return the daemons that are forgotten after a long silence."""
+        before = set(self.contacts.heard_at)
+        self._tick()
+        return before - set(self.contacts.heard_at)
+
     def test_an_owner_that_is_always_late_hears_those_that_send(self):
         # Guards against an overloaded owner that ends all jobs at each tick.
         self._hear()
