Know when each gateway was heard as soon as it has an attempt

The leases of runs are limited by when the gateways of their attempts were last heard, and have no limit if a gateway is not known. That was so from a claim, a claim with a higher epoch, or the first submission over a new link until the next tick. If the process is paused meanwhile, a poll or a start after the pause grants a whole second to the runs of a gateway that may have been cut off since, and the run goes on beside the next attempt's if the owner is then suspended or loses the worker.

A region has the contacts from the claim on and keeps them if it is rebuilt; a submission adds its gateway, as of the tick before the last one.

--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -75,6 +75,14 @@
         self._reported -= self._just_heard
         self._forget_silent()
 
+    def record_submission(self, gateway_id: str) -> None:
+        """Record a contact with a gateway whose submission was just read.
+
+        The next tick records its link. Until then, the gateway of an attempt must not
+        be unknown, as its runs would get leases without a limit.
+        """
+        self.heard_at.setdefault(gateway_id, self._last_tick_at)
+
     def _forget_silent(self) -> None:
         """Forget the daemons that were reported as silent some time ago.
 
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -109,6 +109,7 @@
                 handover_delay_s=handover_delays.bound_handover_delay_s(
                     self._attempt_lease_s
                 ),
+                gateways_heard_at=self._contacts.heard_at,
                 run_limit_s=self._run_limit_s,
                 moved_workers_until=self._moved_workers_until,
                 list_history=self._list_history,
@@ -191,6 +192,7 @@
         """Admit or refuse a job; return False if this is not the owner."""
         if self.region is None:
             return False
+        self._contacts.record_submission(gateway_id)
         submission = _add_read_delay(submission, self._callbacks.get_lag_s())
         try:
             intake.submit(self.region, submission, gateway_id, self._clock())
@@ -276,7 +278,6 @@
     def _end_expired_attempts(self, region: tables.Region, now: float) -> None:
         """End the attempts whose gateways have been silent for too long."""
         self._contacts.record_tick(self._callbacks.list_read_times(), now)
-        region.gateways_heard_at = self._contacts.heard_at
         silent = self._contacts.list_silent(self._attempt_lease_s)
         region.decide(
             effects.Decision.ATTEMPT_LEASES,
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -218,3 +218,24 @@
         self._run_until(101.2)
         self.assertEqual(self.engine.region.jobs, {})
         self.assertEqual(self.rejected, [("g1", "a1", 7)])
+
+    def test_claim_with_a_higher_epoch_keeps_the_limits_of_leases(self):
+        # Guards against leases without a limit until the first tick after the claim,
+        # which a pause of the process may delay.
+        self.engine.claim(1, reads_store=True)
+        self._run_until(100.2)
+        before = dict(self.engine.region.gateways_heard_at)
+        self.engine.claim(2, reads_store=True)
+        self.assertEqual(self.engine.region.gateways_heard_at, before)
+        self.assertIn("g1", before)
+
+    def test_gateway_of_an_attempt_is_known_before_the_first_tick(self):
+        # The same for a gateway that has just been linked.
+        self.engine.claim(1, reads_store=True)
+        self.engine.submit(simulations.build_submission("a1"), "g9")
+        self.assertEqual(self.engine.region.gateways_heard_at["g9"], 100.0)
+        self._run_until(100.2)
+        self.engine.submit(simulations.build_submission("b2"), "g8")
+        heard_at = self.engine.region.gateways_heard_at["g8"]
+        self.assertGreater(heard_at, 100.2 - 3 * engines.TICK_S)
+        self.assertLess(heard_at, 100.2)
