Run an owner's ticks between two iterations of the event loop

What an owner reads between two ticks counts as heard at the tick before them, as it may have arrived before a pause. But the ticks came among the events of an iteration, timers first. If the process was paused after the poll of the event loop and before its tick, and the rest of that iteration took 20 ms, as it does on a slow machine after a pause, then the next tick came before the sockets were read as well: a frame from before the pause counted as heard after it. Attempts of a gateway that was cut off during the pause, and the leases of their runs, went on for longer by as much.

A tick now comes before the next poll of the event loop, when all that the one before has found was handled.

What a poll interrupted by SIGSTOP has not found may still count as heard one iteration late, if a second pause hit the iteration before it.

--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -38,9 +38,10 @@
 class Contacts:
     """When this owner last heard from each gateway, as of its last tick.
 
-    A process reads what has arrived in each iteration of its event loop. What it
-    reads between two ticks has therefore arrived after the tick before them, even if
-    the process was suspended meanwhile. That tick counts as the time of the contact.
+    A process reads what has arrived in each iteration of its event loop, and each tick
+    comes between two iterations. What it reads between two ticks has therefore arrived
+    after the tick before them, even if the process was suspended meanwhile. That tick
+    counts as the time of the contact.
 
     Attributes:
         heard_at: When each daemon was last heard, monotonic, in seconds.
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -268,6 +268,9 @@
         while not self._is_retired:
             self._owns_workers.wait()
             gevent.sleep(TICK_S)
+            # Resume before the next poll of the event loop, as the time of a tick must
+            # not be later than what this one has found but not read yet.
+            gevent.sleep(0)
             if self.region is not None:
                 now = self._clock()
                 self._end_expired_attempts(self.region, now)
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -1,10 +1,12 @@
 """The engine's admission of jobs, and restarts after a network partition."""
 
 import dataclasses
+import time
 import unittest
 from unittest import mock
 
 import gevent
+from gevent import socket
 
 from pollenladder.cluster import heartbeats
 from pollenladder.jobs import entities as jobs
@@ -187,7 +189,7 @@
             self.now += engines.TICK_S
             self.read_times["g2"] = self.now
             with mock.patch.object(
-                gevent, "sleep", side_effect=[None, ZeroDivisionError]
+                gevent, "sleep", side_effect=[None, None, ZeroDivisionError]
             ):
                 self.assertRaises(ZeroDivisionError, self.engine.run)
 
@@ -239,3 +241,60 @@
         heard_at = self.engine.region.gateways_heard_at["g8"]
         self.assertGreater(heard_at, 100.2 - 3 * engines.TICK_S)
         self.assertLess(heard_at, 100.2)
+
+
+class EventLoopTest(unittest.TestCase):
+    """An engine and a gateway's connection in a real event loop."""
+
+    PAUSES = 10
+    PAUSE_S = 0.05
+
+    def setUp(self):
+        self.read_times: dict[str, float] = {}
+        self.engine = engines.Engine(
+            LEASE_S,
+            engine_callbacks.Callbacks(
+                answer=lambda gateway_id, answer: None,
+                on_fenced=lambda worker_id: None,
+                get_lag_s=lambda: 0.0,
+                count=lambda decision: None,
+                list_read_times=lambda: dict(self.read_times),
+            ),
+            time.monotonic,
+        )
+        self.near, self.far = socket.socketpair()
+        self.engine.claim(1, reads_store=True)
+        greenlets = [gevent.spawn(self._read), gevent.spawn(self.engine.run)]
+        self.addCleanup(self.far.close)
+        self.addCleanup(self.near.close)
+        self.addCleanup(gevent.killall, greenlets)
+
+    def _read(self) -> None:
+        while self.near.recv(100):
+            self.read_times["g1"] = time.monotonic()
+
+    def _block(self) -> None:
+        """Pause the process; a sleep of a greenlet would not block the others."""
+        end = time.monotonic() + self.PAUSE_S
+        while time.monotonic() < end:
+            pass
+
+    def _receive_and_block(self) -> None:
+        """Pause the process as a frame arrives that the loop has not found yet."""
+        self.sent_at = time.monotonic()
+        self.far.send(b"frame")
+        self._block()
+
+    def test_what_arrived_before_a_pause_does_not_count_as_new(self):
+        # Before, two ticks could come between the arrival of a frame and its read: the
+        # one that the pause had delayed, and, after another pause, the next one.
+        for index in range(self.PAUSES):
+            gevent.sleep(engines.TICK_S * (4 + index / self.PAUSES))
+            # Both are due at the same time as a tick, before it and after it.
+            paused = gevent.spawn_later(0.001, self._receive_and_block)
+            gevent.spawn_later(engines.TICK_S, self._block)
+            self._block()
+            paused.join()
+            gevent.sleep(4 * engines.TICK_S)
+            heard_at = self.engine.region.gateways_heard_at["g1"]
+            self.assertLessEqual(heard_at, self.sent_at)
