Limit the leases of an owner's own callers by what it has read

Attempts of an owner's own callers set no limit to the leases of their runs. An owner that wakes from a pause renews them for a second before it has read that a caller's connection broke meanwhile. If it is then suspended again, or its stop does not reach the worker, the run goes on beside the one that the caller's next attempt starts elsewhere after 1.3 s.

A broken connection is read like any other, so the callers count as heard at the tick before the last one, as gateways do. Nothing changes while the ticks are less than 0.11 s apart. The own daemon never counts as silent, as its gateway itself looks at its callers.

tests.service.test_paused_owner draws pauses at any point of the event loop, arrivals and replies, and checks that the leases of the runs end 1.25 s after the last frame of a gateway, 1.3 s after a caller's connection broke, on a worker's clock that is 2% slow, and that the attempt ends within three ticks.

--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -43,12 +43,22 @@
     after the tick before them, even if the process was suspended meanwhile. That tick
     counts as the time of the contact.
 
+    The same holds for the callers of the owner's own daemon, as a connection that has
+    broken is read like any other.
+
     Attributes:
         heard_at: When each daemon was last heard, monotonic, in seconds.
     """
 
-    def __init__(self, now: float):
-        self.heard_at: dict[str, float] = {}
+    def __init__(self, now: float, own_id: str = ""):
+        """Start without any contact.
+
+        Args:
+            now: Monotonic time in seconds.
+            own_id: The owner's own daemon, which is never silent.
+        """
+        self.heard_at: dict[str, float] = {own_id: now}
+        self._own_id = own_id
         self._read_at: dict[str, float] = {}
         self._just_heard: set[str] = set()
         self._reported: set[str] = set()
@@ -68,6 +78,7 @@
         self._last_tick_at = self._tick_at
         self._tick_at = now
         self._just_heard.clear()
+        self.heard_at[self._own_id] = self._earlier_tick_at
         for daemon_id, at in read_at.items():
             if self._read_at.get(daemon_id) != at:
                 self._read_at[daemon_id] = at
@@ -110,6 +121,7 @@
             daemon_id: now - at
             for daemon_id, at in self.heard_at.items()
             if now > at + lease_s
+            and daemon_id != self._own_id
             and not (is_late and daemon_id in self._just_heard)
         }
         self._reported.update(silent)
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -266,6 +266,7 @@
             name,
             self._crashing_queues,
             resubmission_s=self._settings.resubmission_s,
+            own_id=self._own.daemon_id,
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -63,6 +63,7 @@
         group: str = "",
         queues: crashing_queues.CrashingQueues | None = None,
         resubmission_s: float = math.inf,
+        own_id: str = "",
     ):
         self.region: tables.Region | None = None
         self.stalled_runs = 0
@@ -81,7 +82,8 @@
         self._run_limit_s = lease_limits.choose_limit_s(
             resubmission_s, self._attempt_lease_s
         )
-        self._contacts = attempt_leases.Contacts(clock())
+        self._own_id = own_id
+        self._contacts = attempt_leases.Contacts(clock(), own_id)
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
         self._service_shares: dict[str, float] = {}
@@ -99,7 +101,7 @@
         """
         now = self._clock()
         if self.region is None:
-            self._contacts = attempt_leases.Contacts(now)
+            self._contacts = attempt_leases.Contacts(now, self._own_id)
             self.region = tables.Region(
                 epoch,
                 now,
