Check a start again as it is sent

A start is sent by a greenlet of its own, after the process may have been paused. Its lease was computed only then, from the time after the pause, and nothing checked whether the run was still wanted: the next owner may have claimed and started the task, the job may have ended, or this owner may have resigned, so that nobody knows of the run. Workers that have seen the next owner reject the start by its epoch; a worker that only this owner reaches obeys it, and the task runs twice.

A start is not sent if it was decided more than 0.35 s before, the shortest time after which another daemon can have missed this owner's heartbeats, or if its run is not wanted any more. It then counts as never sent: the task waits again, and the worker doesn't count as lost. The lease counts from the decision.

Three tests had orders without a run or a clock that was far ahead of the decision. They now have the run and the clock that belong to the order, and check the same; the one of evacuations renews the decision, so that only the state of the evacuations can hold the start back.

--- a/pollenladder/fleet/entities.py
+++ b/pollenladder/fleet/entities.py
@@ -154,6 +154,8 @@
         NOT_SENT: The order was not sent, so no run exists.
         NO_LEASE: The order was not sent, as the leases on the worker must not be
             extended.
+        OUTDATED: The order was not sent, as it was decided too long ago or its run
+            is not wanted any more.
         NO_REPLY: The order may have been received, so the run may exist.
     """
 
@@ -167,6 +169,7 @@
     REJECTED = "rejected"
     NOT_SENT = "not_sent"
     NO_LEASE = "no_lease"
+    OUTDATED = "outdated"
     NO_REPLY = "no_reply"
 
 
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -414,6 +414,13 @@
         "the worker rejected a start or did not reply",
         (*_RUN_FIELDS, "reply"),
     ),
+    Event(
+        "start_outdated",
+        Kind.RUN,
+        "a start was not sent, as it was decided too long ago or is not wanted"
+        " any more",
+        ("worker", "task", "run", "age_s"),
+    ),
     Event(
         "task_requeued",
         Kind.RUN,
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 
 import gevent
 
+from pollenladder.cluster import heartbeats
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
 from pollenladder.logs import lines as logs
@@ -27,6 +29,9 @@
 # Pause after a poll that failed unexpectedly.
 FAILED_PAUSE_S = 0.15
 FENCED_PAUSE_S = 0.3
+# A start is not sent any more this long after it was decided: daemons that have not
+# heard from this one since may have claimed the workers and started the task.
+MAX_START_AGE_S = heartbeats.OWNER_TIMEOUT_S - heartbeats.MIN_INTERVAL_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -229,9 +234,12 @@
             for witness in chosen
         )
 
-    def _extend_lease(self) -> float | None:
+    def _extend_lease(self, latest: float = math.inf) -> float | None:
         """Return a lease expiry by the worker's clock; record the latest.
 
+        Args:
+            latest: The latest expiry, monotonic, in seconds.
+
         Returns:
             None if the leases must not be extended.
         """
@@ -240,9 +248,8 @@
         expiry = lease_limits.choose_expiry(self._region, worker, now)
         if expiry is None:
             return None
-        until_s = (
-            expiry + worker.clock_ahead_s - _bound_clock_error_s(worker, now)
-        )
+        error_s = _bound_clock_error_s(worker, now)
+        until_s = min(expiry, latest) + worker.clock_ahead_s - error_s
         worker.lease_until_s = max(worker.lease_until_s, until_s)
         worker.granted_until_s = max(worker.granted_until_s, until_s)
         return until_s
@@ -265,7 +272,13 @@
         self._handle_start_reply(order, reply)
 
     def _send_start(self, order: effects.StartRun) -> fleet.StartReply:
-        lease_until_s = self._extend_lease()
+        """Send a start unless it is outdated; its lease counts from the decision."""
+        run = self._worker.runs.get(order.task)
+        if run is None or not self._is_start_current(order, run):
+            return fleet.StartReply.OUTDATED
+        lease_until_s = self._extend_lease(
+            run.sent_at + self._region.max_lease_s
+        )
         if lease_until_s is None:
             return fleet.StartReply.NO_LEASE
         return self._client.start(
@@ -276,6 +289,28 @@
             self._region.epoch,
         )
 
+    def _is_start_current(
+        self, order: effects.StartRun, run: fleet.Run
+    ) -> bool:
+        """Return whether a run is still to be started; log it if not."""
+        age_s = self._clock() - run.sent_at
+        is_wanted = (
+            run.number == order.number
+            and run.state is fleet.RunState.STARTING
+            and not self._closed
+        )
+        if is_wanted and age_s <= MAX_START_AGE_S:
+            return True
+        logs.log(
+            LOGGER,
+            "start_outdated",
+            worker=self._worker_id,
+            task=order.task,
+            run=order.number,
+            age_s=round(age_s, 3),
+        )
+        return False
+
     def _handle_start_reply(
         self, order: effects.StartRun, reply: fleet.StartReply
     ) -> None:
--- a/tests/service/test_evacuations.py
+++ b/tests/service/test_evacuations.py
@@ -13,6 +13,7 @@
 from pollenladder.fleet import evacuations
 from pollenladder.fleet import regions
 from pollenladder.fleet import worker_lists
+from pollenladder.jobs import entities as jobs
 from pollenladder.platform import exceptions
 from pollenladder.platform import rows
 from pollenladder.platform import store as stores
@@ -265,12 +266,25 @@
         worker = region.workers["w1"]
         session = sessions.Session(region, worker, callbacks, lambda: now)
         order = effects.StartRun("w1", "a1.0.0.0", 1, "(spec)")
+        run = fleet.Run(
+            order.task,
+            order.number,
+            order.worker_id,
+            jobs.Resources(),
+            fleet.RunState.STARTING,
+            sent_at=now,
+            expected_s=0.1,
+        )
+        region.add_run(worker, run)
         with mock.patch.object(session, "_client") as client:
             client.start.return_value = fleet.StartReply.STARTED
             known.is_current(now)
             session._start_run(order)
             client.start.assert_called_once()
             now += limits.max_pause_s + 0.1
+            # The order itself is not outdated.
+            run.state = fleet.RunState.STARTING
+            run.sent_at = now
             session._start_run(order)
             client.start.assert_called_once()
 
--- a/tests/service/test_sessions.py
+++ b/tests/service/test_sessions.py
@@ -7,11 +7,14 @@
 
 import gevent
 
+from pollenladder.cluster import heartbeats
 from pollenladder.core import clocks
 from pollenladder.fleet import entities as fleet
+from pollenladder.jobs import entities as jobs
 from pollenladder.platform import workers
 from pollenladder.scheduling import crashes
 from pollenladder.scheduling import effects
+from pollenladder.scheduling import intake
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import runs
 from pollenladder.service import sessions
@@ -90,6 +93,7 @@
     def test_leases_are_not_extended_beside_an_unclaimed_run(self):
         # Guards against a run that a second owner keeps alive while the first one,
         # cut off from the worker, starts its task elsewhere.
+        self.session._clock = lambda: self.simulation.now
         self.simulation.submit("a1", tasks=1)
         (order,) = self.simulation.take_starts()
         self.simulation.poll(
@@ -129,6 +133,7 @@
     def test_run_whose_start_fails_may_exist(self):
         # Guards against a run that holds its resources for good, and against
         # a second one beside it.
+        self.session._clock = lambda: self.simulation.now
         self.simulation.submit("a1", tasks=1)
         (order,) = self.simulation.take_starts()
         self.client.start.side_effect = OverflowError
@@ -139,6 +144,96 @@
         self.assertIn(effects.LookNow("w0"), self.region.effects)
 
 
+class OutdatedStartTest(unittest.TestCase):
+    """A start that is sent some time after it was decided.
+
+    Guards against a second run of a task that the next owner has started during a
+    pause of this one.
+    """
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation(workers=1)
+        self.region = self.simulation.region
+        self.worker = self.region.workers["w0"]
+        self.session = sessions.Session(
+            self.region,
+            self.worker,
+            mock.Mock(),
+            lambda: self.simulation.now,
+        )
+        self.session._client = self.client = mock.Mock()
+        self.client.start.return_value = fleet.StartReply.STARTED
+        self.simulation.submit("a1", tasks=1)
+        (self.order,) = self.simulation.take_starts()
+
+    def _start_after(self, seconds: float) -> None:
+        self.simulation.now += seconds
+        self.session._start_run_safely(self.order)
+
+    def test_start_is_not_sent_after_a_pause(self):
+        with self.assertLogs(sessions.LOGGER, "INFO") as found:
+            self._start_after(sessions.MAX_START_AGE_S + 0.01)
+        self.client.start.assert_not_called()
+        self.assertEqual(found.records[0].fields["age_s"], 0.36)
+        # The worker did not fail, and the task starts anew.
+        self.assertTrue(self.worker.is_reachable)
+        (anew,) = (
+            effect
+            for effect in self.region.effects
+            if isinstance(effect, effects.StartRun)
+        )
+        self.assertEqual(anew.number, self.order.number + 1)
+
+    def test_start_that_was_not_sent_extends_no_lease(self):
+        lease_until_s = self.worker.lease_until_s
+        with self.assertLogs(sessions.LOGGER, "INFO"):
+            self._start_after(sessions.MAX_START_AGE_S + 0.01)
+        self.assertEqual(self.worker.lease_until_s, lease_until_s)
+
+    def test_slow_owner_starts_tasks(self):
+        self._start_after(sessions.MAX_START_AGE_S - 0.01)
+        self.client.start.assert_called_once()
+
+    def test_lease_of_a_late_start_counts_from_the_decision(self):
+        decided_at = self.simulation.now
+        self._start_after(0.3)
+        until_s = self.client.start.call_args[0][3] - self.worker.clock_ahead_s
+        self.assertLessEqual(until_s, decided_at + simulations.LEASE_S)
+
+    def test_start_of_a_job_that_has_ended_meanwhile_is_not_sent(self):
+        attempt = simulations.get_attempt("g1")
+        intake.cancel_attempt(
+            self.region,
+            "a1",
+            attempt,
+            jobs.Reason.CALLER_LEFT,
+            self.simulation.now,
+        )
+        with self.assertLogs(sessions.LOGGER, "INFO"):
+            self._start_after(0.001)
+        self.client.start.assert_not_called()
+        self.assertEqual(self.worker.runs, {})
+
+    def test_start_of_an_owner_that_has_resigned_is_not_sent(self):
+        self.session.close()
+        with self.assertLogs(sessions.LOGGER, "INFO"):
+            self._start_after(0.001)
+        self.client.start.assert_not_called()
+
+    def test_no_other_daemon_claims_before_a_start_is_outdated(self):
+        # The last heartbeat was sent up to an interval before the decision.
+        for timeout_s, interval_s in (
+            (heartbeats.choose_timeout_s(0, True), heartbeats.MIN_INTERVAL_S),
+            (
+                heartbeats.choose_distant_timeout_s(False, True, 0, 0.0),
+                heartbeats.DISTANT_OWNER_INTERVAL_S,
+            ),
+        ):
+            self.assertLessEqual(
+                sessions.MAX_START_AGE_S, timeout_s - interval_s
+            )
+
+
 class RefusalTest(unittest.TestCase):
     """A worker refuses connections: it has crashed, or the network is partitioned."""
 
