Give daemons whose ids have the same hash different numbers in epochs

An epoch is a time in milliseconds and a number of the daemon, the CRC of its id modulo 1024. The CRC is linear, so front-sur-N and front-norte-N have the same number for any N: make_epoch gave both the same epoch for the same millisecond. Two such daemons that lose the owner at the same reset, on the two sides of a partition, claim with the same epoch. No worker fences either of them, each takes a worker that it has polled for its own, and a task runs twice. Found by a search of random histories.

The daemons now choose numbers in the order of their ids, the next free one if the hash is taken. Daemons that have known the same ids, also those that were forgotten meanwhile, have different numbers.

Before: make_epoch("front-sur-2", 1.8e9, 0) == make_epoch("front-norte-2", 1.8e9, 0) is True; test_daemons_that_claim_at_once_have_different_epochs and test_daemon_with_the_same_hash_has_another_epoch need the ids of the daemons: TypeError: make_epoch() takes 3 positional arguments but 4 were given

--- a/pollenladder/cluster/epochs.py
+++ b/pollenladder/cluster/epochs.py
@@ -1,12 +1,16 @@
 """Generate increasing and unique ownership epochs.
 
 An epoch is a time in milliseconds, multiplied by `DAEMON_NUMBERS`, plus a
-number derived from the daemon's id. So the epochs of two daemons differ, unless
-their ids hash to the same number. As epochs follow the wall clock, a daemon
+number of the daemon. Two daemons that have known the same daemons have
+different numbers, so their epochs differ even if they claim at the same time, on
+the two sides of a network partition.
+
+As epochs follow the wall clock, a daemon
 that knows no earlier epoch still generates a higher one. If the wall clock is
 behind, the highest known epoch sets the lower bound.
 """
 
+from collections.abc import Iterable
 import zlib
 
 # Unix time of 2020-01-01, in seconds.
@@ -19,20 +23,39 @@
 MAX_EPOCH = (4_102_444_800 - ORIGIN_S) * 1000 * DAEMON_NUMBERS
 
 
-def make_epoch(own_id: str, wall_s: float, highest: int) -> int:
+def make_epoch(
+    own_id: str, wall_s: float, highest: int, daemon_ids: Iterable[str] = ()
+) -> int:
     """Return a new epoch of a daemon, above all epochs that it knows.
 
     Args:
         own_id: The id of the daemon.
         wall_s: The wall-clock time, in seconds since 1970.
         highest: The highest epoch that the daemon knows.
+        daemon_ids: The ids of all daemons that the daemon has known.
     """
     wall_ms = int((wall_s - ORIGIN_S) * 1000)
     highest_ms = highest // DAEMON_NUMBERS + 1
-    number = zlib.crc32(own_id.encode()) % DAEMON_NUMBERS
+    number = _choose_number(own_id, daemon_ids)
     return max(wall_ms, highest_ms, 1) * DAEMON_NUMBERS + number
 
 
+def _choose_number(own_id: str, daemon_ids: Iterable[str]) -> int:
+    """Return the number of a daemon: a hash of its id, or the next free number.
+
+    The daemons choose in the order of their ids.
+    """
+    numbers: dict[str, int] = {}
+    taken: set[int] = set()
+    for daemon_id in sorted({own_id, *daemon_ids}):
+        number = zlib.crc32(daemon_id.encode()) % DAEMON_NUMBERS
+        while number in taken and len(taken) < DAEMON_NUMBERS:
+            number = (number + 1) % DAEMON_NUMBERS
+        taken.add(number)
+        numbers[daemon_id] = number
+    return numbers[own_id]
+
+
 def skip_ahead(epoch: int, attempts: int = 0) -> int:
     """Return a lower bound above an unknown epoch that is near a known one.
 
--- a/pollenladder/cluster/roster.py
+++ b/pollenladder/cluster/roster.py
@@ -150,6 +150,13 @@
             if group in peer.views and peer.last_heartbeat_at >= since
         }
 
+    def list_ever_known(self) -> frozenset[str]:
+        """Return the ids of all daemons known since the start, and this one."""
+        return frozenset(self.peers) | {
+            self._own_id,
+            *self._forgotten_incarnations,
+        }
+
     def is_near(self, daemon_id: str) -> bool:
         """Return whether a peer may own the same groups as this daemon."""
         return daemon_id in self._near
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -134,7 +134,7 @@
 
     def record_state(self, daemon_id: str, state: messages.GroupState) -> None:
         """Record what a heartbeat of another daemon tells about the group."""
-        self._highest_epoch = max(self._highest_epoch, state.epoch)
+        self.record_epoch(state.epoch)
         if state.successor:
             self._record_successor(state.successor)
         if state.is_owner != (daemon_id == self.owner_id):
@@ -177,14 +177,15 @@
         ):
             epoch_floor = epochs.skip_ahead(self._epoch, self._fenced_claims)
             self._fenced_claims += 1
-            self._highest_epoch = max(self._highest_epoch, epoch_floor)
+            self.record_epoch(epoch_floor)
             self._claim("fenced by an unreachable owner")
         else:
             self._resign("fenced")
 
     def record_epoch(self, epoch: int) -> None:
         """Record an epoch that an owner has used, so that claims exceed it."""
-        self._highest_epoch = max(self._highest_epoch, epoch)
+        if epoch > self._highest_epoch:
+            self._highest_epoch = epoch
 
     def _is_settled(self, now: float) -> bool:
         return self.is_owner and now >= self._claimed_at + ownership.SETTLING_S
@@ -347,9 +348,12 @@
 
     def _claim(self, reason: str) -> None:
         self._epoch = epochs.make_epoch(
-            self._own_id, self._wall_clock(), self._highest_epoch
+            self._own_id,
+            self._wall_clock(),
+            self.highest_epoch,
+            self._roster.list_ever_known(),
         )
-        self._highest_epoch = self._epoch
+        self.record_epoch(self._epoch)
         self._claimed_at = self._clock()
         self._fenced_at = None
         logs.log(
--- a/tests/cluster/test_epochs.py
+++ b/tests/cluster/test_epochs.py
@@ -1,4 +1,4 @@
-"""Epochs grow, even if the wall clock goes back."""
+"""Epochs grow and differ, even if wall clocks jump or differ."""
 
 import unittest
 
@@ -26,3 +26,14 @@
         first = epochs.make_epoch("a", NOW_S, 0)
         other = epochs.make_epoch("b", NOW_S + 5.0, 0)
         self.assertGreater(epochs.skip_ahead(first), other)
+
+    def test_daemons_that_claim_at_once_have_different_epochs(self):
+        # The first two ids have the same hash.
+        ids = ["front-sur-2", "front-norte-2"]
+        ids += [f"front-{place}-{n}" for place in "abcde" for n in range(40)]
+        made = {epochs.make_epoch(i, NOW_S, 0, ids) for i in ids}
+        self.assertEqual(len(made), len(ids))
+
+    def test_more_daemons_than_numbers_have_an_epoch(self):
+        ids = [f"d{n}" for n in range(2 * epochs.DAEMON_NUMBERS)]
+        self.assertGreater(epochs.make_epoch(ids[-1], NOW_S, 0, ids), 0)
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -1,5 +1,6 @@
 """When a daemon claims the ownership, resigns, or waits."""
 
+import itertools
 import unittest
 
 from pollenladder.cluster import boot
@@ -340,6 +341,24 @@
         self.membership.step()
         self.assertGreater(self.claimed[-1], self.claimed[0] + 5 * daemons)
 
+    def test_daemon_with_the_same_hash_has_another_epoch(self):
+        # Guards against two owners that all workers obey.
+        own = epochs.make_epoch("b", 1_800_000_000.0, 0)
+        twin = next(
+            daemon_id
+            for daemon_id in (f"a{n}" for n in itertools.count())
+            if epochs.make_epoch(daemon_id, 1_800_000_000.0, 0) == own
+        )
+        self._receive(twin, is_backing_off=True)
+        self.roster.record_link_state(twin, False, self.now)
+        self.now += rosters.FORGET_AFTER_S + 1.0
+        self.membership.step()
+        self.assertNotIn(twin, self.roster.peers)
+        self._become_owner()
+        made_by_twin = epochs.make_epoch(twin, 1_800_000_000.0, 0, ["b", twin])
+        self.assertNotEqual(self.claimed[0], made_by_twin)
+        self.assertEqual(made_by_twin, own)
+
     def test_follower_in_a_large_region_sends_few_heartbeats(self):
         for number in range(100):
             self._receive(f"x{number}", is_owner=number == 0, workers_reached=9)
