Let epochs follow the time since the highest known one

If a daemon's wall clock was behind the highest epoch that it knew, each claim made the next millisecond after that epoch, whenever it claimed. So of two daemons on the two sides of a partition, the later owner had the lower epoch half of the time: after a claim that skips 10 s ahead, for 10 s, and for as long as the wall clocks of two machines differ. Where the earlier owner comes back to a worker, the worker obeys it again, though the later one takes all earlier owners for fenced on the workers that it has polled.

A claim is now as far above the highest known epoch as the time since that became known, by the steady clock. Daemons that know of the same epoch order their claims by time, whatever their wall clocks say.

A daemon that knows no epoch of the group and whose clock is behind still claims a lower one. Workers that have seen the higher one fence it, and it skips ahead.

--- a/pollenladder/cluster/epochs.py
+++ b/pollenladder/cluster/epochs.py
@@ -5,9 +5,11 @@
 different numbers, so their epochs differ even if they claim at the same time, on
 the two sides of a network partition.
 
-As epochs follow the wall clock, a daemon
-that knows no earlier epoch still generates a higher one. If the wall clock is
-behind, the highest known epoch sets the lower bound.
+As epochs follow the wall clock, a daemon that knows no earlier epoch still
+generates a higher one. If the wall clock is behind the highest known epoch, the
+epoch follows that one, by the time since it became known. So of two daemons that
+know of the same epoch, but not of each other's claims, the later one generates the
+higher epoch, although their clocks differ.
 """
 
 from collections.abc import Iterable
@@ -31,7 +33,7 @@
     Args:
         own_id: The id of the daemon.
         wall_s: The wall-clock time, in seconds since 1970.
-        highest: The highest epoch that the daemon knows.
+        highest: The highest epoch that the daemon knows, advanced to now.
         daemon_ids: The ids of all daemons that the daemon has known.
     """
     wall_ms = int((wall_s - ORIGIN_S) * 1000)
@@ -56,6 +58,11 @@
     return numbers[own_id]
 
 
+def advance(epoch: int, seconds: float) -> int:
+    """Return an epoch's value after some time; 0 stays, as it is none."""
+    return epoch and epoch + int(seconds * 1000) * DAEMON_NUMBERS
+
+
 def skip_ahead(epoch: int, attempts: int = 0) -> int:
     """Return a lower bound above an unknown epoch that is near a known one.
 
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -105,6 +105,7 @@
         self._unannounced_successor = ""
         self._announced: ownership.DaemonView | None = None
         self._highest_epoch = 0
+        self._highest_known_since = now
         self._liveness = liveness.Liveness(group, roster, now)
         self._owner_changes_at: list[float] = []
         self._created_at = now
@@ -129,8 +130,9 @@
 
     @property
     def highest_epoch(self) -> int:
-        """The highest epoch of the group that this daemon knows."""
-        return self._highest_epoch
+        """The highest epoch of the group that this daemon knows, advanced to now."""
+        known_for_s = self._clock() - self._highest_known_since
+        return epochs.advance(self._highest_epoch, known_for_s)
 
     def record_state(self, daemon_id: str, state: messages.GroupState) -> None:
         """Record what a heartbeat of another daemon tells about the group."""
@@ -186,6 +188,7 @@
         """Record an epoch that an owner has used, so that claims exceed it."""
         if epoch > self._highest_epoch:
             self._highest_epoch = epoch
+            self._highest_known_since = self._clock()
 
     def _is_settled(self, now: float) -> bool:
         return self.is_owner and now >= self._claimed_at + ownership.SETTLING_S
--- a/tests/cluster/test_epochs.py
+++ b/tests/cluster/test_epochs.py
@@ -27,6 +27,22 @@
         other = epochs.make_epoch("b", NOW_S + 5.0, 0)
         self.assertGreater(epochs.skip_ahead(first), other)
 
+    def test_later_claim_has_the_higher_epoch_on_a_clock_that_is_behind(self):
+        # The daemons know of the same earlier epoch, but not of each other's claims.
+        known = epochs.make_epoch("c", NOW_S + 5.0, 0)
+        for first_id, later_id in (("a", "b"), ("b", "a")):
+            first = epochs.make_epoch(
+                first_id, NOW_S, epochs.advance(known, 1.0)
+            )
+            later = epochs.make_epoch(
+                later_id, NOW_S - 2.0, epochs.advance(known, 1.1)
+            )
+            with self.subTest(later_id=later_id):
+                self.assertGreater(later, first)
+
+    def test_no_epoch_is_known_at_first(self):
+        self.assertEqual(epochs.advance(0, 1e9), 0)
+
     def test_daemons_that_claim_at_once_have_different_epochs(self):
         # The first two ids have the same hash.
         ids = ["front-sur-2", "front-norte-2"]
--- a/tests/service/test_leadership.py
+++ b/tests/service/test_leadership.py
@@ -341,6 +341,16 @@
         self.membership.step()
         self.assertGreater(self.claimed[-1], self.claimed[0] + 5 * daemons)
 
+    def test_claims_follow_the_time_since_an_epoch_became_known(self):
+        # Guards against a later owner that obeys an earlier one's fence, as its wall
+        # clock is behind and it does not know that one's claim.
+        ahead = epochs.make_epoch("c", 1_800_000_007.0, 0)
+        self._receive("c", follows="z", epoch=ahead)
+        self.now += 3.0
+        self._become_owner()
+        after_ms = (self.claimed[0] - ahead) // epochs.DAEMON_NUMBERS
+        self.assertGreaterEqual(after_ms, 3000)
+
     def test_daemon_with_the_same_hash_has_another_epoch(self):
         # Guards against two owners that all workers obey.
         own = epochs.make_epoch("b", 1_800_000_000.0, 0)
