Count the lease of an unconfirmed attempt from the link before

A new link to a gateway gave its attempts 0.5 s to be forwarded again, and counted as a contact, also if it replaced one that had carried nothing for 0.9 s. So the runs of an attempt whose gateway was cut off and is back, perhaps as another process, were stopped 1.47 s after the last contact, while the caller comes back elsewhere after 1.3 s.

An unconfirmed attempt now ends with its lease, 0.95 s after the last contact over the link before the change, if that is earlier. `Attempt.unconfirmed_since` tells that contact in place of the change. A link that breaks with a contact just before leaves the whole time to forward, as before; a gateway that forwards its attempt over the new link keeps it.

--- a/pollenladder/scheduling/attempts.py
+++ b/pollenladder/scheduling/attempts.py
@@ -21,9 +21,10 @@
         number: The attempt's number; see `jobs.Answer`.
         gateway_id: The daemon to which its answer is sent.
         first_run: The lowest run number of the attempt's last forward.
-        unconfirmed_since: When the link first changed after the last forward;
-            infinite if it has not.
+        unconfirmed_since: When the gateway was last heard before the link first
+            changed after the last forward; infinite if it has not.
         confirm_by: Until when the gateway has to forward the attempt again.
+        link_changed_at: When the link first changed after the last forward.
     """
 
     number: int
@@ -31,3 +32,4 @@
     first_run: int
     unconfirmed_since: float = math.inf
     confirm_by: float = math.inf
+    link_changed_at: float = math.inf
--- a/pollenladder/scheduling/gateway_links.py
+++ b/pollenladder/scheduling/gateway_links.py
@@ -5,9 +5,14 @@
 link. An attempt that it does not forward has been cancelled, or was forwarded to
 another owner behind a network partition, which starts the job again once a lease has
 expired. Its runs here must be over by then.
+
+A new link may replace one that has carried nothing for some time, and what is heard over
+it does not tell whether the attempt waits. So the attempt's lease still counts from the
+last contact over the link before.
 """
 
 from pollenladder.jobs import entities as jobs
+from pollenladder.scheduling import attempt_leases
 from pollenladder.scheduling import attempts
 from pollenladder.scheduling import job_ends
 from pollenladder.scheduling import tables
@@ -19,13 +24,32 @@
 
 
 def record_change(
-    region: tables.Region, gateway_id: str, is_linked: bool, now: float
+    region: tables.Region,
+    gateway_id: str,
+    is_linked: bool,
+    now: float,
+    lease_s: float = attempt_leases.MAX_LEASE_S,
 ) -> None:
-    """Record that the link to a gateway has ended, or that there is a new one."""
+    """Record that the link to a gateway has ended, or that there is a new one.
+
+    Args:
+        region: The region.
+        gateway_id: The gateway.
+        is_linked: Whether there is a new link.
+        now: Monotonic time in seconds.
+        lease_s: The length of an attempt's lease; see `attempt_leases`.
+    """
+    heard_at = min(now, region.gateways_heard_at.get(gateway_id, now))
     for job in region.jobs.values():
         for attempt in job.attempts.values():
             if attempt.gateway_id == gateway_id:
-                _mark_unconfirmed(attempt, is_linked, now)
+                attempt.link_changed_at = min(attempt.link_changed_at, now)
+                attempt.unconfirmed_since = min(
+                    attempt.unconfirmed_since, heard_at
+                )
+                confirm_by = _choose_end(attempt, is_linked, now)
+                lease_end = attempt.unconfirmed_since + lease_s
+                attempt.confirm_by = min(confirm_by, lease_end)
                 region.confirmations_due[gateway_id] = max(
                     attempt.confirm_by,
                     region.confirmations_due.get(
@@ -34,15 +58,14 @@
                 )
 
 
-def _mark_unconfirmed(
+def _choose_end(
     attempt: attempts.Attempt, is_linked: bool, now: float
-) -> None:
-    attempt.unconfirmed_since = min(attempt.unconfirmed_since, now)
-    latest_at = attempt.unconfirmed_since + GATEWAY_GRACE_S
-    attempt.confirm_by = latest_at
-    if is_linked:
-        earliest_at = min(now, latest_at) + CONFIRMATION_S
-        attempt.confirm_by = max(latest_at, earliest_at)
+) -> float:
+    """Return until when a gateway has to forward an attempt again."""
+    latest_at = attempt.link_changed_at + GATEWAY_GRACE_S
+    if not is_linked:
+        return latest_at
+    return max(latest_at, min(now, latest_at) + CONFIRMATION_S)
 
 
 def remove_unconfirmed(region: tables.Region, now: float) -> None:
--- a/tests/scheduling/test_attempt_leases.py
+++ b/tests/scheduling/test_attempt_leases.py
@@ -5,6 +5,7 @@
 from pollenladder.cluster import heartbeats
 from pollenladder.scheduling import attempt_leases
 from pollenladder.scheduling import effects
+from pollenladder.scheduling import gateway_links
 from tests.scheduling import simulations
 
 RESUBMISSION_S = 1.3
@@ -196,3 +197,55 @@
             for worker_id in self.simulation.region.workers:
                 self.simulation.poll(worker_id)
         self.assertGreater(len(self.simulation.take_stops()), 10)
+
+
+class ReplacedLinkTest(unittest.TestCase):
+    """A gateway's machine is cut off, and a new link replaces the silent one.
+
+    Guards against runs that go on for callers that have returned elsewhere, as the
+    new link comes shortly before the lease of their attempt ends.
+    """
+
+    def setUp(self):
+        self.simulation = simulations.RegionSimulation()
+        self.region = self.simulation.region
+        self.heard_at = self.simulation.now
+        self.region.gateways_heard_at["far"] = self.heard_at
+        self.simulation.submit("a1", gateway_id="far", budget_s=9.0)
+        for order in self.simulation.take_starts():
+            self.simulation.confirm(order)
+
+    def _replace_link(self, silent_s: float) -> None:
+        self.simulation.now = self.heard_at + silent_s
+        gateway_links.record_change(
+            self.region, "far", True, self.simulation.now
+        )
+        self.region.gateways_heard_at["far"] = self.simulation.now
+
+    def test_runs_are_stopped_before_the_callers_return(self):
+        for silent_s in (0.05, 0.3, 0.6, 0.9):
+            self.setUp()
+            self._replace_link(silent_s)
+            while not self.simulation.take_stops():
+                self.simulation.step(TICK_S)
+                self.region.gateways_heard_at["far"] = self.simulation.now
+            stopped_s = self.simulation.now + STOP_S - self.heard_at
+            with self.subTest(silent_s=silent_s):
+                self.assertLess(stopped_s, RESUBMISSION_S - 0.1)
+
+    def test_gateway_that_forwards_again_keeps_its_attempt(self):
+        self._replace_link(0.9)
+        self.simulation.submit(
+            "a1",
+            gateway_id="far",
+            budget_s=9.0,
+            may_have_begun=True,
+            first_run=33,
+        )
+        self.simulation.step(0.5)
+        self.assertEqual(self.simulation.take_stops(), [])
+
+    def test_link_that_breaks_at_once_leaves_the_whole_time_to_forward(self):
+        self._replace_link(0.05)
+        self.simulation.step(gateway_links.GATEWAY_GRACE_S - TICK_S)
+        self.assertEqual(self.simulation.take_stops(), [])
