Bound the leases of a paused owner by the wait of the next one

The wait before a task of a job that was forwarded again starts assumed a partition that is seen at the same time on both sides, and an owner that notices silence in time. If callers return late, as with a resubmission time of 9 s, an owner that wakes from a pause went on renewing leases for up to 8.8 s after its last contact with the gateway, and the next owner starts the task after 2.42 s.

The limit of leases after the last contact is now also bounded by that wait; at 1.3 s it stays 1.22 s. The delay counts from the forward and needs no assumption about how the gateway has lost the owner: what was on its way, the attempt's lease, and the time to stop the runs. Its value is as before, 1.35 s: the 0.3 s for which a next owner used to extend leases and the margin of 0.2 s made up for the owner's timeout of 0.45 s, which does not hold if only the owner's heartbeats are lost, if the connection is reset, or for a new layout.

--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -79,8 +79,11 @@
         self._callbacks = callbacks
         self._clock = clock
         self._attempt_lease_s = attempt_leases.choose_lease_s(resubmission_s)
-        self._run_limit_s = lease_limits.choose_limit_s(
-            resubmission_s, self._attempt_lease_s
+        self._run_limit_s = min(
+            lease_limits.choose_limit_s(resubmission_s, self._attempt_lease_s),
+            handover_delays.bound_run_limit_s(
+                self._attempt_lease_s, max_lease_s
+            ),
         )
         self._own_id = own_id
         self._contacts = attempt_leases.Contacts(clock(), own_id)
@@ -233,7 +236,9 @@
         """Record that the link to a gateway was established or has ended."""
         if self.region is not None:
             now = self._clock()
-            gateway_links.record_change(self.region, gateway_id, is_linked, now)
+            gateway_links.record_change(
+                self.region, gateway_id, is_linked, now, self._attempt_lease_s
+            )
 
     def count_reachable_workers(self) -> int:
         """Return the number of workers that this owner reaches."""
