Read the links' clock from the module of clocks

The links between daemons read time.monotonic themselves. That clock may stand still while the machine is suspended, so after such a pause a daemon takes peers for alive from which it has heard nothing for seconds. The links now use the clock of all other components, `clocks.read_monotonic_s`, so that a suspension is seen like any other pause wherever that clock counts it. Nothing changes on a clock that doesn't.

test_silence_during_a_suspension_closes_the_connection, before: AssertionError: Lists differ: [] != [<CloseReason.SILENT: 'silent'>]

--- a/pollenladder/wire/links.py
+++ b/pollenladder/wire/links.py
@@ -10,13 +10,13 @@
 import enum
 import logging
 import select
-import time
 from typing import Any
 
 import gevent
 from gevent import event
 from gevent import socket
 
+from pollenladder.core import clocks
 from pollenladder.logs import lines as logs
 from pollenladder.wire import codec
 from pollenladder.wire import exceptions
@@ -141,7 +141,7 @@
         self._peer_timeout_s = limits.peer_timeout_s
         self._heartbeat_s = limits.heartbeat_s
         self._timeout_changed = event.Event()
-        self._received_at = time.monotonic()
+        self._received_at = clocks.read_monotonic_s()
         self._write_began_at: float | None = None
         self._written_at = self._received_at
 
@@ -309,7 +309,7 @@
         greenlet watches for both, as a timer for each call costs too much.
         """
         while not self.closed:
-            now = time.monotonic()
+            now = clocks.read_monotonic_s()
             idle_s = now - self._written_at
             if idle_s >= self._heartbeat_s:
                 self._written_at = now
@@ -341,7 +341,7 @@
         poll.register(self._sock, select.POLLIN)
         if not poll.poll(0):
             return False
-        self._received_at = time.monotonic()
+        self._received_at = clocks.read_monotonic_s()
         return True
 
     def _write_queued(self) -> None:
@@ -351,10 +351,10 @@
 
     def _write_frame(self, batch: list[bytes]) -> None:
         frame = framing.pack_batch(batch)
-        self._write_began_at = time.monotonic()
+        self._write_began_at = clocks.read_monotonic_s()
         self._sock.sendall(frame)
         self._write_began_at = None
-        self._written_at = time.monotonic()
+        self._written_at = clocks.read_monotonic_s()
         self.counts.frames_out += 1
         self.counts.messages_out += len(batch)
         self.counts.heartbeats_out += not batch
@@ -364,7 +364,7 @@
         frames = framing.FrameBuffer(self._limits.max_frame_bytes)
         while not self.closed:
             data = self._sock.recv(RECEIVE_BYTES)
-            self._received_at = time.monotonic()
+            self._received_at = clocks.read_monotonic_s()
             if not data:
                 frames.finish()
                 self.close(CloseReason.PEER_CLOSED)
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -9,6 +9,7 @@
 from gevent import socket
 import msgpack
 
+from pollenladder.core import clocks
 from pollenladder.wire import converters
 from pollenladder.wire import exceptions
 from pollenladder.wire import framing
@@ -145,6 +146,27 @@
                 self.assertEqual(self.far.closed, [Reason(reason)])
                 self.assertEqual(len(self.far.received), delivered)
 
+    def test_silence_during_a_suspension_closes_the_connection(self):
+        # Guards against a daemon that takes its peers for alive as its machine wakes,
+        # as the steady clock of the machine does not count the suspension.
+        suspended_s = 0.0
+
+        def read_clock() -> float:
+            return time.monotonic() + suspended_s
+
+        self.far = samples.RecordingDaemon(
+            "far", limits=build_limits(heartbeat_s=0.05)
+        )
+        with mock.patch.object(
+            clocks, "read_monotonic_s", side_effect=read_clock
+        ):
+            self.connect_raw(self.listen(self.far))
+            gevent.sleep(0.1)
+            self.assertEqual(self.far.closed, [])
+            suspended_s = 2 * samples.WAIT_S
+            gevent.sleep(0.2)
+        self.assertEqual(self.far.closed, [Reason.SILENT])
+
     def test_a_silent_connection_is_closed(self):
         self.far = samples.RecordingDaemon(
             "far", limits=build_limits(peer_timeout_s=0.1)
