Read what was forwarded before unconfirmed attempts end

After a change of its link, a gateway has 0.5 s to forward its attempts again. An owner that was paused for longer ended them on its first tick, before it had read what the gateway had forwarded in time: the jobs started anew, after their runs were stopped.

On a tick that comes late, unconfirmed attempts stay until the next one, as those of gateways that seem silent do. Their leases are limited by the last contact meanwhile.

Before: test_late_owner_first_reads_what_was_forwarded_again: AssertionError: unexpectedly None test_late_owner_ends_what_was_not_forwarded_again: AssertionError: Lists differ: [] != ['b2']

--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -105,6 +105,16 @@
                 del self.heard_at[daemon_id]
                 self._reported.remove(daemon_id)
 
+    def must_read_first(self) -> bool:
+        """Return whether the process has just been paused.
+
+        It has not read yet what has arrived meanwhile. If all ticks come late, it
+        reads between them.
+        """
+        is_late = self._tick_at > self._last_tick_at + LATE_TICK_S
+        was_late = self._last_tick_at > self._earlier_tick_at + LATE_TICK_S
+        return is_late and not was_late
+
     def list_silent(self, lease_s: float) -> dict[str, float]:
         """Return for how long each daemon with an expired lease was silent.
 
@@ -112,11 +122,10 @@
         what has arrived. If all ticks come late, only daemons from which nothing was
         read since the last one are silent.
         """
+        if self.must_read_first():
+            return {}
         now = self._tick_at
         is_late = now > self._last_tick_at + LATE_TICK_S
-        was_late = self._last_tick_at > self._earlier_tick_at + LATE_TICK_S
-        if is_late and not was_late:
-            return {}
         silent = {
             daemon_id: now - at
             for daemon_id, at in self.heard_at.items()
--- a/pollenladder/scheduling/gateway_links.py
+++ b/pollenladder/scheduling/gateway_links.py
@@ -68,6 +68,21 @@
     return max(latest_at, min(now, latest_at) + CONFIRMATION_S)
 
 
+def postpone_removal(region: tables.Region, now: float) -> None:
+    """Keep all unconfirmed attempts until the next tick.
+
+    After a pause of the process, they may have been forwarded again in time, and this
+    was not read yet.
+    """
+    if not region.confirmations_due:
+        return
+    for job in region.jobs.values():
+        for attempt in job.attempts.values():
+            attempt.confirm_by = max(attempt.confirm_by, now)
+    for gateway_id, until in region.confirmations_due.items():
+        region.confirmations_due[gateway_id] = max(until, now)
+
+
 def remove_unconfirmed(region: tables.Region, now: float) -> None:
     """Remove the attempts that were not forwarded again in time."""
     if not region.confirmations_due:
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -288,6 +288,8 @@
     def _end_expired_attempts(self, region: tables.Region, now: float) -> None:
         """End the attempts whose gateways have been silent for too long."""
         self._contacts.record_tick(self._callbacks.list_read_times(), now)
+        if self._contacts.must_read_first():
+            gateway_links.postpone_removal(region, now)
         silent = self._contacts.list_silent(self._attempt_lease_s)
         region.decide(
             effects.Decision.ATTEMPT_LEASES,
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -221,6 +221,41 @@
         self.assertEqual(self.engine.region.jobs, {})
         self.assertEqual(self.rejected, [("g1", "a1", 7)])
 
+    def _pause_with_unconfirmed_attempt(self) -> None:
+        """Pause the owner until the gateway's time to forward a job again is over."""
+        self.engine.claim(1, reads_store=True)
+        self._run_until(100.2)
+        submission = simulations.build_submission(
+            "b2", attempt=7, budget_s=9.0, slack_s=9.0
+        )
+        self.engine.submit(submission, "g2")
+        self.engine.record_gateway_link("g2", False)
+        self.now += gateway_links.GATEWAY_GRACE_S + 0.1
+        self._run_until(self.now + engines.TICK_S)
+
+    def test_late_owner_first_reads_what_was_forwarded_again(self):
+        # Guards against runs that are stopped after each pause of the owner.
+        self._pause_with_unconfirmed_attempt()
+        job = self.engine.region.jobs.get("b2")
+        submission = simulations.build_submission(
+            "b2",
+            attempt=7,
+            budget_s=9.0,
+            slack_s=9.0,
+            may_have_begun=True,
+            first_run=33,
+        )
+        self.engine.submit(submission, "g2")
+        self._run_until(self.now + 1.0)
+        self.assertIsNotNone(job)
+        self.assertIs(self.engine.region.jobs["b2"], job)
+
+    def test_late_owner_ends_what_was_not_forwarded_again(self):
+        self._pause_with_unconfirmed_attempt()
+        self.assertEqual(list(self.engine.region.jobs), ["b2"])
+        self._run_until(self.now + 2 * engines.TICK_S)
+        self.assertEqual(self.engine.region.jobs, {})
+
     def test_claim_with_a_higher_epoch_keeps_the_limits_of_leases(self):
         # Guards against leases without a limit until the first tick after the claim,
         # which a pause of the process may delay.
