--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -22,7 +22,7 @@
 MAX_LEASE_S = 0.95
 # After a longer pause between two ticks, what has arrived meanwhile is read first.
 LATE_TICK_S = 0.1
-# No attempt of a gateway is left once it has been silent for this long.
+# A gateway whose silence was reported is forgotten once it has lasted this long.
 FORGET_AFTER_S = 5.0
 
 
@@ -38,18 +38,30 @@
 class Contacts:
     """When this owner last heard from each gateway, as of its last tick.
 
-    A process reads what has arrived in each iteration of its event loop. What it
-    reads between two ticks has therefore arrived after the tick before them, even if
-    the process was suspended meanwhile. That tick counts as the time of the contact.
+    A process reads what has arrived in each iteration of its event loop, and each tick
+    comes between two iterations. What it reads between two ticks has therefore arrived
+    after the tick before them, even if the process was suspended meanwhile. That tick
+    counts as the time of the contact.
+
+    The same holds for the callers of the owner's own daemon, as a connection that has
+    broken is read like any other.
 
     Attributes:
         heard_at: When each daemon was last heard, monotonic, in seconds.
     """
 
-    def __init__(self, now: float):
-        self.heard_at: dict[str, float] = {}
+    def __init__(self, now: float, own_id: str = ""):
+        """Start without any contact.
+
+        Args:
+            now: Monotonic time in seconds.
+            own_id: The owner's own daemon, which is never silent.
+        """
+        self.heard_at: dict[str, float] = {own_id: now}
+        self._own_id = own_id
         self._read_at: dict[str, float] = {}
         self._just_heard: set[str] = set()
+        self._reported: set[str] = set()
         self._tick_at = now
         # When the two ticks before were.
         self._last_tick_at = now
@@ -66,22 +78,42 @@
         self._last_tick_at = self._tick_at
         self._tick_at = now
         self._just_heard.clear()
+        self.heard_at[self._own_id] = self._earlier_tick_at
         for daemon_id, at in read_at.items():
             if self._read_at.get(daemon_id) != at:
                 self._read_at[daemon_id] = at
                 self.heard_at[daemon_id] = self._earlier_tick_at
                 self._just_heard.add(daemon_id)
+        self._reported -= self._just_heard
         self._forget_silent()
 
+    def record_submission(self, gateway_id: str) -> None:
+        """Record a contact with a gateway whose submission was just read.
+
+        The next tick records its link. Until then, the gateway of an attempt must not
+        be unknown, as its runs would get leases without a limit.
+        """
+        self.heard_at.setdefault(gateway_id, self._last_tick_at)
+
     def _forget_silent(self) -> None:
-        """Forget the daemons whose silence earlier ticks have shown.
+        """Forget the daemons that were reported as silent some time ago.
 
-        On the tick after a pause, nothing expires; the next one has to show the
-        silence before the pause.
+        Late ticks don't report all of them, however long their silence is.
         """
-        for daemon_id, at in list(self.heard_at.items()):
-            if self._earlier_tick_at > at + FORGET_AFTER_S:
+        for daemon_id in list(self._reported):
+            if self._tick_at > self.heard_at[daemon_id] + FORGET_AFTER_S:
                 del self.heard_at[daemon_id]
+                self._reported.remove(daemon_id)
+
+    def must_read_first(self) -> bool:
+        """Return whether the process has just been paused.
+
+        It has not read yet what has arrived meanwhile. If all ticks come late, it
+        reads between them.
+        """
+        is_late = self._tick_at > self._last_tick_at + LATE_TICK_S
+        was_late = self._last_tick_at > self._earlier_tick_at + LATE_TICK_S
+        return is_late and not was_late
 
     def list_silent(self, lease_s: float) -> dict[str, float]:
         """Return for how long each daemon with an expired lease was silent.
@@ -90,17 +122,19 @@
         what has arrived. If all ticks come late, only daemons from which nothing was
         read since the last one are silent.
         """
+        if self.must_read_first():
+            return {}
         now = self._tick_at
         is_late = now > self._last_tick_at + LATE_TICK_S
-        was_late = self._last_tick_at > self._earlier_tick_at + LATE_TICK_S
-        if is_late and not was_late:
-            return {}
-        return {
+        silent = {
             daemon_id: now - at
             for daemon_id, at in self.heard_at.items()
             if now > at + lease_s
+            and daemon_id != self._own_id
             and not (is_late and daemon_id in self._just_heard)
         }
+        self._reported.update(silent)
+        return silent
 
 
 def end_expired(
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -63,6 +63,7 @@
         group: str = "",
         queues: crashing_queues.CrashingQueues | None = None,
         resubmission_s: float = math.inf,
+        own_id: str = "",
     ):
         self.region: tables.Region | None = None
         self.stalled_runs = 0
@@ -78,10 +79,14 @@
         self._callbacks = callbacks
         self._clock = clock
         self._attempt_lease_s = attempt_leases.choose_lease_s(resubmission_s)
-        self._run_limit_s = lease_limits.choose_limit_s(
-            resubmission_s, self._attempt_lease_s
+        self._run_limit_s = min(
+            lease_limits.choose_limit_s(resubmission_s, self._attempt_lease_s),
+            handover_delays.bound_run_limit_s(
+                self._attempt_lease_s, max_lease_s
+            ),
         )
-        self._contacts = attempt_leases.Contacts(clock())
+        self._own_id = own_id
+        self._contacts = attempt_leases.Contacts(clock(), own_id)
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
         self._service_shares: dict[str, float] = {}
@@ -99,7 +104,7 @@
         """
         now = self._clock()
         if self.region is None:
-            self._contacts = attempt_leases.Contacts(now)
+            self._contacts = attempt_leases.Contacts(now, self._own_id)
             self.region = tables.Region(
                 epoch,
                 now,
@@ -109,6 +114,7 @@
                 handover_delay_s=handover_delays.bound_handover_delay_s(
                     self._attempt_lease_s
                 ),
+                gateways_heard_at=self._contacts.heard_at,
                 run_limit_s=self._run_limit_s,
                 moved_workers_until=self._moved_workers_until,
                 list_history=self._list_history,
@@ -191,6 +197,7 @@
         """Admit or refuse a job; return False if this is not the owner."""
         if self.region is None:
             return False
+        self._contacts.record_submission(gateway_id)
         submission = _add_read_delay(submission, self._callbacks.get_lag_s())
         try:
             intake.submit(self.region, submission, gateway_id, self._clock())
@@ -229,7 +236,9 @@
         """Record that the link to a gateway was established or has ended."""
         if self.region is not None:
             now = self._clock()
-            gateway_links.record_change(self.region, gateway_id, is_linked, now)
+            gateway_links.record_change(
+                self.region, gateway_id, is_linked, now, self._attempt_lease_s
+            )
 
     def count_reachable_workers(self) -> int:
         """Return the number of workers that this owner reaches."""
@@ -266,6 +275,9 @@
         while not self._is_retired:
             self._owns_workers.wait()
             gevent.sleep(TICK_S)
+            # Resume before the next poll of the event loop, as the time of a tick must
+            # not be later than what this one has found but not read yet.
+            gevent.sleep(0)
             if self.region is not None:
                 now = self._clock()
                 self._end_expired_attempts(self.region, now)
@@ -276,7 +288,8 @@
     def _end_expired_attempts(self, region: tables.Region, now: float) -> None:
         """End the attempts whose gateways have been silent for too long."""
         self._contacts.record_tick(self._callbacks.list_read_times(), now)
-        region.gateways_heard_at = self._contacts.heard_at
+        if self._contacts.must_read_first():
+            gateway_links.postpone_removal(region, now)
         silent = self._contacts.list_silent(self._attempt_lease_s)
         region.decide(
             effects.Decision.ATTEMPT_LEASES,
--- a/pollenladder/service/leadership.py
+++ b/pollenladder/service/leadership.py
@@ -105,6 +105,7 @@
         self._unannounced_successor = ""
         self._announced: ownership.DaemonView | None = None
         self._highest_epoch = 0
+        self._highest_known_since = now
         self._liveness = liveness.Liveness(group, roster, now)
         self._owner_changes_at: list[float] = []
         self._created_at = now
@@ -129,12 +130,13 @@
 
     @property
     def highest_epoch(self) -> int:
-        """The highest epoch of the group that this daemon knows."""
-        return self._highest_epoch
+        """The highest epoch of the group that this daemon knows, advanced to now."""
+        known_for_s = self._clock() - self._highest_known_since
+        return epochs.advance(self._highest_epoch, known_for_s)
 
     def record_state(self, daemon_id: str, state: messages.GroupState) -> None:
         """Record what a heartbeat of another daemon tells about the group."""
-        self._highest_epoch = max(self._highest_epoch, state.epoch)
+        self.record_epoch(state.epoch)
         if state.successor:
             self._record_successor(state.successor)
         if state.is_owner != (daemon_id == self.owner_id):
@@ -177,14 +179,16 @@
         ):
             epoch_floor = epochs.skip_ahead(self._epoch, self._fenced_claims)
             self._fenced_claims += 1
-            self._highest_epoch = max(self._highest_epoch, epoch_floor)
+            self.record_epoch(epoch_floor)
             self._claim("fenced by an unreachable owner")
         else:
             self._resign("fenced")
 
     def record_epoch(self, epoch: int) -> None:
         """Record an epoch that an owner has used, so that claims exceed it."""
-        self._highest_epoch = max(self._highest_epoch, epoch)
+        if epoch > self._highest_epoch:
+            self._highest_epoch = epoch
+            self._highest_known_since = self._clock()
 
     def _is_settled(self, now: float) -> bool:
         return self.is_owner and now >= self._claimed_at + ownership.SETTLING_S
@@ -347,9 +351,12 @@
 
     def _claim(self, reason: str) -> None:
         self._epoch = epochs.make_epoch(
-            self._own_id, self._wall_clock(), self._highest_epoch
+            self._own_id,
+            self._wall_clock(),
+            self.highest_epoch,
+            self._roster.list_ever_known(),
         )
-        self._highest_epoch = self._epoch
+        self.record_epoch(self._epoch)
         self._claimed_at = self._clock()
         self._fenced_at = None
         logs.log(
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -1,10 +1,12 @@
 """The engine's admission of jobs, and restarts after a network partition."""
 
 import dataclasses
+import time
 import unittest
 from unittest import mock
 
 import gevent
+from gevent import socket
 
 from pollenladder.cluster import heartbeats
 from pollenladder.jobs import entities as jobs
@@ -187,7 +189,7 @@
             self.now += engines.TICK_S
             self.read_times["g2"] = self.now
             with mock.patch.object(
-                gevent, "sleep", side_effect=[None, ZeroDivisionError]
+                gevent, "sleep", side_effect=[None, None, ZeroDivisionError]
             ):
                 self.assertRaises(ZeroDivisionError, self.engine.run)
 
@@ -218,3 +220,116 @@
         self._run_until(101.2)
         self.assertEqual(self.engine.region.jobs, {})
         self.assertEqual(self.rejected, [("g1", "a1", 7)])
+
+    def _pause_with_unconfirmed_attempt(self) -> None:
+        """Pause the owner until the gateway's time to forward a job again is over."""
+        self.engine.claim(1, reads_store=True)
+        self._run_until(100.2)
+        submission = simulations.build_submission(
+            "b2", attempt=7, budget_s=9.0, slack_s=9.0
+        )
+        self.engine.submit(submission, "g2")
+        self.engine.record_gateway_link("g2", False)
+        self.now += gateway_links.GATEWAY_GRACE_S + 0.1
+        self._run_until(self.now + engines.TICK_S)
+
+    def test_late_owner_first_reads_what_was_forwarded_again(self):
+        # Guards against runs that are stopped after each pause of the owner.
+        self._pause_with_unconfirmed_attempt()
+        job = self.engine.region.jobs.get("b2")
+        submission = simulations.build_submission(
+            "b2",
+            attempt=7,
+            budget_s=9.0,
+            slack_s=9.0,
+            may_have_begun=True,
+            first_run=33,
+        )
+        self.engine.submit(submission, "g2")
+        self._run_until(self.now + 1.0)
+        self.assertIsNotNone(job)
+        self.assertIs(self.engine.region.jobs["b2"], job)
+
+    def test_late_owner_ends_what_was_not_forwarded_again(self):
+        self._pause_with_unconfirmed_attempt()
+        self.assertEqual(list(self.engine.region.jobs), ["b2"])
+        self._run_until(self.now + 2 * engines.TICK_S)
+        self.assertEqual(self.engine.region.jobs, {})
+
+    def test_claim_with_a_higher_epoch_keeps_the_limits_of_leases(self):
+        # Guards against leases without a limit until the first tick after the claim,
+        # which a pause of the process may delay.
+        self.engine.claim(1, reads_store=True)
+        self._run_until(100.2)
+        before = dict(self.engine.region.gateways_heard_at)
+        self.engine.claim(2, reads_store=True)
+        self.assertEqual(self.engine.region.gateways_heard_at, before)
+        self.assertIn("g1", before)
+
+    def test_gateway_of_an_attempt_is_known_before_the_first_tick(self):
+        # The same for a gateway that has just been linked.
+        self.engine.claim(1, reads_store=True)
+        self.engine.submit(simulations.build_submission("a1"), "g9")
+        self.assertEqual(self.engine.region.gateways_heard_at["g9"], 100.0)
+        self._run_until(100.2)
+        self.engine.submit(simulations.build_submission("b2"), "g8")
+        heard_at = self.engine.region.gateways_heard_at["g8"]
+        self.assertGreater(heard_at, 100.2 - 3 * engines.TICK_S)
+        self.assertLess(heard_at, 100.2)
+
+
+class EventLoopTest(unittest.TestCase):
+    """An engine and a gateway's connection in a real event loop."""
+
+    PAUSES = 10
+    PAUSE_S = 0.05
+
+    def setUp(self):
+        self.read_times: dict[str, float] = {}
+        self.engine = engines.Engine(
+            LEASE_S,
+            engine_callbacks.Callbacks(
+                answer=lambda gateway_id, answer: None,
+                on_fenced=lambda worker_id: None,
+                get_lag_s=lambda: 0.0,
+                count=lambda decision: None,
+                list_read_times=lambda: dict(self.read_times),
+            ),
+            time.monotonic,
+        )
+        self.near, self.far = socket.socketpair()
+        self.engine.claim(1, reads_store=True)
+        greenlets = [gevent.spawn(self._read), gevent.spawn(self.engine.run)]
+        self.addCleanup(self.far.close)
+        self.addCleanup(self.near.close)
+        self.addCleanup(gevent.killall, greenlets)
+
+    def _read(self) -> None:
+        while self.near.recv(100):
+            self.read_times["g1"] = time.monotonic()
+
+    def _block(self) -> None:
+        """Pause the process; a sleep of a greenlet would not block the others."""
+        end = time.monotonic() + self.PAUSE_S
+        while time.monotonic() < end:
+            pass
+
+    def _receive_and_block(self) -> None:
+        """Pause the process as a frame arrives that the loop has not found yet."""
+        self.sent_at = time.monotonic()
+        self.far.send(b"frame")
+        self._block()
+
+    def test_what_arrived_before_a_pause_does_not_count_as_new(self):
+        # Before, two ticks could come between the arrival of a frame and its read: the
+        # one that the pause had delayed, and, after another pause, the next one.
+        for index in range(self.PAUSES):
+            gevent.sleep(engines.TICK_S * (4 + index / self.PAUSES))
+            # Both are due at the same time as a tick, before it and after it.
+            paused = gevent.spawn_later(0.001, self._receive_and_block)
+            gevent.spawn_later(engines.TICK_S, self._block)
+            self._block()
+            paused.join()
+            gevent.sleep(4 * engines.TICK_S)
+            heard_at = self.engine.region.gateways_heard_at["g1"]
+            self.assertLessEqual(heard_at, self.sent_at)
