Hear from the gateway shortly before its link changes in a test of leases

An attempt whose gateway was silent for longer than its lease before the link changed may end at once, so that the test would not reach its point. All its checks are the same.

--- a/tests/scheduling/test_lease_expiry.py
+++ b/tests/scheduling/test_lease_expiry.py
@@ -52,7 +52,10 @@
     def test_task_waits_while_its_attempt_is_unconfirmed(self):
         # The gateway may have forwarded it to another owner while there was no
         # link, and be heard again.
-        self._lose_worker()
+        self.simulation.lose("w0")
+        self.simulation.step(simulations.LEASE_S)
+        self._hear("far")
+        self.simulation.step(0.1)
         now = self.simulation.now
         gateway_links.record_change(self.region, "far", False, now)
         gateway_links.record_change(self.region, "far", True, now)
