--- a/pollenladder/scheduling/worker_losses.py
+++ b/pollenladder/scheduling/worker_losses.py
@@ -55,14 +55,14 @@
     if not worker.has_crash_recorded:
         crashes.record_silent_loss(region, worker, now)
         worker.has_crash_recorded = True
-    is_first = True
-    for run in list(worker.runs.values()):
-        proof = lease_expiry.prove_expired(region, worker, run, now)
-        if proof is None:
-            continue
-        if is_first:
-            _log_expiry(region, worker, now)
-        is_first = False
+    proofs = [
+        (run, lease_expiry.prove_expired(region, worker, run, now))
+        for run in worker.runs.values()
+    ]
+    proved = [(run, proof) for run, proof in proofs if proof is not None]
+    if proved:
+        _log_expiry(region, worker, now)
+    for run, proof in proved:
         _release(region, worker, run, proof, now)
 
 
