Extend leases for an unconfirmed attempt only by contacts before the change of its link

What callers would see: a gateway is killed and back under the same id within half a second. Its next process is heard, so the polls of the owner went on to extend the lease of a run whose caller had left; the caller returns after 1.3 s to another group, whose run overlaps.

The time of the last contact counts now only up to the change of the link, until the attempt is forwarded again.

--- a/pollenladder/scheduling/lease_limits.py
+++ b/pollenladder/scheduling/lease_limits.py
@@ -44,11 +44,19 @@
 ) -> float:
     """Return until when runs may go on for the attempts that wait for their job.
 
-    The attempts of this daemon's own callers set no limit.
+    What is heard from a gateway after a change of its link may come from another
+    process, which does not know the attempt, so it counts once that has forwarded
+    the attempt again.
     """
     heard_at = region.gateways_heard_at
     latest = max(
-        (heard_at.get(attempt.gateway_id, math.inf) for attempt in waiting),
+        (
+            min(
+                heard_at.get(attempt.gateway_id, math.inf),
+                attempt.unconfirmed_since,
+            )
+            for attempt in waiting
+        ),
         default=math.inf,
     )
     return latest + region.run_limit_s
--- a/tests/scheduling/test_lease_limits.py
+++ b/tests/scheduling/test_lease_limits.py
@@ -7,6 +7,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import attempt_leases
 from pollenladder.scheduling import candidates
+from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import lease_limits
 from pollenladder.scheduling import recovery
@@ -71,6 +72,18 @@
             if self.simulation.now > self.began_at + 0.3:
                 self._check_over_when_caller_returns()
 
+    def test_contacts_of_another_process_of_the_gateway_extend_no_lease(self):
+        # The gateway was killed, and its next process does not know the attempt.
+        self.began_at = self.simulation.now
+        for is_linked in (False, True):
+            gateway_links.record_change(
+                self.region, "far", is_linked, self.simulation.now
+            )
+        for _ in range(9):
+            self.simulation.now += 0.05
+            self._hear("far")
+        self._check_over_when_caller_returns()
+
     def test_any_attempt_that_is_heard_suffices(self):
         self.simulation.now += 0.9
         self._hear("near")
