Wait for a worker's clock that was slow since its last reply

What callers would see: after a pause of several seconds, an owner releases the runs of a lost worker about 0.1 s before their leases end there, and starts their tasks elsewhere.

Cause: the margin allowed for 1 s of drift, while a worker's clock is last known from its last reply.

--- a/pollenladder/scheduling/lease_expiry.py
+++ b/pollenladder/scheduling/lease_expiry.py
@@ -15,6 +15,9 @@
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
 
+# A worker's clock is assumed to have drifted for at least this time.
+MIN_DRIFT_TIME_S = 1.0
+
 
 def prove_expired(
     region: tables.Region, worker: fleet.Worker, run: fleet.Run, now: float
@@ -32,13 +35,20 @@
 def find_expiry(worker: fleet.Worker) -> float:
     """Return when the leases known to this owner expire; monotonic, in seconds.
 
+    The worker's clock may have been slow since its last reply, which may be from before
+    a pause of this process.
+
     Returns:
         Infinity if they are not known, as another owner has fenced this one.
     """
     if not worker.is_synced:
         return math.inf
-    margin_s = runs.LEASE_EXPIRY_MARGIN_S + runs.MAX_CLOCK_DRIFT
-    return worker.lease_until_s - worker.clock_ahead_s + margin_s
+    expires_at = worker.lease_until_s - worker.clock_ahead_s
+    replied_at = worker.polled_clock_s - worker.clock_ahead_s
+    drift_s = runs.MAX_CLOCK_DRIFT * max(
+        MIN_DRIFT_TIME_S, expires_at - replied_at
+    )
+    return expires_at + drift_s + runs.LEASE_EXPIRY_MARGIN_S
 
 
 def _has_stayed(region: tables.Region, job: tables.Job, since: float) -> bool:
--- a/tests/scheduling/test_lease_expiry.py
+++ b/tests/scheduling/test_lease_expiry.py
@@ -7,6 +7,7 @@
 from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import replies
+from pollenladder.scheduling import runs
 from tests.scheduling import simulations
 
 
@@ -49,6 +50,15 @@
         self.simulation.step(0.1)
         self.assertEqual(self._count_starts(), 0)
 
+    def test_task_waits_for_a_clock_that_was_slow_during_a_pause(self):
+        # The lease was granted 5 s after the last reply, for 1 s.
+        self.simulation.now += 5.0
+        self.simulation.lose("w0")
+        slowest_s = 6.0 / (1 - runs.MAX_CLOCK_DRIFT) - 5.0
+        self.simulation.step(slowest_s)
+        self._hear("far")
+        self.assertEqual(self._count_starts(), 0)
+
     def test_task_waits_while_its_attempt_is_unconfirmed(self):
         # The gateway may have forwarded it to another owner while there was no
         # link, and be heard again.
