Search random histories of a small site for two runs of one task

Daemons with their real components (gateway, exchange, engine, sessions, leadership, mesh) and simulated workers, network, store, clock and event loop run in one process.

--- /dev/null
+++ b/tests/scheduling/overlaps/__main__.py
@@ -0,0 +1,37 @@
+"""Search seeds: `python -m tests.scheduling.overlaps --seeds 1000-2000`."""
+
+import argparse
+import sys
+import time
+
+from tests.scheduling.overlaps import searches
+from tests.scheduling.overlaps import twins
+
+
+def main() -> int:
+    """Print the seeds that have an overlap; return 1 if there is any."""
+    parser = argparse.ArgumentParser(prog="tests.scheduling.overlaps")
+    parser.add_argument("--seeds", default="1-200", help="FIRST-LAST")
+    parser.add_argument(
+        "--without", choices=sorted(twins.TWINS), help="a rule to take out"
+    )
+    parser.add_argument("--brief", action="store_true", help="no histories")
+    arguments = parser.parse_args()
+    first, last = map(int, arguments.seeds.split("-"))
+    began_at = time.monotonic()
+    found = 0
+    with twins.take_out(arguments.without):
+        for finding in searches.find(range(first, last + 1)):
+            found += 1
+            if arguments.brief:
+                print(finding.seed, finding.history.overlap)
+            else:
+                print(searches.describe(searches.shorten(finding)), end="\n\n")
+            sys.stdout.flush()
+    took_s = time.monotonic() - began_at
+    print(f"{last + 1 - first} seeds, {found} with an overlap, {took_s:.0f} s")
+    return int(found > 0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/scheduling/overlaps/faults.py
@@ -0,0 +1,161 @@
+"""The faults of a history, drawn from its seed."""
+
+import dataclasses
+import enum
+import random
+
+# Daemons and workers of each data centre.
+DATA_CENTRES = ("norte", "sur")
+DAEMONS = 2
+WORKERS = 2
+# When the daemons have started and an owner has claimed the workers.
+BEGIN_AT = 102.5
+# The faults begin within this time.
+FAULTS_S = 2.5
+MAX_FAULTS = 6
+
+
+class Kind(enum.Enum):
+    """What fails.
+
+    Attributes:
+        CUT: Some machines and others do not reach each other.
+        ONE_WAY_CUT: Some machines do not reach others.
+        RESETS: Links between daemons are reset, once or several times.
+        WORKER_RESETS: Connections of some daemons to some workers are reset.
+        FREEZE: A daemon does nothing for a while.
+        KILL: A daemon is killed and started again.
+        WORKER_KILL: A worker is killed and started again.
+        BROKEN_CALLERS: The connections of a gateway's callers break.
+        HELD_UP_ORDERS: Some orders to workers are carried out late.
+    """
+
+    CUT = "cut"
+    ONE_WAY_CUT = "one_way_cut"
+    RESETS = "resets"
+    WORKER_RESETS = "worker_resets"
+    FREEZE = "freeze"
+    KILL = "kill"
+    WORKER_KILL = "worker_kill"
+    BROKEN_CALLERS = "broken_callers"
+    HELD_UP_ORDERS = "held_up_orders"
+
+
+_WEIGHTS = {
+    Kind.CUT: 8,
+    Kind.ONE_WAY_CUT: 3,
+    Kind.RESETS: 4,
+    Kind.WORKER_RESETS: 1,
+    Kind.FREEZE: 4,
+    Kind.KILL: 2,
+    Kind.WORKER_KILL: 1,
+    Kind.BROKEN_CALLERS: 3,
+    Kind.HELD_UP_ORDERS: 2,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        kind: What fails.
+        at: When it begins.
+        lasts_s: How long it lasts.
+        here: The machines that are affected, or the senders.
+        there: The others, or the receivers.
+    """
+
+    kind: Kind
+    at: float
+    lasts_s: float
+    here: tuple[str, ...]
+    there: tuple[str, ...] = ()
+
+
+def list_daemons() -> dict[str, str]:
+    """Return the data centre of each daemon."""
+    return {
+        f"front-{name}-{number}": name
+        for name in DATA_CENTRES
+        for number in range(1, DAEMONS + 1)
+    }
+
+
+def list_workers() -> dict[str, str]:
+    """Return the data centre of each worker."""
+    return {
+        f"w-{name}-{number}": name
+        for name in DATA_CENTRES
+        for number in range(1, WORKERS + 1)
+    }
+
+
+def draw(seed: int, store_id: str) -> list[Fault]:
+    """Return the faults of a history, in order of time.
+
+    Args:
+        seed: The seed.
+        store_id: The machine of the store, which cuts affect, too.
+    """
+    source = random.Random(f"faults {seed}")
+    count = source.randint(1, MAX_FAULTS)
+    kinds = source.choices(list(_WEIGHTS), list(_WEIGHTS.values()), k=count)
+    found = [_draw_fault(source, kind, store_id) for kind in kinds]
+    return sorted(found, key=lambda fault: fault.at)
+
+
+def _draw_fault(source: random.Random, kind: Kind, store_id: str) -> Fault:
+    at = BEGIN_AT + source.uniform(0.0, FAULTS_S)
+    daemons, workers = list(list_daemons()), list(list_workers())
+    if kind in (Kind.CUT, Kind.ONE_WAY_CUT):
+        here, there = _draw_sides(source, store_id)
+        return Fault(kind, at, source.uniform(0.2, 3.0), here, there)
+    if kind is Kind.RESETS:
+        here, there = _split(source, daemons)
+        lasts_s = source.choice((0.0, 0.0, 1.0, 2.0))
+        return Fault(kind, at, lasts_s, here, there)
+    if kind is Kind.WORKER_RESETS:
+        chosen = tuple(source.sample(workers, 2))
+        return Fault(kind, at, 0.0, (source.choice(daemons),), chosen)
+    if kind is Kind.FREEZE:
+        lasts_s = source.uniform(0.2, 2.0)
+        return Fault(kind, at, lasts_s, (source.choice(daemons),))
+    if kind is Kind.WORKER_KILL:
+        lasts_s = source.uniform(0.2, 1.5)
+        return Fault(kind, at, lasts_s, (source.choice(workers),))
+    if kind is Kind.HELD_UP_ORDERS:
+        return Fault(kind, at, source.uniform(0.2, 2.0), ())
+    lasts_s = source.uniform(0.2, 1.5)
+    return Fault(kind, at, lasts_s, (source.choice(daemons),))
+
+
+def _draw_sides(
+    source: random.Random, store_id: str
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the two sides of a cut.
+
+    It separates a data centre, or a random set of machines, or the daemons from some
+    workers only.
+    """
+    centres = list_daemons() | list_workers()
+    draw = source.random()
+    if draw < 0.4:
+        name = source.choice(DATA_CENTRES)
+        here = [machine for machine in centres if centres[machine] == name]
+        there = [machine for machine in centres if centres[machine] != name]
+        return tuple(here), (*there, store_id)
+    if draw < 0.8:
+        here, there = _split(source, [*centres, store_id])
+        return here, there
+    here, _ = _split(source, list(list_daemons()))
+    there, _ = _split(source, list(list_workers()))
+    return here, there
+
+
+def _split(
+    source: random.Random, machines: list[str]
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    shuffled = source.sample(machines, len(machines))
+    position = source.randint(1, len(machines) - 1)
+    return tuple(shuffled[:position]), tuple(shuffled[position:])
