--- a/tests/scheduling/overlaps/faults.py
+++ b/tests/scheduling/overlaps/faults.py
@@ -1,11 +1,12 @@
 """The faults of a history, drawn from its seed."""
 
+from collections.abc import Sequence
 import dataclasses
 import enum
 import random
 
 # Daemons and workers of each data centre.
-DATA_CENTRES = ("norte", "sur")
+DATA_CENTRES = ("ambato", "quito")
 DAEMONS = 2
 WORKERS = 2
 # When the daemons have started and an owner has claimed the workers.
@@ -91,16 +92,18 @@
     }
 
 
-def draw(seed: int, store_id: str) -> list[Fault]:
+def draw(seed: int, store_id: str, kinds: Sequence[Kind] = ()) -> list[Fault]:
     """Return the faults of a history, in order of time.
 
     Args:
         seed: The seed.
         store_id: The machine of the store, which cuts affect, too.
+        kinds: The kinds of the faults; drawn if there are none.
     """
     source = random.Random(f"faults {seed}")
-    count = source.randint(1, MAX_FAULTS)
-    kinds = source.choices(list(_WEIGHTS), list(_WEIGHTS.values()), k=count)
+    if not kinds:
+        count = source.randint(1, MAX_FAULTS)
+        kinds = source.choices(list(_WEIGHTS), list(_WEIGHTS.values()), k=count)
     found = [_draw_fault(source, kind, store_id) for kind in kinds]
     return sorted(found, key=lambda fault: fault.at)
 
@@ -135,22 +138,26 @@
 ) -> tuple[tuple[str, ...], tuple[str, ...]]:
     """Return the two sides of a cut.
 
-    It separates a data centre, or a random set of machines, or the daemons from some
-    workers only.
+    It separates a data centre, a random set of machines, or some daemons from some
+    workers. It may also separate some machines only, while the others reach both sides.
     """
     centres = list_daemons() | list_workers()
     draw = source.random()
-    if draw < 0.4:
+    if draw < 0.3:
         name = source.choice(DATA_CENTRES)
         here = [machine for machine in centres if centres[machine] == name]
         there = [machine for machine in centres if centres[machine] != name]
         return tuple(here), (*there, store_id)
-    if draw < 0.8:
-        here, there = _split(source, [*centres, store_id])
+    if draw < 0.5:
+        return _split(source, [*centres, store_id])
+    if draw < 0.65:
+        here, _ = _split(source, list(list_daemons()))
+        there, _ = _split(source, list(list_workers()))
         return here, there
-    here, _ = _split(source, list(list_daemons()))
-    there, _ = _split(source, list(list_workers()))
-    return here, there
+    if draw < 0.85:
+        return _split(source, list(list_daemons()))
+    chosen = source.sample([*centres, store_id], source.randint(2, 6))
+    return _split(source, chosen)
 
 
 def _split(
--- a/tests/scheduling/overlaps/schedules.py
+++ b/tests/scheduling/overlaps/schedules.py
@@ -102,8 +102,14 @@
         self.call_later(0.0, self.current, spawned.switch, function, arguments)
 
     def sleep(self, delay_s: float) -> None:
-        """Suspend the current greenlet."""
-        delay_s += self.random.uniform(0.0, MAX_TIMER_DELAY_S)
+        """Suspend the current greenlet; with 0, until the next iteration."""
+        process = self.current
+        if delay_s:
+            delay_s += self.random.uniform(0.0, MAX_TIMER_DELAY_S)
+        elif process is not None:
+            # After a pause, all that is due is carried out before.
+            settled_at = process.frozen_until + WAKE_SPREAD_S
+            delay_s = max(0.0, settled_at - self.now)
         self.call_later(delay_s, self.current, greenlet.getcurrent().switch)
         self._hub.switch()
 
--- a/tests/scheduling/overlaps/searches.py
+++ b/tests/scheduling/overlaps/searches.py
@@ -56,10 +56,17 @@
     return history
 
 
-def find(seeds: Iterable[int]) -> Iterator[Finding]:
-    """Yield the seeds whose histories have an overlap."""
+def find(
+    seeds: Iterable[int], kinds: Sequence[faults.Kind] = ()
+) -> Iterator[Finding]:
+    """Yield the seeds whose histories have an overlap.
+
+    Args:
+        seeds: The seeds.
+        kinds: The kinds of the faults; drawn if there are none.
+    """
     for seed in seeds:
-        drawn = faults.draw(seed, stores.STORE_ID)
+        drawn = faults.draw(seed, stores.STORE_ID, kinds)
         history = play(seed, drawn)
         if history.overlap is not None:
             yield Finding(seed, drawn, history)
