--- a/tests/scheduling/overlaps/faults.py
+++ b/tests/scheduling/overlaps/faults.py
@@ -12,6 +12,10 @@
 # The faults begin within this time.
 FAULTS_S = 2.5
 MAX_FAULTS = 6
+# The times between the first and the last begin of a history, at most.
+SERIES_S = (0.7, 1.4, FAULTS_S)
+# Share of the faults of a daemon that hit one of the first owners.
+OWNERS_SHARE = 0.5
 
 
 class Kind(enum.Enum):
@@ -77,14 +81,20 @@
     source = random.Random(f"faults {seed}")
     count = source.randint(1, MAX_FAULTS)
     kinds = source.choices(list(_WEIGHTS), list(_WEIGHTS.values()), k=count)
-    found = [_draw_fault(source, kind, shape) for kind in kinds]
+    lasts_s = source.choice(SERIES_S)
+    first_at = BEGIN_AT + source.uniform(0.0, FAULTS_S - lasts_s)
+    found = [
+        _draw_fault(
+            source, kind, shape, first_at + source.uniform(0.0, lasts_s)
+        )
+        for kind in kinds
+    ]
     return sorted(found, key=lambda fault: fault.at)
 
 
 def _draw_fault(
-    source: random.Random, kind: Kind, shape: shapes.Shape
+    source: random.Random, kind: Kind, shape: shapes.Shape, at: float
 ) -> Fault:
-    at = BEGIN_AT + source.uniform(0.0, FAULTS_S)
     daemons = list(shape.list_daemons())
     workers = list(shape.list_workers())
     if kind in (Kind.CUT, Kind.ONE_WAY_CUT):
@@ -96,17 +106,25 @@
         return Fault(kind, at, lasts_s, here, there)
     if kind is Kind.WORKER_RESETS:
         chosen = tuple(source.sample(workers, 2))
-        return Fault(kind, at, 0.0, (source.choice(daemons),), chosen)
+        return Fault(kind, at, 0.0, (_choose_daemon(source, shape),), chosen)
     if kind is Kind.FREEZE:
         lasts_s = source.uniform(0.2, 2.0)
-        return Fault(kind, at, lasts_s, (source.choice(daemons),))
+        return Fault(kind, at, lasts_s, (_choose_daemon(source, shape),))
     if kind is Kind.WORKER_KILL:
         lasts_s = source.uniform(0.2, 1.5)
         return Fault(kind, at, lasts_s, (source.choice(workers),))
     if kind is Kind.HELD_UP_ORDERS:
         return Fault(kind, at, source.uniform(0.2, 2.0), ())
     lasts_s = source.uniform(0.2, 1.5)
-    return Fault(kind, at, lasts_s, (source.choice(daemons),))
+    return Fault(kind, at, lasts_s, (_choose_daemon(source, shape),))
+
+
+def _choose_daemon(source: random.Random, shape: shapes.Shape) -> str:
+    """Return a daemon; the first one of a data centre owns its group at first."""
+    daemons = list(shape.list_daemons())
+    if source.random() < OWNERS_SHARE:
+        daemons = daemons[:: shape.daemons]
+    return source.choice(daemons)
 
 
 def _draw_sides(
--- a/tests/scheduling/overlaps/twins.py
+++ b/tests/scheduling/overlaps/twins.py
@@ -5,13 +5,17 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import math
 import random
 from unittest import mock
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.scheduling import attempt_leases
+from pollenladder.scheduling import attempts
 from pollenladder.scheduling import candidates
 from pollenladder.scheduling import gateway_links
 from pollenladder.scheduling import lease_limits
@@ -60,6 +64,44 @@
     """Leave the attempts of a gateway confirmed."""
 
 
+def _find_no_limit(
+    region: tables.Region, waiting: Iterable[attempts.Attempt]
+) -> float:
+    """Let runs go on without any contact with a gateway."""
+    return math.inf
+
+
+def _list_none(contacts: attempt_leases.Contacts, lease_s: float) -> dict:
+    """Let attempts go on without any contact with their gateway."""
+    return {}
+
+
+def _cut_apart(at: float) -> faults.Fault:
+    """Return a cut between the two data centres; the store is with the owner."""
+    shape = shapes.ONE_GROUP
+    centres = shape.list_daemons() | shape.list_workers()
+    centres[stores.STORE_ID] = centres[OWNER]
+    here = tuple(m for m in centres if centres[m] == centres[OWNER])
+    there = tuple(m for m in centres if centres[m] != centres[OWNER])
+    return faults.Fault(faults.Kind.CUT, at, 2.5, here, there)
+
+
+def _draw_cuts(seed: int) -> searches.Plan:
+    """Return a cut behind which callers leave and return to another group."""
+    source = random.Random(f"cuts {seed}")
+    at = faults.BEGIN_AT + source.uniform(0.0, faults.FAULTS_S)
+    breaks = [
+        faults.Fault(
+            faults.Kind.BROKEN_CALLERS,
+            at + source.uniform(0.05, 0.5),
+            0.0,
+            (name,),
+        )
+        for name in DISTANT
+    ]
+    return searches.Plan(seed, shapes.TWO_GROUPS, (_cut_apart(at), *breaks))
+
+
 def _draw_late_claims(seed: int) -> searches.Plan:
     """Return faults after which a daemon that is cut off claims late.
 
@@ -67,20 +109,14 @@
     leases that their owner has granted are about to end.
     """
     source = random.Random(f"late claims {seed}")
-    shape = shapes.ONE_GROUP
-    centres = shape.list_daemons() | shape.list_workers()
-    centres[stores.STORE_ID] = centres[OWNER]
-    here = tuple(m for m in centres if centres[m] == centres[OWNER])
-    there = tuple(m for m in centres if centres[m] != centres[OWNER])
     at = faults.BEGIN_AT + source.uniform(0.0, faults.FAULTS_S)
-    cut = faults.Fault(faults.Kind.CUT, at, 2.5, here, there)
     pauses = [
         faults.Fault(
             faults.Kind.FREEZE, at - 0.01, source.uniform(0.75, 1.0), (name,)
         )
         for name in DISTANT
     ]
-    return searches.Plan(seed, shape, (*pauses, cut))
+    return searches.Plan(seed, shapes.ONE_GROUP, (*pauses, _cut_apart(at)))
 
 
 def _draw_lost_gateways(seed: int) -> searches.Plan:
@@ -101,6 +137,13 @@
 
 # By the rule that is taken out.
 TWINS = {
+    "silent": Twin(
+        (
+            (attempt_leases.Contacts, "list_silent", _list_none),
+            (lease_limits, "find_limit", _find_no_limit),
+        ),
+        _draw_cuts,
+    ),
     "unclaimed": Twin(
         (
             (lease_limits, "choose_expiry", _choose_expiry),
--- a/tests/scheduling/test_overlaps.py
+++ b/tests/scheduling/test_overlaps.py
@@ -24,6 +24,9 @@
     def test_simulation_finds_attempts_whose_cancellation_was_lost(self):
         self._check_needs("unconfirmed")
 
+    def test_simulation_finds_attempts_of_silent_gateways(self):
+        self._check_needs("silent")
+
     def _check_needs(self, rule: str) -> None:
         """Check that some history has an overlap without a rule, and none with it."""
         draw = twins.TWINS[rule].draw
