Search histories in which a later process of a gateway is heard

The gateway of a job is killed and back under its id within .4 s, so its owner goes on extending the lease of the job's runs, although the attempt is unconfirmed. The owner loses its links .4 to .7 s after the kill, and the next one is frozen before it stops what no job has claimed. The caller's next submission, 1.3 s after the kill, goes to another group, where its tasks start beside the runs that are left.

The test is red, as listed, until lease_limits.find_limit counts no contact after a change of the link for an attempt that was not confirmed since.

--- a/tests/scheduling/overlaps/twins.py
+++ b/tests/scheduling/overlaps/twins.py
@@ -71,6 +71,18 @@
     return math.inf
 
 
+def _find_limit_by_contacts(
+    region: tables.Region, waiting: Iterable[attempts.Attempt]
+) -> float:
+    """Count contacts after a change of the link for attempts of before, too."""
+    heard_at = region.gateways_heard_at
+    latest = max(
+        (heard_at.get(attempt.gateway_id, math.inf) for attempt in waiting),
+        default=math.inf,
+    )
+    return latest + region.run_limit_s
+
+
 def _list_none(contacts: attempt_leases.Contacts, lease_s: float) -> dict:
     """Let attempts go on without any contact with their gateway."""
     return {}
@@ -135,6 +147,29 @@
     return searches.Plan(seed, shapes.TWO_GROUPS, (kill, cut))
 
 
+def _draw_restarted_gateways(seed: int) -> searches.Plan:
+    """Return faults after which a later process of a gateway is heard.
+
+    Its callers have left meanwhile. The owner loses its links to the others before it
+    ends their attempts, and the next owner is frozen before it stops their runs.
+    """
+    source = random.Random(f"restarted gateways {seed}")
+    at = faults.BEGIN_AT + source.uniform(0.2, faults.FAULTS_S)
+    kill = faults.Fault(
+        faults.Kind.KILL,
+        at,
+        source.uniform(0.1, 0.4),
+        (source.choice(DISTANT),),
+    )
+    resets_at = at + source.uniform(0.4, 0.7)
+    resets = faults.Fault(
+        faults.Kind.RESETS, resets_at, 0.0, (OWNER,), (GATEWAY, *DISTANT)
+    )
+    freeze_at = resets_at + source.uniform(0.02, 0.25)
+    freeze = faults.Fault(faults.Kind.FREEZE, freeze_at, 1.5, (GATEWAY,))
+    return searches.Plan(seed, shapes.TWO_GROUPS, (kill, resets, freeze))
+
+
 # By the rule that is taken out.
 TWINS = {
     "silent": Twin(
@@ -144,6 +179,10 @@
         ),
         _draw_cuts,
     ),
+    "restarted": Twin(
+        ((lease_limits, "find_limit", _find_limit_by_contacts),),
+        _draw_restarted_gateways,
+    ),
     "unclaimed": Twin(
         (
             (lease_limits, "choose_expiry", _choose_expiry),
