--- a/tests/service/test_review_starts.py
+++ b/tests/service/test_review_starts.py
@@ -64,6 +64,15 @@
                     (self._count_sent(), task.next_run > 2), (1, False)
                 )
 
+    def test_worker_is_not_avoided_for_a_start_that_was_not_sent(self):
+        # Guards against tasks that are placed on worse workers after a pause.
+        self.simulation.submit("a1", tasks=1, budget_s=60.0)
+        (order,) = self.simulation.take_starts()
+        self.simulation.now += 1.0
+        self.sessions[order.worker_id]._start_run_safely(order)
+        task = self.region.jobs["a1"].tasks[0]
+        self.assertEqual(task.avoided_workers, set())
+
 
 class MovedStartTest(unittest.TestCase):
     """The attempt moves between the decision on its start and the sending."""
