Cancel an attempt in a dropped group also if the next group has the same owner

What callers would see: a layout drops a group while a job runs there. The daemon that owned it, and owns the job's next group, has not read the layout: it runs the job on in the old group, as it hears the gateway, and starts it in the new one after the wait of a next owner.

Cause: the cancellation of a moved attempt went by daemon, so the same daemon was not told. It is told now before it gets the attempt again, over the same link.

test_owner_of_both_groups_is_not_told_that_the_attempt_has_moved asserted the fault. What it guarded, that the owner keeps what it gets next, is checked by the order of all three messages.

--- a/pollenladder/service/attempt_cancellations.py
+++ b/pollenladder/service/attempt_cancellations.py
@@ -1,5 +1,6 @@
 """Cancel the attempts of a gateway at the owners that have them."""
 
+from collections.abc import Iterable
 import logging
 
 from pollenladder.jobs import entities as jobs
@@ -43,8 +44,27 @@
     As long as they hear this gateway, they would run it on beside the next
     owner. Those without a link are told once they have one.
     """
+    _tell_moved(callbacks, job, open_jobs.list_untold_owners(job))
+
+
+def cancel_in_dropped_group(
+    callbacks: gateway_callbacks.Callbacks, job: open_jobs.OpenJob
+) -> None:
+    """Cancel an attempt at all owners of a group that no longer exists.
+
+    The owner of the next group may be the same daemon, which may not know yet that
+    the group is gone.
+    """
+    _tell_moved(callbacks, job, sorted(job.group_owners))
+
+
+def _tell_moved(
+    callbacks: gateway_callbacks.Callbacks,
+    job: open_jobs.OpenJob,
+    owner_ids: Iterable[str],
+) -> None:
     job_id = job.submission.job_id
-    for owner_id in open_jobs.list_untold_owners(job):
+    for owner_id in owner_ids:
         try:
             is_told = callbacks.cancel_attempt(
                 owner_id, job_id, job.attempt, jobs.Reason.MOVED
--- a/pollenladder/service/gateway.py
+++ b/pollenladder/service/gateway.py
@@ -267,6 +267,7 @@
         if not self._callbacks.has_group(job.group):
             job.may_run_elsewhere |= job.has_been_sent
             job.owner_id = ""
+            attempt_cancellations.cancel_in_dropped_group(self._callbacks, job)
             self._assign_group(job)
         elif not job.has_been_sent and not self._callbacks.find_owner(
             job.group
--- a/tests/service/test_gateway.py
+++ b/tests/service/test_gateway.py
@@ -512,12 +512,16 @@
             self.messages, [("submit", "a"), ("cancel", "a"), ("submit", "b")]
         )
 
-    def test_owner_of_both_groups_is_not_told_that_the_attempt_has_moved(self):
-        # Guards against a cancellation of what the same owner gets.
+    def test_owner_of_both_groups_is_told_before_it_gets_the_attempt_again(
+        self,
+    ):
+        # It may not know yet that a group is gone, and must keep what it gets next.
         self._submit_job()
         self.groups = ["norte/0"]
         self._move_to("a")
-        self.assertEqual(self.cancelled, [])
+        self.assertEqual(
+            self.messages, [("submit", "a"), ("cancel", "a"), ("submit", "a")]
+        )
 
     def test_earlier_owner_is_told_again_over_a_new_link(self):
         # Guards against a cancellation that was lost with the link.
