Know which removed attempts another owner may have

What callers would see: one of two attempts of a job was cancelled by its caller, or came back after its gateway was silent; if the job's worker is lost then, its tasks waited until the deadline. After a further claim of the owner, the opposite: an attempt that may be elsewhere was forgotten.

Cause: any removed attempt counted as one that another owner may have, by served_at, which a rebuilt region did not keep. A set of the attempts that were removed as moved, silent or answered elsewhere takes its place; one that is forwarded here again leaves it.

--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -63,6 +63,7 @@
     """Add or confirm an attempt of a job in progress."""
     previous = job.attempts.get(attempt.number)
     job.attempts[attempt.number] = attempt
+    job.attempts_elsewhere.discard(attempt.number)
     job.deadline_at = max(job.deadline_at, now + submission.budget_s)
     if submission.may_have_begun:
         runs.record_rejoined(region, job, submission, previous, now)
--- a/pollenladder/scheduling/job_ends.py
+++ b/pollenladder/scheduling/job_ends.py
@@ -20,6 +20,12 @@
 ANSWER_RETENTION_S = 5.0
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
+# An attempt that is removed for one of these reasons may be at another owner.
+_REASONS_TO_MOVE = (
+    jobs.Reason.MOVED,
+    jobs.Reason.GATEWAY_LOST,
+    jobs.Reason.ANSWERED_ELSEWHERE,
+)
 
 
 def expire(region: tables.Region, now: float) -> None:
@@ -170,6 +176,8 @@
     heard_at = region.gateways_heard_at.get(attempt.gateway_id, now)
     # What is heard since may come from another process of the gateway.
     job.served_at = min(heard_at, attempt.unconfirmed_since)
+    if reason in _REASONS_TO_MOVE:
+        job.attempts_elsewhere.add(attempt.number)
     region.log_event(
         "attempt_removed",
         job=job.submission.job_id,
--- a/pollenladder/scheduling/lease_expiry.py
+++ b/pollenladder/scheduling/lease_expiry.py
@@ -59,7 +59,7 @@
     the job, as its gateway was silent.
     """
     heard_at = region.gateways_heard_at
-    return math.isinf(job.served_at) and all(
+    return not job.attempts_elsewhere and all(
         math.isinf(attempt.unconfirmed_since)
         and heard_at.get(attempt.gateway_id, math.inf) > since
         for attempt in job.attempts.values()
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -101,6 +101,8 @@
     intake.admit(region, submission, job.attempts, now)
     admitted = region.jobs.get(job_id)
     if admitted is not None:
+        admitted.served_at = job.served_at
+        admitted.attempts_elsewhere = set(job.attempts_elsewhere)
         _keep_failures(job, admitted)
 
 
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -117,6 +117,8 @@
             lost. Jobs that can be in time come before it.
         longest_usual_s: Run time of a task beyond which it is unusual, in
             seconds; None if that is not known.
+        attempts_elsewhere: Numbers of the attempts that were removed and that
+            another owner may have.
         served_at: When the gateway of the last attempt that was removed had last
             been heard; infinite before.
     """
@@ -141,6 +143,7 @@
     is_overdue: bool = False
     longest_usual_s: float | None = None
     served_at: float = math.inf
+    attempts_elsewhere: set[int] = dataclasses.field(default_factory=set)
 
     def list_waiting_tasks(self) -> list[Task]:
         """Return the tasks that wait for a worker."""
