Send no start of a run whose attempt has moved

The attempt may move between the decision on a start and its sending; the run waits then for the next owner to adopt it, and looked like any other that is to start. Found by the review; MovedStartTest failed before. A worker whose start was outdated is no longer avoided by the task, as it is not to blame.

--- a/pollenladder/scheduling/order_replies.py
+++ b/pollenladder/scheduling/order_replies.py
@@ -75,7 +75,7 @@
         worker_losses.mark_lost(region, worker, now)
     elif reply is fleet.StartReply.OLD_RUN and task is not None:
         task.next_run += runs.RUN_NUMBER_STEP
-    if task is not None:
+    if task is not None and reply is not fleet.StartReply.OUTDATED:
         task.avoided_workers.add(run.worker_id)
     runs.release(region, worker, run, proof)
     region.effects.append(effects.LookNow(run.worker_id))
--- a/pollenladder/service/sessions.py
+++ b/pollenladder/service/sessions.py
@@ -297,6 +297,7 @@
         is_wanted = (
             run.number == order.number
             and run.state is fleet.RunState.STARTING
+            and not run.is_orphan
             and not self._closed
         )
         if is_wanted and age_s <= MAX_START_AGE_S:
