--- a/pollenladder/cluster/epochs.py
+++ b/pollenladder/cluster/epochs.py
@@ -21,6 +21,8 @@
 # Margin above an epoch whose exact value is unknown.
 SKIP_AHEAD_MS = 10_000
 MAX_SKIP_DOUBLINGS = 12
+# Longer than two owners usually go on without hearing of each other.
+MAX_ADVANCE_S = 10.0
 # The epoch of 2100-01-01. A higher one was not made by a daemon.
 MAX_EPOCH = (4_102_444_800 - ORIGIN_S) * 1000 * DAEMON_NUMBERS
 
@@ -59,8 +61,13 @@
 
 
 def advance(epoch: int, seconds: float) -> int:
-    """Return an epoch's value after some time; 0 stays, as it is none."""
-    return epoch and epoch + int(seconds * 1000) * DAEMON_NUMBERS
+    """Return an epoch's value after some time; 0 stays, as it is none.
+
+    It advances only so far that epochs return to the wall clock after one that was made
+    by a clock ahead of it.
+    """
+    advance_ms = int(min(seconds, MAX_ADVANCE_S) * 1000)
+    return epoch and epoch + advance_ms * DAEMON_NUMBERS
 
 
 def skip_ahead(epoch: int, attempts: int = 0) -> int:
--- a/tests/cluster/test_epochs.py
+++ b/tests/cluster/test_epochs.py
@@ -1,6 +1,7 @@
 """Epochs grow and differ, even if wall clocks jump or differ."""
 
 import unittest
+import zlib
 
 from pollenladder.cluster import epochs
 
@@ -53,3 +54,39 @@
     def test_more_daemons_than_numbers_have_an_epoch(self):
         ids = [f"d{n}" for n in range(2 * epochs.DAEMON_NUMBERS)]
         self.assertGreater(epochs.make_epoch(ids[-1], NOW_S, 0, ids), 0)
+
+
+class EpochsOfManyDaemonsTest(unittest.TestCase):
+    """Guards against equal epochs, and against a lead that only grows."""
+
+    def test_daemons_that_know_different_ones_have_different_numbers(self):
+        by_number: dict[int, list[str]] = {}
+        for index in range(4000):
+            name = f"front-{index}"
+            number = zlib.crc32(name.encode()) % epochs.DAEMON_NUMBERS
+            by_number.setdefault(number, []).append(name)
+        equal = []
+        for number in range(epochs.DAEMON_NUMBERS - 1):
+            same, after = by_number[number], by_number[number + 1]
+            if len(same) < 2 or not after:
+                continue
+            first, second = sorted(same)[:2]
+            third = max(after)
+            # The second daemon does not know the third one, and conversely.
+            wall_s = 1_800_000_000.0
+            one = epochs.make_epoch(second, wall_s, 0, {first})
+            other = epochs.make_epoch(third, wall_s, 0, set())
+            if one == other:
+                equal.append((first, second, third))
+        self.assertEqual(equal[:1], [])
+
+    def test_epochs_return_to_the_wall_clock(self):
+        # A clock that was a day ahead once, and is right since; a claim each hour.
+        wall_s = 1_800_000_000.0
+        highest = epochs.make_epoch("a", wall_s + 86_400, 0)
+        for hour in range(1, 49):
+            highest = epochs.make_epoch(
+                "a", wall_s + hour * 3600, epochs.advance(highest, 3600)
+            )
+        newcomer = epochs.make_epoch("b", wall_s + 48 * 3600 + 1, 0)
+        self.assertGreater(newcomer, highest)
