--- a/tests/scheduling/test_review_proofs.py
+++ b/tests/scheduling/test_review_proofs.py
@@ -1,6 +1,7 @@
 """Proofs and leases at the edges: returned attempts, old clock readings, lag."""
 
 import unittest
+from unittest import mock
 import zlib
 
 from pollenladder.cluster import epochs
@@ -11,6 +12,7 @@
 from pollenladder.scheduling import lease_limits
 from pollenladder.scheduling import recovery
 from pollenladder.scheduling import runs
+from pollenladder.service import sessions
 from tests.scheduling import simulations
 
 RESUBMISSION_S = 1.3
@@ -85,11 +87,10 @@
                 simulation.poll("w0")
                 polled_s = worker.polled_clock_s
                 now = replied_at + pause_s
-                # As `sessions._extend_lease` grants it.
-                error_s = runs.MAX_CLOCK_DRIFT * pause_s
-                lease_s = simulations.LEASE_S
-                until_s = now + lease_s + worker.clock_ahead_s - error_s
-                worker.lease_until_s = until_s
+                session = sessions.Session(
+                    simulation.region, worker, mock.Mock(), lambda now=now: now
+                )
+                until_s = session._extend_lease()
                 rate = 1 - runs.MAX_CLOCK_DRIFT
                 ends_at = replied_at + (until_s - polled_s) / rate
                 self.assertGreaterEqual(
