--- a/pollenladder/scheduling/attempt_leases.py
+++ b/pollenladder/scheduling/attempt_leases.py
@@ -78,7 +78,8 @@
         self._last_tick_at = self._tick_at
         self._tick_at = now
         self._just_heard.clear()
-        self.heard_at[self._own_id] = self._earlier_tick_at
+        # A connection that had broken before the last tick has been read by now.
+        self.heard_at[self._own_id] = self._last_tick_at
         for daemon_id, at in read_at.items():
             if self._read_at.get(daemon_id) != at:
                 self._read_at[daemon_id] = at
