--- a/tests/scheduling/test_attempts_that_move_back.py
+++ b/tests/scheduling/test_attempts_that_move_back.py
@@ -54,7 +54,3 @@
         ):
             with self.subTest(case=case):
                 self.assertEqual(self._play(*case), [])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/scheduling/test_histories_of_two_owners.py
+++ b/tests/scheduling/test_histories_of_two_owners.py
@@ -121,7 +121,3 @@
     def test_no_overlap(self):
         found = [seed for seed in range(HISTORIES) if History(seed).play()]
         self.assertEqual(found, [])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/scheduling/test_lagging_owner.py
+++ b/tests/scheduling/test_lagging_owner.py
@@ -48,7 +48,3 @@
         for lag_s in (0.1, 0.3, 0.41, 0.45, 0.6, 0.9):
             with self.subTest(lag_s=lag_s):
                 self.assertEqual(self._count_lapses("far", lag_s), 0)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/scheduling/test_lease_expiry.py
+++ b/tests/scheduling/test_lease_expiry.py
@@ -122,7 +122,3 @@
         )
         self._lose_worker()
         self.assertEqual(self.region.workers["w0"].runs, {})
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/scheduling/test_removed_attempts.py
+++ b/tests/scheduling/test_removed_attempts.py
@@ -90,7 +90,3 @@
                 self.assertGreaterEqual(
                     lease_expiry.find_expiry(worker), ends_at
                 )
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/scheduling/test_run_ends.py
+++ b/tests/scheduling/test_run_ends.py
@@ -86,7 +86,3 @@
         simulation.poll(other_id, running=())
         (second,) = simulation.take_starts()
         self.assertGreater(second.number, 9)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/scheduling/test_two_owners.py
+++ b/tests/scheduling/test_two_owners.py
@@ -109,7 +109,3 @@
         self.simulation.followed = "o2"
         self._check_no_overlap()
         self.assertEqual(list(self.simulation.workers["w3"].running), [TASK])
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/service/test_dropped_groups.py
+++ b/tests/service/test_dropped_groups.py
@@ -5,7 +5,6 @@
 """
 
 import types
-import unittest
 from unittest import mock
 
 from pollenladder.cluster import roster as rosters
@@ -68,7 +67,3 @@
         self.owners["b"].list_workers(["w1"])
         self.group = test_moved_attempts.NEXT_GROUP
         self._expect_start_after_the_first_run()
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/service/test_late_starts.py
+++ b/tests/service/test_late_starts.py
@@ -96,7 +96,3 @@
         simulation.now += 0.2
         session._start_run_safely(order)
         client.start.assert_not_called()
-
-
-if __name__ == "__main__":
-    unittest.main()
