Take back no more counts than there are in the model of crashes

The search of the twin KEPT did not end in 300 s: the counts of a job that was submitted again began at 0 and were taken below it, which wraps to 255 in the model, while the code stops at 0.

--- a/models/crashes.pml
+++ b/models/crashes.pml
@@ -51,7 +51,7 @@
 #define WORKERS 2
 #define MAX_SUSPICIONS 2
 #define MAX_LOST_WORKERS 3
-#define MAX_COUNT 6
+#define MAX_COUNT 4
 #define MAX_DEATHS 1
 #define MAX_RESTARTS 1
 
@@ -228,9 +228,12 @@
 		if
 		:: loss[w] != NONE ->
 #ifndef NAIVE_WITHDRAW
-			lost--;
 			if
-			:: loss[w] == SUSPECTED -> suspicions--
+			:: lost > 0 -> lost--
+			:: else -> skip
+			fi;
+			if
+			:: loss[w] == SUSPECTED && suspicions > 0 -> suspicions--
 			:: else -> skip
 			fi;
 #endif
