--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,15 +10,17 @@
 from standins import site as sites
 
 JOB_ID = "36f85c0e7a21d94b"
-TASK_MS = 10_000
+TASK_MS = 8_500
 # The client's own `Pollenladder-Deadline-Ms`.
 BUDGET_MS = 20_000
+# Until the task has begun.
+BEGIN_S = 0.1
 # Times since the worker has reported that it drains, in seconds. The next report
 # would be due after 1.5 s.
 CUT_FROM_S = 1.4
 CUT_TO_S = 6.4
 RESTART_AT_S = 6.9
-WATCH_S = 3.0
+WATCH_S = 1.5
 
 
 def play(deployment: rig.Deployment) -> bool:
@@ -27,7 +29,7 @@
     entry = next(name for name in deployment.daemons if name != owner)
     body = sites.build_job(tasks=1, run_ms=TASK_MS)
     gevent.spawn(deployment.submit, entry, JOB_ID, body, BUDGET_MS)
-    gevent.sleep(0.8)
+    gevent.sleep(BEGIN_S)
     runs = deployment.list_runs(JOB_ID)
     if len(runs) != 1:
         raise rig.NotRunError("the task has not begun")
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -30,6 +30,7 @@
 REGION = "sierra"
 FRONT_PORT = 8161
 READY_PORT = 8167
+TIMEOUT_MS = 20_000
 HEARTBEAT_S = 1.5
 # Status reports that a worker may miss before its entry is removed.
 MISSED_REPORTS = 3
@@ -132,7 +133,7 @@
         self._began_s = time.monotonic()
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.site = sites.Site()
-        self.site.configure(1)
+        self.configure(1)
         self.entries: dict[str, Entry] = {}
         for index in range(workers):
             # Random, as another site on this machine may reuse a port.
@@ -155,6 +156,16 @@
                 self._folder / f"{name}.log",
             )
 
+    def configure(self, version: int, **changes: str) -> None:
+        """Write a configuration, in which clients may wait for longer than usual.
+
+        Args:
+            version: The version of the configuration.
+            **changes: Fields that replace those of the only route.
+        """
+        route = {"TimeoutMs": TIMEOUT_MS, "SloMs": 60, "Attempts": 3}
+        self.site.configure(version, **(route | changes))
+
     def now(self) -> float:
         """Return the time since the start of the script, in seconds."""
         return time.monotonic() - self._began_s
@@ -485,6 +496,10 @@
         workers: The number of workers.
     """
     deployment = Deployment(folder / "record.txt", daemons, workers)
+    ended = NotRunError("the script was ended")
+    gevent.signal_handler(
+        signal.SIGTERM, gevent.kill, gevent.getcurrent(), ended
+    )
     try:
         deployment.start_all()
         holds = case(deployment)
