--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -134,6 +134,7 @@
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.site = sites.Site()
         self.configure(1)
+        self._open: dict[str, int] = {}
         self.entries: dict[str, Entry] = {}
         for index in range(workers):
             # Random, as another site on this machine may reuse a port.
@@ -353,7 +354,9 @@
             f"Content-Length: {len(body)}\r\n\r\n"
         )
         address = (self.daemons[name].address, FRONT_PORT)
+        self._open[job_id] = self._open.get(job_id, 0) + 1
         reply = exchange(address, head.encode() + body, budget_ms / 1000)
+        self._open[job_id] -= 1
         self.note(f"POST {job_id}: {reply.status} {reply.body!r} {reply.error}")
         return reply
 
@@ -401,7 +404,10 @@
         raise NotRunError("a run without a worker")
 
     def note_runs(self) -> None:
-        """Write all runs to the record."""
+        """Write the requests without an answer, and all runs, to the record."""
+        for job_id, count in self._open.items():
+            if count:
+                self.note(f"POST {job_id}: no answer yet, and not given up")
         for worker in self.site.workers.values():
             for run in worker.history:
                 began = run.began_s - self._began_s
