--- a/pollenladder/fleet/worker_lists.py
+++ b/pollenladder/fleet/worker_lists.py
@@ -155,6 +155,15 @@
         self._last_missing_at = max(self._last_missing_at, now)
         self._last_expired_at = max(self._last_expired_at, now)
 
+    def record_unexplained(self, now: float) -> None:
+        """Record that it is not known whether a row expired or its worker left.
+
+        A peer that reads the table more often may know, so its knowledge can be
+        inherited again.
+        """
+        self.known_since = now
+        self._first_version = self._version
+
     def inherit(self, report: ListReport, now: float) -> bool:
         """Take over the knowledge of a peer; return whether it adds to this.
 
--- a/pollenladder/fleet/worker_tables.py
+++ b/pollenladder/fleet/worker_tables.py
@@ -1,11 +1,17 @@
 """The workers in the store's table, as read by one daemon."""
 
 from collections.abc import Mapping
+from collections.abc import Set
 import dataclasses
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import worker_lists
 
+# A row is removed once its worker has left, or after three intervals without a
+# report. If fewer intervals have passed, the worker has left; half of one is left
+# for the clocks.
+MAX_INTERVALS_TO_LEAVE = 2.5
+
 
 @dataclasses.dataclass(frozen=True)
 class RowChanges:
@@ -30,20 +36,39 @@
     After an outage of the store, workers whose rows are missing are kept for
     `worker_lists.STORE_RETURN_GRACE_S`.
 
+    That a worker drains does not show that it has ended: it may only have lost
+    the store. If its row is removed, that the worker has left is shown by how
+    soon after its last report it was removed. This daemon may read too seldom
+    to know that; then its peers may.
+
     A row that cannot be decoded names no worker. A listed worker whose row can
     no longer be decoded is dropped as if its row had expired, because it may
     still execute runs.
     """
 
-    def __init__(self, history: worker_lists.ListHistory):
+    def __init__(
+        self, history: worker_lists.ListHistory, report_interval_s: float
+    ):
+        """Start with no workers.
+
+        Args:
+            history: How long the list has been known.
+            report_interval_s: The interval in which workers write their rows, in
+                seconds; 0 if it is not known.
+        """
         self._history = history
+        self._max_leave_s = MAX_INTERVALS_TO_LEAVE * report_interval_s
         self._workers: dict[str, fleet.Listing] = {}
-        self._missing: set[str] = set()
-        # When the rows of draining workers were dropped, by worker id.
-        self._drained_at: dict[str, float] = {}
+        # Whether the worker had left, for each row that is missing.
+        self._missing: dict[str, bool] = {}
+        # When draining workers last reported, at the earliest, by worker id.
+        self._reported_after: dict[str, float] = {}
+        # When the workers that had left were dropped, by worker id.
+        self._left_at: dict[str, float] = {}
         # The rows that could not be decoded when they were last read.
         self._undecodable: set[str] = set()
         self._updated_at = float("-inf")
+        self._read_at = float("-inf")
 
     def list_workers(self) -> tuple[fleet.Listing, ...]:
         """Return the listed workers."""
@@ -63,28 +88,71 @@
             now: Monotonic time in seconds.
 
         Returns:
-            The ids of the workers that were dropped without having announced
-            that they leave, or whose rows can no longer be decoded.
+            The ids of the workers that were dropped and are not known to have
+            left, or whose rows can no longer be decoded.
         """
         self._workers.update(found.listed)
+        if not is_full_read:
+            self._record_reports(found.listed)
         undecodable = _select(found.undecodable)
         removed = found.removed.keys() - self._find_never_listed(found, now)
         missing = _select(found.removed) & removed
         if is_full_read:
             missing |= self._workers.keys() - found.listed.keys() - undecodable
             self._undecodable.clear()
-        if any(not self._is_drained(w) for w in missing | removed):
-            self._history.record_missing(now)
+        left = {w for w in missing | removed if self._has_left(w, now)}
+        self._report_missing((missing | removed) - left, now)
         self._undecodable -= found.listed.keys() | found.removed.keys()
         self._undecodable |= undecodable
         self._updated_at = now
-        self._missing -= found.listed.keys() | undecodable
-        self._missing |= missing
+        self._read_at = self._history.read_at
+        for worker_id in found.listed.keys() | undecodable:
+            self._missing.pop(worker_id, None)
+        for worker_id in missing:
+            self._missing.setdefault(worker_id, worker_id in left)
         dropped = self._drop_undecodable(undecodable, now)
         if self._history.keeps_missing(now):
             return dropped
         return sorted(dropped + self._drop_missing(now))
 
+    def _record_reports(self, changed: Mapping[str, fleet.Listing]) -> None:
+        """Record that rows have changed since the last read was begun."""
+        for worker_id, listing in changed.items():
+            if listing.is_draining:
+                self._reported_after[worker_id] = self._read_at
+            else:
+                self._reported_after.pop(worker_id, None)
+
+    def _has_left(self, worker_id: str, now: float) -> bool:
+        """Return whether a worker whose row was removed is known to have left.
+
+        A worker that is not listed may have appeared and expired between two
+        reads, unless there was no time for that.
+        """
+        listing = self._workers.get(worker_id)
+        if listing is None:
+            since = self._left_at.get(worker_id, float("-inf"))
+        elif listing.is_draining:
+            since = self._reported_after.get(worker_id, float("-inf"))
+        else:
+            return False
+        return now < since + self._max_leave_s
+
+    def _report_missing(self, worker_ids: Set[str], now: float) -> None:
+        """Tell the peers about rows that may have expired.
+
+        Peers that read the table after an outage do not list what is kept here.
+        Otherwise they find out themselves about the draining workers.
+        """
+        if not self._history.keeps_missing(now):
+            worker_ids = {w for w in worker_ids if not self._is_draining(w)}
+        if worker_ids:
+            self._history.record_missing(now)
+
+    def _is_draining(self, worker_id: str) -> bool:
+        listing = self._workers.get(worker_id)
+        return listing is not None and listing.is_draining
+
     def _find_never_listed(self, found: RowChanges, now: float) -> set[str]:
         """Return the rows of which no version has named a worker.
 
@@ -102,34 +170,33 @@
         if dropped:
             self._history.record_expired(now)
         for worker_id in dropped:
-            del self._workers[worker_id]
+            self._forget(worker_id)
         return dropped
 
     def _drop_missing(self, now: float) -> list[str]:
-        oldest = now - worker_lists.EXPIRED_WORKER_S
-        for worker_id, at in list(self._drained_at.items()):
-            if at <= oldest:
-                del self._drained_at[worker_id]
-        expired = [w for w in self._missing if not self._is_drained(w)]
-        if expired:
+        """Drop the workers whose rows are missing; return those that may live on."""
+        self._forget_old_departures(now)
+        lapsed = [w for w, has_left in self._missing.items() if not has_left]
+        draining = [w for w in lapsed if self._is_draining(w)]
+        if len(draining) < len(lapsed):
             self._history.record_expired(now)
-        drained = self._missing.difference(expired)
-        self._drained_at.update(dict.fromkeys(drained, now))
-        for worker_id in self._missing:
-            self._workers.pop(worker_id, None)
+        if draining:
+            self._history.record_unexplained(now)
+        for worker_id, has_left in self._missing.items():
+            if has_left:
+                self._left_at[worker_id] = now
+            self._forget(worker_id)
         self._missing.clear()
-        return expired
+        return lapsed
 
-    def _is_drained(self, worker_id: str) -> bool:
-        """Return whether a worker had announced that it leaves.
+    def _forget_old_departures(self, now: float) -> None:
+        for worker_id, at in list(self._left_at.items()):
+            if now >= at + self._max_leave_s:
+                del self._left_at[worker_id]
 
-        A worker that was never listed here may have appeared and expired
-        between two reads.
-        """
-        listing = self._workers.get(worker_id)
-        if listing is None:
-            return worker_id in self._drained_at
-        return listing.is_draining
+    def _forget(self, worker_id: str) -> None:
+        self._workers.pop(worker_id, None)
+        self._reported_after.pop(worker_id, None)
 
 
 def _select(states: Mapping[str, bool]) -> set[str]:
--- a/pollenladder/logs/events.py
+++ b/pollenladder/logs/events.py
@@ -254,7 +254,7 @@
     Event(
         "worker_lapsed",
         Kind.WORKER,
-        "the worker's entry disappeared without a drain before",
+        "the worker's entry disappeared, cannot be decoded or names a service that is not configured, and the worker may still execute runs",
         ("worker",),
     ),
     Event(
@@ -500,6 +500,12 @@
         "tasks of an earlier owner wait, as unlisted workers may run them",
         ("job", "tasks", "reason", "wait_s"),
     ),
+    Event(
+        "task_cleared",
+        Kind.JOB,
+        "a task of an earlier owner starts, as no run of it is left",
+        ("job", "task", "run", "worker", "reason"),
+    ),
     Event(
         "job_handed_on_again",
         Kind.JOB,
--- a/pollenladder/platform/settings.py
+++ b/pollenladder/platform/settings.py
@@ -56,6 +56,8 @@
             of use until no start may reach it, in seconds; None if there is no
             deadline.
         regions: The regions of the data centres.
+        report_interval_s: The interval in which workers write their rows, in
+            seconds; 0 if it is not known.
     """
 
     daemon_id: str
@@ -76,6 +78,7 @@
     features: optional_features.Features = optional_features.ALL
     evacuation_deadline_s: float | None = None
     regions: fleet_regions.Regions = fleet_regions.NONE
+    report_interval_s: float = 0.0
 
 
 def find_path() -> str:
@@ -152,6 +155,7 @@
         is_first_start=values.get("Bootstrap") == "true",
         evacuation_deadline_s=_get_optional_s(values, "Bounds.EvacuateMs"),
         regions=_build_regions(values),
+        report_interval_s=_get_optional_s(values, "HeartbeatMs") or 0.0,
     )
 
 
--- a/pollenladder/scheduling/forecast.py
+++ b/pollenladder/scheduling/forecast.py
@@ -13,9 +13,9 @@
 from pollenladder.scheduling import exposure
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import progress
-from pollenladder.scheduling import runs
 from pollenladder.scheduling import start_forecasts
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import unknown_runs
 
 # Forecast wait if there is no slot at all.
 NEVER_S = 1e9
@@ -158,8 +158,8 @@
     tasks = len(waiting)
     held_back = sum(now < task.not_before for task in waiting)
     if held_back and (
-        runs.may_have_unknown_runs(region, job)
-        or not runs.knows_all_runs(region, now)
+        unknown_runs.may_have_unknown_runs(region, job)
+        or not unknown_runs.knows_all_runs(region, now)
     ):
         tasks -= held_back
     if tasks:
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -23,6 +23,7 @@
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import unknown_runs
 
 # A job whose tasks need more than this share of all slots gets time for several
 # waves of tasks.
@@ -66,7 +67,7 @@
     job.attempts_elsewhere.discard(attempt.number)
     job.deadline_at = max(job.deadline_at, now + submission.budget_s)
     if submission.may_have_begun:
-        runs.record_rejoined(region, job, submission, previous, now)
+        unknown_runs.record_rejoined(region, job, submission, previous, now)
         # It can no longer be refused as not run.
         job.is_deferred = False
     region.log_event(
@@ -385,8 +386,8 @@
 
 def _adopt_runs(region: tables.Region, job: tables.Job, now: float) -> None:
     """Assign to a job's tasks the runs and ends of an earlier owner."""
-    safe_at = runs.get_lease_expiry(region, now)
-    if now > region.owned_since + runs.RECENT_CLAIM_S:
+    safe_at = unknown_runs.get_lease_expiry(region, now)
+    if now > region.owned_since + unknown_runs.RECENT_CLAIM_S:
         job.list_needed_at = now
     for task in job.tasks:
         name = jobs.format_task_name(job.submission.job_id, task.index)
@@ -396,5 +397,5 @@
             continue
         task.not_before = safe_at
         runs.adopt_orphan(region, job, task)
-    runs.log_held_back(region, job, now)
+    unknown_runs.log_held_back(region, job, now)
     job_ends.finish_if_complete(region, job, now)
--- a/pollenladder/scheduling/placement.py
+++ b/pollenladder/scheduling/placement.py
@@ -25,10 +25,11 @@
 from pollenladder.scheduling import exposure
 from pollenladder.scheduling import isolation
 from pollenladder.scheduling import neighbours
-from pollenladder.scheduling import runs
+from pollenladder.scheduling import run_ends
 from pollenladder.scheduling import speed_matching
 from pollenladder.scheduling import start_forecasts
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import unknown_runs
 
 # Cost of a worker's slowness, in thousandths of a core per unit of
 # `Health.slowness` above 1. Of two workers with equal free capacity, the faster
@@ -67,7 +68,9 @@
     if not waiting and not deferred:
         return
     # Cached because the check visits all workers.
-    knows_all_runs = functools.cache(lambda: runs.knows_all_runs(region, now))
+    knows_all_runs = functools.cache(
+        lambda: unknown_runs.knows_all_runs(region, now)
+    )
     unplaceable: Unplaceable = {}
     for job in waiting:
         try:
@@ -208,12 +211,13 @@
     """
     waiting = job.list_waiting_tasks()
     for task in waiting:
-        if now < task.not_before and (
-            runs.may_have_unknown_runs(region, job) or not knows_all_runs()
-        ):
+        proof = unknown_runs.prove_no_run(
+            region, job, task, knows_all_runs, now
+        )
+        if proof is None:
             continue
         if task.needs_isolation:
-            _place_alone(region, job, task, now)
+            _place_alone(region, job, task, proof, now)
             continue
         if neighbours.must_separate(region, job.submission.queue, now):
             worker, is_changed = _choose_separate_worker(region, job, task, now)
@@ -222,14 +226,18 @@
         if worker is None:
             return False
         neighbours.record_placement(region, job, worker, is_changed, now)
-        _start(region, job, task, worker, now)
+        _start(region, job, task, worker, proof, now)
     if not job.list_waiting_tasks():
         region.waiting.discard(job.submission.job_id)
     return True
 
 
 def _place_alone(
-    region: tables.Region, job: tables.Job, task: tables.Task, now: float
+    region: tables.Region,
+    job: tables.Job,
+    task: tables.Task,
+    proof: run_ends.Proof,
+    now: float,
 ) -> None:
     """Start a suspected task if there is an idle worker for it."""
 
@@ -246,7 +254,7 @@
     fitting = candidates.iterate_fitting(region, job, now)
     worker = isolation.choose_worker(region, job, task, fitting, can_run)
     if worker is not None:
-        _start(region, job, task, worker, now)
+        _start(region, job, task, worker, proof, now)
         worker.isolated_task = jobs.format_task_name(
             job.submission.job_id, task.index
         )
@@ -351,8 +359,19 @@
     job: tables.Job,
     task: tables.Task,
     worker: fleet.Worker,
+    proof: run_ends.Proof,
     now: float,
 ) -> None:
+    """Start a task on a worker.
+
+    Args:
+        region: The region.
+        job: The job.
+        task: The task.
+        worker: The worker.
+        proof: What shows that no run of the task is left.
+        now: Monotonic time in seconds.
+    """
     kind = job.submission.queue
     slowdown = neighbours.predict_slowdown(region, worker, kind)
     run = fleet.Run(
@@ -368,6 +387,8 @@
         kind=kind,
     )
     region.add_run(worker, run)
+    if proof is not run_ends.FIRST_OWNER:
+        _log_cleared(region, run, proof)
     task.state = tables.TaskState.PLACED
     task.worker_id = run.worker_id
     task.next_run += 1
@@ -378,3 +399,17 @@
             run.worker_id, run.task, run.number, job.submission.spec
         )
     )
+
+
+def _log_cleared(
+    region: tables.Region, run: fleet.Run, proof: run_ends.Proof
+) -> None:
+    """Log why a task starts that an earlier owner may have started."""
+    region.log_event(
+        "task_cleared",
+        job=jobs.parse_job_id(run.task),
+        task=run.task,
+        run=run.number,
+        worker=run.worker_id,
+        reason=proof.reason,
+    )
--- a/pollenladder/scheduling/run_ends.py
+++ b/pollenladder/scheduling/run_ends.py
@@ -19,6 +19,9 @@
         NOT_STARTED: The start was rejected, or never sent.
         REPLACED: Another process answers for the worker.
         LEASE_EXPIRED: Every lease that any owner can have granted has expired.
+        NOWHERE: No worker has a run of the task: all that are listed have been polled,
+            and no other one can have it.
+        FIRST_OWNER: No other owner has had the job.
     """
 
     REPORTED = "reported"
@@ -26,6 +29,8 @@
     NOT_STARTED = "not_started"
     REPLACED = "replaced"
     LEASE_EXPIRED = "lease_expired"
+    NOWHERE = "nowhere"
+    FIRST_OWNER = "first_owner"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +48,8 @@
 
 LEASE_EXPIRED = Proof(Ground.LEASE_EXPIRED, "lease_expired")
 ABSENT = Proof(Ground.ABSENT, "not_there")
+ON_NO_WORKER = Proof(Ground.NOWHERE, "on_no_worker")
+FIRST_OWNER = Proof(Ground.FIRST_OWNER, "first_owner")
 
 # The replies that leave open whether the run has started.
 _OPEN_REPLIES = (fleet.StartReply.STARTED, fleet.StartReply.NO_REPLY)
--- a/pollenladder/scheduling/runs.py
+++ b/pollenladder/scheduling/runs.py
@@ -3,13 +3,11 @@
 A task gets another run only with a proof that its last run is over; see `run_ends`.
 """
 
-import dataclasses
 import math
 
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import health
 from pollenladder.jobs import entities as jobs
-from pollenladder.scheduling import attempts
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import run_ends
 from pollenladder.scheduling import tables
@@ -24,14 +22,8 @@
 NO_CAPACITY_PAUSE_S = 0.03
 # Added to the next run number after a worker rejected a number as old.
 RUN_NUMBER_STEP = 16
-# Two owners receive each other's heartbeats well within this time.
-OWNER_SETTLING_S = 0.25
 # Time for the jobs of an earlier owner's runs to arrive and claim them.
 ORPHAN_GRACE_S = 0.3
-# A job that is forwarded again to an owner that has been the owner for longer
-# comes from another owner that was active at the same time, or its gateway had
-# lost the link.
-RECENT_CLAIM_S = 2.0
 
 
 def find_task(
@@ -58,105 +50,6 @@
     return int(text) if text.isdecimal() else -1
 
 
-def knows_all_runs(region: tables.Region, now: float) -> bool:
-    """Return whether no worker can hold a run that is unknown to this owner."""
-    if now < region.owned_since + OWNER_SETTLING_S:
-        # The previous owner, which has the same jobs, may still become the
-        # owner again with a higher epoch.
-        return False
-    if not region.is_worker_list_current:
-        return False
-    if find_list_doubt(region, now):
-        return False
-    return all(
-        worker.is_synced and worker.is_reachable
-        for worker in region.workers.values()
-        if worker.is_listed
-    )
-
-
-def find_list_doubt(region: tables.Region, now: float) -> str:
-    """Return why unlisted workers may execute runs, or "" if none may."""
-    if now < region.moved_workers_until:
-        return "workers_moved"
-    return region.list_history.find_doubt(now)
-
-
-def may_have_unknown_runs(region: tables.Region, job: tables.Job) -> bool:
-    """Return whether runs of a job may be active beyond all listed workers.
-
-    The list may lack a worker that another owner has used before it handed the
-    job over.
-    """
-    return (
-        job.submission.may_run_elsewhere
-        or region.list_history.read_at < job.list_needed_at
-    )
-
-
-def record_rejoined(
-    region: tables.Region,
-    job: tables.Job,
-    submission: jobs.Submission,
-    previous: attempts.Attempt | None,
-    now: float,
-) -> None:
-    """Record that a job in progress was forwarded to this owner again.
-
-    If the attempt was forwarded more than once since, or another attempt is
-    forwarded, another owner may have started tasks that wait here.
-
-    Args:
-        region: The region.
-        job: The job.
-        submission: The job as it was forwarded again.
-        previous: The attempt as it was forwarded before, or None.
-        now: Monotonic time in seconds.
-    """
-    before = job.submission
-    job.submission = dataclasses.replace(
-        before,
-        may_have_begun=True,
-        may_run_elsewhere=before.may_run_elsewhere
-        or submission.may_run_elsewhere,
-        first_run=max(before.first_run, submission.first_run),
-    )
-    if previous is not None:
-        next_first_run = previous.first_run + jobs.RUN_NUMBERS_PER_FORWARD
-        if submission.first_run == next_first_run:
-            return
-    job.list_needed_at = now
-    for task in job.tasks:
-        task.next_run = max(task.next_run, submission.first_run)
-        task.not_before = get_lease_expiry(region, now)
-
-
-def log_held_back(region: tables.Region, job: tables.Job, now: float) -> None:
-    """Log that waiting tasks may be active on workers that are not listed."""
-    doubt = find_list_doubt(region, now)
-    waiting = job.list_waiting_tasks()
-    if not doubt or not waiting:
-        return
-    region.log_event(
-        "tasks_held_back",
-        job=job.submission.job_id,
-        tasks=len(waiting),
-        reason=doubt,
-        wait_s=round(waiting[0].not_before - now, 3),
-    )
-
-
-def get_lease_expiry(region: tables.Region, now: float) -> float:
-    """Return when all leases of another owner on a job must have expired.
-
-    Args:
-        region: The region.
-        now: When the job was forwarded to this owner, monotonic, in seconds.
-    """
-    lease_s = region.max_lease_s * (1 + MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_S
-    return now + region.handover_delay_s + lease_s
-
-
 def has_runs(region: tables.Region, job_id: str) -> bool:
     """Return whether any worker has a run of a job, including orphans."""
     return job_id in region.runs
--- a/pollenladder/service/configurations.py
+++ b/pollenladder/service/configurations.py
@@ -1,12 +1,10 @@
 """The configuration in force, and its exchange with other daemons."""
 
 from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
 import logging
 
 from pollenladder.cluster import messages
-from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import services
 from pollenladder.jobs import entities as jobs
 from pollenladder.jobs import routing
@@ -46,14 +44,11 @@
         """The version in force, 0 if there is none."""
         return self.routes.configuration.version if self.routes else 0
 
-    def select_workers(
-        self, listings: Iterable[fleet.Listing]
-    ) -> tuple[fleet.Listing, ...]:
-        """Return the workers that may be used; none before a configuration."""
+    def list_services(self) -> frozenset[str]:
+        """Return the names of the services in force; none without a configuration."""
         if self.routes is None:
-            return ()
-        names = services.list_names(self.routes.configuration)
-        return services.select_workers(listings, names)
+            return frozenset()
+        return services.list_names(self.routes.configuration)
 
     def apply(self, found: jobs.Configuration) -> None:
         """Apply a configuration, unless a newer or the same one is in force."""
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -17,6 +17,7 @@
 from pollenladder.fleet import crashing_queues
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import evacuations
+from pollenladder.fleet import named_workers
 from pollenladder.fleet import worker_lists
 from pollenladder.gateway import limits
 from pollenladder.gateway import listeners
@@ -76,6 +77,7 @@
         self._roster = rosters.Roster(settings.daemon_id)
         self._store = stores.Store(settings.store)
         self._list_history = worker_lists.ListHistory(settings.is_first_start)
+        self._named_workers = named_workers.NamedWorkers(self._list_history)
         self._crashing_queues = crashing_queues.CrashingQueues()
         self._evacuations = evacuations.Evacuations(
             evacuations.build_limits(
@@ -202,6 +204,7 @@
             ),
             self._clock,
             self._list_history,
+            self._settings.report_interval_s,
         )
         self._owner_rows = owner_rows.OwnerRows(
             self._store,
@@ -235,9 +238,7 @@
                 get_layout=lambda: self._groups.layout,
                 apply_layout=self._apply_layout,
                 write_layout=self._feeds.write_layout,
-                list_workers=lambda: self._configurations.select_workers(
-                    self._feeds.list_workers()
-                ),
+                list_workers=lambda: self._named_workers.workers,
                 is_keeper=self._is_layout_keeper,
             ),
         )
@@ -457,8 +458,11 @@
         listings: tuple[fleet.Listing, ...],
         is_full_list: bool,
     ) -> None:
-        named = self._configurations.select_workers(listings)
-        self._groups.update_workers(named, is_full_list)
+        names = self._configurations.list_services()
+        lapsed = self._named_workers.update(listings, names, self._clock())
+        for worker_id in lapsed:
+            logs.log(LOGGER, "worker_lapsed", worker=worker_id)
+        self._groups.update_workers(self._named_workers.workers, is_full_list)
         if self._layout_keeper.needs_change():
             self._feeds.refresh_daemons()
 
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -187,8 +187,14 @@
             maintenance.update_services(self.region, cold_starts, unguarded)
 
     def record_moved_workers(self) -> None:
-        """Record that workers of the group have moved to another group."""
-        until = self._clock() + worker_lists.EXPIRED_WORKER_S
+        """Record that workers of the group have moved to another group.
+
+        Peers that are restarted later do not know it, so it is reported to them like
+        an expired row.
+        """
+        now = self._clock()
+        self._list_history.record_missing(now)
+        until = now + worker_lists.EXPIRED_WORKER_S
         self._moved_workers_until = until
         if self.region is not None:
             self.region.moved_workers_until = until
--- a/pollenladder/service/feeds.py
+++ b/pollenladder/service/feeds.py
@@ -82,7 +82,19 @@
         callbacks: Callbacks,
         clock: clocks.Clock,
         list_history: worker_lists.ListHistory,
+        report_interval_s: float,
     ):
+        """Start without having read anything.
+
+        Args:
+            store: The store.
+            own: This daemon.
+            callbacks: The functions of other components.
+            clock: Returns the monotonic time in seconds.
+            list_history: How long the list of workers has been known.
+            report_interval_s: The interval in which workers write their rows, in
+                seconds; 0 if it is not known.
+        """
         self.list_history = list_history
         self.store_lost_at = clock()
         self.has_read_daemons = False
@@ -92,7 +104,9 @@
         self._clock = clock
         self._daemon_count = 1
         self._has_read_layout = False
-        self._workers = worker_tables.WorkerTable(list_history)
+        self._workers = worker_tables.WorkerTable(
+            list_history, report_interval_s
+        )
         self._workers_refresh = event.Event()
         self._daemons_refresh = event.Event()
         self._operator_rows = row_decoding.RowDecoder(clock)
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -81,6 +81,8 @@
         rewrite: Callable[[str, str, bytes], bytes] | None = None,
         data_centres: tuple[str, ...] = ("norte",),
         cpu_share: float = 0.5,
+        memory_mb: int = 300,
+        max_descriptors: int = 4100,
     ):
         """Start the site and the daemons.
 
@@ -93,8 +95,14 @@
             data_centres: Daemons and workers are dealt to these in turn.
             cpu_share: Each daemon's share of a core, by which daemons choose
                 the number of groups.
+            memory_mb: The memory of each daemon's machine, in MB.
+            max_descriptors: The number of descriptors that each may open.
         """
-        self._cpu_share = cpu_share
+        self._limits = {
+            "cpu_share": cpu_share,
+            "memory_mb": memory_mb,
+            "max_descriptors": max_descriptors,
+        }
         self._arguments = [defect] if defect else []
         folder = tempfile.TemporaryDirectory()
         add_cleanup(folder.cleanup)
@@ -116,9 +124,7 @@
     def _prepare(self, name: str, data_centre: str) -> Daemon:
         found = ports.find_free_ports(3)
         path = self._folder / f"{name}.conf"
-        self.site.write_settings(
-            path, name, found, data_centre, cpu_share=self._cpu_share
-        )
+        self.site.write_settings(path, name, found, data_centre, **self._limits)
         log = self._folder / f"{name}.log"
         return Daemon(name, data_centre, found, path, log)
 
@@ -132,7 +138,7 @@
                 daemon.ports,
                 daemon.data_centre,
                 is_first_start=False,
-                cpu_share=self._cpu_share,
+                **self._limits,
             )
         # The daemon exits when this pipe closes, even if this process is
         # killed.
--- a/soak/defects.py
+++ b/soak/defects.py
@@ -15,6 +15,7 @@
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import order_replies
 from pollenladder.scheduling import runs
+from pollenladder.scheduling import unknown_runs
 from pollenladder.service import configurations
 from pollenladder.service import dispatcher
 from pollenladder.service import gateway
@@ -23,7 +24,7 @@
 
 def _forget_other_owners() -> None:
     """Start tasks at once even if an earlier owner may have started them."""
-    runs.knows_all_runs = lambda region, now: True
+    unknown_runs.knows_all_runs = lambda region, now: True
 
 
 def _retry_without_reply() -> None:
--- a/standins/site.py
+++ b/standins/site.py
@@ -21,6 +21,8 @@
 SERVICE = "training"
 QUEUE_HOST = "jobs.example"
 PREFIX = "/lookups/"
+# The interval of the workers' reports, as the daemons are told.
+REPORT_INTERVAL_MS = 1500
 # A job fails once one of its tasks has failed as often.
 MAX_ATTEMPTS = 3
 
@@ -179,6 +181,8 @@
         data_centre: str = "norte",
         is_first_start: bool = True,
         cpu_share: float = 0.5,
+        memory_mb: int = 300,
+        max_descriptors: int = 4100,
     ) -> None:
         """Write the settings file of a daemon.
 
@@ -189,6 +193,8 @@
             data_centre: The data centre of the daemon.
             is_first_start: Whether the daemon bootstraps a new system.
             cpu_share: The daemon's share of a core.
+            memory_mb: The memory of the daemon's machine, in MB.
+            max_descriptors: The number of descriptors that it may open.
         """
         callers, readiness, peers = ports
         lines = {
@@ -199,9 +205,11 @@
             "Listen.Ready": f"{HOST}:{readiness}",
             "PortRange": f"{peers},{peers}",
             "Bootstrap": str(is_first_start).lower(),
+            "HeartbeatMs": REPORT_INTERVAL_MS,
             "Limits.CpuShare": cpu_share,
             "Limits.Cores": 2,
-            "Limits.MaxFds": 4100,
+            "Limits.MaxFds": max_descriptors,
+            "Limits.MemoryMb": memory_mb,
             "Bounds.GraceS": 6,
             "Bounds.MaxHoldMs": 1000,
             "Bounds.ResendMs": 1300,
--- a/tests/fleet/test_worker_tables.py
+++ b/tests/fleet/test_worker_tables.py
@@ -11,6 +11,8 @@
 from pollenladder.fleet import worker_tables
 from tests.scheduling import simulations
 
+REPORT_INTERVAL_S = 1.5
+
 
 class _TwoWorkersTest(unittest.TestCase):
     """A table of two workers."""
@@ -19,7 +21,7 @@
         self.now = 100.0
         self.history = worker_lists.ListHistory(is_first_start=True)
         self.history.record_store_state(True, self.now)
-        self.table = worker_tables.WorkerTable(self.history)
+        self.table = worker_tables.WorkerTable(self.history, REPORT_INTERVAL_S)
         self.both = {w: simulations.build_listing(w) for w in ("w0", "w1")}
         self._update(self.both, is_full=True)
 
--- a/tests/scheduling/overlaps/daemons.py
+++ b/tests/scheduling/overlaps/daemons.py
@@ -13,6 +13,7 @@
 from pollenladder.cluster import roster as rosters
 from pollenladder.fleet import entities as fleet
 from pollenladder.fleet import worker_lists
+from pollenladder.fleet import worker_tables
 from pollenladder.platform import exceptions
 from pollenladder.service import configurations
 from pollenladder.service import engine as engines
@@ -26,6 +27,7 @@
 from pollenladder.service import owner_rows
 from pollenladder.service import peer_messages
 from tests.scheduling.overlaps import networks
+from tests.scheduling.overlaps import reports
 from tests.scheduling.overlaps import schedules
 from tests.scheduling.overlaps import stores
 
@@ -45,14 +47,14 @@
         network: The network.
         rows: The rows of the store.
         members: The first incarnation of each daemon.
-        listings: The listed workers.
+        reports: The workers' rows in the store.
         layout: The groups of workers.
     """
 
     network: networks.Network
     rows: stores.Rows
     members: tuple[rosters.Member, ...]
-    listings: tuple[fleet.Listing, ...]
+    reports: reports.Reports
     layout: layouts.Layout
 
 
@@ -77,8 +79,14 @@
         self._clock = schedule.clock
         self._store = stores.Store(site.network, site.rows, own.daemon_id)
         self._store_read_at = float("-inf")
+        self._store_version = 0
+        self._is_leaving = False
         self._roster = rosters.Roster(own.daemon_id)
         self._list_history = worker_lists.ListHistory(is_first_start)
+        self._table = worker_tables.WorkerTable(
+            self._list_history, reports.REPORT_INTERVAL_S
+        )
+        self._refresh = schedules.Event(schedule)
         self.groups = groups.Groups(
             groups.Callbacks(self._build_group, self._handle_groups_change)
         )
@@ -108,7 +116,7 @@
                 get_version=lambda: 0,
                 get_layout_version=lambda: self.groups.layout.version,
                 list_crashing_queues=dict,
-                is_leaving=lambda: False,
+                is_leaving=lambda: self._is_leaving,
             ),
             self._clock,
             self._list_history,
@@ -263,27 +271,40 @@
 
     def _claim(self, engine: engines.Engine, epoch: int) -> None:
         engine.claim(epoch, self._list_history.is_store_up)
-        self._schedule.spawn(self._read_store, True)
+        self._refresh.set()
+
+    def leave(self) -> None:
+        """Hand over what this daemon owns, as after a stop request."""
+        self._is_leaving = True
+        self._membership.wake()
 
     def _run_store(self) -> None:
-        """Read the list of workers, which does not change, forever."""
+        """Follow the list of workers, forever; see `service.feeds`."""
         is_full = True
         while True:
+            if is_full and self._store_version:
+                self._read_store(False)
             is_full = not self._read_store(is_full)
-            self._schedule.sleep(STORE_INTERVAL_S)
+            if self._refresh.wait(STORE_INTERVAL_S):
+                self._refresh.clear()
+                is_full = True
 
     def _read_store(self, is_full: bool) -> bool:
+        """Read all rows or the changes; return whether the store has answered."""
         began_at = self._clock()
         try:
             version = self._store.check()
         except exceptions.StoreError:
             self._list_history.record_store_state(False, self._clock())
             return False
-        self._list_history.record_store_state(True, self._clock())
+        now = self._clock()
+        self._list_history.record_store_state(True, now)
         self._list_history.record_read(version, began_at, is_full)
-        self._store_read_at = self._clock()
-        if is_full:
-            self.groups.update_workers(self._site.listings, True)
+        found = self._site.reports.read(self._store_version, is_full)
+        self._store_version = version
+        self._store_read_at = now
+        self._table.update(found, is_full, now)
+        self.groups.update_workers(self._table.list_workers(), is_full)
         return True
 
     def _handle_heartbeat(
--- a/tests/scheduling/overlaps/faults.py
+++ b/tests/scheduling/overlaps/faults.py
@@ -31,6 +31,9 @@
         WORKER_KILL: A worker is killed and started again.
         BROKEN_CALLERS: The connections of a gateway's callers break.
         HELD_UP_ORDERS: Some orders to workers are carried out late.
+        LOST_REPORTS: A worker cannot report to the store, so that its row may expire.
+        DRAIN: A worker drains, leaves, and comes back under its id.
+        STOP: A daemon is stopped in order and started again.
     """
 
     CUT = "cut"
@@ -42,6 +45,9 @@
     WORKER_KILL = "worker_kill"
     BROKEN_CALLERS = "broken_callers"
     HELD_UP_ORDERS = "held_up_orders"
+    LOST_REPORTS = "lost_reports"
+    DRAIN = "drain"
+    STOP = "stop"
 
 
 _WEIGHTS = {
@@ -54,6 +60,9 @@
     Kind.WORKER_KILL: 1,
     Kind.BROKEN_CALLERS: 3,
     Kind.HELD_UP_ORDERS: 2,
+    Kind.LOST_REPORTS: 2,
+    Kind.DRAIN: 2,
+    Kind.STOP: 2,
 }
 
 
@@ -113,6 +122,9 @@
     if kind is Kind.WORKER_KILL:
         lasts_s = source.uniform(0.2, 1.5)
         return Fault(kind, at, lasts_s, (source.choice(workers),))
+    if kind in (Kind.LOST_REPORTS, Kind.DRAIN):
+        lasts_s = source.uniform(1.0, 4.0)
+        return Fault(kind, at, lasts_s, (source.choice(workers),))
     if kind is Kind.HELD_UP_ORDERS:
         return Fault(kind, at, source.uniform(0.2, 2.0), ())
     lasts_s = source.uniform(0.2, 1.5)
--- a/tests/scheduling/overlaps/histories.py
+++ b/tests/scheduling/overlaps/histories.py
@@ -31,6 +31,7 @@
 from tests.scheduling.overlaps import faults
 from tests.scheduling.overlaps import links
 from tests.scheduling.overlaps import networks
+from tests.scheduling.overlaps import reports
 from tests.scheduling.overlaps import schedules
 from tests.scheduling.overlaps import shapes
 from tests.scheduling.overlaps import stores
@@ -42,6 +43,10 @@
 # A reset link is reset again after this time, while the fault lasts.
 RESET_INTERVAL_S = 0.45
 HELD_UP_SHARE = 0.3
+# From the stop request of a daemon until its process exits.
+STOP_S = 0.8
+# From the end of a worker that has drained until another process has its id.
+COME_BACK_S = 0.7
 PORT = 1
 
 
@@ -143,9 +148,11 @@
         )
         layout = self._shape.build_layout()
         self.record("", "site", groups=layouts.list_groups(layout))
-        return daemons.Site(
-            self._network, stores.Rows(), members, listings, layout
+        rows = stores.Rows()
+        self._reports = reports.Reports(
+            self._network, rows, self._workers, listings
         )
+        return daemons.Site(self._network, rows, members, self._reports, layout)
 
     def _start_daemon(self, number: int, is_first_start: bool) -> None:
         member = self._site.members[number]
@@ -216,12 +223,34 @@
             if self._workers[here[0]].is_up:
                 self._exchanges.kill(here[0])
                 self._at(end_at, self._workers[here[0]].start)
+        elif kind is faults.Kind.LOST_REPORTS:
+            self._silence(here[0], 1)
+            self._at(end_at, self._silence, here[0], -1)
+        elif kind is faults.Kind.DRAIN:
+            self._reports.drain(here[0])
+            self._at(end_at, self._reports.leave, here[0])
+            back_at = end_at + COME_BACK_S
+            self._at(back_at, self._reports.come_back, here[0])
+        elif kind is faults.Kind.STOP:
+            self._stop(here[0], end_at)
         elif kind is faults.Kind.BROKEN_CALLERS:
             self._break_callers(self._daemons[here[0]].process)
         else:
             self._exchanges.held_up_share = HELD_UP_SHARE
             self._at(end_at, self._end_held_up_orders)
 
+    def _silence(self, worker_id: str, change: int) -> None:
+        """Begin or end a time in which a worker cannot report."""
+        silent = self._reports.silent
+        silent[worker_id] = silent.get(worker_id, 0) + change
+
+    def _stop(self, name: str, restart_at: float) -> None:
+        """Stop a daemon in order, and start it again."""
+        daemon = self._daemons[name]
+        self._schedule.call_later(0.0, daemon.process, daemon.leave)
+        exit_at = self._schedule.now + STOP_S
+        self._at(exit_at, self._kill, name, restart_at + STOP_S)
+
     def _end_held_up_orders(self) -> None:
         self._exchanges.held_up_share = 0.0
 
--- a/tests/scheduling/overlaps/twins.py
+++ b/tests/scheduling/overlaps/twins.py
@@ -14,6 +14,7 @@
 from unittest import mock
 
 from pollenladder.fleet import entities as fleet
+from pollenladder.fleet import worker_tables
 from pollenladder.scheduling import attempt_leases
 from pollenladder.scheduling import attempts
 from pollenladder.scheduling import candidates
@@ -21,6 +22,7 @@
 from pollenladder.scheduling import lease_limits
 from pollenladder.scheduling import tables
 from tests.scheduling.overlaps import faults
+from tests.scheduling.overlaps import reports
 from tests.scheduling.overlaps import searches
 from tests.scheduling.overlaps import shapes
 from tests.scheduling.overlaps import stores
@@ -170,6 +172,37 @@
     return searches.Plan(seed, shapes.TWO_GROUPS, (kill, resets, freeze))
 
 
+def _has_left_if_draining(
+    table: worker_tables.WorkerTable, worker_id: str, now: float
+) -> bool:
+    """Take each draining worker whose row was removed for one that has left."""
+    listed = {w.worker_id: w for w in table.list_workers()}
+    return worker_id in listed and listed[worker_id].is_draining
+
+
+def _draw_drained_workers(seed: int) -> searches.Plan:
+    """Return faults after which a next owner does not list a worker that drains.
+
+    The worker cannot report until its row has expired, and the owner is stopped then.
+    """
+    source = random.Random(f"drained workers {seed}")
+    shape = shapes.ONE_GROUP
+    at = faults.BEGIN_AT + source.uniform(0.0, 1.0)
+    found = []
+    for worker_id in shape.list_workers():
+        found.append(faults.Fault(faults.Kind.DRAIN, at, 5.0, (worker_id,)))
+        silent_at = at + source.uniform(0.0, reports.REPORT_INTERVAL_S)
+        silence = faults.Fault(
+            faults.Kind.LOST_REPORTS, silent_at, 3.0, (worker_id,)
+        )
+        found.append(silence)
+        if source.random() < 0.5:
+            break
+    stop_at = at + reports.EXPIRY_S + source.uniform(0.6, 1.0)
+    found.append(faults.Fault(faults.Kind.STOP, stop_at, 0.5, (OWNER,)))
+    return searches.Plan(seed, shape, tuple(found))
+
+
 # By the rule that is taken out.
 TWINS = {
     "silent": Twin(
@@ -191,6 +224,16 @@
         ),
         _draw_late_claims,
     ),
+    "departed": Twin(
+        (
+            (
+                worker_tables.WorkerTable,
+                "_has_left",
+                _has_left_if_draining,
+            ),
+        ),
+        _draw_drained_workers,
+    ),
     "unconfirmed": Twin(
         ((gateway_links, "record_change", _ignore_change),),
         _draw_lost_gateways,
--- a/tests/scheduling/simulations.py
+++ b/tests/scheduling/simulations.py
@@ -13,6 +13,7 @@
 from pollenladder.scheduling import replies
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import unknown_runs
 
 LEASE_S = 1.0
 EPSILON_S = 0.001
@@ -87,7 +88,7 @@
             list_history=build_list_history(self.now),
         )
         self.region.is_worker_list_current = True
-        self.now += runs.OWNER_SETTLING_S
+        self.now += unknown_runs.OWNER_SETTLING_S
         self.effects: list[effects.Effect] = []
         self.log_events: list[effects.LogEvent] = []
         self.ends: dict[str, list[fleet.ObservedEnd]] = {}
--- a/tests/scheduling/test_attempt_counts.py
+++ b/tests/scheduling/test_attempt_counts.py
@@ -6,7 +6,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import effects
 from pollenladder.scheduling import recovery
-from pollenladder.scheduling import runs
+from pollenladder.scheduling import unknown_runs
 from tests.scheduling import simulations
 
 JOB = "a1"
@@ -60,7 +60,7 @@
         simulation.region.is_worker_list_current = True
         for worker_id in WORKERS:
             simulation.poll(worker_id, running=())
-        simulation.step(runs.OWNER_SETTLING_S)
+        simulation.step(unknown_runs.OWNER_SETTLING_S)
 
     def _assert_job_failed(self) -> None:
         (answer,) = self.simulation.take_answers()
--- a/tests/scheduling/test_overlaps.py
+++ b/tests/scheduling/test_overlaps.py
@@ -33,6 +33,10 @@
         # The gateway's later process is heard, but has no caller of the job.
         self._check_needs("restarted")
 
+    def test_simulation_finds_draining_workers_that_have_not_left(self):
+        # docs/incidents/draining-workers.md, without what was changed for it.
+        self._check_needs("departed")
+
     def _check_needs(self, rule: str) -> None:
         """Check that histories have an overlap without a rule, and none with it."""
         draw = twins.TWINS[rule].draw
--- a/tests/scheduling/test_partition.py
+++ b/tests/scheduling/test_partition.py
@@ -12,8 +12,8 @@
 from pollenladder.fleet import worker_lists
 from pollenladder.fleet import worker_tables
 from pollenladder.scheduling import maintenance
-from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import unknown_runs
 from tests.scheduling import simulations
 
 RESTARTED_AT = 36.0
@@ -27,6 +27,7 @@
 # As `handover_delays.bound_handover_delay_s` gives for the longest lease of attempts,
 # rounded down.
 HANDOVER_DELAY_S = 1.3
+REPORT_INTERVAL_S = 1.5
 
 
 class PartitionTest(unittest.TestCase):
@@ -34,7 +35,7 @@
 
     def setUp(self):
         self.history = worker_lists.ListHistory()
-        self.table = worker_tables.WorkerTable(self.history)
+        self.table = worker_tables.WorkerTable(self.history, REPORT_INTERVAL_S)
         self.version = 1_000
         self._read(RESTARTED_AT, LISTED_FIRST, is_full=True)
         self.simulation = simulations.RegionSimulation(workers=0)
@@ -105,7 +106,9 @@
     def _check_none_twice(self, started: dict[str, float]) -> None:
         for task, ended_at in ENDED_AT.items():
             self.assertGreater(started[task], ended_at)
-        expiry_s = runs.get_lease_expiry(self.simulation.region, FORWARDED_AT)
+        expiry_s = unknown_runs.get_lease_expiry(
+            self.simulation.region, FORWARDED_AT
+        )
         self.assertGreaterEqual(min(started.values()), expiry_s)
 
     def test_tasks_wait_for_their_leases_without_a_peer(self):
@@ -148,7 +151,7 @@
 
     def setUp(self):
         self.history = worker_lists.ListHistory()
-        self.table = worker_tables.WorkerTable(self.history)
+        self.table = worker_tables.WorkerTable(self.history, REPORT_INTERVAL_S)
 
     def _read(self, now: float, removed: tuple = ()) -> None:
         self.history.record_store_state(True, now)
--- a/tests/scheduling/test_recovery.py
+++ b/tests/scheduling/test_recovery.py
@@ -5,7 +5,7 @@
 from pollenladder.fleet import entities as fleet
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import recovery
-from pollenladder.scheduling import runs
+from pollenladder.scheduling import unknown_runs
 from tests.scheduling import simulations
 
 NAMES = ["w0", "w1", "w2"]
@@ -32,7 +32,7 @@
     def test_nothing_starts_before_all_workers_are_polled(self):
         self._rebuild()
         self.assertEqual(self.simulation.take_starts(), [])
-        self.simulation.now += runs.OWNER_SETTLING_S
+        self.simulation.now += unknown_runs.OWNER_SETTLING_S
         self.simulation.region.is_worker_list_current = True
         for name in NAMES[:2]:
             self.simulation.poll(name, running=())
@@ -43,7 +43,7 @@
         for name in NAMES:
             running = (("a1.0.0.1", 33, 10.0),) if name == "w2" else ()
             self.simulation.poll(name, running=running)
-        self.simulation.now += runs.OWNER_SETTLING_S
+        self.simulation.now += unknown_runs.OWNER_SETTLING_S
         self.simulation.region.is_worker_list_current = True
         self.simulation.step()
         started = [order.task for order in self.simulation.take_starts()]
@@ -54,7 +54,7 @@
         self._rebuild()
         for name in NAMES:
             self.simulation.poll(name, running=())
-        self.simulation.now += runs.OWNER_SETTLING_S
+        self.simulation.now += unknown_runs.OWNER_SETTLING_S
         self.simulation.region.is_worker_list_current = True
         self.simulation.step()
         started = [order.task for order in self.simulation.take_starts()]
@@ -70,7 +70,7 @@
         self._rebuild()
         for name in NAMES:
             self.simulation.poll(name, running=())
-        self.simulation.now += runs.OWNER_SETTLING_S
+        self.simulation.now += unknown_runs.OWNER_SETTLING_S
         self.simulation.region.is_worker_list_current = True
         self.simulation.step()
         numbers = {o.task: o.number for o in self.simulation.take_starts()}
--- a/tests/scheduling/test_takeover.py
+++ b/tests/scheduling/test_takeover.py
@@ -6,7 +6,7 @@
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import maintenance
 from pollenladder.scheduling import replies
-from pollenladder.scheduling import runs
+from pollenladder.scheduling import unknown_runs
 from tests.scheduling import simulations
 
 
@@ -80,7 +80,7 @@
         self.simulation.region.owned_since = self.simulation.now
         self.simulation.submit("a1", may_have_begun=True, budget_s=5.0)
         self.assertEqual(self.simulation.take_starts(), [])
-        self.simulation.step(runs.OWNER_SETTLING_S)
+        self.simulation.step(unknown_runs.OWNER_SETTLING_S)
         self.assertEqual(len(self.simulation.take_starts()), 2)
 
     def test_a_worker_with_an_expired_entry_may_hold_runs(self):
@@ -197,7 +197,7 @@
         self.assertEqual(len(self.simulation.take_starts()), 2)
 
     def test_a_job_of_a_rival_waits_until_the_list_is_read_again(self):
-        self.simulation.step(runs.RECENT_CLAIM_S)
+        self.simulation.step(unknown_runs.RECENT_CLAIM_S)
         self.simulation.now += 0.01
         self.simulation.submit("a1", may_have_begun=True, budget_s=5.0)
         self.assertEqual(self.simulation.take_starts(), [])
--- a/tests/service/test_engine.py
+++ b/tests/service/test_engine.py
@@ -15,6 +15,7 @@
 from pollenladder.scheduling import intake
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import unknown_runs
 from pollenladder.service import engine as engines
 from pollenladder.service import engine_callbacks
 from pollenladder.service import handover_delays
@@ -111,7 +112,8 @@
         self.engine.record_moved_workers()
         self.engine.claim(1, reads_store=True)
         self.assertEqual(
-            runs.find_list_doubt(self.engine.region, 100.0), "workers_moved"
+            unknown_runs.find_list_doubt(self.engine.region, 100.0),
+            "workers_moved",
         )
 
 
@@ -144,7 +146,7 @@
                 attempt_lease_s
             ),
         )
-        return runs.get_lease_expiry(region, heartbeats.OWNER_TIMEOUT_S)
+        return unknown_runs.get_lease_expiry(region, heartbeats.OWNER_TIMEOUT_S)
 
     def test_run_expires_before_its_task_is_started_again(self):
         for resubmission_s in (0.2, 1.0, 1.3, 9.0):
--- a/tests/service/test_evacuations.py
+++ b/tests/service/test_evacuations.py
@@ -97,6 +97,7 @@
             ),
             lambda: 100.0,
             worker_lists.ListHistory(),
+            report_interval_s=1.5,
         )
         with self.assertRaises(EOFError):
             follower.run_configuration()
--- a/tests/service/test_feeds.py
+++ b/tests/service/test_feeds.py
@@ -30,6 +30,7 @@
 UNDECODABLE = b"[" * 10_000
 FULL = "full"
 CHANGES = "changes"
+REPORT_INTERVAL_S = 1.5
 
 
 def _list_entries(reply: Iterable) -> list[tuple[str, bytes]]:
@@ -112,6 +113,7 @@
             ),
             lambda: 100.0,
             self.history,
+            REPORT_INTERVAL_S,
         )
         with self.assertRaises(_EndOfScriptError):
             followed.run_workers()
@@ -214,6 +216,7 @@
             ),
             lambda: 100.0,
             worker_lists.ListHistory(),
+            REPORT_INTERVAL_S,
         )
 
     def _read_daemons(self, *found: stores.Row) -> None:
--- a/tests/service/test_handover_delays.py
+++ b/tests/service/test_handover_delays.py
@@ -13,6 +13,7 @@
 from pollenladder.scheduling import lease_limits
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
+from pollenladder.scheduling import unknown_runs
 from pollenladder.service import engine as engines
 from pollenladder.service import engine_callbacks
 
@@ -90,7 +91,9 @@
                 region = self._build_region(resubmission_s)
                 end = self._find_last_renewal(loss, resubmission_s) + LONGEST_S
                 with self.subTest(loss.name, resubmission_s=resubmission_s):
-                    self.assertLess(end, runs.get_lease_expiry(region, 0.0))
+                    self.assertLess(
+                        end, unknown_runs.get_lease_expiry(region, 0.0)
+                    )
 
     def test_leases_of_a_paused_owner_expire_first(self):
         # It ends no attempt in time, but no lease outlasts the limit; see
@@ -100,7 +103,9 @@
                 region = self._build_region(resubmission_s)
                 end = loss.heard_at + region.run_limit_s + DRIFT_S
                 with self.subTest(loss.name, resubmission_s=resubmission_s):
-                    self.assertLess(end, runs.get_lease_expiry(region, 0.0))
+                    self.assertLess(
+                        end, unknown_runs.get_lease_expiry(region, 0.0)
+                    )
 
     def test_run_is_stopped_well_before_its_task_starts_again(self):
         for resubmission_s in RESUBMISSIONS_S:
@@ -108,5 +113,5 @@
             self.assertLess(
                 attempt_leases.choose_lease_s(resubmission_s)
                 + attempt_leases.STOP_ALLOWANCE_S,
-                runs.get_lease_expiry(region, 0.0) - LONGEST_S,
+                unknown_runs.get_lease_expiry(region, 0.0) - LONGEST_S,
             )
--- a/tests/service/test_unlisted_workers.py
+++ b/tests/service/test_unlisted_workers.py
@@ -12,6 +12,10 @@
 JOB = "a" * 16
 LATER_JOB = "b" * 16
 RUN_MS = 2_500
+# Longer than the row of a silent worker, and than the restart of the owner after it.
+LONG_RUN_MS = 8_500
+# Shorter than a new owner waits for the leases of an earlier one.
+WATCH_S = 1.0
 # Time for a new owner to see the end of a run and to start the next one.
 START_DELAY_S = 0.5
 
@@ -21,6 +25,18 @@
     return sum(len(found.history) for found in cluster.site.workers.values())
 
 
+def _list_lines(cluster: clusters.Cluster, name: str, event: str) -> list[dict]:
+    """Return the lines of a daemon's log about an event."""
+    return [line for line in cluster.read_log(name) if line["event"] == event]
+
+
+def _list_workers(
+    cluster: clusters.Cluster, name: str, event: str
+) -> list[str]:
+    """Return the workers in a daemon's log about an event."""
+    return [line["worker"] for line in _list_lines(cluster, name, event)]
+
+
 class UnlistedWorkersTest(unittest.TestCase):
     """The owner hands over to a daemon that was restarted a second ago."""
 
@@ -54,6 +70,42 @@
         self.assertEqual(len(adopted), 2, "no runs were adopted")
         self.assertEqual(cluster.site.find_overlaps(), [])
 
+    def test_task_on_a_draining_worker_without_the_store_is_not_started_again(
+        self,
+    ):
+        """Replays a partition of a draining worker from the store.
+
+        Guards against an owner that takes the expired row of a draining worker
+        for the proof that the worker has ended.
+        """
+        cluster = clusters.Cluster(self.addCleanup, ["d1", "d2"], workers=3)
+        cluster.site.configure(2, SloMs=9_000, TimeoutMs=20_000)
+        cluster.wait_until_ready()
+        owner = cluster.wait_for_owner()
+        (other,) = cluster.daemons.keys() - {owner}
+        body = sites.build_job(tasks=1, run_ms=LONG_RUN_MS)
+        gevent.spawn(cluster.submit, other, JOB, body)
+        waiting.wait_until(lambda: _count_runs(cluster) == 1)
+        (used,) = [
+            w for w, found in cluster.site.workers.items() if found.history
+        ]
+        cluster.site.list_worker(used, state="draining")
+        gevent.sleep(3 * sites.REPORT_INTERVAL_MS / 1000)
+        cluster.site.store.remove_row("servers", used)
+        for name in (owner, other):
+            waiting.wait_until(
+                lambda name=name: (
+                    used in _list_workers(cluster, name, "worker_lapsed")
+                )
+            )
+        cluster.signal(owner, signal.SIGTERM)
+        waiting.wait_until(lambda: cluster.list_claimants()[-1] == other)
+        gevent.sleep(WATCH_S)
+        self.assertEqual(cluster.site.find_overlaps(), [])
+        self.assertEqual(_count_runs(cluster), 1)
+        held = _list_lines(cluster, other, "tasks_held_back")
+        self.assertEqual(len(held), 1)
+
     def test_waiting_job_starts_at_once_if_no_row_expired(self):
         """Guards against waiting for leases in a planned rolling restart."""
         cluster = clusters.Cluster(self.addCleanup, ["d1", "d2"], workers=1)
