Bound what a daemon holds for all its clients together

Callers saw: a process that ran out of memory, or served nobody, as clients that nobody controls sent heads and bodies without end, or did not read answers.

Cause: bounds on single lines, none on a head, on a chunked body, on the sum over all connections, nor on the readiness and metrics ports; a connection that always has bytes to read held up all others; at the limit of connections the newcomer was turned away.

Change: gateway.request_readers and gateway.held_bytes count what is held of unanswered requests over all connections; large requests share half of it, the largest that is not whole gives way. Limits follow memory and descriptors of the machine. A connection without a request gives way to a new one. The same server serves the readiness check and the metrics; handshakes and whole responses are bounded. It works as the budget holds whatever the form of the bytes is.

The handler moves from listeners to gateway.handlers. MAX_CONCURRENT_REJECTIONS is 32 in place of 256, as each costs a descriptor.

--- a/pollenladder/gateway/limits.py
+++ b/pollenladder/gateway/limits.py
@@ -13,10 +13,17 @@
 
     Attributes:
         max_body_bytes: Maximum size of a body.
-        max_connections: Maximum number of concurrent connections.
+        max_head_bytes: Maximum size of the request line and the header fields.
+        max_connections: Number of concurrent connections from which on one that
+            has no request in progress is closed for each new one.
         max_jobs: Maximum number of requests that wait for a job's answer.
-        max_held_bytes: Maximum total size of the bodies being read or
-            processed.
+        max_held_bytes: Maximum total size of what is held of requests that are
+            being read or processed.
+        ordinary_bytes: Size up to which a request may use all of
+            `max_held_bytes`; larger ones share half of it.
+        receive_buffer_bytes: Size of the kernel's buffer for what was received on
+            a connection; the kernel doubles it.
+        send_buffer_bytes: Size of the kernel's buffer for what was sent.
         idle_s: Time after which a connection without a request is closed.
         headers_s: Maximum time a client may take to send the header fields.
         body_s: Maximum time a client may take to send the body.
@@ -29,9 +36,13 @@
     """
 
     max_body_bytes: int = 256 * 1024
+    max_head_bytes: int = 32 * 1024
     max_connections: int = 2000
     max_jobs: int = 2000
     max_held_bytes: int = 32 * 1024 * 1024
+    ordinary_bytes: int = 16 * 1024
+    receive_buffer_bytes: int = 16 * 1024
+    send_buffer_bytes: int = 32 * 1024
     idle_s: float = 60.0
     headers_s: float = 5.0
     body_s: float = 10.0
@@ -39,3 +50,53 @@
     linger_s: float = 1.0
     wait_margin_s: float = 1.0
     retry_after_s: float = 1.0
+
+    @property
+    def max_open_connections(self) -> int:
+        """Maximum number of connections.
+
+        Those that are being closed for new ones are open for a moment longer.
+        """
+        return self.max_connections + self.max_connections // 2
+
+
+# Shares of a machine's memory, beside what the process needs for itself. What is held of
+# a request takes several times its size while it is parsed.
+CONNECTIONS_MEMORY_SHARE = 0.25
+HELD_MEMORY_SHARE = 0.03
+# What a connection takes: its buffers in the kernel, and its objects in the process.
+CONNECTION_BYTES = 64 * 1024
+# Descriptors for files, and for the connections to workers, daemons and the platform.
+RESERVED_DESCRIPTORS = 200
+CONNECTIONS_DESCRIPTOR_SHARE = 0.5
+
+
+def fit(memory_bytes: float, max_descriptors: int) -> Limits:
+    """Return the limits of a server that callers of a machine connect to.
+
+    Args:
+        memory_bytes: The memory of the machine.
+        max_descriptors: The number of descriptors that the process may open.
+    """
+    defaults = Limits()
+    by_memory = CONNECTIONS_MEMORY_SHARE * memory_bytes / CONNECTION_BYTES
+    by_descriptors = CONNECTIONS_DESCRIPTOR_SHARE * (
+        max_descriptors - RESERVED_DESCRIPTORS
+    )
+    connections = min(by_memory, by_descriptors, defaults.max_connections)
+    held_bytes = min(HELD_MEMORY_SHARE * memory_bytes, defaults.max_held_bytes)
+    return dataclasses.replace(
+        defaults,
+        max_connections=max(1, int(connections)),
+        max_held_bytes=int(held_bytes),
+    )
+
+
+# For ports that only the platform connects to, with one short request at a time.
+PROBES = Limits(
+    max_body_bytes=1024,
+    max_head_bytes=8 * 1024,
+    max_connections=16,
+    max_held_bytes=256 * 1024,
+    ordinary_bytes=8 * 1024,
+)
--- a/pollenladder/gateway/listeners.py
+++ b/pollenladder/gateway/listeners.py
@@ -1,4 +1,4 @@
-"""The HTTP server: connections, their limits, and the graceful shutdown.
+"""The HTTP server: its listening socket, the limits, and the graceful shutdown.
 
 TCP_NODELAY is set on each accepted socket. gevent writes the header and the
 body of a response separately, so Nagle's algorithm together with delayed ACKs
@@ -7,9 +7,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import contextlib
 import logging
-import socket as stdlib_socket
 import time
 from typing import Any
 from typing import Protocol
@@ -19,23 +17,18 @@
 from gevent import socket
 
 from pollenladder.gateway import exceptions
+from pollenladder.gateway import handlers
+from pollenladder.gateway import held_bytes
 from pollenladder.gateway import limits
-from pollenladder.gateway import replies
+from pollenladder.gateway import request_readers
 
 LOGGER = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 1024
-# Limit on the unread input that is discarded before a connection is closed.
-MAX_LINGER_BYTES = 4 * 1024 * 1024
-RECEIVE_BYTES = 65_536
 # Connections over the limit get a 503 response; while this many of them are
 # being rejected, further ones are closed without a response.
-MAX_CONCURRENT_REJECTIONS = 256
+MAX_CONCURRENT_REJECTIONS = 32
 DRAIN_POLL_INTERVAL_S = 0.02
-# The WSGI environment variable with the socket of the connection, from which an
-# application can tell that the caller has disconnected. It is None once the
-# server has shut down reading, because such a socket always looks disconnected.
-SOCKET_VARIABLE = "pollenladder.socket"
 # Time for which idle connections may still send a request during a drain.
 DRAIN_IDLE_GRACE_S = 0.5
 
@@ -69,199 +62,26 @@
     connections_refused: Counter
 
 
-def _make_raw_error(status: int, code: str, field: str, detail: str) -> tuple:
-    """Return the status and bytes of an error outside of the application.
-
-    `pywsgi` sends it for requests that it can't pass to the application.
-    """
-    error = exceptions.RequestError(status, code, field, detail)
-    body = replies.make_error_reply(error).body
-    head = (
-        f"HTTP/1.1 {replies.STATUS_LINES[status]}\r\n"
-        f"Content-Type: {replies.JSON_TYPE}\r\n"
-        f"Content-Length: {len(body)}\r\n"
-        "Connection: close\r\n\r\n"
-    )
-    return str(status), head.encode() + body
-
-
-def _make_overload_response(retry_after_s: float) -> bytes:
-    """Return the complete 503 response to a connection over the limit."""
-    error = exceptions.RequestError(
-        503, "overload", "connection", "too many connections", retry_after_s
-    )
-    reply = replies.make_error_reply(error)
-    fields = "".join(f"{name}: {value}\r\n" for name, value in reply.headers)
-    head = (
-        f"HTTP/1.1 {replies.STATUS_LINES[503]}\r\n"
-        f"Content-Type: {replies.JSON_TYPE}\r\n"
-        f"Content-Length: {len(reply.body)}\r\n"
-        f"{fields}Connection: close\r\n\r\n"
-    )
-    return head.encode() + reply.body
-
-
-def _linger(sock: socket.socket, linger_s: float) -> None:
-    """Shut down sending and discard input for at most `linger_s` seconds.
-
-    Closing a socket with unread input would reset the connection, and the
-    client might lose the response that it has not read yet.
-    """
-    remaining_bytes = MAX_LINGER_BYTES
-    try:
-        with gevent.Timeout(linger_s, False):
-            sock.shutdown(socket.SHUT_WR)
-            while remaining_bytes > 0 and (data := sock.recv(RECEIVE_BYTES)):
-                remaining_bytes -= len(data)
-    except OSError:
-        return
-
-
-def _shut_down_reading(sock: socket.socket) -> None:
-    """Shut down a socket for reading; data already received stays readable.
-
-    The shutdown is done on a duplicate of the socket. A shutdown of gevent's
-    own socket would also raise an error in the greenlet that reads from it,
-    and a request that has just arrived would be lost.
-    """
-    duplicate = stdlib_socket.fromfd(sock.fileno(), sock.family, sock.type)
-    with duplicate, contextlib.suppress(OSError):
-        duplicate.shutdown(socket.SHUT_RD)
-
-
-class _RequestInput(pywsgi.Input):
-    """A request body whose rest is not read after the response is sent."""
-
-    __slots__ = ()
-
-    def is_unread(self) -> bool:
-        """Return whether part of the body is unread, or may be."""
-        if self._chunked_input_error:
-            return True
-        if self.chunked_input:
-            return self.chunk_length != 0
-        return self.position < (self.content_length or 0)
-
-    def _discard(self) -> None:
-        """Do not read the rest of the body; the connection is closed."""
-
-
-class _HeadersTimeoutError(ValueError):
-    """The header fields were not complete in time."""
-
-
-class _Handler(pywsgi.WSGIHandler):
-    """Serve the requests of one connection.
-
-    Attributes:
-        is_read_shut_down: Whether the server has shut down reading, so that
-            only data already received is still read.
-    """
-
-    is_read_shut_down = False
-
-    def handle(self) -> None:
-        self.socket.settimeout(self.server.bounds.send_s)
-        super().handle()
-
-    def read_requestline(self) -> str:
-        """Wait for a request line; return an empty one after the idle timeout.
-
-        An empty request line closes the connection.
-        """
-        self.server.idle_handlers.add(self)
-        line = ""
-        try:
-            with gevent.Timeout(self.server.bounds.idle_s, False):
-                line = super().read_requestline()
-        finally:
-            self.server.idle_handlers.discard(self)
-        return line
-
-    def read_request(self, raw_requestline: str) -> bool:
-        with gevent.Timeout(self.server.bounds.headers_s, _HeadersTimeoutError):
-            is_complete = super().read_request(raw_requestline)
-        self._check_content_length()
-        return is_complete
-
-    def _check_content_length(self) -> None:
-        """Reject lengths that a proxy in front might interpret differently."""
-        lengths = self.headers.get_all("content-length", ())
-        if len(lengths) > 1 or any(not n.isdecimal() for n in lengths):
-            raise ValueError("ambiguous Content-Length")
-
-    def handle_one_request(self) -> Any:
-        result = super().handle_one_request()
-        if isinstance(result, tuple) and result[0] == "414":
-            return _make_raw_error(414, "too_long", "path", "too long")
-        return result
-
-    def get_environ(self) -> dict[str, Any]:
-        environ = super().get_environ()
-        original_input = self.wsgi_input
-        self.wsgi_input = _RequestInput(
-            original_input.rfile,
-            original_input.content_length,
-            original_input.socket,
-            original_input.chunked_input,
-        )
-        environ["wsgi.input"] = self.wsgi_input
-        environ[SOCKET_VARIABLE] = (
-            None if self.is_read_shut_down else self.socket
-        )
-        return environ
-
-    def start_response(self, status: str, headers: list, exc_info=None) -> Any:
-        if self.server.draining or self.wsgi_input.is_unread():
-            headers = [*headers, ("Connection", "close")]
-        return super().start_response(status, headers, exc_info)
-
-    def handle_one_response(self) -> None:
-        super().handle_one_response()
-        if self.wsgi_input.is_unread():
-            self.close_connection = True
-            _linger(self.socket, self.server.bounds.linger_s)
-
-    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
-        """Close the connection and log errors other than network errors.
-
-        The application itself replies to errors in its handlers.
-        """
-        self.close_connection = True
-        if not isinstance(v, OSError):
-            LOGGER.error("connection", exc_info=(t, v, tb))
-
-    def _handle_client_error(self, ex: Exception) -> tuple:
-        LOGGER.info("bad request from %s: %s", self.client_address[0], ex)
-        if isinstance(ex, _HeadersTimeoutError):
-            return _make_raw_error(
-                408, "timeout", "headers", "not whole in time"
-            )
-        return _make_raw_error(400, "bad_request", "request", "not HTTP")
-
-    def log_request(self) -> None:
-        if LOGGER.isEnabledFor(logging.DEBUG):
-            LOGGER.debug("%s", self.format_request())
-
-
 class _Listener(pywsgi.WSGIServer):
     """The listening socket and its connections.
 
     Attributes:
         bounds: The limits.
+        held_bytes: What is held for unanswered requests.
         draining: Whether no new connections are accepted.
         open_connections: Number of open connections, without rejected ones.
+        handlers: Handlers of the open connections.
         idle_handlers: Handlers of connections that wait for a request.
     """
 
-    handler_class = _Handler
+    handler_class = handlers.Handler
 
     def __init__(
         self,
         address: tuple[str, int],
         wsgi: Application,
         bounds: limits.Limits,
-        meters: Meters,
+        meters: Meters | None,
     ):
         super().__init__(
             address,
@@ -272,35 +92,67 @@
             environ={"SERVER_NAME": address[0]},
         )
         self.bounds = bounds
+        self.held_bytes = held_bytes.HeldBytes(bounds)
         self.draining = False
         self.open_connections = 0
         self._ongoing_rejections = 0
-        self.idle_handlers: set[_Handler] = set()
+        self.handlers: set[handlers.Handler] = set()
+        self.idle_handlers: set[handlers.Handler] = set()
         self._meters = meters
         self._overload_response = _make_overload_response(bounds.retry_after_s)
 
+    def init_socket(self) -> None:
+        """Open the listening socket, from which connections inherit buffers."""
+        super().init_socket()
+        for option, size in (
+            (socket.SO_RCVBUF, self.bounds.receive_buffer_bytes),
+            (socket.SO_SNDBUF, self.bounds.send_buffer_bytes),
+        ):
+            self.socket.setsockopt(socket.SOL_SOCKET, option, size)
+
     def handle(self, sock: socket.socket, address: tuple) -> None:
         if self.open_connections >= self.bounds.max_connections:
+            self._close_unused()
+        if self.open_connections >= self.bounds.max_open_connections:
             self._reject_connection(sock)
             return
         self.open_connections += 1
-        self._meters.http_connections.set(self.open_connections)
+        self._count_connections()
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             super().handle(sock, address)
         finally:
             self.open_connections -= 1
+            self._count_connections()
+
+    def _count_connections(self) -> None:
+        if self._meters is not None:
             self._meters.http_connections.set(self.open_connections)
 
+    def _close_unused(self) -> None:
+        """Close the connection that can be spared best, if there is any.
+
+        Connections that have not brought any request come first, then those that have
+        waited for the next one for longest.
+        """
+        unused = [
+            handler.rfile
+            for handler in self.handlers
+            if not handler.rfile.held.is_whole and not handler.rfile.is_refused
+        ]
+        if unused:
+            min(unused, key=lambda r: (r.has_served, r.began_at)).refuse()
+
     def _reject_connection(self, sock: socket.socket) -> None:
         """Send a 503 response, or none if too many are already being sent."""
-        self._meters.connections_refused.inc()
+        if self._meters is not None:
+            self._meters.connections_refused.inc()
         if self._ongoing_rejections >= MAX_CONCURRENT_REJECTIONS:
             return
         self._ongoing_rejections += 1
         try:
             sock.sendall(self._overload_response)
-            _linger(sock, self.bounds.linger_s)
+            handlers.linger(sock, self.bounds.linger_s)
         except OSError:
             return
         finally:
@@ -369,14 +221,14 @@
         """
         for handler in list(self._listener.idle_handlers):
             handler.is_read_shut_down = True
-            _shut_down_reading(handler.socket)
+            request_readers.shut_down_reading(handler.socket)
 
 
 def listen(
     address: str,
     port: int,
     wsgi: Application,
-    meters: Meters,
+    meters: Meters | None,
     bounds: limits.Limits,
 ) -> Server:
     """Start a server for a WSGI application.
@@ -386,7 +238,7 @@
         port: The port to listen on; 0 selects a free port, which
             `Server.port` returns.
         wsgi: The application.
-        meters: The metrics that count connections.
+        meters: The metrics that count connections; None to count none.
         bounds: Limits on connections and on the time they may take.
 
     Raises:
@@ -395,3 +247,11 @@
     listener = _Listener((address, port), wsgi, bounds, meters)
     listener.start()
     return Server(listener)
+
+
+def _make_overload_response(retry_after_s: float) -> bytes:
+    """Return the complete 503 response to a connection over the limit."""
+    error = exceptions.RequestError(
+        503, "overload", "connection", "too many connections", retry_after_s
+    )
+    return handlers.make_raw_response(error)
--- a/pollenladder/http/responses.py
+++ b/pollenladder/http/responses.py
@@ -8,6 +8,8 @@
 
 RECEIVE_BYTES = 65536
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# What may come beside the body: header fields, chunk sizes and interim responses.
+MAX_OVERHEAD_BYTES = 1024 * 1024
 # Responses with a lower status (1xx) are interim: another response follows.
 FIRST_FINAL_STATUS = 200
 
@@ -141,10 +143,14 @@
         ResponseError: The bytes received are not one HTTP response.
     """
     parser = make_parser()
+    received = 0
     while not parser.complete:
         data = sock.recv(RECEIVE_BYTES)
         if not data:
             return None
+        received += len(data)
+        if received > MAX_RESPONSE_BYTES + MAX_OVERHEAD_BYTES:
+            raise ResponseError(f"response exceeds {received} bytes")
         try:
             parser.feed(data)
         except parsers.HTTPParseError as error:
--- a/pollenladder/platform/settings.py
+++ b/pollenladder/platform/settings.py
@@ -20,6 +20,9 @@
 PORT_PATTERN = re.compile("[1-9][0-9]{0,4}")
 # The addresses of all workers are parsed each time that their rows are read.
 MAX_CACHED_ADDRESSES = 16_384
+BYTES_PER_MB = 1024 * 1024
+# Assumed if the platform does not tell the memory of the machine.
+DEFAULT_MEMORY_MB = 300
 
 Address = tuple[str, int]
 
@@ -56,6 +59,7 @@
             of use until no start may reach it, in seconds; None if there is no
             deadline.
         regions: The regions of the data centres.
+        memory_bytes: The memory of the process's machine, in bytes.
         report_interval_s: The interval in which workers write their rows, in
             seconds; 0 if it is not known.
     """
@@ -78,6 +82,7 @@
     features: optional_features.Features = optional_features.ALL
     evacuation_deadline_s: float | None = None
     regions: fleet_regions.Regions = fleet_regions.NONE
+    memory_bytes: float = DEFAULT_MEMORY_MB * BYTES_PER_MB
     report_interval_s: float = 0.0
 
 
@@ -155,6 +160,7 @@
         is_first_start=values.get("Bootstrap") == "true",
         evacuation_deadline_s=_get_optional_s(values, "Bounds.EvacuateMs"),
         regions=_build_regions(values),
+        memory_bytes=_get_memory_bytes(values),
         report_interval_s=_get_optional_s(values, "HeartbeatMs") or 0.0,
     )
 
@@ -186,6 +192,12 @@
     return number
 
 
+def _get_memory_bytes(values: dict[str, str]) -> float:
+    if "Limits.MemoryMb" not in values:
+        return DEFAULT_MEMORY_MB * BYTES_PER_MB
+    return _get_number(values, "Limits.MemoryMb") * BYTES_PER_MB
+
+
 def _get_optional_s(values: dict[str, str], name: str) -> float | None:
     """Return a time given in milliseconds; None if it is missing or 0."""
     if values.get(name, "0") in ("", "0"):
--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -9,7 +9,9 @@
 import gevent
 from gevent import socket
 
-from pollenladder.gateway import listeners
+from pollenladder.gateway import bodies
+from pollenladder.gateway import exceptions as gateway_exceptions
+from pollenladder.gateway import handlers
 from pollenladder.gateway import replies
 from pollenladder.jobs import entities as jobs
 from pollenladder.jobs import routing
@@ -38,12 +40,15 @@
             job.
         count_pending: Returns the number of jobs of a queue that have not
             begun.
+        body_timeout_s: Time in which the body of a request has to arrive, in
+            seconds.
     """
 
     gateway: gateways.Gateway
     get_routes: Callable[[], routing.RoutingTable | None]
     cancel_job: Callable[[str], bool]
     count_pending: Callable[[str], int]
+    body_timeout_s: float
 
 
 def make_application(dependencies: Dependencies) -> Callable:
@@ -140,8 +145,18 @@
     length = int(environ.get("CONTENT_LENGTH") or 0)
     if length > max_bytes:
         return callers.Reply(413, callers.encode_error("body too long"))
+    timeout_s = dependencies.body_timeout_s
     try:
-        body = callers.decode_job(environ["wsgi.input"].read())
+        source = bodies.read_body(environ, max_bytes, timeout_s)
+        body = callers.decode_job(source)
+    except gateway_exceptions.RequestError as error:
+        return _reject(
+            error.status,
+            job_id,
+            queue,
+            error.detail,
+            error.retry_after_s or 0.0,
+        )
     except exceptions.BadDocumentError as error:
         return _reject(400, job_id, queue, str(error))
     except exceptions.UnsupportedJobError as error:
@@ -151,7 +166,7 @@
         return _reject(503, job_id, queue, "not supported: advice")
     budget_s = callers.read_budget_s(environ, queue.timeout_s)
     submission = _build_submission(queue, job_id, body, budget_s)
-    has_left = _build_caller_check(environ[listeners.SOCKET_VARIABLE])
+    has_left = _build_caller_check(environ[handlers.SOCKET_VARIABLE])
     if has_left():
         # The daemon was paused before it read the request.
         return _reject(504, job_id, queue, "caller left")
@@ -166,7 +181,7 @@
 ) -> callers.Reply:
     """Return the answer to a job."""
     job = gateway.submit(submission, has_left)
-    sock = environ[listeners.SOCKET_VARIABLE]
+    sock = environ[handlers.SOCKET_VARIABLE]
     _wait_for_answer(gateway, job, sock, has_left)
     if job.answer is None:
         return callers.Reply(504, callers.encode_error("caller left"))
@@ -181,7 +196,11 @@
 
 
 def _reject(
-    status: int, job_id: str, queue: jobs.Queue, text: str
+    status: int,
+    job_id: str,
+    queue: jobs.Queue,
+    text: str,
+    retry_after_s: float = 0.0,
 ) -> callers.Reply:
     logs.log(
         LOGGER,
@@ -191,7 +210,7 @@
         status=status,
         reason=text[:200],
     )
-    return callers.Reply(status, callers.encode_error(text))
+    return callers.Reply(status, callers.encode_error(text), retry_after_s)
 
 
 def _build_submission(
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -6,7 +6,6 @@
 
 import gevent
 from gevent import event
-from gevent import pywsgi
 
 from pollenladder.cluster import boot
 from pollenladder.cluster import groups as layouts
@@ -325,9 +324,12 @@
         ):
             self._supervisor.spawn(name, loop)
         server = self._serve_callers()
-        pywsgi.WSGIServer(
-            settings.readiness_address, self._show_readiness, log=None
-        ).start()
+        listeners.listen(
+            *settings.readiness_address,
+            self._show_readiness,
+            None,
+            limits.PROBES,
+        )
         self._meters.registry.register(
             metering.WorkerCollector(
                 self._groups.list_speeds, self._groups.count_stalled_runs
@@ -345,11 +347,15 @@
         return 0
 
     def _serve_callers(self) -> listeners.Server:
+        bounds = limits.fit(
+            self._settings.memory_bytes, self._settings.max_descriptors
+        )
         dependencies = application.Dependencies(
             gateway=self._gateway,
             get_routes=lambda: self._configurations.routes,
             cancel_job=self._exchange.cancel_job,
             count_pending=self._exchange.count_pending,
+            body_timeout_s=bounds.body_s,
         )
         address, port = self._settings.caller_address
         return listeners.listen(
@@ -357,7 +363,7 @@
             port,
             application.make_application(dependencies),
             self._meters,
-            limits.Limits(),
+            bounds,
         )
 
     def _shut_down(self, server: listeners.Server) -> None:
--- a/pollenladder/service/meters.py
+++ b/pollenladder/service/meters.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterator
 import logging
 
-from gevent import pywsgi
 import prometheus_client
 from prometheus_client import core
 
+from pollenladder.gateway import limits
+from pollenladder.gateway import listeners
 from pollenladder.jobs import entities as jobs
 from pollenladder.scheduling import neighbourhood
 
@@ -219,4 +220,4 @@
         OSError: The port cannot be bound.
     """
     application = prometheus_client.make_wsgi_app(meters.registry)
-    pywsgi.WSGIServer((address, PORT), application, log=None).start()
+    listeners.listen(address, PORT, application, None, limits.PROBES)
--- a/pollenladder/wire/server.py
+++ b/pollenladder/wire/server.py
@@ -1,6 +1,7 @@
 """Accepting links from peers and opening links to peers."""
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
 import logging
 from typing import Any
@@ -33,6 +34,8 @@
         connect_timeout_s: Maximum time to open a connection, in seconds.
         max_connections: Maximum number of accepted connections open at once,
             including those still in their handshake.
+        max_handshakes: Maximum number of accepted connections in their
+            handshake; beyond it, the oldest one is closed.
     """
 
     hello: handshake.Hello
@@ -44,6 +47,7 @@
     handshake_timeout_s: float = 2.0
     connect_timeout_s: float = 2.0
     max_connections: int = 512
+    max_handshakes: int = 64
 
 
 def _set_nodelay(sock: socket.socket) -> None:
@@ -121,6 +125,8 @@
         self._settings = settings
         self._on_link = on_link
         self._open_connections = 0
+        # Connections whose handshake is not complete, the oldest first.
+        self._handshakes: dict[socket.socket, None] = {}
         self._server = server.StreamServer((address, port), self._serve)
 
     @property
@@ -160,9 +166,7 @@
     def _run_link(self, sock: socket.socket) -> None:
         settings = self._settings
         _set_nodelay(sock)
-        peer = handshake.accept(
-            sock, settings.hello, settings.secret, settings.handshake_timeout_s
-        )
+        peer = self._accept_handshake(sock)
         link = links.Link(
             sock,
             peer,
@@ -178,3 +182,26 @@
             link.close(links.CloseReason.FAILED)
             raise
         link.join()
+
+    def _accept_handshake(self, sock: socket.socket) -> handshake.Hello:
+        """Return the hello of an authenticated peer; see `handshake.accept`.
+
+        A peer completes its handshake within milliseconds, so the oldest one that is
+        not complete gives way.
+        """
+        settings = self._settings
+        if len(self._handshakes) >= settings.max_handshakes:
+            oldest = next(iter(self._handshakes))
+            del self._handshakes[oldest]
+            with contextlib.suppress(OSError):
+                oldest.shutdown(socket.SHUT_RDWR)
+        self._handshakes[sock] = None
+        try:
+            return handshake.accept(
+                sock,
+                settings.hello,
+                settings.secret,
+                settings.handshake_timeout_s,
+            )
+        finally:
+            self._handshakes.pop(sock, None)
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -347,6 +347,21 @@
             with self.assertRaises(exceptions.UnreachableError):
                 self.connect(self.near, sock.getsockname()[1])
 
+    def test_connections_without_a_handshake_give_way_to_peers(self):
+        # Guards against a crowd that keeps peers out, or takes all descriptors.
+        self.far = samples.RecordingDaemon("far", max_handshakes=4)
+        port = self.listen(self.far)
+        crowd = [
+            socket.create_connection(("127.0.0.1", port)) for _ in range(20)
+        ]
+        for sock in crowd:
+            self.addCleanup(sock.close)
+        self.assertTrue(self.connect(self.near, port).send(samples.Note(1)))
+        self.assertTrue(samples.wait_until(lambda: self.far.received))
+        # The nonce, and then the end of the connection.
+        self.assertTrue(crowd[0].recv(4096))
+        self.assertEqual(crowd[0].recv(4096), b"")
+
     def test_connections_beyond_the_limit_are_closed(self):
         self.far = samples.RecordingDaemon("far", max_connections=1)
         port = self.listen(self.far)
