Bound the tasks of large jobs that an owner holds

Callers saw (in a test): a daemon of 172 MB on a machine of 100 MB, as 60 clients each submitted a job of 10,000 tasks, which the platform's format allows.

Cause: the sum of the tasks of admitted jobs had no bound, and jobs of many waves were admitted though their callers stop waiting long before the last wave, as their objective grows with the waves.

Change: jobs above 100 tasks share a number of tasks that follows the memory of the machine (429 owner_busy beyond it; a single one is admitted); a job whose last task is forecast to start after three times its caller's wait is refused at once (429 no_room_in_time). Jobs that may have begun are never refused. Active on every deployment; it acts on jobs above 100 tasks, and on jobs without hope.

--- a/pollenladder/scheduling/arrivals.py
+++ b/pollenladder/scheduling/arrivals.py
@@ -13,6 +13,10 @@
 from pollenladder.scheduling import forecast
 from pollenladder.scheduling import tables
 
+# A job is hopeless if its last task starts later than this multiple of the time that
+# its caller waits. Forecasts are rough, as declared run times are.
+HOPELESS_FACTOR = 3.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
@@ -42,6 +46,8 @@
     limit = admission.choose_max_lateness(state, queue, work)
     if has_room:
         limit = max(limit, admission.RELAXED_LATENESS)
+    if _is_hopeless(job, wait_s, now):
+        return Decision(wait_s, is_admitted=False)
     lateness = forecast.compute_lateness(job, wait_s, now)
     # A job that may have begun is never refused as not run.
     is_admitted = lateness <= limit or job.submission.may_have_begun
@@ -51,6 +57,17 @@
     return _decide_deferral(region, job, wait_s, now)
 
 
+def _is_hopeless(job: tables.Job, wait_s: float, now: float) -> bool:
+    """Return whether a job cannot end before its caller stops waiting.
+
+    A job of many waves of tasks may be in time by its objective, which grows with the
+    waves. A job that may have begun is never refused as not run.
+    """
+    if job.submission.may_have_begun:
+        return False
+    return wait_s > HOPELESS_FACTOR * (job.deadline_at - now)
+
+
 def _decide_deferral(
     region: tables.Region, job: tables.Job, wait_s: float, now: float
 ) -> Decision:
--- a/pollenladder/scheduling/intake.py
+++ b/pollenladder/scheduling/intake.py
@@ -20,6 +20,7 @@
 from pollenladder.scheduling import exposure
 from pollenladder.scheduling import forecast
 from pollenladder.scheduling import job_ends
+from pollenladder.scheduling import large_jobs
 from pollenladder.scheduling import placement
 from pollenladder.scheduling import runs
 from pollenladder.scheduling import tables
@@ -97,6 +98,12 @@
     if reason is not None:
         _refuse(region, job, reason, job_ends.MAX_RETRY_AFTER_S)
         return
+    if not submission.may_have_begun and not large_jobs.has_room(
+        region, submission.tasks
+    ):
+        reason = jobs.Reason.OWNER_BUSY
+        _refuse(region, job, reason, job_ends.MAX_RETRY_AFTER_S)
+        return
     if not submission.may_have_begun and exposure.is_exhausted(
         region, submission, now
     ):
--- a/pollenladder/scheduling/recovery.py
+++ b/pollenladder/scheduling/recovery.py
@@ -53,6 +53,7 @@
         cold_starts=region.cold_starts,
         unguarded_services=region.unguarded_services,
         regions=region.regions,
+        max_large_tasks=region.max_large_tasks,
         crashes=crash_records.CrashRecords(
             region.crashes.group,
             evidence=region.crashes.evidence,
--- a/pollenladder/scheduling/tables.py
+++ b/pollenladder/scheduling/tables.py
@@ -263,6 +263,7 @@
         unguarded_services: The services whose workers do not reject what exceeds
             their capacity.
         regions: The regions of the data centres.
+        max_large_tasks: The number of tasks of large jobs that may be held.
     """
 
     epoch: int
@@ -334,6 +335,7 @@
     cold_starts: dict[str, float] = dataclasses.field(default_factory=dict)
     unguarded_services: frozenset[str] = frozenset()
     regions: fleet_regions.Regions = fleet_regions.NONE
+    max_large_tasks: float = math.inf
 
     def is_awaiting_worker_list(self, now: float) -> bool:
         """Return whether a current list of workers is still awaited."""
--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -25,6 +25,7 @@
 from pollenladder.platform import exceptions
 from pollenladder.platform import settings as conf
 from pollenladder.platform import store as stores
+from pollenladder.scheduling import large_jobs
 from pollenladder.service import application
 from pollenladder.service import configurations
 from pollenladder.service import engine as engines
@@ -267,6 +268,7 @@
             self._crashing_queues,
             resubmission_s=self._settings.resubmission_s,
             own_id=self._own.daemon_id,
+            max_large_tasks=large_jobs.fit(self._settings.memory_bytes),
         )
         reach = reachability.Reachability(
             self._settings.data_centre,
--- a/pollenladder/service/engine.py
+++ b/pollenladder/service/engine.py
@@ -64,6 +64,7 @@
         queues: crashing_queues.CrashingQueues | None = None,
         resubmission_s: float = math.inf,
         own_id: str = "",
+        max_large_tasks: float = math.inf,
     ):
         self.region: tables.Region | None = None
         self.stalled_runs = 0
@@ -86,6 +87,7 @@
             ),
         )
         self._own_id = own_id
+        self._max_large_tasks = max_large_tasks
         self._contacts = attempt_leases.Contacts(clock(), own_id)
         self._sessions: dict[str, sessions.Session] = {}
         self._listings: tuple[fleet.Listing, ...] = ()
@@ -122,6 +124,7 @@
                 cold_starts=self._cold_starts,
                 unguarded_services=self._unguarded_services,
                 regions=self._regions,
+                max_large_tasks=self._max_large_tasks,
                 crashes=crash_records.CrashRecords(
                     self._group, queues=self._crashing_queues
                 ),
--- a/tests/service/test_uncontrolled_clients.py
+++ b/tests/service/test_uncontrolled_clients.py
@@ -174,6 +174,21 @@
         # The jobs of the crowd keep the workers busy.
         self._check(send, attempts=5)
 
+    def test_jobs_of_very_many_tasks(self):
+        # Small tasks, so that many of them fit on a worker.
+        for cpu in (1, 27_000):
+            with self.subTest(cpu=cpu):
+                self._check_jobs(sites.build_job(tasks=10_000, cpu=cpu))
+
+    def _check_jobs(self, body: bytes) -> None:
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+
+        def send(sock: socket.socket) -> None:
+            self._jobs += 1
+            sock.sendall(_build_start("POST", self._jobs, length) + body)
+
+        self._check(send, attempts=5)
+
     def test_a_single_request_of_the_longest_size_is_served(self):
         body = sites.build_job(tasks=1)
         body += b" " * (262_144 - len(body))
