Tell cancelled jobs to daemons with a new link

Cause: a cancellation was sent once, over the links of that moment. A daemon that started later, or whose link was closed, never heard of it.

It works as each daemon that wakes or starts makes new links. Always on; it sends nothing if nothing was cancelled.

--- a/pollenladder/service/dispatcher.py
+++ b/pollenladder/service/dispatcher.py
@@ -453,6 +453,7 @@
             group.engine.record_gateway_link(daemon_id, is_linked)
         self._gateway.handle_link_change(daemon_id)
         if is_linked:
+            self._exchange.tell_cancellations(daemon_id)
             self._membership.request_heartbeat()
         else:
             self._membership.wake()
--- a/pollenladder/service/job_exchange.py
+++ b/pollenladder/service/job_exchange.py
@@ -214,6 +214,15 @@
         self._mesh.broadcast(messages.CancelJob(job_id))
         return self.cancel_job_here(job_id)
 
+    def tell_cancellations(self, daemon_id: str) -> None:
+        """Tell a daemon with a new link which jobs were cancelled recently.
+
+        What was sent over its last link may be lost, and a daemon that was restarted
+        knows of no cancellation.
+        """
+        for job_id in self._cancellations.list_recent(self._clock()):
+            self._mesh.send(daemon_id, messages.CancelJob(job_id))
+
     def cancel_job_here(self, job_id: str) -> bool:
         """Cancel a job at this daemon; return whether it was known."""
         self._cancellations.record(job_id, self._clock())
--- a/tests/service/test_job_exchange.py
+++ b/tests/service/test_job_exchange.py
@@ -7,6 +7,7 @@
 from pollenladder.cluster import groups
 from pollenladder.cluster import messages
 from pollenladder.cluster import roster as rosters
+from pollenladder.jobs import cancellations
 from pollenladder.jobs import entities as jobs
 from pollenladder.service import job_exchange
 from tests.scheduling import simulations
@@ -75,6 +76,33 @@
         self.exchange.cancel_job_here("b2")
         self.mesh.broadcast.assert_not_called()
 
+    def test_daemon_with_a_new_link_is_told_of_cancellations(self):
+        # Guards against cancellations that were lost with a link (review/8), and that
+        # nobody knows any more after a rolling restart (review/7).
+        self.exchange.cancel_job("a1")
+        self.now += 20.0
+        self.exchange.cancel_job_here("b2")
+        self.mesh.reset_mock()
+        self.exchange.tell_cancellations("d3")
+        told = [call.args for call in self.mesh.send.mock_calls]
+        expected = [("d3", messages.CancelJob(j)) for j in ("a1", "b2")]
+        self.assertEqual(told, expected)
+
+    def test_daemon_is_not_told_of_old_cancellations(self):
+        self.exchange.cancel_job("a1")
+        self.now += cancellations.RETENTION_S
+        self.exchange.tell_cancellations("d3")
+        self.mesh.send.assert_not_called()
+
+    def test_daemon_is_told_of_the_latest_cancellations_only(self):
+        # Guards against a link whose queue is full of them.
+        for number in range(cancellations.MAX_TOLD_JOBS + 5):
+            self.exchange.cancel_job_here(f"a{number}")
+        self.exchange.tell_cancellations("d3")
+        sent = self.mesh.send.mock_calls
+        self.assertEqual(len(sent), cancellations.MAX_TOLD_JOBS)
+        self.assertEqual(sent[0].args[1], messages.CancelJob("a5"))
+
     def test_attempt_that_is_open_at_another_gateway_is_ended(self):
         # Guards against a gateway that forwards a cancelled job later.
         self.gateway.cancel.return_value = True
