Let a job be cancelled whose queue was removed

Cause: the queue was looked up for every method, before the method was looked at. A cancellation needs the job's id alone.

Change: a DELETE that no queue matches cancels the id at the end of its path, and is answered 200 or 410 as the protocol says. Other requests get 404 as before.

--- a/pollenladder/platform/callers.py
+++ b/pollenladder/platform/callers.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import math
+import re
 from typing import assert_never
 
 import msgspec
@@ -18,6 +19,9 @@
 MIN_ESTIMATE_S = 0.001
 MAX_ESTIMATE_S = 3600.0
 
+# An id, at the end of a path.
+_JOB_ID_PATTERN = re.compile("[0-9a-fA-F]{16}$", re.ASCII)
+
 _JOB_DECODER = msgspec.json.Decoder(messages.Job)
 
 
@@ -121,6 +125,15 @@
             raise exceptions.UnsupportedJobError(text)
 
 
+def find_job_id(path: str) -> str:
+    """Return the job id at the end of a path, or "" if there is none.
+
+    It is found without the prefix of the queue.
+    """
+    found = _JOB_ID_PATTERN.search(path)
+    return found.group() if found else ""
+
+
 def read_budget_s(environ: dict, default_s: float) -> float:
     """Return how long the caller waits for the answer, in seconds.
 
--- a/pollenladder/service/application.py
+++ b/pollenladder/service/application.py
@@ -100,11 +100,11 @@
         body = callers.encode_error("no configuration yet")
         return callers.Reply(503, body, RETRY_AFTER_START_S)
     path = environ["PATH_INFO"]
+    method = environ["REQUEST_METHOD"]
     queue = routes.find(environ.get("HTTP_HOST", ""), path)
     if queue is None:
-        return callers.Reply(404, callers.encode_error("no such queue"))
+        return _answer_without_queue(dependencies, method, path)
     job_id = path[len(queue.prefix) :]
-    method = environ["REQUEST_METHOD"]
     if method == "GET" and not job_id:
         return callers.encode_pending(dependencies.count_pending(queue.name))
     if not job_id or len(job_id) > MAX_JOB_ID_CHARS or not job_id.isalnum():
@@ -119,6 +119,20 @@
     return callers.Reply(405, callers.encode_error("unknown method"))
 
 
+def _answer_without_queue(
+    dependencies: Dependencies, method: str, path: str
+) -> callers.Reply:
+    """Return the reply to a request that no queue matches.
+
+    A job may outlast its queue in the configuration, and can be cancelled until it
+    has ended.
+    """
+    job_id = callers.find_job_id(path)
+    if method == "DELETE" and job_id:
+        return _cancel(dependencies, job_id)
+    return callers.Reply(404, callers.encode_error("no such queue"))
+
+
 def _show_state(dependencies: Dependencies, job_id: str) -> callers.Reply:
     job = dependencies.gateway.open_jobs.get(job_id)
     if job is None:
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -156,11 +156,13 @@
         self.cancelled.append(job_id)
         return self.is_known
 
-    def _request(self, method: str) -> tuple[str, bytes]:
+    def _request(
+        self, method: str, path: str = "/a/" + JOB_ID
+    ) -> tuple[str, bytes]:
         body = sites.build_job(tasks=1)
         environ = {
             "REQUEST_METHOD": method,
-            "PATH_INFO": "/a/" + JOB_ID,
+            "PATH_INFO": path,
             "HTTP_HOST": "h.example",
             "CONTENT_LENGTH": str(len(body)),
             "wsgi.input": io.BytesIO(body),
@@ -207,6 +209,27 @@
         self.assertEqual((status, body), ("200", b'{"State":"cancelled"}'))
         self.assertEqual(self.cancelled, [JOB_ID])
 
+    def test_cancellation_of_a_job_whose_queue_was_removed(self):
+        # Guards against a running job that nobody can cancel any more (review/9).
+        self.is_known = True
+        for path in ("/removed/" + JOB_ID, "/removed" + JOB_ID):
+            self.assertEqual(self._request("DELETE", path)[0], "200")
+        self.assertEqual(self.cancelled, [JOB_ID] * 2)
+        self.is_known = False
+        self.assertEqual(self._request("DELETE", path)[0], "410")
+
+    def test_other_requests_without_a_queue_are_answered_404(self):
+        for method, path in (
+            ("POST", "/removed/" + JOB_ID),
+            ("GET", "/removed/" + JOB_ID),
+            ("GET", "/removed/"),
+            ("DELETE", "/removed/"),
+            ("DELETE", "/removed/" + JOB_ID + "/"),
+        ):
+            with self.subTest(method=method, path=path):
+                self.assertEqual(self._request(method, path)[0], "404")
+        self.assertEqual(self.cancelled, [])
+
     def test_cancellation_of_an_unknown_job(self):
         self.assertEqual(self._request("DELETE")[0], "410")
         self.assertEqual(self.cancelled, [JOB_ID])
