Count the departure of a worker from the begin of the read that showed it

Cause: a removed row of a worker that had left shortly before counts as repeated for 2.5 report intervals. The time ran from the end of the read that had shown it, or of the grace after an outage, so that after a slow read a row that had come back and expired unseen could be taken for the repetition.

Change: it runs from the begin of the latest read.

Measured: the new test fails without the change; tests.fleet, test_absent_workers and test_partition: 95 passed.

--- a/pollenladder/fleet/worker_tables.py
+++ b/pollenladder/fleet/worker_tables.py
@@ -77,7 +77,7 @@
         self._missing: dict[str, bool] = {}
         # When draining workers last reported, at the earliest, by worker id.
         self._reported_after: dict[str, float] = {}
-        # When the workers that had left were dropped, by worker id.
+        # When the read began that last showed no row of a worker that had left.
         self._left_at: dict[str, float] = {}
         # The rows that could not be decoded when they were last read.
         self._undecodable: set[str] = set()
@@ -200,7 +200,7 @@
             self._history.record_unexplained(now)
         for worker_id, has_left in self._missing.items():
             if has_left:
-                self._left_at[worker_id] = now
+                self._left_at[worker_id] = self._history.read_at
             self._forget(worker_id)
         self._missing.clear()
         return Dropped(expired, unexplained)
--- a/tests/fleet/test_worker_tables.py
+++ b/tests/fleet/test_worker_tables.py
@@ -81,6 +81,18 @@
         self.assertEqual(self._list(), ["w0"])
         self.assertEqual(self.history.find_doubt(self.now), "list_new")
 
+    def test_a_departure_counts_from_the_begin_of_its_read(self):
+        # Guards against a row that came back and expired unseen after a slow read.
+        draining = dataclasses.replace(self.both["w1"], is_draining=True)
+        self._update({"w1": draining})
+        self.history.record_read(1, self.now, False)
+        read_s = 1.0
+        found = worker_tables.RowChanges({}, {"w1": True})
+        self.table.update(found, False, self.now + read_s)
+        limit_s = worker_tables.MAX_INTERVALS_TO_LEAVE * REPORT_INTERVAL_S
+        self.now += limit_s + read_s / 2
+        self.assertEqual(self._update({}, ("w1",)), ["w1"])
+
     def test_a_worker_that_came_and_went_between_two_reads_has_expired(self):
         self.assertEqual(self._update({}, ("w9",)), ["w9"])
         self.assertTrue(self._has_expired())
