Log what a client sends in short

Cause: a line about a bad request contained the whole request line, up to 8 KB and four times as much once escaped, so that a crowd fills the buffer of the log, and other lines are dropped.

Change: 200 characters of it.

--- a/pollenladder/gateway/handlers.py
+++ b/pollenladder/gateway/handlers.py
@@ -16,6 +16,8 @@
 # Limit on the unread input that is discarded before a connection is closed.
 MAX_LINGER_BYTES = 4 * 1024 * 1024
 RECEIVE_BYTES = 65_536
+# The text of an error contains what the client sent.
+MAX_LOGGED_CHARS = 200
 # The WSGI environment variable with the socket of the connection, from which an
 # application can tell that the caller has disconnected. It is None once the
 # server has shut down reading, because such a socket always looks disconnected.
@@ -198,7 +200,8 @@
             LOGGER.error("connection", exc_info=(t, v, tb))
 
     def _handle_client_error(self, ex: Exception) -> tuple:
-        LOGGER.info("bad request from %s: %s", self.client_address[0], ex)
+        text = str(ex)[:MAX_LOGGED_CHARS]
+        LOGGER.info("bad request from %s: %s", self.client_address[0], text)
         if isinstance(ex, exceptions.RequestError):
             return _make_raw_error(ex)
         if isinstance(ex, HeadersTimeoutError):
--- a/tests/gateway/test_inputs.py
+++ b/tests/gateway/test_inputs.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from pollenladder.gateway import handlers
 from tests.gateway import fakes
 from tests.gateway import raw
 
@@ -285,6 +286,15 @@
         self.assertIn(field, error["field"])
         self.assertTrue(error["detail"])
 
+    def test_what_a_client_sends_is_logged_in_short(self):
+        # Guards against clients that fill the log, whose lines others need.
+        line = b"\x00" * 8000 + b"\r\n\r\n"
+        with self.assertLogs(handlers.LOGGER, "INFO") as found:
+            raw.exchange(self.server.port, line)
+        (record,) = found.records
+        self.assertLess(len(record.getMessage()), 300)
+        self.check_other_job_completes()
+
     def test_each_invalid_request_gets_a_typed_error(self):
         for name, request, status, code, field in CASES:
             with self.subTest(name):
