Let the soak remove rows of live workers and send crowds of clients

Change: two kinds of faults, row_expires and client_crowd; the rows of workers are written in one place.

--- a/soak/rounds.py
+++ b/soak/rounds.py
@@ -16,6 +16,7 @@
 from soak import callers
 from soak import clusters
 from soak import configurations
+from soak import crowds
 from soak import faults
 from soak import foreign_rows
 from soak import invariants
@@ -75,6 +76,7 @@
         self._store_disturbances: list[invariants.Disturbance] = []
         self._drains: list[invariants.Drain] = []
         self._drain_starts_s: dict[str, float] = {}
+        self._crowds: dict[int, list[gevent.Greenlet]] = {}
         self._peer_proxies: dict[str, proxies.Proxy] = {}
         # Processes that were killed or stopped, by daemon, until the restart.
         self._ended_processes: dict[str, Any] = {}
@@ -164,6 +166,8 @@
             "foreign_row": faults.Kind(
                 self._write_foreign_row, self._remove_foreign_row
             ),
+            "row_expires": faults.Kind(self._expire_row, self._renew_row),
+            "client_crowd": faults.Kind(self._send_crowd, self._end_crowd),
             "starts_lost": faults.Kind(self._lose_starts, _do_nothing),
             "starts_late": faults.Kind(self._delay_starts, _do_nothing),
             "worker_fails": self._make_worker_fault("fails_all", True, False),
@@ -316,9 +320,8 @@
         worker_id = f"w{target % WORKER_COUNT}"
         if worker_id in self._drain_starts_s:
             return
-        port = self._worker_proxies[worker_id].port
-        self.cluster.site.list_worker(worker_id, state="draining", port=port)
         self._drain_starts_s[worker_id] = time.monotonic()
+        self._list_worker(worker_id)
 
     def _end_drain(self, target: int) -> None:
         worker_id = f"w{target % WORKER_COUNT}"
@@ -327,8 +330,39 @@
             return
         end_s = time.monotonic()
         self._drains.append(invariants.Drain(worker_id, begin_s, end_s))
-        port = self._worker_proxies[worker_id].port
-        self.cluster.site.list_worker(worker_id, port=port)
+        self._list_worker(worker_id)
+
+    def _list_worker(self, worker_id: str) -> None:
+        """Write the row of a worker, as its report would."""
+        is_draining = worker_id in self._drain_starts_s
+        self.cluster.site.list_worker(
+            worker_id,
+            state="draining" if is_draining else "ready",
+            port=self._worker_proxies[worker_id].port,
+        )
+
+    def _expire_row(self, target: int) -> None:
+        """Remove the row of a worker that goes on, as after lost reports.
+
+        A draining worker has reported too recently for that.
+        """
+        worker_id = f"w{target % WORKER_COUNT}"
+        if worker_id not in self._drain_starts_s:
+            store = self.cluster.site.store
+            store.remove_row(rows.WORKERS_TABLE, worker_id)
+
+    def _renew_row(self, target: int) -> None:
+        self._list_worker(f"w{target % WORKER_COUNT}")
+
+    def _send_crowd(self, target: int) -> None:
+        """Send heads without end to a daemon, over many connections."""
+        daemon = self.cluster.daemons[self._choose_daemon(target)]
+        crowd = gevent.spawn(crowds.send_endless_heads, daemon.ports[0])
+        self._crowds.setdefault(target, []).append(crowd)
+        self._add_cleanup(crowd.kill)
+
+    def _end_crowd(self, target: int) -> None:
+        gevent.killall(self._crowds.pop(target, []))
 
     def _is_running(self, name: str) -> bool:
         return self.cluster.daemons[name].process.poll() is None
@@ -417,13 +451,7 @@
     def _resize_worker(self, target: int, cpu: int) -> None:
         worker = self._find_worker(target)
         worker.cpu = cpu
-        worker_id = worker.worker_id
-        is_draining = worker_id in self._drain_starts_s
-        self.cluster.site.list_worker(
-            worker_id,
-            state="draining" if is_draining else "ready",
-            port=self._worker_proxies[worker_id].port,
-        )
+        self._list_worker(worker.worker_id)
 
     def _shrink_worker(self, target: int) -> None:
         self._resize_worker(target, SHRUNKEN_CPU)
