--- a/pollenladder/jobs/entities.py
+++ b/pollenladder/jobs/entities.py
@@ -233,7 +233,8 @@
         TOO_LARGE: A task needs more resources than any worker has.
         NO_WORKERS: The service has no workers.
         NO_OWNER: The gateway found no owner to forward the job to.
-        OWNER_BUSY: The gateway shed the job because the owner is overloaded.
+        OWNER_BUSY: The gateway shed the job because the owner is overloaded, or the
+            owner holds as many tasks of large jobs as it may.
         OWNER_LOST: The job may run in another group, as an earlier attempt was
             refused here.
         GATEWAY_LOST: The gateway of the attempt has not forwarded it again after a
